Take a new configuration at SIGHUP; give up the numbers of backends that are gone

Ruled out: SIGTERM's path, which is meant. Mend: Signals hears SIGHUP before anything else starts, the file is read off the loop (its discovery wins over the start's environment) and the watch moves at once by index; a file that cannot be read is one log line. By reading: Discovery.numbers kept the ids of 'terminated' deltas for good. Tests fail without: ServeTest (a process with HUP, HUP, HUP, TERM) and numbersOfBackendsThatAreGoneAreGivenUp.

--- a/src/main/java/dewstage/Main.java
+++ b/src/main/java/dewstage/Main.java
@@ -2,7 +2,6 @@
 
 import dewstage.benchlink.Host;
 import dewstage.benchlink.WireException;
-import dewstage.proxy.Config;
 import dewstage.proxy.ConfigException;
 import dewstage.proxy.Proxy;
 import java.io.IOException;
@@ -25,7 +24,7 @@
 
     private static int serve() {
         try {
-            Proxy.run(Config.read(System.getenv()), Policy::new);
+            Proxy.run(System.getenv(), Policy::new);
             return 0;
         } catch (ConfigException | IOException e) {
             System.err.println("dewstage: " + e.getMessage());
--- a/src/main/java/dewstage/proxy/Config.java
+++ b/src/main/java/dewstage/proxy/Config.java
@@ -16,7 +16,8 @@
 import java.util.Map;
 
 /**
- * What a proxy is told at its start: the file at NODE_CONFIG; NODE_LISTEN and NODE_DISCOVERY win over it.
+ * What a proxy is told: the file at NODE_CONFIG; at the start NODE_LISTEN and NODE_DISCOVERY win over
+ * it.
  * The names' places in their lists are the numbers that the module knows them by.
  */
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
@@ -39,6 +40,16 @@
         return parse(root, environment);
     }
 
+    /**
+     * The configuration as it is now. The environment is that of the start, so for what may change later,
+     * the address of discovery, the file wins.
+     */
+    static Config reread(Map<String, String> environment) throws ConfigException {
+        Map<String, String> lasting = new HashMap<>(environment);
+        lasting.remove("NODE_DISCOVERY");
+        return read(lasting);
+    }
+
     static Config parse(JsonNode root, Map<String, String> environment) throws ConfigException {
         JsonNode settings = root.path("settings");
         Map<String, String> flat = new HashMap<>();
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -67,6 +67,7 @@
     /** The number of each listed backend and whose it is: no two share one. */
     private final Map<String, Integer> numbers = new HashMap<>();
     private final Map<Integer, String> owners = new HashMap<>();
+    private InetSocketAddress address;
     private long version = -1;
     private long pauseMs = FIRST_PAUSE_MS;
     private boolean wanted;
@@ -81,6 +82,7 @@
         this.loop = loop;
         this.config = config;
         this.listener = listener;
+        this.address = config.discovery();
         this.silenceMs = silenceMs;
     }
 
@@ -107,6 +109,19 @@
         }
     }
 
+    /** Discovery is elsewhere now: the watch goes on there at once, from the last version that was heard. */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        pauseMs = FIRST_PAUSE_MS;
+        if (wanted) {
+            close();
+            open();
+        }
+    }
+
     private void close() {
         Channel old = watch;
         watch = null;
@@ -128,7 +143,7 @@
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new HttpClientCodec(), new Watch());
                     }
-                }).connect(config.discovery());
+                }).connect(address);
         watch = connect.channel();
         watch.closeFuture().addListener(f -> ended(connect.channel()));
     }
@@ -272,6 +287,12 @@
                     e.path("cell").asInt(), place(config.zones(), e.path("zone")),
                     e.path("weight").asDouble(1)), addresses.get(i)));
         }
+        // Whoever is gone needs no number: where ids are ever new, those kept would grow without end.
+        for (Listed l : list) {
+            if (l.member().state() == State.GONE) {
+                numbers.remove(owners.remove(l.member().id()));
+            }
+        }
         return new News(whole ? ListKind.FULL : ListKind.DELTA, generation.asLong(), list);
     }
 
@@ -305,6 +326,11 @@
         });
     }
 
+    /** How many backends have a number. */
+    int numbered() {
+        return numbers.size();
+    }
+
     /** FNV-1a, its bits mixed well. */
     static long hash(String text) {
         long h = 0xcbf29ce484222325L;
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -99,8 +99,18 @@
         this.balancer = factory.create(config.settings(), config.seed(), clock.now(), this);
     }
 
-    /** Serves until the process is told to end. */
-    public static void run(Config config, Balancer.Factory factory) throws IOException {
+    /**
+     * Serves until the process is told to end. At each SIGHUP the configuration is read anew; one that cannot
+     * be read changes nothing.
+     */
+    public static void run(Map<String, String> environment, Balancer.Factory factory)
+            throws ConfigException, IOException {
+        // The default would end the process, so this comes first: an early signal waits for the proxy.
+        CompletableFuture<Proxy> started = new CompletableFuture<>();
+        if (!Signals.on("HUP", () -> started.thenAccept(p -> p.reload(environment)))) {
+            say("this runtime cannot hear SIGHUP: the configuration is read at the start only");
+        }
+        Config config = Config.read(environment);
         // The first line that Netty logs would load time-zone rules from a file; with no descriptor left that
         // is an Error, which ends the event loop.
         new SimpleFormatter().format(new LogRecord(Level.INFO, "starting"));
@@ -111,6 +121,7 @@
             // A process that a signal ends reports the signal; this one has ended well.
             Runtime.getRuntime().halt(0);
         }, "drain"));
+        started.complete(proxy);
         loop.terminationFuture().awaitUninterruptibly();
         throw new IOException("the event loop has ended"); // better gone than deaf
     }
@@ -158,6 +169,25 @@
         return (InetSocketAddress) listening.channel().localAddress();
     }
 
+    /** Reads the configuration again, off the loop, and hands it over. */
+    private void reload(Map<String, String> environment) {
+        try {
+            Config config = Config.reread(environment);
+            loop.execute(() -> reload(config));
+        } catch (ConfigException e) {
+            say("the new configuration is not used: " + e.getMessage());
+        }
+    }
+
+    /**
+     * Takes over what may change while it serves: where discovery is. What the proxy knows and holds lives
+     * on. To be called on the loop.
+     */
+    void reload(Config config) {
+        say("a new configuration: discovery is at " + config.discovery());
+        discovery.move(config.discovery());
+    }
+
     /** Answers what has been taken and what still comes; the future is done once all is answered. */
     CompletableFuture<Void> drain() {
         loop.execute(() -> {
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryTest.java
@@ -118,6 +118,27 @@
         }
     }
 
+    @Test
+    void numbersOfBackendsThatAreGoneAreGivenUp() throws Exception {
+        Config config = Setup.config(discovery, backend);
+        Discovery d = new Discovery(setup.loop, config, setup.proxy, 60_000);
+        setup.act(() -> d.watch(true));
+        discovery.accept(); // that of the proxy
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        watch.write(HEAD);
+        for (int i = 0; i < 3; i++) {
+            watch.write(chunk(list(50 + i, false, "s-" + i, "in_service")));
+            member();
+        }
+        assertEquals(3, setup.loop.submit(d::numbered).get(20, TimeUnit.SECONDS));
+        for (int i = 0; i < 3; i++) {
+            watch.write(chunk(list(60 + i, false, "s-" + i, "terminated")));
+            member();
+        }
+        assertEquals(0, setup.loop.submit(d::numbered).get(20, TimeUnit.SECONDS));
+    }
+
     @Test
     void newsOfADrainCountsForAnAttemptThatIsStillConnecting() throws Exception {
         setup.close();
--- /dev/null
+++ b/src/test/java/dewstage/proxy/ServeTest.java
@@ -0,0 +1,98 @@
+package dewstage.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as a process, with the signals that it gets in service. */
+@Timeout(120)
+class ServeTest {
+    @TempDir
+    Path folder;
+
+    private void write(String text) throws Exception {
+        Path next = Files.writeString(folder.resolve("next.json"), text);
+        Files.move(next, folder.resolve("config.json"), StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    private void write(Peer discovery, Peer backend) throws Exception {
+        write(Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000).toString());
+    }
+
+    private static void signal(Process p, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(p.pid())).start().waitFor());
+    }
+
+    /** Reads the log until a line holds the text. */
+    private static void said(BufferedReader log, String text) throws Exception {
+        String line = log.readLine();
+        while (line != null && !line.contains(text)) {
+            line = log.readLine();
+        }
+        assertTrue(line != null, "the process ended without saying: " + text);
+    }
+
+    @Test
+    void newConfigurationsMoveTheWatchABadOneChangesNothingAndSigtermStillEndsWell() throws Exception {
+        try (Peer first = new Peer(); Peer second = new Peer(); Peer third = new Peer();
+                Peer backend = new Peer()) {
+            write(first, backend);
+            ProcessBuilder java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                    .toString(), "-cp", System.getProperty("java.class.path"), "dewstage.Main", "serve");
+            java.environment().putAll(Map.of("NODE_CONFIG", folder.resolve("config.json").toString(),
+                    "NODE_DISCOVERY", first.hostPort()));
+            Process p = java.start();
+            try (BufferedReader log = p.errorReader()) {
+                assertTrue(first.accept().read().contains("index=41 "));
+                write(second, backend);
+                signal(p, "HUP");
+                Peer.Wire watch = second.accept(); // the file wins over the environment of the start
+                assertTrue(watch.read().contains("index=41 "));
+                write("{\"listen\":");
+                signal(p, "HUP");
+                said(log, "is not used");
+                write(third, backend);
+                signal(p, "HUP");
+                assertTrue(third.accept().read().contains("index=41 "));
+                assertTrue(watch.ended());
+                signal(p, "TERM");
+                said(log, "drained");
+                assertTrue(p.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(0, p.exitValue());
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+    }
+
+    @Test
+    void theModuleKeepsItsListAndNothingIsToldTwiceWhenTheAddressIsTheSame() throws Exception {
+        try (Peer discovery = new Peer(); Peer elsewhere = new Peer(); Peer backend = new Peer();
+                Setup setup = new Setup().start(Setup.config(discovery, backend))) {
+            setup.backend();
+            discovery.accept().read();
+            setup.act(() -> reload(setup, discovery, backend));
+            setup.act(() -> reload(setup, elsewhere, backend));
+            assertTrue(elsewhere.accept().read().contains("index=41 "));
+            assertTrue(discovery.quiet());
+            assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("members")));
+        }
+    }
+
+    private static void reload(Setup setup, Peer discovery, Peer backend) {
+        try {
+            setup.proxy.reload(Setup.config(discovery, backend));
+        } catch (ConfigException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
