Serve only answers that are provably whole, and never one behind another

Cause: Connection.whole returned the connection to the pool before what came with the answer was seen, so the copy answered the next request; a body under too short a length was served cut; the library takes a header line with no colon for a name with no value. Ruled out: chunked answers (none was good). Mend: AnswerDecoder; an answer ends its attempt once its read is complete. Bytes behind it other than another answer's beginning make it a RESET (noise behind a good one cannot be told from a cut body). 4xx of a backend ends the request and blames no backend; a report with absurd numbers or none is no report.

--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -16,12 +16,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -32,6 +31,7 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
@@ -44,11 +44,18 @@
 final class Backends {
     /** The largest body that either side may send. */
     static final int MOST_BYTES = 64 << 10;
-
-    /** A whole 200 answer of a backend. */
-    record Answer(HttpHeaders headers, byte[] body) { }
-
-    /** Who hears, once, how an attempt ended; answer is null unless it was served. */
+    /** Interim (1xx) answers ahead of one final answer. */
+    private static final int MOST_INTERIM = 8;
+    /** Figures beyond these are no load: a busy share of one is all, and nothing counts a million. */
+    private static final double MOST_UTIL = 100, MOST_COUNT = 1e6;
+
+    /** A whole answer of a backend. */
+    record Answer(HttpResponse head, byte[] body) { }
+
+    /**
+     * Who hears, once, how an attempt ended. There is an answer if it was served, and with MOOT if the
+     * backend cannot use the request.
+     */
     interface Listener {
         void ended(Attempt attempt, Status status, Report report, Answer answer);
     }
@@ -200,7 +207,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(4096, 16 << 10, 16 << 10), c);
+                        channel.pipeline().addLast(c.decoder, new HttpRequestEncoder(), c);
                     }
                 }).connect(a.backend.address);
         c.channel = connect.channel();
@@ -283,13 +290,19 @@
     }
 
     /** A connection: carries one attempt at a time. */
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject>
+            implements AnswerDecoder.Listener {
         private final Backend backend;
+        private final AnswerDecoder decoder = new AnswerDecoder(this);
         private Channel channel;
         private long idleSince;
         private Attempt attempt;
         private HttpResponse head;
         private ByteBuf body;
+        private int interim;
+        /** The answer has ended, but what came with it is still to be seen. */
+        private boolean whole;
+        private boolean trailed;
 
         Connection(Backend backend) {
             this.backend = backend;
@@ -305,7 +318,11 @@
             }
             attempt = a;
             head = null;
+            interim = 0;
+            whole = false;
+            trailed = false;
             body = Unpooled.buffer(512, MOST_BYTES);
+            decoder.expect();
             channel.writeAndFlush(a.toWrite()).addListener(f -> {
                 if (f.isSuccess()) {
                     a.written = true;
@@ -318,15 +335,13 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
             if (attempt == null || message.decoderResult().isFailure()) {
-                broken(); // an answer to nothing, or no answer at all
+                broken();
                 return;
             }
             if (message instanceof HttpResponse r) {
                 head = r;
-                // An answer that only the connection's end would end cannot be told from one cut short.
-                if (r.status().codeClass() != HttpStatusClass.INFORMATIONAL
-                        && !HttpUtil.isContentLengthSet(r) && !HttpUtil.isTransferEncodingChunked(r)
-                        && r.status().code() != 204 && r.status().code() != 304) {
+                boolean informs = r.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+                if (informs ? ++interim > MOST_INTERIM || r.status().code() == 101 : !framed(r)) {
                     broken();
                     return;
                 }
@@ -338,27 +353,56 @@
                 }
                 body.writeBytes(content.content());
             }
-            if (message instanceof LastHttpContent
-                    && head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
-                whole();
+            if (message instanceof LastHttpContent) {
+                if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                    decoder.expect();
+                } else {
+                    whole = true;
+                    decoder.whole();
+                }
+            }
+        }
+
+        @Override
+        public void noise() {
+            broken();
+        }
+
+        /**
+         * More than the answer's length. If another answer begins there, the first one ended where it said.
+         * Anything else may as well be the rest of its body under too short a length: that is not served.
+         */
+        @Override
+        public void trailing(boolean again) {
+            if (!trailed && !again) {
+                broken();
             }
+            trailed = true;
         }
 
-        private void whole() {
+        /** Only now is all seen that came with the answer: a connection that holds more is not used again. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (whole && attempt != null) {
+                served();
+            }
+        }
+
+        private void served() {
             Attempt a = attempt;
-            HttpResponse r = head;
             byte[] bytes = new byte[body.readableBytes()];
             body.readBytes(bytes);
             attempt = null;
-            if (a.written && HttpUtil.isKeepAlive(r) && backend.leftAt == 0) {
+            decoder.quiet();
+            if (a.written && !trailed && HttpUtil.isKeepAlive(head) && backend.leftAt == 0) {
                 idleSince = clock.now();
                 backend.idle.addLast(this);
             } else {
                 channel.close();
             }
-            Status status = status(r);
-            a.end(status, report(r.headers().get("Server-Load")),
-                    status == Status.OK ? new Answer(r.headers(), bytes) : null);
+            Status status = status(head);
+            a.end(status, report(head.headers().getAll("Server-Load")),
+                    status == Status.OK || status == Status.MOOT ? new Answer(head, bytes) : null);
         }
 
         /**
@@ -368,6 +412,8 @@
         private void broken() {
             Attempt a = attempt;
             attempt = null;
+            decoder.quiet();
+            backend.idle.remove(this);
             if (a != null) {
                 a.broken();
             }
@@ -376,7 +422,9 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            backend.idle.remove(this);
+            if (whole && attempt != null) {
+                served(); // the end came in the same go
+            }
             broken();
         }
 
@@ -386,16 +434,43 @@
         }
     }
 
+    /**
+     * Does the head tell where its answer ends, within what an answer may hold? One that only the end of the
+     * connection would end cannot be told from one cut short.
+     */
+    private static boolean framed(HttpResponse r) {
+        if (!r.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
+            return false;
+        }
+        return HttpUtil.isTransferEncodingChunked(r) || r.status().code() == 204 || r.status().code() == 304
+                || HttpUtil.isContentLengthSet(r) && HttpUtil.getContentLength(r, -1L) <= MOST_BYTES;
+    }
+
     private static Status status(HttpResponse r) {
         int code = r.status().code();
         if (code == 200) {
             return Status.OK;
         }
+        // 4xx speaks of the request, not of the backend: no other would take it, and none is worse for it.
+        if (code / 100 == 4 && code != 408 && code != 425 && code != 429) {
+            return Status.MOOT;
+        }
         // Only the backend's own word proves that the request never ran.
         return (code == 503 || code == 504) && "1".equals(r.headers().get("Not-Started")) ? Status.FULL
                 : Status.ERROR;
     }
 
+    /** The last load report that can be read; null if none can. */
+    private static Report report(List<String> texts) {
+        Report last = null;
+        for (String text : texts) {
+            Report r = report(text);
+            last = r == null ? last : r;
+        }
+        return last;
+    }
+
     /** Reads a load report; null if there is none or any of it makes no sense. */
     static Report report(String text) {
         if (text == null) {
@@ -420,11 +495,14 @@
                 } catch (NumberFormatException e) {
                     return null;
                 }
-                if (!Double.isFinite(values[i]) || values[i] < 0) {
+                if (!(values[i] >= 0 && values[i] <= (i == 2 ? MOST_UTIL : MOST_COUNT))) {
                     return null;
                 }
             }
         }
+        if (Arrays.stream(values).allMatch(Double::isNaN)) {
+            return null;
+        }
         return new Report(values[0], values[1], values[2], values[3], values[4], values[5]);
     }
 }
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -337,7 +337,10 @@
     private void ended(Exchange x, int number, int server, long startedAt, Status status, Report report,
             Backends.Answer answer) {
         if (status == Status.OK && !x.over) {
-            answer(x, 200, answer.headers(), answer.body());
+            answer(x, 200, answer.head().headers(), answer.body());
+        } else if (answer != null && !x.over) {
+            answer(x, answer.head().status().code(), null,
+                    "the backend cannot use this request\n".getBytes(StandardCharsets.UTF_8));
         }
         long elapsed = clock.now() - startedAt;
         tell(x.ticket, now -> {
