Read clients strictly and within limits; a share of descriptors for each side

Causes, by reading and checked with tests that fail without the change: no limit on silent or half requests; requests already decoded went past the line's limit and a close went unseen; Connection could strip the Request-Id; ids that were open were sent on; one pool of descriptors let silent clients close the idle connections to backends; out of descriptors counted as the backend's fault. Ruled out by a probe of the library: a length beside Transfer-Encoding and odd lengths fail there already, but a head's line with no colon passed. Mend: Client (one connection), RequestDecoder, RequestIds, Asked (the checks), Sockets.Share.

--- /dev/null
+++ b/src/main/java/dewstage/proxy/Asked.java
@@ -0,0 +1,79 @@
+package dewstage.proxy;
+
+import dewstage.Balancer.Effect;
+import dewstage.Balancer.Profile;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.cookie.Cookie;
+import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** What a request asks of the module: the class and tenant by place, the rest as the client said it. */
+record Asked(int profile, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
+    /** No client waits longer; more is a slip of the pen. */
+    private static final double LONGEST_TIMEOUT_S = 3600;
+    /** Ids and keys: what any backend can read, and no longer than makes sense. */
+    private static final Pattern NAME = Pattern.compile("[!-~]{1,128}");
+    private static final Pattern TARGET = Pattern.compile("/[!-~]*");
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,6}(\\.[0-9]{0,12})?");
+
+    /** What is wrong with a request of a class; null if nothing is. */
+    static String wrong(Message m, Profile p) {
+        if (!TARGET.matcher(m.uri()).matches()) {
+            return "a target with odd characters";
+        }
+        if (!one(m, "Request-Id", NAME)) {
+            return "no Request-Id, or an odd one, or several";
+        }
+        if (timeout(m) <= 0) {
+            return "no sensible Request-Timeout";
+        }
+        boolean keyed = m.headers().contains("Idempotency-Key");
+        if (keyed && !one(m, "Idempotency-Key", NAME)) {
+            return "an odd Idempotency-Key, or several";
+        }
+        if (p.effect() == Effect.DEDUPLICATED && !keyed || p.effect() == Effect.AT_MOST_ONCE && keyed) {
+            return keyed ? "this class takes no Idempotency-Key" : "no Idempotency-Key";
+        }
+        return p.effect() == Effect.IDEMPOTENT && m.body().length > 0 ? "a body" : null;
+    }
+
+    private static boolean one(Message m, String name, Pattern form) {
+        List<String> values = m.headers().getAll(name);
+        return values.size() == 1 && form.matcher(values.get(0)).matches();
+    }
+
+    /** In ns; 0 where it makes no sense. */
+    private static long timeout(Message m) {
+        if (!one(m, "Request-Timeout", SECONDS)) {
+            return 0;
+        }
+        double s = Double.parseDouble(m.headers().get("Request-Timeout"));
+        return s > 0 && s <= LONGEST_TIMEOUT_S ? (long) (s * 1e9) : 0;
+    }
+
+    static Asked of(Message m, int profile, Config config) {
+        return new Asked(profile, Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
+                key(m.headers().get(HttpHeaderNames.COOKIE)), timeout(m), hint(m),
+                "1".equals(m.headers().get("Client-Retry")));
+    }
+
+    /** A hint is advice: one that cannot be read is none. */
+    private static long hint(Message m) {
+        return one(m, "Work-Hint", SECONDS)
+                ? (long) (Double.parseDouble(m.headers().get("Work-Hint")) * 1000) : 0;
+    }
+
+    /** What a request is about, as a number; 0 is none and no key's. */
+    static long key(String cookies) {
+        if (cookies != null) {
+            for (Cookie c : ServerCookieDecoder.LAX.decode(cookies)) {
+                if (c.name().equals("sid")) {
+                    long key = Discovery.hash(c.value());
+                    return key == 0 ? 1 : key;
+                }
+            }
+        }
+        return 0;
+    }
+}
--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -75,16 +75,17 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Sockets sockets;
+    private final Sockets.Share sockets;
     private final long connectTimeoutNs;
     private final long keepAliveNs;
     private final long drainGraceNs;
     private final Map<Integer, Backend> backends = new HashMap<>();
 
-    Backends(EventLoop loop, Clock clock, Sockets sockets, Config config) {
+    Backends(EventLoop loop, Clock clock, Sockets.Share sockets, Config config) {
         this.loop = loop;
         this.clock = clock;
         this.sockets = sockets;
+        sockets.whenFull(this::closeOneIdle);
         this.connectTimeoutNs = config.connectTimeoutNs();
         this.keepAliveNs = Math.max(config.keepAliveNs() / 2, config.keepAliveNs() - KEEP_ALIVE_MARGIN_NS);
         this.drainGraceNs = config.drainGraceNs();
@@ -141,7 +142,7 @@
     }
 
     /** Closes the connection that has been idle longest; false if there is none. */
-    boolean closeOneIdle() {
+    private boolean closeOneIdle() {
         Backend oldest = null;
         for (Backend b : backends.values()) {
             if (!b.idle.isEmpty()
@@ -194,7 +195,7 @@
         } else if (sockets.take()) {
             connect(a);
         } else {
-            loop.execute(() -> a.end(Status.CONNECT_FAILED, null, null));
+            loop.execute(() -> a.end(Status.MOOT, null, null)); // no fault of the backend's
         }
         return a;
     }
@@ -278,7 +279,7 @@
         private DefaultFullHttpRequest toWrite() {
             DefaultFullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
                     request.uri(), Unpooled.wrappedBuffer(request.body()));
-            Message.copyEndToEnd(request.headers(), r.headers());
+            Message.copyRequest(request.headers(), r.headers());
             r.headers().set(HttpHeaderNames.HOST, request.headers().get(HttpHeaderNames.HOST, ""));
             r.headers().set("Request-Timeout", String.format(Locale.ROOT, "%.6f",
                     Math.max(1000, deadline - clock.now()) / 1e9));
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -3,42 +3,28 @@
 import dewstage.Balancer.Effect;
 import dewstage.Balancer.Profile;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import io.netty.handler.codec.http.cookie.Cookie;
-import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
-
-/** The clients' side: reads requests, hands over those that make sense and writes each one's answer. */
-final class Frontend {
-    /** What a request asks of the module: the class and tenant by place, the rest as the client said it. */
-    record Asked(int profile, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) { }
-
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * The clients' side: keeps their connections within the limits and hands over the requests that make
+ * sense.
+ */
+final class Frontend implements Client.Owner {
     /** Who takes the requests. */
     interface Taker {
         boolean ready();
@@ -49,24 +35,35 @@
         void gone(Client client);
     }
 
-    /** No client waits longer; more is a slip of the pen. */
-    private static final double LONGEST_TIMEOUT_S = 3600;
-    /** Requests that may wait behind one on its connection; after that no more is read from it. */
-    private static final int MOST_PIPELINED = 8;
+    /**
+     * A connection has so long to bring its first whole request, and every later one from its first byte on.
+     * Guards against clients that say nothing, or half of something: each would hold a descriptor for good.
+     */
+    private static final long REQUEST_NS = 1_800_000_000L;
+    /** One that was used may stand idle for so long: usual clients come again sooner. */
+    private static final long IDLE_NS = 5_000_000_000L;
+    private static final long SWEEP_MS = 200, AGE_MS = 4000, COUNT_MS = 10_000;
 
     private final Config config;
     private final Clock clock;
-    private final Sockets sockets;
+    private final Sockets.Share sockets;
     private final Taker taker;
-    private final Set<Client> clients = new LinkedHashSet<>();
+    private final RequestIds ids = new RequestIds();
+    /** Connections that never brought a request that made sense, the oldest first. */
+    private final Set<Client> unused = new LinkedHashSet<>();
+    /** The others, the one that was answered longest ago first. */
+    private final Set<Client> used = new LinkedHashSet<>();
+    /** Answers to what made no sense, by status: a line of the log for each would be one for the asking. */
+    private final Map<Integer, Integer> rejected = new TreeMap<>();
     private Channel listener;
     private boolean draining;
 
-    Frontend(Config config, Clock clock, Sockets sockets, Taker taker) {
+    Frontend(Config config, Clock clock, Sockets.Share sockets, Taker taker) {
         this.config = config;
         this.clock = clock;
         this.sockets = sockets;
         this.taker = taker;
+        sockets.whenFull(this::closeOneIdle);
     }
 
     ChannelFuture listen(EventLoop loop) {
@@ -81,6 +78,9 @@
                     }
                 }).bind(config.listen());
         listener = bound.channel();
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(ids::age, AGE_MS, AGE_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::sayRejected, COUNT_MS, COUNT_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -90,8 +90,23 @@
             return;
         }
         c.closeFuture().addListener(f -> sockets.release());
-        c.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Backends.MOST_BYTES, true),
-                new Client(c));
+        RequestDecoder decoder = new RequestDecoder();
+        Client client = new Client(c, decoder, this);
+        c.pipeline().addLast(decoder, new HttpResponseEncoder(), client);
+        unused.add(client);
+    }
+
+    private void sweep() {
+        long now = clock.now();
+        Stream.concat(unused.stream(), used.stream()).toList().forEach(c -> c.check(now, REQUEST_NS,
+                IDLE_NS));
+    }
+
+    private void sayRejected() {
+        if (!rejected.isEmpty()) {
+            Proxy.say("requests that made no sense, by status: " + rejected);
+            rejected.clear();
+        }
     }
 
     /** Answers from now on end their connections. */
@@ -102,18 +117,25 @@
     /** Takes no more connections, and ends those between requests. */
     void close() {
         listener.close();
-        clients.stream().filter(Client::idle).toList().forEach(c -> c.channel.close());
+        Stream.concat(unused.stream(), used.stream()).filter(Client::idle).toList().forEach(Client::close);
+    }
+
+    /**
+     * Closes a connection with no request open: the oldest of those that were never used, or else the one
+     * that is idle longest. False if there is none.
+     */
+    private boolean closeOneIdle() {
+        return closeFirst(unused, false) || closeFirst(used, true);
     }
 
-    /** Closes a connection between requests, the one that is idle longest; false if there is none. */
-    boolean closeOneIdle() {
+    private static boolean closeFirst(Set<Client> clients, boolean idle) {
         for (Iterator<Client> i = clients.iterator(); i.hasNext();) {
             Client c = i.next();
-            if (c.idle()) {
+            if (idle ? c.idle() : !c.busy()) {
                 // Not left to channelInactive, which comes later: a burst of new connections would all be
                 // given the place of this one, and the process would run out of descriptors.
                 i.remove();
-                c.channel.close();
+                c.close();
                 return true;
             }
         }
@@ -121,176 +143,68 @@
     }
 
     int open() {
-        return clients.size();
+        return unused.size() + used.size();
     }
 
-    /** A client's connection: one request at a time, the others wait in line. */
-    final class Client extends SimpleChannelInboundHandler<FullHttpRequest> {
-        private record Waiting(Message message, boolean sound, long at, boolean keepAlive) { }
-
-        private final Channel channel;
-        private final Deque<Waiting> line = new ArrayDeque<>();
-        private boolean busy;
-        private boolean keepAlive;
-
-        Client(Channel channel) {
-            this.channel = channel;
-        }
-
-        private boolean idle() {
-            return !busy && line.isEmpty();
-        }
-
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            clients.add(this);
-        }
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
-            byte[] body = ByteBufUtil.getBytes(r.content());
-            boolean sound = r.decoderResult().isSuccess();
-            line.add(new Waiting(new Message(r.method(), r.uri(), r.headers(), body), sound, clock.now(),
-                    sound && HttpUtil.isKeepAlive(r)));
-            ctx.channel().config().setAutoRead(line.size() < MOST_PIPELINED);
-            next();
-        }
-
-        private void next() {
-            while (!busy && !line.isEmpty() && channel.isActive()) {
-                Waiting w = line.poll();
-                busy = true;
-                keepAlive = w.keepAlive();
-                if (w.sound()) {
-                    take(w.message(), w.at());
-                } else {
-                    answer(400, null, "malformed request");
-                }
-            }
-        }
-
-        private void take(Message m, long at) {
-            String path = new QueryStringDecoder(m.uri()).rawPath();
-            if (path.equals("/_health")) {
-                boolean up = taker.ready() && !draining;
-                int status = up ? 200 : 503;
-                answer(m.method().equals(HttpMethod.GET) ? status : 405, null, up ? "ready" : "not ready");
-                return;
-            }
-            int slash = path.indexOf('/', 1);
-            int profile = path.startsWith("/")
-                    ? config.classes().indexOf(path.substring(1, slash < 0 ? path.length() : slash)) : -1;
-            if (profile < 0) {
-                answer(404, null, "no such class");
-                return;
-            }
-            Profile p = config.settings().profiles().get(profile);
-            HttpMethod method = p.effect() == Effect.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
-            if (!m.method().equals(method)) {
-                answer(405, null, "this class takes " + method);
-                return;
-            }
-            String wrong = wrong(m, p);
-            if (wrong != null) {
-                answer(400, null, wrong);
-                return;
-            }
-            taker.taken(this, m, asked(m, profile), at);
-        }
+    // ---- what the connections say ----
 
-        /** The final answer to the request in hand; of a client that has gone nothing is written. */
-        void answer(int status, HttpHeaders headers, byte[] body) {
-            DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-            if (headers != null) {
-                Message.copyEndToEnd(headers, r.headers());
-            }
-            HttpUtil.setContentLength(r, body.length);
-            boolean last = draining && line.isEmpty() || !keepAlive;
-            if (last) {
-                r.headers().set(HttpHeaderNames.CONNECTION, "close");
-            }
-            ChannelFuture written = channel.writeAndFlush(r);
-            if (last) {
-                written.addListener(ChannelFutureListener.CLOSE);
-            } else {
-                clients.remove(this); // to the end of the order of use
-                clients.add(this);
-            }
-            busy = false;
-            if (!last && !line.isEmpty()) {
-                channel.eventLoop().execute(this::next);
-            }
-            channel.config().setAutoRead(line.size() < MOST_PIPELINED);
-        }
+    @Override
+    public long now() {
+        return clock.now();
+    }
 
-        void answer(int status, HttpHeaders headers, String text) {
-            answer(status, headers, (text + "\n").getBytes(StandardCharsets.UTF_8));
+    @Override
+    public void whole(Client client, Message m, long at) {
+        String path = new QueryStringDecoder(m.uri()).rawPath();
+        if (path.equals("/_health")) {
+            boolean up = taker.ready() && !draining;
+            int status = up ? 200 : 503;
+            client.answer(m.method().equals(HttpMethod.GET) ? status : 405, null, up ? "ready" : "not ready");
+            return;
         }
-
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            clients.remove(this);
-            line.clear();
-            if (busy) {
-                busy = false;
-                taker.gone(this);
-            }
+        int slash = path.indexOf('/', 1);
+        int profile = path.startsWith("/")
+                ? config.classes().indexOf(path.substring(1, slash < 0 ? path.length() : slash)) : -1;
+        if (profile < 0) {
+            client.answer(404, null, "no such class");
+            return;
         }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+        Profile p = config.settings().profiles().get(profile);
+        HttpMethod method = p.effect() == Effect.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
+        String wrong = Asked.wrong(m, p);
+        if (!m.method().equals(method)) {
+            client.answer(405, null, "this class takes " + method);
+        } else if (wrong != null) {
+            client.answer(400, null, wrong);
+        } else if (!ids.open(m.id())) {
+            client.answer(409, null, "this Request-Id is another request's");
+        } else {
+            client.take(m);
+            taker.taken(client, m, Asked.of(m, profile, config), at);
         }
     }
 
-    /** What is wrong with a request of a class; null if nothing is. */
-    private static String wrong(Message m, Profile p) {
-        if (m.headers().get("Request-Id", "").isBlank()) {
-            return "no Request-Id";
+    @Override
+    public boolean answered(Client client, int status) {
+        if (client.taken() != null) {
+            ids.close(client.taken().id());
+        } else if (status >= 400 && status < 500) {
+            rejected.merge(status, 1, Integer::sum);
         }
-        if (timeout(m) <= 0) {
-            return "no sensible Request-Timeout";
+        if (unused.remove(client) || used.remove(client)) {
+            (client.used() ? used : unused).add(client); // to the end of the order of use
         }
-        boolean keyed = !m.headers().get("Idempotency-Key", "").isBlank();
-        if (p.effect() == Effect.DEDUPLICATED && !keyed || p.effect() == Effect.AT_MOST_ONCE && keyed) {
-            return keyed ? "this class takes no Idempotency-Key" : "no Idempotency-Key";
-        }
-        return p.effect() == Effect.IDEMPOTENT && m.body().length > 0 ? "a body" : null;
-    }
-
-    /** In ns; 0 where it makes no sense. */
-    private static long timeout(Message m) {
-        double s = number(m.headers().get("Request-Timeout"));
-        return s > 0 && s <= LONGEST_TIMEOUT_S ? (long) (s * 1e9) : 0;
+        return draining;
     }
 
-    private static double number(String text) {
-        try {
-            return text == null ? Double.NaN : Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            return Double.NaN;
+    @Override
+    public void closed(Client client) {
+        unused.remove(client);
+        used.remove(client);
+        if (client.taken() != null) {
+            ids.close(client.taken().id());
+            taker.gone(client);
         }
     }
 
-    private Asked asked(Message m, int profile) {
-        double hint = number(m.headers().get("Work-Hint"));
-        return new Asked(profile, Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
-                key(m.headers().get(HttpHeaderNames.COOKIE)), timeout(m),
-                hint > 0 && hint < 1e12 ? (long) (hint * 1000) : 0,
-                "1".equals(m.headers().get("Client-Retry")));
-    }
-
-    /** What a request is about, as a number; 0 is none and no key's. */
-    static long key(String cookies) {
-        if (cookies != null) {
-            for (Cookie c : ServerCookieDecoder.LAX.decode(cookies)) {
-                if (c.name().equals("sid")) {
-                    long key = Discovery.hash(c.value());
-                    return key == 0 ? 1 : key;
-                }
-            }
-        }
-        return 0;
-    }
 }
--- a/src/main/java/dewstage/proxy/Message.java
+++ b/src/main/java/dewstage/proxy/Message.java
@@ -1,27 +1,42 @@
 package dewstage.proxy;
 
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.Arrays;
-import java.util.Locale;
-import java.util.Map;
-import java.util.Set;
+import java.util.List;
 
 /** A client's request as it came, whole. */
 record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
-    private static final Set<String> HOP_BY_HOP = Set.of("connection", "keep-alive", "proxy-connection", "te",
-            "trailer", "transfer-encoding", "upgrade", "expect", "content-length", "proxy-authorization",
-            "proxy-authenticate", "server-load");
+    /**
+     * What goes on to a backend, besides what the proxy itself says. A list of what is known, not of what to
+     * leave out: Connection may name any header as its own, and the backend needs these.
+     */
+    private static final List<String> FOR_BACKENDS = List.of("Host", "Request-Id", "Idempotency-Key",
+            "Tenant",
+            "Cookie", "Client-Retry", "Work-Hint", "Request-Info", "Content-Type", "Content-Encoding",
+                    "Accept",
+            "Accept-Encoding", "Accept-Language", "Authorization", "User-Agent");
+    /** What goes back to a client. */
+    private static final List<String> FOR_CLIENTS = List.of("Content-Type", "Content-Encoding",
+            "Content-Language", "Cache-Control", "Expires", "ETag", "Last-Modified", "Location", "Set-Cookie",
+            "Vary", "Retry-After");
 
-    /** Copies what is meant for the other end; framing and what concerns one connection are left out. */
-    static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
-        String named = String.join(",", from.getAll(HttpHeaderNames.CONNECTION)).toLowerCase(Locale.ROOT);
-        Set<String> dropped = Set.copyOf(Arrays.asList(named.replace(" ", "").split(",")));
-        for (Map.Entry<String, String> h : from) {
-            String name = h.getKey().toLowerCase(Locale.ROOT);
-            if (!HOP_BY_HOP.contains(name) && !dropped.contains(name)) {
-                to.add(h.getKey(), h.getValue());
+    String id() {
+        return headers.get("Request-Id");
+    }
+
+    static void copyRequest(HttpHeaders from, HttpHeaders to) {
+        copy(FOR_BACKENDS, from, to);
+    }
+
+    static void copyAnswer(HttpHeaders from, HttpHeaders to) {
+        copy(FOR_CLIENTS, from, to);
+    }
+
+    private static void copy(List<String> names, HttpHeaders from, HttpHeaders to) {
+        for (String name : names) {
+            List<String> values = from.getAll(name);
+            if (!values.isEmpty()) {
+                to.set(name, values);
             }
         }
     }
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -55,7 +55,7 @@
     /** A request that was taken; kept until it is answered and its last attempt has ended. */
     private static final class Exchange {
         final int ticket;
-        final Frontend.Client client;
+        final Client client;
         final Message message;
         final long deadline;
         final List<Backends.Attempt> attempts = new ArrayList<>(2);
@@ -63,7 +63,7 @@
         boolean over;
         ScheduledFuture<?> backstop;
 
-        Exchange(int ticket, Frontend.Client client, Message message, long deadline) {
+        Exchange(int ticket, Client client, Message message, long deadline) {
             this.ticket = ticket;
             this.client = client;
             this.message = message;
@@ -79,7 +79,7 @@
     private final Discovery discovery;
     private final Balancer balancer;
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
-    private final Map<Frontend.Client, Exchange> byClient = new IdentityHashMap<>();
+    private final Map<Client, Exchange> byClient = new IdentityHashMap<>();
     private final Queue<Event> events = new ArrayDeque<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private boolean delivering;
@@ -92,9 +92,8 @@
         this.config = config;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
-        this.frontend = new Frontend(config, clock, sockets, this);
-        this.backends = new Backends(loop, clock, sockets, config);
-        sockets.whenFull(() -> backends.closeOneIdle() || frontend.closeOneIdle());
+        this.frontend = new Frontend(config, clock, sockets.clients, this);
+        this.backends = new Backends(loop, clock, sockets.backends, config);
         this.discovery = new Discovery(loop, config, this);
         this.balancer = factory.create(config.settings(), config.seed(), clock.now(), this);
     }
@@ -274,7 +273,7 @@
     }
 
     @Override
-    public void taken(Frontend.Client client, Message message, Frontend.Asked asked, long at) {
+    public void taken(Client client, Message message, Asked asked, long at) {
         do {
             tickets++;
         } while (tickets == 0 || exchanges.containsKey(tickets));
@@ -298,7 +297,7 @@
     }
 
     @Override
-    public void gone(Frontend.Client client) {
+    public void gone(Client client) {
         Exchange x = byClient.get(client);
         if (x != null) {
             finish(x);
--- a/src/main/java/dewstage/proxy/Sockets.java
+++ b/src/main/java/dewstage/proxy/Sockets.java
@@ -3,36 +3,60 @@
 import java.util.function.BooleanSupplier;
 
 /**
- * The descriptors that both sides share. Guards against running into the process's limit, where accepting,
- * connecting and discovery would all fail at once.
+ * The descriptors of the process, a share for each side. Guards against running into the process's limit,
+ * where accepting, connecting and discovery would all fail at once, and against clients that connect by
+ * hundreds: they must not take the connections to the backends.
  */
 final class Sockets {
-    /** For the runtime's files, the selector, the listener and discovery. */
-    private static final int RESERVE = 96;
+    /**
+     * For the runtime's files, the selector, the listener and discovery, 41 at the start; of few, a
+     * quarter.
+     */
+    private static final int RESERVE = 64;
 
-    private final int most;
-    private int open;
-    private BooleanSupplier spare = () -> false;
+    /** A side's share. */
+    static final class Share {
+        private final int most;
+        private int open;
+        private BooleanSupplier spare = () -> false;
 
-    Sockets(int limit) {
-        this.most = Math.max(2, limit - RESERVE);
-    }
+        private Share(int most) {
+            this.most = Math.max(1, most);
+        }
 
-    /** Who closes an idle connection when all are taken; true if there was one. */
-    void whenFull(BooleanSupplier closeOneIdle) {
-        this.spare = closeOneIdle;
-    }
+        /** Who closes an idle connection when all are taken; true if there was one. */
+        void whenFull(BooleanSupplier closeOneIdle) {
+            this.spare = closeOneIdle;
+        }
 
-    /** Takes a descriptor, of an idle connection if need be; false if none can be had. */
-    boolean take() {
-        if (open >= most && !spare.getAsBoolean()) {
-            return false;
+        /** Takes a descriptor, of an idle connection if need be; false if none can be had. */
+        boolean take() {
+            if (open >= most && !spare.getAsBoolean()) {
+                return false;
+            }
+            open++;
+            return true;
+        }
+
+        void release() {
+            open--;
+        }
+
+        int most() {
+            return most;
         }
-        open++;
-        return true;
     }
 
-    void release() {
-        open--;
+    /**
+     * Usual clients need a third of all at most; the rest of the larger share is for those that say
+     * nothing.
+     */
+    final Share clients;
+    final Share backends;
+
+    Sockets(int limit) {
+        int rest = limit - Math.min(RESERVE, limit / 4);
+        this.clients = new Share(rest * 3 / 5);
+        this.backends = new Share(rest - rest * 3 / 5);
     }
 }
