--- a/src/main/java/dewstage/Main.java
+++ b/src/main/java/dewstage/Main.java
@@ -6,7 +6,10 @@
 import dewstage.proxy.Proxy;
 import java.io.IOException;
 
-/** The command line: serve is the real proxy, drill puts the module on the simulator's wire. */
+/**
+ * The command line: serve is the real proxy, rehearse only warms one up, drill puts the module on the
+ * simulator's wire.
+ */
 public final class Main {
     private Main() { }
 
@@ -15,16 +18,25 @@
     }
 
     static int run(String[] args) {
-        if (args.length != 1 || !args[0].equals("drill") && !args[0].equals("serve")) {
-            System.err.println("usage: java -jar dewstage.jar serve|drill");
-            return 2;
-        }
-        return args[0].equals("serve") ? serve() : drill();
+        return switch (args.length == 1 ? args[0] : "") {
+            case "serve" -> serve(false);
+            case "rehearse" -> serve(true);
+            case "drill" -> drill();
+            default -> {
+                System.err.println("usage: java -jar dewstage.jar serve|drill|rehearse");
+                yield 2;
+            }
+        };
     }
 
-    private static int serve() {
+    /** A rehearsal goes through all that serving needs and ends: the build records the classes it loads. */
+    private static int serve(boolean rehearsalOnly) {
         try {
-            Proxy.run(System.getenv(), Policy::new);
+            if (rehearsalOnly) {
+                Proxy.rehearse(System.getenv(), Policy::new);
+            } else {
+                Proxy.run(System.getenv(), Policy::new);
+            }
             return 0;
         } catch (ConfigException | IOException e) {
             System.err.println("dewstage: " + e.getMessage());
--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -60,6 +60,16 @@
         void ended(Attempt attempt, Status status, Report report, Answer answer);
     }
 
+    /** How connections to backends are made: by TCP, but for the rehearsal. */
+    interface Transport {
+        Bootstrap to(InetSocketAddress address);
+    }
+
+    static Transport tcp(EventLoop loop) {
+        return address -> new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).remoteAddress(address);
+    }
+
     /** An idle connection is closed so long before the backend does it: no request may cross that. */
     private static final long KEEP_ALIVE_MARGIN_NS = 1_500_000_000L;
     private static final long SWEEP_MS = 500;
@@ -74,6 +84,7 @@
     }
 
     private final EventLoop loop;
+    private final Transport transport;
     private final Clock clock;
     private final Sockets.Share sockets;
     private final long connectTimeoutNs;
@@ -81,7 +92,8 @@
     private final long drainGraceNs;
     private final Map<Integer, Backend> backends = new HashMap<>();
 
-    Backends(EventLoop loop, Clock clock, Sockets.Share sockets, Config config) {
+    Backends(EventLoop loop, Clock clock, Sockets.Share sockets, Config config, Transport transport) {
+        this.transport = transport;
         this.loop = loop;
         this.clock = clock;
         this.sockets = sockets;
@@ -202,15 +214,14 @@
 
     private void connect(Attempt a) {
         Connection c = new Connection(a.backend);
-        ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
+        ChannelFuture connect = transport.to(a.backend.address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNs / 1_000_000))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(c.decoder, new HttpRequestEncoder(), c);
                     }
-                }).connect(a.backend.address);
+                }).connect();
         c.channel = connect.channel();
         a.connection = c;
         c.channel.closeFuture().addListener(f -> sockets.release());
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -84,7 +84,8 @@
         return bound;
     }
 
-    private void accept(Channel c) {
+    /** A new connection of a client. */
+    void accept(Channel c) {
         if (!sockets.take()) {
             c.close();
             return;
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -6,6 +6,7 @@
 import dewstage.Balancer.Report;
 import dewstage.Balancer.Request;
 import dewstage.Balancer.Status;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -48,6 +49,10 @@
     /** Requests come whole within so long after that, or never. */
     private static final long DRAIN_SLACK_MS = 100;
 
+    /** Requests that are played before the proxy serves, and the longest that may take. */
+    private static final int REHEARSED = 1500;
+    private static final long REHEARSAL_MS = 2500;
+
     private interface Event {
         void at(long now);
     }
@@ -88,12 +93,12 @@
     private ChannelFuture listening;
 
     /** To be called on the loop. */
-    private Proxy(Config config, EventLoop loop, Balancer.Factory factory) {
+    Proxy(Config config, EventLoop loop, Balancer.Factory factory, Backends.Transport transport) {
         this.config = config;
         this.loop = loop;
         Sockets sockets = new Sockets(config.sockets());
         this.frontend = new Frontend(config, clock, sockets.clients, this);
-        this.backends = new Backends(loop, clock, sockets.backends, config);
+        this.backends = new Backends(loop, clock, sockets.backends, config, transport);
         this.discovery = new Discovery(loop, config, this);
         this.balancer = factory.create(config.settings(), config.seed(), clock.now(), this);
     }
@@ -113,6 +118,7 @@
         // The first line that Netty logs would load time-zone rules from a file; with no descriptor left that
         // is an Error, which ends the event loop.
         new SimpleFormatter().format(new LogRecord(Level.INFO, "starting"));
+        Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS);
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = start(config, loop, factory);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -125,10 +131,20 @@
         throw new IOException("the event loop has ended"); // better gone than deaf
     }
 
+    /** Plays the rehearsal, starts a proxy, and ends it. */
+    public static void rehearse(Map<String, String> environment, Balancer.Factory factory)
+            throws ConfigException, IOException {
+        Config config = Config.read(environment);
+        say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
+        Proxy proxy = start(config, new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next(),
+                factory);
+        proxy.drain().join();
+    }
+
     static Proxy start(Config config, EventLoop loop, Balancer.Factory factory) throws IOException {
         try {
             return loop.submit(() -> {
-                Proxy p = new Proxy(config, loop, factory);
+                Proxy p = new Proxy(config, loop, factory, Backends.tcp(loop));
                 p.begin();
                 return p;
             }).get().bound();
@@ -164,6 +180,11 @@
         listening = frontend.listen(loop);
     }
 
+    /** A connection of a client that another listener has accepted. */
+    void accept(Channel c) {
+        frontend.accept(c);
+    }
+
     InetSocketAddress address() {
         return (InetSocketAddress) listening.channel().localAddress();
     }
@@ -256,7 +277,8 @@
         listed = true;
     }
 
-    private void hear(Discovery.News news) {
+    /** Takes in what is known of the backends. */
+    void hear(Discovery.News news) {
         backends.learn(news);
         tell(0, now -> balancer.onMembers(now, news.kind(), news.version(),
                 news.list().stream().map(Discovery.Listed::member).toList()));
