--- a/src/main/java/dewstage/proxy/Rehearsal.java
+++ b/src/main/java/dewstage/proxy/Rehearsal.java
@@ -46,8 +46,8 @@
 /**
  * Before a proxy says that it is ready, a throwaway one serves some requests that it makes up itself. Guards
  * against the first clients paying for loading and compiling: on half a core that took seconds, in which
- * most of their requests were late. All of it happens on the proxy's own listening address, which no client
- * uses yet.
+ * most of their requests were late. It all goes over a socket in the file system: no address is listened on
+ * before the proxy serves, and nobody from outside can come upon answers that are made up.
  */
 final class Rehearsal {
     private static final int CLIENTS = 6, BACKENDS = 4;
