Make good what breaks, use the connection idle longest, take 16 in line

Cause: Policy.again pays for every further attempt from a budget of 2 in 100, meant against storms under load; Backends.reuse took the connection returned last, whose end was not seen yet. Mend: resets have a budget of their own (30 in 100), the pool is first in, first out.

Checked: no 4xx is counted, so a full line (the guess behind 16 instead of 4) was wrong; the module, logged each second, is not throttled and serves all that it is told of; the clients' share of descriptors is full (273 of 384).

--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/dewstage/Policy.java
@@ -47,6 +47,11 @@
     private static final double COLD_SAFETY = 0.6;
     /** Retry budget: further attempts for each first try, and the most saved up. */
     private static final double RETRY_RATE = 0.02, RETRY_BURST = 5;
+    /**
+     * The same after a connection that broke or an answer spoilt: that tells of no load, and comes in
+     * rows.
+     */
+    private static final double RESEND_RATE = 0.3, RESEND_BURST = 10;
     /** A server has room while the work ahead takes this share of what is left of a promise. */
     private static final double ADMIT = 0.25;
     /** Admission: attempts lately sent for each served, and as many more to find out; from so many lost. */
@@ -95,6 +100,7 @@
     private final double meanWorth;
     private final long minPromise;
     private double arrivals, sent, good, lost, parallel = 1, leastService, retries = RETRY_BURST / 2;
+    private double resends = RESEND_BURST / 2;
     private long agedAt, heardAt, wokeAt, askPause = ASK_NS;
     private int asked;
     /** The class of which the last offer found no room. */
@@ -407,6 +413,7 @@
             t.turn.queue.add(t);
         }
         retries = Math.min(RETRY_BURST, retries + RETRY_RATE);
+        resends = Math.min(RESEND_BURST, resends + RESEND_RATE);
         if (!offer(t, now)) {
             int at = waiting.size();
             while (at > 0 && waiting.get(at - 1).profile.worth() <= t.profile.worth()) { at--; }
@@ -517,10 +524,12 @@
 
     /** A further attempt elsewhere, within the rules and the retry budget. */
     private void again(Ticket t, long now) {
-        if (retries >= 1 && mayAttempt(t, now)) {
+        boolean broke = t.attempts.get(t.attempts.size() - 1).ended == Status.RESET;
+        if ((broke ? resends : retries) >= 1 && mayAttempt(t, now)) {
             Server s = pick(t, now);
             if (s != null) {
-                retries--;
+                resends -= broke ? 1 : 0;
+                retries -= broke ? 0 : 1;
                 send(t, s, now);
             }
         }
--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -182,11 +182,13 @@
     }
 
     private Connection reuse(Backend b) {
-        Connection c = b.idle.pollLast();
+        // The one idle longest: what a backend closes right behind an answer, or sends too much, is seen by
+        // then.
+        Connection c = b.idle.pollFirst();
         // Not left to the sweep: one that stands still would write to what the backend is about to close.
         while (c != null && !(fresh(c) && c.channel.isActive())) {
             c.channel.close();
-            c = b.idle.pollLast();
+            c = b.idle.pollFirst();
         }
         return c;
     }
--- a/src/main/java/dewstage/proxy/Client.java
+++ b/src/main/java/dewstage/proxy/Client.java
@@ -39,11 +39,8 @@
         long now();
     }
 
-    /**
-     * Requests that may wait behind one on its connection. Clients send one at a time, so this is
-     * generous.
-     */
-    static final int MOST_PIPELINED = 4;
+    /** Requests that may wait behind one on a connection: enough for clients that await no answer. */
+    static final int MOST_PIPELINED = 16;
 
     /** A whole request, or the error that one ended in; after an error nothing is read. */
     private record Waiting(Message message, int status, String error, long at, boolean keepAlive) { }
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -118,6 +118,7 @@
     /** Takes no more connections, and ends those between requests. */
     void close() {
         listener.close();
+        sayRejected();
         Stream.concat(unused.stream(), used.stream()).filter(Client::idle).toList().forEach(Client::close);
     }
 
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/dewstage/PolicyTest.java
@@ -604,6 +604,25 @@
         assertTrue(attempts < 215, "attempts " + attempts);
     }
 
+    /** Resets tell of no load: a row of them is made good, within a budget of its own. */
+    @Test
+    void brokenConnectionsAreMadeGoodWithinTheirOwnBudget() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(6));
+        int again = 0;
+        for (int i = 0; i < 200; i++) {
+            int t = r.request();
+            boolean breaks = i % 5 == 0 || i >= 100; // one in five, later all
+            r.done(t, 0, breaks ? Status.RESET : Status.OK, 1, null);
+            if (r.attempts(t) > 1) {
+                again++;
+                r.ok(t, 1);
+            }
+            assertTrue(i != 99 || again == 20, "made good " + again + " of 20");
+            r.pass(5);
+        }
+        assertTrue(again < 70, "made good " + again + " of 120");
+    }
+
     // ---- admission and zones ----
 
     @Test
--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -150,6 +150,25 @@
         }
     }
 
+    /** A backend that closes right behind its answer must not be written to before that is seen. */
+    @Test
+    void theConnectionIdleLongestIsUsedFirst() throws Exception {
+        try (Peer.Wire one = setup.client(); Peer.Wire two = setup.client()) {
+            sent(one);
+            Peer.Wire first = backend.accept();
+            first.read();
+            sent(two);
+            Peer.Wire second = backend.accept();
+            second.read();
+            first.write(OK);
+            assertTrue(one.read().endsWith("body"));
+            second.write(OK);
+            assertTrue(two.read().endsWith("body"));
+            sent(one);
+            assertTrue(first.read().startsWith("GET "));
+        }
+    }
+
     @Test
     void bytesOnAnIdleConnectionCloseItAlsoWhereTheyMakeNoMessage() throws Exception {
         try (Peer.Wire client = setup.client()) {
