--- a/src/main/java/dewstage/Main.java
+++ b/src/main/java/dewstage/Main.java
@@ -4,6 +4,8 @@
 import dewstage.benchlink.WireException;
 import dewstage.proxy.ConfigException;
 import dewstage.proxy.Proxy;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 
 /**
@@ -33,6 +35,7 @@
     private static int serve(boolean rehearsalOnly) {
         // Nobody records a flight here, and Netty's events for it cost a start 0.3 s on half a core.
         System.setProperty("io.netty.jfr.enabled", "false");
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // it would look for others first
         try {
             if (rehearsalOnly) {
                 Proxy.rehearse(System.getenv(), Policy::new);
--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/dewstage/proxy/Backends.java
@@ -32,7 +32,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -294,8 +293,7 @@
                     request.uri(), Unpooled.wrappedBuffer(request.body()));
             Message.copyRequest(request.headers(), r.headers());
             r.headers().set(HttpHeaderNames.HOST, request.headers().get(HttpHeaderNames.HOST, ""));
-            r.headers().set("Request-Timeout", String.format(Locale.ROOT, "%.6f",
-                    Math.max(1000, deadline - clock.now()) / 1e9));
+            r.headers().set("Request-Timeout", Message.seconds(Math.max(1000, deadline - clock.now())));
             if (request.body().length > 0 || !request.method().equals(HttpMethod.GET)) {
                 HttpUtil.setContentLength(r, request.body().length);
             }
--- a/src/main/java/dewstage/proxy/Config.java
+++ b/src/main/java/dewstage/proxy/Config.java
@@ -1,7 +1,6 @@
 package dewstage.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import dewstage.Balancer.Settings;
 import dewstage.benchlink.ConfigParser;
 import dewstage.benchlink.WireException;
@@ -9,6 +8,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,7 +31,7 @@
         }
         JsonNode root;
         try {
-            root = new ObjectMapper().readTree(Path.of(path).toFile());
+            root = Json.read(Files.readAllBytes(Path.of(path)));
         } catch (IOException e) {
             // A parser's message runs over several lines; the first says what is wrong.
             throw new ConfigException("cannot read " + path + ": "
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/dewstage/proxy/Discovery.java
@@ -1,7 +1,6 @@
 package dewstage.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import dewstage.Balancer.ListKind;
 import dewstage.Balancer.Member;
 import dewstage.Balancer.State;
@@ -63,7 +62,6 @@
     private final Config config;
     private final Listener listener;
     private final long silenceMs;
-    private final ObjectMapper json = new ObjectMapper();
     /** The number of each listed backend and whose it is: no two share one. */
     private final Map<String, Integer> numbers = new HashMap<>();
     private final Map<Integer, String> owners = new HashMap<>();
@@ -231,7 +229,7 @@
             }
             News news;
             try {
-                news = parse(json.readTree(bytes));
+                news = parse(Json.read(bytes));
             } catch (IOException | IllegalArgumentException e) {
                 // It may have been news: only a new watch from the last version is sure to bring it.
                 Proxy.say("a line of discovery is not understood: " + e.getMessage());
--- a/src/main/java/dewstage/proxy/Message.java
+++ b/src/main/java/dewstage/proxy/Message.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.math.BigDecimal;
 import java.util.List;
 
 /** A client's request as it came, whole. */
@@ -32,6 +33,11 @@
         copy(FOR_CLIENTS, from, to);
     }
 
+    /** A time as headers give it: seconds, with decimals. */
+    static String seconds(long ns) {
+        return BigDecimal.valueOf(ns / 1000, 6).toPlainString();
+    }
+
     private static void copy(List<String> names, HttpHeaders from, HttpHeaders to) {
         for (String name : names) {
             List<String> values = from.getAll(name);
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -21,7 +21,6 @@
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
@@ -52,10 +51,10 @@
     /**
      * Requests that are played before the proxy serves, and the longest that may take. While a proxy
      * rehearses the others carry its load, and if the next one is told to end meanwhile, nobody does: on half
-     * a core 150 take 1.3 s, and the next 1,000 would take 0.7 s more.
+     * a core 120 take 1.2 s, and the next 1,000 would take 0.7 s more.
      */
-    private static final int REHEARSED = 150;
-    private static final long REHEARSAL_MS = 1500;
+    private static final int REHEARSED = 120;
+    private static final long REHEARSAL_MS = 2500;
 
     private interface Event {
         void at(long now);
@@ -120,9 +119,6 @@
         }
         say("starting");
         Config config = Config.read(environment);
-        // The first line that Netty logs would load time-zone rules from a file; with no descriptor left that
-        // is an Error, which ends the event loop.
-        new SimpleFormatter().format(new LogRecord(Level.INFO, "starting"));
         say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = start(config, loop, factory);
@@ -132,6 +128,9 @@
             Runtime.getRuntime().halt(0);
         }, "drain"));
         started.complete(proxy);
+        // The first line that Netty logs would load time-zone rules from a file; with no descriptor left that
+        // is an Error, which ends the event loop. Not before the proxy serves: it takes a while.
+        new SimpleFormatter().format(new LogRecord(Level.INFO, "started"));
         loop.terminationFuture().awaitUninterruptibly();
         throw new IOException("the event loop has ended"); // better gone than deaf
     }
@@ -416,7 +415,7 @@
         if (x != null && !x.over) {
             HttpHeaders headers = new DefaultHttpHeaders();
             if (retryInNs > 0) {
-                headers.set("Retry-After", String.format(Locale.ROOT, "%.3f", retryInNs / 1e9));
+                headers.set("Retry-After", Message.seconds(retryInNs));
             }
             answer(x, 503, headers, "refused, try again\n".getBytes(StandardCharsets.UTF_8));
             forget(x);
--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/dewstage/proxy/BackendsTest.java
@@ -250,7 +250,7 @@
             setup.act(() -> setup.actions.refuse(r.ticket(), 1_200_000_000L));
             String answer = client.read();
             assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
-            assertTrue(answer.contains("Retry-After: 1.200\r\n"), answer);
+            assertTrue(answer.contains("Retry-After: 1.200000\r\n"), answer);
             assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("outcome")));
         }
     }
--- a/src/test/java/dewstage/proxy/ServeTest.java
+++ b/src/test/java/dewstage/proxy/ServeTest.java
@@ -83,7 +83,7 @@
 
     /** On half a core each of these costs a start a tenth of a second or more, and none is of use there. */
     @Test
-    void aStartLoadsNeitherAFlightRecorderNorCodecsForPeersOfItsOwn() throws Exception {
+    void aStartLoadsNothingOfWhatItHasNoUseFor() throws Exception {
         Path loaded = folder.resolve("loaded.txt");
         try (Peer discovery = new Peer(); Peer backend = new Peer()) {
             write(discovery, backend);
@@ -95,7 +95,8 @@
             }
             String classes = Files.readString(loaded);
             assertTrue(classes.contains(" dewstage.proxy.Rehearsal "), "nothing was rehearsed");
-            for (String name : List.of(".AllocateChunkEvent ", ".HttpServerCodec ")) {
+            for (String name : List.of(".AllocateChunkEvent ", ".HttpServerCodec ",
+                    ".ObjectMapper ", ".ZoneRulesProvider ")) {
                 assertFalse(classes.contains(name), name);
             }
         }
