Where places for clients run out, new connections go last; the log counts what goes

Counted (Crowding, a line each 10 s where places run out): of 2,679 accepted 639 unused and 1,525 idle ones were closed to make room, the youngest 7 us after it was accepted: Frontend.closeOneIdle took unused ones first, so with idle ones of a crowd all round each new client pushed out the one before, its request unread and lost. None was closed as it came, no 4xx was counted. Mend: for 250 ms a new one is the last choice. It guards against any crowd that asks once and stays.

--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/dewstage/proxy/Frontend.java
@@ -40,6 +40,8 @@
      * Guards against clients that say nothing, or half of something: each would hold a descriptor for good.
      */
     private static final long REQUEST_NS = 1_800_000_000L;
+    /** A new one's first bytes come within so long, if its client means to ask. */
+    private static final long FRESH_NS = 250_000_000L;
     /** One that was used may stand idle for so long: usual clients come again sooner. */
     private static final long IDLE_NS = 5_000_000_000L;
     private static final long SWEEP_MS = 200, AGE_MS = 4000, COUNT_MS = 10_000;
@@ -55,6 +57,7 @@
     private final Set<Client> used = new LinkedHashSet<>();
     /** Answers to what made no sense, by status: a line of the log for each would be one for the asking. */
     private final Map<Integer, Integer> rejected = new TreeMap<>();
+    private final Crowding crowding = new Crowding();
     private Channel listener;
     private boolean draining;
 
@@ -86,7 +89,9 @@
 
     /** A new connection of a client. */
     void accept(Channel c) {
+        crowding.accepted++;
         if (!sockets.take()) {
+            crowding.refused++;
             c.close();
             return;
         }
@@ -108,6 +113,7 @@
             Proxy.say("requests that made no sense, by status: " + rejected);
             rejected.clear();
         }
+        crowding.say();
     }
 
     /** Answers from now on end their connections. */
@@ -124,19 +130,25 @@
 
     /**
      * Closes a connection with no request open: the oldest of those that were never used, or else the one
-     * that is idle longest. False if there is none.
+     * that is idle longest. One that has just come is the last choice: its request may be on the way, or
+     * there unread, and is lost with it, while a client whose connection is closed between requests opens
+     * another. Guards against any crowd that asks once and stays, where new clients would push out each
+     * other. It would do harm where a crowd says nothing and clients that stay have far to come back. False
+     * if there is none.
      */
     private boolean closeOneIdle() {
-        return closeFirst(unused, false) || closeFirst(used, true);
+        boolean old = !unused.isEmpty() && clock.now() - unused.iterator().next().connectedAt > FRESH_NS;
+        return old && closeFirst(unused, false) || closeFirst(used, true) || closeFirst(unused, false);
     }
 
-    private static boolean closeFirst(Set<Client> clients, boolean idle) {
+    private boolean closeFirst(Set<Client> clients, boolean idle) {
         for (Iterator<Client> i = clients.iterator(); i.hasNext();) {
             Client c = i.next();
             if (idle ? c.idle() : !c.busy()) {
                 // Not left to channelInactive, which comes later: a burst of new connections would all be
                 // given the place of this one, and the process would run out of descriptors.
                 i.remove();
+                crowding.closed(c, clock.now());
                 c.close();
                 return true;
             }
@@ -182,6 +194,7 @@
             client.answer(409, null, "this Request-Id is another request's");
         } else {
             client.take(m);
+            crowding.requests++;
             taker.taken(client, m, Asked.of(m, profile, config), at);
         }
     }
