News of the backends go to the module ahead of all else that a wake-up brings

Change: within a wake-up the list events are delivered first. Result: the new loopback test, a loop held while a request and a drain arrive, fails without the change (request, members) and passes with it.

--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/dewstage/proxy/Proxy.java
@@ -85,6 +85,8 @@
     private final Balancer balancer;
     private final Map<Integer, Exchange> exchanges = new HashMap<>();
     private final Map<Client, Exchange> byClient = new IdentityHashMap<>();
+    /** What discovery said goes ahead of all else that a wake-up brings. */
+    private final Queue<Event> news = new ArrayDeque<>();
     private final Queue<Event> events = new ArrayDeque<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private boolean delivering;
@@ -245,10 +247,16 @@
 
     /**
      * The module hears of everything in order, on a clock that stands still for what one wake-up brings, and
-     * never from inside one of its own actions.
+     * never from inside one of its own actions. News of the backends come first: a proxy that stood still
+     * finds requests and the news of a drain side by side, and which of them was read first is chance, but
+     * the time since the drain was told has run on.
      */
     private void tell(int ticket, Event event) {
-        events.add(now -> {
+        tell(events, ticket, event);
+    }
+
+    private void tell(Queue<Event> queue, int ticket, Event event) {
+        queue.add(now -> {
             try {
                 event.at(now);
             } catch (RuntimeException e) {
@@ -266,8 +274,8 @@
 
     private void deliver() {
         long now = clock.now();
-        for (Event e = events.poll(); e != null; e = events.poll()) {
-            e.at(now);
+        while (!news.isEmpty() || !events.isEmpty()) {
+            (news.isEmpty() ? events : news).remove().at(now);
         }
         delivering = false;
     }
@@ -289,13 +297,13 @@
     /** Takes in what is known of the backends. */
     void hear(Discovery.News news) {
         backends.learn(news);
-        tell(0, now -> balancer.onMembers(now, news.kind(), news.version(),
+        tell(this.news, 0, now -> balancer.onMembers(now, news.kind(), news.version(),
                 news.list().stream().map(Discovery.Listed::member).toList()));
     }
 
     @Override
     public void failed() {
-        tell(0, now -> balancer.onMembers(now, ListKind.FAILED, 0, List.of()));
+        tell(news, 0, now -> balancer.onMembers(now, ListKind.FAILED, 0, List.of()));
     }
 
     @Override
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/dewstage/proxy/DiscoveryTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,8 +13,10 @@
 import dewstage.Balancer.Request;
 import dewstage.Balancer.State;
 import dewstage.Balancer.Status;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -89,6 +92,43 @@
         discovery.accept().read();
     }
 
+    /** Requests that came first must not go to a backend whose drain was told while the proxy stood still. */
+    @Test
+    void aProxyThatStoodStillHearsOfTheListBeforeTheRequests() throws Exception {
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        try (Peer.Wire client = setup.client()) {
+            client.write("GET /_health HTTP/1.1\r\n\r\n");
+            client.read(); // the connection is taken
+            CountDownLatch still = new CountDownLatch(1);
+            CountDownLatch stopped = new CountDownLatch(1);
+            setup.loop.execute(() -> {
+                stopped.countDown();
+                awaitQuietly(still);
+            });
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+            client.write(Setup.get());
+            watch.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+            // Both lie in the proxy's buffers once they are written, loopback keeps nothing back.
+            still.countDown();
+            List<String> heard = new ArrayList<>();
+            while (!heard.contains("request") || !heard.contains("members")) {
+                Setup.Told t = setup.told.poll(20, TimeUnit.SECONDS);
+                assertNotNull(t, "heard only " + heard);
+                heard.add(t.what());
+            }
+            assertTrue(heard.indexOf("members") < heard.indexOf("request"), heard.toString());
+        }
+    }
+
+    private static void awaitQuietly(CountDownLatch latch) {
+        try {
+            latch.await(20, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void readyOnlyOnceTheListIsIn() throws Exception {
         Peer.Wire watch = discovery.accept();
