Packages by concern under the program's name: gullspar.decide, drill, settings, proxy

Need: one flat package under the first name holds everything, and the subsystems to come need borders to be built behind. Change: only moved and renamed. The module is gullspar.decide, byte for byte but for its package and import lines; the simulator's wire is gullspar.drill; reading the settings leaves it for gullspar.settings, with an exception of its own that the wire turns into its own; the daemon is gullspar.proxy. The jar is target/gullspar.jar.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -10,7 +10,7 @@
 if [ "$heap" -lt 16 ]; then heap=16; fi
 export MALLOC_ARENA_MAX=2
 exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CompileThresholdScaling=0.4 -Xshare:auto \
-    -XX:SharedArchiveFile=target/dewstage.jsa -XX:-UsePerfData -XX:+AlwaysPreTouch \
+    -XX:SharedArchiveFile=target/gullspar.jsa -XX:-UsePerfData -XX:+AlwaysPreTouch \
     -Xms${heap}m -Xmx${heap}m -Xmn$((heap * 2 / 5))m -Xss512k \
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=20m -XX:MaxDirectMemorySize=16m \
-    -jar target/dewstage.jar "${1:-serve}"
+    -jar target/gullspar.jar "${1:-serve}"
--- a/src/main/java/dewstage/Main.java
+++ b/src/main/java/gullspar/Main.java
@@ -1,15 +1,16 @@
-package dewstage;
+package gullspar;
 
-import dewstage.benchlink.Host;
-import dewstage.benchlink.WireException;
-import dewstage.proxy.ConfigException;
-import dewstage.proxy.Proxy;
+import gullspar.decide.Policy;
+import gullspar.drill.Host;
+import gullspar.drill.WireException;
+import gullspar.proxy.ConfigException;
+import gullspar.proxy.Proxy;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 
 /**
- * The command line: serve is the real proxy, rehearse only warms one up, drill puts the module on the
+ * The command line: serve is the real proxy, warm only warms one up, drill puts the module on the
  * simulator's wire.
  */
 public final class Main {
@@ -22,29 +23,29 @@
     static int run(String[] args) {
         return switch (args.length == 1 ? args[0] : "") {
             case "serve" -> serve(false);
-            case "rehearse" -> serve(true);
+            case "warm" -> serve(true);
             case "drill" -> drill();
             default -> {
-                System.err.println("usage: java -jar dewstage.jar serve|drill|rehearse");
+                System.err.println("usage: java -jar gullspar.jar serve|drill|warm");
                 yield 2;
             }
         };
     }
 
-    /** A rehearsal goes through all that serving needs and ends: the build records the classes it loads. */
-    private static int serve(boolean rehearsalOnly) {
+    /** Warming up goes through all that serving needs and ends: the build records the classes it loads. */
+    private static int serve(boolean warmOnly) {
         // Nobody records a flight here, and Netty's events for it cost a start 0.3 s on half a core.
         System.setProperty("io.netty.jfr.enabled", "false");
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // it would look for others first
         try {
-            if (rehearsalOnly) {
-                Proxy.rehearse(System.getenv(), Policy::new);
+            if (warmOnly) {
+                Proxy.warm(System.getenv(), Policy::new);
             } else {
                 Proxy.run(System.getenv(), Policy::new);
             }
             return 0;
         } catch (ConfigException | IOException e) {
-            System.err.println("dewstage: " + e.getMessage());
+            System.err.println("gullspar: " + e.getMessage());
             return 1;
         }
     }
@@ -54,10 +55,10 @@
             new Host(Policy::new).serve(System.in, System.out);
             return 0;
         } catch (WireException e) {
-            System.err.println("dewstage: " + e.getMessage());
+            System.err.println("gullspar: " + e.getMessage());
             return 1;
         } catch (IOException e) {
-            System.err.println("dewstage: cannot read or write the wire: " + e.getMessage());
+            System.err.println("gullspar: cannot read or write the wire: " + e.getMessage());
             return 1;
         }
     }
--- a/src/main/java/dewstage/IntMap.java
+++ b/src/main/java/gullspar/decide/IntMap.java
@@ -1,4 +1,4 @@
-package dewstage;
+package gullspar.decide;
 
 /** A map from int to object without boxing: open addressing, linear probing, removal by shifting back. */
 final class IntMap<V> {
--- a/src/main/java/dewstage/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -1,7 +1,7 @@
-package dewstage;
+package gullspar.decide;
 
-import dewstage.Ticket.Attempt;
-import dewstage.Ticket.Turn;
+import gullspar.decide.Ticket.Attempt;
+import gullspar.decide.Ticket.Turn;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
--- a/src/main/java/dewstage/Server.java
+++ b/src/main/java/gullspar/decide/Server.java
@@ -1,4 +1,4 @@
-package dewstage;
+package gullspar.decide;
 
 /** What a proxy knows of one server. State only, no decision. */
 final class Server {
--- a/src/main/java/dewstage/Ticket.java
+++ b/src/main/java/gullspar/decide/Ticket.java
@@ -1,4 +1,4 @@
-package dewstage;
+package gullspar.decide;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/dewstage/benchlink/Batch.java
+++ b/src/main/java/gullspar/drill/Batch.java
@@ -1,4 +1,4 @@
-package dewstage.benchlink;
+package gullspar.drill;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/dewstage/benchlink/Host.java
+++ b/src/main/java/gullspar/drill/Host.java
@@ -1,13 +1,15 @@
-package dewstage.benchlink;
-
-import dewstage.Balancer;
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Member;
-import dewstage.Balancer.Outcome;
-import dewstage.Balancer.Report;
-import dewstage.Balancer.Request;
-import dewstage.Balancer.State;
-import dewstage.Balancer.Status;
+package gullspar.drill;
+
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Report;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer.Status;
+import gullspar.decide.Balancer;
+import gullspar.settings.SettingsException;
+import gullspar.settings.SettingsParser;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -65,8 +67,7 @@
             running(instances.remove(proxy), code, proxy);
             return;
         }
-        ConfigParser.Parsed start = code == 1
-                ? ConfigParser.parse(new String(b.bytes(at + 13), StandardCharsets.UTF_8)) : null;
+        SettingsParser.Parsed start = code == 1 ? settings(b.bytes(at + 13)) : null;
         try {
             if (start != null) {
                 int[] columns = columns(start.columns());
@@ -83,6 +84,14 @@
         }
     }
 
+    private static SettingsParser.Parsed settings(byte[] text) {
+        try {
+            return SettingsParser.parse(new String(text, StandardCharsets.UTF_8));
+        } catch (SettingsException e) {
+            throw new WireException(e.getMessage());
+        }
+    }
+
     private static Instance running(Instance i, int code, int proxy) {
         if (i == null) {
             throw new WireException("event " + code + " for instance " + proxy + ", which is not running");
--- a/src/main/java/dewstage/benchlink/Reply.java
+++ b/src/main/java/gullspar/drill/Reply.java
@@ -1,6 +1,6 @@
-package dewstage.benchlink;
+package gullspar.drill;
 
-import dewstage.Balancer;
+import gullspar.decide.Balancer;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.nio.ByteBuffer;
--- a/src/main/java/dewstage/benchlink/WireException.java
+++ b/src/main/java/gullspar/drill/WireException.java
@@ -1,4 +1,4 @@
-package dewstage.benchlink;
+package gullspar.drill;
 
 /** Input that is not the wire; the message is one plain line. */
 public final class WireException extends RuntimeException {
--- a/src/main/java/dewstage/proxy/Backends.java
+++ b/src/main/java/gullspar/proxy/Backends.java
@@ -1,9 +1,9 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Report;
-import dewstage.Balancer.State;
-import dewstage.Balancer.Status;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Report;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer.Status;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -59,7 +59,7 @@
         void ended(Attempt attempt, Status status, Report report, Answer answer);
     }
 
-    /** How connections to backends are made: by TCP, but for the rehearsal. */
+    /** How connections to backends are made: by TCP, but while it warms up. */
     interface Transport {
         Bootstrap to(InetSocketAddress address);
     }
--- a/src/main/java/dewstage/proxy/Clock.java
+++ b/src/main/java/gullspar/proxy/Clock.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 /** Unix time in ns as read at the start, and monotonic from there: backends' start times compare with it. */
 final class Clock {
--- a/src/main/java/dewstage/proxy/Config.java
+++ b/src/main/java/gullspar/proxy/Config.java
@@ -1,9 +1,9 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dewstage.Balancer.Settings;
-import dewstage.benchlink.ConfigParser;
-import dewstage.benchlink.WireException;
+import gullspar.decide.Balancer.Settings;
+import gullspar.settings.SettingsException;
+import gullspar.settings.SettingsParser;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -59,13 +59,13 @@
                     address("NODE_DISCOVERY", environment, root.path("discovery")),
                     Long.parseUnsignedLong(root.path("seed").asText("0"), 16),
                     (int) positive(root, "/limits/sockets"), root.path("known"),
-                    ConfigParser.parse(flat).settings(), names(settings.path("profiles")),
+                    SettingsParser.parse(flat).settings(), names(settings.path("profiles")),
                     names(settings.path("tenants")), names(settings.path("zones")),
                     names(settings.path("skus")), positive(settings, "/limits/connect_timeout_ns"),
                     positive(settings, "/limits/keepalive_ns"), positive(settings, "/rules/drain_grace_ns"));
         } catch (NumberFormatException e) {
             throw new ConfigException("seed is not a hexadecimal number: " + root.path("seed").asText());
-        } catch (WireException e) {
+        } catch (SettingsException e) {
             throw new ConfigException(e.getMessage());
         }
     }
--- a/src/main/java/dewstage/proxy/ConfigException.java
+++ b/src/main/java/gullspar/proxy/ConfigException.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 /** A configuration that no proxy can start with; the message is one plain line. */
 public final class ConfigException extends Exception {
--- a/src/main/java/dewstage/proxy/Discovery.java
+++ b/src/main/java/gullspar/proxy/Discovery.java
@@ -1,9 +1,9 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Member;
-import dewstage.Balancer.State;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.State;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
--- a/src/main/java/dewstage/proxy/Frontend.java
+++ b/src/main/java/gullspar/proxy/Frontend.java
@@ -1,7 +1,7 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
-import dewstage.Balancer.Effect;
-import dewstage.Balancer.Profile;
+import gullspar.decide.Balancer.Effect;
+import gullspar.decide.Balancer.Profile;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/dewstage/proxy/Json.java
+++ b/src/main/java/gullspar/proxy/Json.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/dewstage/proxy/Message.java
+++ b/src/main/java/gullspar/proxy/Message.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
--- a/src/main/java/dewstage/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -1,11 +1,11 @@
-package dewstage.proxy;
-
-import dewstage.Balancer;
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Outcome;
-import dewstage.Balancer.Report;
-import dewstage.Balancer.Request;
-import dewstage.Balancer.Status;
+package gullspar.proxy;
+
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Report;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.Status;
+import gullspar.decide.Balancer;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -47,11 +47,11 @@
 
     /**
      * Requests that are played before the proxy serves, and the longest that may take. While a proxy
-     * rehearses the others carry its load, and if the next one is told to end meanwhile, nobody does; with
+     * warms up the others carry its load, and if the next one is told to end meanwhile, nobody does; with
      * fewer than some 100 requests played, up to a fifth of the first 5 s is late or refused.
      */
-    private static final int REHEARSED = 300;
-    private static final long REHEARSAL_MS = 2000;
+    private static final int WARM_REQUESTS = 300;
+    private static final long WARM_MS = 2000;
 
     private interface Event {
         void at(long now);
@@ -119,7 +119,7 @@
         LibraryLog.install();
         say("starting");
         Config config = Config.read(environment);
-        say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
+        say("served " + Warmup.run(config, factory, WARM_REQUESTS, WARM_MS) + " requests to warm up");
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Proxy proxy = start(config, loop, factory);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -132,11 +132,11 @@
         throw new IOException("the event loop has ended"); // better gone than deaf
     }
 
-    /** Plays the rehearsal, starts a proxy, and ends it. */
-    public static void rehearse(Map<String, String> environment, Balancer.Factory factory)
+    /** Warms up, starts a proxy, and ends it. */
+    public static void warm(Map<String, String> environment, Balancer.Factory factory)
             throws ConfigException, IOException {
         Config config = Config.read(environment);
-        say("served " + Rehearsal.run(config, factory, REHEARSED, REHEARSAL_MS) + " requests of a rehearsal");
+        say("served " + Warmup.run(config, factory, WARM_REQUESTS, WARM_MS) + " requests to warm up");
         Proxy proxy = start(config, new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next(),
                 factory);
         proxy.drain().join();
--- a/src/main/java/dewstage/proxy/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/RequestDecoder.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/dewstage/proxy/Sockets.java
+++ b/src/main/java/gullspar/proxy/Sockets.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import java.util.function.BooleanSupplier;
 
--- a/src/main/java/dewstage/proxy/Rehearsal.java
+++ b/src/main/java/gullspar/proxy/Warmup.java
@@ -1,11 +1,11 @@
-package dewstage.proxy;
-
-import dewstage.Balancer;
-import dewstage.Balancer.Effect;
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Member;
-import dewstage.Balancer.Profile;
-import dewstage.Balancer.State;
+package gullspar.proxy;
+
+import gullspar.decide.Balancer.Effect;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.Profile;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -37,7 +37,7 @@
  * most of their requests were late. It all goes over a socket in the file system: no address is listened on
  * before the proxy serves, and nobody from outside can come upon answers that are made up.
  */
-final class Rehearsal {
+final class Warmup {
     private static final int CLIENTS = 6, BACKENDS = 4;
     private static final int REQUEST_BYTES = 200, ANSWER_BYTES = 1000;
     /** One answer in so many is an error, a refusal of the backend, or an end of the connection. */
@@ -57,7 +57,7 @@
     private int worked;
 
     /** To be called on the loop. */
-    private Rehearsal(Config config, EventLoop loop, Balancer.Factory factory, int most, Path path) {
+    private Warmup(Config config, EventLoop loop, Balancer.Factory factory, int most, Path path) {
         this.config = config;
         this.loop = loop;
         this.path = path;
@@ -71,16 +71,16 @@
         EventLoop loop = group.next();
         Path folder = null;
         try {
-            folder = Files.createTempDirectory("rehearsal");
+            folder = Files.createTempDirectory("warm");
             Path path = folder.resolve("socket");
             CompletableFuture<Integer> done = loop.submit(() -> {
-                Rehearsal r = new Rehearsal(config, loop, factory, requests, path);
+                Warmup r = new Warmup(config, loop, factory, requests, path);
                 r.begin(mostMs);
                 return r.done;
             }).get();
             return done.get();
         } catch (Exception e) {
-            Proxy.say("no rehearsal: " + e);
+            Proxy.say("not warmed up: " + e);
             return 0;
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
@@ -95,7 +95,7 @@
                 Files.deleteIfExists(folder);
             }
         } catch (IOException e) {
-            Proxy.say("left behind by the rehearsal: " + folder);
+            Proxy.say("left behind by the warm-up: " + folder);
         }
     }
 
@@ -160,9 +160,9 @@
         int place = asked++ % config.classes().size();
         Profile p = config.settings().profiles().get(place);
         boolean safe = p.effect() == Effect.IDEMPOTENT;
-        String id = "rehearsal-" + asked;
+        String id = "warm-" + asked;
         StringBuilder request = new StringBuilder(512).append(safe ? "GET /" : "POST /")
-                .append(config.classes().get(place)).append("/1 HTTP/1.1\r\nHost: rehearsal\r\nRequest-Id: ")
+                .append(config.classes().get(place)).append("/1 HTTP/1.1\r\nHost: warm\r\nRequest-Id: ")
                 .append(id).append("\r\nRequest-Timeout: 1.000\r\nCookie: sid=").append(asked % 100);
         if (p.effect() == Effect.DEDUPLICATED) {
             request.append("\r\nIdempotency-Key: ").append(id);
--- a/src/main/java/dewstage/benchlink/ConfigParser.java
+++ b/src/main/java/gullspar/settings/SettingsParser.java
@@ -1,9 +1,9 @@
-package dewstage.benchlink;
+package gullspar.settings;
 
-import dewstage.Balancer.Effect;
-import dewstage.Balancer.Profile;
-import dewstage.Balancer.Scope;
-import dewstage.Balancer.Settings;
+import gullspar.decide.Balancer.Effect;
+import gullspar.decide.Balancer.Profile;
+import gullspar.decide.Balancer.Scope;
+import gullspar.decide.Balancer.Settings;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -11,10 +11,10 @@
 import java.util.Map;
 
 /** The settings by path, as in the text of a Start event. Keys that are not asked for are skipped. */
-public final class ConfigParser {
+public final class SettingsParser {
     private final Map<String, String> values;
 
-    private ConfigParser(Map<String, String> values) {
+    private SettingsParser(Map<String, String> values) {
         this.values = values;
     }
 
@@ -22,7 +22,7 @@
     public record Parsed(Settings settings, String[] columns) { }
 
     /** Parses path=value lines. */
-    static Parsed parse(String text) {
+    public static Parsed parse(String text) {
         Map<String, String> values = new HashMap<>();
         for (String line : text.split("\n")) {
             int eq = line.indexOf('=');
@@ -34,11 +34,11 @@
     }
 
     public static Parsed parse(Map<String, String> values) {
-        ConfigParser c = new ConfigParser(values);
+        SettingsParser c = new SettingsParser(values);
         List<Profile> profiles = new ArrayList<>();
         long count = c.integer("profiles.count");
         if (count < 1 || count > 256) {
-            throw new WireException("setting profiles.count is " + count + ", not 1 to 256");
+            throw new SettingsException("setting profiles.count is " + count + ", not 1 to 256");
         }
         for (int i = 0; i < count; i++) {
             profiles.add(c.profile("profiles." + i + "."));
@@ -69,7 +69,7 @@
     private String needed(String key) {
         String v = values.get(key);
         if (v == null) {
-            throw new WireException("setting " + key + " is missing");
+            throw new SettingsException("setting " + key + " is missing");
         }
         return v;
     }
@@ -79,7 +79,7 @@
         try {
             return Long.parseLong(v);
         } catch (NumberFormatException e) {
-            throw new WireException("setting " + key + " is not a whole number: " + v);
+            throw new SettingsException("setting " + key + " is not a whole number: " + v);
         }
     }
 
@@ -97,7 +97,7 @@
         } catch (NumberFormatException e) {
             // falls through to the one message for both
         }
-        throw new WireException("setting " + key + " is not a number: " + v);
+        throw new SettingsException("setting " + key + " is not a number: " + v);
     }
 
     private double number(String key, double absent) {
@@ -116,7 +116,7 @@
         try {
             return Enum.valueOf(type, v.toUpperCase(Locale.ROOT));
         } catch (IllegalArgumentException e) {
-            throw new WireException("setting " + key + " has an unknown value: " + v);
+            throw new SettingsException("setting " + key + " has an unknown value: " + v);
         }
     }
 }
--- a/src/test/java/dewstage/IntMapTest.java
+++ b/src/test/java/gullspar/decide/IntMapTest.java
@@ -1,4 +1,4 @@
-package dewstage;
+package gullspar.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/dewstage/ModuleSizeTest.java
+++ b/src/test/java/gullspar/decide/ModuleSizeTest.java
@@ -1,4 +1,4 @@
-package dewstage;
+package gullspar.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -15,7 +15,7 @@
     private static final int MOST_COLUMNS = 110;
 
     private static List<String> lines() throws IOException {
-        return Files.readAllLines(Path.of("src/main/java/dewstage/Policy.java"));
+        return Files.readAllLines(Path.of("src/main/java/gullspar/decide/Policy.java"));
     }
 
     @Test
--- a/src/test/java/dewstage/OrderTest.java
+++ b/src/test/java/gullspar/decide/OrderTest.java
@@ -1,12 +1,12 @@
-package dewstage;
+package gullspar.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Profile;
-import dewstage.Balancer.State;
-import dewstage.Balancer.Status;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Profile;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer.Status;
 import org.junit.jupiter.api.Test;
 
 /** The rules that hold at some deployments only: order by key, and 'full' as no proof. */
--- a/src/test/java/dewstage/PolicyTest.java
+++ b/src/test/java/gullspar/decide/PolicyTest.java
@@ -1,15 +1,15 @@
-package dewstage;
+package gullspar.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Member;
-import dewstage.Balancer.Report;
-import dewstage.Balancer.State;
-import dewstage.Balancer.Status;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.Report;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer.Status;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- a/src/test/java/dewstage/Rig.java
+++ b/src/test/java/gullspar/decide/Rig.java
@@ -1,16 +1,16 @@
-package dewstage;
-
-import dewstage.Balancer.Effect;
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Member;
-import dewstage.Balancer.Outcome;
-import dewstage.Balancer.Profile;
-import dewstage.Balancer.Report;
-import dewstage.Balancer.Request;
-import dewstage.Balancer.Scope;
-import dewstage.Balancer.Settings;
-import dewstage.Balancer.State;
-import dewstage.Balancer.Status;
+package gullspar.decide;
+
+import gullspar.decide.Balancer.Effect;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Profile;
+import gullspar.decide.Balancer.Report;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.Scope;
+import gullspar.decide.Balancer.Settings;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer.Status;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/test/java/dewstage/benchlink/HostTest.java
+++ b/src/test/java/gullspar/drill/HostTest.java
@@ -1,11 +1,11 @@
-package dewstage.benchlink;
+package gullspar.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dewstage.Balancer;
+import gullspar.decide.Balancer;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
--- a/src/test/java/dewstage/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -1,13 +1,13 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dewstage.Balancer.Outcome;
-import dewstage.Balancer.Request;
-import dewstage.Balancer.Status;
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.Status;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/dewstage/proxy/CrowdingTest.java
+++ b/src/test/java/gullspar/proxy/CrowdingTest.java
@@ -1,8 +1,8 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dewstage.Balancer.Request;
+import gullspar.decide.Balancer.Request;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
--- a/src/test/java/dewstage/proxy/DiscoveryTest.java
+++ b/src/test/java/gullspar/proxy/DiscoveryTest.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -8,11 +8,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import dewstage.Balancer.ListKind;
-import dewstage.Balancer.Member;
-import dewstage.Balancer.Request;
-import dewstage.Balancer.State;
-import dewstage.Balancer.Status;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer.Status;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/dewstage/proxy/JsonTest.java
+++ b/src/test/java/gullspar/proxy/JsonTest.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- a/src/test/java/dewstage/proxy/LoopbackTest.java
+++ b/src/test/java/gullspar/proxy/LoopbackTest.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
--- a/src/test/java/dewstage/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -1,4 +1,4 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -35,7 +35,7 @@
     /** Starts the program. */
     private Process serve(Peer discovery, String option) throws Exception {
         ProcessBuilder java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), option, "-cp", System.getProperty("java.class.path"), "dewstage.Main", "serve");
+                .toString(), option, "-cp", System.getProperty("java.class.path"), "gullspar.Main", "serve");
         java.environment().putAll(Map.of("NODE_CONFIG", folder.resolve("config.json").toString(),
                 "NODE_DISCOVERY", discovery.hostPort()));
         return java.start();
@@ -91,12 +91,12 @@
             write(discovery, backend);
             Process p = serve(discovery, "-Xlog:class+load:file=" + loaded);
             try {
-                discovery.accept(); // the rehearsal is over
+                discovery.accept(); // it is warm
             } finally {
                 p.destroyForcibly().waitFor();
             }
             String classes = Files.readString(loaded);
-            assertTrue(classes.contains(" dewstage.proxy.Rehearsal "), "nothing was rehearsed");
+            assertTrue(classes.contains(" gullspar.proxy.Warmup "), "it was not warmed up");
             for (String name : List.of(".AllocateChunkEvent ", ".HttpServerCodec ",
                     ".ObjectMapper ", ".SimpleDateFormat ")) {
                 assertFalse(classes.contains(name), name);
--- a/src/test/java/dewstage/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -1,11 +1,11 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import dewstage.Balancer;
-import dewstage.Balancer.Member;
-import dewstage.Balancer.Outcome;
-import dewstage.Balancer.Request;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
--- a/src/test/java/dewstage/proxy/RehearsalTest.java
+++ b/src/test/java/gullspar/proxy/WarmupTest.java
@@ -1,23 +1,23 @@
-package dewstage.proxy;
+package gullspar.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import dewstage.Policy;
+import gullspar.decide.Policy;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** What a proxy plays before it serves. */
 @Timeout(60)
-class RehearsalTest {
+class WarmupTest {
     @Test
     void requestsAreServedAndNobodyOutsideIsInvolved() throws Exception {
         try (Peer discovery = new Peer(); Peer backend = new Peer(); Peer listen = new Peer()) {
             String json = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000).toString()
                     .replace("127.0.0.1:0", listen.hostPort()); // taken: it must not be needed yet
             Config config = Config.parse(new ObjectMapper().readTree(json), Map.of());
-            int served = Rehearsal.run(config, Policy::new, 60, 30_000);
+            int served = Warmup.run(config, Policy::new, 60, 30_000);
             assertTrue(served > 0 && served <= 60, "served " + served);
             assertTrue(discovery.quiet() && backend.quiet() && listen.quiet());
         }
