--- /dev/null
+++ b/src/main/java/gullspar/cli/Direct.java
@@ -0,0 +1,58 @@
+package gullspar.cli;
+
+import gullspar.decide.Policy;
+import gullspar.drill.Host;
+import gullspar.drill.WireException;
+import gullspar.proxy.Daemon;
+import gullspar.proxy.config.ConfigException;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import java.io.IOException;
+
+/** The commands that a platform starts. They load nothing that they do not run on, and return exit codes. */
+public final class Direct {
+    private Direct() { }
+
+    /** One real proxy, by the environment; returns only if it cannot go on. */
+    public static int serve() {
+        return daemon(() -> Daemon.run(System.getenv(), Policy::new));
+    }
+
+    /** Goes through all that serving needs and ends: the build records the classes that it loads. */
+    public static int warm() {
+        return daemon(() -> Daemon.warm(System.getenv(), Policy::new));
+    }
+
+    /** The module on the simulator's wire, on standard input and output. */
+    public static int drill() {
+        try {
+            new Host(Policy::new).serve(System.in, System.out);
+            return 0;
+        } catch (WireException e) {
+            return failed(e.getMessage());
+        } catch (IOException e) {
+            return failed("cannot read or write the wire: " + e.getMessage());
+        }
+    }
+
+    private interface Work {
+        void run() throws ConfigException, IOException;
+    }
+
+    private static int daemon(Work work) {
+        // Nobody records a flight here, and Netty's events for it cost a start 0.3 s on half a core.
+        System.setProperty("io.netty.jfr.enabled", "false");
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // it would look for others first
+        try {
+            work.run();
+            return 0;
+        } catch (ConfigException | IOException e) {
+            return failed(e.getMessage());
+        }
+    }
+
+    private static int failed(String why) {
+        System.err.println("gullspar: " + why);
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/cli/Tool.java
@@ -0,0 +1,90 @@
+package gullspar.cli;
+
+import java.util.concurrent.Callable;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The command line as people use it: help, version, completion and the commands of the kit. */
+@Command(name = "gullspar", mixinStandardHelpOptions = true, versionProvider = Tool.Version.class,
+        description = "A load-balancing proxy for HTTP/1.1, with a kit to rehearse it.",
+        synopsisSubcommandLabel = "COMMAND",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:done", "1:it could not be done, or a rehearsal broke a rule", "2:wrong usage"},
+        subcommands = {Tool.Serve.class, Tool.Drill.class, Tool.Warm.class,
+            Tool.Completion.class})
+public final class Tool implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    private Tool() { }
+
+    /** Runs a command line and returns its exit code. */
+    public static int run(String[] args) {
+        return new CommandLine(new Tool()).execute(args);
+    }
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "which command?");
+    }
+
+    /** Says which version this is, as the jar was built. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Tool.class.getPackage().getImplementationVersion();
+            return new String[] {"gullspar " + (version == null ? "(not from a jar)" : version)};
+        }
+    }
+
+    /** The daemon. */
+    @Command(name = "serve", mixinStandardHelpOptions = true, description = {"Runs one proxy.",
+        "It reads the file that NODE_CONFIG names; NODE_LISTEN and NODE_DISCOVERY win over it at the start."},
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:ended by SIGTERM, all answered", "1:it cannot start or go on", "2:wrong usage"})
+    static final class Serve implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return Direct.serve();
+        }
+    }
+
+    /** The adapter to the simulator. */
+    @Command(name = "drill", mixinStandardHelpOptions = true,
+            description = "Puts the decision module on the simulator's wire, on standard input and output.")
+    static final class Drill implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return Direct.drill();
+        }
+    }
+
+    /** What the build runs to record classes. */
+    @Command(name = "warm", mixinStandardHelpOptions = true,
+            description = "Warms a proxy up, as at every start, and ends: the build records what that loads.")
+    static final class Warm implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            return Direct.warm();
+        }
+    }
+
+    /** For shells. */
+    @Command(name = "completion", mixinStandardHelpOptions = true,
+            description = "Prints a completion script for bash and zsh: source it.")
+    static final class Completion implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            System.out.print(AutoComplete.bash("gullspar", spec.root().commandLine()));
+            System.out.flush();
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -0,0 +1,157 @@
+package gullspar.proxy;
+
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Report;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.Status;
+import gullspar.proxy.backend.Answer;
+import gullspar.proxy.backend.Attempt;
+import gullspar.proxy.client.Asked;
+import gullspar.proxy.client.Client;
+import gullspar.proxy.http.Message;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The life of one request that was taken: the module hears of it, its attempts go out and end, it gets its one
+ * final answer, and it is kept until the last attempt has ended as well. Once it is over nothing goes out for
+ * it, whatever the module does.
+ */
+final class Exchange {
+    /**
+     * A timeout counts from the client's send and is kept when the answer has reached it. The module is told
+     * of so much less, and if it has not ended the request by the second margin, the backstop does.
+     */
+    private static final long MARGIN_NS = 10_000_000L, BACKSTOP_NS = 5_000_000L;
+
+    final int ticket;
+    final Client client;
+    private final Exchanges owner;
+    private final Message message;
+    private final long deadline;
+    /** By number; null where none went out. */
+    private final List<Attempt> attempts = new ArrayList<>(2);
+    private final ScheduledFuture<?> backstop;
+    private int out;
+    private boolean over;
+
+    Exchange(Exchanges owner, int ticket, Client client, Message message, Asked asked, long at) {
+        this.owner = owner;
+        this.ticket = ticket;
+        this.client = client;
+        this.message = message;
+        long margin = Math.min(MARGIN_NS, asked.timeoutNs() / 4);
+        this.deadline = at + asked.timeoutNs() - margin;
+        this.backstop = owner.platform.loop().schedule(this::overdue, Math.max(0, deadline + margin
+                - Math.min(BACKSTOP_NS, margin / 2) - owner.platform.clock().now()), TimeUnit.NANOSECONDS);
+        tell((now, module) -> module.onRequest(now, new Request(ticket, asked.profile(), asked.tenant(),
+                asked.key(), Math.max(0, deadline - now), asked.hintNs(), asked.repeat())));
+    }
+
+    private void tell(Events.Event event) {
+        owner.events.tell(event, this::fail);
+    }
+
+    /** Over, and nothing of it is out. */
+    boolean done() {
+        return over && out == 0;
+    }
+
+    // ---- what happens to it ----
+
+    /** The module has not ended it in time: that must not leave the client with no answer. */
+    private void overdue() {
+        if (!over) {
+            owner.platform.log().say("no answer in time, ticket " + ticket);
+            answer(504, null, "no answer in time\n".getBytes(StandardCharsets.UTF_8));
+            withdraw();
+        }
+    }
+
+    /** Its client has gone away. */
+    void abandoned() {
+        finish();
+        withdraw();
+    }
+
+    private void withdraw() {
+        for (int i = 0; i < attempts.size(); i++) {
+            cancel(i);
+        }
+        tell((now, module) -> {
+            module.onWithdrawn(now, ticket);
+            owner.forget(this);
+        });
+    }
+
+    private void ended(int number, int server, long startedAt, Status status, Report report, Answer answer) {
+        if (status == Status.OK && !over) {
+            answer(200, answer.head().headers(), answer.body());
+        } else if (answer != null && !over) {
+            answer(answer.head().status().code(), null,
+                    "the backend cannot use this request\n".getBytes(StandardCharsets.UTF_8));
+        }
+        long elapsed = owner.platform.clock().now() - startedAt;
+        tell((now, module) -> {
+            out--;
+            module.onOutcome(now, new Outcome(ticket, number, server, status, elapsed, over, report));
+            owner.forget(this);
+        });
+    }
+
+    private void answer(int status, HttpHeaders headers, byte[] body) {
+        finish();
+        client.answer(status, headers, body);
+    }
+
+    private void finish() {
+        over = true;
+        backstop.cancel(false);
+        owner.finished(this);
+    }
+
+    // ---- what the module does with it ----
+
+    void send(int server, long timeoutNs) {
+        long now = owner.platform.clock().now();
+        long left = deadline - now;
+        int number = attempts.size();
+        out++;
+        if (over || left <= 0 || number >= owner.maxAttempts) {
+            attempts.add(null);
+            ended(number, server, now, Status.MOOT, null, null);
+            return;
+        }
+        attempts.add(owner.backends.send(server, message, timeoutNs == 0 ? left : Math.min(timeoutNs, left),
+                (a, status, report, answer) -> ended(number, server, now, status, report, answer)));
+    }
+
+    void refuse(long retryInNs) {
+        if (!over) {
+            HttpHeaders headers = new DefaultHttpHeaders();
+            if (retryInNs > 0) {
+                headers.set("Retry-After", Message.seconds(retryInNs));
+            }
+            answer(503, headers, "refused, try again\n".getBytes(StandardCharsets.UTF_8));
+            owner.forget(this);
+        }
+    }
+
+    void fail() {
+        if (!over) {
+            answer(502, null, "failed\n".getBytes(StandardCharsets.UTF_8));
+            owner.forget(this);
+        }
+    }
+
+    void cancel(int attempt) {
+        if (attempt < attempts.size() && attempts.get(attempt) != null) {
+            attempts.get(attempt).cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -0,0 +1,100 @@
+package gullspar.proxy;
+
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Status;
+import gullspar.proxy.backend.Backends;
+import gullspar.proxy.client.Asked;
+import gullspar.proxy.client.Client;
+import gullspar.proxy.client.Frontend;
+import gullspar.proxy.http.Message;
+import gullspar.proxy.io.Platform;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.Map;
+
+/** The requests that a proxy has taken and not yet done with, by the module's ticket and by client. */
+final class Exchanges implements Frontend.Taker {
+    final Platform platform;
+    final Events events;
+    final Backends backends;
+    final int maxAttempts;
+    private final Map<Integer, Exchange> byTicket = new HashMap<>();
+    /** Those that still want their answer; only looked up, never walked. */
+    private final Map<Client, Exchange> byClient = new IdentityHashMap<>();
+    private int tickets;
+
+    Exchanges(Platform platform, Events events, Backends backends, int maxAttempts) {
+        this.platform = platform;
+        this.events = events;
+        this.backends = backends;
+        this.maxAttempts = maxAttempts;
+    }
+
+    @Override
+    public void taken(Client client, Message message, Asked asked, long at) {
+        do {
+            tickets++;
+        } while (tickets == 0 || byTicket.containsKey(tickets));
+        Exchange x = new Exchange(this, tickets, client, message, asked, at);
+        byTicket.put(x.ticket, x);
+        byClient.put(client, x);
+    }
+
+    @Override
+    public void gone(Client client) {
+        Exchange x = byClient.get(client);
+        if (x != null) {
+            x.abandoned();
+        }
+    }
+
+    /** Requests that still want their answer. */
+    int open() {
+        return byClient.size();
+    }
+
+    /** It has its final answer, or nobody to give it to. */
+    void finished(Exchange x) {
+        byClient.remove(x.client);
+    }
+
+    void forget(Exchange x) {
+        if (x.done()) {
+            byTicket.remove(x.ticket);
+        }
+    }
+
+    // ---- the module's actions, by ticket ----
+
+    void send(int ticket, int server, long timeoutNs) {
+        Exchange x = byTicket.get(ticket);
+        if (x != null) {
+            x.send(server, timeoutNs);
+            return;
+        }
+        platform.log().say("an attempt for ticket " + ticket + ", which is over");
+        events.tell((now, module) -> module.onOutcome(now,
+                new Outcome(ticket, 0, server, Status.MOOT, 0, true, null)));
+    }
+
+    void refuse(int ticket, long retryInNs) {
+        Exchange x = byTicket.get(ticket);
+        if (x != null) {
+            x.refuse(retryInNs);
+        }
+    }
+
+    void fail(int ticket) {
+        Exchange x = byTicket.get(ticket);
+        if (x != null) {
+            x.fail();
+        }
+    }
+
+    void cancel(int ticket, int attempt) {
+        Exchange x = byTicket.get(ticket);
+        if (x != null) {
+            x.cancel(attempt);
+        }
+    }
+}
--- a/src/main/java/gullspar/proxy/Warmup.java
+++ b/src/main/java/gullspar/proxy/Warmup.java
@@ -6,6 +6,13 @@
 import gullspar.decide.Balancer.Profile;
 import gullspar.decide.Balancer.State;
 import gullspar.decide.Balancer;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.discovery.Listed;
+import gullspar.proxy.discovery.News;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Log;
+import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -22,6 +29,7 @@
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.net.UnixDomainSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -43,6 +51,8 @@
     /** One answer in so many is an error, a refusal of the backend, or an end of the connection. */
     private static final int ODD_ANSWERS = 25;
 
+    private static final Log LOG = Log.standardError();
+
     private final Config config;
     private final EventLoop loop;
     private final Proxy proxy;
@@ -61,7 +71,7 @@
         this.config = config;
         this.loop = loop;
         this.path = path;
-        this.proxy = new Proxy(config, loop, factory, to -> bootstrap());
+        this.proxy = new Proxy(config, new Platform(loop, Clock.system(), new FilePeers(), LOG), factory);
         this.most = most;
     }
 
@@ -80,7 +90,7 @@
             }).get();
             return done.get();
         } catch (Exception e) {
-            Proxy.say("not warmed up: " + e);
+            LOG.say("not warmed up: " + e);
             return 0;
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
@@ -95,7 +105,20 @@
                 Files.deleteIfExists(folder);
             }
         } catch (IOException e) {
-            Proxy.say("left behind by the warm-up: " + folder);
+            LOG.say("left behind by the warm-up: " + folder);
+        }
+    }
+
+    /** Every address leads to the socket in the file system. */
+    private final class FilePeers implements Transport {
+        @Override
+        public Bootstrap to(InetSocketAddress address) {
+            return bootstrap();
+        }
+
+        @Override
+        public ServerBootstrap at(InetSocketAddress address) {
+            throw new UnsupportedOperationException("a throwaway proxy does not listen");
         }
     }
 
@@ -123,13 +146,13 @@
                 done.completeExceptionally(f.cause());
                 return;
             }
-            List<Discovery.Listed> list = new ArrayList<>();
+            List<Listed> list = new ArrayList<>();
             for (int i = 0; i < BACKENDS; i++) {
-                list.add(new Discovery.Listed(new Member(i + 1, 0, State.READY, 0, 0,
+                list.add(new Listed(new Member(i + 1, 0, State.READY, 0, 0,
                         config.settings().zone(), 1),
                         config.listen()));
             }
-            proxy.hear(new Discovery.News(ListKind.FULL, 1, list));
+            proxy.hear(new News(ListKind.FULL, 1, list));
             for (int i = 0; i < CLIENTS; i++) {
                 connect();
             }
--- /dev/null
+++ b/src/main/java/gullspar/proxy/backend/Answer.java
@@ -0,0 +1,6 @@
+package gullspar.proxy.backend;
+
+import io.netty.handler.codec.http.HttpResponse;
+
+/** A whole answer of a backend. */
+public record Answer(HttpResponse head, byte[] body) { }
--- a/src/main/java/gullspar/proxy/AnswerDecoder.java
+++ b/src/main/java/gullspar/proxy/backend/AnswerDecoder.java
@@ -1,5 +1,6 @@
-package gullspar.proxy;
+package gullspar.proxy.backend;
 
+import gullspar.proxy.http.HeadLines;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -75,19 +76,12 @@
         }
     }
 
-    /** A line of the head with no colon is no header: the library would take it for a name with no value. */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-        checkColon(line, start + length);
+        HeadLines.checkColon(line, start + length);
         return super.splitHeaderName(line, start, length);
     }
 
-    static void checkColon(byte[] line, int at) {
-        if (at >= line.length || line[at] != ':') {
-            throw new IllegalArgumentException("a header with no colon behind its name");
-        }
-    }
-
     private static boolean begins(ByteBuf in) {
         for (int i = 0; i < Math.min(BEGINNING.length, in.readableBytes()); i++) {
             if (in.getByte(in.readerIndex() + i) != BEGINNING[i]) {
--- /dev/null
+++ b/src/main/java/gullspar/proxy/backend/Backend.java
@@ -0,0 +1,26 @@
+package gullspar.proxy.backend;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** A backend as this side knows it: where it is, whether it has left, and its idle connections. */
+final class Backend {
+    InetSocketAddress address;
+    long bootNs;
+    /** When this proxy heard that it drains or is gone; 0 while it is in service. */
+    long leftAt;
+    /** The most recently used last. */
+    final Deque<Connection> idle = new ArrayDeque<>();
+
+    void leave(long now) {
+        leftAt = leftAt == 0 ? now : leftAt;
+        closeIdle();
+    }
+
+    void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.pop().close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -0,0 +1,174 @@
+package gullspar.proxy.backend;
+
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer.Status;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.discovery.Listed;
+import gullspar.proxy.discovery.News;
+import gullspar.proxy.http.Message;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Sockets;
+import gullspar.proxy.io.Transport;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The backends' side: idle connections, attempts, and what became of them. Every attempt ends exactly once.
+ * Nothing is sent again from here.
+ */
+public final class Backends {
+    /** An idle connection is closed so long before the backend does it: no request may cross that. */
+    private static final long KEEP_ALIVE_MARGIN_NS = 1_500_000_000L;
+    private static final long SWEEP_MS = 500;
+
+    private final EventLoop loop;
+    private final Transport transport;
+    private final Clock clock;
+    private final Sockets.Share sockets;
+    private final long connectTimeoutNs;
+    private final long keepAliveNs;
+    private final long drainGraceNs;
+    private final Map<Integer, Backend> backends = new HashMap<>();
+
+    public Backends(Platform platform, Sockets.Share sockets, Config config) {
+        this.transport = platform.transport();
+        this.loop = platform.loop();
+        this.clock = platform.clock();
+        this.sockets = sockets;
+        sockets.whenFull(this::closeOneIdle);
+        this.connectTimeoutNs = config.connectTimeoutNs();
+        this.keepAliveNs = Math.max(config.keepAliveNs() / 2, config.keepAliveNs() - KEEP_ALIVE_MARGIN_NS);
+        this.drainGraceNs = config.drainGraceNs();
+        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    // ---- the list ----
+
+    public void learn(News news) {
+        long now = clock.now();
+        if (news.kind() != ListKind.DELTA) {
+            Map<Integer, Backend> missing = new HashMap<>(backends);
+            news.list().forEach(l -> missing.remove(l.member().id()));
+            missing.values().forEach(b -> b.leave(now));
+            backends.keySet().removeAll(missing.keySet());
+        }
+        for (Listed l : news.list()) {
+            Backend b = backends.computeIfAbsent(l.member().id(), id -> new Backend());
+            boolean moved = l.address() != null && !l.address().equals(b.address);
+            if (moved || l.member().bootNs() > b.bootNs) {
+                b.closeIdle(); // they lead to a process that is no more
+            }
+            b.address = moved ? l.address() : b.address;
+            b.bootNs = l.member().bootNs();
+            if (l.member().state() == State.READY) {
+                b.leftAt = 0;
+            } else {
+                b.leave(now);
+            }
+            if (l.member().state() == State.GONE) {
+                backends.remove(l.member().id());
+            }
+        }
+    }
+
+    // ---- idle connections ----
+
+    public void closeIdle(int id) {
+        Backend b = backends.get(id);
+        if (b != null) {
+            b.closeIdle();
+        }
+    }
+
+    /** Closes the connection that has been idle longest; false if there is none. */
+    private boolean closeOneIdle() {
+        Backend oldest = null;
+        for (Backend b : backends.values()) {
+            if (!b.idle.isEmpty() && (oldest == null
+                    || b.idle.peekFirst().idleSince() < oldest.idle.peekFirst().idleSince())) {
+                oldest = b;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        oldest.idle.pollFirst().close();
+        return true;
+    }
+
+    private void sweep() {
+        for (Backend b : backends.values()) {
+            while (!b.idle.isEmpty() && !fresh(b.idle.peekFirst())) {
+                b.idle.pollFirst().close();
+            }
+        }
+    }
+
+    private boolean fresh(Connection c) {
+        return clock.now() - c.idleSince() < keepAliveNs;
+    }
+
+    private Connection reuse(Backend b) {
+        // The one idle longest: what a backend closes right behind an answer, or sends too much, is seen by
+        // then.
+        Connection c = b.idle.pollFirst();
+        // Not left to the sweep: one that stands still would write to what the backend is about to close.
+        while (c != null && !(fresh(c) && c.active())) {
+            c.close();
+            c = b.idle.pollFirst();
+        }
+        return c;
+    }
+
+    // ---- attempts ----
+
+    /** Starts an attempt; it ends later, never within this call. */
+    public Attempt send(int server, Message request, long timeoutNs, Attempt.Listener listener) {
+        Attempt a = new Attempt(backends.get(server), request, loop, clock, timeoutNs, listener);
+        if (a.backend() == null) {
+            loop.execute(() -> a.end(Status.MOOT, null, null)); // gone since
+            return a;
+        }
+        a.startTimer(timeoutNs);
+        Connection idle = reuse(a.backend());
+        if (idle != null) {
+            idle.begin(a);
+        } else if (sockets.take()) {
+            connect(a);
+        } else {
+            loop.execute(() -> a.end(Status.MOOT, null, null)); // no fault of the backend's
+        }
+        return a;
+    }
+
+    private void connect(Attempt a) {
+        Connection c = new Connection(a.backend(), loop, clock, drainGraceNs);
+        ChannelFuture connect = transport.to(a.backend().address)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNs / 1_000_000))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        c.openOn(channel);
+                    }
+                }).connect();
+        c.opening(connect.channel());
+        a.over(c);
+        connect.channel().closeFuture().addListener(f -> sockets.release());
+        connect.addListener(f -> {
+            if (f.isSuccess() && !a.ended()) {
+                c.begin(a);
+            } else {
+                c.close();
+                loop.execute(() -> a.end(Status.CONNECT_FAILED, null, null));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/proxy/backend/LoadReport.java
@@ -0,0 +1,58 @@
+package gullspar.proxy.backend;
+
+import gullspar.decide.Balancer.Report;
+import java.util.Arrays;
+import java.util.List;
+
+/** Reads what a backend says of its load, the header Server-Load. */
+public final class LoadReport {
+    /** Figures beyond these are no load: a busy share of one is all, and nothing counts a million. */
+    private static final double MOST_UTIL = 100, MOST_COUNT = 1e6;
+
+    private LoadReport() { }
+
+    /** The last load report that can be read; null if none can. */
+    static Report last(List<String> texts) {
+        Report last = null;
+        for (String text : texts) {
+            Report r = parse(text);
+            last = r == null ? last : r;
+        }
+        return last;
+    }
+
+    /** Reads a load report; null if there is none or any of it makes no sense. */
+    public static Report parse(String text) {
+        if (text == null) {
+            return null;
+        }
+        double[] values = new double[6];
+        Arrays.fill(values, Double.NaN);
+        for (String field : text.split(",")) {
+            String[] pair = field.trim().split("=", 2);
+            int i = switch (pair[0]) {
+                case "inflight", "outstanding" -> 0;
+                case "queue", "backlog" -> 1;
+                case "util", "utilization" -> 2;
+                case "latency_ms", "recent_ms" -> 3;
+                case "qps", "throughput" -> 4;
+                case "eps", "errors_per_s" -> 5;
+                default -> -1;
+            };
+            if (i >= 0) {
+                try {
+                    values[i] = Double.parseDouble(pair.length < 2 ? "" : pair[1]);
+                } catch (NumberFormatException e) {
+                    return null;
+                }
+                if (!(values[i] >= 0 && values[i] <= (i == 2 ? MOST_UTIL : MOST_COUNT))) {
+                    return null;
+                }
+            }
+        }
+        if (Arrays.stream(values).allMatch(Double::isNaN)) {
+            return null;
+        }
+        return new Report(values[0], values[1], values[2], values[3], values[4], values[5]);
+    }
+}
--- a/src/main/java/gullspar/proxy/Asked.java
+++ b/src/main/java/gullspar/proxy/client/Asked.java
@@ -1,7 +1,10 @@
-package gullspar.proxy;
+package gullspar.proxy.client;
 
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Profile;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.Fnv;
+import gullspar.proxy.http.Message;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
@@ -9,7 +12,7 @@
 import java.util.regex.Pattern;
 
 /** What a request asks of the module: the class and tenant by place, the rest as the client said it. */
-record Asked(int profile, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
+public record Asked(int profile, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
     /** No client waits longer; more is a slip of the pen. */
     private static final double LONGEST_TIMEOUT_S = 3600;
     /** Ids and keys: what any backend can read, and no longer than makes sense. */
@@ -65,11 +68,11 @@
     }
 
     /** What a request is about, as a number; 0 is none and no key's. */
-    static long key(String cookies) {
+    public static long key(String cookies) {
         if (cookies != null) {
             for (Cookie c : ServerCookieDecoder.LAX.decode(cookies)) {
                 if (c.name().equals("sid")) {
-                    long key = Discovery.hash(c.value());
+                    long key = Fnv.hash(c.value());
                     return key == 0 ? 1 : key;
                 }
             }
--- a/src/main/java/gullspar/proxy/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -1,5 +1,6 @@
-package gullspar.proxy;
+package gullspar.proxy.client;
 
+import gullspar.proxy.http.Message;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -26,7 +27,7 @@
  * A client's connection: one request at a time, a few more wait in line. After a request that cannot be read,
  * or more than that in line, comes an error, the end, and nothing else.
  */
-final class Client extends SimpleChannelInboundHandler<HttpObject> {
+public final class Client extends SimpleChannelInboundHandler<HttpObject> {
     /** Who takes whole requests, and hears when a connection changes its place among the others. */
     interface Owner {
         void whole(Client client, Message message, long at);
@@ -40,7 +41,7 @@
     }
 
     /** Requests that may wait behind one on a connection: enough for clients that await no answer. */
-    static final int MOST_PIPELINED = 16;
+    public static final int MOST_PIPELINED = 16;
 
     /** A whole request, or the error that one ended in; after an error nothing is read. */
     private record Waiting(Message message, int status, String error, long at, boolean keepAlive) { }
@@ -150,7 +151,7 @@
         if (!r.protocolVersion().equals(HttpVersion.HTTP_1_1)
                 && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             end(505, "this is HTTP/1.1");
-        } else if (HttpUtil.getContentLength(r, 0L) > Backends.MOST_BYTES) {
+        } else if (HttpUtil.getContentLength(r, 0L) > Message.MOST_BYTES) {
             end(413, "the body is too long"); // not read first: it may be of any length
         } else if (r.headers().contains(HttpHeaderNames.EXPECT) && !HttpUtil.is100ContinueExpected(r)) {
             end(417, "nothing to be expected but 100-continue");
@@ -160,7 +161,7 @@
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
             head = r;
-            body = Unpooled.buffer(256, Backends.MOST_BYTES);
+            body = Unpooled.buffer(256, Message.MOST_BYTES);
             return true;
         }
         return false;
@@ -217,7 +218,7 @@
     }
 
     /** The final answer to the request in hand; of a client that has gone nothing is written. */
-    void answer(int status, HttpHeaders headers, byte[] bytes) {
+    public void answer(int status, HttpHeaders headers, byte[] bytes) {
         DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
         if (headers != null) {
@@ -243,7 +244,7 @@
         }
     }
 
-    void answer(int status, HttpHeaders headers, String text) {
+    public void answer(int status, HttpHeaders headers, String text) {
         answer(status, headers, (text + "\n").getBytes(StandardCharsets.UTF_8));
     }
 
--- a/src/main/java/gullspar/proxy/Crowding.java
+++ b/src/main/java/gullspar/proxy/client/Crowding.java
@@ -1,5 +1,6 @@
-package gullspar.proxy;
+package gullspar.proxy.client;
 
+import gullspar.proxy.io.Log;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -26,11 +27,11 @@
     }
 
     /** One line, if places ran out since the last, and all begins anew. */
-    void say() {
+    void say(Log log) {
         if (refused + unused + used > 0) {
             String youngest = unused == 0 ? ""
                     : ", the youngest after " + TimeUnit.NANOSECONDS.toMillis(youngestNs) + " ms";
-            Proxy.say("too few places for clients: of " + accepted + " accepted " + refused
+            log.say("too few places for clients: of " + accepted + " accepted " + refused
                     + " closed at once; closed to make room: " + unused + " with nothing asked" + youngest
                     + ", " + used + " idle; requests taken: " + requests);
         }
--- a/src/main/java/gullspar/proxy/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -1,14 +1,16 @@
-package gullspar.proxy;
+package gullspar.proxy.client;
 
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Profile;
-import io.netty.bootstrap.ServerBootstrap;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.http.Message;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Sockets;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -18,17 +20,16 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
 /**
  * The clients' side: keeps their connections within the limits and hands over the requests that make
  * sense.
  */
-final class Frontend implements Client.Owner {
+public final class Frontend implements Client.Owner {
     /** Who takes the requests. */
-    interface Taker {
-        boolean ready();
-
+    public interface Taker {
         void taken(Client client, Message message, Asked asked, long at);
 
         /** The client has gone away before its answer. */
@@ -47,9 +48,11 @@
     private static final long SWEEP_MS = 200, AGE_MS = 4000, COUNT_MS = 10_000;
 
     private final Config config;
+    private final Platform platform;
     private final Clock clock;
     private final Sockets.Share sockets;
     private final Taker taker;
+    private final BooleanSupplier ready;
     private final RequestIds ids = new RequestIds();
     /** Connections that never brought a request that made sense, the oldest first. */
     private final Set<Client> unused = new LinkedHashSet<>();
@@ -61,26 +64,28 @@
     private Channel listener;
     private boolean draining;
 
-    Frontend(Config config, Clock clock, Sockets.Share sockets, Taker taker) {
+    /** ready: are there backends to serve with? */
+    public Frontend(Platform platform, Config config, Sockets.Share sockets, Taker taker,
+            BooleanSupplier ready) {
+        this.platform = platform;
         this.config = config;
-        this.clock = clock;
+        this.clock = platform.clock();
         this.sockets = sockets;
         this.taker = taker;
+        this.ready = ready;
         sockets.whenFull(this::closeOneIdle);
     }
 
-    ChannelFuture listen(EventLoop loop) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
+    public ChannelFuture listen() {
+        ChannelFuture bound = platform.transport().at(config.listen())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         accept(c);
                     }
-                }).bind(config.listen());
+                }).bind();
         listener = bound.channel();
+        EventLoop loop = platform.loop();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(ids::age, AGE_MS, AGE_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::sayRejected, COUNT_MS, COUNT_MS, TimeUnit.MILLISECONDS);
@@ -88,7 +93,7 @@
     }
 
     /** A new connection of a client. */
-    void accept(Channel c) {
+    public void accept(Channel c) {
         crowding.accepted++;
         if (!sockets.take()) {
             crowding.refused++;
@@ -110,19 +115,19 @@
 
     private void sayRejected() {
         if (!rejected.isEmpty()) {
-            Proxy.say("requests that made no sense, by status: " + rejected);
+            platform.log().say("requests that made no sense, by status: " + rejected);
             rejected.clear();
         }
-        crowding.say();
+        crowding.say(platform.log());
     }
 
     /** Answers from now on end their connections. */
-    void drain() {
+    public void drain() {
         draining = true;
     }
 
     /** Takes no more connections, and ends those between requests. */
-    void close() {
+    public void close() {
         listener.close();
         sayRejected();
         Stream.concat(unused.stream(), used.stream()).filter(Client::idle).toList().forEach(Client::close);
@@ -156,7 +161,7 @@
         return false;
     }
 
-    int open() {
+    public int open() {
         return unused.size() + used.size();
     }
 
@@ -171,7 +176,7 @@
     public void whole(Client client, Message m, long at) {
         String path = new QueryStringDecoder(m.uri()).rawPath();
         if (path.equals("/_health")) {
-            boolean up = taker.ready() && !draining;
+            boolean up = ready.getAsBoolean() && !draining;
             int status = up ? 200 : 503;
             client.answer(m.method().equals(HttpMethod.GET) ? status : 405, null, up ? "ready" : "not ready");
             return;
--- a/src/main/java/gullspar/proxy/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/client/RequestDecoder.java
@@ -1,5 +1,6 @@
-package gullspar.proxy;
+package gullspar.proxy.client;
 
+import gullspar.proxy.http.HeadLines;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -49,7 +50,7 @@
 
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
-        AnswerDecoder.checkColon(line, start + length);
+        HeadLines.checkColon(line, start + length);
         return super.splitHeaderName(line, start, length);
     }
 }
--- a/src/main/java/gullspar/proxy/RequestIds.java
+++ b/src/main/java/gullspar/proxy/client/RequestIds.java
@@ -1,4 +1,4 @@
-package gullspar.proxy;
+package gullspar.proxy.client;
 
 import java.util.HashSet;
 import java.util.Set;
--- a/src/main/java/gullspar/proxy/Config.java
+++ b/src/main/java/gullspar/proxy/config/Config.java
@@ -1,4 +1,4 @@
-package gullspar.proxy;
+package gullspar.proxy.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import gullspar.decide.Balancer.Settings;
@@ -44,13 +44,13 @@
      * The configuration as it is now. The environment is that of the start, so for what may change later,
      * the address of discovery, the file wins.
      */
-    static Config reread(Map<String, String> environment) throws ConfigException {
+    public static Config reread(Map<String, String> environment) throws ConfigException {
         Map<String, String> lasting = new HashMap<>(environment);
         lasting.remove("NODE_DISCOVERY");
         return read(lasting);
     }
 
-    static Config parse(JsonNode root, Map<String, String> environment) throws ConfigException {
+    public static Config parse(JsonNode root, Map<String, String> environment) throws ConfigException {
         JsonNode settings = root.path("settings");
         Map<String, String> flat = new HashMap<>();
         flatten("", settings, flat);
@@ -112,7 +112,7 @@
     }
 
     /** An IP address and a port, with no look-up of names (there is no DNS); null if it is none. */
-    static InetSocketAddress address(String text) {
+    public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         InetAddress ip = NetUtil.createInetAddressFromIpAddressString(text.substring(0, Math.max(0, colon)));
         if (ip == null) {
--- a/src/main/java/gullspar/proxy/ConfigException.java
+++ b/src/main/java/gullspar/proxy/config/ConfigException.java
@@ -1,10 +1,10 @@
-package gullspar.proxy;
+package gullspar.proxy.config;
 
 /** A configuration that no proxy can start with; the message is one plain line. */
 public final class ConfigException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    ConfigException(String message) {
+    public ConfigException(String message) {
         super(message);
     }
 }
--- a/src/main/java/gullspar/proxy/Json.java
+++ b/src/main/java/gullspar/proxy/config/Json.java
@@ -1,4 +1,4 @@
-package gullspar.proxy;
+package gullspar.proxy.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -14,13 +14,13 @@
  * one sets up dates, zones and locales, a fifth of a second of a start on half a core. The parser limits
  * depth and lengths.
  */
-final class Json {
+public final class Json {
     private static final JsonFactory PARSERS = new JsonFactory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private Json() { }
 
-    static JsonNode read(byte[] bytes) throws IOException {
+    public static JsonNode read(byte[] bytes) throws IOException {
         try (JsonParser parser = PARSERS.createParser(bytes)) {
             parser.nextToken();
             return value(parser);
--- a/src/main/java/gullspar/proxy/Discovery.java
+++ b/src/main/java/gullspar/proxy/discovery/Discovery.java
@@ -1,10 +1,10 @@
-package gullspar.proxy;
+package gullspar.proxy.discovery;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import gullspar.decide.Balancer.ListKind;
-import gullspar.decide.Balancer.Member;
-import gullspar.decide.Balancer.State;
-import io.netty.bootstrap.Bootstrap;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.Json;
+import gullspar.proxy.io.Platform;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -28,10 +27,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -39,15 +34,9 @@
  * Keeps a watch on discovery and turns what it says into list events. A watch that ends, falls silent or says
  * what cannot be read is opened again from the last version; the old list stands meanwhile.
  */
-final class Discovery {
-    /** A backend as listed, and where this proxy reaches it. */
-    record Listed(Member member, InetSocketAddress address) { }
-
-    /** One piece of news, in order. */
-    record News(ListKind kind, long version, List<Listed> list) { }
-
+public final class Discovery {
     /** Who hears of it: news, or that the watch failed. */
-    interface Listener {
+    public interface Listener {
         void news(News news);
 
         void failed();
@@ -58,13 +47,13 @@
     private static final long FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 1600;
     private static final int LONGEST_LINE = 4 << 20;
 
+    private final Platform platform;
     private final EventLoop loop;
-    private final Config config;
+    private final boolean askForList;
+    private final JsonNode known;
     private final Listener listener;
     private final long silenceMs;
-    /** The number of each listed backend and whose it is: no two share one. */
-    private final Map<String, Integer> numbers = new HashMap<>();
-    private final Map<Integer, String> owners = new HashMap<>();
+    private final Catalog catalog;
     private InetSocketAddress address;
     private long version = -1;
     private long pauseMs = FIRST_PAUSE_MS;
@@ -72,34 +61,38 @@
     private Channel watch;
     private ScheduledFuture<?> retry;
 
-    Discovery(EventLoop loop, Config config, Listener listener) {
-        this(loop, config, listener, SILENCE_MS);
+    public Discovery(Platform platform, Config config, Listener listener) {
+        this(platform, config, listener, SILENCE_MS);
     }
 
-    Discovery(EventLoop loop, Config config, Listener listener, long silenceMs) {
-        this.loop = loop;
-        this.config = config;
+    /** One that gives up a watch after so long with no word, in ms. */
+    public Discovery(Platform platform, Config config, Listener listener, long silenceMs) {
+        this.platform = platform;
+        this.loop = platform.loop();
+        this.askForList = config.settings().askForList();
+        this.known = config.known();
+        this.catalog = new Catalog(config.kinds(), config.zones());
         this.listener = listener;
         this.address = config.discovery();
         this.silenceMs = silenceMs;
     }
 
     /** The list that the proxy was started with; null if there is none that can be read. */
-    News known() {
-        if (!config.known().isObject()) {
+    public News known() {
+        if (!known.isObject()) {
             return null;
         }
         try {
-            News news = parse(config.known());
+            News news = catalog.read(known);
             return new News(ListKind.CACHED, news.version(), news.list());
         } catch (IllegalArgumentException e) {
-            Proxy.say("the known list is not used: " + e.getMessage());
+            platform.log().say("the known list is not used: " + e.getMessage());
             return null;
         }
     }
 
     /** Opens the watch or closes it. Pushed lists are watched for good; one that is asked for is one call. */
-    void watch(boolean on) {
+    public void watch(boolean on) {
         close();
         wanted = on;
         if (on) {
@@ -108,7 +101,7 @@
     }
 
     /** Discovery is elsewhere now: the watch goes on there at once, from the last version that was heard. */
-    void move(InetSocketAddress to) {
+    public void move(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
@@ -134,14 +127,14 @@
 
     private void open() {
         retry = null;
-        ChannelFuture connect = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connect = platform.transport().to(address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) silenceMs)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new HttpClientCodec(), new Watch());
                     }
-                }).connect(address);
+                }).connect();
         watch = connect.channel();
         watch.closeFuture().addListener(f -> ended(connect.channel()));
     }
@@ -154,7 +147,7 @@
         if (!wanted) {
             return;
         }
-        if (config.settings().askForList()) {
+        if (askForList) {
             // Here calls cost, and the module says when to ask again.
             wanted = false;
             listener.failed();
@@ -185,7 +178,7 @@
                 silence.cancel(false);
             }
             silence = loop.schedule(() -> {
-                Proxy.say("discovery is silent: the watch is opened again");
+                platform.log().say("discovery is silent: the watch is opened again");
                 ctx.close();
             }, silenceMs, TimeUnit.MILLISECONDS);
         }
@@ -216,7 +209,7 @@
                     line.reset();
                 }
                 if (line.size() > LONGEST_LINE) {
-                    Proxy.say("a line of discovery is too long");
+                    platform.log().say("a line of discovery is too long");
                     ctx.close();
                     return;
                 }
@@ -229,10 +222,10 @@
             }
             News news;
             try {
-                news = parse(Json.read(bytes));
+                news = catalog.read(Json.read(bytes));
             } catch (IOException | IllegalArgumentException e) {
                 // It may have been news: only a new watch from the last version is sure to bring it.
-                Proxy.say("a line of discovery is not understood: " + e.getMessage());
+                platform.log().say("a line of discovery is not understood: " + e.getMessage());
                 ctx.close();
                 return;
             }
@@ -252,95 +245,13 @@
         }
     }
 
-    /** Reads one list; throws IllegalArgumentException if it is not one, and then nothing has changed. */
-    private News parse(JsonNode root) {
-        JsonNode generation = root.path("generation");
-        JsonNode instances = root.path("instances");
-        if (!generation.canConvertToLong() || !generation.isNumber() || !instances.isArray()) {
-            throw new IllegalArgumentException("no generation or instances");
-        }
-        boolean whole = root.path("reset").asBoolean(false);
-        List<JsonNode> entries = new ArrayList<>();
-        List<InetSocketAddress> addresses = new ArrayList<>();
-        for (JsonNode e : instances) {
-            boolean gone = state(e) == State.GONE;
-            InetSocketAddress address = Config.address(e.path("hostPort").asText());
-            if (e.path("instanceId").asText().isEmpty() || address == null && !gone) {
-                throw new IllegalArgumentException("an instance with no id or address");
-            }
-            entries.add(e);
-            addresses.add(address);
-        }
-        List<Listed> list = new ArrayList<>();
-        if (whole) {
-            List<String> ids = entries.stream().map(e -> e.path("instanceId").asText()).toList();
-            numbers.keySet().retainAll(ids);
-            owners.values().retainAll(ids);
-        }
-        for (int i = 0; i < entries.size(); i++) {
-            JsonNode e = entries.get(i);
-            list.add(new Listed(new Member(number(e.path("instanceId").asText()),
-                    place(config.kinds(), e.path("machineType")), state(e),
-                    TimeUnit.MILLISECONDS.toNanos(Math.max(0, e.path("startedAtMs").asLong())),
-                    e.path("cell").asInt(), place(config.zones(), e.path("zone")),
-                    e.path("weight").asDouble(1)), addresses.get(i)));
-        }
-        // Whoever is gone needs no number: where ids are ever new, those kept would grow without end.
-        for (Listed l : list) {
-            if (l.member().state() == State.GONE) {
-                numbers.remove(owners.remove(l.member().id()));
-            }
-        }
-        return new News(whole ? ListKind.FULL : ListKind.DELTA, generation.asLong(), list);
-    }
-
-    private static State state(JsonNode entry) {
-        return switch (entry.path("lifecycle").asText()) {
-            case "in_service" -> State.READY;
-            case "terminating" -> State.DRAINING;
-            case "terminated" -> State.GONE;
-            default -> throw new IllegalArgumentException("lifecycle " + entry.path("lifecycle"));
-        };
-    }
-
-    /** A name that the settings do not list stands apart from all that they do. */
-    private static int place(List<String> names, JsonNode name) {
-        int i = names.indexOf(name.asText());
-        return i < 0 ? names.size() : i;
-    }
-
-    /**
-     * The number of an instance. The module orders backends by it to spread the proxies' subsets, so it comes
-     * from the id alone, the same at every proxy; two ids of one hash must not become one backend.
-     */
-    private int number(String id) {
-        return numbers.computeIfAbsent(id, i -> {
-            int n = (int) (hash(i) >>> 32);
-            while (owners.containsKey(n)) {
-                n++;
-            }
-            owners.put(n, i);
-            return n;
-        });
-    }
-
     /** How many backends have a number. */
-    int numbered() {
-        return numbers.size();
-    }
-
-    /** FNV-1a, its bits mixed well. */
-    static long hash(String text) {
-        long h = 0xcbf29ce484222325L;
-        for (int i = 0; i < text.length(); i++) {
-            h = (h ^ text.charAt(i)) * 0x100000001b3L;
-        }
-        h = (h ^ h >>> 32) * 0x9e3779b97f4a7c15L;
-        return h ^ h >>> 29;
+    public int numbered() {
+        return catalog.numbered();
     }
 
     /** The version that a watch starts after, once the known list has been taken. */
-    void startFrom(long known) {
+    public void startFrom(long known) {
         version = known;
     }
 }
--- /dev/null
+++ b/src/main/java/gullspar/proxy/discovery/Listed.java
@@ -0,0 +1,7 @@
+package gullspar.proxy.discovery;
+
+import gullspar.decide.Balancer.Member;
+import java.net.InetSocketAddress;
+
+/** A backend as listed, and where this proxy reaches it. */
+public record Listed(Member member, InetSocketAddress address) { }
--- /dev/null
+++ b/src/main/java/gullspar/proxy/discovery/News.java
@@ -0,0 +1,7 @@
+package gullspar.proxy.discovery;
+
+import gullspar.decide.Balancer.ListKind;
+import java.util.List;
+
+/** One piece of news of the list, in order. */
+public record News(ListKind kind, long version, List<Listed> list) { }
--- a/src/main/java/gullspar/proxy/Message.java
+++ b/src/main/java/gullspar/proxy/http/Message.java
@@ -1,4 +1,4 @@
-package gullspar.proxy;
+package gullspar.proxy.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -6,7 +6,9 @@
 import java.util.List;
 
 /** A client's request as it came, whole. */
-record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+public record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+    /** The largest body that either side may send, in bytes. */
+    public static final int MOST_BYTES = 64 << 10;
     /**
      * What goes on to a backend, besides what the proxy itself says. A list of what is known, not of what to
      * leave out: Connection may name any header as its own, and the backend needs these.
@@ -21,20 +23,20 @@
             "Content-Language", "Cache-Control", "Expires", "ETag", "Last-Modified", "Location", "Set-Cookie",
             "Vary", "Retry-After");
 
-    String id() {
+    public String id() {
         return headers.get("Request-Id");
     }
 
-    static void copyRequest(HttpHeaders from, HttpHeaders to) {
+    public static void copyRequest(HttpHeaders from, HttpHeaders to) {
         copy(FOR_BACKENDS, from, to);
     }
 
-    static void copyAnswer(HttpHeaders from, HttpHeaders to) {
+    public static void copyAnswer(HttpHeaders from, HttpHeaders to) {
         copy(FOR_CLIENTS, from, to);
     }
 
     /** A time as headers give it: seconds, with decimals. */
-    static String seconds(long ns) {
+    public static String seconds(long ns) {
         return BigDecimal.valueOf(ns / 1000, 6).toPlainString();
     }
 
--- a/src/main/java/gullspar/proxy/LibraryLog.java
+++ b/src/main/java/gullspar/proxy/io/LibraryLog.java
@@ -1,4 +1,4 @@
-package gullspar.proxy;
+package gullspar.proxy.io;
 
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
@@ -9,8 +9,10 @@
  * for the first one loads time zones and locales from files: with no descriptor left that is an Error, which
  * ends the event loop, and done beforehand it costs a start more than a tenth of a second.
  */
-final class LibraryLog extends Handler {
-    static void install() {
+public final class LibraryLog extends Handler {
+    private final Log log = Log.standardError();
+
+    public static void install() {
         Logger root = Logger.getLogger("");
         for (Handler h : root.getHandlers()) {
             root.removeHandler(h);
@@ -23,7 +25,7 @@
         if (isLoggable(r)) {
             Throwable thrown = r.getThrown();
             StackTraceElement[] trace = thrown == null ? new StackTraceElement[0] : thrown.getStackTrace();
-            Proxy.say(r.getLevel().getName() + " " + r.getMessage() + (thrown == null ? "" : ": " + thrown)
+            log.say(r.getLevel().getName() + " " + r.getMessage() + (thrown == null ? "" : ": " + thrown)
                     + (trace.length > 0 ? " at " + trace[0] : ""));
         }
     }
--- a/src/main/java/gullspar/proxy/Signals.java
+++ b/src/main/java/gullspar/proxy/io/Signals.java
@@ -1,4 +1,4 @@
-package gullspar.proxy;
+package gullspar.proxy.io;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
@@ -7,11 +7,11 @@
  * Signals that must not end the process. The runtime offers no public way to hear of SIGHUP, whose default is
  * to end it, so the class that most runtimes have is looked up by name.
  */
-final class Signals {
+public final class Signals {
     private Signals() { }
 
     /** Calls the action at each such signal, on a thread of its own; false if that is not to be had. */
-    static boolean on(String name, Runnable action) {
+    public static boolean on(String name, Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
--- a/src/main/java/gullspar/proxy/Sockets.java
+++ b/src/main/java/gullspar/proxy/io/Sockets.java
@@ -1,4 +1,4 @@
-package gullspar.proxy;
+package gullspar.proxy.io;
 
 import java.util.function.BooleanSupplier;
 
@@ -7,7 +7,7 @@
  * where accepting, connecting and discovery would all fail at once, and against clients that connect by
  * hundreds: they must not take the connections to the backends.
  */
-final class Sockets {
+public final class Sockets {
     /**
      * For the runtime's files, the selector, the listener and discovery, 41 at the start; of few, a
      * quarter.
@@ -15,7 +15,7 @@
     private static final int RESERVE = 64;
 
     /** A side's share. */
-    static final class Share {
+    public static final class Share {
         private final int most;
         private int open;
         private BooleanSupplier spare = () -> false;
@@ -25,12 +25,12 @@
         }
 
         /** Who closes an idle connection when all are taken; true if there was one. */
-        void whenFull(BooleanSupplier closeOneIdle) {
+        public void whenFull(BooleanSupplier closeOneIdle) {
             this.spare = closeOneIdle;
         }
 
         /** Takes a descriptor, of an idle connection if need be; false if none can be had. */
-        boolean take() {
+        public boolean take() {
             if (open >= most && !spare.getAsBoolean()) {
                 return false;
             }
@@ -38,11 +38,11 @@
             return true;
         }
 
-        void release() {
+        public void release() {
             open--;
         }
 
-        int most() {
+        public int most() {
             return most;
         }
     }
@@ -51,10 +51,10 @@
      * Usual clients need a third of all at most; the rest of the larger share is for those that say
      * nothing.
      */
-    final Share clients;
-    final Share backends;
+    public final Share clients;
+    public final Share backends;
 
-    Sockets(int limit) {
+    public Sockets(int limit) {
         int rest = limit - Math.min(RESERVE, limit / 4);
         this.clients = new Share(rest * 3 / 5);
         this.backends = new Share(rest - rest * 3 / 5);
--- /dev/null
+++ b/src/main/java/gullspar/proxy/io/Transport.java
@@ -0,0 +1,37 @@
+package gullspar.proxy.io;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+
+/** How connections are made and accepted: by TCP, but while a proxy warms up or is rehearsed. */
+public interface Transport {
+    /** For one connection to that address. */
+    Bootstrap to(InetSocketAddress address);
+
+    /** For a listener at that address, which still wants its handler. */
+    ServerBootstrap at(InetSocketAddress address);
+
+    /** By the sockets of this machine. */
+    static Transport tcp(EventLoop loop) {
+        return new Transport() {
+            @Override
+            public Bootstrap to(InetSocketAddress address) {
+                return new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true).remoteAddress(address);
+            }
+
+            @Override
+            public ServerBootstrap at(InetSocketAddress address) {
+                return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, 1024)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true).localAddress(address);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/ArchitectureTest.java
@@ -0,0 +1,81 @@
+package gullspar;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.library.dependencies.SliceAssignment;
+import com.tngtech.archunit.library.dependencies.SliceIdentifier;
+import org.junit.jupiter.api.Test;
+
+/** The borders between the packages. */
+class ArchitectureTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("gullspar");
+
+    /** Decisions are played in the simulator, in rehearsals and in service: they know none of these. */
+    @Test
+    void decisionsKnowNothingOfTheRest() {
+        classes().that().resideInAPackage("gullspar.decide..").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("gullspar.decide..", "java.lang..", "java.util..").check(ALL);
+    }
+
+    /** The same events must bring the same decisions, whenever and wherever they are played. */
+    @Test
+    void decisionsDoNoInputOrOutputAndReadNoClock() {
+        noClasses().that().resideInAPackage("gullspar.decide..").should().dependOnClassesThat(
+                resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..",
+                        "java.util.concurrent..", "java.util.logging.."))
+                .orShould().accessClassesThat().belongToAnyOf(Thread.class, Runtime.class, Process.class)
+                .orShould().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(Math.class, "random")
+                .orShould().callMethod(System.class, "identityHashCode", Object.class).check(ALL);
+    }
+
+    /** The daemon is shipped and started without the kit, the simulator's wire and the command line. */
+    @Test
+    void theDaemonDependsOnNothingAboveIt() {
+        classes().that().resideInAPackage("gullspar.proxy..").should().onlyDependOnClassesThat(
+                resideInAnyPackage("gullspar.proxy..", "gullspar.decide..", "gullspar.settings..")
+                        .or(resideInAnyPackage("java..", "io.netty..", "com.fasterxml..")))
+                .check(ALL);
+    }
+
+    @Test
+    void nothingBelowTheProxyCallsUpIntoIt() {
+        noClasses().that().resideInAPackage("gullspar.proxy.(*)..").should()
+                .dependOnClassesThat(resideInAPackage("gullspar.proxy")).check(ALL);
+    }
+
+    @Test
+    void onlyTheCommandLineKnowsItsLibrary() {
+        noClasses().that().resideOutsideOfPackage("gullspar.cli..").should()
+                .dependOnClassesThat(resideInAPackage("picocli..")).check(ALL);
+    }
+
+    @Test
+    void noPackagesDependOnEachOtherInACircle() {
+        slices().assignedFrom(new EachPackage()).should().beFreeOfCycles().check(ALL);
+    }
+
+    /** A slice for each package, those below it not included. */
+    private static final class EachPackage implements SliceAssignment {
+        @Override
+        public SliceIdentifier getIdentifierOf(JavaClass c) {
+            return c.getPackageName().startsWith("gullspar") ? SliceIdentifier.of(c.getPackageName())
+                    : SliceIdentifier.ignore();
+        }
+
+        @Override
+        public String getDescription() {
+            return "each package";
+        }
+    }
+}
--- a/src/test/java/gullspar/MainTest.java
+++ b/src/test/java/gullspar/MainTest.java
@@ -1,9 +1,15 @@
 package gullspar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.InputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 
 /** Exit codes of the command line. */
@@ -25,6 +31,40 @@
         assertEquals(2, Main.run(new String[] {"drill", "more"}));
     }
 
+    private static String printed(int code, String... args) {
+        PrintStream out = System.out;
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            System.setOut(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+            assertEquals(code, Main.run(args));
+        } finally {
+            System.setOut(out);
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void helpVersionAndCompletionAreThere() {
+        assertTrue(printed(0, "--help").contains("serve"));
+        assertTrue(printed(0, "serve", "--help").contains("NODE_CONFIG"));
+        assertTrue(printed(0, "--version").startsWith("gullspar "));
+        assertTrue(printed(0, "completion").contains("complete -F"));
+    }
+
+    /** The library would cost every start in service. */
+    @Test
+    void whatAPlatformStartsDoesNotLoadTheCommandLine() throws Exception {
+        for (String command : new String[] {"serve", "drill", "warm"}) {
+            Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                    .toString(), "-Xlog:class+load", "-cp", System.getProperty("java.class.path"), "gullspar.Main", command)
+                    .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            p.getOutputStream().close();
+            String loaded = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(loaded.contains("gullspar.cli.Direct "), command);
+            assertFalse(loaded.contains("picocli"), command);
+        }
+    }
+
     @Test
     void toServeWithNoConfigurationIsAnError() {
         assertEquals(1, Main.run(new String[] {"serve"}));
--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -8,6 +8,8 @@
 import gullspar.decide.Balancer.Outcome;
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer.Status;
+import gullspar.proxy.backend.LoadReport;
+import gullspar.proxy.config.Config;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
@@ -292,14 +294,14 @@
 
     @Test
     void aReportThatMakesNoSenseIsNone() {
-        assertNull(Backends.report(null));
-        assertNull(Backends.report("inflight=x"));
-        assertNull(Backends.report("util"));
-        assertNull(Backends.report("util=-1"));
-        assertNull(Backends.report("util=NaN"));
-        assertNull(Backends.report("util=1e300"));
-        assertNull(Backends.report("inflight=1e12,util=0.5"));
-        assertNull(Backends.report("=,="));
-        assertEquals(0.5, Backends.report("new=1, util=0.5").util());
+        assertNull(LoadReport.parse(null));
+        assertNull(LoadReport.parse("inflight=x"));
+        assertNull(LoadReport.parse("util"));
+        assertNull(LoadReport.parse("util=-1"));
+        assertNull(LoadReport.parse("util=NaN"));
+        assertNull(LoadReport.parse("util=1e300"));
+        assertNull(LoadReport.parse("inflight=1e12,util=0.5"));
+        assertNull(LoadReport.parse("=,="));
+        assertEquals(0.5, LoadReport.parse("new=1, util=0.5").util());
     }
 }
--- a/src/test/java/gullspar/proxy/CrowdingTest.java
+++ b/src/test/java/gullspar/proxy/CrowdingTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gullspar.decide.Balancer.Request;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.ConfigException;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
--- a/src/test/java/gullspar/proxy/DiscoveryTest.java
+++ b/src/test/java/gullspar/proxy/DiscoveryTest.java
@@ -13,6 +13,12 @@
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer.State;
 import gullspar.decide.Balancer.Status;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.discovery.Discovery;
+import gullspar.proxy.discovery.Listed;
+import gullspar.proxy.discovery.News;
+import gullspar.proxy.io.Platform;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -83,7 +89,7 @@
     void aSilentWatchIsGivenUp() throws Exception {
         Config config = Setup.config(discovery, backend);
         discovery.accept().read(); // that of the proxy
-        Discovery quick = new Discovery(setup.loop, config, setup.proxy, 200);
+        Discovery quick = new Discovery(Platform.of(setup.loop), config, setup.proxy, 200);
         setup.loop.submit(() -> quick.watch(true)).get(20, TimeUnit.SECONDS);
         Peer.Wire watch = discovery.accept();
         watch.read();
@@ -161,7 +167,7 @@
     @Test
     void numbersOfBackendsThatAreGoneAreGivenUp() throws Exception {
         Config config = Setup.config(discovery, backend);
-        Discovery d = new Discovery(setup.loop, config, setup.proxy, 60_000);
+        Discovery d = new Discovery(Platform.of(setup.loop), config, setup.proxy, 60_000);
         setup.act(() -> d.watch(true));
         discovery.accept(); // that of the proxy
         Peer.Wire watch = discovery.accept();
@@ -191,8 +197,8 @@
             Request r = setup.request();
             setup.act(() -> {
                 setup.actions.send(r.ticket(), drains.id(), 0);
-                setup.proxy.news(new Discovery.News(ListKind.DELTA, 42,
-                        List.of(new Discovery.Listed(drains, backend.address()))));
+                setup.proxy.news(new News(ListKind.DELTA, 42,
+                        List.of(new Listed(drains, backend.address()))));
             });
             assertEquals(Status.MOOT, setup.outcome().status());
             assertEquals("", backend.accept().read());
--- a/src/test/java/gullspar/proxy/JsonTest.java
+++ b/src/test/java/gullspar/proxy/JsonTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import gullspar.proxy.config.Json;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/gullspar/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.io.LibraryLog;
 import java.io.BufferedReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -6,6 +6,9 @@
 import gullspar.decide.Balancer.Outcome;
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.io.Platform;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -65,7 +68,7 @@
     }
 
     Setup start(Config config) throws IOException {
-        proxy = Proxy.start(config, loop, (settings, seed, now, out) -> {
+        proxy = Proxy.start(config, Platform.of(loop), (settings, seed, now, out) -> {
             actions = out;
             return new Module();
         });
--- a/src/test/java/gullspar/proxy/WarmupTest.java
+++ b/src/test/java/gullspar/proxy/WarmupTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gullspar.decide.Policy;
+import gullspar.proxy.config.Config;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
