--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -18,9 +18,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The life of one request that was taken: the module hears of it, its attempts go out and end, it gets its one
- * final answer, and it is kept until the last attempt has ended as well. Once it is over nothing goes out for
- * it, whatever the module does.
+ * The life of one request that was taken: the module hears of it, its attempts go out and end, it gets its
+ * one final answer, and it is kept until the last attempt has ended as well. Once it is over nothing goes out
+ * for it, whatever the module does.
  */
 final class Exchange {
     /**
--- a/src/test/java/gullspar/MainTest.java
+++ b/src/test/java/gullspar/MainTest.java
@@ -56,7 +56,8 @@
     void whatAPlatformStartsDoesNotLoadTheCommandLine() throws Exception {
         for (String command : new String[] {"serve", "drill", "warm"}) {
             Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                    .toString(), "-Xlog:class+load", "-cp", System.getProperty("java.class.path"), "gullspar.Main", command)
+                    .toString(), "-Xlog:class+load", "-cp", System.getProperty("java.class.path"),
+                    "gullspar.Main", command)
                     .redirectError(ProcessBuilder.Redirect.DISCARD).start();
             p.getOutputStream().close();
             String loaded = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
