--- /dev/null
+++ b/src/main/java/gullspar/cli/Rehearse.java
@@ -0,0 +1,175 @@
+package gullspar.cli;
+
+import gullspar.rehearse.judge.Broken;
+import gullspar.rehearse.judge.Story;
+import gullspar.rehearse.judge.Verdict;
+import gullspar.rehearse.play.Played;
+import gullspar.rehearse.play.VirtualPlay;
+import gullspar.rehearse.record.LogDiff;
+import gullspar.rehearse.report.JsonReport;
+import gullspar.rehearse.script.FaultKind;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.script.ScriptException;
+import gullspar.rehearse.script.ScriptReader;
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Plays a day. */
+@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {
+    "Plays a day by a script: in virtual time, the same every time for one script and seed.",
+    "Scripts are described in docs/rehearsal.md; examples are in examples/rehearsals."},
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:all rules kept, all expectations met",
+                "1:a rule was broken, or the day could not be played",
+            "2:wrong usage, or a script with errors (nothing is played)"},
+        subcommands = {Rehearse.Diff.class, Rehearse.Faults.class})
+final class Rehearse implements Callable<Integer> {
+    static final int BROKEN = 1;
+    static final int WRONG = 2;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Parameters(arity = "0..1", paramLabel = "SCRIPT", description = "The script to play.")
+    private Path script;
+
+    @Option(names = "--seed", paramLabel = "N", description =
+            "Plays it with this seed, not with the script's.")
+    private Integer seed;
+
+    @Option(names = "--log", paramLabel = "FILE", description = "Writes the decision log there.")
+    private Path log;
+
+    @Option(names = "--json", description = "Prints the result as JSON, for machines.")
+    private boolean json;
+
+    /** Reads a script; on errors they are printed, a line each, and null is returned. */
+    static Script read(Path file) {
+        try {
+            return ScriptReader.read(file);
+        } catch (ScriptException e) {
+            System.err.println(e.getMessage());
+        } catch (NoSuchFileException e) {
+            System.err.println(file + ": there is no such file");
+        } catch (IOException e) {
+            System.err.println(file + ": cannot be read: " + e.getMessage());
+        }
+        return null;
+    }
+
+    @Override
+    public Integer call() throws IOException {
+        if (script == null) {
+            throw new ParameterException(spec.commandLine(), "which script?");
+        }
+        Script s = read(script);
+        if (s == null) {
+            return WRONG;
+        }
+        s = seed == null ? s : s.with((long) seed);
+        Terminal terminal = new Terminal();
+        Played played;
+        try (Writer decisions = log == null ? null : Files.newBufferedWriter(log)) {
+            played = VirtualPlay.play(s, VirtualPlay.Options.logged(decisions, terminal));
+        } finally {
+            terminal.clear();
+        }
+        if (json) {
+            System.out.println(JsonReport.of(played));
+        } else {
+            if (terminal.person()) {
+                table(played).forEach(System.out::println);
+            }
+            System.out.println("decisions " + played.decisions() + " sha256 " + played.hash());
+        }
+        return played.verdict().kept() ? 0 : broken(played);
+    }
+
+    private int broken(Played p) {
+        Broken first = p.verdict().broken().get(0);
+        System.err.println("BROKEN: " + first.rule().words() + (p.verdict().broken().size() > 1
+                ? " (and " + (p.verdict().broken().size() - 1) + " more)" : ""));
+        System.err.printf(Locale.ROOT, "at %.6f s: %s%n", (first.at() - p.chronicle().start()) / 1e9,
+                first.what());
+        if (first.request() != null) {
+            Story.of(first.request(), p.chronicle()).forEach(line -> System.err.println("  " + line));
+        }
+        System.err.println("play it again: ./gullspar rehearse " + script + " --seed " + p.script().seed());
+        return BROKEN;
+    }
+
+    private static List<String> table(Played p) {
+        Verdict v = p.verdict();
+        return List.of(
+                String.format(Locale.ROOT, "%s, seed %d: %d orders in %.0f s, played in %.1f s", p.script()
+                        .title(),
+                        p.script().seed(), v.orders(), p.script().seconds(), p.tookNs() / 1e9),
+                String.format(Locale.ROOT, "  service        %.4f of the worth asked for", v.service()),
+                String.format(Locale.ROOT, "  worst 10 s     %.4f, from %.0f s", v.worst10s(),
+                        v.worstFromNs() / 1e9),
+                String.format(Locale.ROOT, "  worst class    %.4f, %s", v.worstClass(), v.worstClassName()),
+                "  tries          " + v.counts().entrySet().stream().filter(e -> e.getValue() > 0)
+                        .map(e -> e.getValue() + " " + e.getKey()).collect(Collectors.joining(", ")),
+                "  ran twice      " + v.twice() + " keyed orders, by their clients' own retries",
+                "  rules          " + (v.kept() ? "all kept" : v.broken().size() + " times broken"));
+    }
+
+    /** Compares two decision logs. */
+    @Command(name = "diff", mixinStandardHelpOptions = true, description = {
+        "Shows the first decision in which two runs part, and what each side knew then.",
+        "Both files are decision logs, as rehearse --log writes them."},
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {"0:the same", "1:they part", "2:wrong usage, or a file that is no decision log"})
+    static final class Diff implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "A", description = "A decision log.")
+        private Path a;
+
+        @Parameters(index = "1", paramLabel = "B", description = "Another.")
+        private Path b;
+
+        @Override
+        public Integer call() {
+            try {
+                List<String> lines = LogDiff.of(a, b);
+                lines.forEach(System.out::println);
+                return lines.isEmpty() ? 0 : BROKEN;
+            } catch (LogDiff.NoLogException e) {
+                System.err.println(e.getMessage());
+            } catch (NoSuchFileException e) {
+                System.err.println(e.getMessage() + ": there is no such file");
+            } catch (IOException e) {
+                System.err.println("cannot be read: " + e.getMessage());
+            }
+            return WRONG;
+        }
+    }
+
+    /** Lists what scripts can let happen. */
+    @Command(name = "faults", mixinStandardHelpOptions = true,
+            description = "Lists the kinds of faults with their figures, the usual values and the bounds.")
+    static final class Faults implements Callable<Integer> {
+        @Override
+        public Integer call() {
+            for (FaultKind k : FaultKind.values()) {
+                System.out.println(k.named() + "  (" + k.strikes().name().toLowerCase(Locale.ROOT)
+                        + (k.momentary() ? "" : ", for") + ")" + k.figures().stream().map(f -> String.format(
+                        Locale.ROOT, "  %s = %s (%s to %s)", f.name(), f.usual(), f.least(), f.most()))
+                        .collect(Collectors.joining()));
+            }
+            return 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -0,0 +1,224 @@
+package gullspar.rehearse.judge;
+
+import gullspar.decide.Balancer.Effect;
+import gullspar.decide.Balancer.Scope;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.Order;
+import gullspar.rehearse.stage.Try;
+import gullspar.rehearse.stage.Try.Attempt;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Judges a day by what was seen from outside the proxies: the four rules, the service, the script's
+ * expectations. The same for a day in virtual time and a live one; live, times are known less exactly.
+ */
+public final class Judge {
+    private static final long WORST_NS = 10_000_000_000L;
+    private static final long STEP_NS = 1_000_000_000L;
+
+    private final Script script;
+    private final Chronicle chronicle;
+    private final long slackNs;
+    private final List<Broken> broken = new ArrayList<>();
+    private int twice;
+
+    private Judge(Script script, Chronicle chronicle, long slackNs) {
+        this.script = script;
+        this.chronicle = chronicle;
+        this.slackNs = slackNs;
+    }
+
+    /** slackNs: how far a time that was seen may lie from the true one. */
+    public static Verdict judge(Script script, Chronicle chronicle, long slackNs) {
+        return new Judge(script, chronicle, slackNs).verdict();
+    }
+
+    private Verdict verdict() {
+        chronicle.orders().forEach(o -> {
+            o.tries.forEach(this::oneAnswer);
+            o.tries.forEach(this::nothingTwice);
+            o.tries.forEach(this::drainsKept);
+            effects(o);
+        });
+        chronicle.fallen().forEach((node, at) -> broken.add(new Broken(Rule.COLD_SPARED, at,
+                node + " was sent more than " + script.rules().tipMultiple() + " times what it could do for "
+                + script.rules().fallS() + " s while it was cold, and fell over", null)));
+        chronicle.rudeServed().forEach(text -> broken.add(new Broken(Rule.ONE_ANSWER, 0,
+                "a request that makes no sense was served: " + text.lines().findFirst().orElse(""), null)));
+        if (chronicle.rudeIgnored() > 0) {
+            broken.add(new Broken(Rule.ONE_ANSWER, 0, chronicle.rudeIgnored() + " of " + chronicle.rudeSent()
+                    + " clients that sent no sensible request got neither an error nor a close within 3 s",
+                            null));
+        }
+        double service = service(chronicle.orders());
+        long worstFrom = chronicle.start();
+        double worst = service;
+        long end = chronicle.start() + (long) (script.seconds() * 1e9);
+        for (long from = chronicle.start(); from + WORST_NS <= end; from += STEP_NS) {
+            long a = from;
+            double s = service(chronicle.orders().stream().filter(o -> o.at >= a && o.at < a + WORST_NS)
+                    .toList());
+            if (s < worst) {
+                worst = s;
+                worstFrom = from;
+            }
+        }
+        String worstClass = "";
+        double worstShare = 2;
+        for (Script.RequestClass c : script.classes()) {
+            double s = service(chronicle.orders().stream().filter(o -> o.kind == c).toList());
+            if (s < worstShare) {
+                worstShare = s;
+                worstClass = c.name();
+            }
+        }
+        expected("service", service);
+        expected("worst_10s", worst);
+        expected("worst_class", worstShare);
+        broken.sort(Comparator.comparingLong(Broken::at));
+        return new Verdict(List.copyOf(broken), service, worst, worstFrom - chronicle.start(), worstShare,
+                worstClass, counts(), chronicle.orders().size(), twice);
+    }
+
+    private void expected(String name, double share) {
+        Double least = script.expect().get(name);
+        if (least != null && share < least) {
+            broken.add(new Broken(Rule.EXPECTED, chronicle.start() + (long) (script.seconds() * 1e9),
+                    String.format(Locale.ROOT, "%s is %.4f, the script expects %.4f", name, share, least),
+                    null));
+        }
+    }
+
+    private static double service(List<Order> orders) {
+        double asked = 0;
+        double served = 0;
+        for (Order o : orders) {
+            asked += o.kind.worth();
+            served += o.inTime() ? o.kind.worth() : 0;
+        }
+        return asked == 0 ? 1 : served / asked;
+    }
+
+    private Map<String, Integer> counts() {
+        Map<String, Integer> counts = new LinkedHashMap<>();
+        for (String name : List.of("served", "late", "refused", "failed", "given up", "closed",
+                "not taken")) {
+            counts.put(name, 0);
+        }
+        for (Order o : chronicle.orders()) {
+            for (Try t : o.tries) {
+                counts.merge(ended(t), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
+    /** How a try ended, in a word. */
+    public static String ended(Try t) {
+        return switch (t.ending) {
+            case ANSWERED -> t.status == 200
+                    ? t.endedAt <= t.order.at + (long) (t.order.kind.promiseMs() * 1e6) ? "served" : "late"
+                    : refused(t) ? "refused" : "failed";
+            case GIVEN_UP -> "given up";
+            case CLOSED -> "closed";
+            case NOT_TAKEN -> "not taken";
+            default -> "open";
+        };
+    }
+
+    private static boolean refused(Try t) {
+        return t.status == 429 || t.status == 503;
+    }
+
+    private void broken(Rule rule, long at, Try t, String what) {
+        broken.add(new Broken(rule, at, what, t));
+    }
+
+    // ---- the rules ----
+
+    private void oneAnswer(Try t) {
+        if (t.wrong != null) {
+            broken(Rule.ONE_ANSWER, t.endedAt, t, t.wrong);
+        }
+        if (t.sentAt != 0 && !chronicle.excused(t.proxy, t.sentAt, t.endedAt)) {
+            if (t.ending == Try.Ending.GIVEN_UP) {
+                broken(Rule.ONE_ANSWER, t.endedAt, t, "it had no final answer when its time was up");
+            } else if (t.ending == Try.Ending.CLOSED && !t.attempts.isEmpty()) {
+                broken(Rule.ONE_ANSWER, t.endedAt, t, "its connection was closed with no final answer");
+            } else if (t.ending == Try.Ending.OPEN) {
+                broken(Rule.ONE_ANSWER, t.deadline, t, "it was still open when the day was over");
+            }
+        }
+        if (t.ending == Try.Ending.ANSWERED) {
+            for (Attempt a : t.attempts) {
+                if (a.sentAt > t.answeredAt + slackNs) {
+                    broken(Rule.ONE_ANSWER, a.sentAt, t, "an attempt went out to " + a.node
+                            + " after its final answer");
+                }
+            }
+        }
+    }
+
+    private void nothingTwice(Try t) {
+        Effect effect = t.order.kind.effect();
+        if (effect == Effect.IDEMPOTENT) {
+            return;
+        }
+        Attempt first = null;
+        for (Attempt a : t.attempts) {
+            if (a.wholeAt == 0) {
+                continue;
+            }
+            if (first != null && effect == Effect.AT_MOST_ONCE) {
+                broken(Rule.NOTHING_TWICE, a.wholeAt, t, "an attempt at " + a.node + ", though the one at "
+                        + first.node + " may have run");
+            } else if (first != null && !repeatIsDropped(t, first, a)) {
+                broken(Rule.NOTHING_TWICE, a.wholeAt, t, "an attempt at " + a.node
+                        + ", which does not drop a repeat of the one at " + first.node
+                        + ", or not any more, and that may have run");
+            }
+            first = first == null && a.mayHaveRun() ? a : first;
+        }
+        boolean harmless = effect == Effect.DEDUPLICATED && t.order.kind.scope() == Scope.ALL;
+        if (first != null && refused(t) && t.ending == Try.Ending.ANSWERED && !harmless) {
+            broken(Rule.NOTHING_TWICE, t.endedAt, t, "it was refused, though the attempt at " + first.node
+                    + " may have run");
+        }
+    }
+
+    private boolean repeatIsDropped(Try t, Attempt first, Attempt next) {
+        boolean inTime = next.wholeAt - first.wholeAt <= (long) (t.order.kind.windowMs() * 1e6) + slackNs;
+        return inTime && (t.order.kind.scope() == Scope.ALL || first.site.equals(next.site));
+    }
+
+    /** What ran more than once: by a proxy's doing it breaks the rule, by a client's own retry it is told. */
+    private void effects(Order o) {
+        if (o.effects <= 1 || o.kind.effect() == Effect.IDEMPOTENT) {
+            return;
+        }
+        if (o.kind.effect() == Effect.AT_MOST_ONCE) {
+            Try last = o.tries.get(o.tries.size() - 1);
+            broken(Rule.NOTHING_TWICE, last.endedAt, last, "it took effect " + o.effects + " times");
+        } else {
+            twice++;
+        }
+    }
+
+    private void drainsKept(Try t) {
+        long grace = (long) (script.rules().drainGraceMs() * 1e6);
+        for (Attempt a : t.attempts) {
+            long told = chronicle.toldLeaving(t.proxy, a.node, a.sentAt);
+            if (told != 0 && a.sentAt > told + grace + slackNs) {
+                broken(Rule.DRAINS_KEPT, a.sentAt, t, String.format(Locale.ROOT,
+                        "an attempt went to %s %.3f s after %s was told that it leaves", a.node,
+                        (a.sentAt - told) / 1e9, t.proxy));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/judge/Story.java
@@ -0,0 +1,68 @@
+package gullspar.rehearse.judge;
+
+import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.Try;
+import gullspar.rehearse.stage.Try.Attempt;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+
+/** All that is known of one order, in the order in which it happened, for people to read. */
+public final class Story {
+    private record Line(long at, String what) { }
+
+    private Story() { }
+
+    /** The story of the order of a request, a line each, with seconds from the start of the day. */
+    public static List<String> of(Try of, Chronicle chronicle) {
+        List<Line> lines = new ArrayList<>();
+        lines.add(new Line(of.order.at, "order " + of.order.number + " (" + of.order.kind.name() + ", "
+                + of.order.site + ") comes up"));
+        for (Try t : of.order.tries) {
+            if (t.sentAt != 0) {
+                lines.add(new Line(t.sentAt, t.id + " is sent to " + t.proxy + ", its client waits until "
+                        + seconds(t.deadline - chronicle.start())));
+            }
+            for (Attempt a : t.attempts) {
+                attempt(lines, t, a);
+                long told = chronicle.toldLeaving(t.proxy, a.node, a.sentAt);
+                if (told != 0) {
+                    lines.add(new Line(told, t.proxy + " is told that " + a.node + " leaves"));
+                }
+            }
+            if (t.endedAt != 0) {
+                lines.add(new Line(t.endedAt, t.id + " is " + Judge.ended(t)
+                        + (t.status == 0 ? "" : " (" + t.status + ", sent "
+                                + seconds(t.answeredAt - chronicle.start())
+                        + ")")));
+            }
+        }
+        long from = of.order.at;
+        long to = of.endedAt;
+        chronicle.happenings().stream().filter(h -> h.at() >= from - 2_000_000_000L && h.at() <= to)
+                .forEach(h -> lines.add(new Line(h.at(), "(" + h.what() + ")")));
+        return lines.stream().sorted(Comparator.comparingLong(Line::at))
+                .map(l -> String.format(Locale.ROOT, "%10.6f s  %s", (l.at - chronicle.start()) / 1e9,
+                        l.what))
+                .toList();
+    }
+
+    private static String seconds(long ns) {
+        return String.format(Locale.ROOT, "%.6f s", ns / 1e9);
+    }
+
+    private static void attempt(List<Line> lines, Try t, Attempt a) {
+        lines.add(new Line(a.sentAt, "an attempt of " + t.id + " goes out to " + a.node));
+        if (a.wholeAt != 0) {
+            lines.add(new Line(a.wholeAt, a.node + " has it whole"));
+        }
+        if (a.startedAt != 0) {
+            lines.add(new Line(a.startedAt, a.node + " begins to work on it"));
+        }
+        if (a.endedAt != 0) {
+            lines.add(new Line(a.endedAt, a.node + ": " + a.state.name().toLowerCase(Locale.ROOT)
+                    .replace('_', ' ')));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/net/MemoryId.java
@@ -0,0 +1,24 @@
+package gullspar.rehearse.net;
+
+import io.netty.channel.ChannelId;
+
+/** The library's own ids hold the machine, the process and chance; this one only counts. */
+record MemoryId(int number) implements ChannelId {
+    private static final long serialVersionUID = 1L;
+
+    @Override
+    public String asShortText() {
+        return Integer.toString(number);
+    }
+
+    @Override
+    public String asLongText() {
+        return asShortText();
+    }
+
+    @Override
+    public int compareTo(ChannelId o) {
+        return o instanceof MemoryId m ? Integer.compare(number, m.number) : asLongText().compareTo(o
+                .asLongText());
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/net/MemoryServerChannel.java
@@ -0,0 +1,81 @@
+package gullspar.rehearse.net;
+
+import io.netty.channel.AbstractServerChannel;
+import io.netty.channel.ChannelConfig;
+import io.netty.channel.ChannelId;
+import io.netty.channel.DefaultChannelConfig;
+import io.netty.channel.EventLoop;
+import java.net.BindException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+
+/** A listener in memory. */
+final class MemoryServerChannel extends AbstractServerChannel {
+    private final Network network;
+    final Host host;
+    private final ChannelConfig config = new DefaultChannelConfig(this);
+    private InetSocketAddress address;
+    private boolean open = true;
+
+    MemoryServerChannel(Network network, Host host) {
+        this.network = network;
+        this.host = host;
+    }
+
+    /** A connection has come: the child belongs to the listener's side. */
+    void accept(MemoryChannel child) {
+        pipeline().fireChannelRead(child);
+        pipeline().fireChannelReadComplete();
+    }
+
+    @Override
+    protected void doBind(SocketAddress local) throws BindException {
+        address = (InetSocketAddress) local;
+        if (network.listener(address) != null) {
+            throw new BindException("address in use: " + address);
+        }
+        network.place(address, host);
+        host.listeners.add(this);
+    }
+
+    @Override
+    protected void doClose() {
+        open = false;
+        host.listeners.remove(this);
+    }
+
+    @Override
+    protected void doBeginRead() {
+        // connections are accepted as they come
+    }
+
+    @Override
+    protected boolean isCompatible(EventLoop loop) {
+        return true;
+    }
+
+    @Override
+    protected ChannelId newId() {
+        return new MemoryId(0); // nothing looks listeners up by it
+    }
+
+    @Override
+    protected SocketAddress localAddress0() {
+        return address;
+    }
+
+    @Override
+    public ChannelConfig config() {
+        return config;
+    }
+
+    @Override
+    public boolean isOpen() {
+        return open;
+    }
+
+    @Override
+    public boolean isActive() {
+        return open && address != null;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/net/Network.java
@@ -0,0 +1,169 @@
+package gullspar.rehearse.net;
+
+import gullspar.proxy.io.Transport;
+import gullspar.rehearse.time.Agenda;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelOption;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * A network in memory, on the agenda's clock: machines, the ways between them, and connections that behave as
+ * TCP does where a proxy can tell. Bytes of a connection keep their order; a lost segment holds up those
+ * behind it for a retransmission; a way that is cut holds everything until it is whole again; a process that
+ * ends resets its connections, a machine that vanishes says nothing.
+ */
+public final class Network {
+    /** Least wait before a lost segment is sent again, in ns: Linux's TCP_RTO_MIN. */
+    static final long RETRANSMIT_NS = 200_000_000L;
+    /** Bytes that one way of a connection takes up before its sender must wait: a usual socket's buffers. */
+    static final int WINDOW_BYTES = 256 << 10;
+    /** Bytes in one go of the receiver's reading. */
+    static final int SEGMENT_BYTES = 16 << 10;
+
+    /** How far it is from one machine to another, one way, in ns. */
+    public interface Distance {
+        long ns(String from, String to);
+    }
+
+    final Agenda agenda;
+    private final SplittableRandom random;
+    private final Distance distance;
+    private final Map<String, Host> hosts = new HashMap<>();
+    private final Map<String, Link> links = new HashMap<>();
+    private final Map<InetSocketAddress, Host> addresses = new HashMap<>();
+    private final List<Runnable> held = new ArrayList<>();
+    private int channels;
+    private int ports = 30_000;
+
+    public Network(Agenda agenda, long seed, Distance distance) {
+        this.agenda = agenda;
+        this.random = new SplittableRandom(seed);
+        this.distance = distance;
+    }
+
+    public Host host(String name) {
+        return hosts.computeIfAbsent(name, Host::new);
+    }
+
+    /** Gives a machine an address, and takes it from whoever had it. */
+    public void place(InetSocketAddress address, Host host) {
+        addresses.put(address, host);
+    }
+
+    /** The way from one machine to another. */
+    public Link link(String from, String to) {
+        return links.computeIfAbsent(from + '>' + to, k -> new Link(distance.ns(from, to), 0));
+    }
+
+    /** Cuts a way: what is sent on it is held until it is whole again, and nobody is told. */
+    public void cut(String from, String to, boolean on) {
+        link(from, to).cut = on;
+        if (!on) {
+            release();
+        }
+    }
+
+    /** A machine vanishes, or is back; when it is back it resets the connections that it had. */
+    public void vanish(Host host, boolean on) {
+        host.reachable = !on;
+        if (!on) {
+            List.copyOf(host.open).forEach(MemoryChannel::reset);
+            release();
+        }
+    }
+
+    /** The process of a machine has ended: its connections are reset, nothing listens there any more. */
+    public void ended(Host host) {
+        host.listeners.clear();
+        List<MemoryChannel> open = List.copyOf(host.open);
+        host.open.clear();
+        open.forEach(MemoryChannel::abandoned);
+    }
+
+    /** Resets the connections between two machines, at both ends. */
+    public void reset(Host a, Host b) {
+        List.copyOf(a.open).stream().filter(c -> c.leadsTo(b)).forEach(MemoryChannel::reset);
+    }
+
+    private void release() {
+        List<Runnable> again = new ArrayList<>(held);
+        held.clear();
+        again.forEach(r -> agenda.at(agenda.now() + RETRANSMIT_NS, 0, r));
+    }
+
+    /** Waits until some way is whole again, and tries once more. */
+    void hold(Runnable tryAgain) {
+        held.add(tryAgain);
+    }
+
+    boolean passes(Host from, Host to) {
+        return from.reachable && to.reachable && !link(from.name, to.name).cut;
+    }
+
+    /** How long a segment that is sent now takes, its retransmissions included. */
+    long travel(Host from, Host to) {
+        Link l = link(from.name, to.name);
+        long ns = l.delayNs + l.extraNs + (l.jitterNs > 0 ? random.nextLong(l.jitterNs) : 0);
+        if (l.loss > 0) {
+            for (long wait = RETRANSMIT_NS; random.nextDouble() < l.loss
+                    && wait <= 16 * RETRANSMIT_NS; wait *= 2) {
+                ns += wait; // the time-out doubles each time (RFC 6298, section 5.5)
+            }
+        }
+        return ns;
+    }
+
+    /** Who listens there; null if nobody does. */
+    MemoryServerChannel listener(InetSocketAddress address) {
+        Host h = addresses.get(address);
+        if (h != null) {
+            for (MemoryServerChannel l : h.listeners) {
+                if (l.localAddress().equals(address)) {
+                    return l;
+                }
+            }
+        }
+        return null;
+    }
+
+    Host at(InetSocketAddress address) {
+        return addresses.get(address);
+    }
+
+    int number() {
+        return ++channels;
+    }
+
+    InetSocketAddress ephemeral() {
+        ports = ports >= 60_000 ? 30_001 : ports + 1;
+        return new InetSocketAddress("127.0.0.1", ports);
+    }
+
+    /** The sockets of a machine. */
+    public Transport transport(Host host) {
+        return new Transport() {
+            @Override
+            public Bootstrap to(InetSocketAddress address) {
+                return new Bootstrap().group(host.loop).channelFactory(() -> new MemoryChannel(Network.this,
+                        host))
+                        .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                                .remoteAddress(address);
+            }
+
+            @Override
+            public ServerBootstrap at(InetSocketAddress address) {
+                return new ServerBootstrap().group(host.loop)
+                        .channelFactory(() -> new MemoryServerChannel(Network.this, host))
+                        .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                        .localAddress(address);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/play/Strikes.java
@@ -0,0 +1,30 @@
+package gullspar.rehearse.play;
+
+/**
+ * What the timeline can do to the proxies and to the ways between machines: this differs by how a day is
+ * played.
+ */
+interface Strikes {
+    /** Ends a proxy at once, and starts it again after so long. */
+    void kill(String proxy, double downS);
+
+    /** Tells a proxy to end, and starts it again so long after it has. */
+    void stop(String proxy, double downS);
+
+    /** Gives a proxy its configuration anew, with the address of discovery as it is now. */
+    void reload(String proxy);
+
+    /** Makes a proxy stand still, or go on. */
+    void pause(String proxy, boolean on);
+
+    void slower(String from, String to, long byNs);
+
+    void lossy(String from, String to, double share);
+
+    void cut(String from, String to, boolean on);
+
+    /** Resets the connections between two machines. */
+    void reset(String from, String to);
+
+    void vanish(String machine, boolean on);
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -0,0 +1,351 @@
+package gullspar.rehearse.play;
+
+import gullspar.decide.Balancer;
+import gullspar.decide.Policy;
+import gullspar.proxy.Proxy;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.config.Fnv;
+import gullspar.proxy.io.Platform;
+import gullspar.rehearse.judge.Judge;
+import gullspar.rehearse.net.Host;
+import gullspar.rehearse.net.MemoryChannel;
+import gullspar.rehearse.net.Network;
+import gullspar.rehearse.record.DecisionLog;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.Crowd;
+import gullspar.rehearse.stage.Fleet;
+import gullspar.rehearse.stage.Front;
+import gullspar.rehearse.stage.RudeClients;
+import gullspar.rehearse.stage.Stage;
+import gullspar.rehearse.time.Agenda;
+import gullspar.rehearse.time.VirtualLoop;
+import io.netty.channel.Channel;
+import java.io.Writer;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
+
+/**
+ * Plays a day in virtual time: the daemon's own code on a virtual clock and a network in memory, all in the
+ * calling thread. The same script gives the same decisions, whatever machine it is played on.
+ */
+public final class VirtualPlay implements Stage, Strikes {
+    /** When every day begins, Unix time in ns: 2027-01-15T08:00:00Z. */
+    private static final long EPOCH_NS = 1_800_000_000L * 1_000_000_000L;
+    /** Proxies that are not ready by then never will be. */
+    private static final long READY_NS = 60_000_000_000L;
+    private static final int MOST_LOG_LINES = 10_000;
+
+    /**
+     * How a day is to be played. decisions gets the decision log, or is null; module and platform stand
+     * between a proxy and its decision module, and between it and its machine: the identity, but where a test
+     * plants a fault.
+     */
+    public record Options(Writer decisions, UnaryOperator<Balancer.Factory> module,
+            UnaryOperator<Platform> platform, Progress progress) {
+        /** Nothing but the day. */
+        public static Options plain() {
+            return logged(null, Progress.NONE);
+        }
+
+        /** With its decisions written down and its progress heard. */
+        public static Options logged(Writer decisions, Progress progress) {
+            return new Options(decisions, UnaryOperator.identity(), UnaryOperator.identity(), progress);
+        }
+    }
+
+    private final Script script;
+    private final Options options;
+    private final Agenda agenda;
+    private final Network network;
+    private final VirtualLoop loop;
+    private final Chronicle chronicle = new Chronicle();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<String, Life> lives = new LinkedHashMap<>();
+    private final Map<Integer, String> nodeNames = new HashMap<>();
+    private final List<String> log = new ArrayList<>();
+    private final Fleet fleet;
+    private final Front front;
+    private final Crowd crowd;
+    private final Timeline timeline;
+    private final DecisionLog decisions;
+    private Throwable slip;
+
+    private VirtualPlay(Script script, Options options) {
+        this.script = script;
+        this.options = options;
+        this.agenda = new Agenda(script.seed(), EPOCH_NS);
+        this.network = new Network(agenda, script.seed() * 31 + 8, this::distance);
+        this.loop = new VirtualLoop(agenda, e -> slip = slip == null ? e : slip);
+        this.decisions = new DecisionLog(() -> agenda.now() - EPOCH_NS, this::nodeName, options.decisions());
+        List<String> proxies = new ArrayList<>();
+        for (int i = 1; i <= script.proxies().count(); i++) {
+            proxies.add("p" + i);
+            lives.put("p" + i, null);
+        }
+        this.fleet = new Fleet(this, script, chronicle);
+        this.front = new Front(this, script, proxies);
+        this.crowd = new Crowd(this, script, chronicle, front);
+        this.timeline = new Timeline(this, script, chronicle, fleet, front, crowd, new RudeClients(this,
+                chronicle,
+                script.classes().get(0).name(), script.seed()), this, proxies);
+    }
+
+    /** Plays a day to its end. */
+    public static Played play(Script script, Options options) {
+        return new VirtualPlay(script, options).play();
+    }
+
+    private Played play() {
+        long began = System.nanoTime(); // only to say how long it took
+        fleet.start(List.copyOf(lives.keySet()));
+        lives.keySet().forEach(this::start);
+        long[] end = {EPOCH_NS + READY_NS};
+        front.whenAllIn(() -> {
+            chronicle.begins(agenda.now());
+            crowd.start(script.seconds());
+            timeline.start();
+            end[0] = agenda.now() + (long) (script.seconds() * 1e9);
+        });
+        run(end);
+        if (chronicle.start() == 0) {
+            throw new IllegalStateException("the proxies were not ready within " + READY_NS / 1_000_000_000L
+                    + " s: " + log);
+        }
+        // The day is over; what is open ends, by its deadline at the latest.
+        double longest = script.classes().stream().mapToDouble(Script.RequestClass::giveUpMs).max().orElse(0);
+        end[0] = agenda.now() + (long) ((longest * 2 + 4000) * 1e6);
+        run(end);
+        options.progress().at(script.seconds(), script.seconds());
+        return new Played(script, chronicle, Judge.judge(script, chronicle, 0), decisions.hash(), decisions
+                .lines(),
+                log, List.of(), System.nanoTime() - began);
+    }
+
+    /** Up to a time that may be moved meanwhile. */
+    private void run(long[] end) {
+        long next = agenda.now();
+        while (agenda.due(end[0])) {
+            agenda.step();
+            if (slip != null) {
+                throw new IllegalStateException("the rehearsal itself failed at "
+                        + (agenda.now() - chronicle.start()) / 1e9 + " s", slip);
+            }
+            if (agenda.now() >= next && chronicle.start() != 0) {
+                options.progress().at(Math.min(script.seconds(), (agenda.now() - chronicle.start()) / 1e9),
+                        script.seconds());
+                next = agenda.now() + 1_000_000_000L;
+            }
+        }
+        agenda.skipTo(end[0]);
+    }
+
+    // ---- the stage ----
+
+    private String siteOf(String machine) {
+        if (machine.startsWith("n")) {
+            return fleet.site(machine);
+        }
+        return machine.startsWith("p") ? front.site(machine) : null;
+    }
+
+    private long distance(String from, String to) {
+        String a = siteOf(from);
+        String b = siteOf(to);
+        // Clients come from the proxy's own site, discovery has an agent there.
+        boolean near = a == null || b == null || a.equals(b);
+        if (near) {
+            return (long) (script.localDelayMs().middle() * 1e6);
+        }
+        // One draw for each pair of sites, the same both ways.
+        String pair = a.compareTo(b) < 0 ? a + ' ' + b : b + ' ' + a;
+        double at = (Agenda.mix(script.seed() + Fnv.hash(pair)) >>> 11) * 0x1p-53;
+        return (long) ((script.siteDelayMs().from()
+                + at * (script.siteDelayMs().to() - script.siteDelayMs().from())) * 1e6);
+    }
+
+    @Override
+    public Platform at(String machine) {
+        Host host = network.host(machine);
+        host.runs(loop);
+        return new Platform(loop, agenda::now, network.transport(host), line -> { });
+    }
+
+    @Override
+    public long now() {
+        return agenda.now();
+    }
+
+    @Override
+    public InetSocketAddress address(String machine) {
+        return addresses.computeIfAbsent(machine, m -> {
+            int i = addresses.size() + 1;
+            return new InetSocketAddress("127.1." + i / 250 + "." + (i % 250 + 1), 9000);
+        });
+    }
+
+    @Override
+    public long sentAt(Channel channel) {
+        return ((MemoryChannel) channel).sentAt();
+    }
+
+    @Override
+    public void ended(String machine) {
+        network.ended(network.host(machine));
+    }
+
+    /** The name of a node by the number under which the module knows it. */
+    private String nodeName(int number) {
+        return nodeNames.computeIfAbsent(number, n -> {
+            for (String machine : fleet.machines()) {
+                for (int life = 1; life <= fleet.lives(machine); life++) {
+                    String id = life == 1 ? machine : machine + "-" + life;
+                    if ((int) (Fnv.hash(id) >>> 32) == n) {
+                        return id;
+                    }
+                }
+            }
+            return "#" + n;
+        });
+    }
+
+    // ---- the proxies ----
+
+    /** One process of a proxy. */
+    private static final class Life {
+        private final int number;
+        private final VirtualLoop loop;
+        private Proxy proxy;
+
+        Life(int number, VirtualLoop loop) {
+            this.number = number;
+            this.loop = loop;
+        }
+    }
+
+    private int index(String proxy) {
+        return Integer.parseInt(proxy.substring(1)) - 1;
+    }
+
+    private Config config(String name, int life) {
+        long seed = Agenda.mix(script.seed() * 31 + 9 + index(name) * 1000L + life);
+        try {
+            return Config.parse(ProxySettings.of(script, index(name), name, address(name),
+                    fleet.discovery(name),
+                    seed, fleet.known(name)), Map.of());
+        } catch (ConfigException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void start(String name) {
+        int number = lives.get(name) == null ? 1 : lives.get(name).number + 1;
+        String who = number == 1 ? name : name + "." + number;
+        Life life = new Life(number, new VirtualLoop(agenda, e -> say(who, "uncaught: " + e)));
+        lives.put(name, life);
+        Host host = network.host(name);
+        host.runs(life.loop);
+        Platform platform = options.platform().apply(
+                new Platform(life.loop, agenda::now, network.transport(host), line -> say(who, line)));
+        long warm = (long) (script.proxies().startS() * 1e9);
+        life.loop.schedule(() -> {
+            life.proxy = Proxy.begin(config(name, number), platform,
+                    decisions.tap(who, options.module().apply(Policy::new)));
+            // The front looks at it from now on.
+            loop.execute(() -> front.started(name));
+        }, warm, TimeUnit.NANOSECONDS);
+    }
+
+    private void say(String who, String line) {
+        if (log.size() < MOST_LOG_LINES) {
+            log.add(String.format(Locale.ROOT, "%.6f %s %s", (agenda.now() - EPOCH_NS) / 1e9, who, line));
+        }
+    }
+
+    private void endNow(String name, Life life) {
+        life.loop.end();
+        network.ended(network.host(name));
+    }
+
+    private void startLater(String name, double downS) {
+        loop.schedule(() -> start(name), (long) (downS * 1e9), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void kill(String name, double downS) {
+        Life life = lives.get(name);
+        if (life.loop.ended()) {
+            return;
+        }
+        endNow(name, life);
+        front.ended(name);
+        startLater(name, downS);
+    }
+
+    @Override
+    public void stop(String name, double downS) {
+        Life life = lives.get(name);
+        if (life.loop.ended() || life.proxy == null) {
+            return;
+        }
+        front.ended(name);
+        life.proxy.drain().thenRun(() -> {
+            if (!life.loop.ended()) {
+                // Not from inside its own wake-up.
+                loop.execute(() -> {
+                    endNow(name, life);
+                    startLater(name, downS);
+                });
+            }
+        });
+    }
+
+    @Override
+    public void reload(String name) {
+        Life life = lives.get(name);
+        if (!life.loop.ended() && life.proxy != null) {
+            Config config = config(name, life.number);
+            life.loop.execute(() -> life.proxy.reload(config));
+        }
+    }
+
+    @Override
+    public void pause(String name, boolean on) {
+        lives.get(name).loop.pause(on);
+    }
+
+    // ---- the ways ----
+
+    @Override
+    public void slower(String from, String to, long byNs) {
+        network.link(from, to).slower(byNs);
+    }
+
+    @Override
+    public void lossy(String from, String to, double share) {
+        network.link(from, to).lossy(share);
+    }
+
+    @Override
+    public void cut(String from, String to, boolean on) {
+        network.cut(from, to, on);
+    }
+
+    @Override
+    public void reset(String from, String to) {
+        network.reset(network.host(from), network.host(to));
+    }
+
+    @Override
+    public void vanish(String machine, boolean on) {
+        network.vanish(network.host(machine), on);
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/script/Fault.java
@@ -0,0 +1,27 @@
+package gullspar.rehearse.script;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One fault of a script. Times in s from the start of the day; names are those of what it strikes (for a way:
+ * from and to), or empty where count are to be drawn.
+ */
+public record Fault(FaultKind kind, double at, double lasts, int count, List<String> names,
+        Map<String, Double> figures) {
+    public double figure(String name) {
+        return figures.get(name);
+    }
+
+    /** One line for people. */
+    @Override
+    public String toString() {
+        StringBuilder s = new StringBuilder(kind.named());
+        String what = names.isEmpty() ? count + (kind.strikes() == FaultKind.Strikes.NODES ? " nodes"
+                : " proxies")
+                : String.join(kind.strikes() == FaultKind.Strikes.LINK ? " to " : ", ", names);
+        s.append(kind.strikes() == FaultKind.Strikes.FLEET ? "" : " " + what);
+        figures.forEach((k, v) -> s.append(' ').append(k).append('=').append(Fields.plain(v)));
+        return s.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/script/FaultKind.java
@@ -0,0 +1,99 @@
+package gullspar.rehearse.script;
+
+import java.util.List;
+
+/** What can go wrong in a rehearsal, what it strikes and the figures that it takes. */
+public enum FaultKind {
+    /** Another program takes a share of a node's machine, on and off. */
+    NEIGHBOUR(Strikes.NODES, figure("takes", 0.5, 0.05, 0.95), figure("on_s", 3, 0.1, 600),
+            figure("off_s", 1, 0, 600)),
+    /** A proxy suddenly draws a share of all traffic on top of its own. */
+    RUSH(Strikes.PROXIES, figure("share", 0.15, 0.01, 0.9)),
+    /** A share of a class's requests costs many times the usual work. */
+    HEAVY(Strikes.CLASS, figure("share", 0.02, 0.001, 1), figure("times", 10, 1.1, 100)),
+    /** Traffic falls and the fleet shrinks to a share of its size, evenly over the time. */
+    SHRINK(Strikes.FLEET, figure("to", 0.5, 0.05, 0.95), figure("traffic", 0.5, 0.05, 1)),
+    /** A node's process ends; after a while it starts again, cold. 0: it stays away. */
+    CRASH(Strikes.NODES, figure("down_s", 2, 0, 600)),
+    /** A node takes what comes, works on nothing and says nothing. */
+    HANG(Strikes.NODES),
+    /** A node drains, ends, and is back cold under its old id. */
+    RESTART(Strikes.NODES, figure("grace_s", 2, 0, 60), figure("down_s", 1, 0.1, 60)),
+    /** A node drains, ends, and another with a new id starts cold at its address. */
+    REPLACE(Strikes.NODES, figure("grace_s", 2, 0, 60), figure("down_s", 1, 0.1, 60)),
+    /** A node drains and is gone. */
+    DRAIN(Strikes.NODES, figure("grace_s", 3, 0, 60)),
+    /** The list comes later than usual. */
+    LATE_LIST(Strikes.PROXIES, figure("by_s", 3, 0.1, 60)),
+    /** Watches that are opened meanwhile get the list as it was when this began. */
+    OLD_LIST(Strikes.FLEET),
+    /** Watches stay open and bring nothing. */
+    SILENT_LIST(Strikes.PROXIES),
+    /** Discovery is down: watches end, new ones are refused. */
+    DISCOVERY_DOWN(Strikes.FLEET),
+    /** A way takes longer. */
+    SLOW_LINK(Strikes.LINK, figure("adds_ms", 50, 0.1, 10_000)),
+    /** A way loses segments. */
+    LOSSY_LINK(Strikes.LINK, figure("share", 0.02, 0.0001, 0.9)),
+    /** A way carries nothing, in this direction only; nobody is told. */
+    CUT_LINK(Strikes.LINK),
+    /** The connections of a way are reset, once. */
+    RESET_LINK(Strikes.LINK),
+    /** A node's machine vanishes; when it is back it resets the connections that it had. */
+    VANISH(Strikes.NODES),
+    /** A share of a node's answers comes spoilt. */
+    SPOIL(Strikes.NODES, figure("share", 0.1, 0.001, 1)),
+    /** A node's answers trickle. */
+    SLOW_ANSWERS(Strikes.NODES, figure("bytes_per_s", 2000, 1, 1e6)),
+    /** Clients that send what makes no sense, so many a second. */
+    RUDE_CLIENTS(Strikes.PROXIES, figure("per_s", 20, 0.1, 1000)),
+    /** Clients that connect and say nothing, so many each second. */
+    SILENT_CLIENTS(Strikes.PROXIES, figure("per_s", 20, 0.1, 1000)),
+    /** A proxy is killed and started again. */
+    KILL(Strikes.PROXIES, figure("down_s", 1, 0.1, 60)),
+    /** A proxy is told to end (SIGTERM) and started again. */
+    STOP(Strikes.PROXIES, figure("down_s", 2, 0.1, 60)),
+    /** Discovery moves, and a proxy is told to read its configuration anew (SIGHUP). */
+    RELOAD(Strikes.PROXIES),
+    /** A proxy stands still (SIGSTOP), and goes on. */
+    PAUSE(Strikes.PROXIES);
+
+    /** What a fault strikes: nodes or proxies by number or name, a way from one machine to another... */
+    public enum Strikes { NODES, PROXIES, CLASS, LINK, FLEET }
+
+    /** A figure of a fault: its name, the value where none is given, and its bounds. */
+    public record Figure(String name, double usual, double least, double most) { }
+
+    private final Strikes strikes;
+    private final List<Figure> figures;
+
+    FaultKind(Strikes strikes, Figure... figures) {
+        this.strikes = strikes;
+        this.figures = List.of(figures);
+    }
+
+    private static Figure figure(String name, double usual, double least, double most) {
+        return new Figure(name, usual, least, most);
+    }
+
+    public Strikes strikes() {
+        return strikes;
+    }
+
+    public List<Figure> figures() {
+        return figures;
+    }
+
+    /** Is it over in a moment? Such a fault takes no duration. */
+    public boolean momentary() {
+        return switch (this) {
+            case CRASH, RESTART, REPLACE, DRAIN, RESET_LINK, KILL, STOP, RELOAD -> true;
+            default -> false;
+        };
+    }
+
+    /** The name in scripts. */
+    public String named() {
+        return Fields.named(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/script/Fields.java
@@ -0,0 +1,290 @@
+package gullspar.rehearse.script;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * One table of a script, read strictly: every key that is not asked for, every value of a wrong type or out
+ * of its bounds becomes a problem at its place, and reading goes on, so that all problems come at once.
+ */
+final class Fields {
+    /** A value in place of one that is missing or wrong, so that reading can go on. */
+    private static final double NOTHING = Double.NaN;
+
+    private final TomlTable table;
+    private final String name;
+    private final TomlPosition place;
+    private final List<Problem> problems;
+    private final Set<String> asked = new HashSet<>();
+
+    Fields(TomlTable table, String name, TomlPosition place, List<Problem> problems) {
+        this.table = table;
+        this.name = name;
+        this.place = place;
+        this.problems = problems;
+    }
+
+    TomlPosition place() {
+        return place;
+    }
+
+    private TomlPosition at(String key) {
+        TomlPosition p = table.inputPositionOf(List.of(key));
+        return p == null ? place : p;
+    }
+
+    private void problem(TomlPosition at, String what) {
+        problems.add(new Problem(at.line(), at.column(), what));
+    }
+
+    /** Something is wrong with the value of a key. */
+    void wrong(String key, String what) {
+        problem(at(key), key + " " + what);
+    }
+
+    /** Something is wrong with the table as a whole. */
+    void wrong(String what) {
+        problem(place, what);
+    }
+
+    private Object value(String key) {
+        asked.add(key);
+        return table.get(List.of(key));
+    }
+
+    boolean has(String key) {
+        asked.add(key);
+        return table.contains(List.of(key));
+    }
+
+    boolean isNumber(String key) {
+        return table.get(List.of(key)) instanceof Number;
+    }
+
+    private void missing(String key) {
+        problem(place, name + ": " + key + " is missing");
+    }
+
+    private static String kind(Object value) {
+        if (value instanceof String) {
+            return "a string";
+        } else if (value instanceof Long || value instanceof Double) {
+            return "a number";
+        } else if (value instanceof Boolean) {
+            return "true or false";
+        } else if (value instanceof TomlArray) {
+            return "an array";
+        }
+        return value instanceof TomlTable ? "a table" : "a date or time";
+    }
+
+    private boolean within(String key, double v, double least, double most) {
+        if (v >= least && v <= most) {
+            return true;
+        }
+        wrong(key, "is " + plain(v) + ", not " + plain(least) + (most < 1e300 ? " to " + plain(most)
+                : " or more"));
+        return false;
+    }
+
+    static String plain(double v) {
+        return v == Math.rint(v) && Math.abs(v) < 1e15 ? Long.toString((long) v) : String.valueOf(v);
+    }
+
+    /** A number that must be there. */
+    double number(String key, double least, double most) {
+        if (!has(key)) {
+            missing(key);
+            return least;
+        }
+        return number(key, NOTHING, least, most);
+    }
+
+    double number(String key, double absent, double least, double most) {
+        Object v = value(key);
+        if (v == null) {
+            return absent;
+        }
+        if (!(v instanceof Number n)) {
+            wrong(key, "must be a number, not " + kind(v));
+            return least;
+        }
+        return within(key, n.doubleValue(), least, most) ? n.doubleValue() : least;
+    }
+
+    /** A whole number that must be there. */
+    int whole(String key, int least, int most) {
+        if (!has(key)) {
+            missing(key);
+            return least;
+        }
+        return whole(key, least, least, most);
+    }
+
+    int whole(String key, int absent, int least, int most) {
+        Object v = value(key);
+        if (v == null) {
+            return absent;
+        }
+        if (!(v instanceof Long n)) {
+            wrong(key, "must be a whole number, not " + (v instanceof Double ? String.valueOf(v) : kind(v)));
+            return least;
+        }
+        return within(key, n, least, most) ? (int) (long) n : least;
+    }
+
+    boolean flag(String key, boolean absent) {
+        Object v = value(key);
+        if (v == null || v instanceof Boolean) {
+            return v == null ? absent : (Boolean) v;
+        }
+        wrong(key, "must be true or false, not " + kind(v));
+        return absent;
+    }
+
+    String text(String key) {
+        if (!has(key)) {
+            missing(key);
+            return "";
+        }
+        return text(key, "");
+    }
+
+    String text(String key, String absent) {
+        Object v = value(key);
+        if (v == null || v instanceof String) {
+            return v == null ? absent : (String) v;
+        }
+        wrong(key, "must be a string, not " + kind(v));
+        return absent;
+    }
+
+    /** One of the names of an enumeration, in small letters with hyphens. */
+    <E extends Enum<E>> E choice(String key, Class<E> type, E absent) {
+        if (absent == null && !has(key)) {
+            missing(key);
+            return type.getEnumConstants()[0];
+        }
+        String text = text(key, null);
+        if (text == null) {
+            return absent == null ? type.getEnumConstants()[0] : absent;
+        }
+        List<String> names = new ArrayList<>();
+        for (E e : type.getEnumConstants()) {
+            names.add(named(e));
+            if (named(e).equals(text)) {
+                return e;
+            }
+        }
+        wrong(key, "is '" + text + "', not one of " + String.join(", ", names));
+        return type.getEnumConstants()[0];
+    }
+
+    static String named(Enum<?> e) {
+        return e.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** A number, or a range of two to draw from. */
+    Range range(String key, double least, double most) {
+        if (!has(key)) {
+            missing(key);
+            return new Range(least, least);
+        }
+        return range(key, new Range(least, least), least, most);
+    }
+
+    Range range(String key, Range absent, double least, double most) {
+        Object v = value(key);
+        if (v == null) {
+            return absent;
+        }
+        if (v instanceof Number) {
+            double n = number(key, least, most);
+            return new Range(n, n);
+        }
+        if (!(v instanceof TomlArray a) || a.size() != 2 || !(a.get(0) instanceof Number)
+                || !(a.get(1) instanceof Number)) {
+            wrong(key, "must be a number or an array of two, not "
+                    + (v instanceof TomlArray ? "another array" : kind(v)));
+            return absent;
+        }
+        Range r = new Range(((Number) a.get(0)).doubleValue(), ((Number) a.get(1)).doubleValue());
+        if (r.from() > r.to()) {
+            wrong(key, "runs from the larger to the smaller");
+        } else {
+            within(key, r.from(), least, most);
+            within(key, r.to(), least, most);
+        }
+        return r;
+    }
+
+    /** Strings, none twice. */
+    List<String> texts(String key, List<String> absent) {
+        Object v = value(key);
+        if (v == null) {
+            return absent;
+        }
+        if (v instanceof String s) {
+            return List.of(s);
+        }
+        List<String> texts = new ArrayList<>();
+        if (v instanceof TomlArray a) {
+            for (int i = 0; i < a.size(); i++) {
+                if (!(a.get(i) instanceof String s)) {
+                    problem(a.inputPositionOf(i), key + " must hold strings, not " + kind(a.get(i)));
+                } else if (texts.contains(s)) {
+                    problem(a.inputPositionOf(i), key + " holds '" + s + "' twice");
+                } else {
+                    texts.add(s);
+                }
+            }
+            return texts;
+        }
+        wrong(key, "must be an array of strings, not " + kind(v));
+        return absent;
+    }
+
+    /** The table of that name; an empty one if it is not there. */
+    Fields table(String key) {
+        Object v = value(key);
+        if (v != null && !(v instanceof TomlTable)) {
+            wrong(key, "must be a table, not " + kind(v));
+        }
+        TomlTable t = v instanceof TomlTable there ? there : Toml.parse("");
+        return new Fields(t, name.isEmpty() ? key : name + "." + key, at(key), problems);
+    }
+
+    /** The tables of an array of tables. */
+    List<Fields> tables(String key) {
+        Object v = value(key);
+        List<Fields> list = new ArrayList<>();
+        if (v instanceof TomlArray a) {
+            for (int i = 0; i < a.size(); i++) {
+                if (a.get(i) instanceof TomlTable t) {
+                    list.add(new Fields(t, key, a.inputPositionOf(i), problems));
+                } else {
+                    problem(a.inputPositionOf(i), key + " must hold tables, not " + kind(a.get(i)));
+                }
+            }
+        } else if (v != null) {
+            wrong(key, "must be an array of tables ([[" + key + "]]), not " + kind(v));
+        }
+        return list;
+    }
+
+    /** To be called last: what has not been asked for is not known. */
+    void noOthers() {
+        for (String key : table.keySet()) {
+            if (!asked.contains(key)) {
+                problem(at(key), (name.isEmpty() ? "" : name + ": ") + "unknown key '" + key + "'");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/script/ScriptException.java
@@ -0,0 +1,29 @@
+package gullspar.rehearse.script;
+
+import java.util.Comparator;
+import java.util.List;
+
+/** A script that cannot be played, with all that is wrong with it. */
+public final class ScriptException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final transient List<Problem> problems;
+
+    ScriptException(String file, List<Problem> problems) {
+        super(lines(file, problems));
+        this.problems = List.copyOf(problems);
+    }
+
+    private static String lines(String file, List<Problem> problems) {
+        StringBuilder text = new StringBuilder();
+        problems.stream().sorted(Comparator.comparingInt(Problem::line).thenComparingInt(Problem::column))
+                .forEach(p -> text.append(text.isEmpty() ? "" : "\n").append(file).append(':')
+                        .append(p.line())
+                        .append(':').append(p.column()).append(": ").append(p.what()));
+        return text.toString();
+    }
+
+    public List<Problem> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -0,0 +1,272 @@
+package gullspar.rehearse.script;
+
+import gullspar.decide.Balancer.Effect;
+import gullspar.decide.Balancer.Scope;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+
+/**
+ * Reads a script (TOML 1.0). All that is wrong with it is found in one reading: what is no TOML, keys that
+ * are not known, types, bounds, names that nobody has, times that cannot be.
+ */
+public final class ScriptReader {
+    /** What [expect] may state, each as the least share that satisfies it. */
+    static final List<String> EXPECTATIONS = List.of("service", "worst_10s", "worst_class");
+    private static final double LONGEST_S = 24 * 3600;
+
+    private final List<Problem> problems = new ArrayList<>();
+
+    private ScriptReader() { }
+
+    /** Reads a file; an IOException if that is not possible at all. */
+    public static Script read(Path file) throws IOException, ScriptException {
+        return parse(Files.readString(file), file.toString());
+    }
+
+    /** Reads a text; the name stands before each problem. */
+    public static Script parse(String text, String name) throws ScriptException {
+        TomlParseResult toml = Toml.parse(text);
+        ScriptReader r = new ScriptReader();
+        toml.errors().forEach(e -> r.problems.add(new Problem(e.position().line(), e.position().column(),
+                e.getMessage().lines().findFirst().orElse("not TOML"))));
+        Script s = r.problems.isEmpty()
+                ? r.script(new Fields(toml, "", TomlPosition.positionAt(1, 1), r.problems)) : null;
+        if (!r.problems.isEmpty()) {
+            throw new ScriptException(name, r.problems);
+        }
+        return s;
+    }
+
+    private Script script(Fields f) {
+        String title = f.text("title", "untitled");
+        double seconds = f.number("seconds", 1, LONGEST_S);
+        long seed = f.whole("seed", 1, 0, Integer.MAX_VALUE);
+        List<String> sites = f.texts("sites", List.of("here"));
+        if (sites.isEmpty() || sites.size() > 250) {
+            f.wrong("sites", "must name 1 to 250 sites");
+        }
+        Range siteDelay = f.range("site_delay_ms", new Range(0.6, 0.6), 0, 10_000);
+        Range localDelay = f.range("local_delay_ms", new Range(0.1, 0.1), 0, 10_000);
+        Script.Proxies proxies = proxies(f.table("proxies"));
+        List<Script.NodeKind> nodes = f.tables("nodes").stream().map(this::nodes).toList();
+        List<Script.RequestClass> classes = f.tables("class").stream().map(this::requestClass).toList();
+        if (nodes.isEmpty()) {
+            f.wrong("there are no [[nodes]]");
+        }
+        if (classes.isEmpty()) {
+            f.wrong("there is no [[class]]");
+        }
+        distinct(f, "nodes", nodes.stream().map(Script.NodeKind::kind).toList());
+        distinct(f, "class", classes.stream().map(Script.RequestClass::name).toList());
+        Script.Clients clients = clients(f.table("clients"));
+        Script.Discovery discovery = discovery(f.table("discovery"));
+        Script.Rules rules = rules(f.table("rules"));
+        int fleet = nodes.stream().mapToInt(Script.NodeKind::count).sum();
+        Names names = new Names(numbered("n", fleet), numbered("p", proxies.count()),
+                new LinkedHashSet<>(classes.stream().map(Script.RequestClass::name).toList()));
+        List<Fault> faults = f.tables("fault").stream().map(t -> fault(t, seconds, names)).toList();
+        Map<String, Double> expect = expect(f.table("expect"));
+        f.noOthers();
+        return new Script(title, seconds, seed, sites, siteDelay, localDelay, proxies, nodes, classes,
+                clients,
+                discovery, rules, faults, expect);
+    }
+
+    private static void distinct(Fields f, String key, List<String> names) {
+        if (new LinkedHashSet<>(names).size() < names.size()) {
+            f.wrong(key, "are not all of different names");
+        }
+    }
+
+    private static Set<String> numbered(String prefix, int count) {
+        Set<String> names = new LinkedHashSet<>();
+        for (int i = 1; i <= count; i++) {
+            names.add(prefix + i);
+        }
+        return names;
+    }
+
+    private Script.Proxies proxies(Fields f) {
+        Script.Proxies p = new Script.Proxies(f.whole("count", 2, 1, 100), f.number("cores", 1, 0.05, 64),
+                f.whole("memory_mb", 128, 96, 65_536), f.whole("sockets", 1024, 64, 1 << 20),
+                f.whole("attempts", 5, 1, 100), f.flag("cancelling", true),
+                f.number("retry_after_ms", 1000, 0, 60_000), f.number("connect_timeout_ms", 200, 1, 60_000),
+                f.number("start_s", 2, 0, 60));
+        f.noOthers();
+        return p;
+    }
+
+    private Script.NodeKind nodes(Fields f) {
+        String kind = f.text("kind");
+        int count = f.whole("count", 1, 10_000);
+        int cores = f.whole("cores", 1, 1, 1024);
+        Range speed = f.range("speed", new Range(1, 1), 0.001, 1000);
+        int slots = f.whole("slots", 4 * cores, 1, 100_000);
+        int queue = f.whole("queue", 50, 0, 1_000_000);
+        Script.Cancelled cancelled = f.choice("cancelled", Script.Cancelled.class, Script.Cancelled.STOPS);
+        int connections = f.whole("connections", 500, 1, 1_000_000);
+        Range connect = f.range("connect_ms", new Range(1, 1), 0, 10_000);
+        Fields keys = f.table("keys");
+        Range memory = keys.range("memory_s", new Range(0, 0), 0, 86_400);
+        Range saves = keys.range("saves", new Range(0, 0), 0, 0.99);
+        int most = keys.whole("most", 1000, 1, 10_000_000);
+        keys.noOthers();
+        Fields report = f.table("report");
+        Range period = report.range("period_ms", new Range(1000, 1000), 1, 60_000);
+        Range delay = report.range("delay_ms", new Range(0, 0), 0, 60_000);
+        double noise = report.number("noise", 0, 0, 1);
+        report.noOthers();
+        int bytes = f.whole("answer_bytes", 200, 0, 65_000);
+        f.noOthers();
+        return new Script.NodeKind(kind, count, cores, speed, slots, queue, cancelled, connections, connect,
+                memory,
+                saves, most, period, delay, noise, bytes);
+    }
+
+    private Script.RequestClass requestClass(Fields f) {
+        String name = f.text("name");
+        if (!name.matches("[a-z0-9-]{1,40}")) {
+            f.wrong("name", "must be 1 to 40 of a to z, 0 to 9 and -");
+        }
+        Effect effect = f.choice("effect", Effect.class, null);
+        Scope scope = f.choice("scope", Scope.class, Scope.ZONE);
+        double window = f.number("window_ms", 0, 0, 86_400_000);
+        if (effect == Effect.DEDUPLICATED && window <= 0) {
+            f.wrong("a deduplicated class needs window_ms, how long repeats are dropped");
+        }
+        double share = f.number("share", 0, 1);
+        Range work = f.range("work_ms", 0.001, 60_000);
+        double promise = f.number("promise_ms", 1, 600_000);
+        double giveUp = f.number("give_up_ms", 1, 600_000);
+        if (giveUp < promise) {
+            f.wrong("give_up_ms", "is under promise_ms");
+        }
+        double worth = f.number("worth", 1, 0.001, 1e6);
+        int body = f.whole("body_bytes", effect == Effect.IDEMPOTENT ? 0 : 200, 0, 65_000);
+        if (effect == Effect.IDEMPOTENT && body > 0) {
+            f.wrong("body_bytes", "is for classes that are sent by POST");
+        }
+        f.noOthers();
+        return new Script.RequestClass(name, effect, scope, window, share, work, promise, giveUp, worth,
+                body);
+    }
+
+    private Script.Clients clients(Fields f) {
+        Script.Clients c = new Script.Clients(f.number("rate", 0.01, 100_000),
+                f.range("patience", new Range(0.7, 1), 0.05, 1), f.whole("retries", 0, 0, 10),
+                f.range("retry_wait_ms", new Range(50, 500), 0, 60_000), f.whole("keys", 1000, 0, 10_000_000),
+                f.number("key_skew", 0.8, 0, 5), f.range("notice_s", new Range(1, 3), 0.05, 60));
+        f.noOthers();
+        return c;
+    }
+
+    private Script.Discovery discovery(Fields f) {
+        Script.Discovery d = new Script.Discovery(f.range("delay_ms", new Range(100, 1000), 0, 60_000),
+                f.range("weight_period_ms", new Range(1000, 1000), 10, 600_000),
+                f.range("notice_s", new Range(0.5, 2), 0, 60));
+        f.noOthers();
+        return d;
+    }
+
+    private Script.Rules rules(Fields f) {
+        Script.Rules r = new Script.Rules(f.number("drain_grace_ms", 500, 1, 60_000),
+                f.number("start_capacity", 0.3, 0.01, 1), f.number("cold_s", 9, 0.1, 600),
+                f.number("tip_multiple", 3, 1, 100), f.number("fall_s", 1.5, 0.1, 60));
+        f.noOthers();
+        return r;
+    }
+
+    private Map<String, Double> expect(Fields f) {
+        Map<String, Double> expect = new LinkedHashMap<>();
+        for (String name : EXPECTATIONS) {
+            if (f.has(name)) {
+                expect.put(name, f.number(name, 0, 1));
+            }
+        }
+        f.noOthers();
+        return expect;
+    }
+
+    // ---- faults ----
+
+    /** Who can be struck by name. */
+    private record Names(Set<String> nodes, Set<String> proxies, Set<String> classes) { }
+
+    private Fault fault(Fields f, double seconds, Names names) {
+        FaultKind kind = f.choice("kind", FaultKind.class, null);
+        double at = f.number("at", 0, LONGEST_S);
+        if (at >= seconds) {
+            f.wrong("at", "is " + Fields.plain(at) + ", but the day ends at " + Fields.plain(seconds));
+        }
+        double lasts = 0;
+        if (!kind.momentary()) {
+            lasts = f.number("for", 0.001, LONGEST_S);
+            if (at < seconds && at + lasts > seconds) {
+                f.wrong("for", "runs to " + Fields.plain(at + lasts) + ", but the day ends at "
+                        + Fields.plain(seconds));
+            }
+        }
+        Map<String, Double> figures = new LinkedHashMap<>();
+        for (FaultKind.Figure g : kind.figures()) {
+            figures.put(g.name(), f.number(g.name(), g.usual(), g.least(), g.most()));
+        }
+        Fault fault = switch (kind.strikes()) {
+            case NODES -> struck(f, "nodes", names.nodes(), kind, at, lasts, figures);
+            case PROXIES -> struck(f, "proxies", names.proxies(), kind, at, lasts, figures);
+            case CLASS -> new Fault(kind, at, lasts, 1, known(f, "class", f.text("class"), names.classes()),
+                    figures);
+            case LINK -> new Fault(kind, at, lasts, 1, List.of(end(f, "from", names), end(f, "to", names)),
+                    figures);
+            case FLEET -> new Fault(kind, at, lasts, 0, List.of(), figures);
+        };
+        f.noOthers();
+        return fault;
+    }
+
+    /** A number to be drawn, or names. */
+    private Fault struck(Fields f, String key, Set<String> known, FaultKind kind, double at, double lasts,
+            Map<String, Double> figures) {
+        if (f.isNumber(key) || !f.has(key)) {
+            int count = f.whole(key, 1, 1, Math.max(1, known.size()));
+            return new Fault(kind, at, lasts, count, List.of(), figures);
+        }
+        List<String> named = f.texts(key, List.of());
+        named.forEach(n -> known(f, key, n, known));
+        if (named.isEmpty()) {
+            f.wrong(key, "names nobody");
+        }
+        return new Fault(kind, at, lasts, named.size(), named, figures);
+    }
+
+    private static List<String> known(Fields f, String key, String name, Set<String> known) {
+        if (!name.isEmpty() && !known.contains(name)) {
+            f.wrong(key, "names '" + name + "', and there is only " + some(known));
+        }
+        return List.of(name);
+    }
+
+    private static String some(Set<String> names) {
+        List<String> list = List.copyOf(names);
+        return list.size() <= 6 ? String.join(", ", list) : list.get(0) + " to " + list.get(list.size() - 1);
+    }
+
+    /** One end of a way: a machine, or all of a sort. */
+    private static String end(Fields f, String key, Names names) {
+        String end = f.text(key);
+        if (!end.isEmpty() && !List.of("nodes", "proxies", "clients", "discovery").contains(end)
+                && !names.nodes().contains(end) && !names.proxies().contains(end)) {
+            f.wrong(key, "is '" + end + "', not a node, a proxy, nodes, proxies, clients or discovery");
+        }
+        return end;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/stage/Chronicle.java
@@ -0,0 +1,140 @@
+package gullspar.rehearse.stage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** All that happened on a day, as seen from outside the proxies: what the judge and the report go by. */
+public final class Chronicle {
+    /** A proxy was told by then that a node is in service, drains or is gone. */
+    public record Told(long at, boolean leaving) { }
+
+    /** Something that happened, in words. */
+    public record Happening(long at, String what) { }
+
+    /** A stretch of time in which something was so; until MAX_VALUE while it lasts. */
+    public record Stretch(long from, long until) {
+        public boolean meets(long a, long b) {
+            return from <= b && a <= until;
+        }
+    }
+
+    /** A node at one moment: held in requests, util 0 to 1 or NaN while it is down. */
+    public record Sample(long at, String node, int held, double util, double share, boolean listed) { }
+
+    private long start;
+    private final List<Order> orders = new ArrayList<>();
+    private final Map<String, Try> tries = new HashMap<>();
+    private final Map<String, List<Told>> told = new HashMap<>();
+    private final List<Happening> happenings = new ArrayList<>();
+    private final Map<String, Long> fallen = new LinkedHashMap<>();
+    /** Stretches in which a proxy was not itself, or the way to it was not sound: by proxy. */
+    private final Map<String, List<Stretch>> excused = new HashMap<>();
+    private final List<Sample> samples = new ArrayList<>();
+    private final List<String> rudeServed = new ArrayList<>();
+    private int rudeSent;
+    private int rudeIgnored;
+
+    /** The day begins now: times in reports count from here. */
+    public void begins(long now) {
+        start = now;
+    }
+
+    public long start() {
+        return start;
+    }
+
+    void order(Order o) {
+        orders.add(o);
+    }
+
+    void request(Try t) {
+        tries.put(t.id, t);
+    }
+
+    /** The request of that id; null if no client sent one. */
+    public Try request(String id) {
+        return tries.get(id);
+    }
+
+    void told(String proxy, String node, boolean leaving, long at) {
+        List<Told> list = told.computeIfAbsent(proxy + '>' + node, k -> new ArrayList<>());
+        if (list.isEmpty() || list.get(list.size() - 1).leaving != leaving) {
+            list.add(new Told(at, leaving));
+        }
+    }
+
+    /** When a proxy was told that a node leaves, if that is what it last heard by that time; else 0. */
+    public long toldLeaving(String proxy, String node, long by) {
+        long since = 0;
+        for (Told t : told.getOrDefault(proxy + '>' + node, List.of())) {
+            if (t.at <= by) {
+                since = t.leaving ? t.at : 0;
+            }
+        }
+        return since;
+    }
+
+    public void happened(long at, String what) {
+        happenings.add(new Happening(at, what));
+    }
+
+    void fell(String node, long at) {
+        fallen.put(node, at);
+        happened(at, node + " was pushed over while it was cold");
+    }
+
+    /** From now on requests that a proxy holds may go without an answer: it is killed, stands still... */
+    public void excuse(String proxy, long from, long until) {
+        excused.computeIfAbsent(proxy, p -> new ArrayList<>()).add(new Stretch(from, until));
+    }
+
+    /** Was the proxy, or the way to it, out of order at any time between the two? */
+    public boolean excused(String proxy, long from, long until) {
+        return excused.getOrDefault(proxy, List.of()).stream().anyMatch(s -> s.meets(from, until));
+    }
+
+    void sample(Sample s) {
+        samples.add(s);
+    }
+
+    void rude(boolean owed, String servedInstead) {
+        rudeSent++;
+        rudeIgnored += owed ? 1 : 0;
+        if (servedInstead != null) {
+            rudeServed.add(servedInstead);
+        }
+    }
+
+    public List<Order> orders() {
+        return orders;
+    }
+
+    public List<Happening> happenings() {
+        return happenings;
+    }
+
+    public Map<String, Long> fallen() {
+        return fallen;
+    }
+
+    public List<Sample> samples() {
+        return samples;
+    }
+
+    /** Requests that made no sense and were served all the same. */
+    public List<String> rudeServed() {
+        return rudeServed;
+    }
+
+    public int rudeSent() {
+        return rudeSent;
+    }
+
+    /** Rude clients that got neither an error nor a close in time. */
+    public int rudeIgnored() {
+        return rudeIgnored;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/stage/Node.java
@@ -0,0 +1,504 @@
+package gullspar.rehearse.stage;
+
+import gullspar.decide.Balancer.Effect;
+import gullspar.proxy.io.Platform;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.stage.Try.Attempt;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A stand-in for an order node: one process from its start to its end. It takes requests as the protocol
+ * says, works on them as its machine allows, reports its load late, is slow while it is cold, and falls over
+ * if it is sent too much then.
+ */
+final class Node {
+    private static final long TICK_NS = 100_000_000L;
+    /** What a repeat that is dropped costs, as a share of the work. */
+    private static final double REPEAT_SHARE = 0.05;
+
+    /** What a node shares with the others. */
+    interface Fleet {
+        Stage stage();
+
+        Chronicle chronicle();
+
+        Script script();
+
+        /** Repeats of a class in the scope in which this node drops them. */
+        Repeats repeats(Script.RequestClass c, Node node);
+
+        void fell(Node node);
+    }
+
+    final String id;
+    final String machine;
+    final String site;
+    final int cell;
+    final Script.NodeKind kind;
+    /** When it started, Unix time in ns; 0 for long ago: it is warm. */
+    final long bootNs;
+    final InetSocketAddress address;
+    private final Fleet fleet;
+    private final Platform platform;
+    private final SplittableRandom random;
+    private final Machine cpu;
+    private final KeyMemory keys;
+    private final double connectNs;
+    private final double saves;
+    private final long reportPeriodNs;
+    private final long reportDelayNs;
+    /** Work that was sent in the last time in which it could fall, oldest first: when, and how much. */
+    private final Deque<double[]> sent = new ArrayDeque<>();
+    private double sentNs;
+    private ScheduledFuture<?> wake;
+    private long wakeAt = Long.MAX_VALUE;
+    private double taken;
+    private int connections;
+    private boolean up = true;
+    private boolean hung;
+    private double spoilt;
+    private double trickle;
+    private String report;
+    private double lastBusyNs;
+    private long lastReportAt;
+    private int errors;
+    private int served;
+
+    Node(Fleet fleet, String id, String machine, String site, int cell, Script.NodeKind kind, double speed,
+            long bootNs, SplittableRandom random) {
+        this.fleet = fleet;
+        this.id = id;
+        this.machine = machine;
+        this.site = site;
+        this.cell = cell;
+        this.kind = kind;
+        this.bootNs = bootNs;
+        this.platform = fleet.stage().at(machine);
+        this.address = fleet.stage().address(machine);
+        this.random = random;
+        long now = fleet.stage().now();
+        this.cpu = new Machine(kind.cores(), speed, kind.slots(), kind.queue(), now);
+        this.connectNs = kind.connectMs().draw(random) * 1e6;
+        this.keys = new KeyMemory((long) (kind.keyMemoryS().draw(random) * 1e9), kind.keysMost());
+        this.saves = kind.keySaves().draw(random);
+        this.reportPeriodNs = (long) (kind.reportPeriodMs().draw(random) * 1e6);
+        this.reportDelayNs = (long) (kind.reportDelayMs().draw(random) * 1e6);
+        this.lastReportAt = now;
+        this.report = "util=0.00,inflight=0,eps=0";
+    }
+
+    void start() {
+        platform.transport().at(address).childHandler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel c) {
+                c.pipeline().addLast(new HttpRequestDecoder(), new Connection());
+            }
+        }).bind();
+        power();
+        // Nodes that started together do not report together.
+        after(random.nextLong(Math.max(1, reportPeriodNs)), this::makeReport);
+        if (warmth() < 1) {
+            after(TICK_NS, this::warm);
+        }
+    }
+
+    private void after(long ns, Runnable what) {
+        platform.loop().schedule(() -> {
+            if (up) {
+                what.run();
+            }
+        }, ns, TimeUnit.NANOSECONDS);
+    }
+
+    /** The process ends: nothing of it goes on. */
+    void end() {
+        up = false;
+        fleet.stage().ended(machine);
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    // ---- what goes wrong ----
+
+    void neighbour(double takes) {
+        taken = takes;
+        power();
+    }
+
+    void hang(boolean on) {
+        hung = on;
+        power();
+    }
+
+    void spoil(double share) {
+        spoilt = share;
+    }
+
+    void trickle(double bytesPerSecond) {
+        trickle = bytesPerSecond;
+    }
+
+    // ---- the machine ----
+
+    private double warmth() {
+        double age = (fleet.stage().now() - bootNs) / (fleet.script().rules().coldS() * 1e9);
+        double least = fleet.script().rules().startCapacity();
+        return bootNs == 0 || age >= 1 ? 1 : least + (1 - least) * Math.max(0, age);
+    }
+
+    private void warm() {
+        power();
+        if (warmth() < 1) {
+            after(TICK_NS, this::warm);
+        }
+    }
+
+    private void power() {
+        cpu.power(hung ? 0 : (1 - taken) * warmth(), fleet.stage().now());
+        work();
+    }
+
+    /** Lets go what is done, starts what may start, and wakes up again for the next. */
+    private void work() {
+        if (!up) {
+            return;
+        }
+        long now = fleet.stage().now();
+        for (Machine.Job j = cpu.done(now); j != null; j = cpu.done(now)) {
+            ((Connection.Request) j.what).done();
+            startNext(now);
+        }
+        long next = cpu.doneAt();
+        if (next != wakeAt) {
+            if (wake != null) {
+                wake.cancel(false);
+            }
+            wakeAt = next;
+            wake = next == Long.MAX_VALUE ? null : platform.loop().schedule(() -> {
+                wakeAt = Long.MAX_VALUE;
+                work();
+            }, Math.max(0, next - now), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void startNext(long now) {
+        for (Machine.Job j = cpu.next(); j != null; j = cpu.next()) {
+            Connection.Request r = (Connection.Request) j.what;
+            if (now > r.until) {
+                r.turnAway(504);
+            } else {
+                r.attempt.startedAt = now;
+                r.attempt.state = r.repeat ? Attempt.State.REPEAT : Attempt.State.RUNS;
+                cpu.begin(j, now);
+            }
+        }
+    }
+
+    /**
+     * A cold node that was sent, over the time of the rule, more than the multiple of what it can do at that
+     * moment falls over.
+     */
+    private void sent(double usualNs, long now) {
+        if (warmth() >= 1) {
+            return;
+        }
+        long window = (long) (fleet.script().rules().fallS() * 1e9);
+        sent.add(new double[] {now, usualNs});
+        sentNs += usualNs;
+        while (sent.peek()[0] < now - window) {
+            sentNs -= sent.remove()[1];
+        }
+        if (sentNs > fleet.script().rules().tipMultiple() * Math.max(cpu.capacity(), 1e-9) * window) {
+            fleet.chronicle().fell(id, now);
+            end();
+            fleet.fell(this);
+        }
+    }
+
+    // ---- what it says of itself ----
+
+    private void makeReport() {
+        long now = fleet.stage().now();
+        double busy = cpu.busyNs(now);
+        double span = Math.max(1, now - lastReportAt);
+        double util = Math.min(1, taken + (1 - taken) * (busy - lastBusyNs) / span / cpu.cores());
+        lastBusyNs = busy;
+        lastReportAt = now;
+        double noise = kind.reportNoise();
+        util = Math.max(0, Math.min(1, util * (1 + noise * (2 * random.nextDouble() - 1))));
+        String next = String.format(Locale.ROOT, "util=%.2f,inflight=%d,eps=%.1f", util, cpu.held(),
+                errors / (span / 1e9));
+        errors = 0;
+        after(reportDelayNs, () -> report = next);
+        after(reportPeriodNs, this::makeReport);
+    }
+
+    int held() {
+        return cpu.held();
+    }
+
+    /** Busy share of its cores since that much use of them, in ns of core time. */
+    double busyNs() {
+        return cpu.busyNs(fleet.stage().now());
+    }
+
+    int cores() {
+        return cpu.cores();
+    }
+
+    int served() {
+        return served;
+    }
+
+    /** Size as listed: its power, lowered the more it holds. */
+    double weight() {
+        return kind.cores() * kind.speed().middle() / (1 + cpu.held() / (double) Math.max(1, kind.slots()));
+    }
+
+    // ---- connections ----
+
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+        private Request current;
+        private HttpRequest head;
+        private Attempt attempt;
+        private boolean used;
+        private boolean crowded;
+        private ChannelHandlerContext ctx;
+
+        @Override
+        public void channelActive(ChannelHandlerContext c) {
+            ctx = c;
+            crowded = ++connections > kind.connections();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext c) {
+            connections--;
+            if (current != null && up) {
+                current.abandoned();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+            c.close();
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext c, HttpObject message) {
+            if (!up) {
+                return;
+            }
+            if (message.decoderResult().isFailure()) {
+                c.close();
+                return;
+            }
+            if (message instanceof HttpRequest r) {
+                head = r;
+                Try t = fleet.chronicle().request(r.headers().get("Request-Id", ""));
+                attempt = t == null ? null : new Attempt(id, site, fleet.stage().sentAt(c.channel()));
+                if (t != null) {
+                    t.attempts.add(attempt);
+                }
+            }
+            if (message instanceof LastHttpContent) {
+                whole();
+            }
+        }
+
+        private void whole() {
+            Try t = fleet.chronicle().request(head.headers().get("Request-Id", ""));
+            if (t == null) {
+                raw(plain(404, "", "no request of that id\n"));
+                return;
+            }
+            long now = fleet.stage().now();
+            attempt.wholeAt = now;
+            current = new Request(t, attempt, now + timeoutNs());
+            sent(t.order.kind.workMs().middle() * 1e6, now);
+            if (up && !hung) {
+                current.take(now);
+            }
+            used = true;
+        }
+
+        private long timeoutNs() {
+            try {
+                return (long) (Double.parseDouble(head.headers().get("Request-Timeout", "60")) * 1e9);
+            } catch (NumberFormatException e) {
+                return 0;
+            }
+        }
+
+        private void raw(byte[] bytes) {
+            ctx.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+        }
+
+        private byte[] plain(int status, String headers, String body) {
+            return ("HTTP/1.1 " + status + " Status\r\nServer-Load: " + report + "\r\n" + headers
+                    + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                            .getBytes(StandardCharsets.US_ASCII);
+        }
+
+        /** One request that is here whole. */
+        private final class Request {
+            private final Try request;
+            private final Attempt attempt;
+            /** When its sender stops waiting. */
+            private final long until;
+            private Machine.Job job;
+            private boolean repeat;
+
+            Request(Try request, Attempt attempt, long until) {
+                this.request = request;
+                this.attempt = attempt;
+                this.until = until;
+            }
+
+            void take(long now) {
+                if (crowded) {
+                    turnAway(503);
+                    return;
+                }
+                Order o = request.order;
+                double work = o.workNs * (keys.remembers(o.key, now) ? 1 - saves : 1);
+                boolean keyed = o.kind.effect() == Effect.DEDUPLICATED;
+                if (cpu.held() >= kind.slots() + kind.queue()) {
+                    turnAway(503);
+                    return;
+                }
+                repeat = keyed && fleet.repeats(o.kind, Node.this).repeat(o.idempotencyKey(), now);
+                work = (repeat ? work * REPEAT_SHARE : work) + (used ? 0 : connectNs);
+                job = new Machine.Job(this, work);
+                attempt.state = Attempt.State.WAITS;
+                cpu.offer(job, now);
+                if (job.running()) {
+                    attempt.startedAt = now;
+                    attempt.state = repeat ? Attempt.State.REPEAT : Attempt.State.RUNS;
+                }
+                work();
+            }
+
+            void turnAway(int status) {
+                attempt.state = Attempt.State.TURNED_AWAY;
+                attempt.endedAt = fleet.stage().now();
+                current = null;
+                raw(plain(status, "Not-Started: 1\r\n", ""));
+            }
+
+            /** Its sender has gone. */
+            void abandoned() {
+                if (job == null || attempt.endedAt != 0) {
+                    return;
+                }
+                boolean ran = job.running();
+                if (!ran || kind.cancelled() == Script.Cancelled.STOPS) {
+                    attempt.state = Attempt.State.DROPPED;
+                    attempt.endedAt = fleet.stage().now();
+                    cpu.drop(job, attempt.endedAt);
+                    startNext(attempt.endedAt);
+                    work();
+                }
+            }
+
+            void done() {
+                attempt.endedAt = fleet.stage().now();
+                if (!repeat) {
+                    request.order.effects++;
+                }
+                attempt.state = repeat ? Attempt.State.REPEAT : Attempt.State.SERVED;
+                served++;
+                current = null;
+                if (!ctx.channel().isActive()) {
+                    return;
+                }
+                String body = body(request.id, id, kind.answerBytes());
+                byte[] answer = plain(200, "", body);
+                if (spoilt > 0 && random.nextDouble() < spoilt) {
+                    errors++;
+                    attempt.state = Attempt.State.FAILED;
+                    spoil(answer);
+                } else if (trickle > 0) {
+                    trickle(answer, 0);
+                } else {
+                    raw(answer);
+                }
+            }
+
+            private void spoil(byte[] answer) {
+                switch (random.nextInt(6)) {
+                    case 0 -> raw("\u0001\u0002 noise that is no answer\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+                    case 1 -> raw("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nspoilt".getBytes(
+                            StandardCharsets.US_ASCII));
+                    case 2 -> raw(("HTTP/1.1 200 OK\r\nX: " + "x".repeat(20_000)).getBytes(
+                            StandardCharsets.US_ASCII));
+                    case 3 -> {
+                        raw(Arrays.copyOf(answer, answer.length / 2));
+                        ctx.close();
+                    }
+                    case 4 -> {
+                        raw(answer);
+                        raw("more than belongs to it".getBytes(StandardCharsets.US_ASCII));
+                    }
+                    default -> {
+                        raw("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n".getBytes(
+                                StandardCharsets.US_ASCII));
+                        endless();
+                    }
+                }
+            }
+
+            private void endless() {
+                if (ctx.channel().isActive() && up) {
+                    if (ctx.channel().isWritable()) {
+                        raw(new byte[16 << 10]);
+                    }
+                    platform.loop().schedule(this::endless, 1, TimeUnit.MILLISECONDS);
+                }
+            }
+
+            private void trickle(byte[] answer, int from) {
+                if (!ctx.channel().isActive() || !up) {
+                    return;
+                }
+                int n = Math.max(1, (int) (trickle / 100));
+                int to = Math.min(answer.length, from + n);
+                raw(Arrays.copyOfRange(answer, from, to));
+                if (to < answer.length) {
+                    platform.loop().schedule(() -> trickle(answer, to), 10, TimeUnit.MILLISECONDS);
+                }
+            }
+        }
+    }
+
+    /** The body of an answer: it names its request and its node, and is of a size. */
+    static String body(String request, String node, int bytes) {
+        String begin = request + " " + node + " ";
+        return begin + ".".repeat(Math.max(0, bytes - begin.length())) + "\n";
+    }
+
+    /** Could a body have been made by a node for that request? */
+    static boolean madeFor(String request, String body) {
+        return body.startsWith(request + " ") && body.endsWith("\n");
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/stage/RudeClients.java
@@ -0,0 +1,129 @@
+package gullspar.rehearse.stage;
+
+import gullspar.proxy.io.Platform;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Clients that send what makes no sense, or connect and say nothing. Each is owed an error or a close in
+ * time; none may be served.
+ */
+public final class RudeClients {
+    /** What such a client is owed comes within so long. */
+    private static final long OWED_MS = 3000;
+    private static final String[] NONSENSE = {
+        "\u0000\u0001\u0002 nothing that can be read\r\n\r\n",
+        "GET /%s/1 HTTP/1.1\r\nHost: x\r\nRequest-Timeout: 1\r\n\r\n",
+        "GET /no-such-class/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: rude%d\r\nRequest-Timeout: 1\r\n\r\n",
+        "GET /%s/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: rude%d\r\nRequest-Timeout: soon\r\n\r\n",
+        "POST /%s/1 HTTP/1.1\r\nRequest-Id: rude%d\r\nContent-Length: -7\r\n\r\n",
+        "POST /%s/1 HTTP/1.1\r\nRequest-Id: rude%d\r\nContent-Length: 9999999999\r\n\r\n",
+        "POST /%s/1 HTTP/1.1\r\nRequest-Id: rude%d\r\nRequest-Timeout: 1\r\nContent-Length: 4\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "GET /%s/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: rude%d\r\nX: begun and never",
+        "GET /%s/1",
+    };
+
+    private final Stage stage;
+    private final Platform platform;
+    private final Chronicle chronicle;
+    private final String someClass;
+    private final SplittableRandom random;
+    private final Set<String> rude = new HashSet<>();
+    private final Set<String> silent = new HashSet<>();
+    private int sent;
+
+    public RudeClients(Stage stage, Chronicle chronicle, String someClass, long seed) {
+        this.stage = stage;
+        this.platform = stage.at("rude");
+        this.chronicle = chronicle;
+        this.someClass = someClass;
+        this.random = new SplittableRandom(seed * 31 + 5);
+    }
+
+    /** So many a second send nonsense to a proxy; 0 ends it. */
+    public void rude(String proxy, double perSecond) {
+        run(rude, proxy, perSecond, true);
+    }
+
+    /** So many a second connect to a proxy and say nothing; 0 ends it. */
+    public void silent(String proxy, double perSecond) {
+        run(silent, proxy, perSecond, false);
+    }
+
+    private void run(Set<String> active, String proxy, double perSecond, boolean speaks) {
+        if (perSecond <= 0) {
+            active.remove(proxy);
+        } else if (active.add(proxy)) {
+            step(active, proxy, (long) (1e9 / perSecond), speaks);
+        }
+    }
+
+    private void step(Set<String> active, String proxy, long everyNs, boolean speaks) {
+        if (active.contains(proxy)) {
+            int n = ++sent;
+            String pattern = NONSENSE[random.nextInt(NONSENSE.length)];
+            String text = !speaks ? null
+                    : pattern.replace("%s", someClass).replace("%d", Integer.toString(n));
+            platform.transport().to(stage.address(proxy)).handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel c) {
+                    c.pipeline().addLast(new Rude(proxy, text));
+                }
+            }).connect();
+            platform.loop().schedule(() -> step(active, proxy, everyNs, speaks), everyNs,
+                    TimeUnit.NANOSECONDS);
+        }
+    }
+
+    /** One of them. */
+    private final class Rude extends SimpleChannelInboundHandler<ByteBuf> {
+        private final String proxy;
+        private final String text;
+        private long since;
+        private boolean answered;
+        private String served;
+
+        Rude(String proxy, String text) {
+            this.proxy = proxy;
+            this.text = text;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            since = stage.now();
+            if (text != null) {
+                ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+            }
+            platform.loop().schedule(() -> {
+                boolean owed = !answered && ctx.channel().isActive()
+                        && !chronicle.excused(proxy, since, stage.now());
+                chronicle.rude(owed, served);
+                ctx.close();
+            }, OWED_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+            String begin = bytes.toString(StandardCharsets.ISO_8859_1);
+            answered = true;
+            if (begin.startsWith("HTTP/1.1 200")) {
+                served = text;
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/stage/Stage.java
@@ -0,0 +1,23 @@
+package gullspar.rehearse.stage;
+
+import gullspar.proxy.io.Platform;
+import io.netty.channel.Channel;
+import java.net.InetSocketAddress;
+
+/** Where a rehearsal plays: in virtual time and memory, or live on loopback sockets. */
+public interface Stage {
+    /** What the process of a stand-in's machine stands on; all stand-ins share one event loop. */
+    Platform at(String machine);
+
+    /** Unix time in ns, on the day's clock. */
+    long now();
+
+    /** An address for a machine; the same for the same name. */
+    InetSocketAddress address(String machine);
+
+    /** When the peer sent what is being read on a channel, as far as can be told; in ns. */
+    long sentAt(Channel channel);
+
+    /** The process of a stand-in's machine ends: its connections are reset and its listeners are gone. */
+    void ended(String machine);
+}
--- /dev/null
+++ b/src/test/java/gullspar/rehearse/Days.java
@@ -0,0 +1,94 @@
+package gullspar.rehearse;
+
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.script.ScriptException;
+import gullspar.rehearse.script.ScriptReader;
+
+/** Small days for tests. */
+public final class Days {
+    private static final String SMALL = """
+        seconds = %s
+        seed = 1
+        sites = ["north", "south"]
+        [proxies]
+        count = 2
+        start_s = 0.5
+        [[nodes]]
+        kind = "fast"
+        count = 4
+        speed = [1.7, 2.3]
+        slots = 8
+        connections = 500
+        report = { period_ms = [500, 1500], delay_ms = 50, noise = 0.05 }
+        [[nodes]]
+        kind = "slow"
+        count = 4
+        speed = [0.7, 0.9]
+        cancelled = "goes-on"
+        connections = 500
+        report = { period_ms = [500, 1500], delay_ms = 50, noise = 0.05 }
+        [[class]]
+        name = "look"
+        effect = "idempotent"
+        share = 0.6
+        work_ms = [23, 41]
+        promise_ms = 250
+        give_up_ms = 600
+        worth = 5
+        [[class]]
+        name = "order"
+        effect = "deduplicated"
+        window_ms = 1200
+        share = 0.2
+        work_ms = [33, 60]
+        promise_ms = 400
+        give_up_ms = 1200
+        worth = 10
+        [[class]]
+        name = "pay"
+        effect = "at-most-once"
+        share = 0.2
+        work_ms = [33, 60]
+        promise_ms = 400
+        give_up_ms = 1200
+        worth = 10
+        [clients]
+        rate = %s
+        retries = 1
+        keys = 500
+        [discovery]
+        delay_ms = [100, 400]
+        notice_s = 0.5
+        %s
+        """;
+
+    private Days() { }
+
+    /** A small day with what follows the tables: faults, rules. */
+    public static Script small(double seconds, String more) {
+        return small(seconds, 150, more);
+    }
+
+    /** The same with another rate, in requests a second. */
+    public static Script small(double seconds, int rate, String more) {
+        return parse(SMALL.formatted(seconds, rate, more));
+    }
+
+    /** The text of a small day. */
+    public static String text(double seconds, String more) {
+        return SMALL.formatted(seconds, 150, more);
+    }
+
+    public static Script parse(String text) {
+        try {
+            return ScriptReader.parse(text, "day.toml");
+        } catch (ScriptException e) {
+            throw new AssertionError(e.getMessage(), e);
+        }
+    }
+
+    /** A fault of a script. */
+    public static String fault(String kind, double at, String figures) {
+        return "[[fault]]\nkind = \"" + kind + "\"\nat = " + at + "\n" + figures + "\n";
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
@@ -0,0 +1,301 @@
+package gullspar.rehearse.play;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.decide.Balancer.Effect;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.Settings;
+import gullspar.decide.Balancer.State;
+import gullspar.decide.Balancer.Status;
+import gullspar.decide.Balancer;
+import gullspar.rehearse.Days;
+import gullspar.rehearse.judge.Broken;
+import gullspar.rehearse.judge.Rule;
+import gullspar.rehearse.judge.Verdict;
+import gullspar.rehearse.script.Script;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Faults planted in the daemon and in the module: the judge names the rule that each breaks. */
+@Timeout(120)
+class JudgeSaysNoTest {
+    private static final Script QUIET = Days.small(6, "");
+    /** Nodes that crash and spoil answers: attempts that may have run come back with no answer. */
+    private static final Script HARMED = Days.small(6, Days.fault("spoil", 0.5,
+            "for = 5\nnodes = 8\nshare = 0.2")
+            + Days.fault("crash", 2, "nodes = 2"));
+    private static final Script LEAVING = Days.small(8, Days.fault("drain", 2, "nodes = 2\ngrace_s = 4"));
+    /** What has just started can do a fiftieth. */
+    private static final Script COLD = Days.small(8, 230, "[rules]\nstart_capacity = 0.02\ncold_s = 20\n"
+            + Days.fault("restart", 1, "nodes = 1\ngrace_s = 0.2\ndown_s = 0.2"));
+
+    private static Verdict play(Script s, VirtualPlay.Options options) {
+        return VirtualPlay.play(s, options).verdict();
+    }
+
+    /** Every rule that is broken is the one that was planted, and it is. */
+    private static void caught(Rule rule, String words, Script s, VirtualPlay.Options options) {
+        List<Broken> broken = play(s, options).broken();
+        assertFalse(broken.isEmpty(), "nothing was caught");
+        assertTrue(broken.stream().anyMatch(b -> b.rule() == rule && b.what().contains(words)),
+                broken.get(0).what());
+    }
+
+    @Test
+    void unplantedTheSameDaysKeepAllRules() {
+        for (Script s : List.of(QUIET, HARMED, LEAVING, COLD)) {
+            assertEquals(List.of(), play(s, VirtualPlay.Options.plain()).broken());
+        }
+    }
+
+    // ---- one final answer ----
+
+    /** Does something else with every so many answers that a proxy writes to its clients. */
+    private static VirtualPlay.Options answers(int every, Answers what) {
+        int[] count = {0};
+        return Planted.sockets(() -> new ChannelOutboundHandlerAdapter() {
+            private final ByteBuf whole = Unpooled.buffer();
+
+            @Override
+            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                ByteBuf b = (ByteBuf) message; // a head and a body are written apart
+                whole.writeBytes(b);
+                b.release();
+                promise.setSuccess();
+            }
+
+            @Override
+            public void flush(ChannelHandlerContext ctx) {
+                if (!whole.isReadable()) {
+                    return;
+                }
+                String text = whole.toString(StandardCharsets.US_ASCII);
+                whole.clear();
+                if (text.startsWith("HTTP/1.1 200") && !text.contains("ready") && ++count[0] % every == 0) {
+                    what.write(ctx, text);
+                } else {
+                    say(ctx, text);
+                }
+            }
+        }, null);
+    }
+
+    private static void say(ChannelHandlerContext ctx, String text) {
+        ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    private interface Answers {
+        void write(ChannelHandlerContext ctx, String answer);
+    }
+
+    @Test
+    void anAnswerThatIsNeverWritten() {
+        caught(Rule.ONE_ANSWER, "no final answer when its time was up", QUIET, answers(50, (ctx, text) ->
+                { }));
+    }
+
+    @Test
+    void anAnswerThatIsWrittenTwice() {
+        caught(Rule.ONE_ANSWER, "a second answer", QUIET, answers(50, (ctx, text) -> {
+            say(ctx, text);
+            ctx.executor().schedule(() -> say(ctx, text), 1, TimeUnit.MILLISECONDS);
+        }));
+    }
+
+    @Test
+    void anAnswerThatIsAnotherRequests() {
+        caught(Rule.ONE_ANSWER, "what no node made for it", QUIET,
+                answers(50, (ctx, text) -> say(ctx, text.replaceFirst("\r\n\r\nr", "\r\n\r\nx"))));
+    }
+
+    @Test
+    void aConnectionThatIsClosedInsteadOfAnAnswer() {
+        caught(Rule.ONE_ANSWER, "closed with no final answer", QUIET, answers(50, (ctx, text) ->
+                ctx.close()));
+    }
+
+    /** Holds back every so many requests to nodes for longer than their clients wait. */
+    @Test
+    void anAttemptThatGoesOutAfterTheAnswer() {
+        int[] count = {0};
+        // The module fails the request at once and the sockets send it all the same.
+        caught(Rule.ONE_ANSWER, "after its final answer", QUIET, Planted.sockets(null,
+                address -> new ChannelDuplexHandler() {
+                    @Override
+                    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                        if (address.getPort() == 9000 && message instanceof ByteBuf b
+                                && b.toString(StandardCharsets.US_ASCII).startsWith("GET /look")
+                                && ++count[0] % 40 == 0) {
+                            promise.setSuccess();
+                            ctx.executor().schedule(() -> ctx.writeAndFlush(b), 270, TimeUnit.MILLISECONDS);
+                        } else {
+                            ctx.write(message, promise);
+                        }
+                    }
+
+                    @Override
+                    public void close(ChannelHandlerContext ctx, ChannelPromise promise) {
+                        ctx.executor().schedule(() -> ctx.close(), 300, TimeUnit.MILLISECONDS);
+                    }
+                }));
+    }
+
+    // ---- nothing twice ----
+
+    @Test
+    void aRefusalOfWhatMayHaveRun() {
+        caught(Rule.NOTHING_TWICE, "it was refused", HARMED, Planted.module(real -> (settings, seed, now,
+                out) ->
+                real.create(settings, seed, now, Planted.instead(out, "fail", args -> {
+                    out.refuse((Integer) args[0], 0);
+                    return true;
+                }))));
+    }
+
+    /** Sends again, to another node, what the module gives up: it may have run. */
+    private static final class SendsAgain extends Planted.Module {
+        private final Settings settings;
+        private final Balancer.Actions out;
+        private final Map<Integer, Integer> classes = new HashMap<>();
+        private final List<Integer> nodes = new ArrayList<>();
+        private final Effect effect;
+
+        SendsAgain(Balancer.Factory real, Settings settings, long seed, long now, Balancer.Actions out,
+                Effect effect) {
+            super(real.create(settings, seed, now, out));
+            this.settings = settings;
+            this.out = out;
+            this.effect = effect;
+        }
+
+        @Override
+        public void onMembers(long now, ListKind kind, long version, List<Member> members) {
+            members.stream().filter(m -> !nodes.contains(m.id())).forEach(m -> nodes.add(m.id()));
+            super.onMembers(now, kind, version, members);
+        }
+
+        @Override
+        public void onRequest(long now, Request request) {
+            classes.put(request.ticket(), request.profile());
+            super.onRequest(now, request);
+        }
+
+        @Override
+        public void onOutcome(long now, Outcome o) {
+            Integer c = classes.remove(o.ticket());
+            if (o.status() == Status.RESET && c != null && settings.profiles().get(c).effect() == effect) {
+                // Nodes are listed by turns of the sites: the next one is of another.
+                out.send(o.ticket(), nodes.get((nodes.indexOf(o.server()) + 1) % nodes.size()), 0);
+            } else {
+                super.onOutcome(now, o);
+            }
+        }
+    }
+
+    private static VirtualPlay.Options sendsAgain(Effect effect) {
+        return Planted.module(real -> (settings, seed, now, out) ->
+                new SendsAgain(real, settings, seed, now, out, effect));
+    }
+
+    @Test
+    void anUnsafeRequestThatIsSentAgain() {
+        caught(Rule.NOTHING_TWICE, "may have run", HARMED, sendsAgain(Effect.AT_MOST_ONCE));
+    }
+
+    @Test
+    void aKeyedRequestThatIsSentWhereRepeatsAreNotDropped() {
+        caught(Rule.NOTHING_TWICE, "does not drop a repeat", HARMED, sendsAgain(Effect.DEDUPLICATED));
+    }
+
+    // ---- drains ----
+
+    /** News from discovery that are held back, or never reach the proxy. */
+    private static VirtualPlay.Options news(Function<String, String> spoil, long lateMs) {
+        return Planted.sockets(null, address -> new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                ByteBuf b = (ByteBuf) message;
+                String text = b.toString(StandardCharsets.US_ASCII);
+                if (!text.contains("\"terminating\"")) {
+                    ctx.fireChannelRead(message);
+                    return;
+                }
+                b.release();
+                ctx.executor().schedule(() -> {
+                    ctx.fireChannelRead(Unpooled.copiedBuffer(spoil.apply(text), StandardCharsets.US_ASCII));
+                    ctx.fireChannelReadComplete();
+                }, lateMs, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    @Test
+    void newsOfADrainThatAreNotHeard() {
+        caught(Rule.DRAINS_KEPT, "was told that it leaves", LEAVING,
+                news(text -> text.replace("\"terminating\"", "\"in_service\" "), 0));
+    }
+
+    @Test
+    void newsOfADrainThatAreHeardLate() {
+        caught(Rule.DRAINS_KEPT, "was told that it leaves", LEAVING, news(text -> text, 1500));
+    }
+
+    // ---- cold nodes ----
+
+    /** Modules that send so many of all they send to the node that started last, while it is there. */
+    private static VirtualPlay.Options turnsToTheNewest(int modules, int every) {
+        int[] made = {0};
+        return Planted.module(real -> (settings, seed, now, out) -> {
+            if (made[0]++ >= modules) {
+                return real.create(settings, seed, now, out);
+            }
+            int[] newest = {0};
+            int[] sent = {0};
+            Balancer.Actions redirected = Planted.instead(out, "send", args -> {
+                boolean turns = newest[0] != 0 && ++sent[0] % every == 0;
+                if (turns) {
+                    out.send((Integer) args[0], newest[0], (Long) args[2]);
+                }
+                return turns;
+            });
+            return new Planted.Module(real.create(settings, seed, now, redirected)) {
+                @Override
+                public void onMembers(long at, ListKind kind, long version, List<Member> members) {
+                    members.stream().filter(m -> m.bootNs() > 0 && m.state() == State.READY)
+                            .forEach(m -> newest[0] = m.id());
+                    super.onMembers(at, kind, version, members);
+                }
+            };
+        });
+    }
+
+    @Test
+    void everyProxyTurnsToTheNewestNode() {
+        caught(Rule.COLD_SPARED, "fell over", COLD, turnsToTheNewest(2, 4));
+    }
+
+    /** The others keep the rule, and all together break it. */
+    @Test
+    void oneProxyTurnsToTheNewestNode() {
+        caught(Rule.COLD_SPARED, "fell over", COLD, turnsToTheNewest(1, 1));
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
@@ -0,0 +1,125 @@
+package gullspar.rehearse.play;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.decide.Balancer;
+import gullspar.rehearse.Days;
+import gullspar.rehearse.record.LogDiff;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.script.ScriptReader;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A script and a seed give one day, whatever plays it; anything else gives another. */
+@Timeout(300)
+class SameEveryTimeTest {
+    /** A little of everything that can go wrong, in 12 s. */
+    static final String ALL = Days.fault("neighbour", 0.5, "for = 6\nnodes = 2")
+            + Days.fault("crash", 1, "nodes = 1\ndown_s = 1") + Days.fault("replace", 2, "nodes = 1")
+            + Days.fault("spoil", 3, "for = 3\nnodes = 3") + Days.fault("lossy-link", 4,
+            "for = 2\nfrom = \"nodes\"\nto = \"proxies\"\nshare = 0.02")
+            + Days.fault("rude-clients", 4, "for = 2\nproxies = 2") + Days.fault("pause", 5,
+            "for = 0.8\nproxies = 1") + Days.fault("kill", 7, "proxies = 1") + Days.fault("reload", 8,
+                    "proxies = 2")
+            + Days.fault("stop", 9, "proxies = 1") + Days.fault("vanish", 9.5, "for = 1\nnodes = 1")
+            + Days.fault("slow-answers", 10, "for = 1\nnodes = 2") + Days.fault("old-list", 7.5, "for = 2");
+
+    @TempDir
+    Path folder;
+
+    /** The four faults that were asked for, as they are shipped; each twice. */
+    @ParameterizedTest
+    @ValueSource(strings = {"neighbour", "rush", "heavy", "shrink"})
+    void theFaultScriptsKeepAllRulesAndPlayTheSameTwice(String name) throws Exception {
+        Script s = ScriptReader.read(Path.of("examples/rehearsals", name + ".toml"));
+        Played once = VirtualPlay.play(s, VirtualPlay.Options.plain());
+        assertEquals(List.of(), once.verdict().broken());
+        assertTrue(once.decisions() > 10_000, "only " + once.decisions() + " decisions");
+        assertEquals(once.hash(), VirtualPlay.play(s, VirtualPlay.Options.plain()).hash());
+    }
+
+    private static String inAnotherProcess(Path script, String... options) throws Exception {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of(options));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gullspar.Main", "rehearse",
+                script.toString()));
+        Process p = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        String out = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(0, p.waitFor(), out);
+        return out.trim();
+    }
+
+    /** Wall time, heap, compiler, locale and time zone are not the day's. */
+    @Test
+    void anotherHeapCompilerLocaleOrTimeZoneChangesNothing() throws Exception {
+        Path script = folder.resolve("day.toml");
+        Files.writeString(script, Days.text(12, ALL));
+        String out = inAnotherProcess(script, "-Xmx48m", "-XX:+UseSerialGC");
+        assertTrue(out.matches("decisions \\d+ sha256 [0-9a-f]{64}"), out);
+        assertEquals(out, inAnotherProcess(script, "-Xmx1g", "-XX:+UseParallelGC", "-Duser.language=tr",
+                "-Duser.country=TR", "-Duser.timezone=Asia/Kathmandu"));
+        assertEquals(out, inAnotherProcess(script, "-Xint"));
+        Played here = VirtualPlay.play(ScriptReader.read(script), VirtualPlay.Options.plain());
+        assertEquals(out, "decisions " + here.decisions() + " sha256 " + here.hash());
+        assertEquals(List.of(), here.verdict().broken());
+    }
+
+    @Test
+    void anotherSeedIsAnotherDay() {
+        Script s = Days.small(3, "");
+        assertNotEquals(VirtualPlay.play(s, VirtualPlay.Options.plain()).hash(),
+                VirtualPlay.play(s.with(2), VirtualPlay.Options.plain()).hash());
+    }
+
+    private String logged(Path to, UnaryOperator<Balancer.Factory> module) throws Exception {
+        try (Writer w = Files.newBufferedWriter(to)) {
+            return VirtualPlay.play(Days.small(4, ""), new VirtualPlay.Options(w, module, UnaryOperator
+                    .identity(),
+                    Progress.NONE)).hash();
+        }
+    }
+
+    /** As after a change of one constant in the module: here the time that it leaves an attempt. */
+    @Test
+    void oneConstantOfTheModuleIsAnotherDayAndDiffFindsWhereTheyPart() throws Exception {
+        Path a = folder.resolve("a.log");
+        Path b = folder.resolve("b.log");
+        int[] sends = {0};
+        String before = logged(a, UnaryOperator.identity());
+        String after = logged(b, real -> (settings, seed, now, out) -> real.create(settings, seed, now,
+                Planted.instead(out, "send", args -> {
+                    boolean other = ++sends[0] > 200;
+                    if (other) {
+                        out.send((Integer) args[0], (Integer) args[1], (Long) args[2] + 1);
+                    }
+                    return other;
+                })));
+        assertNotEquals(before, after);
+        List<String> diff = LogDiff.of(a, b);
+        int at = diff.indexOf("The first decision that differs:");
+        assertTrue(at > 0, diff.toString());
+        assertTrue(diff.get(at + 1).contains(" Send t="), diff.get(at + 1));
+        List<String> lines = Files.readAllLines(a);
+        int line = 0;
+        for (int n = 0; n <= 200; line++) {
+            n += lines.get(line).contains(" Send ") ? 1 : 0;
+        }
+        assertTrue(diff.get(at + 1).contains("line " + line + ":"), diff.get(at + 1) + ", expected line "
+                + line);
+        assertTrue(diff.stream().filter(l -> l.contains("inflight ")).count() > 8, "what each side knew");
+        assertEquals(List.of(), LogDiff.of(a, a));
+    }
+}
