--- a/src/main/java/gullspar/cli/Rehearse.java
+++ b/src/main/java/gullspar/cli/Rehearse.java
@@ -3,9 +3,11 @@
 import gullspar.rehearse.judge.Broken;
 import gullspar.rehearse.judge.Story;
 import gullspar.rehearse.judge.Verdict;
+import gullspar.rehearse.live.LivePlay;
 import gullspar.rehearse.play.Played;
 import gullspar.rehearse.play.VirtualPlay;
 import gullspar.rehearse.record.LogDiff;
+import gullspar.rehearse.report.HtmlReport;
 import gullspar.rehearse.report.JsonReport;
 import gullspar.rehearse.script.FaultKind;
 import gullspar.rehearse.script.Script;
@@ -35,7 +37,7 @@
         exitCodeList = {"0:all rules kept, all expectations met",
                 "1:a rule was broken, or the day could not be played",
             "2:wrong usage, or a script with errors (nothing is played)"},
-        subcommands = {Rehearse.Diff.class, Rehearse.Faults.class})
+        subcommands = {SearchDays.class, Rehearse.Diff.class, Rehearse.Faults.class})
 final class Rehearse implements Callable<Integer> {
     static final int BROKEN = 1;
     static final int WRONG = 2;
@@ -53,6 +55,13 @@
     @Option(names = "--log", paramLabel = "FILE", description = "Writes the decision log there.")
     private Path log;
 
+    @Option(names = "--live", description = "Plays it in real time, with real daemon processes on loopback.")
+    private boolean live;
+
+    @Option(names = "--report", paramLabel = "FILE", description =
+            "Writes a page there, for people to look at.")
+    private Path report;
+
     @Option(names = "--json", description = "Prints the result as JSON, for machines.")
     private boolean json;
 
@@ -71,7 +80,7 @@
     }
 
     @Override
-    public Integer call() throws IOException {
+    public Integer call() {
         if (script == null) {
             throw new ParameterException(spec.commandLine(), "which script?");
         }
@@ -82,22 +91,40 @@
         s = seed == null ? s : s.with((long) seed);
         Terminal terminal = new Terminal();
         Played played;
-        try (Writer decisions = log == null ? null : Files.newBufferedWriter(log)) {
-            played = VirtualPlay.play(s, VirtualPlay.Options.logged(decisions, terminal));
+        if (live && log != null) {
+            throw new ParameterException(spec.commandLine(), "--log is for virtual time, not for --live");
+        }
+        try {
+            played = live ? LivePlay.play(s, terminal) : virtual(s, terminal);
+            if (report != null) {
+                Files.writeString(report, HtmlReport.of(played));
+            }
+        } catch (IOException e) {
+            System.err.println("it cannot be played: " + e.getMessage());
+            return BROKEN;
         } finally {
             terminal.clear();
         }
+        played.notes().forEach(note -> System.err.println("note: " + note));
         if (json) {
             System.out.println(JsonReport.of(played));
         } else {
             if (terminal.person()) {
                 table(played).forEach(System.out::println);
             }
-            System.out.println("decisions " + played.decisions() + " sha256 " + played.hash());
+            if (!live) {
+                System.out.println("decisions " + played.decisions() + " sha256 " + played.hash());
+            }
         }
         return played.verdict().kept() ? 0 : broken(played);
     }
 
+    private Played virtual(Script s, Terminal terminal) throws IOException {
+        try (Writer decisions = log == null ? null : Files.newBufferedWriter(log)) {
+            return VirtualPlay.play(s, VirtualPlay.Options.logged(decisions, terminal));
+        }
+    }
+
     private int broken(Played p) {
         Broken first = p.verdict().broken().get(0);
         System.err.println("BROKEN: " + first.rule().words() + (p.verdict().broken().size() > 1
--- /dev/null
+++ b/src/main/java/gullspar/cli/SearchDays.java
@@ -0,0 +1,72 @@
+package gullspar.cli;
+
+import gullspar.rehearse.play.Progress;
+import gullspar.rehearse.play.VirtualPlay;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.search.Finding;
+import gullspar.rehearse.search.Search;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Looks for days that break a rule. */
+@Command(name = "search", mixinStandardHelpOptions = true, description = {
+    "Plays days with faults drawn at random until a rule breaks or the service falls under the script's "
+            + "bound,",
+    "cuts each such day down to the smallest that still does, and writes it as a script.",
+    "Ctrl-C ends it; the same command goes on where it stopped."},
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:nothing was found", "1:something was found, or it could not be searched",
+            "2:wrong usage, or a script with errors"})
+final class SearchDays implements Callable<Integer> {
+    @Parameters(paramLabel = "SCRIPT", description = "The fleet and, in [search], what may be drawn.")
+    private Path script;
+
+    @Option(names = "--seeds", paramLabel = "N", defaultValue = "100",
+            description = "How many days to play (${DEFAULT-VALUE}).")
+    private int seeds;
+
+    @Option(names = "--jobs", paramLabel = "J", description = "How many at once (the number of cores).")
+    private Integer jobs;
+
+    @Option(names = "--out", paramLabel = "DIR", defaultValue = "found",
+            description = "Where scripts and the state of the search go (${DEFAULT-VALUE}).")
+    private Path out;
+
+    @Override
+    public Integer call() {
+        Script s = Rehearse.read(script);
+        if (s == null) {
+            return Rehearse.WRONG;
+        }
+        Terminal terminal = new Terminal();
+        Search search = new Search(s, seeds, out, VirtualPlay.Options.logged(null, Progress.NONE),
+                new Search.Listener() {
+                    @Override
+                    public void at(int done, int found, int of) {
+                        terminal.status(done + " of " + of + " days played, " + found + " found");
+                    }
+
+                    @Override
+                    public void found(Finding f, Path file) {
+                        terminal.clear();
+                        System.out.println(file + ": " + f.what());
+                    }
+                });
+        Runtime.getRuntime().addShutdownHook(new Thread(search::stop));
+        try {
+            int found = search.run(jobs == null ? Runtime.getRuntime().availableProcessors() : Math.max(1,
+                    jobs));
+            terminal.clear();
+            System.out.println(found + " found in " + seeds + " days");
+            return found == 0 ? 0 : Rehearse.BROKEN;
+        } catch (IOException e) {
+            terminal.clear();
+            System.err.println("it cannot be searched: " + e.getMessage());
+            return Rehearse.BROKEN;
+        }
+    }
+}
--- a/src/main/java/gullspar/cli/Tool.java
+++ b/src/main/java/gullspar/cli/Tool.java
@@ -14,7 +14,7 @@
         synopsisSubcommandLabel = "COMMAND",
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:it could not be done, or a rehearsal broke a rule", "2:wrong usage"},
-        subcommands = {Tool.Serve.class, Tool.Drill.class, Tool.Warm.class, Rehearse.class,
+        subcommands = {Tool.Serve.class, Tool.Drill.class, Tool.Warm.class, Rehearse.class, TryOut.class,
             Tool.Completion.class})
 public final class Tool implements Runnable {
     @Spec
--- /dev/null
+++ b/src/main/java/gullspar/cli/TryOut.java
@@ -0,0 +1,89 @@
+package gullspar.cli;
+
+import gullspar.rehearse.live.LivePlay;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.script.ScriptException;
+import gullspar.rehearse.script.ScriptReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The first thing that a new user runs. */
+@Command(name = "try", mixinStandardHelpOptions = true, description = {
+    "Starts a small fleet, discovery and one real daemon on loopback, with a little traffic, and says how "
+            + "to send",
+    "a request by hand. Needs no settings. Ctrl-C ends all of it."},
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:it ended by itself (--seconds)", "1:it could not be started", "2:wrong usage",
+                "130:it was ended by Ctrl-C"})
+final class TryOut implements Callable<Integer> {
+    private static final long END_S = 10;
+
+    @Option(names = "--seconds", paramLabel = "N", description = "Ends by itself after so many seconds.")
+    private Integer seconds;
+
+    private boolean told;
+
+    @Override
+    public Integer call() {
+        Terminal terminal = new Terminal();
+        CountDownLatch ended = new CountDownLatch(1);
+        AtomicBoolean end = new AtomicBoolean();
+        Thread hook = new Thread(() -> {
+            end.set(true);
+            try {
+                ended.await(END_S, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "end");
+        Runtime.getRuntime().addShutdownHook(hook);
+        long until = seconds == null ? Long.MAX_VALUE : System.nanoTime() + seconds * 1_000_000_000L;
+        System.out.println("starting three nodes, discovery and one proxy on loopback ...");
+        try {
+            LivePlay.playOn(script(), now -> say(terminal, now), () -> end.get() || System
+                    .nanoTime() >= until);
+            terminal.clear();
+            return 0;
+        } catch (IOException e) {
+            terminal.clear();
+            System.err.println("it cannot be started: " + e.getMessage());
+            return 1;
+        } finally {
+            ended.countDown();
+        }
+    }
+
+    private static Script script() throws IOException {
+        try (InputStream in = TryOut.class.getResourceAsStream("/gullspar/rehearse/try.toml")) {
+            return ScriptReader.parse(new String(in.readAllBytes(), StandardCharsets.UTF_8), "try.toml");
+        } catch (ScriptException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    private void say(Terminal terminal, LivePlay.Now now) {
+        if (!told) {
+            told = true;
+            String at = "http://" + now.proxy().getAddress().getHostAddress() + ":" + now.proxy().getPort();
+            System.out.println("ready. A request to paste into another terminal (each needs an id of its "
+                    + "own):");
+            System.out.println();
+            System.out.println("  curl -i -H \"Request-Id: $RANDOM$RANDOM\" -H 'Request-Timeout: 1' " + at
+                    + "/look/1");
+            System.out.println("  curl -i -H \"Request-Id: $RANDOM$RANDOM\" -H 'Request-Timeout: 1'"
+                    + " -H 'Idempotency-Key: my-order-1' -d 'two bottles' " + at + "/order/1");
+            System.out.println();
+            System.out.println("Ctrl-C ends all of it.");
+        }
+        terminal.status(String.format(Locale.ROOT, "%d nodes, %.0f orders a second, %.1f %% served in time,"
+                + " %d requests by hand", now.nodes(), now.rate(), 100 * now.inTime(), now.strangers()));
+    }
+}
--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -49,6 +49,7 @@
         chronicle.fallen().forEach((node, at) -> broken.add(new Broken(Rule.COLD_SPARED, at,
                 node + " was sent more than " + script.rules().tipMultiple() + " times what it could do for "
                 + script.rules().fallS() + " s while it was cold, and fell over", null)));
+        chronicle.crashes().forEach(c -> broken.add(new Broken(Rule.ONE_ANSWER, c.at(), c.what(), null)));
         chronicle.rudeServed().forEach(text -> broken.add(new Broken(Rule.ONE_ANSWER, 0,
                 "a request that makes no sense was served: " + text.lines().findFirst().orElse(""), null)));
         if (chronicle.rudeIgnored() > 0) {
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -0,0 +1,372 @@
+package gullspar.rehearse.live;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Platform;
+import gullspar.rehearse.judge.Judge;
+import gullspar.rehearse.play.Cast;
+import gullspar.rehearse.play.Played;
+import gullspar.rehearse.play.Progress;
+import gullspar.rehearse.play.ProxySettings;
+import gullspar.rehearse.play.Strikes;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.stage.Order;
+import gullspar.rehearse.stage.Stage;
+import gullspar.rehearse.stage.Strangers;
+import gullspar.rehearse.time.Agenda;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/**
+ * Plays a day live: the same script and the same stand-ins, in this process and in real time, with real
+ * daemon processes on loopback sockets. All but the start and the end happens on one event loop.
+ */
+public final class LivePlay implements Stage, Strikes, AutoCloseable {
+    /** How far a time that is seen here may lie from the true one. */
+    private static final long SLACK_NS = 50_000_000L;
+    /** What is under way when a process is killed or stopped is seen up to so much later. */
+    private static final long SIGNAL_NS = 300_000_000L;
+    private static final long READY_S = 60;
+    /** What is told of a day without end is that of the last so long. */
+    private static final long LOOK_BACK_NS = 10_000_000_000L;
+    private static final int MOST_LOG_LINES = 10_000;
+
+    private final Script script;
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final Clock clock = Clock.system();
+    private final Path folder;
+    private final LiveWays ways;
+    private final Lateness lateness = new Lateness(loop);
+    private final Map<String, LiveTransport> transports = new HashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private final Map<InetSocketAddress, String> names = new HashMap<>();
+    /** Also looked at from outside the loop, when all must end. */
+    private final Map<String, DaemonProcess> daemons = new ConcurrentHashMap<>();
+    private final Map<String, Integer> lives = new HashMap<>();
+    /** Proxies that are meant to end. */
+    private final Set<String> ending = new HashSet<>();
+    private final List<String> log = new ArrayList<>();
+    private final CompletableFuture<Void> begun = new CompletableFuture<>();
+    private final Thread atExit = new Thread(this::killAll, "end of the daemons");
+    private final Cast cast;
+    private boolean over;
+
+    private LivePlay(Script script) throws IOException {
+        this.script = script;
+        this.folder = Files.createTempDirectory("gullspar-live");
+        this.ways = new LiveWays(script.seed());
+        Runtime.getRuntime().addShutdownHook(atExit);
+        this.cast = new Cast(this, script, this);
+    }
+
+    /** Plays a day to its end; an IOException if it cannot be played here. */
+    public static Played play(Script script, Progress progress) throws IOException {
+        try (LivePlay p = new LivePlay(script)) {
+            return p.play(progress);
+        }
+    }
+
+    /** Starts all and waits until the day has begun; then runs, on the loop, at that moment. */
+    private void begin(Runnable then) throws IOException {
+        onLoop(() -> {
+            cast.open();
+            cast.begin(() -> {
+                then.run();
+                begun.complete(null);
+            });
+            cast.proxies().forEach(this::start);
+        });
+        try {
+            begun.get(READY_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        } catch (ExecutionException | TimeoutException e) {
+            throw new IOException("the proxies were not ready within " + READY_S + " s; they said: "
+                    + String.join("; ", log.subList(Math.max(0, log.size() - 5), log.size())), e);
+        }
+    }
+
+    private Played play(Progress progress) throws IOException {
+        long began = System.nanoTime();
+        begin(lateness::start);
+        try {
+            long start = System.nanoTime();
+            long day = (long) (script.seconds() * 1e9);
+            for (long at = 0; at < day + cast.tailNs(); at = System.nanoTime() - start) {
+                progress.at(Math.min(day, at) / 1e9, script.seconds());
+                Thread.sleep(200);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+        List<Played> played = new ArrayList<>();
+        onLoop(() -> {
+            over = true;
+            played.add(new Played(script, cast.chronicle(), Judge.judge(script, cast.chronicle(), SLACK_NS),
+                    "",
+                    0, log, lateness.notes(), System.nanoTime() - began));
+        });
+        return played.get(0);
+    }
+
+    /** What one looks at while a day without end goes on. */
+    public record Now(InetSocketAddress proxy, int nodes, double rate, double inTime, int strangers) { }
+
+    /** Plays on until it is told to end; the consumer is told how it goes, every second. */
+    public static void playOn(Script script, Consumer<Now> now, BooleanSupplier end) throws IOException {
+        try (LivePlay p = new LivePlay(script)) {
+            p.playOn(now, end);
+        }
+    }
+
+    private void playOn(Consumer<Now> now, BooleanSupplier end) throws IOException {
+        Strangers strangers = new Strangers(script, this);
+        begin(() -> cast.chronicle().serveStrangers(strangers));
+        try {
+            while (!end.getAsBoolean() && !cast.proxies().stream().allMatch(p -> ending.contains(p))) {
+                onLoop(() -> {
+                    long since = now() - LOOK_BACK_NS;
+                    cast.chronicle().forget(since);
+                    List<Order> ended = cast.chronicle().orders().stream()
+                            .filter(o -> o.at < now() - LOOK_BACK_NS / 5).toList();
+                    now.accept(new Now(address("p1"), cast.fleet().running().size(),
+                            ended.size() / (LOOK_BACK_NS / 1e9 * 4 / 5), ended.isEmpty() ? 1
+                                    : ended.stream().filter(Order::inTime).count() / (double) ended.size(),
+                            strangers.served()));
+                });
+                for (int i = 0; i < 10 && !end.getAsBoolean(); i++) {
+                    Thread.sleep(100);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void onLoop(Runnable what) throws IOException {
+        try {
+            loop.submit(what).get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    private void killAll() {
+        daemons.values().forEach(DaemonProcess::kill);
+    }
+
+    /** Ends all that is still there. */
+    @Override
+    public void close() throws IOException {
+        onLoop(() -> {
+            over = true;
+            killAll();
+            transports.values().forEach(LiveTransport::reset);
+        });
+        loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
+        try {
+            Runtime.getRuntime().removeShutdownHook(atExit);
+        } catch (IllegalStateException e) {
+            killAll(); // this process is ending: the hook does the same
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path p : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(p);
+            }
+        }
+    }
+
+    // ---- the stage ----
+
+    @Override
+    public Platform at(String machine) {
+        LiveTransport t = transports.computeIfAbsent(machine, m -> new LiveTransport(loop, ways, m,
+                clock::now,
+                a -> names.getOrDefault(a, "")));
+        return new Platform(loop, clock, t, line -> { });
+    }
+
+    @Override
+    public long now() {
+        return clock.now();
+    }
+
+    /** One that was free when it was asked for: the kernel gives another to whoever asks next. */
+    @Override
+    public InetSocketAddress address(String machine) {
+        return addresses.computeIfAbsent(machine, m -> {
+            try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+                InetSocketAddress a = (InetSocketAddress) s.getLocalSocketAddress();
+                names.put(a, m);
+                return a;
+            } catch (IOException e) {
+                throw new UncheckedIOException("no free port on loopback", e);
+            }
+        });
+    }
+
+    @Override
+    public long sentAt(Channel channel) {
+        return LinkHandler.readAt(channel, clock.now());
+    }
+
+    @Override
+    public void peer(Channel channel, String machine) {
+        LinkHandler.peer(channel, machine);
+    }
+
+    @Override
+    public void ended(String machine) {
+        transports.get(machine).reset();
+    }
+
+    // ---- the proxies ----
+
+    private JsonNode settings(String name) {
+        long seed = Agenda.mix(script.seed() * 31 + 9 + Cast.index(name) * 1000L + lives.getOrDefault(name,
+                1));
+        return ProxySettings.of(script, Cast.index(name), name, address(name), cast.fleet().discovery(name),
+                seed,
+                cast.fleet().known(name));
+    }
+
+    private void start(String name) {
+        if (over) {
+            return;
+        }
+        int life = lives.merge(name, 1, Integer::sum);
+        ending.remove(name);
+        String who = life == 1 ? name : name + "." + life;
+        try {
+            DaemonProcess d = DaemonProcess.start(folder, name, settings(name), script.proxies().memoryMb(),
+                    line -> loop.execute(() -> say(who, line)));
+            daemons.put(name, d);
+            d.onEnd(() -> loop.execute(() -> ended(name, d)));
+            cast.front().started(name);
+        } catch (IOException e) {
+            begun.completeExceptionally(e);
+        }
+    }
+
+    private void ended(String name, DaemonProcess d) {
+        if (!over && !ending.contains(name) && daemons.get(name) == d) {
+            cast.chronicle().crashed(name, "exit code " + d.exitCode(), now());
+            cast.front().ended(name);
+            begun.completeExceptionally(new IOException(name + " ended by itself, exit code "
+                    + d.exitCode()));
+        }
+    }
+
+    private void say(String who, String line) {
+        if (log.size() < MOST_LOG_LINES) {
+            log.add(String.format(Locale.ROOT, "%s %s", who, line));
+        }
+    }
+
+    @Override
+    public void kill(String name, double downS) {
+        DaemonProcess d = daemons.get(name);
+        if (!d.alive()) {
+            return;
+        }
+        ending.add(name);
+        cast.chronicle().excuse(name, now(), now() + SIGNAL_NS);
+        cast.front().ended(name);
+        d.kill();
+        d.onEnd(() -> loop.execute(() -> startLater(name, downS)));
+    }
+
+    @Override
+    public void stop(String name, double downS) {
+        DaemonProcess d = daemons.get(name);
+        if (!d.alive()) {
+            return;
+        }
+        ending.add(name);
+        cast.front().ended(name);
+        d.stop();
+        d.onEnd(() -> loop.execute(() -> startLater(name, downS)));
+    }
+
+    private void startLater(String name, double downS) {
+        loop.schedule(() -> start(name), (long) (downS * 1e9), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void reload(String name) {
+        try {
+            if (daemons.get(name).alive()) {
+                daemons.get(name).reload(settings(name));
+            }
+        } catch (IOException e) {
+            cast.chronicle().happened(now(), name + " could not be told to reload: " + e.getMessage());
+        }
+    }
+
+    @Override
+    public void pause(String name, boolean on) {
+        try {
+            cast.chronicle().excuse(name, now(), now() + SIGNAL_NS);
+            daemons.get(name).pause(on);
+        } catch (IOException e) {
+            cast.chronicle().happened(now(), name + " could not be paused: " + e.getMessage());
+        }
+    }
+
+    // ---- the ways ----
+
+    @Override
+    public void slower(String from, String to, long byNs) {
+        ways.slower(from, to, byNs);
+    }
+
+    @Override
+    public void lossy(String from, String to, double share) {
+        ways.lossy(from, to, share);
+    }
+
+    @Override
+    public void cut(String from, String to, boolean on) {
+        ways.cut(from, to, on);
+    }
+
+    @Override
+    public void reset(String from, String to) {
+        ways.reset(from, to);
+    }
+
+    @Override
+    public void vanish(String machine, boolean on) {
+        ways.vanish(machine, on);
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/live/LiveTransport.java
@@ -0,0 +1,98 @@
+package gullspar.rehearse.live;
+
+import gullspar.proxy.io.Transport;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/** The sockets of one stand-in's machine: TCP on loopback, with the ways' tricks, and all open ones known. */
+final class LiveTransport implements Transport {
+    private final Transport tcp;
+    private final LiveWays ways;
+    private final String machine;
+    private final LongSupplier clock;
+    private final Function<InetSocketAddress, String> names;
+    private final Set<Channel> open = new LinkedHashSet<>();
+
+    /** names tells whose address one is, "" if nobody's. */
+    LiveTransport(EventLoop loop, LiveWays ways, String machine, LongSupplier clock,
+            Function<InetSocketAddress, String> names) {
+        this.tcp = Transport.tcp(loop);
+        this.ways = ways;
+        this.machine = machine;
+        this.clock = clock;
+        this.names = names;
+    }
+
+    /** Resets all connections and closes all listeners, as a process that dies. */
+    void reset() {
+        List<Channel> all = List.copyOf(open);
+        open.clear();
+        for (Channel c : all) {
+            if (c.parent() != null) {
+                c.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
+            c.unsafe().close(c.unsafe().voidPromise());
+        }
+    }
+
+    private void opened(Channel c) {
+        open.add(c);
+        c.closeFuture().addListener(f -> open.remove(c));
+    }
+
+    private ChannelInitializer<Channel> linked(ChannelHandler then, String peer) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel c) {
+                opened(c);
+                LinkHandler.peer(c, peer);
+                c.pipeline().addLast(new LinkHandler(ways, machine, clock), then);
+            }
+        };
+    }
+
+    @Override
+    public Bootstrap to(InetSocketAddress address) {
+        Bootstrap real = tcp.to(address);
+        String peer = names.apply(address);
+        return new Bootstrap() {
+            @Override
+            public Bootstrap handler(ChannelHandler handler) {
+                return real.handler(linked(handler, peer));
+            }
+
+            @Override
+            public <T> Bootstrap option(ChannelOption<T> option, T value) {
+                real.option(option, value);
+                return this;
+            }
+        };
+    }
+
+    @Override
+    public ServerBootstrap at(InetSocketAddress address) {
+        ServerBootstrap real = tcp.at(address).handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel c) {
+                opened(c);
+            }
+        });
+        return new ServerBootstrap() {
+            @Override
+            public ServerBootstrap childHandler(ChannelHandler handler) {
+                return real.childHandler(linked(handler, ""));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/play/Cast.java
@@ -0,0 +1,80 @@
+package gullspar.rehearse.play;
+
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.Crowd;
+import gullspar.rehearse.stage.Fleet;
+import gullspar.rehearse.stage.Front;
+import gullspar.rehearse.stage.RudeClients;
+import gullspar.rehearse.stage.Stage;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Everybody on a day but the proxies, and the faults; the same live and in virtual time. */
+public final class Cast {
+    private final Stage stage;
+    private final Script script;
+    private final Chronicle chronicle = new Chronicle();
+    private final List<String> proxies;
+    private final Fleet fleet;
+    private final Front front;
+    private final Crowd crowd;
+    private final Timeline timeline;
+
+    public Cast(Stage stage, Script script, Strikes strikes) {
+        this.stage = stage;
+        this.script = script;
+        List<String> names = new ArrayList<>();
+        for (int i = 1; i <= script.proxies().count(); i++) {
+            names.add("p" + i);
+        }
+        this.proxies = List.copyOf(names);
+        this.fleet = new Fleet(stage, script, chronicle);
+        this.front = new Front(stage, script, proxies);
+        this.crowd = new Crowd(stage, script, chronicle, front);
+        RudeClients rude = new RudeClients(stage, chronicle, script.classes().get(0).name(), script.seed());
+        this.timeline = new Timeline(stage, script, chronicle, fleet, front, crowd, rude, strikes, proxies);
+    }
+
+    /** Starts the nodes and discovery; the proxies may be started then. */
+    public void open() {
+        fleet.start(proxies);
+    }
+
+    /** Begins the day once all proxies are ready, and calls that then. */
+    public void begin(Runnable then) {
+        front.whenAllIn(() -> {
+            chronicle.begins(stage.now());
+            crowd.start(script.seconds());
+            timeline.start();
+            then.run();
+        });
+    }
+
+    /** How long after the day's end everything that is still open has ended, in ns. */
+    public long tailNs() {
+        double longest = script.classes().stream().mapToDouble(Script.RequestClass::giveUpMs).max().orElse(0);
+        return (long) ((longest * 2 + 4000) * 1e6);
+    }
+
+    /** The place of a proxy among all, from 0. */
+    public static int index(String proxy) {
+        return Integer.parseInt(proxy.substring(1)) - 1;
+    }
+
+    public Chronicle chronicle() {
+        return chronicle;
+    }
+
+    public List<String> proxies() {
+        return proxies;
+    }
+
+    public Fleet fleet() {
+        return fleet;
+    }
+
+    public Front front() {
+        return front;
+    }
+}
--- a/src/main/java/gullspar/rehearse/play/ProxySettings.java
+++ b/src/main/java/gullspar/rehearse/play/ProxySettings.java
@@ -10,11 +10,11 @@
 import java.util.Locale;
 
 /** The configuration of a proxy, as a platform would write it. */
-final class ProxySettings {
+public final class ProxySettings {
     private ProxySettings() { }
 
     /** The whole file; known is the list in discovery's form. */
-    static JsonNode of(Script s, int index, String name, InetSocketAddress listen,
+    public static JsonNode of(Script s, int index, String name, InetSocketAddress listen,
             InetSocketAddress discovery,
             long seed, JsonNode known) {
         ObjectNode root = JsonNodeFactory.instance.objectNode();
--- a/src/main/java/gullspar/rehearse/play/Strikes.java
+++ b/src/main/java/gullspar/rehearse/play/Strikes.java
@@ -4,7 +4,7 @@
  * What the timeline can do to the proxies and to the ways between machines: this differs by how a day is
  * played.
  */
-interface Strikes {
+public interface Strikes {
     /** Ends a proxy at once, and starts it again after so long. */
     void kill(String proxy, double downS);
 
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -14,10 +14,6 @@
 import gullspar.rehearse.record.DecisionLog;
 import gullspar.rehearse.script.Script;
 import gullspar.rehearse.stage.Chronicle;
-import gullspar.rehearse.stage.Crowd;
-import gullspar.rehearse.stage.Fleet;
-import gullspar.rehearse.stage.Front;
-import gullspar.rehearse.stage.RudeClients;
 import gullspar.rehearse.stage.Stage;
 import gullspar.rehearse.time.Agenda;
 import gullspar.rehearse.time.VirtualLoop;
@@ -67,16 +63,13 @@
     private final Agenda agenda;
     private final Network network;
     private final VirtualLoop loop;
-    private final Chronicle chronicle = new Chronicle();
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<String, Life> lives = new LinkedHashMap<>();
     private final Map<Integer, String> nodeNames = new HashMap<>();
     private final List<String> log = new ArrayList<>();
-    private final Fleet fleet;
-    private final Front front;
-    private final Crowd crowd;
-    private final Timeline timeline;
     private final DecisionLog decisions;
+    private final Cast cast;
+    private final Chronicle chronicle;
     private Throwable slip;
 
     private VirtualPlay(Script script, Options options) {
@@ -86,17 +79,8 @@
         this.network = new Network(agenda, script.seed() * 31 + 8, this::distance);
         this.loop = new VirtualLoop(agenda, e -> slip = slip == null ? e : slip);
         this.decisions = new DecisionLog(() -> agenda.now() - EPOCH_NS, this::nodeName, options.decisions());
-        List<String> proxies = new ArrayList<>();
-        for (int i = 1; i <= script.proxies().count(); i++) {
-            proxies.add("p" + i);
-            lives.put("p" + i, null);
-        }
-        this.fleet = new Fleet(this, script, chronicle);
-        this.front = new Front(this, script, proxies);
-        this.crowd = new Crowd(this, script, chronicle, front);
-        this.timeline = new Timeline(this, script, chronicle, fleet, front, crowd, new RudeClients(this,
-                chronicle,
-                script.classes().get(0).name(), script.seed()), this, proxies);
+        this.cast = new Cast(this, script, this);
+        this.chronicle = cast.chronicle();
     }
 
     /** Plays a day to its end. */
@@ -106,23 +90,16 @@
 
     private Played play() {
         long began = System.nanoTime(); // only to say how long it took
-        fleet.start(List.copyOf(lives.keySet()));
-        lives.keySet().forEach(this::start);
+        cast.open();
+        cast.proxies().forEach(this::start);
         long[] end = {EPOCH_NS + READY_NS};
-        front.whenAllIn(() -> {
-            chronicle.begins(agenda.now());
-            crowd.start(script.seconds());
-            timeline.start();
-            end[0] = agenda.now() + (long) (script.seconds() * 1e9);
-        });
+        cast.begin(() -> end[0] = agenda.now() + (long) (script.seconds() * 1e9));
         run(end);
         if (chronicle.start() == 0) {
             throw new IllegalStateException("the proxies were not ready within " + READY_NS / 1_000_000_000L
                     + " s: " + log);
         }
-        // The day is over; what is open ends, by its deadline at the latest.
-        double longest = script.classes().stream().mapToDouble(Script.RequestClass::giveUpMs).max().orElse(0);
-        end[0] = agenda.now() + (long) ((longest * 2 + 4000) * 1e6);
+        end[0] = agenda.now() + cast.tailNs();
         run(end);
         options.progress().at(script.seconds(), script.seconds());
         return new Played(script, chronicle, Judge.judge(script, chronicle, 0), decisions.hash(), decisions
@@ -152,9 +129,9 @@
 
     private String siteOf(String machine) {
         if (machine.startsWith("n")) {
-            return fleet.site(machine);
+            return cast.fleet().site(machine);
         }
-        return machine.startsWith("p") ? front.site(machine) : null;
+        return machine.startsWith("p") ? cast.front().site(machine) : null;
     }
 
     private long distance(String from, String to) {
@@ -205,8 +182,8 @@
     /** The name of a node by the number under which the module knows it. */
     private String nodeName(int number) {
         return nodeNames.computeIfAbsent(number, n -> {
-            for (String machine : fleet.machines()) {
-                for (int life = 1; life <= fleet.lives(machine); life++) {
+            for (String machine : cast.fleet().machines()) {
+                for (int life = 1; life <= cast.fleet().lives(machine); life++) {
                     String id = life == 1 ? machine : machine + "-" + life;
                     if ((int) (Fnv.hash(id) >>> 32) == n) {
                         return id;
@@ -231,16 +208,12 @@
         }
     }
 
-    private int index(String proxy) {
-        return Integer.parseInt(proxy.substring(1)) - 1;
-    }
-
     private Config config(String name, int life) {
-        long seed = Agenda.mix(script.seed() * 31 + 9 + index(name) * 1000L + life);
+        long seed = Agenda.mix(script.seed() * 31 + 9 + Cast.index(name) * 1000L + life);
         try {
-            return Config.parse(ProxySettings.of(script, index(name), name, address(name),
-                    fleet.discovery(name),
-                    seed, fleet.known(name)), Map.of());
+            return Config.parse(ProxySettings.of(script, Cast.index(name), name, address(name),
+                    cast.fleet().discovery(name),
+                    seed, cast.fleet().known(name)), Map.of());
         } catch (ConfigException e) {
             throw new IllegalStateException(e);
         }
@@ -260,7 +233,7 @@
             life.proxy = Proxy.begin(config(name, number), platform,
                     decisions.tap(who, options.module().apply(Policy::new)));
             // The front looks at it from now on.
-            loop.execute(() -> front.started(name));
+            loop.execute(() -> cast.front().started(name));
         }, warm, TimeUnit.NANOSECONDS);
     }
 
@@ -286,7 +259,7 @@
             return;
         }
         endNow(name, life);
-        front.ended(name);
+        cast.front().ended(name);
         startLater(name, downS);
     }
 
@@ -296,7 +269,7 @@
         if (life.loop.ended() || life.proxy == null) {
             return;
         }
-        front.ended(name);
+        cast.front().ended(name);
         life.proxy.drain().thenRun(() -> {
             if (!life.loop.ended()) {
                 // Not from inside its own wake-up.
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/report/Seconds.java
@@ -0,0 +1,54 @@
+package gullspar.rehearse.report;
+
+import gullspar.rehearse.judge.Judge;
+import gullspar.rehearse.play.Played;
+import gullspar.rehearse.stage.Order;
+import gullspar.rehearse.stage.Try;
+
+/** How the orders of each second of a day ended. */
+final class Seconds {
+    /** How an order ended: served in time, served late, refused at the last, or anything else. */
+    enum Kind { SERVED, LATE, REFUSED, FAILED }
+
+    private final int[][] counts;
+
+    Seconds(Played p) {
+        counts = new int[Math.max(1, (int) Math.ceil(p.script().seconds()))][Kind.values().length];
+        for (Order o : p.chronicle().orders()) {
+            int second = (int) ((o.at - p.chronicle().start()) / 1_000_000_000L);
+            counts[Math.max(0, Math.min(counts.length - 1, second))][kind(o).ordinal()]++;
+        }
+    }
+
+    static Kind kind(Order o) {
+        if (o.servedAt() != Long.MAX_VALUE) {
+            return o.inTime() ? Kind.SERVED : Kind.LATE;
+        }
+        Try last = o.tries.get(o.tries.size() - 1);
+        return Judge.ended(last).equals("refused") ? Kind.REFUSED : Kind.FAILED;
+    }
+
+    int length() {
+        return counts.length;
+    }
+
+    int count(int second, Kind k) {
+        return counts[second][k.ordinal()];
+    }
+
+    int total(int second) {
+        int sum = 0;
+        for (int n : counts[second]) {
+            sum += n;
+        }
+        return sum;
+    }
+
+    int most() {
+        int most = 1;
+        for (int i = 0; i < counts.length; i++) {
+            most = Math.max(most, total(i));
+        }
+        return most;
+    }
+}
--- a/src/main/java/gullspar/rehearse/script/Fault.java
+++ b/src/main/java/gullspar/rehearse/script/Fault.java
@@ -17,8 +17,8 @@
     @Override
     public String toString() {
         StringBuilder s = new StringBuilder(kind.named());
-        String what = names.isEmpty() ? count + (kind.strikes() == FaultKind.Strikes.NODES ? " nodes"
-                : " proxies")
+        String some = count + (kind.strikes() == FaultKind.Strikes.NODES ? " node" : " proxy");
+        String what = names.isEmpty() ? count == 1 ? some : some.replace("proxy", "proxie") + "s"
                 : String.join(kind.strikes() == FaultKind.Strikes.LINK ? " to " : ", ", names);
         s.append(kind.strikes() == FaultKind.Strikes.FLEET ? "" : " " + what);
         figures.forEach((k, v) -> s.append(' ').append(k).append('=').append(Fields.plain(v)));
--- a/src/main/java/gullspar/rehearse/script/Script.java
+++ b/src/main/java/gullspar/rehearse/script/Script.java
@@ -12,7 +12,7 @@
 public record Script(String title, double seconds, long seed, List<String> sites, Range siteDelayMs,
         Range localDelayMs, Proxies proxies, List<NodeKind> nodes, List<RequestClass> classes,
                 Clients clients,
-        Discovery discovery, Rules rules, List<Fault> faults, Map<String, Double> expect) {
+        Discovery discovery, Rules rules, List<Fault> faults, Map<String, Double> expect, Search search) {
 
     /** The proxies and what each is told of its limits. */
     public record Proxies(int count, double cores, int memoryMb, int sockets, int attempts,
@@ -47,6 +47,11 @@
     public record Rules(double drainGraceMs, double startCapacity, double coldS, double tipMultiple,
             double fallS) { }
 
+    /**
+     * What a search may draw: kinds of faults, how many at the most, and the service that is too low for it.
+     */
+    public record Search(List<FaultKind> kinds, int most, double below) { }
+
     public Script {
         sites = List.copyOf(sites);
         nodes = List.copyOf(nodes);
@@ -63,12 +68,19 @@
     public Script with(long otherSeed) {
         return new Script(title, seconds, otherSeed, sites, siteDelayMs, localDelayMs, proxies, nodes,
                 classes,
-                clients, discovery, rules, faults, expect);
+                clients, discovery, rules, faults, expect, search);
+    }
+
+    /** The same, as long as that. */
+    public Script with(double otherSeconds) {
+        return new Script(title, otherSeconds, seed, sites, siteDelayMs, localDelayMs, proxies, nodes,
+                classes,
+                clients, discovery, rules, faults, expect, search);
     }
 
     /** The same with other faults. */
     public Script with(List<Fault> others) {
         return new Script(title, seconds, seed, sites, siteDelayMs, localDelayMs, proxies, nodes, classes,
-                clients, discovery, rules, others, expect);
+                clients, discovery, rules, others, expect, search);
     }
 }
--- a/src/main/java/gullspar/rehearse/script/ScriptReader.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
@@ -76,10 +77,11 @@
                 new LinkedHashSet<>(classes.stream().map(Script.RequestClass::name).toList()));
         List<Fault> faults = f.tables("fault").stream().map(t -> fault(t, seconds, names)).toList();
         Map<String, Double> expect = expect(f.table("expect"));
+        Script.Search search = search(f.table("search"));
         f.noOthers();
         return new Script(title, seconds, seed, sites, siteDelay, localDelay, proxies, nodes, classes,
                 clients,
-                discovery, rules, faults, expect);
+                discovery, rules, faults, expect, search);
     }
 
     private static void distinct(Fields f, String key, List<String> names) {
@@ -197,6 +199,22 @@
         return expect;
     }
 
+    private Script.Search search(Fields f) {
+        List<FaultKind> kinds = new ArrayList<>();
+        for (String name : f.texts("kinds", Stream.of(FaultKind.values()).map(FaultKind::named).toList())) {
+            Stream.of(FaultKind.values()).filter(k -> k.named().equals(name)).findFirst()
+                    .ifPresentOrElse(kinds::add,
+                    () -> f.wrong("kinds", "names '" + name + "', which is no kind of fault"));
+        }
+        if (kinds.isEmpty()) {
+            f.wrong("kinds", "names nothing that could be searched");
+        }
+        Script.Search s = new Script.Search(List.copyOf(kinds), f.whole("most", 5, 1, 50),
+                f.number("below", 0, 0, 1));
+        f.noOthers();
+        return s;
+    }
+
     // ---- faults ----
 
     /** Who can be struck by name. */
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/script/ScriptWriter.java
@@ -0,0 +1,125 @@
+package gullspar.rehearse.script;
+
+import gullspar.rehearse.script.FaultKind.Strikes;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Writes a script as TOML that reads back as the same script. */
+public final class ScriptWriter {
+    private final StringBuilder out = new StringBuilder(4096);
+
+    private ScriptWriter() { }
+
+    /** The whole text. */
+    public static String write(Script s) {
+        ScriptWriter w = new ScriptWriter();
+        w.script(s);
+        return w.out.toString();
+    }
+
+    private ScriptWriter line(String key, Object value) {
+        out.append(key).append(" = ").append(value).append('\n');
+        return this;
+    }
+
+    private void table(String name) {
+        out.append('\n').append(name).append('\n');
+    }
+
+    private static String text(String s) {
+        StringBuilder t = new StringBuilder("\"");
+        for (char c : s.toCharArray()) {
+            t.append(c == '"' || c == '\\' ? "\\" + c : c < ' ' ? String.format("\\u%04x", (int) c) : "" + c);
+        }
+        return t.append('"').toString();
+    }
+
+    private static String texts(List<String> list) {
+        return list.stream().map(ScriptWriter::text).collect(Collectors.joining(", ", "[", "]"));
+    }
+
+    private static String range(Range r) {
+        return "[" + Fields.plain(r.from()) + ", " + Fields.plain(r.to()) + "]";
+    }
+
+    private static String plain(double d) {
+        return Fields.plain(d);
+    }
+
+    private void script(Script s) {
+        line("title", text(s.title())).line("seconds", plain(s.seconds())).line("seed", s.seed())
+                .line("sites", texts(s.sites())).line("site_delay_ms", range(s.siteDelayMs()))
+                .line("local_delay_ms", range(s.localDelayMs()));
+        Script.Proxies p = s.proxies();
+        table("[proxies]");
+        line("count", p.count()).line("cores", plain(p.cores())).line("memory_mb", p.memoryMb())
+                .line("sockets", p.sockets()).line("attempts", p.attempts()).line("cancelling",
+                        p.cancelling())
+                .line("retry_after_ms", plain(p.retryAfterMs()))
+                .line("connect_timeout_ms", plain(p.connectTimeoutMs())).line("start_s", plain(p.startS()));
+        s.nodes().forEach(this::nodes);
+        s.classes().forEach(this::requestClass);
+        Script.Clients c = s.clients();
+        table("[clients]");
+        line("rate", plain(c.rate())).line("patience", range(c.patience())).line("retries", c.retries())
+                .line("retry_wait_ms", range(c.retryWaitMs())).line("keys", c.keys())
+                .line("key_skew", plain(c.keySkew())).line("notice_s", range(c.noticeS()));
+        table("[discovery]");
+        line("delay_ms", range(s.discovery().delayMs()))
+                .line("weight_period_ms", range(s.discovery().weightPeriodMs()))
+                .line("notice_s", range(s.discovery().noticeS()));
+        Script.Rules r = s.rules();
+        table("[rules]");
+        line("drain_grace_ms", plain(r.drainGraceMs())).line("start_capacity", plain(r.startCapacity()))
+                .line("cold_s", plain(r.coldS())).line("tip_multiple", plain(r.tipMultiple()))
+                .line("fall_s", plain(r.fallS()));
+        if (!s.expect().isEmpty()) {
+            table("[expect]");
+            s.expect().forEach((k, v) -> line(k, plain(v)));
+        }
+        table("[search]");
+        line("kinds", texts(s.search().kinds().stream().map(FaultKind::named).toList()))
+                .line("most", s.search().most()).line("below", plain(s.search().below()));
+        s.faults().forEach(this::fault);
+    }
+
+    private void nodes(Script.NodeKind n) {
+        table("[[nodes]]");
+        line("kind", text(n.kind())).line("count", n.count()).line("cores", n.cores())
+                .line("speed", range(n.speed())).line("slots", n.slots()).line("queue", n.queue())
+                .line("cancelled", text(Fields.named(n.cancelled()))).line("connections", n.connections())
+                .line("connect_ms", range(n.connectMs()))
+                .line("keys", "{ memory_s = " + range(n.keyMemoryS()) + ", saves = " + range(n.keySaves())
+                        + ", most = " + n.keysMost() + " }")
+                .line("report", "{ period_ms = " + range(n.reportPeriodMs()) + ", delay_ms = "
+                        + range(n.reportDelayMs()) + ", noise = " + plain(n.reportNoise()) + " }")
+                .line("answer_bytes", n.answerBytes());
+    }
+
+    private void requestClass(Script.RequestClass c) {
+        table("[[class]]");
+        line("name", text(c.name())).line("effect", text(Fields.named(c.effect())))
+                .line("scope", text(Fields.named(c.scope()))).line("window_ms", plain(c.windowMs()))
+                .line("share", plain(c.share())).line("work_ms", range(c.workMs()))
+                .line("promise_ms", plain(c.promiseMs())).line("give_up_ms", plain(c.giveUpMs()))
+                .line("worth", plain(c.worth())).line("body_bytes", c.bodyBytes());
+    }
+
+    private void fault(Fault f) {
+        table("[[fault]]");
+        line("kind", text(f.kind().named())).line("at", plain(f.at()));
+        if (!f.kind().momentary()) {
+            line("for", plain(f.lasts()));
+        }
+        Strikes strikes = f.kind().strikes();
+        if (strikes == Strikes.NODES || strikes == Strikes.PROXIES) {
+            line(strikes == Strikes.NODES ? "nodes" : "proxies", f.names().isEmpty() ? f.count()
+                    : texts(f.names()));
+        } else if (strikes == Strikes.CLASS) {
+            line("class", text(f.names().get(0)));
+        } else if (strikes == Strikes.LINK) {
+            line("from", text(f.names().get(0))).line("to", text(f.names().get(1)));
+        }
+        f.figures().forEach((k, v) -> line(k, plain(v)));
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/search/Search.java
@@ -0,0 +1,144 @@
+package gullspar.rehearse.search;
+
+import gullspar.rehearse.play.VirtualPlay;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.script.ScriptWriter;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Plays days with faults drawn at random until one breaks a rule or serves too little, cuts each such day
+ * down and writes it as a script. What is done is written down after each day, so that a search which was
+ * interrupted goes on where it stopped.
+ */
+public final class Search {
+    /** Hears how it goes on: days done and found of all, and each finding as it is written. */
+    public interface Listener {
+        void at(int done, int found, int of);
+
+        void found(Finding finding, Path script);
+    }
+
+    private static final String STATE = "search.state";
+
+    private final Script script;
+    private final int days;
+    private final Path folder;
+    private final VirtualPlay.Options options;
+    private final Listener listener;
+    private final TreeSet<Integer> done = new TreeSet<>();
+    private final AtomicInteger next = new AtomicInteger(1);
+    private int found;
+    private volatile boolean stopped;
+
+    /** Days are numbered from 1; findings and the state go to the folder, which is made. */
+    public Search(Script script, int days, Path folder, VirtualPlay.Options options, Listener listener) {
+        this.script = script;
+        this.days = days;
+        this.folder = folder;
+        this.options = options;
+        this.listener = listener;
+    }
+
+    /** Ends it soon: what is being played is given up and played again another time. */
+    public void stop() {
+        stopped = true;
+    }
+
+    /** Returns how many days showed something, those of earlier runs included. */
+    public int run(int jobs) throws IOException {
+        Files.createDirectories(folder);
+        readState();
+        ExecutorService pool = Executors.newFixedThreadPool(jobs);
+        try {
+            List<Future<?>> workers = new ArrayList<>();
+            for (int i = 0; i < jobs; i++) {
+                workers.add(pool.submit(this::work));
+            }
+            for (Future<?> w : workers) {
+                w.get();
+            }
+            return found;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e.getCause());
+        } finally {
+            stopped = true;
+            pool.shutdown();
+        }
+    }
+
+    private void work() {
+        for (int n = next.getAndIncrement(); n <= days && !stopped; n = next.getAndIncrement()) {
+            if (isDone(n)) {
+                continue;
+            }
+            Script day = Draw.day(script, n);
+            Finding f = Finding.in(day, VirtualPlay.play(day, options).verdict());
+            if (f != null) {
+                f = Shrink.smallest(f, options, () -> stopped);
+            }
+            if (stopped) {
+                return; // perhaps not cut down yet: it is played again
+            }
+            finished(n, f);
+        }
+    }
+
+    private synchronized boolean isDone(int n) {
+        return done.contains(n);
+    }
+
+    private synchronized void finished(int n, Finding f) {
+        try {
+            if (f != null) {
+                found++;
+                Path file = folder.resolve("found-" + f.name() + "-" + n + ".toml");
+                Files.writeString(file, "# Day " + n + " of a search. " + f.what().replace('\n', ' ') + "\n"
+                        + "# Play it again: ./gullspar rehearse " + file.getFileName() + "\n" + ScriptWriter
+                                .write(f.script()));
+                listener.found(f, file);
+            }
+            done.add(n);
+            Files.writeString(folder.resolve(STATE), n + (f == null ? " kept" : " " + f.name()) + "\n",
+                    StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        listener.at(done.size(), found, days);
+    }
+
+    /** The first line tells of which script it is the state: another one begins anew. */
+    private void readState() throws IOException {
+        Path file = folder.resolve(STATE);
+        String of = "search of " + Integer.toHexString(ScriptWriter.write(script).hashCode());
+        String text = Files.exists(file) ? Files.readString(file) : "";
+        // What the end of the process cut short is no line, and the next one must not be written behind it.
+        text = text.substring(0, text.lastIndexOf('\n') + 1);
+        List<String> lines = text.lines().toList();
+        if (lines.isEmpty() || !lines.get(0).equals(of)) {
+            Files.writeString(file, of + "\n");
+            return;
+        }
+        Files.writeString(file, text);
+        for (String line : lines.subList(1, lines.size())) {
+            String[] parts = line.split(" ");
+            if (parts.length == 2 && parts[0].matches("\\d{1,9}") && done.add(Integer.parseInt(parts[0]))) {
+                found += parts[1].equals("kept") ? 0 : 1;
+            }
+        }
+    }
+}
--- a/src/main/java/gullspar/rehearse/stage/Agent.java
+++ b/src/main/java/gullspar/rehearse/stage/Agent.java
@@ -145,6 +145,11 @@
                 .filter(e -> !e.lifecycle().equals("terminated")).toList());
     }
 
+    /** A proxy starts with what is known here. */
+    void toldAll() {
+        entries.values().forEach(v -> chronicle.told(proxy, v.entry.id(), v.entry.leaving(), stage.now()));
+    }
+
     private static ObjectNode line(long version, boolean whole, List<Entry> list) {
         ObjectNode line = JsonNodeFactory.instance.objectNode().put("generation", version).put("reset",
                 whole);
@@ -173,6 +178,7 @@
                 write("HTTP/1.1 200 OK\r\nContent-Length: " + list.length() + "\r\n\r\n" + list);
                 return;
             }
+            stage.peer(c.channel(), proxy);
             write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             watches.add(this);
             first(Long.parseLong(q.parameters().getOrDefault("index", List.of("-1")).get(0)));
--- a/src/main/java/gullspar/rehearse/stage/Chronicle.java
+++ b/src/main/java/gullspar/rehearse/stage/Chronicle.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiFunction;
 
 /** All that happened on a day, as seen from outside the proxies: what the judge and the report go by. */
 public final class Chronicle {
@@ -25,10 +26,12 @@
     public record Sample(long at, String node, int held, double util, double share, boolean listed) { }
 
     private long start;
+    private BiFunction<String, String, Try> strangers;
     private final List<Order> orders = new ArrayList<>();
     private final Map<String, Try> tries = new HashMap<>();
     private final Map<String, List<Told>> told = new HashMap<>();
     private final List<Happening> happenings = new ArrayList<>();
+    private final List<Happening> crashes = new ArrayList<>();
     private final Map<String, Long> fallen = new LinkedHashMap<>();
     /** Stretches in which a proxy was not itself, or the way to it was not sound: by proxy. */
     private final Map<String, List<Stretch>> excused = new HashMap<>();
@@ -54,9 +57,26 @@
         tries.put(t.id, t);
     }
 
-    /** The request of that id; null if no client sent one. */
-    public Try request(String id) {
-        return tries.get(id);
+    /** The request of that id; null if no client sent one and strangers are not served. */
+    public Try request(String id, String path) {
+        Try t = tries.get(id);
+        return t == null && strangers != null && !id.isEmpty() ? strangers.apply(id, path) : t;
+    }
+
+    /**
+     * From now on nodes also serve requests that no client of the day sent: the function makes a try of such
+     * a request's id and path, or null.
+     */
+    public void serveStrangers(BiFunction<String, String, Try> maker) {
+        strangers = maker;
+    }
+
+    /** Forgets the orders before a time: a day without end must not grow. */
+    public void forget(long before) {
+        while (!orders.isEmpty() && orders.get(0).at < before) {
+            orders.remove(0).tries.forEach(t -> tries.remove(t.id));
+        }
+        samples.removeIf(s -> s.at < before);
     }
 
     void told(String proxy, String node, boolean leaving, long at) {
@@ -96,6 +116,16 @@
         return excused.getOrDefault(proxy, List.of()).stream().anyMatch(s -> s.meets(from, until));
     }
 
+    /** A proxy has ended, and nobody told it to. */
+    public void crashed(String proxy, String how, long at) {
+        crashes.add(new Happening(at, proxy + " ended by itself: " + how));
+        happened(at, proxy + " ended by itself: " + how);
+    }
+
+    public List<Happening> crashes() {
+        return crashes;
+    }
+
     void sample(Sample s) {
         samples.add(s);
     }
--- a/src/main/java/gullspar/rehearse/stage/Crowd.java
+++ b/src/main/java/gullspar/rehearse/stage/Crowd.java
@@ -36,6 +36,8 @@
     private static final int CONNECT_MS = 1000;
     /** A connection refused is dealt to another proxy, so often at the most. */
     private static final int DEALS = 3;
+    /** With less patience left than that no request is sent, in ns: no answer could come in time. */
+    private static final long LEAST_NS = 20_000_000L;
 
     private final Stage stage;
     private final Script script;
@@ -228,8 +230,12 @@
             t.sentAt = t.again ? t.sentAt : now;
             t.first = !used;
             used = true;
-            if (now >= t.deadline) {
-                giveUp();
+            if (now > t.deadline - LEAST_NS) {
+                // Connecting took all its patience: nothing is asked of the proxy any more.
+                current = null;
+                t.sentAt = 0;
+                idle.get(proxy).addLast(this);
+                ended(t, draw, Try.Ending.NOT_TAKEN, 0);
                 return;
             }
             patience = platform.loop().schedule(this::giveUp, t.deadline - now, TimeUnit.NANOSECONDS);
--- a/src/main/java/gullspar/rehearse/stage/Fleet.java
+++ b/src/main/java/gullspar/rehearse/stage/Fleet.java
@@ -95,8 +95,12 @@
         return agents.get(proxy).address();
     }
 
-    /** The list as it has come through to a proxy's machine, in discovery's form. */
+    /**
+     * The list as it has come through to a proxy's machine, in discovery's form: a proxy that starts is told
+     * it.
+     */
     public JsonNode known(String proxy) {
+        agents.get(proxy).toldAll();
         return agents.get(proxy).json();
     }
 
--- a/src/main/java/gullspar/rehearse/stage/Machine.java
+++ b/src/main/java/gullspar/rehearse/stage/Machine.java
@@ -72,11 +72,6 @@
         power = share;
     }
 
-    /** What it can do now, in ns of work in a ns, all cores together. */
-    double capacity() {
-        return cores * speed * power;
-    }
-
     /** Takes a job, to run or to wait; false if it is full. */
     boolean offer(Job j, long now) {
         advance(now);
--- a/src/main/java/gullspar/rehearse/stage/Node.java
+++ b/src/main/java/gullspar/rehearse/stage/Node.java
@@ -59,6 +59,8 @@
     private final Platform platform;
     private final SplittableRandom random;
     private final Machine cpu;
+    private final double speed;
+    private final Fitness fitness = new Fitness();
     private final KeyMemory keys;
     private final double connectNs;
     private final double saves;
@@ -94,6 +96,7 @@
         this.address = fleet.stage().address(machine);
         this.random = random;
         long now = fleet.stage().now();
+        this.speed = speed;
         this.cpu = new Machine(kind.cores(), speed, kind.slots(), kind.queue(), now);
         this.connectNs = kind.connectMs().draw(random) * 1e6;
         this.keys = new KeyMemory((long) (kind.keyMemoryS().draw(random) * 1e9), kind.keysMost());
@@ -174,6 +177,7 @@
 
     private void power() {
         cpu.power(hung ? 0 : (1 - taken) * warmth(), fleet.stage().now());
+        fitness.changed(fleet.stage().now(), couldDo());
         work();
     }
 
@@ -214,8 +218,8 @@
     }
 
     /**
-     * A cold node that was sent, over the time of the rule, more than the multiple of what it can do at that
-     * moment falls over.
+     * A cold node that was sent, over the time of the rule, more than the multiple of what it could do in
+     * that time falls over.
      */
     private void sent(double usualNs, long now) {
         if (warmth() >= 1) {
@@ -227,13 +231,19 @@
         while (sent.peek()[0] < now - window) {
             sentNs -= sent.remove()[1];
         }
-        if (sentNs > fleet.script().rules().tipMultiple() * Math.max(cpu.capacity(), 1e-9) * window) {
+        fitness.changed(now, couldDo());
+        if (sentNs > fleet.script().rules().tipMultiple() * fitness.over(window, now)) {
             fleet.chronicle().fell(id, now);
             end();
             fleet.fell(this);
         }
     }
 
+    /** In ns of work in a ns: what it is fit for now, also while it hangs and does nothing. */
+    private double couldDo() {
+        return cpu.cores() * speed * (1 - taken) * warmth();
+    }
+
     // ---- what it says of itself ----
 
     private void makeReport() {
@@ -279,6 +289,7 @@
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private Request current;
         private HttpRequest head;
+        private Try asked;
         private Attempt attempt;
         private boolean used;
         private boolean crowded;
@@ -314,10 +325,12 @@
             }
             if (message instanceof HttpRequest r) {
                 head = r;
-                Try t = fleet.chronicle().request(r.headers().get("Request-Id", ""));
+                Try t = fleet.chronicle().request(r.headers().get("Request-Id", ""), r.uri());
+                asked = t;
                 attempt = t == null ? null : new Attempt(id, site, fleet.stage().sentAt(c.channel()));
                 if (t != null) {
                     t.attempts.add(attempt);
+                    fleet.stage().peer(c.channel(), t.proxy);
                 }
             }
             if (message instanceof LastHttpContent) {
@@ -326,7 +339,7 @@
         }
 
         private void whole() {
-            Try t = fleet.chronicle().request(head.headers().get("Request-Id", ""));
+            Try t = asked;
             if (t == null) {
                 raw(plain(404, "", "no request of that id\n"));
                 return;
--- a/src/main/java/gullspar/rehearse/stage/Stage.java
+++ b/src/main/java/gullspar/rehearse/stage/Stage.java
@@ -18,6 +18,9 @@
     /** When the peer sent what is being read on a channel, as far as can be told; in ns. */
     long sentAt(Channel channel);
 
+    /** It has turned out whose connection a channel is. */
+    default void peer(Channel channel, String machine) { }
+
     /** The process of a stand-in's machine ends: its connections are reset and its listeners are gone. */
     void ended(String machine);
 }
--- /dev/null
+++ b/src/test/java/gullspar/cli/KitCommandsTest.java
@@ -0,0 +1,140 @@
+package gullspar.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.rehearse.Days;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.net.HttpURLConnection;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The kit's commands as they are used: exit codes, what is printed where. */
+@Timeout(120)
+class KitCommandsTest {
+    @TempDir
+    Path folder;
+
+    private String out;
+    private String err;
+
+    private int run(String... args) {
+        PrintStream realOut = System.out;
+        PrintStream realErr = System.err;
+        ByteArrayOutputStream o = new ByteArrayOutputStream();
+        ByteArrayOutputStream e = new ByteArrayOutputStream();
+        try {
+            System.setOut(new PrintStream(o, true, StandardCharsets.UTF_8));
+            System.setErr(new PrintStream(e, true, StandardCharsets.UTF_8));
+            return Tool.run(args);
+        } finally {
+            System.setOut(realOut);
+            System.setErr(realErr);
+            out = o.toString(StandardCharsets.UTF_8);
+            err = e.toString(StandardCharsets.UTF_8);
+        }
+    }
+
+    private String day(String name, String more) throws Exception {
+        return Files.writeString(folder.resolve(name), Days.text(3, more)).toString();
+    }
+
+    @Test
+    void aDayThatKeepsAllRulesIsQuietWithNobodyThere() throws Exception {
+        assertEquals(0, run("rehearse", day("day.toml", "")));
+        assertTrue(out.matches("decisions \\d+ sha256 [0-9a-f]{64}\\R"), out);
+        assertEquals("", err);
+    }
+
+    @Test
+    void aBrokenRuleIsToldWithTheCommandThatPlaysItAgain() throws Exception {
+        String day = day("day.toml", Days.fault("hang", 0.5, "for = 2\nnodes = 6")
+                + "[expect]\nservice = 1\n");
+        assertEquals(1, run("rehearse", day, "--seed", "5"));
+        assertTrue(err.startsWith("BROKEN: the script expects it"), err);
+        assertTrue(err.contains("play it again: ./gullspar rehearse " + day + " --seed 5"), err);
+    }
+
+    @Test
+    void aScriptWithErrorsIsNotPlayed() throws Exception {
+        assertEquals(2, run("rehearse", day("day.toml", "[rules]\ndrain_grace_s = 1\n")));
+        assertTrue(err.matches("\\S+day\\.toml:\\d+:1: rules: unknown key 'drain_grace_s'\\R"), err);
+        assertEquals("", out);
+        assertEquals(2, run("rehearse", folder.resolve("none.toml").toString()));
+        assertTrue(err.contains("there is no such file"), err);
+        assertEquals(2, run("rehearse"));
+        assertEquals(2, run("rehearse", day("day.toml", ""), "--live", "--log", "x"));
+    }
+
+    @Test
+    void logReportAndJsonAreWritten() throws Exception {
+        String day = day("day.toml", "");
+        String log = folder.resolve("a.log").toString();
+        String page = folder.resolve("a.html").toString();
+        assertEquals(0, run("rehearse", day, "--log", log, "--report", page, "--json"));
+        assertTrue(out.startsWith("{\"title\":"), out);
+        assertTrue(Files.readString(Path.of(page)).startsWith("<!doctype html>"));
+        assertEquals(0, run("rehearse", "diff", log, log));
+        assertEquals("", out);
+        String other = folder.resolve("b.log").toString();
+        assertEquals(0, run("rehearse", day, "--seed", "2", "--log", other));
+        assertEquals(1, run("rehearse", "diff", log, other));
+        assertTrue(out.contains("The first decision that differs:"), out);
+        assertEquals(2, run("rehearse", "diff", log, day));
+        assertTrue(err.contains("day.toml:1:1: this is no line of a decision log"), err);
+        assertEquals(2, run("rehearse", "diff", log, folder.resolve("none").toString()));
+    }
+
+    @Test
+    void faultsAreListedAndASearchSaysWhatItFound() throws Exception {
+        assertEquals(0, run("rehearse", "faults"));
+        assertTrue(out.lines().anyMatch(l -> l.startsWith("cut-link  (link, for)")), out);
+        String found = folder.resolve("found").toString();
+        assertEquals(0, run("rehearse", "search", day("day.toml", ""), "--seeds", "2", "--out", found));
+        assertEquals("0 found in 2 days\n", out);
+        assertEquals(1, run("rehearse", "search", day("day.toml",
+                "[search]\nkinds = [\"hang\"]\nbelow = 1\n"),
+                "--seeds", "2", "--out", found));
+        assertTrue(out.contains("found-service-"), out);
+    }
+
+    /** The first command of the README, as a process that is ended as by Ctrl-C. */
+    @Test
+    void tryStartsAllAndLeavesNothingBehind() throws Exception {
+        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"), "gullspar.Main", "try").redirectErrorStream(true)
+                        .start();
+        try (var in = p.inputReader()) {
+            List<String> lines = new ArrayList<>();
+            for (String l = in.readLine(); l != null && !l.startsWith("Ctrl-C"); l = in.readLine()) {
+                lines.add(l);
+            }
+            String curl = lines.stream().filter(l -> l.contains("curl ")).findFirst().orElseThrow();
+            String at = curl.substring(curl.indexOf("http://"));
+            var connection = (HttpURLConnection) new URL(at).openConnection();
+            connection.setRequestProperty("Request-Id", "by-hand");
+            connection.setRequestProperty("Request-Timeout", "10");
+            assertEquals(200, connection.getResponseCode());
+            List<ProcessHandle> daemons = p.children().toList();
+            assertFalse(daemons.isEmpty());
+            p.destroy();
+            assertTrue(p.waitFor(30, TimeUnit.SECONDS));
+            for (ProcessHandle d : daemons) {
+                d.onExit().get(30, TimeUnit.SECONDS);
+            }
+        } finally {
+            p.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/rehearse/script/ScriptWriterTest.java
@@ -0,0 +1,30 @@
+package gullspar.rehearse.script;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import gullspar.rehearse.Days;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What is written reads back as the same script. */
+class ScriptWriterTest {
+    @ParameterizedTest
+    @MethodSource("gullspar.rehearse.script.ScriptReaderTest#examples")
+    void theExamples(Path example) throws Exception {
+        Script s = ScriptReader.read(example);
+        assertEquals(s, ScriptReader.parse(ScriptWriter.write(s), "written.toml"));
+    }
+
+    @Test
+    void faultsOfEverySortAndOddTitles() {
+        Script s = Days.parse("title = \"a \\\"quote\\\", a \\\\ and a \\u0007\"\n" + Days.text(9,
+                Days.fault("crash", 1, "nodes = [\"n1\", \"n3\"]\ndown_s = 0.25") + Days.fault("pause", 2.5,
+                "for = 0.125\nproxies = 2") + Days.fault("heavy", 3, "for = 1\nclass = \"pay\"") + Days.fault(
+                "cut-link", 4, "for = 1\nfrom = \"discovery\"\nto = \"p2\"") + Days.fault("old-list", 5,
+                        "for = 1")
+                + "[expect]\nservice = 0.5\n[search]\nkinds = [\"crash\"]\nbelow = 0.25\n"));
+        assertEquals(s, Days.parse(ScriptWriter.write(s)));
+    }
+}
--- a/src/test/java/gullspar/rehearse/stage/MachineTest.java
+++ b/src/test/java/gullspar/rehearse/stage/MachineTest.java
@@ -77,6 +77,20 @@
         assertEquals(150, m.doneAt());
     }
 
+    @Test
+    void fitnessIsWhatItWasAllThatTime() {
+        Fitness f = new Fitness();
+        f.changed(0, 2);
+        assertEquals(200, f.over(100, 100));
+        assertEquals(20, f.over(10, 0), "as it began, before");
+        f.changed(100, 1);
+        assertEquals(150, f.over(100, 150));
+        f.changed(150, 0); // a moment ago it was fit
+        assertEquals(150, f.over(100, 150));
+        assertEquals(50, f.over(100, 200));
+        assertEquals(0, f.over(100, 260));
+    }
+
     @Test
     void keysAndRepeatsAreRememberedForTheirTime() {
         KeyMemory keys = new KeyMemory(100, 2);
