--- a/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
+++ b/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
@@ -9,6 +9,7 @@
 import gullspar.rehearse.record.LogDiff;
 import gullspar.rehearse.script.Script;
 import gullspar.rehearse.script.ScriptReader;
+import java.io.File;
 import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -16,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.UnaryOperator;
+import javax.tools.ToolProvider;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -51,11 +53,19 @@
     }
 
     private static String inAnotherProcess(Path script, String... options) throws Exception {
+        return inAnotherProcess(script, List.of(options), null);
+    }
+
+    private static String inAnotherProcess(Path script, List<String> options, Path log) throws Exception {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of(options));
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gullspar.Main", "rehearse",
-                script.toString()));
+        command.addAll(options.contains("-cp") ? List.of()
+                : List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(options);
+        command.addAll(List.of("gullspar.Main", "rehearse", script.toString()));
+        if (log != null) {
+            command.addAll(List.of("--log", log.toString()));
+        }
         Process p = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
         String out = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, p.waitFor(), out);
@@ -84,6 +94,30 @@
                 VirtualPlay.play(s.with(2), VirtualPlay.Options.plain()).hash());
     }
 
+    /** The module with one constant changed, compiled and put ahead on the class path of another process. */
+    @Test
+    void oneConstantOfThePolicyIsAnotherDay() throws Exception {
+        Path source = Files.createDirectories(folder.resolve("src")).resolve("Policy.java");
+        String policy = Files.readString(Path.of("src/main/java/gullspar/decide/Policy.java"));
+        assertTrue(policy.contains("ADMIT = 0.25;"));
+        Files.writeString(source, policy.replace("ADMIT = 0.25;", "ADMIT = 0.24;"));
+        Path classes = Files.createDirectories(folder.resolve("classes"));
+        assertEquals(0, ToolProvider.getSystemJavaCompiler().run(null, null, null, "-nowarn", "-cp",
+                System.getProperty("java.class.path"), "-d", classes.toString(), source.toString()));
+        Path script = folder.resolve("day.toml");
+        Files.writeString(script, Days.text(6, Days.fault("heavy", 1,
+                "for = 4\nclass = \"look\"\nshare = 0.2")));
+        Path a = folder.resolve("as-it-is.log");
+        Path b = folder.resolve("changed.log");
+        String before = inAnotherProcess(script, List.of(), a);
+        String after = inAnotherProcess(script, List.of("-cp", classes + File.pathSeparator
+                + System.getProperty("java.class.path")), b);
+        assertNotEquals(before, after);
+        List<String> diff = LogDiff.of(a, b);
+        assertTrue(diff.contains("The first decision that differs:"), diff.toString());
+        assertTrue(diff.stream().anyMatch(l -> l.startsWith("A: what p")), diff.toString());
+    }
+
     private String logged(Path to, UnaryOperator<Balancer.Factory> module) throws Exception {
         try (Writer w = Files.newBufferedWriter(to)) {
             return VirtualPlay.play(Days.small(4, ""), new VirtualPlay.Options(w, module, UnaryOperator
--- /dev/null
+++ b/src/test/java/gullspar/rehearse/play/SameInstantTest.java
@@ -0,0 +1,263 @@
+package gullspar.rehearse.play;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import gullspar.decide.Balancer;
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Member;
+import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.State;
+import gullspar.proxy.Proxy;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.Json;
+import gullspar.proxy.io.Platform;
+import gullspar.rehearse.Days;
+import gullspar.rehearse.net.Host;
+import gullspar.rehearse.net.Network;
+import gullspar.rehearse.time.Agenda;
+import gullspar.rehearse.time.VirtualLoop;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Two things that reach a proxy at the same virtual instant: over the seeds they happen in both orders, for
+ * one seed always in the same, and in each order nobody is answered twice or left without an answer. Every
+ * way takes 1 ms; the module does what the test says.
+ */
+class SameInstantTest {
+    private static final long MS = 1_000_000;
+    private static final long START = 1_000_000_000_000L;
+    private static final InetSocketAddress PROXY = new InetSocketAddress("127.1.0.1", 9000);
+    private static final InetSocketAddress NODE = new InetSocketAddress("127.1.0.2", 9000);
+    private static final InetSocketAddress DISCOVERY = new InetSocketAddress("127.1.0.3", 9000);
+    private static final String GET = "GET /look/1 HTTP/1.1\r\nRequest-Id: r1\r\nRequest-Timeout: 1\r\n\r\n";
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    private static final int SEEDS = 100;
+
+    /** A proxy between a client, a node and discovery, on an agenda of its own. */
+    private static final class Table {
+        private final Agenda agenda;
+        private final Network network;
+        private final List<String> seen = new ArrayList<>();
+        private final List<Throwable> slips = new ArrayList<>();
+        private final VirtualLoop others;
+        private Balancer.Actions actions;
+        private int node;
+        private ChannelHandlerContext atNode;
+        private ChannelHandlerContext atDiscovery;
+        private ChannelHandlerContext atClient;
+        private long timeoutNs = 500 * MS;
+        private long sentAt;
+
+        Table(long seed) throws Exception {
+            agenda = new Agenda(seed, START);
+            network = new Network(agenda, seed, (a, b) -> MS);
+            others = new VirtualLoop(agenda, slips::add);
+            VirtualLoop loop = new VirtualLoop(agenda, slips::add);
+            Host proxy = network.host("proxy");
+            proxy.runs(loop);
+            for (String name : List.of("client", "node", "discovery")) {
+                network.host(name).runs(others);
+            }
+            listen("node", NODE, ctx -> atNode = ctx);
+            listen("discovery", DISCOVERY, ctx -> atDiscovery = ctx);
+            runTo(1); // they listen before anybody asks
+            JsonNode known = Json.read(list(1, "in_service").getBytes(StandardCharsets.US_ASCII));
+            Config config = Config.parse(ProxySettings.of(Days.small(1, ""), 0, "p1", PROXY, DISCOVERY, 1,
+                    known),
+                    Map.of());
+            loop.execute(() -> Proxy.begin(config, new Platform(loop, agenda::now, network.transport(proxy),
+                    line -> { }), (settings, s, now, out) -> {
+                        actions = out;
+                        return new Module();
+                    }));
+            runTo(10);
+            network.transport(network.host("client")).to(PROXY).handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel c) {
+                    c.pipeline().addLast(new Peer("client", ctx -> atClient = ctx));
+                }
+            }).connect();
+            runTo(20);
+        }
+
+        static String list(int generation, String lifecycle) {
+            return "{\"generation\":" + generation + ",\"reset\":true,\"instances\":[{\"instanceId\":\"n1\","
+                    + "\"hostPort\":\"127.1.0.2:9000\",\"zone\":\"north\",\"machineType\":\"fast\",\"cell\":0,"
+                    + "\"lifecycle\":\"" + lifecycle + "\",\"weight\":1,\"startedAtMs\":0}]}";
+        }
+
+        private void listen(String name, InetSocketAddress at, Consumer<ChannelHandlerContext> to) {
+            network.transport(network.host(name)).at(at).childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel c) {
+                    c.pipeline().addLast(new Peer(name, to));
+                }
+            }).bind();
+        }
+
+        /** Up to so many ms from the start. */
+        void runTo(long ms) {
+            while (agenda.due(START + ms * MS)) {
+                agenda.step();
+            }
+            agenda.skipTo(START + ms * MS);
+            assertEquals(List.of(), slips);
+        }
+
+        /** At a time in ns on the agenda. */
+        void at(long ns, Runnable what) {
+            others.schedule(what, ns - agenda.now(), TimeUnit.NANOSECONDS);
+        }
+
+        static void write(ChannelHandlerContext to, String text) {
+            to.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        }
+
+        /** Notes what it reads, by its first word or two. */
+        private final class Peer extends SimpleChannelInboundHandler<ByteBuf> {
+            private final String name;
+            private final Consumer<ChannelHandlerContext> active;
+
+            Peer(String name, Consumer<ChannelHandlerContext> active) {
+                this.name = name;
+                this.active = active;
+            }
+
+            @Override
+            public void channelActive(ChannelHandlerContext ctx) {
+                active.accept(ctx);
+            }
+
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, ByteBuf b) {
+                String text = b.toString(StandardCharsets.US_ASCII);
+                if (text.startsWith("HTTP/1.1 ") || text.startsWith("GET /look")) {
+                    seen.add(name + " reads " + text.substring(0, 12).trim());
+                }
+            }
+        }
+
+        /** Sends everything to the one node while that is ready, and fails what does not come back. */
+        private final class Module implements Balancer {
+            private boolean ready;
+
+            @Override
+            public void onMembers(long now, ListKind kind, long version, List<Member> members) {
+                node = members.get(0).id();
+                ready = members.get(0).state() == State.READY;
+                seen.add(ready ? "ready" : "drains");
+            }
+
+            @Override
+            public void onRequest(long now, Request r) {
+                seen.add("request");
+                if (ready) {
+                    sentAt = now;
+                    actions.send(r.ticket(), node, timeoutNs);
+                } else {
+                    actions.refuse(r.ticket(), 0);
+                }
+            }
+
+            @Override
+            public void onStreamBegun(long now, int ticket, int attempt, int server, long elapsedNs) { }
+
+            @Override
+            public void onOutcome(long now, Outcome o) {
+                seen.add(o.status().name());
+                if (!o.over()) {
+                    actions.fail(o.ticket());
+                }
+            }
+
+            @Override
+            public void onWithdrawn(long now, int ticket) {
+                seen.add("withdrawn");
+            }
+
+            @Override
+            public void onTimer(long now, long token) { }
+        }
+    }
+
+    private interface Scene {
+        List<String> play(Table t) throws Exception;
+    }
+
+    /** Plays a scene with many seeds, each twice; how often each course of events was met. */
+    private static Map<String, Integer> courses(Scene scene) throws Exception {
+        Map<String, Integer> met = new TreeMap<>();
+        for (long seed = 0; seed < SEEDS; seed++) {
+            List<String> once = scene.play(new Table(seed));
+            assertEquals(once, scene.play(new Table(seed)), "seed " + seed);
+            met.merge(String.join(", ", once), 1, Integer::sum);
+        }
+        return met;
+    }
+
+    private static void bothOften(Map<String, Integer> met, String one, String other) {
+        assertEquals(2, met.size(), met.toString());
+        assertTrue(met.getOrDefault(one, 0) > SEEDS / 4 && met.getOrDefault(other, 0) > SEEDS / 4,
+                met.toString());
+    }
+
+    /** The node's answer comes at the very ns at which its time is up. */
+    @Test
+    void anAnswerAndATimeOut() throws Exception {
+        bothOften(courses(t -> {
+            t.timeoutNs = 50 * MS;
+            Table.write(t.atClient, GET);
+            t.runTo(40);
+            t.seen.clear();
+            t.at(t.sentAt + 49 * MS, () -> Table.write(t.atNode, OK));
+            t.runTo(2000);
+            return t.seen;
+        }), "OK, client reads HTTP/1.1 200", "TIMEOUT, client reads HTTP/1.1 502");
+    }
+
+    /** The news that the node drains and a request come at the same ns: once told, nothing goes there. */
+    @Test
+    void aDrainNoticeAndARequest() throws Exception {
+        bothOften(courses(t -> {
+            t.seen.clear();
+            t.at(START + 30 * MS, () -> Table.write(t.atClient, GET));
+            String line = Table.list(2, "terminating") + "\n";
+            t.at(START + 30 * MS, () -> Table.write(t.atDiscovery,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                    + "\r\n\r\n" + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n"));
+            t.runTo(40);
+            return t.seen;
+        }), "drains, request, client reads HTTP/1.1 503", "request, drains, node reads GET /look/1");
+    }
+
+    /** The client goes away at the very ns at which the answer is there for it. */
+    @Test
+    void aClientsCloseAndAnAnswer() throws Exception {
+        bothOften(courses(t -> {
+            Table.write(t.atClient, GET);
+            t.runTo(40);
+            t.seen.clear();
+            t.at(START + 59 * MS, () -> Table.write(t.atNode, OK));
+            t.at(START + 59 * MS, () -> t.atClient.close());
+            t.runTo(2000);
+            return t.seen;
+        }), "OK", "withdrawn, CANCELLED");
+    }
+}
