--- a/bench/rehearsal/live-and-virtual.sh
+++ b/bench/rehearsal/live-and-virtual.sh
@@ -9,7 +9,7 @@
 ./gullspar --version > /dev/null
 four() {
     for name in neighbour rush heavy shrink; do
-        java -jar target/gullspar.jar rehearse "examples/rehearsals/$name.toml" --json "$@" \
+        java -jar "${GULLSPAR_JAR:-target/gullspar.jar}" rehearse "examples/rehearsals/$name.toml" --json "$@" \
             > "$out/$name.$round.json" 2> "$out/$name.$round.err" &
     done
     wait
--- a/bench/rehearsal/ten-reruns.sh
+++ b/bench/rehearsal/ten-reruns.sh
@@ -20,7 +20,7 @@
 play -XX:TieredStopAtLevel=1
 play -Duser.language=tr -Duser.country=TR
 play -Duser.timezone=Asia/Kathmandu
-play -Xss2m -XX:hashCode=2
+play -Xss2m -XX:+UnlockExperimentalVMOptions -XX:hashCode=2
 play -Xint
 echo "all ten: $(( $(date +%s) - began )) s"
 echo "another seed:"
--- a/src/main/java/gullspar/cli/Rehearse.java
+++ b/src/main/java/gullspar/cli/Rehearse.java
@@ -134,7 +134,8 @@
         if (first.request() != null) {
             Story.of(first.request(), p.chronicle()).forEach(line -> System.err.println("  " + line));
         }
-        System.err.println("play it again: ./gullspar rehearse " + script + " --seed " + p.script().seed());
+        System.err.println("play it again: ./gullspar rehearse " + script + " --seed " + p.script().seed()
+                + (live ? " --live" : ""));
         return BROKEN;
     }
 
--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -8,6 +8,7 @@
 import gullspar.rehearse.stage.Try;
 import gullspar.rehearse.stage.Try.Attempt;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -19,13 +20,15 @@
  * expectations. The same for a day in virtual time and a live one; live, times are known less exactly.
  */
 public final class Judge {
-    private static final long WORST_NS = 10_000_000_000L;
+    private static final int WORST_S = 10;
     private static final long STEP_NS = 1_000_000_000L;
 
     private final Script script;
     private final Chronicle chronicle;
     private final long slackNs;
     private final List<Broken> broken = new ArrayList<>();
+    /** Service of the ten seconds from each second on. */
+    private final List<Double> windows = new ArrayList<>();
     private int twice;
 
     private Judge(Script script, Chronicle chronicle, long slackNs) {
@@ -58,18 +61,8 @@
                             null));
         }
         double service = service(chronicle.orders());
-        long worstFrom = chronicle.start();
-        double worst = service;
-        long end = chronicle.start() + (long) (script.seconds() * 1e9);
-        for (long from = chronicle.start(); from + WORST_NS <= end; from += STEP_NS) {
-            long a = from;
-            double s = service(chronicle.orders().stream().filter(o -> o.at >= a && o.at < a + WORST_NS)
-                    .toList());
-            if (s < worst) {
-                worst = s;
-                worstFrom = from;
-            }
-        }
+        int worstFrom = worstFrom();
+        double worst = worstFrom < 0 ? service : windows.get(worstFrom);
         String worstClass = "";
         double worstShare = 2;
         for (Script.RequestClass c : script.classes()) {
@@ -83,10 +76,30 @@
         expected("worst_10s", worst);
         expected("worst_class", worstShare);
         broken.sort(Comparator.comparingLong(Broken::at));
-        return new Verdict(List.copyOf(broken), service, worst, worstFrom - chronicle.start(), worstShare,
+        return new Verdict(List.copyOf(broken), service, worst, Math.max(0, worstFrom) * STEP_NS, worstShare,
                 worstClass, counts(), chronicle.orders().size(), twice);
     }
 
+    /** The second from which service was worst for ten; -1 on a day that is shorter. */
+    private int worstFrom() {
+        int seconds = (int) script.seconds();
+        double[] asked = new double[seconds + 1];
+        double[] served = new double[seconds + 1];
+        for (Order o : chronicle.orders()) {
+            int at = (int) Math.max(0, Math.min(seconds, (o.at - chronicle.start()) / STEP_NS));
+            asked[at] += o.kind.worth();
+            served[at] += o.inTime() ? o.kind.worth() : 0;
+        }
+        int worst = -1;
+        for (int from = 0; from + WORST_S <= seconds; from++) {
+            double a = Arrays.stream(asked, from, from + WORST_S).sum();
+            double s = Arrays.stream(served, from, from + WORST_S).sum();
+            windows.add(a == 0 ? 1 : s / a);
+            worst = worst < 0 || windows.get(from) < windows.get(worst) ? from : worst;
+        }
+        return worst;
+    }
+
     private void expected(String name, double share) {
         Double least = script.expect().get(name);
         if (least != null && share < least) {
@@ -144,6 +157,9 @@
     // ---- the rules ----
 
     private void oneAnswer(Try t) {
+        if (t.status == 200 && t.attempts.stream().noneMatch(a -> a.startedAt != 0)) {
+            broken(Rule.ONE_ANSWER, t.endedAt, t, "it was served, and no node had worked on it");
+        }
         if (t.wrong != null) {
             broken(Rule.ONE_ANSWER, t.endedAt, t, t.wrong);
         }
--- a/src/main/java/gullspar/rehearse/live/DaemonProcess.java
+++ b/src/main/java/gullspar/rehearse/live/DaemonProcess.java
@@ -74,6 +74,11 @@
         process.toHandle().destroyForcibly(); // not by the process itself, which closes its log as well
     }
 
+    /** Waits until a process that was killed is gone. */
+    void awaitEnd() {
+        process.onExit().join();
+    }
+
     /** SIGTERM. */
     void stop() {
         process.toHandle().destroy();
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -193,6 +193,7 @@
             killAll();
             transports.values().forEach(LiveTransport::reset);
         });
+        daemons.values().forEach(DaemonProcess::awaitEnd);
         loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
         try {
             Runtime.getRuntime().removeShutdownHook(atExit);
@@ -268,6 +269,7 @@
         ending.remove(name);
         String who = life == 1 ? name : name + "." + life;
         try {
+            cast.fleet().startsKnowing(name);
             DaemonProcess d = DaemonProcess.start(folder, name, settings(name), script.proxies().memoryMb(),
                     line -> loop.execute(() -> say(who, line)));
             daemons.put(name, d);
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -230,6 +230,7 @@
                 new Platform(life.loop, agenda::now, network.transport(host), line -> say(who, line)));
         long warm = (long) (script.proxies().startS() * 1e9);
         life.loop.schedule(() -> {
+            cast.fleet().startsKnowing(name);
             life.proxy = Proxy.begin(config(name, number), platform,
                     decisions.tap(who, options.module().apply(Policy::new)));
             // The front looks at it from now on.
--- a/src/main/java/gullspar/rehearse/record/DecisionLog.java
+++ b/src/main/java/gullspar/rehearse/record/DecisionLog.java
@@ -13,9 +13,11 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.function.IntFunction;
 import java.util.function.LongSupplier;
 
@@ -142,6 +144,7 @@
     private final class Done implements Actions {
         private final String who;
         private final Actions out;
+        private final Map<Integer, Integer> attempts = new HashMap<>();
 
         Done(String who, Actions out) {
             this.who = who;
@@ -150,7 +153,9 @@
 
         @Override
         public void send(int ticket, int server, long timeoutNs) {
-            line(who, "Send t=" + ticket + " n=" + nodes.apply(server) + " timeout=" + timeoutNs);
+            int attempt = attempts.merge(ticket, 1, Integer::sum) - 1;
+            line(who, "Send t=" + ticket + " a=" + attempt + " n=" + nodes.apply(server) + " timeout="
+                    + timeoutNs);
             out.send(ticket, server, timeoutNs);
         }
 
--- a/src/main/java/gullspar/rehearse/record/Knowledge.java
+++ b/src/main/java/gullspar/rehearse/record/Knowledge.java
@@ -1,9 +1,11 @@
 package gullspar.rehearse.record;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** What each proxy knew at a moment, put together again from the lines of a decision log up to there. */
@@ -20,9 +22,8 @@
     }
 
     private final Map<String, Map<String, Node>> byProxy = new TreeMap<>();
-    /** Where each attempt that is out went, by proxy, ticket and number. */
-    private final Map<String, String> out = new TreeMap<>();
-    private final Map<String, Integer> sent = new TreeMap<>();
+    /** The attempts that are out: proxy, ticket and number. */
+    private final Set<String> out = new HashSet<>();
 
     /** Takes in one line. */
     void take(Entry e) {
@@ -30,9 +31,7 @@
         switch (e.what()) {
             case "list" -> list(nodes, e.text());
             case "Send" -> {
-                String ticket = e.who() + ' ' + e.field("t");
-                int number = sent.merge(ticket, 1, Integer::sum) - 1;
-                out.put(ticket + ' ' + number, e.field("n"));
+                out.add(e.who() + ' ' + e.field("t") + ' ' + e.field("a"));
                 nodes.computeIfAbsent(e.field("n"), n -> new Node()).out++;
             }
             case "outcome" -> outcome(nodes, e);
@@ -55,7 +54,7 @@
 
     private void outcome(Map<String, Node> nodes, Entry e) {
         Node n = nodes.computeIfAbsent(e.field("n"), k -> new Node());
-        if (out.remove(e.who() + ' ' + e.field("t") + ' ' + e.field("a")) != null) {
+        if (out.remove(e.who() + ' ' + e.field("t") + ' ' + e.field("a"))) {
             n.out--;
         }
         String ms = String.format(Locale.ROOT, "%.1f ms", Long.parseLong(e.field("ns")) / 1e6);
--- a/src/main/java/gullspar/rehearse/search/Draw.java
+++ b/src/main/java/gullspar/rehearse/search/Draw.java
@@ -44,7 +44,7 @@
                 .nextDouble())) / 10);
         Map<String, Double> figures = new LinkedHashMap<>();
         for (Figure f : kind.figures()) {
-            double spread = Math.pow(SPREAD, 2 * r.nextDouble() - 1);
+            double spread = StrictMath.pow(SPREAD, 2 * r.nextDouble() - 1);
             double value = Math.max(f.least(), Math.min(f.most(), f.usual() * spread));
             figures.put(f.name(), Math.max(f.least(), Math.min(f.most(), Math.rint(value * 1000) / 1000)));
         }
--- a/src/main/java/gullspar/rehearse/stage/Agent.java
+++ b/src/main/java/gullspar/rehearse/stage/Agent.java
@@ -62,6 +62,7 @@
     private InetSocketAddress address;
     private int moves;
     private boolean silent;
+    private boolean down;
 
     Agent(String proxy, Stage stage, Chronicle chronicle) {
         this.proxy = proxy;
@@ -77,7 +78,11 @@
     }
 
     void open() {
-        address = stage.address(machine + " " + proxy + (moves == 0 ? "" : " " + moves));
+        address = stage.address(machine + " " + proxy);
+        listen();
+    }
+
+    private void listen() {
         listener = platform.transport().at(address).childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel c) {
@@ -95,16 +100,20 @@
         Set<Watch> left = new LinkedHashSet<>(watches);
         listener.close();
         moves++;
-        open();
+        address = stage.address(machine + " " + proxy + " " + moves);
+        if (!down) {
+            listen();
+        }
         platform.loop().schedule(() -> left.forEach(Watch::close), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     void down(boolean on) {
+        down = on;
         if (on) {
             listener.close();
-            Set.copyOf(watches).forEach(Watch::close);
+            List.copyOf(watches).forEach(Watch::close); // in order: a copied set has none
         } else {
-            open();
+            listen();
         }
     }
 
--- a/src/main/java/gullspar/rehearse/stage/Fleet.java
+++ b/src/main/java/gullspar/rehearse/stage/Fleet.java
@@ -95,15 +95,16 @@
         return agents.get(proxy).address();
     }
 
-    /**
-     * The list as it has come through to a proxy's machine, in discovery's form: a proxy that starts is told
-     * it.
-     */
+    /** The list as it has come through to a proxy's machine, in discovery's form. */
     public JsonNode known(String proxy) {
-        agents.get(proxy).toldAll();
         return agents.get(proxy).json();
     }
 
+    /** A proxy starts with the list as it is known there: it has been told what that says. */
+    public void startsKnowing(String proxy) {
+        agents.get(proxy).toldAll();
+    }
+
     private Node run(String machine, String id, long bootNs) {
         Node node = new Node(this, id, machine, sites.get(machine), 0, kinds.get(machine),
                 speeds.get(machine),
--- a/src/main/java/gullspar/rehearse/stage/Node.java
+++ b/src/main/java/gullspar/rehearse/stage/Node.java
@@ -3,20 +3,11 @@
 import gullspar.decide.Balancer.Effect;
 import gullspar.proxy.io.Platform;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Try.Attempt;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.LastHttpContent;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.Deque;
 import java.util.Locale;
 import java.util.SplittableRandom;
@@ -111,7 +102,7 @@
         platform.transport().at(address).childHandler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel c) {
-                c.pipeline().addLast(new HttpRequestDecoder(), new Connection());
+                c.pipeline().addLast(new HttpRequestDecoder(), new NodeConnection(Node.this));
             }
         }).bind();
         power();
@@ -188,7 +179,8 @@
         }
         long now = fleet.stage().now();
         for (Machine.Job j = cpu.done(now); j != null; j = cpu.done(now)) {
-            ((Connection.Request) j.what).done();
+            ((NodeRequest) j.what).done(now);
+            served++;
             startNext(now);
         }
         long next = cpu.doneAt();
@@ -206,12 +198,11 @@
 
     private void startNext(long now) {
         for (Machine.Job j = cpu.next(); j != null; j = cpu.next()) {
-            Connection.Request r = (Connection.Request) j.what;
-            if (now > r.until) {
+            NodeRequest r = (NodeRequest) j.what;
+            if (r.late(now)) {
                 r.turnAway(504);
             } else {
-                r.attempt.startedAt = now;
-                r.attempt.state = r.repeat ? Attempt.State.REPEAT : Attempt.State.RUNS;
+                r.started(now);
                 cpu.begin(j, now);
             }
         }
@@ -286,222 +277,90 @@
 
     // ---- connections ----
 
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
-        private Request current;
-        private HttpRequest head;
-        private Try asked;
-        private Attempt attempt;
-        private boolean used;
-        private boolean crowded;
-        private ChannelHandlerContext ctx;
-
-        @Override
-        public void channelActive(ChannelHandlerContext c) {
-            ctx = c;
-            crowded = ++connections > kind.connections();
-        }
+    /** One more connection; true if that is more than the node takes. */
+    boolean connected() {
+        return ++connections > kind.connections();
+    }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext c) {
-            connections--;
-            if (current != null && up) {
-                current.abandoned();
-            }
-        }
+    void disconnected() {
+        connections--;
+    }
 
-        @Override
-        public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
-            c.close();
-        }
+    // ---- requests ----
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext c, HttpObject message) {
-            if (!up) {
-                return;
-            }
-            if (message.decoderResult().isFailure()) {
-                c.close();
-                return;
-            }
-            if (message instanceof HttpRequest r) {
-                head = r;
-                Try t = fleet.chronicle().request(r.headers().get("Request-Id", ""), r.uri());
-                asked = t;
-                attempt = t == null ? null : new Attempt(id, site, fleet.stage().sentAt(c.channel()));
-                if (t != null) {
-                    t.attempts.add(attempt);
-                    fleet.stage().peer(c.channel(), t.proxy);
-                }
-            }
-            if (message instanceof LastHttpContent) {
-                whole();
-            }
-        }
+    /** A request has come whole: so much work, by its class, was sent to this node. */
+    void wasSent(Order o) {
+        sent(o.kind.workMs().middle() * 1e6, fleet.stage().now());
+    }
 
-        private void whole() {
-            Try t = asked;
-            if (t == null) {
-                raw(plain(404, "", "no request of that id\n"));
-                return;
-            }
-            long now = fleet.stage().now();
-            attempt.wholeAt = now;
-            current = new Request(t, attempt, now + timeoutNs());
-            sent(t.order.kind.workMs().middle() * 1e6, now);
-            if (up && !hung) {
-                current.take(now);
-            }
-            used = true;
-        }
+    boolean hung() {
+        return hung;
+    }
 
-        private long timeoutNs() {
-            try {
-                return (long) (Double.parseDouble(head.headers().get("Request-Timeout", "60")) * 1e9);
-            } catch (NumberFormatException e) {
-                return 0;
-            }
+    /** Takes a request to run or to wait; false if all places are taken. */
+    boolean take(NodeRequest r, boolean newConnection) {
+        long now = fleet.stage().now();
+        if (cpu.held() >= kind.slots() + kind.queue()) {
+            return false;
         }
-
-        private void raw(byte[] bytes) {
-            ctx.writeAndFlush(Unpooled.wrappedBuffer(bytes));
+        Order o = r.order();
+        double work = o.workNs * (keys.remembers(o.key, now) ? 1 - saves : 1);
+        boolean keyed = o.kind.effect() == Effect.DEDUPLICATED;
+        boolean repeat = keyed && fleet.repeats(o.kind, this).repeat(o.idempotencyKey(), now);
+        work = (repeat ? work * REPEAT_SHARE : work) + (newConnection ? connectNs : 0);
+        Machine.Job job = new Machine.Job(r, work);
+        r.taken(job, repeat);
+        cpu.offer(job, now);
+        if (job.running()) {
+            r.started(now);
         }
+        work();
+        return true;
+    }
 
-        private byte[] plain(int status, String headers, String body) {
-            return ("HTTP/1.1 " + status + " Status\r\nServer-Load: " + report + "\r\n" + headers
-                    + "Content-Length: " + body.length() + "\r\n\r\n" + body)
-                            .getBytes(StandardCharsets.US_ASCII);
+    /** The sender of a request has gone: waiting work is dropped, running work where that stops. */
+    void abandoned(NodeRequest r) {
+        if (r.running() && kind.cancelled() == Script.Cancelled.GOES_ON) {
+            return;
         }
+        long now = fleet.stage().now();
+        if (!r.repeat()) {
+            fleet.repeats(r.order().kind, this).forget(r.order().idempotencyKey()); // it takes no effect
+        }
+        cpu.drop(r.dropped(now), now);
+        startNext(now);
+        work();
+    }
 
-        /** One request that is here whole. */
-        private final class Request {
-            private final Try request;
-            private final Attempt attempt;
-            /** When its sender stops waiting. */
-            private final long until;
-            private Machine.Job job;
-            private boolean repeat;
-
-            Request(Try request, Attempt attempt, long until) {
-                this.request = request;
-                this.attempt = attempt;
-                this.until = until;
-            }
-
-            void take(long now) {
-                if (crowded) {
-                    turnAway(503);
-                    return;
-                }
-                Order o = request.order;
-                double work = o.workNs * (keys.remembers(o.key, now) ? 1 - saves : 1);
-                boolean keyed = o.kind.effect() == Effect.DEDUPLICATED;
-                if (cpu.held() >= kind.slots() + kind.queue()) {
-                    turnAway(503);
-                    return;
-                }
-                repeat = keyed && fleet.repeats(o.kind, Node.this).repeat(o.idempotencyKey(), now);
-                work = (repeat ? work * REPEAT_SHARE : work) + (used ? 0 : connectNs);
-                job = new Machine.Job(this, work);
-                attempt.state = Attempt.State.WAITS;
-                cpu.offer(job, now);
-                if (job.running()) {
-                    attempt.startedAt = now;
-                    attempt.state = repeat ? Attempt.State.REPEAT : Attempt.State.RUNS;
-                }
-                work();
-            }
-
-            void turnAway(int status) {
-                attempt.state = Attempt.State.TURNED_AWAY;
-                attempt.endedAt = fleet.stage().now();
-                current = null;
-                raw(plain(status, "Not-Started: 1\r\n", ""));
-            }
+    /** How the answer to a request that is done goes out. */
+    Spoils.How how() {
+        if (spoilt > 0 && random.nextDouble() < spoilt) {
+            errors++;
+            return Spoils.How.values()[random.nextInt(Spoils.How.values().length)];
+        }
+        return null;
+    }
 
-            /** Its sender has gone. */
-            void abandoned() {
-                if (job == null || attempt.endedAt != 0) {
-                    return;
-                }
-                boolean ran = job.running();
-                if (!ran || kind.cancelled() == Script.Cancelled.STOPS) {
-                    attempt.state = Attempt.State.DROPPED;
-                    attempt.endedAt = fleet.stage().now();
-                    cpu.drop(job, attempt.endedAt);
-                    startNext(attempt.endedAt);
-                    work();
-                }
-            }
+    /** Bytes a second of an answer; 0 for all at once. */
+    double trickle() {
+        return trickle;
+    }
 
-            void done() {
-                attempt.endedAt = fleet.stage().now();
-                if (!repeat) {
-                    request.order.effects++;
-                }
-                attempt.state = repeat ? Attempt.State.REPEAT : Attempt.State.SERVED;
-                served++;
-                current = null;
-                if (!ctx.channel().isActive()) {
-                    return;
-                }
-                String body = body(request.id, id, kind.answerBytes());
-                byte[] answer = plain(200, "", body);
-                if (spoilt > 0 && random.nextDouble() < spoilt) {
-                    errors++;
-                    attempt.state = Attempt.State.FAILED;
-                    spoil(answer);
-                } else if (trickle > 0) {
-                    trickle(answer, 0);
-                } else {
-                    raw(answer);
-                }
-            }
+    /** What it says of its load, as it was some time ago. */
+    String report() {
+        return report;
+    }
 
-            private void spoil(byte[] answer) {
-                switch (random.nextInt(6)) {
-                    case 0 -> raw("\u0001\u0002 noise that is no answer\r\n\r\n"
-                            .getBytes(StandardCharsets.US_ASCII));
-                    case 1 -> raw("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nspoilt".getBytes(
-                            StandardCharsets.US_ASCII));
-                    case 2 -> raw(("HTTP/1.1 200 OK\r\nX: " + "x".repeat(20_000)).getBytes(
-                            StandardCharsets.US_ASCII));
-                    case 3 -> {
-                        raw(Arrays.copyOf(answer, answer.length / 2));
-                        ctx.close();
-                    }
-                    case 4 -> {
-                        raw(answer);
-                        raw("more than belongs to it".getBytes(StandardCharsets.US_ASCII));
-                    }
-                    default -> {
-                        raw("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n".getBytes(
-                                StandardCharsets.US_ASCII));
-                        endless();
-                    }
-                }
-            }
+    Stage stage() {
+        return fleet.stage();
+    }
 
-            private void endless() {
-                if (ctx.channel().isActive() && up) {
-                    if (ctx.channel().isWritable()) {
-                        raw(new byte[16 << 10]);
-                    }
-                    platform.loop().schedule(this::endless, 1, TimeUnit.MILLISECONDS);
-                }
-            }
+    Chronicle chronicle() {
+        return fleet.chronicle();
+    }
 
-            private void trickle(byte[] answer, int from) {
-                if (!ctx.channel().isActive() || !up) {
-                    return;
-                }
-                int n = Math.max(1, (int) (trickle / 100));
-                int to = Math.min(answer.length, from + n);
-                raw(Arrays.copyOfRange(answer, from, to));
-                if (to < answer.length) {
-                    platform.loop().schedule(() -> trickle(answer, to), 10, TimeUnit.MILLISECONDS);
-                }
-            }
-        }
+    Platform platform() {
+        return platform;
     }
 
     /** The body of an answer: it names its request and its node, and is of a size. */
--- a/src/main/java/gullspar/rehearse/stage/Repeats.java
+++ b/src/main/java/gullspar/rehearse/stage/Repeats.java
@@ -21,4 +21,9 @@
         }
         return met.putIfAbsent(key, now) != null;
     }
+
+    /** What was met of it took no effect after all. */
+    void forget(String key) {
+        met.remove(key);
+    }
 }
--- a/src/test/java/gullspar/rehearse/play/SameInstantTest.java
+++ b/src/test/java/gullspar/rehearse/play/SameInstantTest.java
@@ -99,8 +99,8 @@
 
         static String list(int generation, String lifecycle) {
             return "{\"generation\":" + generation + ",\"reset\":true,\"instances\":[{\"instanceId\":\"n1\","
-                    + "\"hostPort\":\"127.1.0.2:9000\",\"zone\":\"north\",\"machineType\":\"fast\",\"cell\":0,"
-                    + "\"lifecycle\":\"" + lifecycle + "\",\"weight\":1,\"startedAtMs\":0}]}";
+                    + "\"hostPort\":\"127.1.0.2:9000\",\"zone\":\"north\",\"machineType\":\"fast\","
+                    + "\"cell\":0,\"lifecycle\":\"" + lifecycle + "\",\"weight\":1,\"startedAtMs\":0}]}";
         }
 
         private void listen(String name, InetSocketAddress at, Consumer<ChannelHandlerContext> to) {
