--- a/src/main/java/gullspar/cli/Rehearse.java
+++ b/src/main/java/gullspar/cli/Rehearse.java
@@ -15,13 +15,16 @@
 import gullspar.rehearse.script.ScriptReader;
 import java.io.IOException;
 import java.io.Writer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -73,6 +76,8 @@
             System.err.println(e.getMessage());
         } catch (NoSuchFileException e) {
             System.err.println(file + ": there is no such file");
+        } catch (CharacterCodingException e) {
+            System.err.println(file + ": is not UTF-8 text");
         } catch (IOException e) {
             System.err.println(file + ": cannot be read: " + e.getMessage());
         }
@@ -89,6 +94,13 @@
             return WRONG;
         }
         s = seed == null ? s : s.with((long) seed);
+        for (Path p : Stream.of(log, report).filter(Objects::nonNull).toList()) {
+            // Said before a day is played, not after.
+            if (!Files.isDirectory(p.toAbsolutePath().getParent()) || Files.isDirectory(p)) {
+                throw new ParameterException(spec.commandLine(), p
+                        + " cannot be written: no such folder, or one");
+            }
+        }
         Terminal terminal = new Terminal();
         Played played;
         if (live && log != null) {
@@ -178,6 +190,8 @@
                 System.err.println(e.getMessage());
             } catch (NoSuchFileException e) {
                 System.err.println(e.getMessage() + ": there is no such file");
+            } catch (CharacterCodingException e) {
+                System.err.println("one of the two is not UTF-8 text");
             } catch (IOException e) {
                 System.err.println("cannot be read: " + e.getMessage());
             }
--- a/src/main/java/gullspar/cli/SearchDays.java
+++ b/src/main/java/gullspar/cli/SearchDays.java
@@ -9,8 +9,11 @@
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
 
 /** Looks for days that break a rule. */
 @Command(name = "search", mixinStandardHelpOptions = true, description = {
@@ -22,6 +25,9 @@
         exitCodeList = {"0:nothing was found", "1:something was found, or it could not be searched",
             "2:wrong usage, or a script with errors"})
 final class SearchDays implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
     @Parameters(paramLabel = "SCRIPT", description = "The fleet and, in [search], what may be drawn.")
     private Path script;
 
@@ -38,6 +44,9 @@
 
     @Override
     public Integer call() {
+        if (seeds < 1 || jobs != null && jobs < 1) {
+            throw new ParameterException(spec.commandLine(), "--seeds and --jobs are 1 or more");
+        }
         Script s = Rehearse.read(script);
         if (s == null) {
             return Rehearse.WRONG;
@@ -58,8 +67,7 @@
                 });
         Runtime.getRuntime().addShutdownHook(new Thread(search::stop));
         try {
-            int found = search.run(jobs == null ? Runtime.getRuntime().availableProcessors() : Math.max(1,
-                    jobs));
+            int found = search.run(jobs == null ? Runtime.getRuntime().availableProcessors() : jobs);
             terminal.clear();
             System.out.println(found + " found in " + seeds + " days");
             return found == 0 ? 0 : Rehearse.BROKEN;
--- a/src/main/java/gullspar/rehearse/script/Fields.java
+++ b/src/main/java/gullspar/rehearse/script/Fields.java
@@ -69,7 +69,7 @@
     }
 
     private void missing(String key) {
-        problem(place, name + ": " + key + " is missing");
+        problem(place, (name.isEmpty() ? "" : name + ": ") + key + " is missing");
     }
 
     private static String kind(Object value) {
--- a/src/test/java/gullspar/cli/KitCommandsTest.java
+++ b/src/test/java/gullspar/cli/KitCommandsTest.java
@@ -73,6 +73,13 @@
         assertEquals(2, run("rehearse", folder.resolve("none.toml").toString()));
         assertTrue(err.contains("there is no such file"), err);
         assertEquals(2, run("rehearse"));
+        assertEquals(2, run("rehearse", Files.write(folder.resolve("bytes"), new byte[] {(byte) 0xff})
+                .toString()));
+        assertTrue(err.contains("is not UTF-8 text"), err);
+        assertEquals(2, run("rehearse", day("day.toml", ""), "--report", folder.resolve("none/x")
+                .toString()));
+        assertTrue(err.contains("cannot be written"), err);
+        assertEquals(2, run("rehearse", "search", day("day.toml", ""), "--seeds", "0"));
         assertEquals(2, run("rehearse", day("day.toml", ""), "--live", "--log", "x"));
     }
 
