Routing begins: hosts, paths and who of a pool is listed; nginx's syntax is read

Need: a shop that moves here from nginx has its routing in upstream and location blocks; the daemon has one pool and no routes. Change: gullspar.route, pure as the module is (a test holds that): virtual hosts by exact name, wildcards and regular expressions, places by exact path, longest prefix (a radix tree), prefix that ends the search, regular expression and nesting; who of a pool is listed: backups, failure limits, slow start. gullspar.nginx reads any file of nginx's configuration with its includes, all problems at once with file:line:column, the line and a caret. Nothing uses them yet.

--- /dev/null
+++ b/src/main/java/gullspar/route/Hosts.java
@@ -0,0 +1,102 @@
+package gullspar.route;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.regex.Pattern;
+
+/**
+ * Which virtual host a request is for, by its Host. In this order: the name itself; the longest wildcard at
+ * the beginning (*.example.org); the longest at the end (shop.*); the first regular expression that is found
+ * in it; the default. Names are compared without regard to case; a port and a dot at the end do not count.
+ */
+public final class Hosts<T> {
+    /** What was found, and why. */
+    public record Found<T>(T host, String why) { }
+
+    private record Regex<T>(Pattern pattern, T host) { }
+
+    private final Map<String, T> exact = new HashMap<>();
+    private final Map<String, T> leading = new HashMap<>();
+    private final Map<String, T> trailing = new HashMap<>();
+    private final List<Regex<T>> regexes = new ArrayList<>();
+    private T otherwise;
+
+    /**
+     * Adds a name: exact, *.suffix, .suffix (the name itself and all below it) or prefix.*. False if the same
+     * is there already; an IllegalArgumentException for a star elsewhere.
+     */
+    public boolean add(String name, T host) {
+        String n = name.toLowerCase(Locale.ROOT);
+        if (n.startsWith("*.")) {
+            return leading.putIfAbsent(plain(n, n.substring(2)), host) == null;
+        }
+        if (n.startsWith(".")) {
+            boolean fresh = exact.putIfAbsent(plain(n, n.substring(1)), host) == null;
+            return leading.putIfAbsent(n.substring(1), host) == null && fresh;
+        }
+        if (n.endsWith(".*")) {
+            return trailing.putIfAbsent(plain(n, n.substring(0, n.length() - 2)), host) == null;
+        }
+        return exact.putIfAbsent(plain(n, n), host) == null;
+    }
+
+    private static String plain(String name, String part) {
+        if (part.isEmpty() || part.contains("*")) {
+            throw new IllegalArgumentException("'" + name + "' has a wildcard where none can be");
+        }
+        return part;
+    }
+
+    /** Adds a regular expression; they are tried in the order in which they were added. */
+    public void add(Pattern pattern, T host) {
+        regexes.add(new Regex<>(pattern, host));
+    }
+
+    /** For whatever no name fits. */
+    public void otherwise(T host) {
+        otherwise = host;
+    }
+
+    /**
+     * The host without its port, in small letters, with no dot at the end; an IPv6 address keeps its
+     * brackets.
+     */
+    public static String name(String host) {
+        int from = host.startsWith("[") ? host.indexOf(']') : 0;
+        int colon = host.indexOf(':', Math.max(0, from));
+        String name = colon < 0 ? host : host.substring(0, colon);
+        name = name.endsWith(".") ? name.substring(0, name.length() - 1) : name;
+        return name.toLowerCase(Locale.ROOT);
+    }
+
+    /** Null only where there is no default. */
+    public Found<T> find(String host) {
+        String name = host == null ? "" : name(host);
+        T found = exact.get(name);
+        if (found != null) {
+            return new Found<>(found, "its name is " + name);
+        }
+        for (int dot = name.indexOf('.'); dot >= 0 && !leading.isEmpty(); dot = name.indexOf('.', dot + 1)) {
+            found = leading.get(name.substring(dot + 1));
+            if (found != null && dot > 0) {
+                return new Found<>(found, "*" + name.substring(dot) + " fits it");
+            }
+        }
+        for (int dot = name.lastIndexOf('.'); dot > 0 && !trailing.isEmpty(); dot = name.lastIndexOf('.',
+                dot - 1)) {
+            found = trailing.get(name.substring(0, dot));
+            if (found != null) {
+                return new Found<>(found, name.substring(0, dot) + ".* fits it");
+            }
+        }
+        for (Regex<T> r : regexes) {
+            if (r.pattern.matcher(name).find()) {
+                return new Found<>(r.host, "~" + r.pattern + " is found in it");
+            }
+        }
+        return otherwise == null ? null : new Found<>(otherwise, "no name fits it: the default");
+    }
+}
--- a/src/test/java/gullspar/ArchitectureTest.java
+++ b/src/test/java/gullspar/ArchitectureTest.java
@@ -39,6 +39,17 @@
                 .orShould().callMethod(System.class, "identityHashCode", Object.class).check(ALL);
     }
 
+    /** Who is listed and which route is taken: decisions too, beside the module. */
+    @Test
+    void routingDecidesWithoutInputOutputOrClock() {
+        classes().that().resideInAPackage("gullspar.route..").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("gullspar.route..", "java.lang..", "java.util", "java.util.regex",
+                        "java.util.function", "java.util.stream").check(ALL);
+        noClasses().that().resideInAPackage("gullspar.route..").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(Math.class, "random").check(ALL);
+    }
+
     /** The daemon is shipped and started without the kit, the simulator's wire and the command line. */
     @Test
     void theDaemonDependsOnNothingAboveIt() {
--- /dev/null
+++ b/src/test/java/gullspar/route/PathsTest.java
@@ -0,0 +1,127 @@
+package gullspar.route;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.route.Paths.Kind;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/** Which place a path belongs to. */
+class PathsTest {
+    private final Paths<String> paths = new Paths<>();
+
+    private String find(String path) {
+        Paths.Found<String> f = paths.find(path);
+        return f == null ? null : f.target();
+    }
+
+    private void prefix(String text) {
+        assertTrue(paths.add(Kind.PREFIX, text, text, null));
+    }
+
+    @Test
+    void exactBeforePrefixBeforeRegex() {
+        paths.add(Kind.EXACT, "/", "the root", null);
+        prefix("/");
+        prefix("/documents/");
+        paths.add(Kind.PREFIX_ENDS, "/images/", "/images/", null);
+        paths.add(Pattern.compile("\\.(gif|jpe?g)$", Pattern.CASE_INSENSITIVE), "pictures", null);
+        assertEquals("the root", find("/"));
+        assertEquals("/", find("/index.html"));
+        assertEquals("/documents/", find("/documents/document.html"));
+        assertEquals("/images/", find("/images/1.gif"));
+        assertEquals("pictures", find("/documents/1.JPG"));
+        assertEquals(List.of(".JPG", "JPG"), paths.find("/documents/1.JPG").groups());
+        assertNull(find("no slash"));
+    }
+
+    @Test
+    void thePrefixNeedNotEndAtASlash() {
+        prefix("/a");
+        prefix("/ab");
+        prefix("/abc/d");
+        assertEquals("/ab", find("/abc"));
+        assertEquals("/abc/d", find("/abc/de"));
+        assertEquals("/a", find("/a"));
+        assertNull(find("/"));
+        assertFalse(paths.add(Kind.PREFIX, "/ab", "again", null));
+        assertFalse(paths.add(Kind.EXACT, "/x", "x", null) && paths.add(Kind.EXACT, "/x", "again", null));
+    }
+
+    @Test
+    void theFirstRegularExpressionThatIsFoundCounts() {
+        paths.add(Pattern.compile("^/b"), "first", null);
+        paths.add(Pattern.compile("^/bc"), "second", null);
+        assertEquals("first", find("/bcd"));
+    }
+
+    @Test
+    void whatIsNestedInAPrefix() {
+        Paths<String> nested = new Paths<>();
+        nested.add(Kind.PREFIX_ENDS, "/app/static/", "static", null);
+        nested.add(Kind.EXACT, "/app/login", "login", null);
+        nested.add(Pattern.compile("\\.do$"), "action", null);
+        paths.add(Kind.PREFIX, "/app/", "app", nested);
+        paths.add(Pattern.compile("\\.css$"), "css", null);
+        assertEquals("app", find("/app/"));
+        assertEquals("login", find("/app/login"));
+        assertEquals("action", find("/app/x.do"));
+        assertEquals("static", find("/app/static/x.js"));
+        assertEquals("static", find("/app/static/x.do"), "the nested place ends the search at its level");
+        assertEquals("css", find("/app/static/x.css"), "but not at the level above");
+        assertEquals("css", find("/app/x.css"));
+    }
+
+    @Test
+    void whatIsNestedInOneThatEndsTheSearchAndInARegularExpression() {
+        Paths<String> nested = new Paths<>();
+        nested.add(Kind.PREFIX, "/keep/deep/", "deep", null);
+        paths.add(Kind.PREFIX_ENDS, "/keep/", "keep", nested);
+        Paths<String> inRegex = new Paths<>();
+        inRegex.add(Pattern.compile("\\.php$"), "php", null);
+        inRegex.add(Kind.PREFIX, "/u/admin", "admin", null);
+        paths.add(Pattern.compile("^/u/"), "users", inRegex);
+        paths.add(Pattern.compile("."), "any", null);
+        assertEquals("deep", find("/keep/deep/x"));
+        assertEquals("keep", find("/keep/x"));
+        assertEquals("users", find("/u/x"));
+        assertEquals("php", find("/u/x.php"));
+        assertEquals("admin", find("/u/admin"));
+        assertEquals("any", find("/else"));
+    }
+
+    /** Against the obvious way to do it, over random prefixes and paths of few letters. */
+    @Test
+    void theTreeFindsTheLongestPrefix() {
+        SplittableRandom random = new SplittableRandom(1);
+        for (int round = 0; round < 200; round++) {
+            PrefixTree<String> tree = new PrefixTree<>();
+            Map<String, String> all = new HashMap<>();
+            for (int i = 0; i < 40; i++) {
+                String prefix = word(random, 6);
+                assertEquals(all.putIfAbsent(prefix, prefix) == null, tree.add(prefix, prefix));
+            }
+            for (int i = 0; i < 200; i++) {
+                String path = word(random, 9);
+                String longest = all.keySet().stream().filter(path::startsWith)
+                        .max((a, b) -> Integer.compare(a.length(), b.length())).orElse(null);
+                assertEquals(longest, tree.longest(path), path);
+            }
+        }
+    }
+
+    private static String word(SplittableRandom random, int most) {
+        StringBuilder s = new StringBuilder();
+        for (int n = random.nextInt(most); n > 0; n--) {
+            s.append("ab/".charAt(random.nextInt(3)));
+        }
+        return s.toString();
+    }
+}
