Strict reading of TOML leaves the kit for a package of its own

Need: the operators' configuration of routes is to be read as scripts are: all errors at once, each with file:line:column.

--- a/src/main/java/gullspar/rehearse/script/Fault.java
+++ b/src/main/java/gullspar/rehearse/script/Fault.java
@@ -1,5 +1,6 @@
 package gullspar.rehearse.script;
 
+import gullspar.toml.Fields;
 import java.util.List;
 import java.util.Map;
 
--- a/src/main/java/gullspar/rehearse/script/FaultKind.java
+++ b/src/main/java/gullspar/rehearse/script/FaultKind.java
@@ -1,5 +1,6 @@
 package gullspar.rehearse.script;
 
+import gullspar.toml.Fields;
 import java.util.List;
 
 /** What can go wrong in a rehearsal, what it strikes and the figures that it takes. */
--- a/src/main/java/gullspar/rehearse/script/Script.java
+++ b/src/main/java/gullspar/rehearse/script/Script.java
@@ -2,6 +2,7 @@
 
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Scope;
+import gullspar.toml.Range;
 import java.util.List;
 import java.util.Map;
 
--- a/src/main/java/gullspar/rehearse/script/ScriptException.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptException.java
@@ -1,5 +1,6 @@
 package gullspar.rehearse.script;
 
+import gullspar.toml.Problem;
 import java.util.Comparator;
 import java.util.List;
 
--- a/src/main/java/gullspar/rehearse/script/ScriptReader.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -2,6 +2,9 @@
 
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Scope;
+import gullspar.toml.Fields;
+import gullspar.toml.Problem;
+import gullspar.toml.Range;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/main/java/gullspar/rehearse/script/ScriptWriter.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptWriter.java
@@ -1,6 +1,8 @@
 package gullspar.rehearse.script;
 
 import gullspar.rehearse.script.FaultKind.Strikes;
+import gullspar.toml.Fields;
+import gullspar.toml.Range;
 import java.util.List;
 import java.util.stream.Collectors;
 
--- a/src/main/java/gullspar/rehearse/script/Fields.java
+++ b/src/main/java/gullspar/toml/Fields.java
@@ -1,4 +1,4 @@
-package gullspar.rehearse.script;
+package gullspar.toml;
 
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -11,10 +11,10 @@
 import org.tomlj.TomlTable;
 
 /**
- * One table of a script, read strictly: every key that is not asked for, every value of a wrong type or out
- * of its bounds becomes a problem at its place, and reading goes on, so that all problems come at once.
+ * One table of a TOML text, read strictly: every key that is not asked for, every value of a wrong type or
+ * out of its bounds becomes a problem at its place, and reading goes on, so that all problems come at once.
  */
-final class Fields {
+public final class Fields {
     /** A value in place of one that is missing or wrong, so that reading can go on. */
     private static final double NOTHING = Double.NaN;
 
@@ -24,14 +24,14 @@
     private final List<Problem> problems;
     private final Set<String> asked = new HashSet<>();
 
-    Fields(TomlTable table, String name, TomlPosition place, List<Problem> problems) {
+    public Fields(TomlTable table, String name, TomlPosition place, List<Problem> problems) {
         this.table = table;
         this.name = name;
         this.place = place;
         this.problems = problems;
     }
 
-    TomlPosition place() {
+    public TomlPosition place() {
         return place;
     }
 
@@ -45,12 +45,12 @@
     }
 
     /** Something is wrong with the value of a key. */
-    void wrong(String key, String what) {
+    public void wrong(String key, String what) {
         problem(at(key), key + " " + what);
     }
 
     /** Something is wrong with the table as a whole. */
-    void wrong(String what) {
+    public void wrong(String what) {
         problem(place, what);
     }
 
@@ -59,12 +59,12 @@
         return table.get(List.of(key));
     }
 
-    boolean has(String key) {
+    public boolean has(String key) {
         asked.add(key);
         return table.contains(List.of(key));
     }
 
-    boolean isNumber(String key) {
+    public boolean isNumber(String key) {
         return table.get(List.of(key)) instanceof Number;
     }
 
@@ -94,12 +94,12 @@
         return false;
     }
 
-    static String plain(double v) {
+    public static String plain(double v) {
         return v == Math.rint(v) && Math.abs(v) < 1e15 ? Long.toString((long) v) : String.valueOf(v);
     }
 
     /** A number that must be there. */
-    double number(String key, double least, double most) {
+    public double number(String key, double least, double most) {
         if (!has(key)) {
             missing(key);
             return least;
@@ -107,7 +107,7 @@
         return number(key, NOTHING, least, most);
     }
 
-    double number(String key, double absent, double least, double most) {
+    public double number(String key, double absent, double least, double most) {
         Object v = value(key);
         if (v == null) {
             return absent;
@@ -120,7 +120,7 @@
     }
 
     /** A whole number that must be there. */
-    int whole(String key, int least, int most) {
+    public int whole(String key, int least, int most) {
         if (!has(key)) {
             missing(key);
             return least;
@@ -128,7 +128,7 @@
         return whole(key, least, least, most);
     }
 
-    int whole(String key, int absent, int least, int most) {
+    public int whole(String key, int absent, int least, int most) {
         Object v = value(key);
         if (v == null) {
             return absent;
@@ -140,7 +140,7 @@
         return within(key, n, least, most) ? (int) (long) n : least;
     }
 
-    boolean flag(String key, boolean absent) {
+    public boolean flag(String key, boolean absent) {
         Object v = value(key);
         if (v == null || v instanceof Boolean) {
             return v == null ? absent : (Boolean) v;
@@ -149,7 +149,7 @@
         return absent;
     }
 
-    String text(String key) {
+    public String text(String key) {
         if (!has(key)) {
             missing(key);
             return "";
@@ -157,7 +157,7 @@
         return text(key, "");
     }
 
-    String text(String key, String absent) {
+    public String text(String key, String absent) {
         Object v = value(key);
         if (v == null || v instanceof String) {
             return v == null ? absent : (String) v;
@@ -167,7 +167,7 @@
     }
 
     /** One of the names of an enumeration, in small letters with hyphens. */
-    <E extends Enum<E>> E choice(String key, Class<E> type, E absent) {
+    public <E extends Enum<E>> E choice(String key, Class<E> type, E absent) {
         if (absent == null && !has(key)) {
             missing(key);
             return type.getEnumConstants()[0];
@@ -187,12 +187,12 @@
         return type.getEnumConstants()[0];
     }
 
-    static String named(Enum<?> e) {
+    public static String named(Enum<?> e) {
         return e.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     /** A number, or a range of two to draw from. */
-    Range range(String key, double least, double most) {
+    public Range range(String key, double least, double most) {
         if (!has(key)) {
             missing(key);
             return new Range(least, least);
@@ -200,7 +200,7 @@
         return range(key, new Range(least, least), least, most);
     }
 
-    Range range(String key, Range absent, double least, double most) {
+    public Range range(String key, Range absent, double least, double most) {
         Object v = value(key);
         if (v == null) {
             return absent;
@@ -226,7 +226,7 @@
     }
 
     /** Strings, none twice. */
-    List<String> texts(String key, List<String> absent) {
+    public List<String> texts(String key, List<String> absent) {
         Object v = value(key);
         if (v == null) {
             return absent;
@@ -252,7 +252,7 @@
     }
 
     /** The table of that name; an empty one if it is not there. */
-    Fields table(String key) {
+    public Fields table(String key) {
         Object v = value(key);
         if (v != null && !(v instanceof TomlTable)) {
             wrong(key, "must be a table, not " + kind(v));
@@ -262,7 +262,7 @@
     }
 
     /** The tables of an array of tables. */
-    List<Fields> tables(String key) {
+    public List<Fields> tables(String key) {
         Object v = value(key);
         List<Fields> list = new ArrayList<>();
         if (v instanceof TomlArray a) {
@@ -280,7 +280,7 @@
     }
 
     /** To be called last: what has not been asked for is not known. */
-    void noOthers() {
+    public void noOthers() {
         for (String key : table.keySet()) {
             if (!asked.contains(key)) {
                 problem(at(key), (name.isEmpty() ? "" : name + ": ") + "unknown key '" + key + "'");
--- a/src/main/java/gullspar/rehearse/script/Range.java
+++ b/src/main/java/gullspar/toml/Range.java
@@ -1,4 +1,4 @@
-package gullspar.rehearse.script;
+package gullspar.toml;
 
 import java.util.SplittableRandom;
 
--- a/src/test/java/gullspar/nginx/ParserTest.java
+++ b/src/test/java/gullspar/nginx/ParserTest.java
@@ -80,7 +80,8 @@
                 }
                 after;
                 """,
-                "content_by_lua_block()<\n  local s = \"}\" -- } in a comment\n  local t = [[ } ]] .. [==[ ]] }"
+                "content_by_lua_block()<\n  local s = \"}\" -- } in a comment\n  local t = [[ } ]]"
+                + " .. [==[ ]] }"
                 + " ]==]\n  if a[1] then return {1} end\n> after()");
     }
 
