--- /dev/null
+++ b/src/main/java/gullspar/cli/Routes.java
@@ -0,0 +1,134 @@
+package gullspar.cli;
+
+import gullspar.config.ConfigFileException;
+import gullspar.config.Site;
+import gullspar.config.SiteReader;
+import gullspar.route.Request;
+import gullspar.route.Route;
+import gullspar.route.Router;
+import java.io.IOException;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The commands that look at an operator's file with no daemon. */
+final class Routes {
+    private Routes() { }
+
+    /** Reads a file; on errors they are printed, a line each, and null is returned. */
+    private static Site read(Path file) {
+        try {
+            return SiteReader.read(file);
+        } catch (ConfigFileException e) {
+            System.err.println(e.getMessage());
+        } catch (NoSuchFileException e) {
+            System.err.println(file + ": there is no such file");
+        } catch (CharacterCodingException e) {
+            System.err.println(file + ": is not UTF-8 text");
+        } catch (IOException e) {
+            System.err.println(file + ": cannot be read: " + e.getMessage());
+        }
+        return null;
+    }
+
+    /** Is a file right? */
+    @Command(name = "check", mixinStandardHelpOptions = true,
+            description = "Reads a configuration of routes and pools and says all that is wrong with it.",
+            exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:it can be used",
+                    "2:it cannot, or wrong usage"})
+    static final class Check implements Callable<Integer> {
+        @Parameters(paramLabel = "FILE", description = "The configuration (TOML, docs/routing.md).")
+        private Path file;
+
+        @Override
+        public Integer call() {
+            return read(file) == null ? 2 : 0;
+        }
+    }
+
+    /** Where would a request go? */
+    @Command(name = "route", mixinStandardHelpOptions = true,
+            description = "Says which route of a configuration a request takes, why, and what would be "
+                    + "sent where.",
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {"0:there is a route", "1:there is none", "2:wrong usage, or a file with errors"})
+    static final class Which implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Parameters(index = "0", paramLabel = "FILE", description = "The configuration.")
+        private Path file;
+
+        @Parameters(index = "1", paramLabel = "METHOD", description = "GET, POST ...")
+        private String method;
+
+        @Parameters(index = "2", paramLabel = "URL", description = "http://host/path?query")
+        private String url;
+
+        @Option(names = "-H", paramLabel = "HEADER", description =
+                "A header, as 'Name: value'; may come again.")
+        private List<String> headers = new ArrayList<>();
+
+        @Override
+        public Integer call() {
+            Site site = read(file);
+            if (site == null) {
+                return 2;
+            }
+            Request r = request();
+            site.router().explain(r).forEach(System.out::println);
+            Router.Found found = site.router().find(r);
+            if (found.route() == null) {
+                System.out.println("answer " + found.status());
+                return 1;
+            }
+            say(found.route(), r, site);
+            return 0;
+        }
+
+        private Request request() {
+            try {
+                URI u = new URI(url);
+                if (u.getHost() == null) {
+                    throw new ParameterException(spec.commandLine(), "'" + url + "' is not http://host/path");
+                }
+                String path = u.getPath() == null || u.getPath().isEmpty() ? "/" : u.getPath();
+                return new Request(method.toUpperCase(Locale.ROOT), u.getHost(), path, u.getRawQuery(),
+                        name -> headers.stream().filter(h -> h.regionMatches(true, 0, name + ":", 0,
+                                name.length() + 1)).map(h -> h.substring(name.length() + 1).trim()).toList());
+            } catch (URISyntaxException e) {
+                throw new ParameterException(spec.commandLine(), "'" + url + "': " + e.getReason());
+            }
+        }
+
+        private static void say(Route route, Request r, Site site) {
+            if (route.answer() != null) {
+                System.out.println("answer " + route.answer().status() + (route.answer().location() == null
+                        ? ""
+                        : ", Location: " + route.answer().location()));
+                return;
+            }
+            Route.ToPool to = route.pool();
+            System.out.println("pool " + to.pool() + ", class " + Route.kind(to.kind(), r.method()).name()
+                    .toLowerCase(Locale.ROOT) + ", within " + to.deadlineNs() / 1_000_000 + " ms, at most "
+                    + to.attempts() + " attempts");
+            System.out.println("sends " + r.method() + " " + to.rewrite().of(r.path())
+                    + (r.query() == null ? "" : "?" + r.query()));
+            site.pools().get(to.pool()).servers().forEach(s -> System.out.println("  server " + s.name()
+                    + " weight "
+                    + s.weight() + (s.backup() ? " backup" : "") + (s.down() ? " down" : "")));
+        }
+    }
+}
--- a/src/main/java/gullspar/route/Hosts.java
+++ b/src/main/java/gullspar/route/Hosts.java
@@ -13,8 +13,22 @@
  * in it; the default. Names are compared without regard to case; a port and a dot at the end do not count.
  */
 public final class Hosts<T> {
-    /** What was found, and why. */
-    public record Found<T>(T host, String why) { }
+    /** By what a host was found. */
+    public enum By { NAME, LEADING, TRAILING, REGEX, DEFAULT }
+
+    /** What was found, by what, and the text that did it. */
+    public record Found<T>(T host, By by, String text) {
+        /** In words. */
+        public String why() {
+            return switch (by) {
+                case NAME -> "its name is " + text;
+                case LEADING -> "*." + text + " fits it";
+                case TRAILING -> text + ".* fits it";
+                case REGEX -> "~" + text + " is found in it";
+                default -> "no name fits it: the default";
+            };
+        }
+    }
 
     private record Regex<T>(Pattern pattern, T host) { }
 
@@ -77,26 +91,26 @@
         String name = host == null ? "" : name(host);
         T found = exact.get(name);
         if (found != null) {
-            return new Found<>(found, "its name is " + name);
+            return new Found<>(found, By.NAME, name);
         }
         for (int dot = name.indexOf('.'); dot >= 0 && !leading.isEmpty(); dot = name.indexOf('.', dot + 1)) {
             found = leading.get(name.substring(dot + 1));
             if (found != null && dot > 0) {
-                return new Found<>(found, "*" + name.substring(dot) + " fits it");
+                return new Found<>(found, By.LEADING, name.substring(dot + 1));
             }
         }
         for (int dot = name.lastIndexOf('.'); dot > 0 && !trailing.isEmpty(); dot = name.lastIndexOf('.',
                 dot - 1)) {
             found = trailing.get(name.substring(0, dot));
             if (found != null) {
-                return new Found<>(found, name.substring(0, dot) + ".* fits it");
+                return new Found<>(found, By.TRAILING, name.substring(0, dot));
             }
         }
         for (Regex<T> r : regexes) {
             if (r.pattern.matcher(name).find()) {
-                return new Found<>(r.host, "~" + r.pattern + " is found in it");
+                return new Found<>(r.host, By.REGEX, r.pattern.pattern());
             }
         }
-        return otherwise == null ? null : new Found<>(otherwise, "no name fits it: the default");
+        return otherwise == null ? null : new Found<>(otherwise, By.DEFAULT, "");
     }
 }
--- /dev/null
+++ b/src/test/java/gullspar/cli/RoutesTest.java
@@ -0,0 +1,50 @@
+package gullspar.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** The commands that look at an operator's file. */
+class RoutesTest {
+    private static final String FILE = "deploy/routes.example.toml";
+
+    private static String out(int code, String... args) {
+        PrintStream real = System.out;
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try {
+            System.setOut(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+            assertEquals(code, Tool.run(args));
+        } finally {
+            System.setOut(real);
+        }
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void whichRouteWhyAndWhatIsSentWhere() {
+        assertEquals("""
+                host shop.example.org: its name is shop.example.org
+                place prefix /api/
+                route beta
+                pool beta, class safe, within 60000 ms, at most 3 attempts
+                sends GET /v2/stock?x=1
+                  server 127.0.0.1:9101 weight 1.0
+                """, out(0, "route", FILE, "get", "http://SHOP.example.org:8080/api/stock?x=1", "-H", "x-beta: on"));
+        assertTrue(out(1, "route", FILE, "DELETE", "http://shop.example.org/api/orders").endsWith(
+                "not route orders: its method is not POST\nanswer 405\n"));
+        assertTrue(out(0, "route", FILE, "GET", "http://x/")
+                .endsWith("answer 301, Location: https://shop.example.org/\n"));
+    }
+
+    @Test
+    void aFileIsChecked() {
+        assertEquals("", out(0, "check", FILE));
+        out(2, "check", "pom.xml");
+        out(2, "check", "none.toml");
+        out(2, "route", FILE, "GET", "no url");
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/config/SiteReaderTest.java
@@ -0,0 +1,126 @@
+package gullspar.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.route.Request;
+import gullspar.route.Route;
+import gullspar.route.Router;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The operators' file, and where requests go by it. */
+class SiteReaderTest {
+    private static final String SMALL = "[[listener]]\naddress = \"127.0.0.1:80\"\n[[pool]]\nname = \"a\"\n"
+            + "[[pool.server]]\naddress = \"127.0.0.1:81\"\n[[host]]\ndefault = true\n";
+    private static Site example;
+
+    @BeforeAll
+    static void read() throws Exception {
+        example = SiteReader.read(Path.of("deploy/routes.example.toml"));
+    }
+
+    private static Request request(String method, String host, String path, String header) {
+        return new Request(method, host, path, null, name -> name.equalsIgnoreCase(header) ? List.of("1")
+                : List.of());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"GET, shop.example.org, /api/stock, '', api",
+            "GET, shop.example.org, /api/stock, X-Beta, beta",
+        "POST, shop.example.org, /api/orders, X-Beta, orders",
+                "GET, www.shop.example.org, /a.PNG, '', pictures",
+        "GET, shop.example.org, /static/a.png, '', static", "GET, other.org, /a.png, '', elsewhere"})
+    void theExample(String method, String host, String path, String header, String route) {
+        Request r = request(method, host, path, header);
+        Router.Found found = example.router().find(r);
+        assertEquals(route, found.route().name(), example.router().explain(r).toString());
+        assertEquals("route " + route, example.router().explain(r).get(example.router().explain(r)
+                .size() - 1));
+    }
+
+    @Test
+    void wherethereIsNoRouteTheStatusSaysWhy() {
+        Router.Found method = example.router().find(request("GET", "shop.example.org", "/api/orders", ""));
+        assertNull(method.route());
+        assertEquals(405, method.status());
+        assertEquals(404, example.router().find(request("GET", "shop.example.org", "/nothing", "")).status());
+        List<String> why = example.router().explain(request("GET", "shop.example.org", "/api/orders", ""));
+        assertEquals("not route orders: its method is not POST", why.get(why.size() - 1));
+    }
+
+    @Test
+    void poolsAndWhatGoesOn() {
+        assertEquals(3, example.pools().get("api").servers().size());
+        assertEquals(5, example.pools().get("api").servers().get(0).weight());
+        assertTrue(example.pools().get("api").servers().get(2).backup());
+        Route api = example.router().find(request("GET", "shop.example.org", "/api/stock", "")).route();
+        assertEquals("/v1/stock", api.pool().rewrite().of("/api/stock"));
+        assertEquals(600_000_000L, api.pool().deadlineNs());
+        assertEquals(Route.Kind.SAFE, Route.kind(api.pool().kind(), "HEAD"));
+        assertEquals(Route.Kind.UNSAFE, Route.kind(api.pool().kind(), "PUT"));
+        assertEquals(Route.Kind.KEYED, Route.kind(Route.Kind.KEYED, "GET"));
+    }
+
+    @Test
+    void rewritingByAPattern() throws Exception {
+        Site s = SiteReader.parse(SMALL + "[[host.route]]\npath = \"/\"\npool = \"a\"\n"
+                + "rewrite = { pattern = \"^/u/([^/]+)/(.*)$\", to = \"/users/$2$9?u=$1\" }\n", "f.toml");
+        Route r = s.router().find(request("GET", "x", "/u/anna/x", "")).route();
+        assertEquals("/users/x?u=anna", r.pool().rewrite().of("/u/anna/x"));
+        assertEquals("/else", r.pool().rewrite().of("/else"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '~', quoteCharacter = '`', textBlock = """
+        path = "/"                                       ~ 9:1: a route needs a pool to go to, or an answer
+        path = "/"|pool = "b"                            ~ 11:1: pool is 'b', and there is no such pool
+        path = "x"|pool = "a"                            ~ 10:1: path does not begin with /
+        path = "("|match = "regex"|pool = "a"            ~ 10:1: path holds no regular expression: Unclosed
+        path = "/"|pool = "a"|answer = {status = 200}    ~ 9:1: a route goes to a pool or is answered, not
+        path = "/"|answer = { status = 99 }              ~ 11:12: status is 99, not 200 to 599
+        path = "/"|pool = "a"|deadline = 3               ~ 12:1: route: unknown key 'deadline'
+        path = "/"|pool = "a"|class = "idempotent"       ~ 12:1: class is 'idempotent', not one of by-method
+        """)
+    void whatIsWrongIsSaidWithItsPlace(String lines, String expected) {
+        String message = assertThrows(ConfigFileException.class, () -> SiteReader.parse(
+                SMALL + "[[host.route]]\n" + lines.replace('|', '\n') + "\n", "f.toml")).getMessage();
+        assertTrue(message.contains("f.toml:" + expected), message);
+    }
+
+    @Test
+    void allComesAtOnce() {
+        String message = assertThrows(ConfigFileException.class, () -> SiteReader.parse("""
+                [[listener]]
+                address = "localhost:80"
+                [[pool]]
+                name = "a"
+                [[pool]]
+                name = "a"
+                [[pool.server]]
+                address = "127.0.0.1:1"
+                [[pool.server]]
+                address = "127.0.0.1:1"
+                [[host]]
+                names = ["x", "a.*.b", "~("]
+                [[host]]
+                names = ["X"]
+                [[host]]
+                """, "f.toml")).getMessage();
+        for (String part : List.of(":2:1: address is 'localhost:80', not an IP",
+                ":3:1: a pool with no [[pool.server]]",
+                ":6:1: name is that of another pool: 'a'", ":9:1: a second server '127.0.0.1:1' in this pool",
+                ":12:1: names holds a name that cannot be: 'a.*.b'",
+                        ":12:1: names holds no regular expression",
+                ":14:1: names holds 'X', which another host has", ":15:1: a host with no names")) {
+            assertTrue(message.contains("f.toml" + part), part + " in\n" + message);
+        }
+        assertEquals(8, message.lines().count(), message);
+    }
+}
