One exception and one way of reading what somebody has written

Need: scripts and the operators' file were read by two exceptions alike and two commands with the same lines. Change: toml.ProblemsException and cli.Written serve both.

--- a/src/main/java/gullspar/cli/Rehearse.java
+++ b/src/main/java/gullspar/cli/Rehearse.java
@@ -11,7 +11,6 @@
 import gullspar.rehearse.report.JsonReport;
 import gullspar.rehearse.script.FaultKind;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.script.ScriptException;
 import gullspar.rehearse.script.ScriptReader;
 import java.io.IOException;
 import java.io.Writer;
@@ -68,28 +67,12 @@
     @Option(names = "--json", description = "Prints the result as JSON, for machines.")
     private boolean json;
 
-    /** Reads a script; on errors they are printed, a line each, and null is returned. */
-    static Script read(Path file) {
-        try {
-            return ScriptReader.read(file);
-        } catch (ScriptException e) {
-            System.err.println(e.getMessage());
-        } catch (NoSuchFileException e) {
-            System.err.println(file + ": there is no such file");
-        } catch (CharacterCodingException e) {
-            System.err.println(file + ": is not UTF-8 text");
-        } catch (IOException e) {
-            System.err.println(file + ": cannot be read: " + e.getMessage());
-        }
-        return null;
-    }
-
     @Override
     public Integer call() {
         if (script == null) {
             throw new ParameterException(spec.commandLine(), "which script?");
         }
-        Script s = read(script);
+        Script s = Written.read(script, ScriptReader::read);
         if (s == null) {
             return WRONG;
         }
--- a/src/main/java/gullspar/cli/Routes.java
+++ b/src/main/java/gullspar/cli/Routes.java
@@ -1,16 +1,12 @@
 package gullspar.cli;
 
-import gullspar.config.ConfigFileException;
 import gullspar.config.Site;
 import gullspar.config.SiteReader;
 import gullspar.route.Request;
 import gullspar.route.Route;
 import gullspar.route.Router;
-import java.io.IOException;
 import java.net.URI;
 import java.net.URISyntaxException;
-import java.nio.charset.CharacterCodingException;
-import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -27,22 +23,6 @@
 final class Routes {
     private Routes() { }
 
-    /** Reads a file; on errors they are printed, a line each, and null is returned. */
-    private static Site read(Path file) {
-        try {
-            return SiteReader.read(file);
-        } catch (ConfigFileException e) {
-            System.err.println(e.getMessage());
-        } catch (NoSuchFileException e) {
-            System.err.println(file + ": there is no such file");
-        } catch (CharacterCodingException e) {
-            System.err.println(file + ": is not UTF-8 text");
-        } catch (IOException e) {
-            System.err.println(file + ": cannot be read: " + e.getMessage());
-        }
-        return null;
-    }
-
     /** Is a file right? */
     @Command(name = "check", mixinStandardHelpOptions = true,
             description = "Reads a configuration of routes and pools and says all that is wrong with it.",
@@ -54,7 +34,7 @@
 
         @Override
         public Integer call() {
-            return read(file) == null ? 2 : 0;
+            return Written.read(file, SiteReader::read) == null ? 2 : 0;
         }
     }
 
@@ -83,7 +63,7 @@
 
         @Override
         public Integer call() {
-            Site site = read(file);
+            Site site = Written.read(file, SiteReader::read);
             if (site == null) {
                 return 2;
             }
--- a/src/main/java/gullspar/cli/SearchDays.java
+++ b/src/main/java/gullspar/cli/SearchDays.java
@@ -3,6 +3,7 @@
 import gullspar.rehearse.play.Progress;
 import gullspar.rehearse.play.VirtualPlay;
 import gullspar.rehearse.script.Script;
+import gullspar.rehearse.script.ScriptReader;
 import gullspar.rehearse.search.Finding;
 import gullspar.rehearse.search.Search;
 import java.io.IOException;
@@ -47,7 +48,7 @@
         if (seeds < 1 || jobs != null && jobs < 1) {
             throw new ParameterException(spec.commandLine(), "--seeds and --jobs are 1 or more");
         }
-        Script s = Rehearse.read(script);
+        Script s = Written.read(script, ScriptReader::read);
         if (s == null) {
             return Rehearse.WRONG;
         }
--- a/src/main/java/gullspar/cli/TryOut.java
+++ b/src/main/java/gullspar/cli/TryOut.java
@@ -2,8 +2,8 @@
 
 import gullspar.rehearse.live.LivePlay;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.script.ScriptException;
 import gullspar.rehearse.script.ScriptReader;
+import gullspar.toml.ProblemsException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -64,7 +64,7 @@
     private static Script script() throws IOException {
         try (InputStream in = TryOut.class.getResourceAsStream("/gullspar/rehearse/try.toml")) {
             return ScriptReader.parse(new String(in.readAllBytes(), StandardCharsets.UTF_8), "try.toml");
-        } catch (ScriptException e) {
+        } catch (ProblemsException e) {
             throw new IOException(e.getMessage(), e);
         }
     }
--- a/src/main/java/gullspar/config/SiteReader.java
+++ b/src/main/java/gullspar/config/SiteReader.java
@@ -9,6 +9,7 @@
 import gullspar.route.Router;
 import gullspar.toml.Fields;
 import gullspar.toml.Problem;
+import gullspar.toml.ProblemsException;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -43,12 +44,12 @@
     private SiteReader() { }
 
     /** Reads a file; an IOException if that is not possible at all. */
-    public static Site read(Path file) throws IOException, ConfigFileException {
+    public static Site read(Path file) throws IOException, ProblemsException {
         return parse(Files.readString(file), file.toString());
     }
 
     /** Reads a text; the name stands before each problem. */
-    public static Site parse(String text, String name) throws ConfigFileException {
+    public static Site parse(String text, String name) throws ProblemsException {
         TomlParseResult toml = Toml.parse(text);
         SiteReader r = new SiteReader();
         toml.errors().forEach(e -> r.problems.add(new Problem(e.position().line(), e.position().column(),
@@ -56,7 +57,7 @@
         Site s = r.problems.isEmpty()
                 ? r.site(new Fields(toml, "", TomlPosition.positionAt(1, 1), r.problems)) : null;
         if (!r.problems.isEmpty()) {
-            throw new ConfigFileException(name, r.problems);
+            throw new ProblemsException(name, r.problems);
         }
         return s;
     }
--- a/src/main/java/gullspar/rehearse/script/ScriptReader.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -4,6 +4,7 @@
 import gullspar.decide.Balancer.Scope;
 import gullspar.toml.Fields;
 import gullspar.toml.Problem;
+import gullspar.toml.ProblemsException;
 import gullspar.toml.Range;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -33,12 +34,12 @@
     private ScriptReader() { }
 
     /** Reads a file; an IOException if that is not possible at all. */
-    public static Script read(Path file) throws IOException, ScriptException {
+    public static Script read(Path file) throws IOException, ProblemsException {
         return parse(Files.readString(file), file.toString());
     }
 
     /** Reads a text; the name stands before each problem. */
-    public static Script parse(String text, String name) throws ScriptException {
+    public static Script parse(String text, String name) throws ProblemsException {
         TomlParseResult toml = Toml.parse(text);
         ScriptReader r = new ScriptReader();
         toml.errors().forEach(e -> r.problems.add(new Problem(e.position().line(), e.position().column(),
@@ -46,7 +47,7 @@
         Script s = r.problems.isEmpty()
                 ? r.script(new Fields(toml, "", TomlPosition.positionAt(1, 1), r.problems)) : null;
         if (!r.problems.isEmpty()) {
-            throw new ScriptException(name, r.problems);
+            throw new ProblemsException(name, r.problems);
         }
         return s;
     }
--- a/src/main/java/gullspar/rehearse/script/ScriptException.java
+++ b/src/main/java/gullspar/toml/ProblemsException.java
@@ -1,16 +1,15 @@
-package gullspar.rehearse.script;
+package gullspar.toml;
 
-import gullspar.toml.Problem;
 import java.util.Comparator;
 import java.util.List;
 
-/** A script that cannot be played, with all that is wrong with it. */
-public final class ScriptException extends Exception {
+/** A text that cannot be used, with all that is wrong with it: a line each, file:line:column: what. */
+public final class ProblemsException extends Exception {
     private static final long serialVersionUID = 1L;
 
     private final transient List<Problem> problems;
 
-    ScriptException(String file, List<Problem> problems) {
+    public ProblemsException(String file, List<Problem> problems) {
         super(lines(file, problems));
         this.problems = List.copyOf(problems);
     }
--- a/src/test/java/gullspar/config/SiteReaderTest.java
+++ b/src/test/java/gullspar/config/SiteReaderTest.java
@@ -8,6 +8,7 @@
 import gullspar.route.Request;
 import gullspar.route.Route;
 import gullspar.route.Router;
+import gullspar.toml.ProblemsException;
 import java.nio.file.Path;
 import java.util.List;
 import org.junit.jupiter.api.BeforeAll;
@@ -89,14 +90,14 @@
         path = "/"|pool = "a"|class = "idempotent"       ~ 12:1: class is 'idempotent', not one of by-method
         """)
     void whatIsWrongIsSaidWithItsPlace(String lines, String expected) {
-        String message = assertThrows(ConfigFileException.class, () -> SiteReader.parse(
+        String message = assertThrows(ProblemsException.class, () -> SiteReader.parse(
                 SMALL + "[[host.route]]\n" + lines.replace('|', '\n') + "\n", "f.toml")).getMessage();
         assertTrue(message.contains("f.toml:" + expected), message);
     }
 
     @Test
     void allComesAtOnce() {
-        String message = assertThrows(ConfigFileException.class, () -> SiteReader.parse("""
+        String message = assertThrows(ProblemsException.class, () -> SiteReader.parse("""
                 [[listener]]
                 address = "localhost:80"
                 [[pool]]
--- a/src/test/java/gullspar/rehearse/Days.java
+++ b/src/test/java/gullspar/rehearse/Days.java
@@ -1,8 +1,8 @@
 package gullspar.rehearse;
 
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.script.ScriptException;
 import gullspar.rehearse.script.ScriptReader;
+import gullspar.toml.ProblemsException;
 
 /** Small days for tests. */
 public final class Days {
@@ -82,7 +82,7 @@
     public static Script parse(String text) {
         try {
             return ScriptReader.parse(text, "day.toml");
-        } catch (ScriptException e) {
+        } catch (ProblemsException e) {
             throw new AssertionError(e.getMessage(), e);
         }
     }
--- a/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
+++ b/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gullspar.rehearse.Days;
+import gullspar.toml.ProblemsException;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,7 +20,7 @@
 /** Scripts are read strictly, and all that is wrong comes at once. */
 class ScriptReaderTest {
     private static String errors(String text) {
-        return assertThrows(ScriptException.class, () -> ScriptReader.parse(text, "day.toml")).getMessage();
+        return assertThrows(ProblemsException.class, () -> ScriptReader.parse(text, "day.toml")).getMessage();
     }
 
     static Stream<Path> examples() throws IOException {
