--- a/src/main/java/gullspar/cli/TryOut.java
+++ b/src/main/java/gullspar/cli/TryOut.java
@@ -9,9 +9,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -34,22 +34,22 @@
     @Override
     public Integer call() {
         Terminal terminal = new Terminal();
+        CountDownLatch end = new CountDownLatch(1);
         CountDownLatch ended = new CountDownLatch(1);
-        AtomicBoolean end = new AtomicBoolean();
-        Thread hook = new Thread(() -> {
-            end.set(true);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            end.countDown();
             try {
                 ended.await(END_S, TimeUnit.SECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-        }, "end");
-        Runtime.getRuntime().addShutdownHook(hook);
-        long until = seconds == null ? Long.MAX_VALUE : System.nanoTime() + seconds * 1_000_000_000L;
+        }, "end"));
+        if (seconds != null) {
+            CompletableFuture.delayedExecutor(seconds, TimeUnit.SECONDS).execute(end::countDown);
+        }
         System.out.println("starting three nodes, discovery and one proxy on loopback ...");
         try {
-            LivePlay.playOn(script(), now -> say(terminal, now), () -> end.get() || System
-                    .nanoTime() >= until);
+            LivePlay.playOn(script(), now -> say(terminal, now), end);
             terminal.clear();
             return 0;
         } catch (IOException e) {
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -4,6 +4,7 @@
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Platform;
 import gullspar.rehearse.judge.Judge;
+import gullspar.rehearse.judge.Verdict;
 import gullspar.rehearse.play.Cast;
 import gullspar.rehearse.play.Played;
 import gullspar.rehearse.play.Progress;
@@ -35,10 +36,10 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -52,6 +53,7 @@
     /** What is under way when a process is killed or stopped is seen up to so much later. */
     private static final long SIGNAL_NS = 300_000_000L;
     private static final long READY_S = 60;
+    private static final long PROGRESS_MS = 200;
     /** What is told of a day without end is that of the last so long. */
     private static final long LOOK_BACK_NS = 10_000_000_000L;
     private static final int MOST_LOG_LINES = 10_000;
@@ -116,12 +118,15 @@
         long began = System.nanoTime();
         begin(lateness::start);
         try {
-            long start = System.nanoTime();
-            long day = (long) (script.seconds() * 1e9);
-            for (long at = 0; at < day + cast.tailNs(); at = System.nanoTime() - start) {
-                progress.at(Math.min(day, at) / 1e9, script.seconds());
-                Thread.sleep(200);
-            }
+            CompletableFuture<Void> ended = new CompletableFuture<>();
+            long start = now();
+            loop.scheduleAtFixedRate(() -> progress.at(Math.min(script.seconds(), (now() - start) / 1e9),
+                    script.seconds()), 0, PROGRESS_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> ended.complete(null), (long) (script.seconds() * 1e9) + cast.tailNs(),
+                    TimeUnit.NANOSECONDS);
+            ended.get();
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e.getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -129,9 +134,9 @@
         List<Played> played = new ArrayList<>();
         onLoop(() -> {
             over = true;
-            played.add(new Played(script, cast.chronicle(), Judge.judge(script, cast.chronicle(), SLACK_NS),
-                    "",
-                    0, log, lateness.notes(), System.nanoTime() - began));
+            Verdict verdict = Judge.judge(script, cast.chronicle(), SLACK_NS);
+            played.add(new Played(script, cast.chronicle(), verdict, "", 0, log, lateness.notes(),
+                    System.nanoTime() - began));
         });
         return played.get(0);
     }
@@ -140,17 +145,17 @@
     public record Now(InetSocketAddress proxy, int nodes, double rate, double inTime, int strangers) { }
 
     /** Plays on until it is told to end; the consumer is told how it goes, every second. */
-    public static void playOn(Script script, Consumer<Now> now, BooleanSupplier end) throws IOException {
+    public static void playOn(Script script, Consumer<Now> now, CountDownLatch end) throws IOException {
         try (LivePlay p = new LivePlay(script)) {
             p.playOn(now, end);
         }
     }
 
-    private void playOn(Consumer<Now> now, BooleanSupplier end) throws IOException {
+    private void playOn(Consumer<Now> now, CountDownLatch end) throws IOException {
         Strangers strangers = new Strangers(script, this);
         begin(() -> cast.chronicle().serveStrangers(strangers));
         try {
-            while (!end.getAsBoolean() && !cast.proxies().stream().allMatch(p -> ending.contains(p))) {
+            do {
                 onLoop(() -> {
                     long since = now() - LOOK_BACK_NS;
                     cast.chronicle().forget(since);
@@ -161,10 +166,7 @@
                                     : ended.stream().filter(Order::inTime).count() / (double) ended.size(),
                             strangers.served()));
                 });
-                for (int i = 0; i < 10 && !end.getAsBoolean(); i++) {
-                    Thread.sleep(100);
-                }
-            }
+            } while (!end.await(1, TimeUnit.SECONDS));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -102,9 +102,8 @@
         end[0] = agenda.now() + cast.tailNs();
         run(end);
         options.progress().at(script.seconds(), script.seconds());
-        return new Played(script, chronicle, Judge.judge(script, chronicle, 0), decisions.hash(), decisions
-                .lines(),
-                log, List.of(), System.nanoTime() - began);
+        return new Played(script, chronicle, Judge.judge(script, chronicle, 0), decisions.hash(),
+                decisions.lines(), log, List.of(), System.nanoTime() - began);
     }
 
     /** Up to a time that may be moved meanwhile. */
