--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -120,11 +120,12 @@
         try {
             CompletableFuture<Void> ended = new CompletableFuture<>();
             long start = now();
-            loop.scheduleAtFixedRate(() -> progress.at(Math.min(script.seconds(), (now() - start) / 1e9),
-                    script.seconds()), 0, PROGRESS_MS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> ended.complete(null), (long) (script.seconds() * 1e9) + cast.tailNs(),
                     TimeUnit.NANOSECONDS);
-            ended.get();
+            while (!over(ended)) {
+                // Here and not on the loop: whoever shows it may be slow, and the stand-ins must not wait.
+                progress.at(Math.min(script.seconds(), (now() - start) / 1e9), script.seconds());
+            }
         } catch (ExecutionException e) {
             throw new IOException(e.getCause().getMessage(), e.getCause());
         } catch (InterruptedException e) {
@@ -141,6 +142,17 @@
         return played.get(0);
     }
 
+    /** Waits for the end of a day, but no longer than until its progress is to be shown. */
+    private static boolean over(CompletableFuture<Void> ended) throws InterruptedException,
+            ExecutionException {
+        try {
+            ended.get(PROGRESS_MS, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (TimeoutException e) {
+            return false;
+        }
+    }
+
     /** What one looks at while a day without end goes on. */
     public record Now(InetSocketAddress proxy, int nodes, double rate, double inTime, int strangers) { }
 
@@ -156,22 +168,26 @@
         begin(() -> cast.chronicle().serveStrangers(strangers));
         try {
             do {
-                onLoop(() -> {
-                    long since = now() - LOOK_BACK_NS;
-                    cast.chronicle().forget(since);
-                    List<Order> ended = cast.chronicle().orders().stream()
-                            .filter(o -> o.at < now() - LOOK_BACK_NS / 5).toList();
-                    now.accept(new Now(address("p1"), cast.fleet().running().size(),
-                            ended.size() / (LOOK_BACK_NS / 1e9 * 4 / 5), ended.isEmpty() ? 1
-                                    : ended.stream().filter(Order::inTime).count() / (double) ended.size(),
-                            strangers.served()));
-                });
+                List<Now> look = new ArrayList<>(1);
+                onLoop(() -> look.add(look(strangers)));
+                now.accept(look.get(0));
             } while (!end.await(1, TimeUnit.SECONDS));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    private Now look(Strangers strangers) {
+        cast.chronicle().forget(now() - LOOK_BACK_NS);
+        // The last of them are still under way.
+        long before = now() - LOOK_BACK_NS / 5;
+        List<Order> ended = cast.chronicle().orders().stream().filter(o -> o.at < before).toList();
+        double inTime = ended.isEmpty() ? 1
+                : ended.stream().filter(Order::inTime).count() / (double) ended.size();
+        return new Now(address("p1"), cast.fleet().running().size(),
+                ended.size() / (LOOK_BACK_NS / 1e9 * 4 / 5), inTime, strangers.served());
+    }
+
     private void onLoop(Runnable what) throws IOException {
         try {
             loop.submit(what).get();
--- a/src/test/java/gullspar/cli/KitCommandsTest.java
+++ b/src/test/java/gullspar/cli/KitCommandsTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gullspar.rehearse.Days;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.net.HttpURLConnection;
@@ -15,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -28,6 +31,12 @@
     private String out;
     private String err;
 
+    /** Else the library looks for loggers first, and says on standard error what it missed. */
+    @BeforeAll
+    static void loggers() {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+    }
+
     private int run(String... args) {
         PrintStream realOut = System.out;
         PrintStream realErr = System.err;
