Pools whose servers report no load follow the weights of the list

Cause: the design starts a server at its list weight, but without reports no factor is ever renewed, so all servers got the same share whatever the list said. Pools of plain HTTP servers need their operator's weights.

Change: the setting listWeights, off unless a pool asks for it. While no server has reported its load, the rotation goes over the listed units alone; the first report hands over to factors. Promises are limits there, so the first guess at a request's time is 20 ms and not a sixth of the promise. A class may say how many attempts there are at most and how long one may take, and classes can be added while the module serves, so that a new configuration keeps what was learnt.

--- a/src/main/java/gullspar/decide/Balancer.java
+++ b/src/main/java/gullspar/decide/Balancer.java
@@ -38,23 +38,39 @@
     /**
      * A class of request. Times in ns; lateShare is the share of the worth for an answer after the promise;
      * windowNs is how long a repeat of a DEDUPLICATED request is dropped within its scope. Requests of all
-     * sequential classes with one key run one at a time, in the order taken.
+     * sequential classes with one key run one at a time, in the order taken. attempts: so many at the most, 0
+     * for what the settings say; attemptNs: the longest that one may take, 0 for no limit of its own.
      */
     record Profile(Effect effect, Scope scope, long windowNs, long promiseNs, long giveUpNs, double worth,
-            double lateShare, boolean streamed, boolean sequential) { }
+            double lateShare, boolean streamed, boolean sequential, int attempts, long attemptNs) {
+        public Profile(Effect effect, Scope scope, long windowNs, long promiseNs, long giveUpNs, double worth,
+                double lateShare, boolean streamed, boolean sequential) {
+            this(effect, scope, windowNs, promiseNs, giveUpNs, worth, lateShare, streamed, sequential, 0, 0);
+        }
+    }
 
     /**
      * What the deployment states at the start. Times in ns, the price as a fraction of the result.
      * fullIsNoProof: FULL does not prove that an attempt never ran. turnGapNs: how long a key rests after an
-     * attempt that may still be running.
+     * attempt that may still be running. listWeights: while no server reports its load, requests follow the
+     * weights of the list, and the promises are limits rather than what is usual.
      */
     record Settings(int me, int balancers, int zone, List<Profile> profiles, boolean askForList,
             boolean mayCancel, int maxAttempts, long maxRetryAfterNs, double startCapacity, long coldNs,
             double tipMultiple, long fallNs, long askWithinNs, long stepNs, double crossZonePrice,
-            boolean fullIsNoProof, long turnGapNs) {
+            boolean fullIsNoProof, long turnGapNs, boolean listWeights) {
         public Settings {
             profiles = List.copyOf(profiles);
         }
+
+        public Settings(int me, int balancers, int zone, List<Profile> profiles, boolean askForList,
+                boolean mayCancel, int maxAttempts, long maxRetryAfterNs, double startCapacity, long coldNs,
+                double tipMultiple, long fallNs, long askWithinNs, long stepNs, double crossZonePrice,
+                boolean fullIsNoProof, long turnGapNs) {
+            this(me, balancers, zone, profiles, askForList, mayCancel, maxAttempts, maxRetryAfterNs,
+                    startCapacity, coldNs, tipMultiple, fallNs, askWithinNs, stepNs, crossZonePrice,
+                    fullIsNoProof, turnGapNs, false);
+        }
     }
 
     /** A server as listed. bootNs is the clock time of its last start, 0 for long ago. */
@@ -122,6 +138,11 @@
 
     void onTimer(long now, long token);
 
+    /** Classes of requests that come later: the whole list, in which those known keep their places. */
+    default void onProfiles(List<Profile> profiles) {
+        throw new UnsupportedOperationException("this module knows its classes from the start");
+    }
+
     /** The result of a probe; not heard by a module that sends none. */
     default void onProbe(long now, int server, Status status, long elapsedNs, Report report) { }
 
--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -35,6 +35,8 @@
     private static final double OTHERS_NS = 1e9, HELD_MOST = 1000; // of more in hand no report is believed
     /** Weight of a new report in what a server can do in a second. */
     private static final double PARALLEL_GAIN = 0.2;
+    /** A guess at the time of a request where promises are limits: they tell nothing of what is usual. */
+    private static final double GUESS_NS = 20e6;
     /** Failures in a row that eject a server; one or two happen to a healthy one. */
     private static final int EJECT_FAILURES = 4;
     /** Never more of the ready servers than this: ejecting most of a crowded fleet drowns the rest. */
@@ -95,10 +97,13 @@
     /** The own zone's rotation and that of the others: sums of weights, and of weights x expected times. */
     private final double[] weights = new double[2], times = new double[2], open = new double[2];
     private final long[] kindAt = new long[256], usualAt = new long[256];
-    private final double[] median;
-    private final long[] mostLeft;
-    private final double meanWorth;
-    private final long minPromise;
+    private double[] median = {};
+    private long[] mostLeft = {};
+    private List<Profile> profiles;
+    private double meanWorth;
+    private long minPromise;
+    /** No server has reported its load: the weights of the list count. */
+    private boolean byList;
     private double arrivals, sent, good, lost, parallel = 1, leastService, retries = RETRY_BURST / 2;
     private double resends = RESEND_BURST / 2;
     private long agedAt, heardAt, wokeAt, askPause = ASK_NS;
@@ -111,11 +116,9 @@
         this.settings = settings;
         this.out = out;
         this.random = new SplittableRandom(seed);
-        this.minPromise = settings.profiles().stream().mapToLong(Profile::promiseNs).min().orElse(0);
-        this.meanWorth = settings.profiles().stream().mapToDouble(Profile::worth).average().orElse(1);
-        this.median = new double[settings.profiles().size()];
-        this.mostLeft = new long[median.length];
-        Arrays.fill(kindPace, minPromise / 6.0); // a guess, soon forgotten
+        this.byList = settings.listWeights();
+        onProfiles(settings.profiles());
+        Arrays.fill(kindPace, byList ? GUESS_NS : minPromise / 6.0); // soon forgotten
         Arrays.fill(kindAt, now);
         Arrays.fill(usual, 1);
         Arrays.fill(usualAt, now);
@@ -125,6 +128,15 @@
         if (settings.askForList()) { ask(now); }
     }
 
+    @Override
+    public void onProfiles(List<Profile> known) {
+        profiles = List.copyOf(known);
+        minPromise = known.stream().mapToLong(Profile::promiseNs).min().orElse(0);
+        meanWorth = known.stream().mapToDouble(Profile::worth).average().orElse(1);
+        median = Arrays.copyOf(median, known.size());
+        mostLeft = Arrays.copyOf(mostLeft, known.size());
+    }
+
     // ---- discovery ----
 
     private void ask(long now) {
@@ -205,6 +217,7 @@
 
     private void report(Server s, long now, Report r) {
         if (r == null) { return; }
+        byList = false;
         s.blind = !Double.isFinite(r.inflight());
         double held = Double.isFinite(r.inflight()) ? r.inflight() : r.queue();
         // Answers repeat a report until the next is made; of two the util differs, also where both held none.
@@ -245,8 +258,13 @@
         s.factor = minPromise / s.pace * s.parallel * Math.max(SPARE_FLOOR, s.spare) * warmth(s, now);
     }
 
-    /** The factor, less what waits there: as a fourth power, to level the queues and not the rates. */
-    private static double weight(Server s) {
+    /**
+     * The factor, less what waits there: as a fourth power, to level the queues and not the rates. Where no
+     * report makes factors it is the design's start, the list's weight: servers that tell nothing get the
+     * shares that their operator declared, however quick each seems.
+     */
+    private double weight(Server s) {
+        if (byList) { return s.listed.units(); }
         double wait = 1 + s.load();
         return s.factor / (wait * wait * wait * wait);
     }
@@ -405,7 +423,7 @@
         heard(now);
         age(now);
         arrivals++;
-        Profile profile = settings.profiles().get(request.profile());
+        Profile profile = profiles.get(request.profile());
         Ticket t = new Ticket(request, profile, aim(request, profile, now), now + request.leftNs());
         tickets.put(request.ticket(), t);
         if (t.profile.sequential() && request.key() != 0) {
@@ -507,12 +525,14 @@
         // An answer that would earn nothing leaves the server, unless a repeat would then run beside it.
         boolean cut = settings.mayCancel() && t.profile.lateShare() == 0
                 && !(t.profile.effect() == Effect.DEDUPLICATED && t.profile.scope() == Scope.ALL);
-        out.send(t.request.ticket(), s.id, cut ? Math.max(1, t.aim - now) : 0);
+        long most = Math.min(cut ? Math.max(1, t.aim - now) : Long.MAX_VALUE,
+                t.profile.attemptNs() > 0 ? t.profile.attemptNs() : Long.MAX_VALUE);
+        out.send(t.request.ticket(), s.id, most == Long.MAX_VALUE ? 0 : most);
     }
 
     /** May another attempt start now, by the rules on repeats? */
     private boolean mayAttempt(Ticket t, long now) {
-        if (t.over || t.begun || now >= t.aim || t.attempts.size() >= settings.maxAttempts()
+        if (t.over || t.begun || now >= t.aim || t.attempts.size() >= most(t.profile)
                 || now >= t.deadline - settings.stepNs()) {
             return false;
         }
@@ -522,6 +542,10 @@
                 && now - bound.sentAt < t.profile.windowNs() - 2 * settings.stepNs();
     }
 
+    private int most(Profile p) {
+        return p.attempts() > 0 ? Math.min(p.attempts(), settings.maxAttempts()) : settings.maxAttempts();
+    }
+
     /** A further attempt elsewhere, within the rules and the retry budget. */
     private void again(Ticket t, long now) {
         boolean broke = t.attempts.get(t.attempts.size() - 1).ended == Status.RESET;
