--- a/src/main/java/gullspar/cli/Direct.java
+++ b/src/main/java/gullspar/cli/Direct.java
@@ -1,13 +1,16 @@
 package gullspar.cli;
 
+import gullspar.config.SiteReader;
 import gullspar.decide.Policy;
 import gullspar.drill.Host;
 import gullspar.drill.WireException;
 import gullspar.proxy.Daemon;
 import gullspar.proxy.config.ConfigException;
+import gullspar.site.SiteDaemon;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
+import java.nio.file.Path;
 
 /** The commands that a platform starts. They load nothing that they do not run on, and return exit codes. */
 public final class Direct {
@@ -18,6 +21,16 @@
         return daemon(() -> Daemon.run(System.getenv(), Policy::new));
     }
 
+    /** One proxy for plain HTTP, by an operator's file; returns only if it cannot go on. */
+    static int serve(Path config) {
+        quicker();
+        try {
+            return SiteDaemon.run(config, () -> Written.read(config, SiteReader::read), Policy::new) ? 1 : 2;
+        } catch (IOException e) {
+            return failed(e.getMessage());
+        }
+    }
+
     /** Goes through all that serving needs and ends: the build records the classes that it loads. */
     public static int warm() {
         return daemon(() -> Daemon.warm(System.getenv(), Policy::new));
@@ -39,10 +52,14 @@
         void run() throws ConfigException, IOException;
     }
 
-    private static int daemon(Work work) {
+    private static void quicker() {
         // Nobody records a flight here, and Netty's events for it cost a start 0.3 s on half a core.
         System.setProperty("io.netty.jfr.enabled", "false");
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // it would look for others first
+    }
+
+    private static int daemon(Work work) {
+        quicker();
         try {
             work.run();
             return 0;
--- a/src/main/java/gullspar/cli/Routes.java
+++ b/src/main/java/gullspar/cli/Routes.java
@@ -68,8 +68,9 @@
                 return 2;
             }
             Request r = request();
-            site.router().explain(r).forEach(System.out::println);
-            Router.Found found = site.router().find(r);
+            Router router = site.router(port());
+            router.explain(r).forEach(System.out::println);
+            Router.Found found = router.find(r);
             if (found.route() == null) {
                 System.out.println("answer " + found.status());
                 return 1;
@@ -78,6 +79,11 @@
             return 0;
         }
 
+        private int port() {
+            int port = URI.create(url).getPort();
+            return port < 0 ? 80 : port;
+        }
+
         private Request request() {
             try {
                 URI u = new URI(url);
@@ -102,13 +108,19 @@
             }
             Route.ToPool to = route.pool();
             System.out.println("pool " + to.pool() + ", class " + Route.kind(to.kind(), r.method()).name()
-                    .toLowerCase(Locale.ROOT) + ", within " + to.deadlineNs() / 1_000_000 + " ms, at most "
-                    + to.attempts() + " attempts");
+                    .toLowerCase(Locale.ROOT) + ", within "
+                    + to.limits().deadlineNs() / 1_000_000 + " ms, at most "
+                    + to.limits().attempts() + " attempts");
             System.out.println("sends " + r.method() + " " + to.rewrite().of(r.path())
                     + (r.query() == null ? "" : "?" + r.query()));
-            site.pools().get(to.pool()).servers().forEach(s -> System.out.println("  server " + s.name()
-                    + " weight "
-                    + s.weight() + (s.backup() ? " backup" : "") + (s.down() ? " down" : "")));
+            to.request().set().forEach((name, value) -> System.out.println("  " + name + ": " + value));
+            to.request().remove().forEach(name -> System.out.println("  without " + name));
+            Site.Pool pool = site.pools().get(to.pool());
+            if (pool.discovery() != null) {
+                System.out.println("  servers from " + pool.discovery());
+            }
+            pool.servers().forEach(s -> System.out.println("  server " + s.name() + " weight " + s.weight()
+                    + (s.backup() ? " backup" : "") + (s.down() ? " down" : "")));
         }
     }
 }
--- a/src/main/java/gullspar/cli/Tool.java
+++ b/src/main/java/gullspar/cli/Tool.java
@@ -1,10 +1,12 @@
 package gullspar.cli;
 
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
@@ -44,13 +46,19 @@
 
     /** The daemon. */
     @Command(name = "serve", mixinStandardHelpOptions = true, description = {"Runs one proxy.",
-        "It reads the file that NODE_CONFIG names; NODE_LISTEN and NODE_DISCOVERY win over it at the start."},
+        "With --config it serves plain HTTP by the routes and pools of that file (docs/routing.md).",
+        "Without, it reads the file that NODE_CONFIG names; NODE_LISTEN and NODE_DISCOVERY win over it at "
+            + "the start."},
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:ended by SIGTERM, all answered", "1:it cannot start or go on", "2:wrong usage"})
+        exitCodeList = {"0:ended by SIGTERM, all answered", "1:it cannot start or go on",
+            "2:wrong usage, or a file with errors"})
     static final class Serve implements Callable<Integer> {
+        @Option(names = "--config", paramLabel = "FILE", description = "Routes and pools (TOML).")
+        private Path config;
+
         @Override
         public Integer call() {
-            return Direct.serve();
+            return config == null ? Direct.serve() : Direct.serve(config);
         }
     }
 
--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -8,6 +8,7 @@
 import gullspar.proxy.backend.Attempt;
 import gullspar.proxy.client.Asked;
 import gullspar.proxy.client.Client;
+import gullspar.proxy.events.Events;
 import gullspar.proxy.http.Message;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
--- a/src/main/java/gullspar/proxy/Exchanges.java
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -6,6 +6,7 @@
 import gullspar.proxy.client.Asked;
 import gullspar.proxy.client.Client;
 import gullspar.proxy.client.Frontend;
+import gullspar.proxy.events.Events;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Platform;
 import java.util.HashMap;
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -8,6 +8,7 @@
 import gullspar.proxy.discovery.Discovery;
 import gullspar.proxy.discovery.Listed;
 import gullspar.proxy.discovery.News;
+import gullspar.proxy.events.Events;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
 import io.netty.channel.Channel;
--- a/src/main/java/gullspar/proxy/backend/AnswerDecoder.java
+++ b/src/main/java/gullspar/proxy/backend/AnswerDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
@@ -13,9 +14,9 @@
  * Decodes one answer for each request, and sees to it that bytes which belong to none are never taken for the
  * next one's: what is no answer from its first byte on is said at once, and so is what follows a whole one.
  */
-final class AnswerDecoder extends HttpResponseDecoder {
+public final class AnswerDecoder extends HttpResponseDecoder {
     /** Who hears what the decoder itself cannot say. */
-    interface Listener {
+    public interface Listener {
         /** Bytes that no answer begins with, or that came while no answer was due. */
         void noise();
 
@@ -24,30 +25,42 @@
     }
 
     private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
-    private static final int LONGEST_LINE = 1024, LONGEST_HEAD = 8 << 10;
 
     private enum Due { NOTHING, BEGINNING, REST, END }
 
     private final Listener listener;
     private Due due = Due.NOTHING;
+    private boolean bodiless;
 
-    AnswerDecoder(Listener listener) {
-        super(new HttpDecoderConfig().setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LONGEST_HEAD));
+    /** The longest first line and the longest head that it reads, in bytes. */
+    public AnswerDecoder(Listener listener, int longestLine, int longestHead) {
+        super(new HttpDecoderConfig().setMaxInitialLineLength(longestLine).setMaxHeaderSize(longestHead));
         this.listener = listener;
     }
 
+    /** As expect; to a request whose answer has no body, whatever its head says (HEAD). */
+    public void expect(boolean headOnly) {
+        bodiless = headOnly;
+        expect();
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return bodiless || super.isContentAlwaysEmpty(message);
+    }
+
     /** An answer is due from now on: to the request that is being written, or after an interim one. */
-    void expect() {
+    public void expect() {
         due = Due.BEGINNING;
     }
 
     /** The answer is whole: what still comes in this go is not part of it. */
-    void whole() {
+    public void whole() {
         due = Due.END;
     }
 
     /** All that came with the answer has been seen: whatever comes before the next request is noise. */
-    void quiet() {
+    public void quiet() {
         due = Due.NOTHING;
     }
 
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -22,12 +22,13 @@
         implements AnswerDecoder.Listener {
     /** Interim (1xx) answers ahead of one final answer. */
     private static final int MOST_INTERIM = 8;
+    private static final int LONGEST_LINE = 1024, LONGEST_HEAD = 8 << 10;
 
     private final Backend backend;
     private final EventLoop loop;
     private final Clock clock;
     private final long drainGraceNs;
-    private final AnswerDecoder decoder = new AnswerDecoder(this);
+    private final AnswerDecoder decoder = new AnswerDecoder(this, LONGEST_LINE, LONGEST_HEAD);
     private Channel channel;
     private long idleSince;
     private Attempt attempt;
--- a/src/main/java/gullspar/proxy/backend/LoadReport.java
+++ b/src/main/java/gullspar/proxy/backend/LoadReport.java
@@ -12,7 +12,7 @@
     private LoadReport() { }
 
     /** The last load report that can be read; null if none can. */
-    static Report last(List<String> texts) {
+    public static Report last(List<String> texts) {
         Report last = null;
         for (String text : texts) {
             Report r = parse(text);
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -45,6 +45,7 @@
     private static final long FRESH_NS = 250_000_000L;
     /** One that was used may stand idle for so long: usual clients come again sooner. */
     private static final long IDLE_NS = 5_000_000_000L;
+    private static final int LONGEST_LINE = 4096, LONGEST_HEAD = 8 << 10;
     private static final long SWEEP_MS = 200, AGE_MS = 4000, COUNT_MS = 10_000;
 
     private final Config config;
@@ -101,7 +102,7 @@
             return;
         }
         c.closeFuture().addListener(f -> sockets.release());
-        RequestDecoder decoder = new RequestDecoder();
+        RequestDecoder decoder = new RequestDecoder(LONGEST_LINE, LONGEST_HEAD);
         Client client = new Client(c, decoder, this);
         c.pipeline().addLast(decoder, new HttpResponseEncoder(), client);
         unused.add(client);
--- a/src/main/java/gullspar/proxy/client/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/client/RequestDecoder.java
@@ -13,28 +13,27 @@
  * only its sender knows. The library itself turns down a request with both Content-Length and
  * Transfer-Encoding.
  */
-final class RequestDecoder extends HttpRequestDecoder {
-    private static final int LONGEST_LINE = 4096, LONGEST_HEAD = 8 << 10;
-
+public class RequestDecoder extends HttpRequestDecoder {
     private boolean stopped;
     private boolean begun;
 
-    RequestDecoder() {
-        super(new HttpDecoderConfig().setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LONGEST_HEAD));
+    /** The longest first line and the longest head that it reads, in bytes. */
+    public RequestDecoder(int longestLine, int longestHead) {
+        super(new HttpDecoderConfig().setMaxInitialLineLength(longestLine).setMaxHeaderSize(longestHead));
     }
 
     /** Drops what still comes. */
-    void stop() {
+    public void stop() {
         stopped = true;
     }
 
     /** Has a request begun that is not whole yet? */
-    boolean begun() {
+    public boolean begun() {
         return begun;
     }
 
     /** The request that had begun is whole. */
-    void whole() {
+    public void whole() {
         begun = false;
     }
 
--- a/src/main/java/gullspar/proxy/discovery/Discovery.java
+++ b/src/main/java/gullspar/proxy/discovery/Discovery.java
@@ -1,6 +1,7 @@
 package gullspar.proxy.discovery;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import gullspar.decide.Balancer.ListKind;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.Json;
@@ -27,6 +28,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -42,6 +44,18 @@
         void failed();
     }
 
+    /**
+     * Where discovery is, whether each call is asked for by the module, the list known beforehand, and the
+     * names whose places are the numbers that the module knows.
+     */
+    public record Source(InetSocketAddress address, boolean askForList, JsonNode known, List<String> kinds,
+            List<String> zones) {
+        /** A source that pushes its list to whoever watches, with nothing known beforehand. */
+        public static Source pushed(InetSocketAddress address) {
+            return new Source(address, false, MissingNode.getInstance(), List.of(), List.of());
+        }
+    }
+
     /** Two and a half beats of 2 s: what is not heard counts as told after 6 s all the same. */
     private static final long SILENCE_MS = 5000;
     private static final long FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 1600;
@@ -67,13 +81,23 @@
 
     /** One that gives up a watch after so long with no word, in ms. */
     public Discovery(Platform platform, Config config, Listener listener, long silenceMs) {
+        this(platform, new Source(config.discovery(), config.settings().askForList(), config.known(),
+                config.kinds(), config.zones()), listener, silenceMs);
+    }
+
+    /** One that watches a source that no configuration of the platform names. */
+    public Discovery(Platform platform, Source source, Listener listener) {
+        this(platform, source, listener, SILENCE_MS);
+    }
+
+    private Discovery(Platform platform, Source source, Listener listener, long silenceMs) {
         this.platform = platform;
         this.loop = platform.loop();
-        this.askForList = config.settings().askForList();
-        this.known = config.known();
-        this.catalog = new Catalog(config.kinds(), config.zones());
+        this.askForList = source.askForList();
+        this.known = source.known();
+        this.catalog = new Catalog(source.kinds(), source.zones());
         this.listener = listener;
-        this.address = config.discovery();
+        this.address = source.address();
         this.silenceMs = silenceMs;
     }
 
--- a/src/main/java/gullspar/proxy/Events.java
+++ b/src/main/java/gullspar/proxy/events/Events.java
@@ -1,4 +1,4 @@
-package gullspar.proxy;
+package gullspar.proxy.events;
 
 import gullspar.decide.Balancer;
 import gullspar.proxy.io.Platform;
@@ -11,9 +11,9 @@
  * still finds requests and the news of a drain side by side, and which of them was read first is chance, but
  * the time since the drain was told has run on.
  */
-final class Events {
+public final class Events {
     /** One call of the module. */
-    interface Event {
+    public interface Event {
         void at(long now, Balancer module);
     }
 
@@ -23,25 +23,26 @@
     private Balancer module;
     private boolean delivering;
 
-    Events(Platform platform) {
+    public Events(Platform platform) {
         this.platform = platform;
     }
 
-    void to(Balancer heir) {
+    /** The module that hears; before any event is delivered. */
+    public void to(Balancer heir) {
         module = heir;
     }
 
     /** Tells what discovery said. */
-    void news(Event event) {
+    public void news(Event event) {
         add(news, event, () -> { });
     }
 
-    void tell(Event event) {
+    public void tell(Event event) {
         tell(event, () -> { });
     }
 
     /** Tells of one request; a slip of the module costs that request, not all that the proxy holds. */
-    void tell(Event event, Runnable afterSlip) {
+    public void tell(Event event, Runnable afterSlip) {
         add(others, event, afterSlip);
     }
 
--- a/src/main/java/gullspar/route/Members.java
+++ b/src/main/java/gullspar/route/Members.java
@@ -4,10 +4,12 @@
 import java.util.List;
 
 /**
- * Who of a pool is listed to its decision module at all: the primaries that are not out for their failures;
- * the backups where no primary is left; and if there is nobody then, every primary, since a pool that lists
- * nobody cannot find out that one is back. A server is out for a time once it has failed so often in such a
- * time. No clock: callers give the time, in ns from any origin, never going back.
+ * Who of a pool is listed to its decision module at all: the primaries that are not out for their failures
+ * and have a connection left; the backups where no primary is left; and if everyone is out then, every
+ * primary, since a pool that lists nobody cannot find out that one is back. Where somebody is only at the
+ * limit of connections nobody else is listed: requests wait for a place. A server is out for a time once it
+ * has failed so often in such a time. No clock: callers give the time, in ns from any origin, never going
+ * back.
  */
 public final class Members {
     /**
@@ -16,8 +18,7 @@
      * for at once.
      */
     public record Declared(String name, double weight, boolean backup, boolean down, int maxFailures,
-            long failNs,
-            long slowStartNs) {
+            long failNs, long slowStartNs) {
         public Declared {
             if (!(weight > 0) || maxFailures < 0 || failNs < 0 || slowStartNs < 0) {
                 throw new IllegalArgumentException("a server's figures cannot be negative, its weight not "
@@ -29,12 +30,17 @@
     /** A server that is listed now, with the weight that it has now. */
     public record Listed(Declared server, double weight) { }
 
+    /** A weight that rises is told in so many steps. */
+    private static final int SLOW_STEPS = 50;
+    private static final long SHORTEST_STEP_NS = 50_000_000L;
+
     private static final class Server {
         private final Declared declared;
         private int failures;
         private long firstFailureAt;
         private long outUntil;
         private boolean out;
+        private boolean full;
         private long backAt = Long.MIN_VALUE;
 
         Server(Declared declared) {
@@ -42,11 +48,21 @@
         }
     }
 
-    private final List<Server> servers = new ArrayList<>();
-    private final boolean alone;
+    private List<Server> servers = List.of();
+    private boolean alone;
 
     public Members(List<Declared> declared) {
-        declared.forEach(d -> servers.add(new Server(d)));
+        declare(declared);
+    }
+
+    /** Other servers from now on; those declared as before keep what is known of them. */
+    public void declare(List<Declared> declared) {
+        List<Server> next = new ArrayList<>();
+        for (Declared d : declared) {
+            Server known = server(d.name());
+            next.add(known != null && known.declared.equals(d) ? known : new Server(d));
+        }
+        servers = next;
         // With one server there is nobody to go to instead: its failures put nobody out.
         this.alone = declared.stream().filter(d -> !d.down()).count() <= 1;
     }
@@ -80,6 +96,16 @@
         }
     }
 
+    /** Is a server at its limit of connections? True if that changes who is listed. */
+    public boolean full(String name, boolean full) {
+        Server s = server(name);
+        if (s == null || s.full == full) {
+            return false;
+        }
+        s.full = full;
+        return true;
+    }
+
     private Server server(String name) {
         for (Server s : servers) {
             if (s.declared.name().equals(name)) {
@@ -95,6 +121,9 @@
         for (Server s : servers) {
             if (s.out) {
                 next = Math.min(next, s.outUntil);
+            } else if (rising(s, now)) {
+                next = Math.min(next, now + Math.max(SHORTEST_STEP_NS, s.declared.slowStartNs()
+                        / SLOW_STEPS));
             }
         }
         return Math.max(next, now);
@@ -113,25 +142,28 @@
             return primaries;
         }
         List<Listed> backups = of(now, true, false);
-        return backups.isEmpty() ? of(now, false, true) : backups;
+        boolean waits = servers.stream().anyMatch(s -> s.full && !s.out && !s.declared.down());
+        return backups.isEmpty() && !waits ? of(now, false, true) : backups;
     }
 
     private List<Listed> of(long now, boolean backup, boolean alsoOut) {
         List<Listed> list = new ArrayList<>();
         for (Server s : servers) {
-            if (s.declared.backup() == backup && !s.declared.down() && (alsoOut || !s.out)) {
+            if (s.declared.backup() == backup && !s.declared.down() && !s.full
+                    && (alsoOut || !s.out)) {
                 list.add(new Listed(s.declared, weight(s, now)));
             }
         }
         return list;
     }
 
+    private static boolean rising(Server s, long now) {
+        return s.backAt != Long.MIN_VALUE && now - s.backAt < s.declared.slowStartNs();
+    }
+
     /** From a hundredth of the declared weight up to all of it, in a line. */
     private static double weight(Server s, long now) {
-        long slow = s.declared.slowStartNs();
-        if (slow == 0 || s.backAt == Long.MIN_VALUE || now - s.backAt >= slow) {
-            return s.declared.weight();
-        }
-        return s.declared.weight() * Math.max(0.01, (now - s.backAt) / (double) slow);
+        return !rising(s, now) ? s.declared.weight() : s.declared.weight()
+                * Math.max(0.01, (now - s.backAt) / (double) s.declared.slowStartNs());
     }
 }
--- a/src/main/java/gullspar/route/Route.java
+++ b/src/main/java/gullspar/route/Route.java
@@ -14,12 +14,26 @@
      */
     public enum Kind { BY_METHOD, SAFE, KEYED, UNSAFE }
 
-    /** To a pool, within that time, in so many attempts at the most, with a body of at most that. */
-    public record ToPool(String pool, Kind kind, long deadlineNs, int attempts, long bodyBytes,
-            Rewrite rewrite) { }
+    /**
+     * To a pool: what kind of requests, how they change on the way there and their answers on the way back.
+     */
+    public record ToPool(String pool, Kind kind, Limits limits, Rewrite rewrite, HeaderChanges request,
+            HeaderChanges answer) { }
+
+    /**
+     * A final answer begins within the deadline; in so many attempts at the most, each of at most attemptNs
+     * (0: as long as the deadline leaves); with a body of at most so much. An answer with a status of retryOn
+     * counts as a failed attempt. A keyed request's repeats are dropped for rememberedNs.
+     */
+    public record Limits(long deadlineNs, int attempts, long attemptNs, long bodyBytes, Set<Integer> retryOn,
+            long rememberedNs) {
+        public Limits {
+            retryOn = Set.copyOf(retryOn);
+        }
+    }
 
     /** A fixed answer: a status, and a body or a place to go to, or neither. */
-    public record Answer(int status, String body, String location) { }
+    public record Answer(int status, Template body, String type, Template location, HeaderChanges headers) { }
 
     public Route {
         methods = Set.copyOf(methods);
--- a/src/main/java/gullspar/route/Router.java
+++ b/src/main/java/gullspar/route/Router.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.Supplier;
 
 /**
@@ -14,10 +16,10 @@
     public record Host(String name, Paths<List<Route>> paths) { }
 
     /**
-     * What was found: the route, or null and the status that says why there is none (404 or 405); and the way
-     * to it, a line each.
+     * What was found: the route, or null and the status that says why there is none (404 or 405); what the
+     * place's regular expression caught, group 0 first; and with 405 the methods that are allowed.
      */
-    public record Found(Route route, int status, List<String> groups) { }
+    public record Found(Route route, int status, List<String> groups, Set<String> allowed) { }
 
     private final Hosts<Host> hosts;
 
@@ -43,13 +45,13 @@
         Hosts.Found<Host> host = hosts.find(r.host());
         if (host == null) {
             say(why, () -> "no host fits '" + r.host() + "', and there is no default");
-            return new Found(null, 404, List.of());
+            return new Found(null, 404, List.of(), Set.of());
         }
         say(why, () -> "host " + host.host().name() + ": " + host.why());
         Paths.Found<List<Route>> place = host.host().paths().find(r.path());
         if (place == null) {
             say(why, () -> "no place fits " + r.path());
-            return new Found(null, 404, List.of());
+            return new Found(null, 404, List.of(), Set.of());
         }
         say(why, () -> "place " + place.kind().name().toLowerCase(Locale.ROOT).replace('_', '-') + " "
                 + place.text());
@@ -58,12 +60,16 @@
             String unfit = route.unfit(r);
             if (unfit == null) {
                 say(why, () -> "route " + route.name());
-                return new Found(route, 200, place.groups());
+                return new Found(route, 200, place.groups(), Set.of());
             }
             say(why, () -> "not route " + route.name() + ": " + unfit);
             method |= route.takesMethod(r.method());
         }
-        return new Found(null, method ? 404 : 405, place.groups());
+        Set<String> allowed = new TreeSet<>();
+        if (!method) {
+            place.target().forEach(route -> allowed.addAll(route.methods()));
+        }
+        return new Found(null, method ? 404 : 405, place.groups(), allowed);
     }
 
     private static void say(List<String> why, Supplier<String> line) {
--- /dev/null
+++ b/src/main/java/gullspar/site/http/BodyBudget.java
@@ -0,0 +1,34 @@
+package gullspar.site.http;
+
+/** The bytes that the bodies of all requests in hand may take together. Guards the heap against uploads. */
+public final class BodyBudget {
+    private long most;
+    private long taken;
+
+    /** In bytes. */
+    public BodyBudget(long most) {
+        this.most = most;
+    }
+
+    /** Another limit from now on; what is taken stays taken. */
+    public void limit(long bytes) {
+        most = bytes;
+    }
+
+    boolean take(long bytes) {
+        if (taken + bytes > most) {
+            return false;
+        }
+        taken += bytes;
+        return true;
+    }
+
+    void release(long bytes) {
+        taken -= bytes;
+    }
+
+    /** Bytes in use. */
+    public long taken() {
+        return taken;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/site/http/Hops.java
@@ -0,0 +1,62 @@
+package gullspar.site.http;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** What of a head is meant for the next hop alone, and does not go on (RFC 9110, section 7.6.1). */
+public final class Hops {
+    private static final Set<String> ALWAYS = Set.of("connection", "keep-alive", "proxy-connection",
+            "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
+            "content-length", "expect", "http2-settings");
+    /** Connection cannot take these away: without them a request means something else. */
+    private static final Set<String> NEVER_NAMED = Set.of("host", "cookie", "authorization",
+            "idempotency-key", "content-type", "content-encoding", "cache-control");
+    private static final AsciiString VIA = AsciiString.cached("Via");
+
+    private Hops() { }
+
+    /** Copies what goes on from one head to another, and says in Via that it came through here. */
+    public static void copy(HttpHeaders from, HttpVersion received, HttpHeaders to) {
+        Set<String> named = named(from);
+        for (Map.Entry<String, String> h : from) {
+            String name = h.getKey().toLowerCase(Locale.ROOT);
+            if (!ALWAYS.contains(name) && !named.contains(name)) {
+                to.add(h.getKey(), h.getValue());
+            }
+        }
+        List<String> via = to.getAll(VIA);
+        String here = received.majorVersion() + "." + received.minorVersion() + " gullspar";
+        to.set(VIA, via.isEmpty() ? here : String.join(", ", via) + ", " + here);
+    }
+
+    private static Set<String> named(HttpHeaders from) {
+        Set<String> named = Set.of();
+        for (String v : from.getAll(HttpHeaderNames.CONNECTION)) {
+            named = named.isEmpty() ? new HashSet<>() : named;
+            for (String name : v.split(",")) {
+                String n = name.trim().toLowerCase(Locale.ROOT);
+                if (!NEVER_NAMED.contains(n)) {
+                    named.add(n);
+                }
+            }
+        }
+        return named;
+    }
+
+    /** Copies trailers: none that frames, routes or authorizes (RFC 9110, section 6.5.1). */
+    public static void copyTrailers(HttpHeaders from, HttpHeaders to) {
+        for (Map.Entry<String, String> h : from) {
+            String name = h.getKey().toLowerCase(Locale.ROOT);
+            if (!ALWAYS.contains(name) && !NEVER_NAMED.contains(name)) {
+                to.add(h.getKey(), h.getValue());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/site/http/Target.java
@@ -0,0 +1,121 @@
+package gullspar.site.http;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.Charset;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/**
+ * What a request is for (RFC 9112, section 3.2): the path decoded and normalised, by which it is routed, and
+ * the target as it came, which goes on where nothing rewrites it. authority is that of an absolute target,
+ * else null; query is null where there is none.
+ */
+public record Target(String raw, String authority, String path, String query, Charset charset) {
+    private static final Pattern FORM = Pattern.compile("[!-~&&[^#\"<>\\\\^`{|}]]+|[!-~&&[^#]]+");
+    private static final String KEPT = "-._~!$&'()*+,;=:@/";
+
+    /** Reads one; null if it is none that a server can be asked for. */
+    public static Target of(String uri, String method) {
+        if (!FORM.matcher(uri).matches()) {
+            return null;
+        }
+        if (uri.equals("*")) {
+            return method.equals("OPTIONS") ? new Target(uri, null, "/", null, StandardCharsets.UTF_8) : null;
+        }
+        String authority = null;
+        String origin = uri;
+        if (uri.regionMatches(true, 0, "http://", 0, 7)) {
+            int slash = uri.indexOf('/', 7);
+            int question = uri.indexOf('?', 7);
+            int end = slash < 0 || question >= 0 && question < slash ? question : slash;
+            authority = end < 0 ? uri.substring(7) : uri.substring(7, end);
+            origin = end < 0 ? "/" : uri.substring(end);
+            origin = origin.startsWith("?") ? "/" + origin : origin;
+            if (authority.isEmpty() || authority.contains("@")) {
+                return null;
+            }
+        }
+        int question = origin.indexOf('?');
+        byte[] decoded = decode(question < 0 ? origin : origin.substring(0, question));
+        if (!origin.startsWith("/") || decoded == null) {
+            return null;
+        }
+        Charset charset = charset(decoded);
+        String path = normal(new String(decoded, charset));
+        return path == null ? null : new Target(origin, authority, path,
+                question < 0 ? null : origin.substring(question + 1), charset);
+    }
+
+    /** The bytes of a path with its %XX resolved; null if one is odd, or stands for 0. */
+    private static byte[] decode(String path) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(path.length());
+        for (int i = 0; i < path.length(); i++) {
+            char c = path.charAt(i);
+            if (c == '%') {
+                int high = i + 2 < path.length() ? Character.digit(path.charAt(i + 1), 16) : -1;
+                int low = i + 2 < path.length() ? Character.digit(path.charAt(i + 2), 16) : -1;
+                if (high < 0 || low < 0 || high + low == 0) {
+                    return null;
+                }
+                bytes.write(high * 16 + low);
+                i += 2;
+            } else {
+                bytes.write(c);
+            }
+        }
+        return bytes.toByteArray();
+    }
+
+    /** UTF-8 where it is that; else each byte stands for itself. */
+    private static Charset charset(byte[] bytes) {
+        try {
+            StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes));
+            return StandardCharsets.UTF_8;
+        } catch (CharacterCodingException e) {
+            return StandardCharsets.ISO_8859_1;
+        }
+    }
+
+    /** Without empty, . and .. segments; null if it leads above the root. */
+    private static String normal(String path) {
+        if (!path.contains("//") && !path.contains("/.")) {
+            return path;
+        }
+        List<String> segments = new ArrayList<>();
+        boolean folder = true;
+        for (String s : path.substring(1).split("/", -1)) {
+            folder = s.isEmpty() || s.equals(".") || s.equals("..");
+            if (s.equals("..")) {
+                if (segments.isEmpty()) {
+                    return null;
+                }
+                segments.remove(segments.size() - 1);
+            } else if (!folder) {
+                segments.add(s);
+            }
+        }
+        String joined = "/" + String.join("/", segments);
+        return folder && !segments.isEmpty() ? joined + "/" : joined;
+    }
+
+    /** A path, and the query of this target, as they are written in a request. */
+    public String with(String otherPath) {
+        StringBuilder s = new StringBuilder(otherPath.length() + 16);
+        for (byte b : otherPath.getBytes(charset)) {
+            if (b > 0 && (Character.isLetterOrDigit(b) || KEPT.indexOf(b) >= 0)) {
+                s.append((char) b);
+            } else {
+                s.append('%').append(hex(b >> 4)).append(hex(b));
+            }
+        }
+        return query == null ? s.toString() : s.append('?').append(query).toString();
+    }
+
+    private static char hex(int v) {
+        return Character.toUpperCase(Character.forDigit(v & 15, 16));
+    }
+}
--- a/src/main/java/gullspar/toml/Fields.java
+++ b/src/main/java/gullspar/toml/Fields.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
@@ -251,6 +253,14 @@
         return absent;
     }
 
+    /** A table whose keys are free and whose values are strings, in their order; empty if it is not there. */
+    public Map<String, String> strings(String key) {
+        Fields f = table(key);
+        Map<String, String> values = new LinkedHashMap<>();
+        f.table.keySet().forEach(k -> values.put(k, f.text(k, "")));
+        return values;
+    }
+
     /** The table of that name; an empty one if it is not there. */
     public Fields table(String key) {
         Object v = value(key);
--- a/src/test/java/gullspar/ArchitectureTest.java
+++ b/src/test/java/gullspar/ArchitectureTest.java
@@ -59,6 +59,18 @@
                 .check(ALL);
     }
 
+    /** Plain HTTP stands on the platform's proxy, never the other way: that loads nothing of it. */
+    @Test
+    void plainHttpDependsOnNothingAboveIt() {
+        classes().that().resideInAPackage("gullspar.site..").should().onlyDependOnClassesThat(
+                resideInAnyPackage("gullspar.site..", "gullspar.config..", "gullspar.route..",
+                        "gullspar.decide..", "gullspar.proxy..", "gullspar.toml..")
+                        .or(resideInAnyPackage("java..", "io.netty..")))
+                .check(ALL);
+        noClasses().that().resideInAPackage("gullspar.site.(*)..").should()
+                .dependOnClassesThat(resideInAPackage("gullspar.site")).check(ALL);
+    }
+
     @Test
     void nothingBelowTheProxyCallsUpIntoIt() {
         noClasses().that().resideInAPackage("gullspar.proxy.(*)..").should()
--- a/src/test/java/gullspar/config/SiteReaderTest.java
+++ b/src/test/java/gullspar/config/SiteReaderTest.java
@@ -40,19 +40,20 @@
         "GET, shop.example.org, /static/a.png, '', static", "GET, other.org, /a.png, '', elsewhere"})
     void theExample(String method, String host, String path, String header, String route) {
         Request r = request(method, host, path, header);
-        Router.Found found = example.router().find(r);
-        assertEquals(route, found.route().name(), example.router().explain(r).toString());
-        assertEquals("route " + route, example.router().explain(r).get(example.router().explain(r)
+        Router.Found found = example.router(0).find(r);
+        assertEquals(route, found.route().name(), example.router(0).explain(r).toString());
+        assertEquals("route " + route, example.router(0).explain(r).get(example.router(0).explain(r)
                 .size() - 1));
     }
 
     @Test
     void wherethereIsNoRouteTheStatusSaysWhy() {
-        Router.Found method = example.router().find(request("GET", "shop.example.org", "/api/orders", ""));
+        Router.Found method = example.router(0).find(request("GET", "shop.example.org", "/api/orders", ""));
         assertNull(method.route());
         assertEquals(405, method.status());
-        assertEquals(404, example.router().find(request("GET", "shop.example.org", "/nothing", "")).status());
-        List<String> why = example.router().explain(request("GET", "shop.example.org", "/api/orders", ""));
+        assertEquals(404, example.router(0).find(request("GET", "shop.example.org", "/nothing",
+                "")).status());
+        List<String> why = example.router(0).explain(request("GET", "shop.example.org", "/api/orders", ""));
         assertEquals("not route orders: its method is not POST", why.get(why.size() - 1));
     }
 
@@ -61,9 +62,9 @@
         assertEquals(3, example.pools().get("api").servers().size());
         assertEquals(5, example.pools().get("api").servers().get(0).weight());
         assertTrue(example.pools().get("api").servers().get(2).backup());
-        Route api = example.router().find(request("GET", "shop.example.org", "/api/stock", "")).route();
+        Route api = example.router(0).find(request("GET", "shop.example.org", "/api/stock", "")).route();
         assertEquals("/v1/stock", api.pool().rewrite().of("/api/stock"));
-        assertEquals(600_000_000L, api.pool().deadlineNs());
+        assertEquals(600_000_000L, api.pool().limits().deadlineNs());
         assertEquals(Route.Kind.SAFE, Route.kind(api.pool().kind(), "HEAD"));
         assertEquals(Route.Kind.UNSAFE, Route.kind(api.pool().kind(), "PUT"));
         assertEquals(Route.Kind.KEYED, Route.kind(Route.Kind.KEYED, "GET"));
@@ -73,7 +74,7 @@
     void rewritingByAPattern() throws Exception {
         Site s = SiteReader.parse(SMALL + "[[host.route]]\npath = \"/\"\npool = \"a\"\n"
                 + "rewrite = { pattern = \"^/u/([^/]+)/(.*)$\", to = \"/users/$2$9?u=$1\" }\n", "f.toml");
-        Route r = s.router().find(request("GET", "x", "/u/anna/x", "")).route();
+        Route r = s.router(0).find(request("GET", "x", "/u/anna/x", "")).route();
         assertEquals("/users/x?u=anna", r.pool().rewrite().of("/u/anna/x"));
         assertEquals("/else", r.pool().rewrite().of("/else"));
     }
--- a/src/test/java/gullspar/proxy/Peer.java
+++ b/src/test/java/gullspar/proxy/Peer.java
@@ -13,12 +13,12 @@
 import java.util.concurrent.TimeUnit;
 
 /** A scripted peer on loopback: every connection that it accepts is handed to the test, in order. */
-final class Peer implements AutoCloseable {
+public final class Peer implements AutoCloseable {
     private static final int PATIENCE_S = 20;
     private final ServerSocket server;
     private final BlockingQueue<Wire> accepted = new LinkedBlockingQueue<>();
 
-    Peer() throws IOException {
+    public Peer() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
         Thread t = new Thread(() -> {
             try {
@@ -33,16 +33,16 @@
         t.start();
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
 
-    String hostPort() {
+    public String hostPort() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
     /** The next connection. */
-    Wire accept() throws InterruptedException {
+    public Wire accept() throws InterruptedException {
         Wire w = accepted.poll(PATIENCE_S, TimeUnit.SECONDS);
         if (w == null) {
             throw new AssertionError("no connection came");
@@ -51,7 +51,7 @@
     }
 
     /** True if no connection has been accepted that the test has not taken. */
-    boolean quiet() {
+    public boolean quiet() {
         return accepted.isEmpty();
     }
 
@@ -61,7 +61,7 @@
     }
 
     /** One end of a connection, with plain blocking reads and writes. */
-    static final class Wire implements AutoCloseable {
+    public static final class Wire implements AutoCloseable {
         private final Socket socket;
         private final InputStream in;
 
@@ -71,17 +71,17 @@
             this.in = socket.getInputStream();
         }
 
-        static Wire to(InetSocketAddress address) throws IOException {
+        public static Wire to(InetSocketAddress address) throws IOException {
             return new Wire(new Socket(address.getAddress(), address.getPort()));
         }
 
-        Wire write(String text) throws IOException {
+        public Wire write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
             return this;
         }
 
         /** Reads one message, headers and as much of a body as Content-Length says; "" at the end. */
-        String read() throws IOException {
+        public String read() throws IOException {
             ByteArrayOutputStream head = new ByteArrayOutputStream();
             while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
                 int b = in.read();
@@ -96,8 +96,25 @@
             return text + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
         }
 
+        /** So many bytes, or fewer at the end. */
+        public String bytes(int count) throws IOException {
+            return new String(in.readNBytes(count), StandardCharsets.ISO_8859_1);
+        }
+
+        /** All up to that text and with it, or up to the end. */
+        public String until(String end) throws IOException {
+            StringBuilder s = new StringBuilder();
+            for (int b = in.read(); b >= 0; b = in.read()) {
+                s.append((char) b);
+                if (s.toString().endsWith(end)) {
+                    break;
+                }
+            }
+            return s.toString();
+        }
+
         /** True once the other side has closed; a reset is an end as well. */
-        boolean ended() {
+        public boolean ended() {
             try {
                 return in.read() < 0;
             } catch (IOException e) {
@@ -106,7 +123,7 @@
         }
 
         /** Ends the connection with a reset, as a process that dies does. */
-        void reset() throws IOException {
+        public void reset() throws IOException {
             socket.setSoLinger(true, 0);
             socket.close();
         }
--- /dev/null
+++ b/src/test/java/gullspar/site/FailuresTest.java
@@ -0,0 +1,315 @@
+package gullspar.site;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.proxy.Peer;
+import gullspar.proxy.Peer.Wire;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** Servers and clients that fail: how often a request goes out, and that it gets one answer. */
+class FailuresTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    private static final String GET = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    private static final String POST = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
+
+    private static String status(String answer) {
+        return answer.isEmpty() ? "" : answer.substring(9, 12);
+    }
+
+    /** Of two servers the one that was asked; the other one is asked for nothing. */
+    private static Wire first(Peer a, Peer b) throws Exception {
+        while (a.quiet() && b.quiet()) {
+            Thread.onSpinWait();
+        }
+        return a.quiet() ? b.accept() : a.accept();
+    }
+
+    @Test
+    void aSafeRequestGoesToAnotherServerAfterAReset() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a, b); Wire c = s.connect()) {
+            c.write(GET);
+            Wire w = first(a, b);
+            w.read();
+            w.reset();
+            Wire other = first(a, b);
+            other.read();
+            other.write(OK);
+            assertEquals("200", status(c.read()));
+        }
+    }
+
+    @Test
+    void anUnsafeOneThatMayHaveRunFailsAndGoesNowhereElse() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a, b); Wire c = s.connect()) {
+            c.write(POST);
+            Wire w = first(a, b);
+            w.read();
+            w.reset();
+            assertEquals("502", status(c.read()));
+            assertTrue(a.quiet() && b.quiet());
+        }
+    }
+
+    @Test
+    void aKeyedOneMayGoOnOnlyWithItsKey() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("class = \"keyed\"", a, b);
+                Wire c = s.connect()) {
+            c.write(POST);
+            Wire w = first(a, b);
+            w.read();
+            w.reset();
+            assertEquals("502", status(c.read()), "no key: nobody drops its repeat");
+            c.write("POST / HTTP/1.1\r\nHost: a\r\nIdempotency-Key: 7\r\nContent-Length: 1\r\n\r\nx");
+            w = first(a, b);
+            w.read();
+            w.reset();
+            Wire other = first(a, b);
+            assertTrue(other.read().contains("7"));
+            other.write(OK);
+            assertEquals("200", status(c.read()));
+        }
+    }
+
+    @Test
+    void aServerThatCannotBeReachedIsLeftOutForATime() throws Exception {
+        Peer dead = new Peer();
+        String gone = dead.hostPort();
+        dead.close();
+        try (Peer a = new Peer(); Served s = new Served(Served.LISTENER + Served.one("",
+                a).replace("[[host]]",
+                "[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]")); Wire c = s.connect()) {
+            for (int i = 0; i < 4; i++) {
+                c.write(POST);
+                if (i == 0) {
+                    Wire w = a.accept();
+                    serve(w, 4);
+                }
+                assertEquals("200", status(c.read()), "unsafe, but the first try is known not to have run");
+            }
+            s.said("is out for its failures");
+        }
+    }
+
+    /** Answers so many requests on a thread of its own. */
+    private static void serve(Wire w, int count) {
+        Thread t = new Thread(() -> {
+            try {
+                for (int i = 0; i < count; i++) {
+                    w.read();
+                    w.write(OK);
+                }
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    @Test
+    void aStatusOfTheRoutesListCountsAsAFailure() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("retry_on = [\"500\"]", a, b);
+                Wire c = s.connect()) {
+            c.write(GET);
+            Wire w = first(a, b);
+            w.read();
+            w.write("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+            Wire other = first(a, b);
+            other.read();
+            other.write("HTTP/1.1 503 Not me\r\nContent-Length: 0\r\n\r\n");
+            assertEquals("503", status(c.read()), "not of the list: passed on");
+        }
+    }
+
+    @Test
+    void onceTheFirstByteIsOutThereIsNoFurtherAttempt() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a, b); Wire c = s.connect()) {
+            c.write(GET);
+            Wire w = first(a, b);
+            w.read();
+            w.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+            assertTrue(c.until("abc").endsWith("abc"));
+            w.reset();
+            assertTrue(c.ended());
+            assertTrue(a.quiet() && b.quiet());
+        }
+    }
+
+    @Test
+    void aServerThatSaysNothingCostsNoMoreThanTheDeadline() throws Exception {
+        try (Peer a = new Peer(); Served s = Served.by("deadline_ms = 200\nclass = \"unsafe\"", a);
+                Wire c = s.connect()) {
+            c.write(GET);
+            Wire w = a.accept();
+            w.read();
+            String answer = c.read();
+            assertTrue(List.of("502", "504").contains(status(answer)), answer);
+            assertTrue(w.ended(), "the attempt is taken back");
+        }
+    }
+
+    @Test
+    void anAttemptThatTakesTooLongMakesRoomForAnother() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer();
+                Served s = Served.by("deadline_ms = 20000\nattempt_ms = 100", a, b); Wire c = s.connect()) {
+            c.write(GET);
+            Wire w = first(a, b);
+            w.read();
+            Wire other = first(a, b);
+            other.read();
+            other.write(OK);
+            assertEquals("200", status(c.read()));
+        }
+    }
+
+    @Test
+    void aRefusedRequestIsToldWhenToComeAgain() throws Exception {
+        Peer dead = new Peer();
+        String gone = dead.hostPort();
+        dead.close();
+        try (Served s = new Served(Served.LISTENER + "[limits]\nretry_after_s = 2.5\n[[pool]]\nname = \"p\"\n"
+                + "[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]\ndefault = true\n[[host.route]]\n"
+                + "path = \"/\"\npool = \"p\"\n"); Wire c = s.connect()) {
+            c.write(POST);
+            String answer = c.read();
+            assertEquals("503", status(answer));
+            assertTrue(answer.contains("etry-after: 3\r\n"), answer);
+        }
+    }
+
+    @Test
+    void aClientThatLeavesTakesItsAttemptAlong() throws Exception {
+        try (Peer a = new Peer(); Served s = Served.by("", a)) {
+            Wire c = s.connect();
+            c.write(GET);
+            Wire w = a.accept();
+            w.read();
+            c.close();
+            assertTrue(w.ended());
+            Wire next = s.connect();
+            next.write(GET);
+            Wire again = a.accept();
+            again.read();
+            again.write("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\na");
+            assertTrue(next.until("\r\n\r\na").endsWith("a"));
+            next.close();
+            assertTrue(again.ended(), "also while its answer is under way");
+        }
+    }
+
+    @Test
+    void oneThatDoesNotReadHoldsUpItsServerAndNothingElse() throws Exception {
+        try (Peer a = new Peer(); Served s = Served.by("", a); Wire slow = s.connect()) {
+            slow.write(GET);
+            Wire w = a.accept();
+            w.read();
+            long size = 1L << 30;
+            w.write("HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n");
+            AtomicLong written = new AtomicLong();
+            Thread t = new Thread(() -> {
+                String piece = "a".repeat(1 << 16);
+                try {
+                    while (written.get() < size) {
+                        w.write(piece);
+                        written.addAndGet(piece.length());
+                    }
+                } catch (IOException e) {
+                    // the test is over
+                }
+            });
+            t.setDaemon(true);
+            t.start();
+            try (Wire other = s.connect()) {
+                for (int i = 0; i < 50; i++) {
+                    other.write(GET);
+                    if (i == 0) {
+                        serve(a.accept(), 50);
+                    }
+                    assertEquals("200", status(other.read()));
+                }
+            }
+            assertTrue(written.get() < 64 << 20, "most of it is still at the server: " + written);
+            assertTrue(slow.bytes(1 << 20).length() == 1 << 20, "and comes when it is read");
+        }
+    }
+
+    @Test
+    void noMoreConnectionsThanAServerMayHave() throws Exception {
+        try (Peer a = new Peer(); Served s = new Served(Served.LISTENER + Served.one("",
+                a).replace("[[host]]",
+                "max_connections = 2\n[[host]]")); Wire c1 = s.connect(); Wire c2 = s.connect();
+                Wire c3 = s.connect()) {
+            c1.write(GET);
+            Wire w1 = a.accept();
+            w1.read();
+            c2.write(GET);
+            Wire w2 = a.accept();
+            w2.read();
+            c3.write(GET);
+            w1.write(OK);
+            assertEquals("200", status(c1.read()));
+            assertTrue(w1.read().startsWith("GET"), "the third waited for that place");
+            w1.write(OK);
+            assertEquals("200", status(c3.read()));
+            assertTrue(a.quiet());
+            w2.write(OK);
+            assertEquals("200", status(c2.read()));
+        }
+    }
+
+    @Test
+    void backupsServeWhileNoPrimaryCan() throws Exception {
+        Peer dead = new Peer();
+        String gone = dead.hostPort();
+        dead.close();
+        try (Peer a = new Peer(); Served s = new Served(Served.LISTENER + Served.one("",
+                a).replace("[[host]]",
+                "backup = true\n[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]"));
+                Wire c = s.connect()) {
+            c.write(GET);
+            Wire w = a.accept();
+            w.read();
+            w.write(OK);
+            assertEquals("200", status(c.read()));
+        }
+    }
+
+    @Test
+    void sharesFollowTheWeights() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer();
+                Served s = new Served(Served.LISTENER + Served.one("", a, b).replace(
+                        "\"" + b.hostPort() + "\"", "\"" + b.hostPort() + "\"\nweight = 3"));
+                Wire c = s.connect()) {
+            AtomicIntegerArray got = new AtomicIntegerArray(2);
+            answering(a, 0, got);
+            answering(b, 1, got);
+            for (int i = 0; i < 400; i++) {
+                c.write(GET);
+                assertEquals("200", status(c.read()));
+            }
+            assertEquals(100, got.get(0));
+            assertEquals(300, got.get(1));
+        }
+    }
+
+    private static void answering(Peer p, int which, AtomicIntegerArray got) {
+        Thread t = new Thread(() -> {
+            try {
+                Wire w = p.accept();
+                while (!w.read().isEmpty()) {
+                    got.incrementAndGet(which);
+                    w.write(OK);
+                }
+            } catch (IOException | InterruptedException e) {
+                // the test is over
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/site/ReloadTest.java
@@ -0,0 +1,219 @@
+package gullspar.site;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.proxy.Peer;
+import gullspar.proxy.Peer.Wire;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** New configurations while requests are in hand, and the end. */
+class ReloadTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    private static final String GET = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    private static String status(String answer) {
+        return answer.isEmpty() ? "" : answer.substring(9, 12);
+    }
+
+    @Test
+    void aRequestInHandEndsUnderWhatItBeganWith() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a); Wire c = s.connect()) {
+            c.write(GET);
+            Wire w = a.accept();
+            w.read();
+            s.reload(Served.LISTENER + Served.one("", b).replace("\"p\"", "\"q\""));
+            s.said("a new configuration");
+            w.write(OK);
+            assertEquals("200", status(c.read()));
+            c.write(GET);
+            Wire other = b.accept();
+            other.read();
+            other.write(OK);
+            assertEquals("200", status(c.read()));
+            assertTrue(w.ended(), "nobody needs that connection any more");
+        }
+    }
+
+    @Test
+    void aListenerThatCannotBeHadChangesNothing() throws Exception {
+        try (Peer a = new Peer(); Peer b = new Peer(); ServerSocket taken = new ServerSocket(0);
+                Served s = Served.by("", a); Wire c = s.connect()) {
+            s.reload(Served.LISTENER + "[[listener]]\naddress = \"0.0.0.0:" + taken.getLocalPort() + "\"\n"
+                    + Served.one("", b));
+            s.said("cannot listen on");
+            c.write(GET);
+            Wire w = a.accept();
+            w.read();
+            w.write(OK);
+            assertEquals("200", status(c.read()));
+        }
+    }
+
+    @Test
+    void listenersComeAndGo() throws Exception {
+        try (Peer a = new Peer(); Served s = Served.by("", a); Wire c = s.connect()) {
+            c.write(GET);
+            Wire w = a.accept();
+            w.read();
+            w.write(OK);
+            c.read();
+            s.reload(Served.LISTENER.replace(".1:0", ".2:0") + Served.one("", a));
+            s.said("a new configuration");
+            assertTrue(c.ended(), "an idle connection of a listener that is gone");
+            assertEquals(null, s.address());
+        }
+    }
+
+    @Test
+    void whatAPoolHasLearntStays() throws Exception {
+        Peer dead = new Peer();
+        String gone = dead.hostPort();
+        dead.close();
+        try (Peer a = new Peer()) {
+            String toml = Served.LISTENER + Served.one("", a).replace("[[host]]",
+                    "[[pool.server]]\naddress = \"" + gone + "\"\nfail_s = 3600\n[[host]]");
+            try (Served s = new Served(toml); Wire c = s.connect()) {
+                c.write(GET);
+                Wire w = a.accept();
+                for (int i = 0; i < 10; i++) {
+                    w.read();
+                    w.write(OK);
+                    assertEquals("200", status(c.read()));
+                    s.reload(toml.replace("path = \"/\"", "path = \"/\"\ndeadline_ms = " + (1000 + i)));
+                    s.said("a new configuration");
+                    c.write(GET);
+                }
+                w.read();
+                assertTrue(s.log.stream().noneMatch(l -> l.contains("is out")), "found out once only");
+            }
+        }
+    }
+
+    /** Every request is unsafe and gets one answer, each reaches a server once, whatever is replaced. */
+    @Test
+    void twoHundredReloadsUnderLoadLoseNothingAndRepeatNothing() throws Exception {
+        Map<String, Integer> ran = new ConcurrentHashMap<>();
+        AtomicBoolean stop = new AtomicBoolean();
+        AtomicInteger served = new AtomicInteger();
+        List<String> wrong = Collections.synchronizedList(new ArrayList<>());
+        try (Peer a = new Peer(); Peer b = new Peer(); Peer d = new Peer(); Served s = Served.by("", a, b)) {
+            for (Peer p : List.of(a, b, d)) {
+                answer(p, ran);
+            }
+            List<Thread> clients = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                int me = i;
+                Thread t = new Thread(() -> ask(s, me, stop, served, wrong));
+                t.start();
+                clients.add(t);
+            }
+            String[] sites = {Served.one("", a, b), Served.one("deadline_ms = 5000", b, d),
+                    Served.one("", a, d).replace("\"p\"", "\"q\""),
+                    Served.one("", a, b, d).replace("name = \"p\"", "name = \"p\"\nbalance = \"learnt\"")};
+            for (int i = 0; i < 200; i++) {
+                int before = served.get();
+                s.reload(Served.LISTENER + sites[i % sites.length]);
+                s.said("a new configuration");
+                while (served.get() < before + 5 && wrong.isEmpty()) {
+                    Thread.onSpinWait();
+                }
+            }
+            stop.set(true);
+            for (Thread t : clients) {
+                t.join(TimeUnit.SECONDS.toMillis(20));
+            }
+            assertEquals(List.of(), wrong);
+            assertEquals(served.get(), ran.size());
+            assertTrue(ran.values().stream().allMatch(n -> n == 1), "one ran twice");
+            assertTrue(served.get() >= 1000);
+        }
+    }
+
+    private static void ask(Served s, int me, AtomicBoolean stop, AtomicInteger served, List<String> wrong) {
+        try (Wire c = s.connect()) {
+            for (int i = 0; !stop.get(); i++) {
+                c.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nRequest-Id: " + me + "-" + i
+                        + "\r\n\r\nx");
+                String answer = c.read();
+                if (!status(answer).equals("200")) {
+                    wrong.add(me + "-" + i + ": " + answer);
+                    return;
+                }
+                served.incrementAndGet();
+            }
+        } catch (IOException e) {
+            wrong.add(e.toString());
+        }
+    }
+
+    /** Answers on every connection that comes, on threads of their own. */
+    private static void answer(Peer p, Map<String, Integer> ran) {
+        start(() -> {
+            while (true) {
+                Wire w = p.accept();
+                start(() -> {
+                    for (String got = w.read(); !got.isEmpty(); got = w.read()) {
+                        ran.merge(got.lines().filter(l -> l.startsWith("Request-Id")).findFirst()
+                                .orElse(""), 1, Integer::sum);
+                        w.write(OK);
+                    }
+                });
+            }
+        });
+    }
+
+    private interface Work {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private static void start(Work work) {
+        Thread t = new Thread(() -> {
+            try {
+                work.run();
+            } catch (IOException | InterruptedException | AssertionError e) {
+                // the test is over, or the other side has closed
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    @Test
+    void atTheEndWhatIsInHandIsAnsweredAndIdleConnectionsClose() throws Exception {
+        try (Peer a = new Peer(); Served s = Served.by("", a); Wire idle = s.connect();
+                Wire busy = s.connect()) {
+            busy.write(GET);
+            Wire w = a.accept();
+            w.read();
+            var end = s.proxy.drain();
+            assertTrue(idle.ended());
+            w.write(OK);
+            String answer = busy.read();
+            assertEquals("200", status(answer));
+            assertTrue(answer.contains("onnection: close"), answer);
+            end.get(20, TimeUnit.SECONDS);
+        }
+    }
+
+    @Test
+    void theEndComesEvenIfAServerNeverAnswers() throws Exception {
+        try (Peer a = new Peer(); Served s = new Served("[limits]\ndrain_s = 0.1\n" + Served.LISTENER
+                + Served.one("", a)); Wire busy = s.connect()) {
+            busy.write(GET);
+            a.accept().read();
+            s.proxy.drain().get(20, TimeUnit.SECONDS);
+            assertTrue(busy.ended());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/site/Served.java
@@ -0,0 +1,76 @@
+package gullspar.site;
+
+import gullspar.config.Site;
+import gullspar.config.SiteReader;
+import gullspar.decide.Policy;
+import gullspar.proxy.Peer;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Transport;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A proxy that serves by a configuration, for a test. */
+final class Served implements AutoCloseable {
+    static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+    static final String LISTENER = "[[listener]]\naddress = \"127.0.0.1:0\"\n";
+
+    final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    final BlockingQueue<String> log = new LinkedBlockingQueue<>();
+    final SiteProxy proxy;
+
+    Served(String toml) throws Exception {
+        Platform platform = new Platform(loop, Clock.system(), Transport.tcp(loop), log::add);
+        proxy = SiteProxy.start(SiteReader.parse(toml, "test"), platform, Policy::new, 7);
+    }
+
+    /** A pool of those servers, each line of extras behind its address; and a default host with one route. */
+    static String one(String route, Peer... peers) {
+        StringBuilder s = new StringBuilder("[[pool]]\nname = \"p\"\n");
+        for (Peer p : peers) {
+            s.append("[[pool.server]]\naddress = \"").append(p.hostPort()).append("\"\n");
+        }
+        return s + "[[host]]\ndefault = true\n[[host.route]]\npath = \"/\"\npool = \"p\"\n" + route + "\n";
+    }
+
+    /** One that serves as one() says. */
+    static Served by(String route, Peer... peers) throws Exception {
+        return new Served(LISTENER + one(route, peers));
+    }
+
+    InetSocketAddress address() {
+        return proxy.address(ANY);
+    }
+
+    Peer.Wire connect() throws IOException {
+        return Peer.Wire.to(address());
+    }
+
+    /** Waits for a line of the log. */
+    String said(String part) throws InterruptedException {
+        String line = log.poll(20, TimeUnit.SECONDS);
+        while (line != null && !line.contains(part)) {
+            line = log.poll(20, TimeUnit.SECONDS);
+        }
+        if (line == null) {
+            throw new AssertionError("nobody said " + part);
+        }
+        return line;
+    }
+
+    void reload(String toml) throws Exception {
+        Site s = SiteReader.parse(toml, "test");
+        loop.submit(() -> proxy.reload(s)).get();
+    }
+
+    @Override
+    public void close() {
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
