Importer for nginx: upstream and location blocks become routes and pools

Need: a shop that moves here has its routing in nginx's files. A translation that drops a directive silently may open a door that was shut.

Change: gullspar import nginx reads the files (gullspar.nginx), translates them (gullspar.importer) and reports each directive as translated, without effect here, or not translatable; the last means exit code 3 and no file. Routes get conditions on texts made of the request and shares by MurmurHash2 (map, split_clients), routes that are looked at before all places (server-wide return and rewrite), and headers that are added beside others.

--- /dev/null
+++ b/bench/site/ratio.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Requests a second and latency of plain HTTP by routes against the platform's way, in one run: about two minutes.
+# usage: bench/site/ratio.sh
+set -eu
+cd "$(dirname "$0")/../.."
+mvn -B -ntp -q test-compile dependency:build-classpath -Dmdep.outputFile=target/test-classpath
+exec java -XX:+UseSerialGC -Xmx512m -Dio.netty.jfr.enabled=false \
+    -cp "target/test-classes:target/classes:$(cat target/test-classpath)" gullspar.proxy.RatioBenchmark
--- /dev/null
+++ b/benchmarks/src/main/java/gullspar/benchmarks/RoutingBenchmark.java
@@ -0,0 +1,75 @@
+package gullspar.benchmarks;
+
+import gullspar.route.HeaderChanges;
+import gullspar.route.Hosts;
+import gullspar.route.Paths;
+import gullspar.route.Request;
+import gullspar.route.Rewrite;
+import gullspar.route.Route;
+import gullspar.route.Router;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** The time to find the route of a request, in ns: half of the routes are exact paths, half prefixes. */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 5, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(2)
+public class RoutingBenchmark {
+    private static final int REQUESTS = 4096;
+
+    /** Routes in all; a hundred to a host at the most. */
+    @Param({"10", "1000", "10000"})
+    public int routes;
+
+    private Router router;
+    private final Request[] requests = new Request[REQUESTS];
+    private int next;
+
+    /** Builds the router and draws the requests, from a fixed seed. */
+    @Setup
+    public void build() {
+        Hosts<Router.Host> hosts = new Hosts<>();
+        int perHost = Math.min(100, routes);
+        for (int h = 0; h < routes / perHost; h++) {
+            Paths<List<Route>> paths = new Paths<>();
+            for (int i = 0; i < perHost; i++) {
+                Route r = new Route("r" + i, Set.of(), List.of(), new Route.ToPool("p", Route.Kind.BY_METHOD,
+                        new Route.Limits(1_000_000_000L, 3, 0, 1 << 20, Set.of(), 0), Rewrite.NONE,
+                        HeaderChanges.NONE, HeaderChanges.NONE), null);
+                paths.add(i % 2 == 0 ? Paths.Kind.EXACT : Paths.Kind.PREFIX, "/shop/part" + i + "/list",
+                        List.of(r), null);
+            }
+            hosts.add("host" + h + ".example.org", new Router.Host("host" + h, List.of(), paths));
+        }
+        router = new Router(hosts);
+        Random random = new Random(5);
+        for (int i = 0; i < REQUESTS; i++) {
+            int part = random.nextInt(perHost);
+            requests[i] = new Request("GET", "host" + random.nextInt(routes / perHost) + ".example.org",
+                    "/shop/part" + part + "/list" + (part % 2 == 0 ? "" : "/item/17"), null, n -> List.of());
+        }
+    }
+
+    /** One request after another, each of another host and place. */
+    @Benchmark
+    public Router.Found find() {
+        next = next + 1 & REQUESTS - 1;
+        return router.find(requests[next]);
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/cli/Import.java
@@ -0,0 +1,152 @@
+package gullspar.cli;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import gullspar.config.SiteReader;
+import gullspar.importer.Importer;
+import gullspar.importer.Report.Entry;
+import gullspar.importer.Report.Verdict;
+import gullspar.nginx.Problem;
+import gullspar.toml.ProblemsException;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Makes configurations of those of other proxies. */
+@Command(name = "import", mixinStandardHelpOptions = true,
+        description = "Makes an operator's file of another proxy's configuration.",
+        subcommands = Import.Nginx.class)
+final class Import implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "from which proxy? nginx");
+    }
+
+    /** From nginx. */
+    @Command(name = "nginx", mixinStandardHelpOptions = true,
+            description = "Reads nginx's files with all that they include, and writes routes and pools "
+                    + "(docs/import-nginx.md).",
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {"0:all is translated or without effect here, or --partial",
+                "1:what came out cannot be written or read", "2:wrong usage, or files with errors",
+                "3:something cannot be translated: nothing is written"})
+    static final class Nginx implements Callable<Integer> {
+        /** How the report is written. */
+        enum Form { text, json }
+
+        @Parameters(arity = "1..*", paramLabel = "FILE", description = "The main file, or several.")
+        private List<Path> files;
+
+        @Option(names = "-o", paramLabel = "OUT", description = "Writes there, not to standard output.")
+        private Path out;
+
+        @Option(names = "--report", paramLabel = "FORM", description = "text, on standard error: what could "
+                + "not be translated and all remarks; json: every directive, on standard output with -o.")
+        private Form form = Form.text;
+
+        @Option(names = "--partial", description = "Writes what could be translated all the same.")
+        private boolean partial;
+
+        @Option(names = "--host", paramLabel = "NAME=ADDRESS",
+                description = "The IP address of a name in the files; may come again.")
+        private Map<String, String> hosts = new LinkedHashMap<>();
+
+        @Override
+        public Integer call() throws IOException {
+            List<Problem> problems = new ArrayList<>();
+            Importer.Imported made = Importer.read(files, hosts, problems);
+            if (made == null) {
+                problems.forEach(System.err::println);
+                return 2;
+            }
+            List<Entry> entries = made.report().entries(made.directives());
+            if (form == Form.json) {
+                (out == null ? System.err : System.out).println(json(entries));
+            } else {
+                say(entries);
+            }
+            if (!made.report().complete() && !partial) {
+                System.err.println("nothing is written: see above, or use --partial");
+                return 3;
+            }
+            return write(made.toml());
+        }
+
+        private int write(String toml) {
+            try {
+                SiteReader.parse(toml, out == null ? "what came out" : out.toString());
+            } catch (ProblemsException e) {
+                System.err.println("what came out cannot be used as it is:\n" + e.getMessage());
+                if (!partial) {
+                    return 1;
+                }
+            }
+            if (out == null) {
+                System.out.print(toml);
+                System.out.flush();
+                return 0;
+            }
+            try {
+                Files.writeString(out, toml);
+                return 0;
+            } catch (IOException e) {
+                System.err.println(out + ": cannot be written: " + e.getMessage());
+                return 1;
+            }
+        }
+
+        private static String words(Verdict v) {
+            return v.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+        }
+
+        /** What could not be translated, and remarks; then how many of each. */
+        private static void say(List<Entry> entries) {
+            int[] counts = new int[Verdict.values().length];
+            for (Entry e : entries) {
+                counts[e.verdict().ordinal()]++;
+                if (!e.why().isEmpty()) {
+                    System.err.println(e.directive().place() + ": " + words(e.verdict()) + ": "
+                            + e.directive().name().text() + ": " + e.why());
+                }
+            }
+            System.err.println(entries.size() + " directives: " + counts[Verdict.TRANSLATED.ordinal()]
+                    + " translated, " + counts[Verdict.NO_EFFECT.ordinal()] + " without effect here, "
+                    + counts[Verdict.NOT_TRANSLATABLE.ordinal()] + " not translatable");
+        }
+
+        private static String json(List<Entry> entries) throws IOException {
+            StringWriter text = new StringWriter();
+            try (JsonGenerator g = new JsonFactory().createGenerator(text).useDefaultPrettyPrinter()) {
+                g.writeStartArray();
+                for (Entry e : entries) {
+                    g.writeStartObject();
+                    g.writeStringField("file", e.directive().place().file().toString());
+                    g.writeNumberField("line", e.directive().place().line());
+                    g.writeNumberField("column", e.directive().place().column());
+                    g.writeStringField("directive", e.directive().name().text());
+                    g.writeStringField("verdict", words(e.verdict()));
+                    g.writeStringField("why", e.why());
+                    g.writeEndObject();
+                }
+                g.writeEndArray();
+            }
+            return text.toString();
+        }
+    }
+}
--- a/src/main/java/gullspar/config/RouteReader.java
+++ b/src/main/java/gullspar/config/RouteReader.java
@@ -6,6 +6,7 @@
 import gullspar.route.Route;
 import gullspar.route.Template;
 import gullspar.toml.Fields;
+import gullspar.toml.Range;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -13,6 +14,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** Reads one route: what fits it, and what becomes of what does. */
 final class RouteReader {
@@ -36,6 +38,9 @@
         for (Fields c : r.tables("header")) {
             conditions.add(condition(c));
         }
+        for (Fields w : r.tables("when")) {
+            conditions.add(when(w));
+        }
         boolean toPool = r.has("pool");
         boolean answered = r.has("answer");
         if (toPool == answered) {
@@ -55,14 +60,34 @@
         Condition made;
         if (c.has("pattern")) {
             Pattern p = Values.pattern(c, "pattern", c.text("pattern"), 0);
-            made = new Condition(header, null, p == null ? Pattern.compile("") : p);
+            made = new Condition.Header(header, null, p == null ? Pattern.compile("") : p);
         } else {
-            made = new Condition(header, c.has("value") ? c.text("value") : null, null);
+            made = new Condition.Header(header, c.has("value") ? c.text("value") : null, null);
         }
         c.noOthers();
         return made;
     }
 
+    /** A condition on a text made of the request. */
+    private static Condition when(Fields w) {
+        Template of = Values.template(w, "of", w.text("of"));
+        Condition made = new Condition.Is(of, "");
+        if (Stream.of("is", "matches", "share").filter(w::has).count() != 1) {
+            w.wrong("a condition has one of is, matches and share");
+        } else if (w.has("is")) {
+            made = new Condition.Is(of, w.text("is"));
+        } else if (w.has("matches")) {
+            Pattern p = Values.pattern(w, "matches", w.text("matches"), 0);
+            made = p == null ? made : new Condition.Matches(of, p);
+        } else {
+            Range share = w.range("share", 0, 100);
+            made = new Condition.Share(of, (int) Math.round(share.from() * 100),
+                    (int) Math.round(share.to() * 100));
+        }
+        w.noOthers();
+        return made;
+    }
+
     private Route.ToPool toPool(Fields r, String prefix) {
         String pool = r.text("pool");
         if (!pool.isEmpty() && !pools.contains(pool)) {
@@ -109,18 +134,23 @@
             return HeaderChanges.NONE;
         }
         Fields f = r.table(key);
-        Map<String, Template> set = new LinkedHashMap<>();
-        f.strings("set").forEach((name, value) -> {
-            header(f, "set", name);
+        HeaderChanges changes = new HeaderChanges(values(f, "set"), values(f, "add"), values(f, "add_ok"),
+                f.texts("remove", List.of()));
+        changes.remove().forEach(name -> header(f, "remove", name));
+        f.noOthers();
+        return changes;
+    }
+
+    private static Map<String, Template> values(Fields f, String key) {
+        Map<String, Template> values = new LinkedHashMap<>();
+        f.strings(key).forEach((name, value) -> {
+            header(f, key, name);
             if (value.chars().anyMatch(c -> c < ' ' && c != '\t' || c == 127)) {
-                f.wrong("set", "gives " + name + " a value with control characters");
+                f.wrong(key, "gives " + name + " a value with control characters");
             }
-            set.put(name, Values.template(f, "set", value));
+            values.put(name, Values.template(f, key, value));
         });
-        List<String> remove = f.texts("remove", List.of());
-        remove.forEach(name -> header(f, "remove", name));
-        f.noOthers();
-        return new HeaderChanges(set, remove);
+        return values;
     }
 
     private static void header(Fields f, String key, String name) {
--- a/src/main/java/gullspar/config/SiteReader.java
+++ b/src/main/java/gullspar/config/SiteReader.java
@@ -108,7 +108,12 @@
     private void host(Fields f) {
         List<String> names = f.texts("names", List.of());
         boolean isDefault = f.flag("default", false);
-        Router.Host host = new Router.Host(names.isEmpty() ? "(default)" : names.get(0), routes(f, 0));
+        List<Route> first = new ArrayList<>();
+        for (Fields r : f.tables("first")) {
+            first.add(routes.read(r, "(first)", null));
+            r.noOthers();
+        }
+        Router.Host host = new Router.Host(names.isEmpty() ? "(default)" : names.get(0), first, routes(f, 0));
         List<Listening> at = new ArrayList<>();
         for (String l : f.texts("listeners", List.copyOf(listeners.keySet()))) {
             if (listeners.containsKey(l)) {
--- /dev/null
+++ b/src/main/java/gullspar/importer/Untranslatable.java
@@ -0,0 +1,12 @@
+package gullspar.importer;
+
+/**
+ * Something of a directive has no counterpart; the message says what, and what to do where there is a way.
+ */
+final class Untranslatable extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    Untranslatable(String why) {
+        super(why);
+    }
+}
--- a/src/main/java/gullspar/route/Condition.java
+++ b/src/main/java/gullspar/route/Condition.java
@@ -1,25 +1,112 @@
 package gullspar.route;
 
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** What a header must be like: there, of a value, or with a regular expression found in it. */
-public record Condition(String header, String value, Pattern pattern) {
-    /** The header is there, whatever it says. */
-    public static Condition present(String header) {
-        return new Condition(header, null, null);
+/** What a request must be like for a route, besides its host and place. */
+public interface Condition {
+    /**
+     * What a regular expression caught, group 0 first, an empty list where there is none; null if the request
+     * does not fit.
+     */
+    List<String> fits(Request r);
+
+    /** A header: there, of a value, or with a regular expression found in one of its values. */
+    record Header(String name, String value, Pattern pattern) implements Condition {
+        @Override
+        public List<String> fits(Request r) {
+            List<String> values = r.headers().all(name);
+            boolean fits = pattern != null ? values.stream().anyMatch(v -> pattern.matcher(v).find())
+                    : value == null ? !values.isEmpty() : values.contains(value);
+            return fits ? List.of() : null;
+        }
+
+        @Override
+        public String toString() {
+            return name + (pattern != null ? " ~ " + pattern : value != null ? " = " + value : " is there");
+        }
+    }
+
+    /** A text made of the request is of a value, or empty where that is empty. */
+    record Is(Template of, String value) implements Condition {
+        @Override
+        public List<String> fits(Request r) {
+            return of.fill(r).equals(value) ? List.of() : null;
+        }
+
+        @Override
+        public String toString() {
+            return of + " = '" + value + "'";
+        }
     }
 
-    boolean fits(Request r) {
-        List<String> values = r.headers().all(header);
-        if (pattern != null) {
-            return values.stream().anyMatch(v -> pattern.matcher(v).find());
+    /** A regular expression is found in a text made of the request. */
+    record Matches(Template of, Pattern pattern) implements Condition {
+        @Override
+        public List<String> fits(Request r) {
+            Matcher m = pattern.matcher(of.fill(r));
+            if (!m.find()) {
+                return null;
+            }
+            List<String> groups = new ArrayList<>(m.groupCount() + 1);
+            for (int i = 0; i <= m.groupCount(); i++) {
+                groups.add(m.group(i) == null ? "" : m.group(i));
+            }
+            return groups;
+        }
+
+        @Override
+        public String toString() {
+            return of + " ~ " + pattern;
         }
-        return value == null ? !values.isEmpty() : values.contains(value);
     }
 
-    @Override
-    public String toString() {
-        return header + (pattern != null ? " ~ " + pattern : value != null ? " = " + value : " is there");
+    /**
+     * A text made of the request is one of a share: its hash lies from one part to another, in hundredths of
+     * a percent of all. The hash is MurmurHash2 (A. Appleby, 2008, 32 bits, seed 0), as split_clients of
+     * nginx has it, so that a client stays where it was.
+     */
+    record Share(Template of, int from, int to) implements Condition {
+        @Override
+        public List<String> fits(Request r) {
+            long hash = murmur2(of.fill(r).getBytes(StandardCharsets.UTF_8)) & 0xffffffffL;
+            return (from == 0 || hash >= part(from)) && (to == 10_000 || hash < part(to)) ? List.of() : null;
+        }
+
+        private static long part(int hundredths) {
+            return hundredths * 0xffffffffL / 10_000;
+        }
+
+        @Override
+        public String toString() {
+            return of + " is of " + from / 100.0 + " to " + to / 100.0 + " %";
+        }
+
+        /** MurmurHash2 of 32 bits with seed 0. */
+        static int murmur2(byte[] data) {
+            int m = 0x5bd1e995;
+            int h = data.length;
+            int i = 0;
+            for (; data.length - i >= 4; i += 4) {
+                int k = data[i] & 255 | (data[i + 1] & 255) << 8 | (data[i + 2] & 255) << 16
+                        | (data[i + 3] & 255) << 24;
+                k *= m;
+                k ^= k >>> 24;
+                k *= m;
+                h = h * m ^ k;
+            }
+            for (int rest = data.length - i - 1; rest >= 0; rest--) {
+                h ^= (data[i + rest] & 255) << 8 * rest;
+            }
+            if (i < data.length) {
+                h *= m;
+            }
+            h ^= h >>> 13;
+            h *= m;
+            return h ^ h >>> 15;
+        }
     }
 }
--- a/src/main/java/gullspar/route/Route.java
+++ b/src/main/java/gullspar/route/Route.java
@@ -49,13 +49,23 @@
             return "its method is not " + String.join(", ", methods.stream().sorted().toList());
         }
         for (Condition c : conditions) {
-            if (!c.fits(r)) {
+            if (c.fits(r) == null) {
                 return "not so: " + c;
             }
         }
         return null;
     }
 
+    /** What regular expressions caught of a request that fits: the last condition's, else the place's. */
+    List<String> caught(Request r, List<String> byPlace) {
+        List<String> groups = byPlace;
+        for (Condition c : conditions) {
+            List<String> own = c.fits(r);
+            groups = own == null || own.isEmpty() ? groups : own;
+        }
+        return groups;
+    }
+
     boolean takesMethod(String method) {
         return methods.isEmpty() || methods.contains(method);
     }
--- a/src/main/java/gullspar/route/Router.java
+++ b/src/main/java/gullspar/route/Router.java
@@ -12,8 +12,11 @@
  * method and conditions fit. Read only once it is built, and free of any state.
  */
 public final class Router {
-    /** A virtual host: its name for people, its places, and of each place the routes in order. */
-    public record Host(String name, Paths<List<Route>> paths) { }
+    /**
+     * A virtual host: its name for people; routes that are looked at first, whatever the path; its places,
+     * and of each place the routes in order.
+     */
+    public record Host(String name, List<Route> first, Paths<List<Route>> paths) { }
 
     /**
      * What was found: the route, or null and the status that says why there is none (404 or 405); what the
@@ -48,6 +51,14 @@
             return new Found(null, 404, List.of(), Set.of());
         }
         say(why, () -> "host " + host.host().name() + ": " + host.why());
+        for (Route route : host.host().first()) {
+            String unfit = route.unfit(r);
+            if (unfit == null) {
+                say(why, () -> "route " + route.name() + ", looked at first");
+                return new Found(route, 200, route.caught(r, List.of()), Set.of());
+            }
+            say(why, () -> "not route " + route.name() + ": " + unfit);
+        }
         Paths.Found<List<Route>> place = host.host().paths().find(r.path());
         if (place == null) {
             say(why, () -> "no place fits " + r.path());
@@ -60,7 +71,7 @@
             String unfit = route.unfit(r);
             if (unfit == null) {
                 say(why, () -> "route " + route.name());
-                return new Found(route, 200, place.groups(), Set.of());
+                return new Found(route, 200, route.caught(r, place.groups()), Set.of());
             }
             say(why, () -> "not route " + route.name() + ": " + unfit);
             method |= route.takesMethod(r.method());
--- a/src/main/java/gullspar/route/Template.java
+++ b/src/main/java/gullspar/route/Template.java
@@ -19,7 +19,7 @@
     private record Part(String text, boolean named) { }
 
     private static final Set<String> NAMES = Set.of("client", "host", "host_header", "scheme", "port", "path",
-            "uri", "query", "method", "request_id", "route", "pool", "forwarded_for");
+            "uri", "query", "args", "method", "request_id", "route", "pool", "forwarded_for");
     private static final Pattern OF_REQUEST = Pattern.compile("(header|cookie|arg)\\.[!-~&&[^{}]]+|[0-9]");
 
     private final String written;
--- a/src/main/java/gullspar/site/client/PlainClient.java
+++ b/src/main/java/gullspar/site/client/PlainClient.java
@@ -1,5 +1,6 @@
 package gullspar.site.client;
 
+import gullspar.route.Request;
 import gullspar.route.Route;
 import gullspar.route.Router;
 import gullspar.site.http.Body;
@@ -59,6 +60,7 @@
     private HttpRequest head;
     private Target target;
     private String host;
+    private Request routed;
     private Router.Found found;
     private Body body;
     /** The request in hand; null while none is. */
@@ -248,7 +250,11 @@
 
     /** The route is known by the head: what has none needs no body. */
     private void route(HttpRequest r) {
-        found = owner.find(listener, PlainRequest.routed(r.method(), host, target, r.headers()));
+        InetSocketAddress from = (InetSocketAddress) channel.remoteAddress();
+        routed = new Request(r.method().name(), host, target.path(), target.query(), target.raw(),
+                from.getAddress().getHostAddress(), local().getPort(),
+                owner.id(r.headers().getAll("Request-Id")), r.headers()::getAll);
+        found = owner.find(listener, routed);
         Route.ToPool to = found.route() == null ? null : found.route().pool();
         long most = to == null ? 0 : to.limits().bodyBytes();
         boolean comes = HttpUtil.isTransferEncodingChunked(r) || HttpUtil.getContentLength(r, 0L) > 0;
@@ -274,10 +280,9 @@
     }
 
     private void whole(HttpHeaders trailers) {
-        InetSocketAddress from = (InetSocketAddress) channel.remoteAddress();
-        request = new PlainRequest(head.method(), head.protocolVersion(), target, host, head.headers(), body,
-                trailers, from.getAddress().getHostAddress(), local().getPort(),
-                owner.id(head.headers().getAll("Request-Id")));
+        request = new PlainRequest(head.method(), head.protocolVersion(), target, routed, head.headers(),
+                body,
+                trailers);
         head = null;
         body = null;
         partSince = 0;
@@ -309,7 +314,7 @@
         if (!text.isEmpty()) {
             h.set(HttpHeaderNames.CONTENT_TYPE, a.type());
         }
-        values.change(h, a.headers());
+        values.change(h, a.headers(), a.status());
         answer(a.status(), h, text.getBytes(StandardCharsets.UTF_8));
     }
 
--- a/src/main/java/gullspar/site/http/Heads.java
+++ b/src/main/java/gullspar/site/http/Heads.java
@@ -33,7 +33,7 @@
         h.set(HttpHeaderNames.HOST, r.host());
         h.set("Request-Id", r.id());
         forward(r, h, forwarded);
-        values.change(h, to.request());
+        values.change(h, to.request(), 0);
         h.set("Request-Timeout", Message.seconds(Math.max(1000, leftNs)));
         if (!r.trailers().isEmpty()) {
             HttpUtil.setTransferEncodingChunked(head, true);
@@ -53,7 +53,7 @@
         if (how == Forwarded.PASS) {
             return;
         }
-        String all = Values.forwardedFor(r);
+        String all = r.routed().forwardedFor();
         String here = "for=" + node(r.client()) + ";host=\"" + r.host().replace("\"", "") + "\";proto=http";
         List<String> before = h.getAll("Forwarded");
         if (how == Forwarded.REPLACE) {
@@ -85,9 +85,9 @@
     public static HttpResponse answer(HttpResponse from, PlainRequest r, Route.ToPool to, Values values) {
         HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.status(),
                 DefaultHttpHeadersFactory.headersFactory().withValidation(false));
-        Hops.copy(from.headers(), from.protocolVersion(), head.headers());
-        values.change(head.headers(), to.answer());
         int code = from.status().code();
+        Hops.copy(from.headers(), from.protocolVersion(), head.headers());
+        values.change(head.headers(), to.answer(), code);
         String length = from.headers().get(HttpHeaderNames.CONTENT_LENGTH);
         if (length != null && code != 204) {
             head.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
--- a/src/main/java/gullspar/site/http/Values.java
+++ b/src/main/java/gullspar/site/http/Values.java
@@ -1,11 +1,10 @@
 package gullspar.site.http;
 
 import gullspar.route.HeaderChanges;
-import gullspar.route.Hosts;
 import gullspar.route.Template;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
+import java.util.Map;
 
 /** What the names in templates stand for, with one request. */
 public final class Values implements Template.Values {
@@ -28,37 +27,18 @@
             int group = name.charAt(0) - '0';
             return group < groups.size() ? groups.get(group) : "";
         }
-        int dot = name.indexOf('.');
-        String of = name.substring(dot + 1);
-        return switch (dot < 0 ? name : name.substring(0, dot)) {
-            case "client" -> request.client();
-            case "host" -> Hosts.name(request.host());
-            case "host_header" -> request.host();
-            case "scheme" -> "http";
-            case "port" -> Integer.toString(request.port());
-            case "path" -> request.target().path();
-            case "uri" -> request.target().raw();
-            case "query" -> request.target().query();
-            case "method" -> request.method().name();
-            case "request_id" -> request.id();
+        return switch (name) {
             case "route" -> route;
             case "pool" -> pool;
-            case "forwarded_for" -> forwardedFor(request);
-            case "header" -> String.join(", ", request.headers().getAll(of));
-            case "cookie" -> Template.cookie(request.headers().getAll(HttpHeaderNames.COOKIE), of);
-            case "arg" -> Template.argument(request.target().query(), of);
-            default -> "";
+            default -> request.routed().value(name);
         };
     }
 
-    /** The clients so far as the request says, and the one that it came from. */
-    static String forwardedFor(PlainRequest request) {
-        List<String> before = request.headers().getAll("X-Forwarded-For");
-        return before.isEmpty() ? request.client() : String.join(", ", before) + ", " + request.client();
-    }
-
-    /** Makes a route's changes to a head. Control characters that a value brought along are left out. */
-    public void change(HttpHeaders headers, HeaderChanges changes) {
+    /**
+     * Makes a route's changes to a head; status is that of an answer, 0 for a request. Control characters
+     * that a value brought along are left out.
+     */
+    public void change(HttpHeaders headers, HeaderChanges changes, int status) {
         changes.remove().forEach(headers::remove);
         changes.set().forEach((name, template) -> {
             String v = clean(template.fill(this));
@@ -68,6 +48,19 @@
                 headers.set(name, v);
             }
         });
+        add(headers, changes.add());
+        if (HeaderChanges.ok(status)) {
+            add(headers, changes.addOk());
+        }
+    }
+
+    private void add(HttpHeaders headers, Map<String, Template> more) {
+        more.forEach((name, template) -> {
+            String v = clean(template.fill(this));
+            if (!v.isEmpty()) {
+                headers.add(name, v);
+            }
+        });
     }
 
     /** A value that a head can hold. */
--- a/src/test/java/gullspar/ArchitectureTest.java
+++ b/src/test/java/gullspar/ArchitectureTest.java
@@ -44,7 +44,7 @@
     void routingDecidesWithoutInputOutputOrClock() {
         classes().that().resideInAPackage("gullspar.route..").should().onlyDependOnClassesThat()
                 .resideInAnyPackage("gullspar.route..", "java.lang..", "java.util", "java.util.regex",
-                        "java.util.function", "java.util.stream").check(ALL);
+                        "java.util.function", "java.util.stream", "java.nio.charset").check(ALL);
         noClasses().that().resideInAPackage("gullspar.route..").should()
                 .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
                 .orShould().callMethod(Math.class, "random").check(ALL);
--- /dev/null
+++ b/src/test/java/gullspar/importer/StandIns.java
@@ -0,0 +1,97 @@
+package gullspar.importer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Servers that say in their answers who they are and what they were asked. */
+final class StandIns implements AutoCloseable {
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
+    private final Map<String, Channel> listening = new LinkedHashMap<>();
+    private final Map<String, Integer> ports = new LinkedHashMap<>();
+    private final Map<String, ChannelGroup> open = new LinkedHashMap<>();
+
+    /** Where the server of a declared address is; it is started if it was not. */
+    String at(String declared) {
+        if (!ports.containsKey(declared)) {
+            start(declared, 0);
+        }
+        return "127.0.0.1:" + ports.get(declared);
+    }
+
+    /** Starts one again, where it was. */
+    void start(String declared) {
+        start(declared, ports.get(declared));
+    }
+
+    private void start(String declared, int port) {
+        ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        Channel c = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel child) {
+                        channels.add(child);
+                        child.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
+                                new Answer(declared));
+                    }
+                }).bind(new InetSocketAddress("127.0.0.1", port)).syncUninterruptibly().channel();
+        listening.put(declared, c);
+        open.put(declared, channels);
+        ports.put(declared, ((InetSocketAddress) c.localAddress()).getPort());
+    }
+
+    /** It is gone: nobody listens there and its connections are closed. */
+    void stop(String declared) {
+        listening.get(declared).close().syncUninterruptibly();
+        open.get(declared).close().awaitUninterruptibly();
+    }
+
+    @Override
+    public void close() {
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static final class Answer extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final String who;
+
+        Answer(String who) {
+            this.who = who;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
+            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
+            answer.headers().set("X-Who", who).set("X-Uri", r.uri()).set("X-Host", r.headers().get("Host",
+                    ""));
+            HttpUtil.setContentLength(answer, 0);
+            ctx.writeAndFlush(answer);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/test/java/gullspar/site/Served.java
+++ b/src/test/java/gullspar/site/Served.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A proxy that serves by a configuration, for a test. */
-final class Served implements AutoCloseable {
+public final class Served implements AutoCloseable {
     static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
     static final String LISTENER = "[[listener]]\naddress = \"127.0.0.1:0\"\n";
 
@@ -25,7 +25,7 @@
     final BlockingQueue<String> log = new LinkedBlockingQueue<>();
     final SiteProxy proxy;
 
-    Served(String toml) throws Exception {
+    public Served(String toml) throws Exception {
         Platform platform = new Platform(loop, Clock.system(), Transport.tcp(loop), log::add);
         proxy = SiteProxy.start(SiteReader.parse(toml, "test"), platform, Policy::new, 7);
     }
@@ -44,7 +44,8 @@
         return new Served(LISTENER + one(route, peers));
     }
 
-    InetSocketAddress address() {
+    /** Where the listener of LISTENER listens. */
+    public InetSocketAddress address() {
         return proxy.address(ANY);
     }
 
@@ -69,6 +70,10 @@
         loop.submit(() -> proxy.reload(s)).get();
     }
 
+    public SiteProxy proxy() {
+        return proxy;
+    }
+
     @Override
     public void close() {
         loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
