--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -546,14 +546,20 @@
         return p.attempts() > 0 ? Math.min(p.attempts(), settings.maxAttempts()) : settings.maxAttempts();
     }
 
-    /** A further attempt elsewhere, within the rules and the retry budget. */
+    /**
+     * A further attempt elsewhere, within the rules and the retry budget. Where the list's weights count, one
+     * after a connection that was not to be had needs none: it is no more load than a first try there, and
+     * without reports nothing else keeps first tries from a server that is gone.
+     */
     private void again(Ticket t, long now) {
-        boolean broke = t.attempts.get(t.attempts.size() - 1).ended == Status.RESET;
-        if ((broke ? resends : retries) >= 1 && mayAttempt(t, now)) {
+        Status last = t.attempts.get(t.attempts.size() - 1).ended;
+        boolean broke = last == Status.RESET;
+        boolean free = settings.listWeights() && last == Status.CONNECT_FAILED;
+        if ((free || (broke ? resends : retries) >= 1) && mayAttempt(t, now)) {
             Server s = pick(t, now);
             if (s != null) {
                 resends -= broke ? 1 : 0;
-                retries -= broke ? 0 : 1;
+                retries -= broke || free ? 0 : 1;
                 send(t, s, now);
             }
         }
--- a/src/test/java/gullspar/decide/ListWeightsTest.java
+++ b/src/test/java/gullspar/decide/ListWeightsTest.java
@@ -98,6 +98,37 @@
         assertEquals(100, sent);
     }
 
+    @Test
+    void aServerThatIsGoneCostsNoRequestHoweverOftenItIsTried() {
+        Rig r = new Rig(settings(true, MINUTE)).list(ListKind.FULL, weighing(0, 1), weighing(1, 1));
+        for (int i = 0; i < 200; i++) {
+            int t = r.request();
+            if (r.server(t, 0) == 0) {
+                r.done(t, 0, Status.CONNECT_FAILED, 1, null);
+                assertEquals(1, r.server(t, 1));
+            }
+            r.pass(5);
+            r.ok(t, 5);
+            assertEquals("served", r.answers.get(t));
+        }
+    }
+
+    @Test
+    void furtherAttemptsAfterErrorsStillNeedTheBudget() {
+        Rig r = new Rig(settings(true, MINUTE)).list(ListKind.FULL, Rig.ready(4));
+        int second = 0;
+        for (int i = 0; i < 100; i++) {
+            int t = r.request();
+            r.done(t, 0, Status.ERROR, 5, null);
+            if (r.attempts(t) > 1) {
+                second++;
+                r.done(t, 1, Status.OK, 5, null);
+            }
+            r.pass(5);
+        }
+        assertTrue(second < 10, second + " of 100");
+    }
+
     @Test
     void aClassMayHaveFewerAttemptsAndAShorterTimeForEach() {
         Profile two = new Profile(Effect.IDEMPOTENT, Scope.ALL, 0, 60_000 * Rig.MS, 60_000 * Rig.MS, 1, 1,
--- a/src/test/java/gullspar/route/MembersTest.java
+++ b/src/test/java/gullspar/route/MembersTest.java
@@ -90,6 +90,40 @@
         assertEquals(10, m.listed(1100).get(0).weight());
     }
 
+    @Test
+    void whileAWeightRisesTimeAloneChangesTheList() {
+        Members m = new Members(List.of(new Declared("a", 10, false, false, 1, 100, 10_000_000_000L),
+                server("b", 1, false)));
+        m.failed("a", 0);
+        m.listed(100);
+        assertEquals(100 + 200_000_000L, m.changesAt(100));
+        assertEquals(Long.MAX_VALUE, m.changesAt(10_000_000_100L));
+    }
+
+    @Test
+    void whoIsAtItsLimitOfConnectionsIsLeftOutAndWaitedFor() {
+        assertTrue(pool.full("a", true));
+        assertFalse(pool.full("a", true), "nothing new");
+        assertEquals(List.of("b"), names(pool, 0));
+        pool.full("b", true);
+        assertEquals(List.of("spare"), names(pool, 0));
+        pool.full("spare", true);
+        assertEquals(List.of(), names(pool, 0), "a place will be free again");
+        assertTrue(pool.full("b", false));
+        assertEquals(List.of("b"), names(pool, 0));
+        assertFalse(pool.full("nobody", true));
+    }
+
+    @Test
+    void serversDeclaredAsBeforeKeepWhatIsKnownOfThem() {
+        pool.failed("a", 0);
+        pool.failed("a", 0);
+        pool.declare(List.of(server("a", 3, false), server("c", 1, false)));
+        assertEquals(List.of("c"), names(pool, 1));
+        pool.declare(List.of(server("a", 4, false), server("c", 1, false)));
+        assertEquals(List.of("a", "c"), names(pool, 1), "another weight is another server");
+    }
+
     @Test
     void figuresThatCannotBeAreRefused() {
         assertThrows(IllegalArgumentException.class, () -> server("a", 0, false));
