A request that had begun at a listener that is gone ends its connection with its answer

Cause: a new configuration that takes a listener away told its connections to end with the answer in hand, but the head of a request that was half there set keep-alive anew and the connection stayed.

Change: a connection remembers that it is not wanted.

Result: a test that fails without it.

--- a/src/main/java/gullspar/site/client/PlainClient.java
+++ b/src/main/java/gullspar/site/client/PlainClient.java
@@ -69,6 +69,8 @@
     private ChannelFuture lastWritten;
     private boolean busy;
     private boolean keepAlive;
+    /** Its listener takes no more requests than the one in hand. */
+    private boolean unwanted;
     private boolean ending;
     private boolean answering;
     private boolean reading;
@@ -129,7 +131,7 @@
         } else if (quiet()) {
             lastWritten.addListener(ChannelFutureListener.CLOSE);
         } else {
-            keepAlive = false;
+            unwanted = true;
         }
     }
 
@@ -281,8 +283,7 @@
 
     private void whole(HttpHeaders trailers) {
         request = new PlainRequest(head.method(), head.protocolVersion(), target, routed, head.headers(),
-                body,
-                trailers);
+                body, trailers);
         head = null;
         body = null;
         partSince = 0;
@@ -369,7 +370,7 @@
     }
 
     private void connection(HttpResponse r) {
-        keepAlive &= !owner.draining();
+        keepAlive &= !owner.draining() && !unwanted;
         if (!keepAlive) {
             r.headers().set(HttpHeaderNames.CONNECTION, "close");
         } else if (request != null && request.version().equals(HttpVersion.HTTP_1_0)) {
--- a/src/test/java/gullspar/site/ReloadTest.java
+++ b/src/test/java/gullspar/site/ReloadTest.java
@@ -62,16 +62,28 @@
 
     @Test
     void listenersComeAndGo() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("", a); Wire c = s.connect()) {
-            c.write(GET);
+        try (Peer a = new Peer(); Served s = Served.by("", a); Wire idle = s.connect();
+                Wire half = s.connect()) {
+            half.write(GET);
             Wire w = a.accept();
-            w.read();
-            w.write(OK);
-            c.read();
+            for (Wire client : List.of(half, idle)) {
+                w.read();
+                w.write(OK);
+                assertEquals("200", status(client.read()));
+                if (client == half) {
+                    half.write("GET / HTTP/1.1\r\nHo"); // there before the other's, so read by then
+                    idle.write(GET);
+                }
+            }
             s.reload(Served.LISTENER.replace(".1:0", ".2:0") + Served.one("", a));
             s.said("a new configuration");
-            assertTrue(c.ended(), "an idle connection of a listener that is gone");
+            assertTrue(idle.ended());
             assertEquals(null, s.address());
+            half.write("st: a\r\n\r\n");
+            w.read();
+            w.write(OK);
+            assertTrue(half.read().contains("onnection: close"), "one that had begun ends with its answer");
+            assertTrue(half.ended());
         }
     }
 
