gullspar route says what would be sent with the request at hand; addresses without a slash in the log

Need: route printed the texts of headers and places as they are written, and whoever asks wants to see what a server would get.

Change: the names in them are filled with the request. Listeners are logged as they are written.

--- a/src/main/java/gullspar/cli/Routes.java
+++ b/src/main/java/gullspar/cli/Routes.java
@@ -5,6 +5,7 @@
 import gullspar.route.Request;
 import gullspar.route.Route;
 import gullspar.route.Router;
+import gullspar.route.Template;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.file.Path;
@@ -75,7 +76,7 @@
                 System.out.println("answer " + found.status());
                 return 1;
             }
-            say(found.route(), r, site);
+            say(found, r, site);
             return 0;
         }
 
@@ -99,11 +100,25 @@
             }
         }
 
-        private static void say(Route route, Request r, Site site) {
+        /** What stands for a name with this request: the groups of the place, or what is known of it. */
+        private static String value(Router.Found found, Request r, String name) {
+            if (name.equals("route")) {
+                return found.route().name();
+            }
+            if (name.equals("pool")) {
+                return found.route().pool() == null ? "" : found.route().pool().pool();
+            }
+            int group = Character.digit(name.charAt(0), 10);
+            return group < 0 ? r.value(name) : group < found.groups().size() ? found.groups().get(group) : "";
+        }
+
+        private static void say(Router.Found found, Request r, Site site) {
+            Route route = found.route();
+            Template.Values values = name -> value(found, r, name);
             if (route.answer() != null) {
                 System.out.println("answer " + route.answer().status() + (route.answer().location() == null
                         ? ""
-                        : ", Location: " + route.answer().location()));
+                        : ", Location: " + route.answer().location().fill(values)));
                 return;
             }
             Route.ToPool to = route.pool();
@@ -113,7 +128,8 @@
                     + to.limits().attempts() + " attempts");
             System.out.println("sends " + r.method() + " " + to.rewrite().of(r.path())
                     + (r.query() == null ? "" : "?" + r.query()));
-            to.request().set().forEach((name, value) -> System.out.println("  " + name + ": " + value));
+            to.request().set().forEach((name, value) -> System.out.println("  " + name + ": " +
+                    value.fill(values)));
             to.request().remove().forEach(name -> System.out.println("  without " + name));
             Site.Pool pool = site.pools().get(to.pool());
             if (pool.discovery() != null) {
--- a/src/main/java/gullspar/site/SiteDaemon.java
+++ b/src/main/java/gullspar/site/SiteDaemon.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
@@ -44,7 +45,7 @@
             // A process that a signal ends reports the signal; this one has ended well.
             Runtime.getRuntime().halt(0);
         }, "drain"));
-        site.listeners().forEach(l -> LOG.say("listening on " + l.address()));
+        site.listeners().forEach(l -> LOG.say("listening on " + NetUtil.toSocketAddressString(l.address())));
         started.complete(proxy);
         loop.terminationFuture().awaitUninterruptibly();
         throw new IOException("the event loop has ended"); // better gone than deaf
--- a/src/main/java/gullspar/site/SiteProxy.java
+++ b/src/main/java/gullspar/site/SiteProxy.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -119,7 +120,8 @@
         for (Map.Entry<InetSocketAddress, ChannelFuture> b : binding.entrySet()) {
             if (!b.getValue().isSuccess()) {
                 binding.values().forEach(f -> f.channel().close());
-                then.done(new IOException("cannot listen on " + b.getKey() + ": "
+                then.done(new IOException("cannot listen on "
+                        + NetUtil.toSocketAddressString(b.getKey()) + ": "
                         + b.getValue().cause().getMessage()));
                 return;
             }
