--- a/src/test/java/gullspar/ArchitectureTest.java
+++ b/src/test/java/gullspar/ArchitectureTest.java
@@ -1,5 +1,6 @@
 package gullspar;
 
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.equivalentTo;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
@@ -12,6 +13,7 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.library.dependencies.SliceAssignment;
 import com.tngtech.archunit.library.dependencies.SliceIdentifier;
+import java.io.IOException;
 import org.junit.jupiter.api.Test;
 
 /** The borders between the packages. */
@@ -50,6 +52,17 @@
                 .orShould().callMethod(Math.class, "random").check(ALL);
     }
 
+    /**
+     * What a journal says must not hang on where and when it is read; its bytes come through an interface.
+     */
+    @Test
+    void theJournalsFormatKnowsNoFilesAndNoClock() {
+        classes().that().resideInAPackage("gullspar.journal").should().onlyDependOnClassesThat(
+                resideInAnyPackage("gullspar.journal", "java.lang..", "java.util", "java.util.zip",
+                        "java.util.stream", "java.util.function", "java.nio", "java.nio.charset")
+                        .or(equivalentTo(IOException.class))).check(ALL);
+    }
+
     /** The daemon is shipped and started without the kit, the simulator's wire and the command line. */
     @Test
     void theDaemonDependsOnNothingAboveIt() {
