--- /dev/null
+++ b/src/test/java/gullspar/journal/file/FaultyDisk.java
@@ -0,0 +1,108 @@
+package gullspar.journal.file;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * A disk in memory that fails and dies as it is told. What was appended since the last sync survives the end
+ * of the process; of the machine only what a draw leaves of it, in blocks.
+ */
+final class FaultyDisk implements Disk {
+    /** The machine or the process ends here: nothing after it happens. */
+    static final class Dead extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    private static final int BLOCK = 64;
+
+    private static final class Content {
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        private int synced;
+    }
+
+    private final Map<Long, Content> files = new TreeMap<>();
+    /** The operation that is the last one, and how many bytes of an append it lets through; -1 for none. */
+    int diesAt = -1;
+    int dyingBytes;
+    /** Operations that fail, by number. */
+    final List<Integer> failing = new ArrayList<>();
+    int operations;
+
+    private void operation(Content c, byte[] bytes, int length) throws IOException {
+        int now = operations++;
+        if (now == diesAt || failing.contains(now)) {
+            if (bytes != null) {
+                c.bytes.write(bytes, 0, Math.min(length, dyingBytes));
+            }
+            if (now == diesAt) {
+                throw new Dead();
+            }
+            throw new IOException("no space left on device");
+        }
+        if (bytes != null) {
+            c.bytes.write(bytes, 0, length);
+        }
+    }
+
+    @Override
+    public List<Long> segments() {
+        return List.copyOf(files.keySet());
+    }
+
+    @Override
+    public File create(long number) throws IOException {
+        operation(null, null, 0);
+        Content c = new Content();
+        files.put(number, c);
+        return new File() {
+            @Override
+            public void append(byte[] bytes, int length) throws IOException {
+                operation(c, bytes, length);
+            }
+
+            @Override
+            public void sync() throws IOException {
+                operation(c, null, 0);
+                c.synced = c.bytes.size();
+            }
+
+            @Override
+            public void close() { }
+        };
+    }
+
+    @Override
+    public int read(long number, long at, byte[] into) {
+        byte[] all = files.get(number).bytes.toByteArray();
+        int n = (int) Math.max(0, Math.min(into.length, all.length - at));
+        System.arraycopy(all, (int) Math.min(at, all.length), into, 0, n);
+        return n;
+    }
+
+    @Override
+    public void delete(long number) {
+        files.remove(number);
+    }
+
+    /** Power is lost: of what was not synced some blocks are there, some are zero, and the end may be cut. */
+    void losePower(Random random) {
+        for (Content c : files.values()) {
+            byte[] all = c.bytes.toByteArray();
+            int kept = c.synced + (all.length > c.synced ? random.nextInt(all.length - c.synced + 1) : 0);
+            all = Arrays.copyOf(all, kept);
+            for (int at = c.synced; at < kept; at += BLOCK) {
+                if (random.nextInt(3) == 0) {
+                    Arrays.fill(all, at, Math.min(kept, at + BLOCK), (byte) 0);
+                }
+            }
+            c.bytes.reset();
+            c.bytes.writeBytes(all);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/journal/file/FolderTest.java
@@ -0,0 +1,121 @@
+package gullspar.journal.file;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.journal.Entry;
+import gullspar.journal.Entry.Kind;
+import gullspar.journal.Entry.Request;
+import gullspar.journal.Scan;
+import gullspar.journal.Story.State;
+import gullspar.journal.file.Appender.Durability;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A journal in a real folder: written, read beside its writer, damaged, held by one. */
+class FolderTest {
+    private static final Scan.Visitor NOBODY = new Scan.Visitor() {
+        @Override
+        public void entry(long at, Entry e) { }
+
+        @Override
+        public void lost(long from, long to) { }
+    };
+
+    @TempDir
+    private Path folder;
+
+    private static void write(Disk disk, int from, int to, long segmentBytes) throws IOException {
+        Recovery.Found found = Recovery.read(disk, NOBODY);
+        Appender a = new Appender(disk, Durability.MACHINE, segmentBytes, found.nextNumber(), found.records(),
+                () -> 5);
+        for (int i = from; i < to; i++) {
+            a.add(new Entry.Taken(new Request(1, i), i, Kind.KEYED, "k" + i, false, "", "/", 0), ok -> { });
+            a.add(new Entry.Intent(new Request(1, i), i, 0, "n", "z"), ok -> assertTrue(ok));
+            a.step();
+        }
+        a.close();
+    }
+
+    @Test
+    void aSecondRunGoesOnWhereTheFirstEnded() throws IOException {
+        try (FolderDisk disk = FolderDisk.hold(folder)) {
+            write(disk, 0, 10, 300);
+        }
+        try (FolderDisk disk = FolderDisk.hold(folder)) {
+            write(disk, 10, 20, 300);
+            Recovery.Found found = Recovery.read(FolderDisk.look(folder), NOBODY);
+            assertEquals(40, found.records());
+            assertEquals(List.of(), found.damage());
+            assertTrue(AppenderTest.read(FolderDisk.look(folder)).all().stream()
+                    .allMatch(s -> s.state() == State.UNCERTAIN));
+        }
+    }
+
+    @Test
+    void oneJournalHasOneDaemon() throws IOException {
+        try (FolderDisk disk = FolderDisk.hold(folder)) {
+            assertTrue(assertThrows(IOException.class, () -> FolderDisk.hold(folder)).getMessage()
+                    .contains("in use by another daemon"));
+            assertThrows(IOException.class, () -> FolderDisk.look(folder).create(1));
+            assertThrows(IOException.class, () -> FolderDisk.look(folder).delete(1));
+            assertEquals(List.of(), disk.segments());
+        }
+        FolderDisk.hold(folder).close();
+    }
+
+    @Test
+    void aSegmentThatIsCutOrGoneIsMissed() throws IOException {
+        try (FolderDisk disk = FolderDisk.hold(folder)) {
+            write(disk, 0, 10, 300);
+            assertTrue(disk.segments().size() > 3);
+            disk.delete(2);
+            Recovery.Found found = Recovery.read(disk, NOBODY);
+            assertEquals(1, found.damage().size());
+            assertTrue(found.damage().get(0).matches("segment 3: \\d+ records are missing before it"));
+            assertEquals(20, found.records());
+        }
+    }
+
+    @Test
+    void segmentsThatWereLetGoAreNotMissed() throws IOException {
+        try (FolderDisk disk = FolderDisk.hold(folder)) {
+            write(disk, 0, 10, 300);
+            disk.delete(1);
+            disk.delete(2);
+            Recovery.Found found = Recovery.read(disk, NOBODY);
+            assertEquals(List.of(), found.damage());
+            assertEquals(20, found.records());
+        }
+    }
+
+    @Test
+    void aSegmentOfANewerVersionIsRefusedWithAClearLine() throws IOException {
+        try (FolderDisk disk = FolderDisk.hold(folder)) {
+            write(disk, 0, 1, 300);
+            Path file = folder.resolve("0000000000000001.journal");
+            byte[] bytes = Files.readAllBytes(file);
+            bytes[9] = 7;
+            Files.write(file, bytes);
+            assertEquals("segment 1: this segment is of version 7, and this program reads up to 1",
+                    assertThrows(IOException.class, () -> Recovery.read(disk, NOBODY)).getMessage());
+            bytes[9] = 1;
+            bytes[20] ^= 1;
+            Files.write(file, bytes);
+            Recovery.Found found = Recovery.read(disk, NOBODY);
+            assertEquals(List.of("segment 1: the head of this segment is damaged"), found.damage());
+            assertEquals(2, found.records());
+        }
+    }
+
+    @Test
+    void aFolderThatCannotBeHadIsAnError() throws IOException {
+        Path file = Files.writeString(folder.resolve("file"), "x");
+        assertThrows(IOException.class, () -> FolderDisk.hold(file));
+    }
+}
