--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -5,6 +5,8 @@
 # it is compiled sooner than by default.
 set -eu
 mb=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "${NODE_CONFIG:-/dev/null}" 2>/dev/null | head -n 1)
+# Where another process may take over, the two share the limit for a while.
+if [ -n "${NODE_SOCKET_FD:-}" ]; then mb=$(( ${mb:-128} / 2 )); fi
 heap=$(( (${mb:-128} - 56) * 2 / 3 ))
 if [ "$heap" -gt 64 ]; then heap=64; fi
 if [ "$heap" -lt 16 ]; then heap=16; fi
--- a/src/main/java/gullspar/decide/Balancer.java
+++ b/src/main/java/gullspar/decide/Balancer.java
@@ -47,6 +47,12 @@
                 double lateShare, boolean streamed, boolean sequential) {
             this(effect, scope, windowNs, promiseNs, giveUpNs, worth, lateShare, streamed, sequential, 0, 0);
         }
+
+        /** The same with so many attempts at the most. */
+        public Profile withAttempts(int most) {
+            return new Profile(effect, scope, windowNs, promiseNs, giveUpNs, worth, lateShare, streamed,
+                    sequential, most, attemptNs);
+        }
     }
 
     /**
@@ -143,6 +149,11 @@
         throw new UnsupportedOperationException("this module knows its classes from the start");
     }
 
+    /** Listed servers that get nothing new now, as an operator is told. */
+    default int avoided() {
+        return 0;
+    }
+
     /** The result of a probe; not heard by a module that sends none. */
     default void onProbe(long now, int server, Status status, long elapsedNs, Report report) { }
 
--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -543,7 +543,7 @@
     }
 
     private int most(Profile p) {
-        return p.attempts() > 0 ? Math.min(p.attempts(), settings.maxAttempts()) : settings.maxAttempts();
+        return p.attempts() > 0 ? p.attempts() : settings.maxAttempts();
     }
 
     /**
@@ -677,6 +677,12 @@
         }
     }
 
+    @Override
+    public int avoided() {
+        return (int) servers.stream().filter(s -> s.named && s.listed.state() != State.GONE
+                && (s.ejected || !s.ready())).count();
+    }
+
     @Override
     public void onWithdrawn(long now, int ticket) {
         Ticket t = tickets.get(ticket);
--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -3,10 +3,16 @@
 import gullspar.decide.Balancer;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Inherited;
 import gullspar.proxy.io.LibraryLog;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Signals;
+import gullspar.proxy.operator.Figures;
+import gullspar.proxy.operator.OperatorPort;
+import gullspar.proxy.operator.Report;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -37,14 +43,21 @@
         // The default would end the process, so this comes first: an early signal waits for the proxy.
         CompletableFuture<Proxy> started = new CompletableFuture<>();
         EventLoop loop = loop();
-        if (!Signals.on("HUP", () -> started.thenAccept(p -> reload(p, loop, environment)))) {
+        Reloads reloads = new Reloads(environment, loop);
+        if (!Signals.on("HUP", () -> started.thenAccept(reloads::read))) {
             LOG.say("this runtime cannot hear SIGHUP: the configuration is read at the start only");
         }
         LibraryLog.install();
         LOG.say("starting");
-        Config config = Config.read(environment);
+        Config config = reloads.first();
+        Platform platform = config.inherited()
+                ? new Platform(loop, Clock.system(), Inherited.transport(loop), LOG) : Platform.of(loop);
+        OperatorPort port = operatorPort(config, platform);
         warm(config, factory);
-        Proxy proxy = Proxy.start(config, Platform.of(loop), factory);
+        Proxy proxy = Proxy.start(config, platform, factory);
+        if (port != null) {
+            loop.execute(() -> port.about(proxy));
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             proxy.drain().join();
             // A process that a signal ends reports the signal; this one has ended well.
@@ -64,6 +77,19 @@
     }
 
     private static void warm(Config config, Balancer.Factory factory) {
+        if (config.operator() != null) {
+            OperatorPort.rehearse(new OperatorPort.Subject() {
+                @Override
+                public boolean ready() {
+                    return false;
+                }
+
+                @Override
+                public String figures() {
+                    return new Report(config.classes(), new Figures(), 0, 0, 0, 0).json();
+                }
+            });
+        }
         LOG.say("served " + Warmup.run(config, factory, WARM_REQUESTS, WARM_MS) + " requests to warm up");
     }
 
@@ -71,13 +97,44 @@
         return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
     }
 
-    /** Reads the configuration again, off the loop, and hands it over. */
-    private static void reload(Proxy proxy, EventLoop loop, Map<String, String> environment) {
-        try {
-            Config config = Config.reread(environment);
-            loop.execute(() -> proxy.reload(config));
-        } catch (ConfigException e) {
-            LOG.say("the new configuration is not used: " + e.getMessage());
+    /** Listens for operators, where the platform says so; null where it does not. */
+    private static OperatorPort operatorPort(Config config, Platform platform) throws IOException {
+        if (config.operator() == null) {
+            return null;
+        }
+        OperatorPort port = new OperatorPort(platform);
+        ChannelFuture bound = port.listen(config.operator()).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("cannot listen for operators on " + config.operator() + ": "
+                    + bound.cause().getMessage());
+        }
+        return port;
+    }
+
+    /** The configuration, read at the start and again at each SIGHUP, off the loop. */
+    private static final class Reloads {
+        private final Map<String, String> environment;
+        private final EventLoop loop;
+        private Config last;
+
+        Reloads(Map<String, String> environment, EventLoop loop) {
+            this.environment = environment;
+            this.loop = loop;
+        }
+
+        synchronized Config first() throws ConfigException {
+            last = Config.read(environment);
+            return last;
+        }
+
+        synchronized void read(Proxy proxy) {
+            try {
+                last = Config.reread(environment, last);
+                Config config = last;
+                loop.execute(() -> proxy.reload(config));
+            } catch (ConfigException e) {
+                loop.execute(() -> proxy.turnedDown(e.getMessage()));
+            }
         }
     }
 }
--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -9,6 +9,7 @@
 import gullspar.proxy.client.Asked;
 import gullspar.proxy.client.Client;
 import gullspar.proxy.events.Events;
+import gullspar.proxy.config.Classes.Known;
 import gullspar.proxy.http.Message;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -34,6 +35,7 @@
     final Client client;
     private final Exchanges owner;
     private final Message message;
+    private final Known of;
     private final long deadline;
     /** By number; null where none went out. */
     private final List<Attempt> attempts = new ArrayList<>(2);
@@ -46,11 +48,12 @@
         this.ticket = ticket;
         this.client = client;
         this.message = message;
+        this.of = asked.of();
         long margin = Math.min(MARGIN_NS, asked.timeoutNs() / 4);
-        this.deadline = at + asked.timeoutNs() - margin;
+        this.deadline = owner.byThen(at + asked.timeoutNs()) - margin;
         this.backstop = owner.platform.loop().schedule(this::overdue, Math.max(0, deadline + margin
                 - Math.min(BACKSTOP_NS, margin / 2) - owner.platform.clock().now()), TimeUnit.NANOSECONDS);
-        tell((now, module) -> module.onRequest(now, new Request(ticket, asked.profile(), asked.tenant(),
+        tell((now, module) -> module.onRequest(now, new Request(ticket, of.place(), asked.tenant(),
                 asked.key(), Math.max(0, deadline - now), asked.hintNs(), asked.repeat())));
     }
 
@@ -107,6 +110,7 @@
 
     private void answer(int status, HttpHeaders headers, byte[] body) {
         finish();
+        owner.figures.ended(of.place(), status);
         client.answer(status, headers, body);
     }
 
@@ -123,7 +127,7 @@
         long left = deadline - now;
         int number = attempts.size();
         out++;
-        if (over || left <= 0 || number >= owner.maxAttempts) {
+        if (over || left <= 0 || number >= of.attempts()) {
             attempts.add(null);
             ended(number, server, now, Status.MOOT, null, null);
             return;
--- a/src/main/java/gullspar/proxy/Exchanges.java
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -9,6 +9,7 @@
 import gullspar.proxy.events.Events;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.operator.Figures;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.Map;
@@ -18,17 +19,19 @@
     final Platform platform;
     final Events events;
     final Backends backends;
-    final int maxAttempts;
+    final Figures figures;
     private final Map<Integer, Exchange> byTicket = new HashMap<>();
     /** Those that still want their answer; only looked up, never walked. */
     private final Map<Client, Exchange> byClient = new IdentityHashMap<>();
     private int tickets;
+    /** No request is answered later, whatever its client allows. */
+    private long lastAnswer = Long.MAX_VALUE;
 
-    Exchanges(Platform platform, Events events, Backends backends, int maxAttempts) {
+    Exchanges(Platform platform, Events events, Backends backends, Figures figures) {
         this.platform = platform;
         this.events = events;
         this.backends = backends;
-        this.maxAttempts = maxAttempts;
+        this.figures = figures;
     }
 
     @Override
@@ -49,6 +52,16 @@
         }
     }
 
+    /** All that is taken from now on is answered by then; what was taken before has its own time. */
+    void endBy(long time) {
+        lastAnswer = time;
+    }
+
+    /** When a request that would be answered by that time must be. */
+    long byThen(long deadline) {
+        return Math.min(deadline, lastAnswer);
+    }
+
     /** Requests that still want their answer. */
     int open() {
         return byClient.size();
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -2,8 +2,10 @@
 
 import gullspar.decide.Balancer;
 import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.Profile;
 import gullspar.proxy.backend.Backends;
 import gullspar.proxy.client.Frontend;
+import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.discovery.Discovery;
 import gullspar.proxy.discovery.Listed;
@@ -11,6 +13,9 @@
 import gullspar.proxy.events.Events;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
+import gullspar.proxy.operator.Figures;
+import gullspar.proxy.operator.OperatorPort;
+import gullspar.proxy.operator.Report;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import java.io.IOException;
@@ -24,13 +29,19 @@
  * One proxy: the decision module, the requests that it has taken and the sockets round it, all on one event
  * loop. Events become calls of the module, its actions become I/O; where, whether and when are its decisions.
  */
-public final class Proxy implements Balancer.Actions, Discovery.Listener {
+public final class Proxy implements Balancer.Actions, Discovery.Listener,
+        OperatorPort.Subject {
     /** With the list that it was started with a proxy serves if discovery says nothing for so long. */
     private static final long LIST_WAIT_MS = 3000;
     /** After SIGTERM clients go on coming for 0.4 s at the most; then the listener closes. */
     private static final long ACCEPT_MS = 550;
     /** Requests come whole within so long after that, or never. */
     private static final long DRAIN_SLACK_MS = 100;
+    /**
+     * SIGKILL follows SIGTERM after the longest deadline, of which so much counts, and the slack. By so much
+     * before that the idle connections are closed, and all requests have their answers.
+     */
+    private static final long LONGEST_KEPT_MS = 3000, KILL_SLACK_MS = 700, CLOSE_MS = 500, ANSWER_MS = 150;
 
     private final Platform platform;
     private final Config config;
@@ -39,8 +50,12 @@
     private final Backends backends;
     private final Exchanges exchanges;
     private final Discovery discovery;
+    private final Balancer module;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
+    private final Classes classes;
+    private final Figures figures = new Figures();
     private boolean listed;
+    private boolean draining;
     private ChannelFuture listening;
 
     /** To be called on the loop. */
@@ -50,10 +65,12 @@
         Sockets sockets = new Sockets(config.sockets());
         this.events = new Events(platform);
         this.backends = new Backends(platform, sockets.backends, config);
-        this.exchanges = new Exchanges(platform, events, backends, config.settings().maxAttempts());
-        this.frontend = new Frontend(platform, config, sockets.clients, exchanges, () -> listed);
+        this.classes = new Classes(config);
+        this.exchanges = new Exchanges(platform, events, backends, figures);
+        this.frontend = new Frontend(platform, config, classes, sockets.clients, exchanges, () -> listed);
         this.discovery = new Discovery(platform, config, this);
-        events.to(factory.create(config.settings(), config.seed(), platform.clock().now(), this));
+        this.module = factory.create(config.settings(), config.seed(), platform.clock().now(), this);
+        events.to(module);
     }
 
     /** Starts one and waits until it listens; an IOException if it cannot. */
@@ -75,7 +92,11 @@
         return p;
     }
 
-    private Proxy bound() throws IOException {
+    /** Waits until it listens, if it may already. */
+    Proxy bound() throws IOException {
+        if (listening == null) {
+            return this; // once there is a list: until then the process before this one serves
+        }
         listening.awaitUninterruptibly();
         if (!listening.isSuccess()) {
             throw new IOException("cannot listen on " + config.listen() + ": "
@@ -98,6 +119,12 @@
                 listed();
             }
         }, LIST_WAIT_MS, TimeUnit.MILLISECONDS);
+        if (!config.inherited()) {
+            listen();
+        }
+    }
+
+    private void listen() {
         listening = frontend.listen();
     }
 
@@ -111,19 +138,48 @@
     }
 
     /**
-     * Takes over what may change while it serves: where discovery is. What the proxy knows and holds lives
-     * on. To be called on the loop.
+     * Takes over what may change while it serves: where discovery is, the classes and how many attempts they
+     * allow. What the proxy knows and holds lives on, and what is under way keeps its class. To be called on
+     * the loop.
      */
     public void reload(Config config) {
-        platform.log().say("a new configuration: discovery is at " + config.discovery());
+        platform.log().say("a new configuration: discovery is at " + config.discovery() + ", classes "
+                + config.classes() + ", attempts " + config.settings().maxAttempts());
+        List<Profile> all = classes.take(config);
+        events.news((now, m) -> m.onProfiles(all));
         discovery.move(config.discovery());
+        figures.reloaded(true);
+    }
+
+    /** A configuration was turned down. To be called on the loop. */
+    public void turnedDown(String why) {
+        platform.log().say("the new configuration is not used: " + why);
+        figures.reloaded(false);
+    }
+
+    // ---- what operators ask ----
+
+    @Override
+    public boolean ready() {
+        return listed && !draining && listening != null && listening.isSuccess();
+    }
+
+    @Override
+    public String figures() {
+        return new Report(classes.names(), figures, backends.written(), exchanges.open(), backends.listed(),
+                module.avoided()).json();
     }
 
     /** Answers what has been taken and what still comes; the future is done once all is answered. */
     public CompletableFuture<Void> drain() {
         platform.loop().execute(() -> {
             platform.log().say("draining");
+            draining = true;
             frontend.drain();
+            if (config.inherited()) {
+                handOver();
+                return;
+            }
             platform.loop().schedule(() -> {
                 frontend.close();
                 whenEmpty(0);
@@ -132,6 +188,31 @@
         return ended;
     }
 
+    /**
+     * Another process accepts from the same queue. The connections that this one holds are served until
+     * shortly before the end, each answer the last one of its connection: to close one that its client is
+     * about to use would cost that request.
+     */
+    private void handOver() {
+        if (listening != null) {
+            frontend.refuseNew();
+        }
+        long lastMs = Math.min(LONGEST_KEPT_MS, TimeUnit.NANOSECONDS.toMillis(config.longestDeadlineNs()))
+                + KILL_SLACK_MS;
+        exchanges.endBy(platform.clock().now() + TimeUnit.MILLISECONDS.toNanos(lastMs - ANSWER_MS));
+        platform.loop().schedule(() -> frontend.close(), lastMs - CLOSE_MS, TimeUnit.MILLISECONDS);
+        whenLeft();
+    }
+
+    private void whenLeft() {
+        if (frontend.open() == 0 && exchanges.open() == 0) {
+            platform.log().say("drained");
+            ended.complete(null);
+        } else {
+            platform.loop().schedule(this::whenLeft, 10, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void whenEmpty(long waitedMs) {
         if (exchanges.open() == 0 && (frontend.open() == 0 || waitedMs >= DRAIN_SLACK_MS)) {
             platform.log().say("drained");
@@ -153,6 +234,9 @@
     private void listed() {
         if (!listed) {
             listed = true;
+            if (listening == null) {
+                listen();
+            }
             platform.log().say("ready");
         }
     }
--- a/src/main/java/gullspar/proxy/backend/Attempt.java
+++ b/src/main/java/gullspar/proxy/backend/Attempt.java
@@ -30,6 +30,7 @@
     private final Clock clock;
     private final long deadline;
     private final Listener listener;
+    private final Runnable whenWritten;
     private Connection connection;
     private ScheduledFuture<?> timer;
     /** Its last byte is written: from now on it may have run. */
@@ -37,13 +38,14 @@
     private boolean ended;
 
     Attempt(Backend backend, Message request, EventLoop loop, Clock clock, long timeoutNs,
-            Listener listener) {
+            Listener listener, Runnable whenWritten) {
         this.backend = backend;
         this.request = request;
         this.loop = loop;
         this.clock = clock;
         this.deadline = clock.now() + timeoutNs;
         this.listener = listener;
+        this.whenWritten = whenWritten;
     }
 
     Backend backend() {
@@ -65,6 +67,7 @@
 
     void written() {
         written = true;
+        whenWritten.run();
     }
 
     boolean isWritten() {
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -37,6 +37,7 @@
     private final long keepAliveNs;
     private final long drainGraceNs;
     private final Map<Integer, Backend> backends = new HashMap<>();
+    private long written;
 
     public Backends(Platform platform, Sockets.Share sockets, Config config) {
         this.transport = platform.transport();
@@ -79,6 +80,16 @@
         }
     }
 
+    /** Backends in the list, those that drain too. */
+    public int listed() {
+        return backends.size();
+    }
+
+    /** Attempts whose last byte was written. */
+    public long written() {
+        return written;
+    }
+
     // ---- idle connections ----
 
     public void closeIdle(int id) {
@@ -132,7 +143,8 @@
 
     /** Starts an attempt; it ends later, never within this call. */
     public Attempt send(int server, Message request, long timeoutNs, Attempt.Listener listener) {
-        Attempt a = new Attempt(backends.get(server), request, loop, clock, timeoutNs, listener);
+        Attempt a = new Attempt(backends.get(server), request, loop, clock, timeoutNs, listener,
+                () -> written++);
         if (a.backend() == null) {
             loop.execute(() -> a.end(Status.MOOT, null, null)); // gone since
             return a;
--- a/src/main/java/gullspar/proxy/client/Asked.java
+++ b/src/main/java/gullspar/proxy/client/Asked.java
@@ -2,6 +2,7 @@
 
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Profile;
+import gullspar.proxy.config.Classes.Known;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.Fnv;
 import gullspar.proxy.http.Message;
@@ -11,8 +12,8 @@
 import java.util.List;
 import java.util.regex.Pattern;
 
-/** What a request asks of the module: the class and tenant by place, the rest as the client said it. */
-public record Asked(int profile, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
+/** What a request asks of the module: its class, the tenant by place, the rest as the client said it. */
+public record Asked(Known of, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
     /** No client waits longer; more is a slip of the pen. */
     private static final double LONGEST_TIMEOUT_S = 3600;
     /** Ids and keys: what any backend can read, and no longer than makes sense. */
@@ -55,8 +56,8 @@
         return s > 0 && s <= LONGEST_TIMEOUT_S ? (long) (s * 1e9) : 0;
     }
 
-    static Asked of(Message m, int profile, Config config) {
-        return new Asked(profile, Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
+    static Asked of(Message m, Known of, Config config) {
+        return new Asked(of, Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
                 key(m.headers().get(HttpHeaderNames.COOKIE)), timeout(m), hint(m),
                 "1".equals(m.headers().get("Client-Retry")));
     }
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -2,6 +2,8 @@
 
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Profile;
+import gullspar.proxy.config.Classes.Known;
+import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Clock;
@@ -49,6 +51,7 @@
     private static final long SWEEP_MS = 200, AGE_MS = 4000, COUNT_MS = 10_000;
 
     private final Config config;
+    private final Classes classes;
     private final Platform platform;
     private final Clock clock;
     private final Sockets.Share sockets;
@@ -66,10 +69,11 @@
     private boolean draining;
 
     /** ready: are there backends to serve with? */
-    public Frontend(Platform platform, Config config, Sockets.Share sockets, Taker taker,
+    public Frontend(Platform platform, Config config, Classes classes, Sockets.Share sockets, Taker taker,
             BooleanSupplier ready) {
         this.platform = platform;
         this.config = config;
+        this.classes = classes;
         this.clock = platform.clock();
         this.sockets = sockets;
         this.taker = taker;
@@ -78,13 +82,13 @@
     }
 
     public ChannelFuture listen() {
-        ChannelFuture bound = platform.transport().at(config.listen())
-                .childHandler(new ChannelInitializer<Channel>() {
+        ChannelFuture bound = platform.transport().listen(config.listen(),
+                new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         accept(c);
                     }
-                }).bind();
+                });
         listener = bound.channel();
         EventLoop loop = platform.loop();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -127,9 +131,14 @@
         draining = true;
     }
 
+    /** Takes no more connections. */
+    public void refuseNew() {
+        listener.close();
+    }
+
     /** Takes no more connections, and ends those between requests. */
     public void close() {
-        listener.close();
+        refuseNew();
         sayRejected();
         Stream.concat(unused.stream(), used.stream()).filter(Client::idle).toList().forEach(Client::close);
     }
@@ -177,19 +186,20 @@
     public void whole(Client client, Message m, long at) {
         String path = new QueryStringDecoder(m.uri()).rawPath();
         if (path.equals("/_health")) {
-            boolean up = ready.getAsBoolean() && !draining;
+            // Whoever holds an inherited listener is one of two that are one proxy: the other goes on.
+            boolean up = ready.getAsBoolean() && (!draining || config.inherited());
             int status = up ? 200 : 503;
             client.answer(m.method().equals(HttpMethod.GET) ? status : 405, null, up ? "ready" : "not ready");
             return;
         }
         int slash = path.indexOf('/', 1);
-        int profile = path.startsWith("/")
-                ? config.classes().indexOf(path.substring(1, slash < 0 ? path.length() : slash)) : -1;
-        if (profile < 0) {
+        Known of = path.startsWith("/")
+                ? classes.of(path.substring(1, slash < 0 ? path.length() : slash)) : null;
+        if (of == null) {
             client.answer(404, null, "no such class");
             return;
         }
-        Profile p = config.settings().profiles().get(profile);
+        Profile p = of.profile();
         HttpMethod method = p.effect() == Effect.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
         String wrong = Asked.wrong(m, p);
         if (!m.method().equals(method)) {
@@ -201,7 +211,7 @@
         } else {
             client.take(m);
             crowding.requests++;
-            taker.taken(client, m, Asked.of(m, profile, config), at);
+            taker.taken(client, m, Asked.of(m, of, config), at);
         }
     }
 
--- a/src/main/java/gullspar/proxy/config/Config.java
+++ b/src/main/java/gullspar/proxy/config/Config.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import gullspar.decide.Balancer.Settings;
+import gullspar.decide.Balancer.Profile;
 import gullspar.settings.SettingsException;
 import gullspar.settings.SettingsParser;
 import io.netty.util.NetUtil;
@@ -14,15 +15,19 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
- * What a proxy is told: the file at NODE_CONFIG; at the start NODE_LISTEN and NODE_DISCOVERY win over
- * it.
- * The names' places in their lists are the numbers that the module knows them by.
+ * What a proxy is told: the file at NODE_CONFIG; at the start NODE_LISTEN, NODE_DISCOVERY and NODE_OPERATOR
+ * win over it. The names' places in their lists are the numbers that the module knows them by. operator: where
+ * operators call, null for nowhere; inherited: the platform holds the clients' listener, descriptor 0, and a
+ * second process may take over; keys: the paths of all keys, but for those in lists.
  */
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         JsonNode known, Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-        List<String> kinds, long connectTimeoutNs, long keepAliveNs, long drainGraceNs) {
+        List<String> kinds, long connectTimeoutNs, long keepAliveNs, long drainGraceNs,
+        InetSocketAddress operator, boolean inherited, Set<String> keys) {
 
     public static Config read(Map<String, String> environment) throws ConfigException {
         String path = environment.get("NODE_CONFIG");
@@ -42,27 +47,56 @@
 
     /**
      * The configuration as it is now. The environment is that of the start, so for what may change later,
-     * the address of discovery, the file wins.
+     * the address of discovery, the file wins. A key that the file had before and lacks now makes it half a
+     * file, which is none.
      */
-    public static Config reread(Map<String, String> environment) throws ConfigException {
+    public static Config reread(Map<String, String> environment, Config before) throws ConfigException {
         Map<String, String> lasting = new HashMap<>(environment);
         lasting.remove("NODE_DISCOVERY");
-        return read(lasting);
+        Config c = read(lasting);
+        for (String key : before.keys) {
+            if (!c.keys.contains(key)) {
+                throw new ConfigException(key + " is missing, which was there before");
+            }
+        }
+        return c;
+    }
+
+    /** The longest that a client waits for an answer by any class, in ns. */
+    public long longestDeadlineNs() {
+        return settings.profiles().stream().mapToLong(Profile::giveUpNs).max().orElse(0);
     }
 
     public static Config parse(JsonNode root, Map<String, String> environment) throws ConfigException {
         JsonNode settings = root.path("settings");
         Map<String, String> flat = new HashMap<>();
         flatten("", settings, flat);
+        positive(settings, "/limits/max_attempts");
+        for (JsonNode p : settings.path("profiles")) {
+            positive(p, "/promise_ns");
+            positive(p, "/give_up_ns");
+        }
+        List<String> classes = names(settings.path("profiles"));
+        if (classes.contains("") || Set.copyOf(classes).size() < classes.size()) {
+            throw new ConfigException("settings.profiles: a name is missing or there twice: " + classes);
+        }
+        String descriptor = environment.getOrDefault("NODE_SOCKET_FD", "");
+        if (!descriptor.isEmpty() && !descriptor.equals("0")) {
+            throw new ConfigException("NODE_SOCKET_FD is '" + descriptor
+                    + "': only descriptor 0 can be taken over");
+        }
+        Set<String> keys = new TreeSet<>();
+        keys("", root, keys);
         try {
             return new Config(address("NODE_LISTEN", environment, root.path("listen")),
                     address("NODE_DISCOVERY", environment, root.path("discovery")),
                     Long.parseUnsignedLong(root.path("seed").asText("0"), 16),
                     (int) positive(root, "/limits/sockets"), root.path("known"),
-                    SettingsParser.parse(flat).settings(), names(settings.path("profiles")),
+                    SettingsParser.parse(flat).settings(), classes,
                     names(settings.path("tenants")), names(settings.path("zones")),
                     names(settings.path("skus")), positive(settings, "/limits/connect_timeout_ns"),
-                    positive(settings, "/limits/keepalive_ns"), positive(settings, "/rules/drain_grace_ns"));
+                    positive(settings, "/limits/keepalive_ns"), positive(settings, "/rules/drain_grace_ns"),
+                    operator(environment, root), !descriptor.isEmpty(), keys);
         } catch (NumberFormatException e) {
             throw new ConfigException("seed is not a hexadecimal number: " + root.path("seed").asText());
         } catch (SettingsException e) {
@@ -87,6 +121,23 @@
         }
     }
 
+    /** What may be known of backends is no setting: it may be there or not. */
+    private static void keys(String path, JsonNode node, Set<String> keys) {
+        node.properties().forEach(e -> {
+            String key = path.isEmpty() ? e.getKey() : path + "." + e.getKey();
+            if (!key.equals("known")) {
+                keys.add(key);
+                keys(key, e.getValue(), keys);
+            }
+        });
+    }
+
+    private static InetSocketAddress operator(Map<String, String> environment, JsonNode root)
+            throws ConfigException {
+        boolean named = root.has("operator") || environment.containsKey("NODE_OPERATOR");
+        return named ? address("NODE_OPERATOR", environment, root.path("operator")) : null;
+    }
+
     private static List<String> names(JsonNode list) {
         List<String> names = new ArrayList<>();
         list.forEach(n -> names.add(n.isObject() ? n.path("name").asText() : n.asText()));
--- /dev/null
+++ b/src/main/java/gullspar/proxy/io/Inherited.java
@@ -0,0 +1,60 @@
+package gullspar.proxy.io;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.channels.Channel;
+import java.nio.channels.ServerSocketChannel;
+
+/**
+ * A listener that the platform holds and this process was started with, as descriptor 0: another process that
+ * has it too may accept from the same queue, so none of what waits there is lost when one of them ends.
+ */
+public final class Inherited implements Transport {
+    private final Transport tcp;
+    private final EventLoop loop;
+    private final ServerSocketChannel listener;
+
+    private Inherited(EventLoop loop, ServerSocketChannel listener) {
+        this.tcp = Transport.tcp(loop);
+        this.loop = loop;
+        this.listener = listener;
+    }
+
+    /** The sockets of this machine, with that listener; an IOException if descriptor 0 is none. */
+    public static Transport transport(EventLoop loop) throws IOException {
+        // The runtime gives its three standard descriptors away when it hands over the inherited one.
+        // The log goes on over a descriptor of its own.
+        System.setErr(new PrintStream(new FileOutputStream("/proc/self/fd/2", true), true));
+        Channel inherited = System.inheritedChannel();
+        if (!(inherited instanceof ServerSocketChannel s)) {
+            throw new IOException("descriptor 0 is no listening socket");
+        }
+        return new Inherited(loop, s);
+    }
+
+    @Override
+    public Bootstrap to(InetSocketAddress address) {
+        return tcp.to(address);
+    }
+
+    @Override
+    public ServerBootstrap at(InetSocketAddress address) {
+        return tcp.at(address);
+    }
+
+    /** It is bound already, whatever the address: the platform says where clients come. */
+    @Override
+    public ChannelFuture listen(InetSocketAddress address, ChannelHandler children) {
+        return new ServerBootstrap().group(loop).channelFactory(() -> new NioServerSocketChannel(listener))
+                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(children).register();
+    }
+}
--- a/src/main/java/gullspar/proxy/io/Transport.java
+++ b/src/main/java/gullspar/proxy/io/Transport.java
@@ -2,6 +2,8 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -16,6 +18,11 @@
     /** For a listener at that address, which still wants its handler. */
     ServerBootstrap at(InetSocketAddress address);
 
+    /** Begins to listen there. */
+    default ChannelFuture listen(InetSocketAddress address, ChannelHandler children) {
+        return at(address).childHandler(children).bind();
+    }
+
     /** By the sockets of this machine. */
     static Transport tcp(EventLoop loop) {
         return new Transport() {
--- /dev/null
+++ b/src/main/java/gullspar/proxy/operator/OperatorCall.java
@@ -0,0 +1,87 @@
+package gullspar.proxy.operator;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** One call of an operator: its head is all of it, and its answer ends the connection. */
+final class OperatorCall extends SimpleChannelInboundHandler<HttpObject> {
+    private final Supplier<OperatorPort.Subject> subject;
+    private final Consumer<Channel> called;
+    private boolean answered;
+
+    /** subject: null while there is nothing to ask about; called: hears of the call. */
+    OperatorCall(Supplier<OperatorPort.Subject> subject, Consumer<Channel> called) {
+        this.subject = subject;
+        this.called = called;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (answered) {
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            answer(ctx, HttpResponseStatus.BAD_REQUEST, "text/plain", "not a call\n", true);
+        } else if (message instanceof HttpRequest r) {
+            call(ctx, r);
+        }
+    }
+
+    private void call(ChannelHandlerContext ctx, HttpRequest r) {
+        boolean body = !r.method().equals(HttpMethod.HEAD);
+        if (body && !r.method().equals(HttpMethod.GET)) {
+            answer(ctx, HttpResponseStatus.METHOD_NOT_ALLOWED, "text/plain", "only GET\n", true);
+            return;
+        }
+        OperatorPort.Subject asked = subject.get();
+        switch (new QueryStringDecoder(r.uri()).rawPath()) {
+            case "/_ready" -> {
+                boolean ready = asked != null && asked.ready();
+                answer(ctx, ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        "text/plain", ready ? "yes\n" : "not yet\n", body);
+            }
+            case "/_vars" -> {
+                if (asked == null) {
+                    answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "text/plain", "not yet\n", body);
+                } else {
+                    answer(ctx, HttpResponseStatus.OK, "application/json", asked.figures(), body);
+                }
+            }
+            default -> answer(ctx, HttpResponseStatus.NOT_FOUND, "text/plain",
+                    "there are /_ready and /_vars\n", body);
+        }
+    }
+
+    private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String type, String text,
+            boolean withBody) {
+        answered = true;
+        called.accept(ctx.channel());
+        ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
+        DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                withBody ? bytes : Unpooled.EMPTY_BUFFER);
+        HttpUtil.setContentLength(r, bytes.readableBytes());
+        r.headers().set(HttpHeaderNames.CONTENT_TYPE, type).set(HttpHeaderNames.CONNECTION, "close");
+        ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/proxy/operator/Report.java
@@ -0,0 +1,47 @@
+package gullspar.proxy.operator;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.function.IntToLongFunction;
+
+/**
+ * The figures at one moment. written: attempts whose last byte went to a backend; pending: requests taken and
+ * not yet ended; members and unavailable: backends in the list, and those of them that get nothing new.
+ */
+public record Report(List<String> classes, Figures figures, long written, int pending, int members,
+        int unavailable) {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** As JSON, one object. Written field by field: a mapper costs a small proxy half a second to load. */
+    public String json() {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator to = JSON.createGenerator(text)) {
+            to.writeStartObject();
+            byClass(to, "completed", figures::completed);
+            byClass(to, "rejected", figures::rejected);
+            byClass(to, "failed", figures::failed);
+            to.writeNumberField("upstream_requests", written);
+            to.writeNumberField("pending", pending);
+            to.writeNumberField("members", members);
+            to.writeNumberField("members_unavailable", unavailable);
+            to.writeNumberField("config_reloads", figures.reloads());
+            to.writeNumberField("config_reload_errors", figures.reloadErrors());
+            to.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e); // a string does not fail
+        }
+        return text.toString();
+    }
+
+    private void byClass(JsonGenerator to, String name, IntToLongFunction count) throws IOException {
+        to.writeObjectFieldStart(name);
+        for (int i = 0; i < classes.size(); i++) {
+            to.writeNumberField(classes.get(i), count.applyAsLong(i));
+        }
+        to.writeEndObject();
+    }
+}
--- a/src/test/java/gullspar/decide/PolicyTest.java
+++ b/src/test/java/gullspar/decide/PolicyTest.java
@@ -242,6 +242,28 @@
 
     // ---- rule 3: drains ----
 
+    @Test
+    void aClassThatIsToldOfLaterSaysItselfHowManyAttemptsItAllows() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(6));
+        r.rules.onProfiles(List.of(Rig.SAFE.withAttempts(1)));
+        int t = r.request();
+        r.done(t, 0, Status.RESET, 5, null);
+        assertEquals(1, r.attempts(t));
+        assertEquals("refused", r.answers.get(t));
+    }
+
+    @Test
+    void operatorsAreToldHowManyListedServersGetNothing() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(1, 0, READY),
+                Rig.member(2, 0, READY), Rig.member(3, 0, State.DRAINING));
+        assertEquals(1, r.rules.avoided());
+        int t = r.request();
+        r.done(t, 0, Status.CONNECT_FAILED, 5, null);
+        assertEquals(2, r.rules.avoided(), "one is ejected now");
+        r.list(ListKind.FULL, Rig.ready(2));
+        assertTrue(r.rules.avoided() <= 1, "who is listed no more is not counted");
+    }
+
     @Test
     void drainingGoneAndUnlistedServersGetNothing() {
         Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(4));
--- /dev/null
+++ b/src/test/java/gullspar/proxy/OperatorTest.java
@@ -0,0 +1,231 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.Status;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.io.Platform;
+import gullspar.proxy.operator.OperatorPort;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What operators ask, and what they change while a proxy serves. */
+@Timeout(60)
+class OperatorTest {
+    @TempDir
+    Path folder;
+    private Peer discovery;
+    private Peer backend;
+    private Setup setup;
+    private OperatorPort port;
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void start() throws Exception {
+        discovery = new Peer();
+        backend = new Peer();
+        setup = new Setup().start(Setup.config(discovery, backend));
+        setup.loop.submit(() -> setup.proxy.news(new gullspar.proxy.discovery.News(
+                gullspar.decide.Balancer.ListKind.DELTA, 42, List.of()))).get(20, TimeUnit.SECONDS);
+        port = new OperatorPort(Platform.of(setup.loop));
+        address = (InetSocketAddress) port.listen(new InetSocketAddress("127.0.0.1", 0)).sync().channel()
+                .localAddress();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        setup.close();
+        discovery.close();
+        backend.close();
+    }
+
+    private String call(String text) throws Exception {
+        try (Peer.Wire w = Peer.Wire.to(address)) {
+            String answer = w.write(text).read();
+            assertTrue(w.ended(), "one call on a connection");
+            return answer;
+        }
+    }
+
+    private JsonNode figures() throws Exception {
+        String answer = call("GET /_vars HTTP/1.1\r\nHost: o\r\n\r\n");
+        assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        return new ObjectMapper().readTree(answer.substring(answer.indexOf("\r\n\r\n")));
+    }
+
+    private void about() throws Exception {
+        setup.act(() -> port.about(setup.proxy));
+    }
+
+    private JsonNode json() {
+        return Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
+    }
+
+    @Test
+    void isNotReadyUntilItServes() throws Exception {
+        assertTrue(call("GET /_ready HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 503"));
+        assertTrue(call("GET /_vars HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 503"));
+        about();
+        assertTrue(call("GET /_ready HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 200"));
+        setup.proxy.drain();
+        assertTrue(call("GET /_ready HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 503"));
+    }
+
+    @Test
+    void whatIsNoCallIsToldSo() throws Exception {
+        about();
+        assertTrue(call("GET /_other HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 404"));
+        assertTrue(call("POST /_ready HTTP/1.1\r\nHost: o\r\nContent-Length: 0\r\n\r\n")
+                .startsWith("HTTP/1.1 405"));
+        assertTrue(call("\u0001\u0002 what\r\n\r\n").startsWith("HTTP/1.1 400"));
+        assertTrue(call("GET /" + "x".repeat(2000) + " HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 400"));
+    }
+
+    @Test
+    void callersThatSayNothingOrHalfACallKeepNobodyOut() throws Exception {
+        about();
+        List<Peer.Wire> silent = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            silent.add(Peer.Wire.to(address).write(i % 2 == 0 ? "" : "GET /_rea"));
+        }
+        assertTrue(call("GET /_ready HTTP/1.1\r\nHost: o\r\n\r\n").startsWith("HTTP/1.1 200"));
+        assertTrue(silent.get(0).ended(), "the first of them made room");
+        for (Peer.Wire w : silent) {
+            w.close();
+        }
+    }
+
+    @Test
+    void countsWhatBecameOfRequestsByTheirClass() throws Exception {
+        about();
+        int server = setup.backend();
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.get());
+            Request r = setup.request();
+            assertEquals(1, figures().path("pending").asInt());
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            Peer.Wire b = backend.accept();
+            b.read();
+            b.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            client.read();
+            client.write(Setup.get());
+            Request refused = setup.request();
+            setup.act(() -> setup.actions.refuse(refused.ticket(), 0));
+            client.read();
+            client.write(Setup.get());
+            Request failed = setup.request();
+            setup.act(() -> setup.actions.fail(failed.ticket()));
+            client.read();
+        }
+        JsonNode f = figures();
+        assertEquals("{\"look\":1,\"order\":0,\"pay\":0}", f.path("completed").toString());
+        assertEquals(1, f.at("/rejected/look").asInt());
+        assertEquals(1, f.at("/failed/look").asInt());
+        assertEquals(1, f.path("upstream_requests").asInt());
+        assertEquals(0, f.path("pending").asInt());
+        assertEquals(1, f.path("members").asInt());
+        assertEquals(0, f.path("config_reloads").asInt());
+    }
+
+    @Test
+    void classesAppearVanishAndKeepTheirNumbersAndAttemptsBecomeFewer() throws Exception {
+        about();
+        int server = setup.backend();
+        ObjectNode next = (ObjectNode) json();
+        ArrayNode profiles = (ArrayNode) next.at("/settings/profiles");
+        profiles.remove(0);
+        ObjectNode fresh = profiles.addObject();
+        fresh.setAll((ObjectNode) profiles.get(1));
+        fresh.put("name", "gift");
+        ((ObjectNode) next.at("/settings/limits")).put("max_attempts", 1);
+        Config config = Config.parse(next, Map.of());
+        try (Peer.Wire client = setup.client(); Peer.Wire other = setup.client()) {
+            client.write(Setup.get());
+            Request under = setup.request();
+            setup.act(() -> setup.proxy.reload(config));
+            // What is under way keeps its class and its attempts.
+            setup.act(() -> setup.actions.send(under.ticket(), server, 0));
+            Peer.Wire broken = backend.accept();
+            broken.read();
+            broken.reset();
+            assertEquals(Status.RESET, setup.outcome().status());
+            setup.act(() -> setup.actions.send(under.ticket(), server, 0));
+            Peer.Wire b = backend.accept();
+            b.read();
+            b.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            assertTrue(client.read().startsWith("HTTP/1.1 200"));
+            other.write(Setup.get());
+            assertTrue(other.read().startsWith("HTTP/1.1 404"), "the class is gone");
+            other.write(Setup.get().replace("GET /look", "POST /gift")
+                    .replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n"));
+            setup.outcome();
+            Request r = setup.request();
+            assertEquals(3, r.profile(), "behind the three that there were");
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            b.read();
+            b.reset();
+            assertEquals(Status.RESET, setup.outcome().status());
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            assertEquals(Status.MOOT, setup.outcome().status(), "one attempt is all there is");
+            setup.act(() -> setup.actions.fail(r.ticket()));
+            other.read();
+        }
+        assertEquals("{\"look\":1,\"order\":0,\"pay\":0,\"gift\":0}",
+                figures().path("completed").toString());
+        assertEquals(1, figures().path("config_reloads").asInt());
+        setup.act(() -> setup.proxy.turnedDown("it is empty"));
+        assertEquals(1, figures().path("config_reload_errors").asInt());
+    }
+
+    @Test
+    void ofABrokenFileNothingIsTaken() throws Exception {
+        Path file = folder.resolve("config.json");
+        Map<String, String> environment = Map.of("NODE_CONFIG", file.toString());
+        Files.writeString(file, json().toString());
+        Config first = Config.read(environment);
+        assertNull(first.operator());
+        Config.reread(environment, first);
+        List<String> broken = new ArrayList<>(List.of("", "{", json().toString().substring(0, 400)));
+        for (String key : List.of("/seed", "/discovery", "/limits/cores", "/settings/limits/retry_after",
+                "/settings/profiles", "/settings/profiles/0/name", "/settings/profiles/1/give_up_ns")) {
+            JsonNode root = json();
+            int slash = key.lastIndexOf('/');
+            ((ObjectNode) root.at(key.substring(0, slash))).remove(key.substring(slash + 1));
+            broken.add(root.toString());
+        }
+        for (String key : List.of("/settings/limits/max_attempts", "/settings/profiles/0/promise_ns",
+                "/settings/profiles/2/give_up_ns")) {
+            for (int value : new int[] {0, -5}) {
+                JsonNode root = json();
+                int slash = key.lastIndexOf('/');
+                ((ObjectNode) root.at(key.substring(0, slash))).put(key.substring(slash + 1), value);
+                broken.add(root.toString());
+            }
+        }
+        for (String text : broken) {
+            Files.writeString(file, text);
+            assertThrows(ConfigException.class, () -> Config.reread(environment, first), text);
+        }
+        Files.writeString(file, json().toString());
+        Config.reread(environment, first);
+    }
+}
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gullspar.decide.Balancer.Member;
 import gullspar.decide.Balancer.Outcome;
+import gullspar.decide.Balancer.Profile;
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer;
 import gullspar.proxy.config.Config;
@@ -136,6 +137,11 @@
             note("kind", kind);
         }
 
+        @Override
+        public void onProfiles(List<Profile> profiles) {
+            note("profiles", profiles);
+        }
+
         @Override
         public void onRequest(long now, Request request) {
             nested = true;
--- /dev/null
+++ b/src/test/java/gullspar/proxy/UpgradeTest.java
@@ -0,0 +1,183 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.Writer;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One process after another serves a listener that outlives them all, under load. */
+@Timeout(120)
+class UpgradeTest {
+    private static final int CLIENTS = 4, UPGRADES = 2;
+
+    @TempDir
+    Path folder;
+    private final AtomicInteger asked = new AtomicInteger();
+    private final AtomicInteger answered = new AtomicInteger();
+    private final AtomicBoolean over = new AtomicBoolean();
+    private final List<Throwable> wrong = new ArrayList<>();
+
+    /** A backend, or discovery: each connection is served by a thread of its own. */
+    private static ServerSocket serve(String answer) throws IOException {
+        ServerSocket s = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        thread(() -> {
+            while (true) {
+                Peer.Wire w = new Peer.Wire(s.accept());
+                thread(() -> {
+                    while (!w.read().isEmpty()) {
+                        w.write(answer);
+                    }
+                });
+            }
+        });
+        return s;
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static Thread thread(Work work) {
+        Thread t = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // the other side has closed
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+        return t;
+    }
+
+    /** Asks again and again, on one connection for as long as that stays open. */
+    private void client(InetSocketAddress proxy) {
+        try {
+            while (!over.get()) {
+                try (Peer.Wire w = Peer.Wire.to(proxy)) {
+                    for (boolean open = true; open && !over.get();) {
+                        asked.incrementAndGet();
+                        String answer = w.write(Setup.get()).read();
+                        assertTrue(answer.startsWith("HTTP/1.1 200"), "'" + answer + "'");
+                        answered.incrementAndGet();
+                        open = !answer.contains("connection: close");
+                    }
+                }
+            }
+        } catch (Throwable t) {
+            synchronized (wrong) {
+                wrong.add(t);
+            }
+        }
+    }
+
+    private static String call(InetSocketAddress operator, String path) throws IOException {
+        try (Peer.Wire w = Peer.Wire.to(operator)) {
+            return w.write("GET " + path + " HTTP/1.1\r\nHost: o\r\n\r\n").read();
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return s.getLocalPort();
+        }
+    }
+
+    @Test
+    void upgradesUnderLoadLoseNoRequest() throws Exception {
+        Assumptions.assumeTrue(new File("/usr/bin/perl").canExecute() && new File("/proc/self/fd").exists(),
+                "the holder of the listener is a script for perl, on Linux");
+        ServerSocket backend = serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        String list = "{\"generation\":42,\"reset\":false,\"instances\":[]}\n";
+        ServerSocket discovery = serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+        ObjectNode config = (ObjectNode) Setup.json("127.0.0.1:" + discovery.getLocalPort(),
+                "127.0.0.1:" + backend.getLocalPort(), 1024, 5000);
+        Files.writeString(folder.resolve("config.json"), config.toString());
+        Process holder = new ProcessBuilder("/usr/bin/perl", "src/test/resources/hold-listener.pl",
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "gullspar.Main", "serve")
+                .redirectError(folder.resolve("log").toFile()).start();
+        try (BufferedReader said = new BufferedReader(new InputStreamReader(holder.getInputStream(),
+                StandardCharsets.UTF_8)); Writer to = holder.outputWriter()) {
+            int port = Integer.parseInt(said.readLine().substring("port ".length()));
+            InetSocketAddress proxy = new InetSocketAddress("127.0.0.1", port);
+            List<Thread> clients = new ArrayList<>();
+            ProcessHandle old = null;
+            for (int i = 0; i <= UPGRADES; i++) {
+                InetSocketAddress operator = new InetSocketAddress("127.0.0.1", freePort());
+                to.write("NODE_SOCKET_FD=0 NODE_OPERATOR=127.0.0.1:" + operator.getPort() + " NODE_CONFIG="
+                        + folder.resolve("config.json") + "\n");
+                to.flush();
+                ProcessHandle next = ProcessHandle.of(Long.parseLong(said.readLine()
+                        .substring("started ".length()))).orElseThrow();
+                while (!ready(operator)) {
+                    assertTrue(next.isAlive(), () -> "ended: " + log());
+                    Thread.onSpinWait();
+                }
+                if (old == null) {
+                    for (int c = 0; c < CLIENTS; c++) {
+                        clients.add(thread(() -> client(proxy)));
+                    }
+                } else {
+                    old.destroy();
+                    old.onExit().get();
+                    assertTrue(call(operator, "/_vars").contains("\"completed\":{\"look\":"));
+                }
+                int before = answered.get();
+                while (answered.get() < before + 200 && wrong.isEmpty()) {
+                    Thread.onSpinWait();
+                }
+                old = next;
+            }
+            over.set(true);
+            for (Thread t : clients) {
+                t.join();
+            }
+            old.destroy();
+            old.onExit().get();
+        } finally {
+            holder.destroy();
+            backend.close();
+            discovery.close();
+        }
+        assertEquals(List.of(), wrong, this::log);
+        assertEquals(asked.get(), answered.get());
+        assertEquals(UPGRADES + 1, log().split("drained", -1).length - 1, this::log);
+    }
+
+    private static boolean ready(InetSocketAddress operator) {
+        try {
+            return call(operator, "/_ready").startsWith("HTTP/1.1 200");
+        } catch (IOException e) {
+            return false; // it does not listen yet
+        }
+    }
+
+    private String log() {
+        try {
+            return Files.readString(folder.resolve("log"));
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+}
