--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -36,10 +36,13 @@
     private final Exchanges owner;
     private final Message message;
     private final Known of;
-    private final long deadline;
+    private final long margin;
+    private final long timeoutNs;
+    /** While its request is still coming the end of all time: its client's time runs from the last byte. */
+    private long deadline = Long.MAX_VALUE;
     /** By number; null where none went out. */
     private final List<Attempt> attempts = new ArrayList<>(2);
-    private final ScheduledFuture<?> backstop;
+    private ScheduledFuture<?> backstop;
     private int out;
     private boolean over;
 
@@ -49,12 +52,28 @@
         this.client = client;
         this.message = message;
         this.of = asked.of();
-        long margin = Math.min(MARGIN_NS, asked.timeoutNs() / 4);
-        this.deadline = owner.byThen(at + asked.timeoutNs()) - margin;
-        this.backstop = owner.platform.loop().schedule(this::overdue, Math.max(0, deadline + margin
-                - Math.min(BACKSTOP_NS, margin / 2) - owner.platform.clock().now()), TimeUnit.NANOSECONDS);
+        this.timeoutNs = asked.timeoutNs();
+        this.margin = Math.min(MARGIN_NS, timeoutNs / 4);
+        if (message.rest() == null || !message.rest().coming()) {
+            came(at);
+        }
         tell((now, module) -> module.onRequest(now, new Request(ticket, of.place(), asked.tenant(),
-                asked.key(), Math.max(0, deadline - now), asked.hintNs(), asked.repeat())));
+                asked.key(), Math.max(0, left(now)), asked.hintNs(), asked.repeat())));
+    }
+
+    /** Its last byte has come. */
+    void came(long at) {
+        if (over || backstop != null) {
+            return;
+        }
+        deadline = owner.byThen(at + timeoutNs) - margin;
+        backstop = owner.platform.loop().schedule(this::overdue, Math.max(0, deadline + margin
+                - Math.min(BACKSTOP_NS, margin / 2) - owner.platform.clock().now()), TimeUnit.NANOSECONDS);
+    }
+
+    /** How long an attempt may take, from now or, while the request is still coming, from its last byte. */
+    private long left(long now) {
+        return deadline == Long.MAX_VALUE ? timeoutNs - margin : deadline - now;
     }
 
     private void tell(Events.Event event) {
@@ -94,7 +113,11 @@
     }
 
     private void ended(int number, int server, long startedAt, Status status, Report report, Answer answer) {
-        if (status == Status.OK && !over) {
+        if (status == Status.OK && over && answer.rest() != null) {
+            answer.rest().drop();
+        } else if (status == Status.OK && !over && answer.rest() != null) {
+            passOn(answer);
+        } else if (status == Status.OK && !over) {
             answer(200, answer.head().headers(), answer.body());
         } else if (answer != null && !over) {
             answer(answer.head().status().code(), null,
@@ -114,9 +137,22 @@
         client.answer(status, headers, body);
     }
 
+    /** The answer is the client's from its first bytes on; it is counted when it has ended. */
+    private void passOn(Answer answer) {
+        finish();
+        owner.passing(true);
+        client.answer(answer.head(), answer.body(), answer.rest(), whole -> {
+            owner.passing(false);
+            owner.figures.ended(of.place(), whole ? 200 : 502);
+        });
+    }
+
     private void finish() {
         over = true;
-        backstop.cancel(false);
+        if (backstop != null) {
+            backstop.cancel(false);
+        }
+        message.release();
         owner.finished(this);
     }
 
@@ -124,16 +160,16 @@
 
     void send(int server, long timeoutNs) {
         long now = owner.platform.clock().now();
-        long left = deadline - now;
+        long left = left(now);
         int number = attempts.size();
         out++;
-        if (over || left <= 0 || number >= of.attempts()) {
+        if (over || left <= 0 || number >= of.attempts() || !message.sendable()) {
             attempts.add(null);
             ended(number, server, now, Status.MOOT, null, null);
             return;
         }
         attempts.add(owner.backends.send(server, message, timeoutNs == 0 ? left : Math.min(timeoutNs, left),
-                (a, status, report, answer) -> ended(number, server, now, status, report, answer)));
+                (a, status, report, answer) -> ended(number, server, a.began(), status, report, answer)));
     }
 
     void refuse(long retryInNs) {
--- a/src/main/java/gullspar/proxy/Exchanges.java
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -24,6 +24,7 @@
     /** Those that still want their answer; only looked up, never walked. */
     private final Map<Client, Exchange> byClient = new IdentityHashMap<>();
     private int tickets;
+    private int passing;
     /** No request is answered later, whatever its client allows. */
     private long lastAnswer = Long.MAX_VALUE;
 
@@ -44,6 +45,14 @@
         byClient.put(client, x);
     }
 
+    @Override
+    public void came(Client client, long at) {
+        Exchange x = byClient.get(client);
+        if (x != null) {
+            x.came(at);
+        }
+    }
+
     @Override
     public void gone(Client client) {
         Exchange x = byClient.get(client);
@@ -62,9 +71,14 @@
         return Math.min(deadline, lastAnswer);
     }
 
-    /** Requests that still want their answer. */
+    /** Requests that still want their answer, or the rest of it. */
     int open() {
-        return byClient.size();
+        return byClient.size() + passing;
+    }
+
+    /** An answer has begun to be passed on, or has ended. */
+    void passing(boolean begins) {
+        passing += begins ? 1 : -1;
     }
 
     /** It has its final answer, or nobody to give it to. */
--- a/src/main/java/gullspar/proxy/backend/Answer.java
+++ b/src/main/java/gullspar/proxy/backend/Answer.java
@@ -1,6 +1,7 @@
 package gullspar.proxy.backend;
 
+import gullspar.proxy.http.Pieces;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** A whole answer of a backend. */
-public record Answer(HttpResponse head, byte[] body) { }
+/** An answer of a backend: whole, or its beginning, and the rest is still to come; null if there is none. */
+public record Answer(HttpResponse head, byte[] body, Pieces rest) { }
--- a/src/main/java/gullspar/proxy/backend/AnswerDecoder.java
+++ b/src/main/java/gullspar/proxy/backend/AnswerDecoder.java
@@ -34,7 +34,8 @@
 
     /** The longest first line and the longest head that it reads, in bytes. */
     public AnswerDecoder(Listener listener, int longestLine, int longestHead) {
-        super(new HttpDecoderConfig().setMaxInitialLineLength(longestLine).setMaxHeaderSize(longestHead));
+        super(new HttpDecoderConfig().setMaxInitialLineLength(longestLine).setMaxHeaderSize(longestHead)
+                .setMaxChunkSize(64 << 10));
         this.listener = listener;
     }
 
--- a/src/main/java/gullspar/proxy/backend/Attempt.java
+++ b/src/main/java/gullspar/proxy/backend/Attempt.java
@@ -4,11 +4,12 @@
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Clock;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.ScheduledFuture;
@@ -35,6 +36,10 @@
     private ScheduledFuture<?> timer;
     /** Its last byte is written: from now on it may have run. */
     private boolean written;
+    private final long timeoutNs;
+    /** When the time began that it has. */
+    private long began;
+    private boolean sent;
     private boolean ended;
 
     Attempt(Backend backend, Message request, EventLoop loop, Clock clock, long timeoutNs,
@@ -43,7 +48,9 @@
         this.request = request;
         this.loop = loop;
         this.clock = clock;
-        this.deadline = clock.now() + timeoutNs;
+        this.began = clock.now();
+        this.timeoutNs = timeoutNs;
+        this.deadline = began + timeoutNs;
         this.listener = listener;
         this.whenWritten = whenWritten;
     }
@@ -56,10 +63,29 @@
         return ended;
     }
 
-    void startTimer(long timeoutNs) {
+    /**
+     * Its time begins: with the attempt, or, where the request is still coming, with its last byte, as the
+     * protocol counts. Until then both ends must make progress.
+     */
+    void startTimer() {
         timer = loop.schedule(this::timeOut, timeoutNs, TimeUnit.NANOSECONDS);
     }
 
+    /** The request that it sends. */
+    Message request() {
+        return request;
+    }
+
+    /** When its time began, in ns. */
+    public long began() {
+        return began;
+    }
+
+    /** The backend does not read it. */
+    void stuck() {
+        giveUp(Status.CONNECT_FAILED);
+    }
+
     /** It goes over that connection. */
     void over(Connection c) {
         connection = c;
@@ -68,6 +94,19 @@
     void written() {
         written = true;
         whenWritten.run();
+        if (request.rest() != null && !ended) {
+            began = clock.now();
+            startTimer();
+        }
+    }
+
+    /** All of it is on its way to be written. */
+    void sent() {
+        sent = true;
+    }
+
+    boolean isSent() {
+        return sent;
     }
 
     boolean isWritten() {
@@ -107,14 +146,20 @@
         listener.ended(this, status, report, answer);
     }
 
-    DefaultFullHttpRequest toWrite() {
-        DefaultFullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                request.uri(), Unpooled.wrappedBuffer(request.body()));
+    /** The head, and the body as far as it is there. */
+    HttpRequest toWrite() {
+        boolean whole = request.rest() == null;
+        HttpRequest r = whole ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
+                request.uri(), request.body().bytes())
+                : new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
         Message.copyRequest(request.headers(), r.headers());
         r.headers().set(HttpHeaderNames.HOST, request.headers().get(HttpHeaderNames.HOST, ""));
-        r.headers().set("Request-Timeout", Message.seconds(Math.max(1000, deadline - clock.now())));
-        if (request.body().length > 0 || !request.method().equals(HttpMethod.GET)) {
-            HttpUtil.setContentLength(r, request.body().length);
+        long left = whole ? deadline - clock.now() : timeoutNs;
+        r.headers().set("Request-Timeout", Message.seconds(Math.max(1000, left)));
+        if (request.length() < 0) {
+            HttpUtil.setTransferEncodingChunked(r, true);
+        } else if (request.hasBody() || !request.method().equals(HttpMethod.GET)) {
+            HttpUtil.setContentLength(r, request.length());
         }
         return r;
     }
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -149,7 +149,9 @@
             loop.execute(() -> a.end(Status.MOOT, null, null)); // gone since
             return a;
         }
-        a.startTimer(timeoutNs);
+        if (request.rest() == null) {
+            a.startTimer();
+        }
         Connection idle = reuse(a.backend());
         if (idle != null) {
             idle.begin(a);
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -2,6 +2,7 @@
 
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.http.Message;
+import gullspar.proxy.http.Pieces;
 import gullspar.proxy.io.Clock;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -9,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -16,6 +18,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
 /** A connection: carries one attempt at a time. */
 final class Connection extends SimpleChannelInboundHandler<HttpObject>
@@ -23,6 +27,8 @@
     /** Interim (1xx) answers ahead of one final answer. */
     private static final int MOST_INTERIM = 8;
     private static final int LONGEST_LINE = 1024, LONGEST_HEAD = 8 << 10;
+    /** A backend that reads nothing of a request for so long is given up. */
+    private static final long UPLOAD_STALL_NS = 2_000_000_000L;
 
     private final Backend backend;
     private final EventLoop loop;
@@ -38,6 +44,12 @@
     /** The answer has ended, but what came with it is still to be seen. */
     private boolean whole;
     private boolean trailed;
+    /** The answer is passed on while it comes; null if it is held, or none comes. */
+    private Pieces rest;
+    private long passed;
+    private ScheduledFuture<?> watch;
+    private long sentAt;
+    private boolean uploading;
 
     Connection(Backend backend, EventLoop loop, Clock clock, long drainGraceNs) {
         this.backend = backend;
@@ -80,20 +92,70 @@
         interim = 0;
         whole = false;
         trailed = false;
-        body = Unpooled.buffer(512, Message.MOST_BYTES);
+        rest = null;
+        passed = 0;
+        body = Unpooled.buffer(512, Message.MOST_HELD);
         decoder.expect();
-        channel.writeAndFlush(a.toWrite()).addListener(f -> {
-            if (f.isSuccess()) {
-                a.written();
-            } else {
-                channel.close();
+        Pieces upload = a.request().rest();
+        if (upload == null) {
+            channel.writeAndFlush(a.toWrite()).addListener(f -> written(a, f.isSuccess()));
+            return;
+        }
+        uploading = true;
+        channel.write(a.toWrite());
+        channel.writeAndFlush(new DefaultHttpContent(a.request().body().bytes()));
+        sentAt = clock.now();
+        watch = loop.scheduleWithFixedDelay(() -> {
+            if (!channel.isWritable() && clock.now() - sentAt > UPLOAD_STALL_NS) {
+                a.stuck();
+            }
+        }, UPLOAD_STALL_NS / 4, UPLOAD_STALL_NS / 4, TimeUnit.NANOSECONDS);
+        channel.closeFuture().addListener(f -> watch.cancel(false));
+        uploading = false;
+        upload.to(this::upload);
+        upload();
+    }
+
+    private void written(Attempt a, boolean success) {
+        if (success) {
+            a.written();
+        } else {
+            channel.close();
+        }
+    }
+
+    /** Passes on what has come of the request, as far as the backend takes it. */
+    private void upload() {
+        Attempt a = attempt;
+        Pieces upload = a == null ? null : a.request().rest();
+        if (upload == null || a.isSent() || uploading) {
+            return; // a write that fills the buffer calls from inside itself: nothing may come between
+        }
+        uploading = true;
+        do {
+            while (channel.isWritable() && upload.ready()) {
+                sentAt = clock.now();
+                channel.write(new DefaultHttpContent(upload.next()));
             }
-        });
+            channel.flush();
+        } while (attempt == a && channel.isWritable() && upload.ready());
+        uploading = false;
+        if (attempt == a && upload.taken()) {
+            a.sent();
+            watch.cancel(false);
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                    .addListener(f -> written(a, f.isSuccess()));
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        upload();
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-        if (attempt == null || message.decoderResult().isFailure()) {
+        if (attempt == null && rest == null || message.decoderResult().isFailure()) {
             broken();
             return;
         }
@@ -104,13 +166,13 @@
                 broken();
                 return;
             }
-        }
-        if (message instanceof HttpContent content) {
-            if (content.content().readableBytes() > body.maxWritableBytes()) {
-                broken();
+            if (!informs && HttpUtil.getContentLength(r, 0L) > Message.MOST_HELD && !passOn()) {
                 return;
             }
-            body.writeBytes(content.content());
+        }
+        if (message instanceof HttpContent content && !content(content.content())) {
+            broken();
+            return;
         }
         if (message instanceof LastHttpContent) {
             if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -122,6 +184,42 @@
         }
     }
 
+    /** Some of the body: held, or passed on; false if there is more of it than there may be. */
+    private boolean content(ByteBuf bytes) {
+        if (rest == null && bytes.readableBytes() > body.maxWritableBytes() && !passOn()) {
+            return false;
+        }
+        if (rest == null) {
+            body.writeBytes(bytes);
+            return true;
+        }
+        passed += bytes.readableBytes();
+        if (passed > Message.MOST_BYTES) {
+            return false;
+        }
+        if (bytes.isReadable() && !rest.add(bytes.retain())) {
+            channel.config().setAutoRead(false);
+        }
+        return true;
+    }
+
+    /** The answer is too large to be held: the attempt has been served, and the rest is passed on. */
+    private boolean passOn() {
+        Attempt a = attempt;
+        if (Answers.status(head) != Status.OK || !a.isWritten()) {
+            broken(); // nothing of a failure is passed on, nor what comes ahead of the whole request
+            return false;
+        }
+        attempt = null;
+        rest = new Pieces(() -> channel.config().setAutoRead(true), channel::close);
+        passed = body.readableBytes();
+        byte[] bytes = new byte[body.readableBytes()];
+        body.readBytes(bytes);
+        a.end(Status.OK, LoadReport.last(head.headers().getAll("Server-Load")),
+                new Answer(head, bytes, rest));
+        return true;
+    }
+
     @Override
     public void noise() {
         broken();
@@ -144,24 +242,38 @@
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (whole && attempt != null) {
             served();
+        } else if (whole && rest != null) {
+            passedOn();
         }
     }
 
-    private void served() {
-        Attempt a = attempt;
-        byte[] bytes = new byte[body.readableBytes()];
-        body.readBytes(bytes);
-        attempt = null;
+    private void passedOn() {
+        Pieces all = rest;
+        rest = null;
         decoder.quiet();
-        if (a.isWritten() && !trailed && HttpUtil.isKeepAlive(head) && backend.leftAt == 0) {
+        keepOrClose(true);
+        all.whole();
+    }
+
+    private void keepOrClose(boolean written) {
+        if (written && !trailed && HttpUtil.isKeepAlive(head) && backend.leftAt == 0) {
             idleSince = clock.now();
             backend.idle.addLast(this);
         } else {
             channel.close();
         }
+    }
+
+    private void served() {
+        Attempt a = attempt;
+        byte[] bytes = new byte[body.readableBytes()];
+        body.readBytes(bytes);
+        attempt = null;
+        decoder.quiet();
+        keepOrClose(a.isWritten());
         Status status = Answers.status(head);
         a.end(status, LoadReport.last(head.headers().getAll("Server-Load")),
-                status == Status.OK || status == Status.MOOT ? new Answer(head, bytes) : null);
+                status == Status.OK || status == Status.MOOT ? new Answer(head, bytes, null) : null);
     }
 
     /**
@@ -176,6 +288,11 @@
         if (a != null) {
             a.broken();
         }
+        if (rest != null) {
+            Pieces cut = rest;
+            rest = null;
+            cut.broken();
+        }
         channel.close();
     }
 
@@ -183,6 +300,8 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         if (whole && attempt != null) {
             served(); // the end came in the same go
+        } else if (whole && rest != null) {
+            passedOn();
         }
         broken();
     }
--- a/src/main/java/gullspar/proxy/client/Asked.java
+++ b/src/main/java/gullspar/proxy/client/Asked.java
@@ -39,7 +39,7 @@
         if (p.effect() == Effect.DEDUPLICATED && !keyed || p.effect() == Effect.AT_MOST_ONCE && keyed) {
             return keyed ? "this class takes no Idempotency-Key" : "no Idempotency-Key";
         }
-        return p.effect() == Effect.IDEMPOTENT && m.body().length > 0 ? "a body" : null;
+        return p.effect() == Effect.IDEMPOTENT && m.hasBody() ? "a body" : null;
     }
 
     private static boolean one(Message m, String name, Pattern form) {
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -1,20 +1,26 @@
 package gullspar.proxy.client;
 
+import gullspar.proxy.http.Body;
+import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.http.Message;
+import gullspar.proxy.http.Pieces;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -22,6 +28,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Consumer;
 
 /**
  * A client's connection: one request at a time, a few more wait in line. After a request that cannot be read,
@@ -32,6 +39,15 @@
     interface Owner {
         void whole(Client client, Message message, long at);
 
+        /** All of a request has come that was handed over while it came. */
+        void came(Client client, long at);
+
+        /** The rest of such a request will not come, and the client is to be told so: it is no request. */
+        void cut(Client client);
+
+        /** What the bodies that are held may take together. */
+        BodyBudget budget();
+
         /** An answer is about to be written; true if the connection should end with it. */
         boolean answered(Client client, int status);
 
@@ -43,8 +59,19 @@
     /** Requests that may wait behind one on a connection: enough for clients that await no answer. */
     public static final int MOST_PIPELINED = 16;
 
-    /** A whole request, or the error that one ended in; after an error nothing is read. */
-    private record Waiting(Message message, int status, String error, long at, boolean keepAlive) { }
+    /** Bodies of up to so many bytes are awaited, if there is room; larger ones go on while they come. */
+    private static final int MOST_AWAITED = 1 << 20;
+    /** A head must come within so long: from connecting for the first, from its first byte for later ones. */
+    static final long HEAD_NS = 2_500_000_000L;
+    /** A body that comes may pause so long, and needs so many bytes a second after a first while. */
+    private static final long PAUSE_NS = 2_200_000_000L, SLOW_START_NS = 1_500_000_000L;
+    private static final long LEAST_RATE = 24 << 10;
+    /** One who takes nothing of an answer, or gives nothing of one, for so long has gone. */
+    private static final long ANSWER_STALL_NS = 10_000_000_000L;
+
+    /** A request, or the error that one ended in; after an error nothing is read. */
+    private record Waiting(Message message, int status, String error, long at, boolean keepAlive,
+            HttpVersion version) { }
 
     final long connectedAt;
     private final Channel channel;
@@ -52,10 +79,27 @@
     private final Owner owner;
     private final Deque<Waiting> line = new ArrayDeque<>();
     private HttpRequest head;
-    private ByteBuf body;
+    private Body body;
+    /** What comes of a request that has been handed over; null if none does. */
+    private Pieces upload;
+    private long received;
+    private long total;
+    private long bodySince;
+    private long lastCame;
+    /** The answer that is being passed on; null if none is. */
+    private Pieces rest;
+    private boolean chunked;
+    private Consumer<Boolean> passed;
+    private long lastMoved;
+    private boolean passing;
     private Message taken;
     private boolean busy;
     private boolean keepAlive;
+    private HttpVersion version = HttpVersion.HTTP_1_1;
+    private boolean lastAnswer;
+    private boolean awaitsContinue;
+    /** The connection ends while more may still come of a request. */
+    private boolean cutShort;
     private boolean used;
     /** No more is read: an error or the end is on its way, since then. */
     private boolean ending;
@@ -104,17 +148,36 @@
 
     /** Ends a connection that has kept the proxy waiting for longer than the limits allow. */
     void check(long now, long requestNs, long idleNs) {
-        if (ending) {
+        if (rest != null) {
+            if (now - lastMoved > ANSWER_STALL_NS) {
+                channel.close();
+            }
+        } else if (ending) {
             if (now - endingSince > requestNs && !busy) {
                 channel.close(); // its client does not read what it is told
             }
-        } else if (partial() && now - partSince > requestNs) {
+        } else if (late(now)) {
             end(408, "the request did not come in time");
         } else if (idle() && now - idleSince > (used ? idleNs : requestNs)) {
             channel.close();
         }
     }
 
+    /** Has what is coming of a request stopped coming, or does it come too slowly? */
+    private boolean late(long now) {
+        if (head == null) {
+            return partial() && now - partSince > HEAD_NS;
+        }
+        if (awaitsContinue || upload != null && upload.paused()) {
+            lastCame = now; // it is this side that does not read
+            bodySince = now - SLOW_START_NS;
+            received = 0;
+            return false;
+        }
+        return now - lastCame > PAUSE_NS
+                || received < (now - bodySince - SLOW_START_NS) / 1e9 * LEAST_RATE;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (ending) {
@@ -128,24 +191,52 @@
         if (message instanceof HttpRequest r && !begin(r)) {
             return;
         }
-        if (message instanceof HttpContent content) {
-            if (content.content().readableBytes() > body.maxWritableBytes()) {
-                end(413, "the body is too long");
-                return;
-            }
-            body.writeBytes(content.content());
+        if (message instanceof HttpContent content && !content(content.content())) {
+            return;
         }
         if (message instanceof LastHttpContent) {
-            byte[] bytes = new byte[body.readableBytes()];
-            body.readBytes(bytes);
-            add(new Waiting(new Message(head.method(), head.uri(), head.headers(), bytes), 0, null,
-                    owner.now(), HttpUtil.isKeepAlive(head)));
+            if (upload == null) {
+                add(new Waiting(Message.whole(head.method(), head.uri(), head.headers(), body), 0, null,
+                        owner.now(), HttpUtil.isKeepAlive(head),
+                        head.protocolVersion()));
+            } else {
+                Pieces all = upload;
+                upload = null;
+                all.whole();
+                if (taken != null && taken.rest() == all) {
+                    owner.came(this, owner.now());
+                }
+            }
             head = null;
             body = null;
             decoder.whole();
         }
     }
 
+    /** Some of a body; false if there is more than there may be. */
+    private boolean content(ByteBuf bytes) {
+        received += bytes.readableBytes();
+        total += bytes.readableBytes();
+        lastCame = owner.now();
+        if (total > Message.MOST_BYTES) {
+            end(413, "the body is too long");
+            return false;
+        }
+        if (upload == null && body.add(bytes) != Body.Added.TAKEN) {
+            upload = new Pieces(() -> channel.config().setAutoRead(true), () -> { });
+            add(new Waiting(new Message(head.method(), head.uri(), head.headers(), body, upload,
+                    HttpUtil.getContentLength(head, -1L)), 0, null, owner.now(), HttpUtil.isKeepAlive(head),
+                        head.protocolVersion()));
+            if (ending) {
+                return false;
+            }
+        }
+        if (upload != null && bytes.isReadable() && !upload.add(bytes.retain())) {
+            channel.config().setAutoRead(false);
+        }
+        return true;
+    }
+
     /** The head of a request: false if what follows it is not wanted. */
     private boolean begin(HttpRequest r) {
         if (!r.protocolVersion().equals(HttpVersion.HTTP_1_1)
@@ -156,24 +247,36 @@
         } else if (r.headers().contains(HttpHeaderNames.EXPECT) && !HttpUtil.is100ContinueExpected(r)) {
             end(417, "nothing to be expected but 100-continue");
         } else {
-            if (HttpUtil.is100ContinueExpected(r) && !busy && line.isEmpty()) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
-            }
             head = r;
-            body = Unpooled.buffer(256, Message.MOST_BYTES);
+            awaitsContinue = HttpUtil.is100ContinueExpected(r);
+            goOn();
+            body = new Body(owner.budget(), MOST_AWAITED);
+            received = 0;
+            total = 0;
+            bodySince = owner.now();
+            lastCame = bodySince;
             return true;
         }
         return false;
     }
 
+    /** Tells a client that asked whether it may send its body, once no answer is due ahead of that. */
+    private void goOn() {
+        if (awaitsContinue && head != null && !busy && line.isEmpty()) {
+            awaitsContinue = false;
+            lastCame = owner.now();
+            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+        }
+    }
+
     private void add(Waiting w) {
         if (line.size() < MOST_PIPELINED) {
             line.add(w);
         } else {
             // Whoever sends so many at once is no usual client. None of those in line has been sent on, and
             // their deadlines would run out in it.
-            line.clear();
+            forgetLine();
             end(429, "too many requests at once on a connection");
         }
     }
@@ -183,15 +286,46 @@
         ending = true;
         endingSince = owner.now();
         decoder.stop();
-        head = null;
-        body = null;
+        letGo();
         partSince = 0;
-        line.add(new Waiting(null, status, error, endingSince, false));
+        line.add(new Waiting(null, status, error, endingSince, false, HttpVersion.HTTP_1_1));
         if (!busy) {
             channel.eventLoop().execute(this::next);
         }
     }
 
+    /** What was coming of a request is no request any more. */
+    private void letGo() {
+        if (upload != null) {
+            Pieces cut = upload;
+            upload = null;
+            cutShort = true;
+            if (taken != null && taken.rest() == cut) {
+                owner.cut(this);
+                taken = null;
+                busy = false;
+            } else {
+                line.removeIf(w -> w.message() != null && w.message().rest() == cut);
+            }
+            cut.drop();
+        }
+        if (body != null) {
+            cutShort = true;
+            body.release();
+        }
+        head = null;
+        body = null;
+    }
+
+    private void forgetLine() {
+        line.forEach(w -> {
+            if (w.message() != null) {
+                w.message().release();
+            }
+        });
+        line.clear();
+    }
+
     /** All that came is seen: only now is it known how many requests were sent at once. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -209,6 +343,7 @@
             Waiting w = line.poll();
             busy = true;
             keepAlive = w.keepAlive();
+            version = w.version();
             if (w.error() == null) {
                 owner.whole(this, w.message(), w.at());
             } else {
@@ -226,22 +361,110 @@
         }
         HttpUtil.setContentLength(r, bytes.length);
         busy = false;
+        boolean last = begin(r, status);
+        ended(channel.writeAndFlush(r), last);
+    }
+
+    /** An answer is about to be written: whatever else is to be said in its head; true if it is the last. */
+    private boolean begin(HttpResponse r, int status) {
         used |= taken != null || status == 200;
         idleSince = owner.now();
+        // Where the rest of its request is still to come, that is read and let go.
         boolean last = owner.answered(this, status) && line.isEmpty() || !keepAlive;
         taken = null;
         if (last) {
             r.headers().set(HttpHeaderNames.CONNECTION, "close");
+            cutShort |= head != null;
             ending = true;
             endingSince = idleSince;
             decoder.stop();
         }
-        ChannelFuture written = channel.writeAndFlush(r);
+        return last;
+    }
+
+    private void ended(ChannelFuture written, boolean last) {
         if (last) {
-            written.addListener(ChannelFutureListener.CLOSE);
+            written.addListener(f -> finish());
         } else if (!line.isEmpty()) {
             channel.eventLoop().execute(this::next);
+        } else {
+            goOn();
+        }
+    }
+
+    /**
+     * The last answer is written. Where more is still to come of a request, closing at once would make the
+     * system reset the connection, and the answer could be lost with it: what comes is dropped for a while.
+     */
+    private void finish() {
+        if (cutShort && channel instanceof DuplexChannel duplex && channel.isActive()) {
+            channel.config().setAutoRead(true);
+            duplex.shutdownOutput();
+        } else {
+            channel.close();
+        }
+    }
+
+    /**
+     * A final answer whose rest is still to come; done hears whether it went out whole. One that breaks off
+     * ends the connection, which tells the client.
+     */
+    public void answer(HttpResponse from, byte[] first, Pieces answer, Consumer<Boolean> done) {
+        DefaultHttpResponse r = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        Message.copyAnswer(from.headers(), r.headers());
+        long length = HttpUtil.getContentLength(from, -1L);
+        chunked = length < 0 && version.equals(HttpVersion.HTTP_1_1);
+        if (length >= 0) {
+            HttpUtil.setContentLength(r, length);
+        } else if (chunked) {
+            HttpUtil.setTransferEncodingChunked(r, true);
+        } else {
+            keepAlive = false; // its end tells where the answer ends
         }
+        rest = answer;
+        passed = done;
+        lastAnswer = begin(r, 200);
+        lastMoved = owner.now();
+        passing = true;
+        channel.write(r);
+        channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(first)));
+        passing = false;
+        answer.to(this::pass);
+        pass();
+    }
+
+    /** Passes on what has come of the answer, as far as the client takes it. */
+    private void pass() {
+        Pieces from = rest;
+        if (from == null || passing) {
+            return; // a write that fills the buffer calls from inside itself: nothing may come between
+        }
+        passing = true;
+        do {
+            while (channel.isWritable() && from.ready()) {
+                lastMoved = owner.now();
+                channel.write(new DefaultHttpContent(from.next()));
+            }
+            channel.flush();
+        } while (rest != null && channel.isWritable() && from.ready());
+        passing = false;
+        if (rest == null) {
+            return; // the flush found the connection closed
+        }
+        if (from.taken()) {
+            rest = null;
+            busy = false;
+            idleSince = owner.now();
+            passed.accept(true);
+            ended(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), lastAnswer);
+        } else if (from.isBroken() && !from.ready()) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        pass();
     }
 
     public void answer(int status, HttpHeaders headers, String text) {
@@ -251,9 +474,25 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         busy = false;
-        line.clear();
+        ending = true;
+        Pieces cut = rest;
+        rest = null;
+        if (cut != null) {
+            cut.drop();
+            passed.accept(false);
+        }
         owner.closed(this);
         taken = null;
+        if (upload != null) {
+            upload.broken();
+            upload.drop();
+        }
+        if (body != null) {
+            body.release();
+        }
+        upload = null;
+        body = null;
+        forgetLine();
     }
 
     @Override
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -5,6 +5,7 @@
 import gullspar.proxy.config.Classes.Known;
 import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Config;
+import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Platform;
@@ -34,6 +35,9 @@
     public interface Taker {
         void taken(Client client, Message message, Asked asked, long at);
 
+        /** All of a request has come that was taken while it came. */
+        void came(Client client, long at);
+
         /** The client has gone away before its answer. */
         void gone(Client client);
     }
@@ -48,6 +52,8 @@
     /** One that was used may stand idle for so long: usual clients come again sooner. */
     private static final long IDLE_NS = 5_000_000_000L;
     private static final int LONGEST_LINE = 4096, LONGEST_HEAD = 8 << 10;
+    /** Of the heap bodies may take one part in so many. */
+    private static final int HEAP_SHARE = 4;
     private static final long SWEEP_MS = 200, AGE_MS = 4000, COUNT_MS = 10_000;
 
     private final Config config;
@@ -65,6 +71,7 @@
     /** Answers to what made no sense, by status: a line of the log for each would be one for the asking. */
     private final Map<Integer, Integer> rejected = new TreeMap<>();
     private final Crowding crowding = new Crowding();
+    private final BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE);
     private Channel listener;
     private boolean draining;
 
@@ -190,6 +197,7 @@
             boolean up = ready.getAsBoolean() && (!draining || config.inherited());
             int status = up ? 200 : 503;
             client.answer(m.method().equals(HttpMethod.GET) ? status : 405, null, up ? "ready" : "not ready");
+            m.release();
             return;
         }
         int slash = path.indexOf('/', 1);
@@ -197,6 +205,7 @@
                 ? classes.of(path.substring(1, slash < 0 ? path.length() : slash)) : null;
         if (of == null) {
             client.answer(404, null, "no such class");
+            m.release();
             return;
         }
         Profile p = of.profile();
@@ -212,7 +221,25 @@
             client.take(m);
             crowding.requests++;
             taker.taken(client, m, Asked.of(m, of, config), at);
+            return;
         }
+        m.release();
+    }
+
+    @Override
+    public BodyBudget budget() {
+        return budget;
+    }
+
+    @Override
+    public void came(Client client, long at) {
+        taker.came(client, at);
+    }
+
+    @Override
+    public void cut(Client client) {
+        ids.close(client.taken().id());
+        taker.gone(client);
     }
 
     @Override
--- a/src/main/java/gullspar/proxy/config/Config.java
+++ b/src/main/java/gullspar/proxy/config/Config.java
@@ -20,7 +20,7 @@
 
 /**
  * What a proxy is told: the file at NODE_CONFIG; at the start NODE_LISTEN, NODE_DISCOVERY and NODE_OPERATOR
- * win over it. The names' places in their lists are the numbers that the module knows them by. operator: where
+ * win over it. The places of names in their lists are their numbers for the module. operator: where
  * operators call, null for nowhere; inherited: the platform holds the clients' listener, descriptor 0, and a
  * second process may take over; keys: the paths of all keys, but for those in lists.
  */
--- a/src/main/java/gullspar/site/http/Body.java
+++ b/src/main/java/gullspar/proxy/http/Body.java
@@ -1,4 +1,4 @@
-package gullspar.site.http;
+package gullspar.proxy.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/gullspar/site/http/BodyBudget.java
+++ b/src/main/java/gullspar/proxy/http/BodyBudget.java
@@ -1,4 +1,4 @@
-package gullspar.site.http;
+package gullspar.proxy.http;
 
 /** The bytes that the bodies of all requests in hand may take together. Guards the heap against uploads. */
 public final class BodyBudget {
--- a/src/main/java/gullspar/proxy/http/Message.java
+++ b/src/main/java/gullspar/proxy/http/Message.java
@@ -5,10 +5,16 @@
 import java.math.BigDecimal;
 import java.util.List;
 
-/** A client's request as it came, whole. */
-public record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+/**
+ * A client's request as it came. rest: what is still to come of its body behind what is there; null if it is
+ * whole. length: of all of it, -1 if its client did not say.
+ */
+public record Message(HttpMethod method, String uri, HttpHeaders headers, Body body, Pieces rest,
+        long length) {
     /** The largest body that either side may send, in bytes. */
-    public static final int MOST_BYTES = 64 << 10;
+    public static final int MOST_BYTES = 32 << 20;
+    /** An answer of up to so many bytes is served only if it is provably whole; a larger one is passed on. */
+    public static final int MOST_HELD = 64 << 10;
     /**
      * What goes on to a backend, besides what the proxy itself says. A list of what is known, not of what to
      * leave out: Connection may name any header as its own, and the backend needs these.
@@ -23,6 +29,29 @@
             "Content-Language", "Cache-Control", "Expires", "ETag", "Last-Modified", "Location", "Set-Cookie",
             "Vary", "Retry-After");
 
+    /** A request that has all its body. */
+    public static Message whole(HttpMethod method, String uri, HttpHeaders headers, Body body) {
+        return new Message(method, uri, headers, body, null, body.length());
+    }
+
+    /** Is there a body, or will there be one? */
+    public boolean hasBody() {
+        return rest != null || body.length() > 0;
+    }
+
+    /** Can it be sent: is all of it there, or still to be taken? */
+    public boolean sendable() {
+        return rest == null || rest.untouched();
+    }
+
+    /** No attempt needs it any more. */
+    public void release() {
+        body.release();
+        if (rest != null) {
+            rest.drop();
+        }
+    }
+
     public String id() {
         return headers.get("Request-Id");
     }
--- a/src/main/java/gullspar/site/SiteProxy.java
+++ b/src/main/java/gullspar/site/SiteProxy.java
@@ -7,7 +7,7 @@
 import gullspar.route.Router;
 import gullspar.site.client.Clients;
 import gullspar.site.client.PlainClient;
-import gullspar.site.http.BodyBudget;
+import gullspar.proxy.http.BodyBudget;
 import gullspar.site.http.PlainRequest;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
--- a/src/main/java/gullspar/site/client/Clients.java
+++ b/src/main/java/gullspar/site/client/Clients.java
@@ -5,7 +5,7 @@
 import gullspar.proxy.io.Sockets;
 import gullspar.route.Request;
 import gullspar.route.Router;
-import gullspar.site.http.BodyBudget;
+import gullspar.proxy.http.BodyBudget;
 import gullspar.site.http.PlainRequest;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
--- a/src/main/java/gullspar/site/client/PlainClient.java
+++ b/src/main/java/gullspar/site/client/PlainClient.java
@@ -3,7 +3,7 @@
 import gullspar.route.Request;
 import gullspar.route.Route;
 import gullspar.route.Router;
-import gullspar.site.http.Body;
+import gullspar.proxy.http.Body;
 import gullspar.site.http.Hops;
 import gullspar.site.http.PlainRequest;
 import gullspar.site.http.Target;
--- a/src/main/java/gullspar/site/http/PlainRequest.java
+++ b/src/main/java/gullspar/site/http/PlainRequest.java
@@ -1,5 +1,6 @@
 package gullspar.site.http;
 
+import gullspar.proxy.http.Body;
 import gullspar.route.Request;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
--- /dev/null
+++ b/src/test/java/gullspar/proxy/LargeBodiesTest.java
@@ -0,0 +1,349 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.Status;
+import gullspar.proxy.config.Config;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requests and answers that are too large to wait for. */
+@Timeout(60)
+class LargeBodiesTest {
+    private static final int LARGE = 6 << 20, SMALL = 16 << 10;
+    private Peer discovery;
+    private ServerSocket backend;
+    private Setup setup;
+    private int server;
+
+    @BeforeEach
+    void start() throws Exception {
+        discovery = new Peer();
+        // Small buffers, so that who sends is often ahead of who takes, and has to wait.
+        backend = new ServerSocket();
+        backend.setReceiveBufferSize(SMALL);
+        backend.bind(new InetSocketAddress("127.0.0.1", 0));
+        setup = new Setup().start(Config.parse(Setup.json(discovery.hostPort(),
+                "127.0.0.1:" + backend.getLocalPort(), 1024, 5000), Map.of()));
+        server = setup.backend();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        setup.close();
+        discovery.close();
+        backend.close();
+    }
+
+    /** Bytes that differ everywhere: what is lost, doubled or in another place shows. */
+    private static byte[] bytes(int length) {
+        byte[] b = new byte[length];
+        new Random(length).nextBytes(b);
+        return b;
+    }
+
+    private Socket client() throws IOException {
+        Socket s = new Socket();
+        s.setReceiveBufferSize(SMALL);
+        s.connect(setup.proxy.address());
+        s.setSoTimeout(20_000);
+        return s;
+    }
+
+    private Socket accept() throws IOException {
+        Socket s = backend.accept();
+        s.setSoTimeout(20_000);
+        return s;
+    }
+
+    private static void write(Socket s, String text) throws IOException {
+        s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private static String order(String framing) {
+        return Setup.get("Request-Timeout: 1.2\r\nIdempotency-Key: k\r\n" + framing)
+                .replace("GET /look", "POST /order");
+    }
+
+    private static String head(InputStream in) throws IOException {
+        StringBuilder s = new StringBuilder();
+        while (!s.toString().endsWith("\r\n\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                break;
+            }
+            s.append((char) b);
+        }
+        return s.toString();
+    }
+
+    /** The body of a message with chunks. */
+    private static byte[] chunks(InputStream in) throws IOException {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        while (true) {
+            StringBuilder line = new StringBuilder();
+            for (int b = in.read(); b != '\n'; b = in.read()) {
+                if (b < 0) {
+                    throw new IOException("the end, in a chunk's size");
+                }
+                line.append((char) b);
+            }
+            int size = Integer.parseInt(line.toString().trim(), 16);
+            all.write(in.readNBytes(size));
+            assertEquals("\r\n", new String(in.readNBytes(2), StandardCharsets.ISO_8859_1),
+                    "a chunk ends where its size says");
+            if (size == 0) {
+                return all.toByteArray();
+            }
+        }
+    }
+
+    private static void writeChunks(Socket s, byte[] bytes, int size) throws IOException {
+        for (int at = 0; at < bytes.length; at += size) {
+            int n = Math.min(size, bytes.length - at);
+            write(s, Integer.toHexString(n) + "\r\n");
+            s.getOutputStream().write(bytes, at, n);
+            write(s, "\r\n");
+        }
+        write(s, "0\r\n\r\n");
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static CompletableFuture<Void> beside(Work work) {
+        return CompletableFuture.runAsync(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aLargeRequestGoesOnWhileItComesAndItsTimeRunsFromItsLastByte(boolean chunked) throws Exception {
+        byte[] body = bytes(LARGE);
+        try (Socket client = client()) {
+            write(client, order(chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + LARGE
+                    + "\r\n"));
+            CompletableFuture<Void> half = new CompletableFuture<>();
+            CompletableFuture<Void> sent = beside(() -> {
+                if (chunked) {
+                    writeChunks(client, body, 100_000);
+                } else {
+                    client.getOutputStream().write(body, 0, LARGE / 2);
+                    half.get();
+                    client.getOutputStream().write(body, LARGE / 2, LARGE - LARGE / 2);
+                }
+            });
+            Request r = setup.request();
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            try (Socket b = accept()) {
+                String head = head(b.getInputStream());
+                assertTrue(head.contains("Request-Timeout: 1.19"), head);
+                byte[] got;
+                if (chunked) {
+                    assertTrue(head.contains("transfer-encoding: chunked"), head);
+                    got = chunks(b.getInputStream());
+                } else {
+                    byte[] first = b.getInputStream().readNBytes(LARGE / 2);
+                    half.complete(null);
+                    got = new byte[LARGE];
+                    System.arraycopy(first, 0, got, 0, first.length);
+                    assertEquals(LARGE - first.length, b.getInputStream().readNBytes(got, first.length,
+                            LARGE - first.length));
+                }
+                assertArrayEquals(body, got);
+                sent.get(20, TimeUnit.SECONDS);
+                write(b, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                assertTrue(head(client.getInputStream()).startsWith("HTTP/1.1 200"));
+                assertEquals(Status.OK, setup.outcome().status());
+            }
+        }
+    }
+
+    @Test
+    void aRequestThatIsStillComingGoesElsewhereWhileNoneOfItHasGone() throws Exception {
+        byte[] body = bytes(LARGE);
+        try (Socket client = client()) {
+            write(client, order("Content-Length: " + LARGE + "\r\n"));
+            beside(() -> client.getOutputStream().write(body));
+            Request r = setup.request();
+            setup.act(() -> setup.actions.send(r.ticket(), 12345, 0)); // none is known by that number
+            assertEquals(Status.MOOT, setup.outcome().status());
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            try (Socket b = accept()) {
+                head(b.getInputStream());
+                b.getInputStream().readNBytes(LARGE / 2);
+            }
+            assertEquals(Status.CONNECT_FAILED, setup.outcome().status(), "its last byte was never written");
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            assertEquals(Status.MOOT, setup.outcome().status(), "a part of it is gone");
+            setup.act(() -> setup.actions.refuse(r.ticket(), 0));
+            assertTrue(head(client.getInputStream()).startsWith("HTTP/1.1 503"));
+        }
+    }
+
+    @Test
+    void whatStillComesOfARefusedRequestIsLetGoAndTheNextOneIsServed() throws Exception {
+        try (Socket client = client()) {
+            write(client, order("Content-Length: " + LARGE + "\r\n"));
+            CompletableFuture<Void> sent = beside(() -> client.getOutputStream().write(bytes(LARGE)));
+            Request r = setup.request();
+            setup.act(() -> setup.actions.refuse(r.ticket(), 0));
+            String refusal = head(client.getInputStream());
+            assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal);
+            client.getInputStream().readNBytes("refused, try again\n".length());
+            sent.get(20, TimeUnit.SECONDS);
+            write(client, Setup.get());
+            Request next = setup.request();
+            setup.act(() -> setup.actions.fail(next.ticket()));
+            assertTrue(head(client.getInputStream()).startsWith("HTTP/1.1 502"));
+        }
+    }
+
+    @Test
+    void aRequestThatStopsComingIsNoRequest() throws Exception {
+        try (Socket client = client()) {
+            write(client, order("Content-Length: " + LARGE + "\r\n"));
+            client.getOutputStream().write(bytes(LARGE / 2));
+            Request r = setup.request();
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            try (Socket b = accept()) {
+                head(b.getInputStream());
+                assertTrue(head(client.getInputStream()).startsWith("HTTP/1.1 408"));
+                setup.next("withdrawn", Integer.class);
+                b.getInputStream().readAllBytes();
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aLargeAnswerIsPassedOnAsFastAsItsClientTakesIt(boolean chunked) throws Exception {
+        byte[] body = bytes(LARGE);
+        try (Socket client = client()) {
+            write(client, Setup.get());
+            Request r = setup.request();
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            try (Socket b = accept()) {
+                head(b.getInputStream());
+                CompletableFuture<Void> given = beside(() -> {
+                    write(b, "HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked"
+                            : "Content-Length: " + LARGE) + "\r\n\r\n");
+                    if (chunked) {
+                        writeChunks(b, body, 50_001);
+                    } else {
+                        b.getOutputStream().write(body);
+                    }
+                });
+                assertEquals(Status.OK, setup.outcome().status(), "served with its first bytes");
+                assertEquals(1, setup.loop.submit(() -> setup.proxy.figures().contains("\"pending\":1"))
+                        .get(20, TimeUnit.SECONDS) ? 1 : 0, "and still under way");
+                String head = head(client.getInputStream());
+                assertTrue(head.startsWith("HTTP/1.1 200"), head);
+                byte[] got = chunked ? chunks(client.getInputStream())
+                        : client.getInputStream().readNBytes(LARGE);
+                assertArrayEquals(body, got);
+                given.get(20, TimeUnit.SECONDS);
+                // Both connections are of use again.
+                write(client, Setup.get());
+                Request next = setup.request();
+                setup.act(() -> setup.actions.send(next.ticket(), server, 0));
+                head(b.getInputStream());
+                write(b, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                assertTrue(head(client.getInputStream()).startsWith("HTTP/1.1 200"));
+                assertTrue(setup.loop.submit(setup.proxy::figures).get(20, TimeUnit.SECONDS)
+                        .contains("\"completed\":{\"look\":2,"));
+            }
+        }
+    }
+
+    @Test
+    void anAnswerThatBreaksOffEndsItsClientsConnection() throws Exception {
+        try (Socket client = client()) {
+            write(client, Setup.get());
+            Request r = setup.request();
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            try (Socket b = accept()) {
+                head(b.getInputStream());
+                write(b, "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n");
+                b.getOutputStream().write(bytes(100_000));
+            }
+            head(client.getInputStream());
+            int got = 0;
+            try {
+                got = client.getInputStream().readAllBytes().length;
+            } catch (IOException e) {
+                // a reset tells as well
+            }
+            assertTrue(got <= 100_000);
+            assertTrue(setup.loop.submit(setup.proxy::figures).get(20, TimeUnit.SECONDS)
+                    .contains("\"failed\":{\"look\":1,"));
+        }
+    }
+
+    @Test
+    void aClientThatLeavesInTheMiddleOfAnAnswerEndsIt() throws Exception {
+        Socket client = client();
+        write(client, Setup.get());
+        Request r = setup.request();
+        setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+        try (Socket b = accept()) {
+            head(b.getInputStream());
+            write(b, "HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n");
+            b.getOutputStream().write(bytes(100_000));
+            head(client.getInputStream());
+            client.close();
+            assertEquals(-1, ended(b), "the backend need not go on");
+        }
+    }
+
+    private static int ended(Socket s) {
+        try {
+            return s.getInputStream().read();
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    @Test
+    void aBodyMayBeAskedForBehindAnAnswerThatIsStillDue() throws Exception {
+        try (Socket client = client()) {
+            write(client, Setup.get());
+            Request r = setup.request();
+            write(client, order("Content-Length: 4\r\nExpect: 100-continue\r\n"));
+            setup.act(() -> setup.actions.fail(r.ticket()));
+            String first = head(client.getInputStream());
+            assertTrue(first.startsWith("HTTP/1.1 502"), first);
+            client.getInputStream().readNBytes("failed\n".length());
+            assertTrue(head(client.getInputStream()).startsWith("HTTP/1.1 100"));
+            assertFalse(setup.told.stream().anyMatch(t -> t.what().equals("request")));
+            write(client, "body");
+            Request second = setup.request();
+            assertEquals(1, second.profile());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/proxy/client/PassingOnTest.java
@@ -0,0 +1,111 @@
+package gullspar.proxy.client;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.proxy.http.BodyBudget;
+import gullspar.proxy.http.Message;
+import gullspar.proxy.http.Pieces;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** An answer of which much waits already when its client has room for it. */
+class PassingOnTest {
+    private static final class Owner implements Client.Owner {
+        @Override
+        public void whole(Client client, Message message, long at) { }
+
+        @Override
+        public void came(Client client, long at) { }
+
+        @Override
+        public void cut(Client client) { }
+
+        @Override
+        public BodyBudget budget() {
+            return new BodyBudget(1 << 20);
+        }
+
+        @Override
+        public boolean answered(Client client, int status) {
+            return false;
+        }
+
+        @Override
+        public void closed(Client client) { }
+
+        @Override
+        public long now() {
+            return 1;
+        }
+    }
+
+    /** The channel takes all at once: a write that fills its buffer makes room again from inside itself. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void nothingComesBetweenThePartsOfAPiece(boolean chunked) throws Exception {
+        byte[] all = new byte[700_000];
+        new Random(1).nextBytes(all);
+        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        if (chunked) {
+            HttpUtil.setTransferEncodingChunked(head, true);
+        } else {
+            HttpUtil.setContentLength(head, all.length);
+        }
+        EmbeddedChannel c = new EmbeddedChannel(new HttpResponseEncoder());
+        Client client = new Client(c, new RequestDecoder(1000, 1000), new Owner());
+        c.pipeline().addLast(client);
+        Pieces rest = new Pieces(() -> { }, () -> { });
+        for (int at = 100_000; at < all.length; at += 100_000) {
+            rest.add(Unpooled.copiedBuffer(all, at, 100_000));
+        }
+        rest.whole();
+        List<Boolean> done = new ArrayList<>();
+        byte[] first = new byte[100_000];
+        System.arraycopy(all, 0, first, 0, first.length);
+        client.answer(head, first, rest, done::add);
+        c.runPendingTasks();
+        assertEquals(List.of(true), done);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (ByteBuf b = c.readOutbound(); b != null; b = c.readOutbound()) {
+            b.readBytes(out, b.readableBytes());
+            b.release();
+        }
+        String text = out.toString(StandardCharsets.ISO_8859_1);
+        assertTrue(text.startsWith("HTTP/1.1 200"), text.substring(0, 100));
+        byte[] body = text.substring(text.indexOf("\r\n\r\n") + 4).getBytes(StandardCharsets.ISO_8859_1);
+        assertArrayEquals(all, chunked ? unchunked(body) : body);
+    }
+
+    private static byte[] unchunked(byte[] bytes) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        int at = 0;
+        while (true) {
+            int line = text.indexOf("\r\n", at);
+            int size = Integer.parseInt(text.substring(at, line), 16);
+            at = line + 2;
+            if (size == 0) {
+                return all.toByteArray();
+            }
+            all.write(bytes, at, size);
+            assertEquals("\r\n", text.substring(at + size, at + size + 2), "a chunk ends there");
+            at += size + 2;
+        }
+    }
+}
