A proxy's own rates count over the time it has lived: cold budgets right after a start

Looked at by a count of what each offer met: 171 of 178 in a second found no server, 16 of 23 ready ones out of budget while cold and 7 full; the throttle (none by then), ejection (none) and the subset (none) were ruled out. The rate that a cold budget is made of was divided by its whole memory of 15 s, so one second after a start it seemed a tenth of what it was.

Change: the rate is made over the time that the proxy has lived, a second at the least. Rejected: budgets by arrivals instead of sends, which would grow with an overload.

A test gives a proxy that starts among cold servers 3 s: they got 11 of 150 requests before, over 40 now.

--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -71,7 +71,7 @@
     /** Requests that wait are looked at this often, besides at each answer. */
     private static final long HOLD_NS = 20_000_000L;
     /** Memory of own rates (a release must not shrink the cold budgets it needs), and how often it ages. */
-    private static final double RATE_NS = 15e9;
+    private static final double RATE_NS = 15e9, RATE_LEAST_NS = 1e9;
     private static final long AGE_NS = 50_000_000L;
     /** First pause before discovery is asked again after a failure; doubles, eight times at most. */
     private static final long ASK_NS = 250_000_000L;
@@ -106,6 +106,7 @@
     private boolean byList;
     private double arrivals, sent, good, lost, parallel = 1, leastService, retries = RETRY_BURST / 2;
     private double resends = RESEND_BURST / 2;
+    private final long startedAt;
     private long agedAt, heardAt, wokeAt, askPause = ASK_NS;
     private int asked;
     /** The class of which the last offer found no room. */
@@ -122,6 +123,7 @@
         Arrays.fill(kindAt, now);
         Arrays.fill(usual, 1);
         Arrays.fill(usualAt, now);
+        this.startedAt = now;
         this.agedAt = now;
         this.heardAt = now;
         out.timer(now + PULSE_NS, PULSE_TOKEN);
@@ -294,7 +296,7 @@
     private boolean budget(Server s, long now) {
         double warmth = warmth(s, now);
         if (warmth >= 1) { return true; }
-        double mine = zoneRate[zone(s)] / RATE_NS * Math.max(1, zoneReady[zone(s)] / subset());
+        double mine = zoneRate[zone(s)] / lived(now) * Math.max(1, zoneReady[zone(s)] / subset());
         double idle = Math.min(1, 2 * Math.max(SPARE_FLOOR, s.spare));
         double rate = COLD_SAFETY * idle * Math.max(mine * settings.tipMultiple() * warmth,
                 1.0 / settings.fallNs() / Math.max(1, settings.balancers()));
@@ -303,6 +305,15 @@
         return s.tokens >= 1;
     }
 
+    /**
+     * The time over which own rates were counted: their memory, or what there has been of it. Guards against
+     * a proxy that starts in the middle of a release, where most servers are cold: by the whole memory its
+     * rates, and so its budgets, would seem a tenth of what they are. Of the first moment no rate is made.
+     */
+    private double lived(long now) {
+        return RATE_NS * (1 - Math.exp(-Math.max(RATE_LEAST_NS, now - startedAt) / RATE_NS));
+    }
+
     /** Subsetting: the servers of a zone that can each be heard of within a promise, and none left out. */
     private double subset() {
         double heard = arrivals * minPromise / USUAL_NS / SUBSET_HEARD;
--- a/src/test/java/gullspar/decide/PolicyTest.java
+++ b/src/test/java/gullspar/decide/PolicyTest.java
@@ -345,6 +345,28 @@
         assertTrue(sent > 180, "sent " + sent + " of 300 in the first 6 s");
     }
 
+    @Test
+    void aProxyThatStartsInTheMiddleOfAReleaseFindsItsRatesWithinSeconds() {
+        Rig r = rig(Rig.SAFE);
+        Member[] members = new Member[5];
+        for (int i = 0; i < 5; i++) {
+            members[i] = new Member(i, 0, READY, i == 0 ? 0 : r.now, 0, 0, 1);
+        }
+        r.list(ListKind.FULL, members);
+        int[] got = new int[5];
+        for (int i = 0; i < 150; i++) { // 3 s
+            int t = r.request();
+            if (r.attempts(t) > 0) {
+                got[r.server(t, 0)]++;
+                r.pass(10);
+                r.ok(t, 10);
+            }
+            r.pass(10);
+        }
+        int cold = got[1] + got[2] + got[3] + got[4];
+        assertTrue(cold > 40, "the cold ones got " + cold + " of 150");
+    }
+
     // ---- a bank of many proxies ----
 
     /** Proxies of one zone, each with its own seed and number, that know n servers of it. */
