Mended on reading: a connection behind a large answer is read and its own again

Need: on reading the change again, two faults: a backend's connection that came back while a client still took a large answer was not read (its next answer waited for that client), and was closed with another's attempt on it if that client left. A backend that read nothing after the last piece was given up only at the deadline; a slow client could be cut right after a pause that was not its own.

Change: the connection is read again once its answer has come, and the rest that nobody wants ends it only while it comes. The watch over an upload lasts until its last byte is written. The writing of pieces, with the guard against a write from inside a write, stands once, in PieceWriter.

--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -2,6 +2,7 @@
 
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.http.Message;
+import gullspar.proxy.http.PieceWriter;
 import gullspar.proxy.http.Pieces;
 import gullspar.proxy.io.Clock;
 import io.netty.buffer.ByteBuf;
@@ -48,8 +49,8 @@
     private Pieces rest;
     private long passed;
     private ScheduledFuture<?> watch;
+    private final PieceWriter writer = new PieceWriter();
     private long sentAt;
-    private boolean uploading;
 
     Connection(Backend backend, EventLoop loop, Clock clock, long drainGraceNs) {
         this.backend = backend;
@@ -101,22 +102,24 @@
             channel.writeAndFlush(a.toWrite()).addListener(f -> written(a, f.isSuccess()));
             return;
         }
-        uploading = true;
-        channel.write(a.toWrite());
-        channel.writeAndFlush(new DefaultHttpContent(a.request().body().bytes()));
         sentAt = clock.now();
+        writer.ahead(() -> {
+            channel.write(a.toWrite());
+            channel.writeAndFlush(new DefaultHttpContent(a.request().body().bytes()));
+        });
         watch = loop.scheduleWithFixedDelay(() -> {
-            if (!channel.isWritable() && clock.now() - sentAt > UPLOAD_STALL_NS) {
+            if ((a.isSent() || !channel.isWritable()) && clock.now() - sentAt > UPLOAD_STALL_NS) {
                 a.stuck();
             }
         }, UPLOAD_STALL_NS / 4, UPLOAD_STALL_NS / 4, TimeUnit.NANOSECONDS);
-        channel.closeFuture().addListener(f -> watch.cancel(false));
-        uploading = false;
         upload.to(this::upload);
         upload();
     }
 
     private void written(Attempt a, boolean success) {
+        if (watch != null) {
+            watch.cancel(false);
+        }
         if (success) {
             a.written();
         } else {
@@ -128,21 +131,12 @@
     private void upload() {
         Attempt a = attempt;
         Pieces upload = a == null ? null : a.request().rest();
-        if (upload == null || a.isSent() || uploading) {
-            return; // a write that fills the buffer calls from inside itself: nothing may come between
+        if (upload == null || a.isSent()
+                || !writer.write(channel, upload, () -> attempt == a, () -> sentAt = clock.now())) {
+            return;
         }
-        uploading = true;
-        do {
-            while (channel.isWritable() && upload.ready()) {
-                sentAt = clock.now();
-                channel.write(new DefaultHttpContent(upload.next()));
-            }
-            channel.flush();
-        } while (attempt == a && channel.isWritable() && upload.ready());
-        uploading = false;
         if (attempt == a && upload.taken()) {
             a.sent();
-            watch.cancel(false);
             channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
                     .addListener(f -> written(a, f.isSuccess()));
         }
@@ -211,7 +205,7 @@
             return false;
         }
         attempt = null;
-        rest = new Pieces(() -> channel.config().setAutoRead(true), channel::close);
+        rest = new Pieces(() -> channel.config().setAutoRead(true), this::unwanted);
         passed = body.readableBytes();
         byte[] bytes = new byte[body.readableBytes()];
         body.readBytes(bytes);
@@ -220,6 +214,16 @@
         return true;
     }
 
+    /**
+     * Nobody wants the rest of the answer. Once all of it has come the connection may carry another attempt,
+     * which has nothing to do with that.
+     */
+    private void unwanted() {
+        if (rest != null) {
+            channel.close();
+        }
+    }
+
     @Override
     public void noise() {
         broken();
@@ -251,6 +255,8 @@
         Pieces all = rest;
         rest = null;
         decoder.quiet();
+        // What waits for the client is its own matter: the next answer on this connection must be read.
+        channel.config().setAutoRead(true);
         keepOrClose(true);
         all.whole();
     }
@@ -285,6 +291,9 @@
         attempt = null;
         decoder.quiet();
         backend.idle.remove(this);
+        if (watch != null) {
+            watch.cancel(false);
+        }
         if (a != null) {
             a.broken();
         }
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -3,6 +3,7 @@
 import gullspar.proxy.http.Body;
 import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.http.Message;
+import gullspar.proxy.http.PieceWriter;
 import gullspar.proxy.http.Pieces;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -91,7 +92,7 @@
     private boolean chunked;
     private Consumer<Boolean> passed;
     private long lastMoved;
-    private boolean passing;
+    private final PieceWriter writer = new PieceWriter();
     private Message taken;
     private boolean busy;
     private boolean keepAlive;
@@ -170,7 +171,7 @@
         }
         if (awaitsContinue || upload != null && upload.paused()) {
             lastCame = now; // it is this side that does not read
-            bodySince = now - SLOW_START_NS;
+            bodySince = now;
             received = 0;
             return false;
         }
@@ -425,10 +426,10 @@
         passed = done;
         lastAnswer = begin(r, 200);
         lastMoved = owner.now();
-        passing = true;
-        channel.write(r);
-        channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(first)));
-        passing = false;
+        writer.ahead(() -> {
+            channel.write(r);
+            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(first)));
+        });
         answer.to(this::pass);
         pass();
     }
@@ -436,20 +437,9 @@
     /** Passes on what has come of the answer, as far as the client takes it. */
     private void pass() {
         Pieces from = rest;
-        if (from == null || passing) {
-            return; // a write that fills the buffer calls from inside itself: nothing may come between
-        }
-        passing = true;
-        do {
-            while (channel.isWritable() && from.ready()) {
-                lastMoved = owner.now();
-                channel.write(new DefaultHttpContent(from.next()));
-            }
-            channel.flush();
-        } while (rest != null && channel.isWritable() && from.ready());
-        passing = false;
-        if (rest == null) {
-            return; // the flush found the connection closed
+        if (from == null || !writer.write(channel, from, () -> rest != null, () -> lastMoved = owner.now())
+                || rest == null) {
+            return; // there is none, it is being written, or the flush found the connection closed
         }
         if (from.taken()) {
             rest = null;
--- /dev/null
+++ b/src/main/java/gullspar/proxy/http/PieceWriter.java
@@ -0,0 +1,41 @@
+package gullspar.proxy.http;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Writes pieces of a body to a channel, as far as that takes them. A write that fills the channel's buffer
+ * calls its handler from inside itself, half way through the encoder: whatever was written there would come
+ * between the parts of a piece, so until the write is over nothing else is.
+ */
+public final class PieceWriter {
+    private boolean writing;
+
+    /** Writes what comes ahead of the pieces. */
+    public void ahead(Runnable writes) {
+        writing = true;
+        writes.run();
+        writing = false;
+    }
+
+    /**
+     * Writes what is there; true if it did, false if a write is under way, which sees to it. wanted: does
+     * anybody still want it? moved: called for each piece.
+     */
+    public boolean write(Channel channel, Pieces from, BooleanSupplier wanted, Runnable moved) {
+        if (writing) {
+            return false;
+        }
+        writing = true;
+        do {
+            while (channel.isWritable() && from.ready()) {
+                moved.run();
+                channel.write(new DefaultHttpContent(from.next()));
+            }
+            channel.flush();
+        } while (wanted.getAsBoolean() && channel.isWritable() && from.ready());
+        writing = false;
+        return true;
+    }
+}
