--- a/src/test/java/gullspar/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -56,6 +56,22 @@
         assertTrue(line != null, "the process ended without saying: " + text);
     }
 
+    @Test
+    void whereDescriptor0IsNoListenerTheStartSaysSo() throws Exception {
+        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+            write(discovery, backend);
+            ProcessBuilder java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                    .toString(), "-cp", System.getProperty("java.class.path"), "gullspar.Main", "serve");
+            java.environment().putAll(Map.of("NODE_CONFIG", folder.resolve("config.json").toString(),
+                    "NODE_SOCKET_FD", "0"));
+            Process p = java.start();
+            try (BufferedReader log = p.errorReader()) {
+                said(log, "gullspar: descriptor 0 is no listening socket");
+            }
+            assertEquals(1, p.waitFor());
+        }
+    }
+
     @Test
     void newConfigurationsMoveTheWatchABadOneChangesNothingAndSigtermStillEndsWell() throws Exception {
         try (Peer first = new Peer(); Peer second = new Peer(); Peer third = new Peer();
