Each of two processes plans for half of the descriptors, as the pages already said

Need: on reading against the code, README and the page for on-call staff claimed that a process with an inherited listener plans for half of the memory and the descriptors. Only the memory was halved: two processes could have gone over the limit that they share.

Change: half of limits.sockets where the listener is inherited, with a test; a field of Client that one method uses is local to it.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -89,7 +89,6 @@
     private long lastCame;
     /** The answer that is being passed on; null if none is. */
     private Pieces rest;
-    private boolean chunked;
     private Consumer<Boolean> passed;
     private long lastMoved;
     private final PieceWriter writer = new PieceWriter();
@@ -414,7 +413,7 @@
         DefaultHttpResponse r = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
         Message.copyAnswer(from.headers(), r.headers());
         long length = HttpUtil.getContentLength(from, -1L);
-        chunked = length < 0 && version.equals(HttpVersion.HTTP_1_1);
+        boolean chunked = length < 0 && version.equals(HttpVersion.HTTP_1_1);
         if (length >= 0) {
             HttpUtil.setContentLength(r, length);
         } else if (chunked) {
--- a/src/main/java/gullspar/proxy/config/Config.java
+++ b/src/main/java/gullspar/proxy/config/Config.java
@@ -91,7 +91,9 @@
             return new Config(address("NODE_LISTEN", environment, root.path("listen")),
                     address("NODE_DISCOVERY", environment, root.path("discovery")),
                     Long.parseUnsignedLong(root.path("seed").asText("0"), 16),
-                    (int) positive(root, "/limits/sockets"), root.path("known"),
+                    // Two processes share the limit while one takes over from the other.
+                    (int) positive(root, "/limits/sockets") / (descriptor.isEmpty() ? 1 : 2),
+                    root.path("known"),
                     SettingsParser.parse(flat).settings(), classes,
                     names(settings.path("tenants")), names(settings.path("zones")),
                     names(settings.path("skus")), positive(settings, "/limits/connect_timeout_ns"),
--- a/src/test/java/gullspar/proxy/HandOverTest.java
+++ b/src/test/java/gullspar/proxy/HandOverTest.java
@@ -99,6 +99,13 @@
         }
     }
 
+    @Test
+    void twoProcessesShareTheLimitOnDescriptors() throws Exception {
+        var root = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
+        assertEquals(1024, Config.parse(root, Map.of()).sockets());
+        assertEquals(512, Config.parse(root, Map.of("NODE_SOCKET_FD", "0")).sockets());
+    }
+
     @Test
     void onlyDescriptor0CanBeTakenOver() {
         assertEquals("NODE_SOCKET_FD is '3': only descriptor 0 can be taken over",
