Cold budgets count requests that no server got, up to an even part of what one can do

A cold budget came from what this proxy had sent. Where nearly all servers are cold that feeds on itself: held to less than it sent, it sends less, and is held to less again; one with no past never gets out (in a test: 4 of 300 requests sent in 6 s).

Change: requests given up with no attempt count as wanted, up to this proxy's even part of what the server can do by its pace; with what all others may send by the same rule a cold server stays under the multiple. A server that answers in 1 ms now has a larger budget than one whose traffic is slow, so the test on bursts answers as slowly as its fleet did.

--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -104,7 +104,7 @@
     private long minPromise;
     /** No server has reported its load: the weights of the list count. */
     private boolean byList;
-    private double arrivals, sent, good, lost, parallel = 1, leastService, retries = RETRY_BURST / 2;
+    private double arrivals, unsent, sent, good, lost, parallel = 1, leastService, retries = RETRY_BURST / 2;
     private double resends = RESEND_BURST / 2;
     private long servesSince, agedAt, heardAt, wokeAt, askPause = ASK_NS;
     private int asked;
@@ -291,11 +291,18 @@
      * as many as its subset leaves to it, times the multiple and the warmth: if every peer does the same, all
      * together stay under the multiple of what the server can do, however unevenly the traffic falls on them.
      * Less where the server reports itself busy: something else may hold down what it can do while cold.
+     *
+     * <p>Requests that no server got count as well, up to this proxy's even part of what the server can do.
+     * Guards against a fleet that is cold as a whole: by its sends alone a proxy would be held to less than
+     * it sent, send less for it, and be held to less again. One with no past would never get out of that.
      */
     private boolean budget(Server s, long now) {
         double warmth = warmth(s, now);
         if (warmth >= 1) { return true; }
-        double mine = zoneRate[zone(s)] / lived(now) * Math.max(1, zoneReady[zone(s)] / subset());
+        double mine = zoneRate[zone(s)] / lived(RATE_NS, now) * Math.max(1, zoneReady[zone(s)] / subset());
+        double wanted = mine + unsent / lived(USUAL_NS, now) / Math.max(1, zoneReady[zone(s)]);
+        double even = s.parallel / s.pace / Math.max(1, settings.balancers());
+        mine = Math.max(mine, Math.min(wanted, even));
         double idle = Math.min(1, 2 * Math.max(SPARE_FLOOR, s.spare));
         double rate = COLD_SAFETY * idle * Math.max(mine * settings.tipMultiple() * warmth,
                 1.0 / settings.fallNs() / Math.max(1, settings.balancers()));
@@ -305,14 +312,14 @@
     }
 
     /**
-     * The time over which own rates were counted: their memory, or what there has been of it. Guards against
+     * The time over which a rate was counted: its memory, or what there has been of it. Guards against
      * a proxy that starts in the middle of a release, where most servers are cold: by the whole memory its
      * rates, and so its budgets, would seem a tenth of what they are. It counts from the first request: one
      * that knows the list long before its clients come has no lower rates for it. Of the first moment no
      * rate is made.
      */
-    private double lived(long now) {
-        return RATE_NS * (1 - Math.exp(-Math.max(RATE_LEAST_NS, now - servesSince) / RATE_NS));
+    private double lived(double memory, long now) {
+        return memory * (1 - Math.exp(-Math.max(RATE_LEAST_NS, now - servesSince) / memory));
     }
 
     /** Subsetting: the servers of a zone that can each be heard of within a promise, and none left out. */
@@ -463,6 +470,7 @@
             }
             keep = Math.exp((agedAt - now) / USUAL_NS);
             arrivals *= keep;
+            unsent *= keep;
             sent *= keep;
             good *= keep;
             lost *= keep;
@@ -580,6 +588,7 @@
 
     /** The final answer where no attempt served: refused if a repeat is harmless, else failed. */
     private void end(Ticket t) {
+        unsent += t.attempts.isEmpty() ? 1 : 0;
         if (bound(t) == null || t.profile.effect() == Effect.IDEMPOTENT
                 || t.profile.effect() == Effect.DEDUPLICATED && t.profile.scope() == Scope.ALL) {
             out.refuse(t.request.ticket(), settings.maxRetryAfterNs());
--- a/src/test/java/gullspar/decide/PolicyTest.java
+++ b/src/test/java/gullspar/decide/PolicyTest.java
@@ -300,7 +300,7 @@
             r.pass(5);
             for (int t = Math.max(1001, newest - 100); t <= newest; t++) {
                 if (r.attempts(t) > 0 && !r.answers.containsKey(t)) {
-                    r.done(t, 0, Status.OK, 1, Rig.util(util, 0));
+                    r.done(t, 0, Status.OK, 20, Rig.util(util, 0));
                     sent++;
                 }
             }
@@ -331,6 +331,12 @@
             cold[i] = new Member(10 + i, 0, READY, r.now, 0, 0, 1);
         }
         r.list(ListKind.FULL, cold);
+        int sent = sentOf300(r);
+        assertTrue(sent > 180, "sent " + sent + " of 300 in the first 6 s");
+    }
+
+    /** 50 requests a second for 6 s, of which those that go out are answered after 20 ms. */
+    private static int sentOf300(Rig r) {
         int sent = 0;
         for (int i = 0; i < 300; i++) {
             int newest = r.request();
@@ -342,7 +348,7 @@
                 }
             }
         }
-        assertTrue(sent > 180, "sent " + sent + " of 300 in the first 6 s");
+        return sent;
     }
 
     @Test
@@ -356,6 +362,19 @@
         assertEquals(sentToColdServersInTheFirstSeconds(0), sentToColdServersInTheFirstSeconds(20));
     }
 
+    /** Its sends alone would hold it to less than it sent, and less again for that. */
+    @Test
+    void aProxyWithNoPastInAFleetThatIsColdAsAWholeGetsItsEvenPartOfIt() {
+        Rig r = rig(Rig.SAFE);
+        Member[] members = new Member[4];
+        for (int i = 0; i < 4; i++) {
+            members[i] = new Member(i, 0, READY, r.now, 0, 0, 1);
+        }
+        r.list(ListKind.FULL, members);
+        int sent = sentOf300(r);
+        assertTrue(sent > 200, "sent " + sent + " of 300");
+    }
+
     /** To four that have just started beside a warm one, of 150 requests in 3 s; idle: before those, in s. */
     private static int sentToColdServersInTheFirstSeconds(int idle) {
         Rig r = rig(Rig.SAFE);
