A backend that refused a connection is taken for cold until it had time to warm

Change: a failed connection counts as a start of that server, until the list has one of its own; its cold budget and its phase in the rotation begin anew, so that the proxies do not turn to it together (a warm server's tokens had run far into the negative, and it would have had no trial: seen in the test). Not where the list's weights count: there no server is cold and declared shares hold (a test of the importer's shares caught that).

--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -196,11 +196,18 @@
         servers.add(s);
         byId.put(s.id, s);
         renew(s, now);
-        // Proxies that hear of a server in one moment must not all turn to it at once: a phase of its own in
-        // the rotation, and part of a token, so that their first requests are spread as their later ones.
+        spread(s, now);
+        return s;
+    }
+
+    /**
+     * Proxies that take a server for cold from one moment on must not all turn to it at once: a phase of its
+     * own in the rotation, and part of a token, so that their first requests are spread as their later ones.
+     */
+    private void spread(Server s, long now) {
         s.tokens = random.nextDouble();
+        s.tokensAt = now;
         s.tally = -random.nextDouble();
-        return s;
     }
 
     // ---- factors ----
@@ -209,10 +216,16 @@
         return s.listed.zone() & 255;
     }
 
-    /** Share of its capacity that a server surely has by now; 1 when warm. */
+    /**
+     * Share of its capacity that a server surely has by now; 1 when warm. One that refused a connection may
+     * have started anew since: the list says so only seconds after it is back. Guards against proxies that
+     * all give a server that crashed its old share again while it is cold; costs one that was merely cut off
+     * or had no place for a connection a part of its share for the time of a start.
+     */
     private double warmth(Server s, long now) {
-        double age = (now - s.bootNs) / (double) settings.coldNs();
-        return s.bootNs <= 0 || age >= 1 ? 1
+        long start = Math.max(s.bootNs, s.refusedAt);
+        double age = (now - start) / (double) settings.coldNs();
+        return start <= 0 || age >= 1 ? 1
                 : settings.startCapacity() + (1 - settings.startCapacity()) * Math.max(0, age);
     }
 
@@ -693,6 +706,11 @@
                 && o.status() != Status.CANCELLED) {
             // A fast failure teaches no pace: a server that fails fast must not look quick.
             s.owedSince = now;
+            if (o.status() == Status.CONNECT_FAILED && !settings.listWeights()) { // there none is cold
+                s.refusedAt = now;
+                renew(s, now);
+                spread(s, now);
+            }
             if (++s.failures >= EJECT_FAILURES || o.status() == Status.CONNECT_FAILED) {
                 eject(s, now);
             }
--- a/src/main/java/gullspar/decide/Server.java
+++ b/src/main/java/gullspar/decide/Server.java
@@ -14,6 +14,8 @@
     double parallel, rate, busy, told;
     double tokens;
     final long bootNs;
+    /** When a connection to it failed last; 0 for never. */
+    long refusedAt;
     long renewedAt, learntAt, owedSince, trialAt, trialPause, tokensAt;
     int out, failures;
     boolean named, ejected, fit, blind;
--- a/src/test/java/gullspar/decide/PolicyTest.java
+++ b/src/test/java/gullspar/decide/PolicyTest.java
@@ -315,6 +315,52 @@
         assertTrue(sent > 1 && sent < 60, "sent " + sent);
     }
 
+    /** Of 40 requests at one moment, how many one server of four is sent before any is answered. */
+    private static int ofABurst(Rig r, int server) {
+        int got = 0;
+        int first = r.request();
+        int last = first;
+        for (int i = 1; i < 40; i++) {
+            last = r.request();
+        }
+        for (int t = first; t <= last; t++) {
+            got += r.attempts(t) > 0 && r.server(t, 0) == server ? 1 : 0;
+        }
+        for (int i = 0; i < 100; i++) { // those that waited go out as others are answered
+            for (int t = first; t <= last; t++) {
+                if (r.attempts(t) > 0 && !r.answers.containsKey(t)) {
+                    r.ok(t, 20);
+                }
+            }
+            r.pass(5);
+        }
+        return got;
+    }
+
+    /** It may have crashed and be back; the list says so seconds later. */
+    @Test
+    void aServerThatRefusedAConnectionIsTakenForColdUntilItHadTimeToWarm() {
+        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.ready(4));
+        serve(r, 400, 4, 20, null);
+        int usual = ofABurst(r, 2);
+        serve(r, 100, 4, 20, null);
+        int t = r.request();
+        while (r.server(t, 0) != 2) {
+            r.ok(t, 20);
+            t = r.request();
+        }
+        r.done(t, 0, Status.CONNECT_FAILED, 1, null);
+        r.ok(t, 20); // elsewhere
+        r.pass(1000); // its trial is due
+        int[] back = serve(r, 20, 4, 20, null);
+        assertTrue(back[2] > 0, "it has no trial");
+        int cold = ofABurst(r, 2);
+        assertTrue(cold * 4 <= usual * 3 && usual > 1, cold + " of a burst when back, " + usual + " before");
+        serve(r, 600, 4, 20, null);
+        int warm = ofABurst(r, 2);
+        assertTrue(warm >= usual, warm + " of a burst when warm, " + usual + " before");
+    }
+
     @Test
     void aColdServerThatReportsItselfBusyGetsLessOfItsBudget() {
         int idle = sentToOneColdServer(0.2);
