--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -4,7 +4,17 @@
 # While a proxy starts, the others carry its load. Most of a start is code that still runs in the interpreter, so
 # it is compiled sooner than by default.
 set -eu
-mb=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "${NODE_CONFIG:-/dev/null}" 2>/dev/null | head -n 1)
+# Starts no other program and forks nothing, since the platform may refuse both: the figure is read by the shell itself,
+# from the first line that names it.
+mb=
+if [ -r "${NODE_CONFIG:-}" ]; then
+    while [ -z "$mb" ] && { read -r line || [ -n "$line" ]; }; do
+        case $line in *'"memory_mb"'*[0-9]*) ;; *) continue ;; esac
+        rest=${line#*\"memory_mb\"}
+        rest=${rest#"${rest%%[0-9]*}"}
+        mb=${rest%%[!0-9]*}
+    done < "$NODE_CONFIG"
+fi
 # Where another process may take over, the two share the limit for a while.
 if [ -n "${NODE_SOCKET_FD:-}" ]; then mb=$(( ${mb:-128} / 2 )); fi
 heap=$(( (${mb:-128} - 56) * 2 / 3 ))
