A test starts run under what the platform may refuse it; TMPDIR for the warm-up

With serve.sh as it was before (sed, head) the start ends with 'Cannot fork', exit code 2; with a write outside of TMPDIR it does not start.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -21,8 +21,9 @@
 if [ "$heap" -gt 64 ]; then heap=64; fi
 if [ "$heap" -lt 16 ]; then heap=16; fi
 export MALLOC_ARENA_MAX=2
+# The runtime does not look at TMPDIR, and no other folder may be written to.
 exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:CompileThresholdScaling=0.4 -Xshare:auto \
-    -XX:SharedArchiveFile=target/gullspar.jsa -XX:-UsePerfData -XX:+AlwaysPreTouch \
+    -Djava.io.tmpdir="${TMPDIR:-/tmp}" -XX:SharedArchiveFile=target/gullspar.jsa -XX:-UsePerfData -XX:+AlwaysPreTouch \
     -Xms${heap}m -Xmx${heap}m -Xmn$((heap * 2 / 5))m -Xss512k \
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=20m -XX:MaxDirectMemorySize=16m \
     -jar target/gullspar.jar "${1:-serve}"
--- /dev/null
+++ b/src/test/java/gullspar/proxy/DeployedRunTest.java
@@ -0,0 +1,176 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.jar.Attributes;
+import java.util.jar.JarOutputStream;
+import java.util.jar.Manifest;
+import org.junit.jupiter.api.Assumptions;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.tomlj.Toml;
+
+/**
+ * What the deploy file's run starts, under what a platform may refuse it (refuse.pl): it must be one process
+ * that starts no other program and writes nowhere but to $TMPDIR.
+ */
+@Timeout(120)
+class DeployedRunTest {
+    private static final Path REFUSE = Path.of("src/test/resources/refuse.pl").toAbsolutePath();
+
+    @TempDir
+    Path folder;
+    /** Stands for the repository's folder, as the build leaves it. */
+    private Path root;
+    private Path tmp;
+
+    @BeforeEach
+    void build() throws IOException {
+        Assumptions.assumeTrue(new File("/usr/bin/perl").canExecute() && new File("/proc/self/fd").exists()
+                && System.getProperty("os.arch").equals("amd64"), "the restriction is for x86-64 Linux, by perl");
+        root = Files.createDirectories(folder.resolve("root"));
+        tmp = Files.createDirectories(folder.resolve("tmp"));
+        for (String name : List.of("balancer.toml", "serve.sh")) {
+            Files.createDirectories(root.resolve("deploy"));
+            Files.copy(Path.of("deploy", name), root.resolve("deploy").resolve(name));
+        }
+        Manifest m = new Manifest();
+        m.getMainAttributes().put(Attributes.Name.MANIFEST_VERSION, "1.0");
+        m.getMainAttributes().put(Attributes.Name.MAIN_CLASS, "gullspar.Main");
+        m.getMainAttributes().put(Attributes.Name.CLASS_PATH, String.join(" ",
+                Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+                        .map(p -> Path.of(p).toUri().toString()).toList()));
+        Files.createDirectories(root.resolve("target"));
+        try (OutputStream out = Files.newOutputStream(root.resolve("target/gullspar.jar"))) {
+            new JarOutputStream(out, m).close();
+        }
+    }
+
+    private static String run() throws IOException {
+        return Toml.parse(Path.of("deploy/balancer.toml")).getString("run");
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return (InetSocketAddress) s.getLocalSocketAddress();
+        }
+    }
+
+    /** Starts a command as the platform does; without a place to write to, not even $TMPDIR is one. */
+    private Process start(String command, boolean writes, Peer discovery, Peer backend, InetSocketAddress at)
+            throws IOException {
+        ObjectNode config = (ObjectNode) Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
+        config.put("listen", "127.0.0.1:" + at.getPort());
+        Path file = Files.writeString(folder.resolve("config.json"), config.toString());
+        List<String> all = new ArrayList<>(List.of("/usr/bin/perl", REFUSE.toString()));
+        if (writes) {
+            all.addAll(List.of("--tmp", tmp.toString()));
+        }
+        all.addAll(List.of("/bin/sh", "-c", command));
+        ProcessBuilder p = new ProcessBuilder(all).directory(root.toFile()).redirectErrorStream(true);
+        p.environment().keySet().removeAll(List.of("NODE_LISTEN", "NODE_DISCOVERY", "JDK_JAVA_OPTIONS"));
+        p.environment().putAll(Map.of("NODE_CONFIG", file.toString(), "TMPDIR", tmp.toString()));
+        return p.start();
+    }
+
+    /** The lines up to one that holds the text; null, with all lines in said, if the process ends before. */
+    private static String until(BufferedReader log, String text, List<String> said) throws IOException {
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            said.add(line);
+            if (line.contains(text)) {
+                return line;
+            }
+        }
+        return null;
+    }
+
+    /** One request through, and the end by SIGTERM. */
+    private static void servesAndEnds(Process p, BufferedReader log, Peer backend, InetSocketAddress at,
+            List<String> said) throws Exception {
+        assertNotEquals(null, until(log, " ready", said), () -> String.join("\n", said));
+        assertEquals(0, p.descendants().count(), "other processes");
+        assertEquals("java", Path.of(p.info().command().orElseThrow()).getFileName().toString());
+        assertTrue(Files.readString(Path.of("/proc/" + p.pid() + "/maps")).contains("/libc.so"),
+                "not linked dynamically against the C library");
+        try (Peer.Wire client = Peer.Wire.to(at)) {
+            client.write(Setup.get());
+            Peer.Wire b = backend.accept();
+            b.read();
+            b.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            assertTrue(client.read().startsWith("HTTP/1.1 200"));
+        }
+        p.destroy();
+        assertTrue(p.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(0, p.exitValue());
+    }
+
+    @Test
+    void oneProcessThatStartsNoOtherAndWritesToItsOwnFolderOnly() throws Exception {
+        List<String> said = new ArrayList<>();
+        InetSocketAddress at = free();
+        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+            Process p = start(run(), true, discovery, backend, at);
+            try (BufferedReader log = p.inputReader()) {
+                servesAndEnds(p, log, backend, at, said);
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+        assertTrue(said.stream().anyMatch(l -> l.matches(".* served [1-9][0-9]* requests to warm up")),
+                () -> String.join("\n", said));
+    }
+
+    /** The warm-up wants a socket in the file system. Without one a start is cold, and still a start. */
+    @Test
+    void whereNothingCanBeWrittenAndNoUnixSocketIsHadItServesAllTheSame() throws Exception {
+        List<String> said = new ArrayList<>();
+        InetSocketAddress at = free();
+        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+            Process p = start(run(), false, discovery, backend, at);
+            try (BufferedReader log = p.inputReader()) {
+                servesAndEnds(p, log, backend, at, said);
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+        assertTrue(said.stream().anyMatch(l -> l.contains("not warmed up")), () -> String.join("\n", said));
+    }
+
+    /** The restriction itself: what it is there to catch does not get through. */
+    @Test
+    void whatForksOrWritesElsewhereDoesNotStart() throws Exception {
+        for (String planted : List.of("mb=$(sed -n p deploy/balancer.toml); ", "echo x > deploy/written; ",
+                "sleep 1 & ")) {
+            List<String> said = new ArrayList<>();
+            try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+                Process p = start("set -e; " + planted + run(), true, discovery, backend, free());
+                try (BufferedReader log = p.inputReader()) {
+                    assertNull(until(log, " starting", said), planted);
+                    assertNotEquals(0, p.waitFor(), planted);
+                } finally {
+                    p.destroyForcibly();
+                }
+            }
+        }
+    }
+}
