A view of the fleet: the protocol as a state machine, tested in virtual time

Need: proxies know nothing of each other; drains, releases, budgets and a calm return stand on a view of who is there, how sure that is and how old.

Change: gullspar.peers, SWIM with Lifeguard as a state machine without I/O, clock or thread: random-order and indirect probes, suspicion that shrinks with confirmations, own health, piggybacked rumours, objection by incarnation, comparison of views by ranges of lives, knocks at those that are gone. A process is name and life (64 bits drawn at its start), so nothing stored can hold it down. Nobody calls it yet.

--- /dev/null
+++ b/src/main/java/gullspar/peers/Heard.java
@@ -0,0 +1,29 @@
+package gullspar.peers;
+
+/**
+ * The most that was heard of a life. Values are in one total order and merging takes the larger, so that views
+ * merge the same in whatever order and however often rumours come: goodbye overrides all, then the larger
+ * incarnation, then the graver standing. Only the process itself raises its incarnation; so whoever is accused
+ * in error overrides the accusation by the next one.
+ */
+public record Heard(int incarnation, Standing standing) implements Comparable<Heard> {
+    @Override
+    public int compareTo(Heard o) {
+        boolean left = standing == Standing.LEFT;
+        if (left != (o.standing == Standing.LEFT)) {
+            return left ? 1 : -1;
+        }
+        return incarnation != o.incarnation ? Integer.compare(incarnation, o.incarnation)
+                : standing.compareTo(o.standing);
+    }
+
+    /** The larger of the two. */
+    public Heard merge(Heard o) {
+        return compareTo(o) >= 0 ? this : o;
+    }
+
+    /** Does it say that the life is, or may be, over, though it did not say goodbye? */
+    boolean accuses() {
+        return standing == Standing.SUSPECTED || standing == Standing.GONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/peers/Judgement.java
@@ -0,0 +1,357 @@
+package gullspar.peers;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * What this process holds each member for, and when that changes. What is heard goes into {@link Heard}, which
+ * merges the same for all; the verdict follows it, at once or after the time that a suspicion takes.
+ */
+final class Judgement {
+    /** Who is said to be gone while he was alive here is given so many time-outs to object. */
+    private static final int GRACE = 3;
+    private static final long MS = 1_000_000L;
+
+    private final Self self;
+    private final Settings settings;
+    private final Roster roster;
+    private final Gossip gossip;
+    private final SelfHealth health;
+    private final Outbox out;
+    private final Counters counters;
+    private final Set<Peer> suspected = new LinkedHashSet<>();
+    /** Members that came, came back, or are to be looked at out of turn. */
+    private final List<Peer> toSee = new ArrayList<>();
+    private final List<Peer> cameBack = new ArrayList<>();
+    private long changedAt;
+    private boolean settled = true;
+
+    Judgement(Self self, Settings settings, Roster roster, Gossip gossip, SelfHealth health, Outbox out,
+            Counters counters) {
+        this.self = self;
+        this.settings = settings;
+        this.roster = roster;
+        this.gossip = gossip;
+        this.health = health;
+        this.out = out;
+        this.counters = counters;
+    }
+
+    private void changed(long now, Change.Kind kind, Identity about, String why) {
+        changedAt = now;
+        settled = false;
+        out.changed(new Change(kind, about, why, roster.size()));
+    }
+
+    /** Says once, when nothing has changed for so long and nobody is suspected. */
+    void settle(long now, long quietNs) {
+        if (!settled && suspected.isEmpty() && now - changedAt >= quietNs) {
+            settled = true;
+            out.changed(new Change(Change.Kind.SETTLED, self.id, "", roster.size()));
+        }
+    }
+
+    boolean settled() {
+        return settled;
+    }
+
+    /** Those to be asked out of turn, once. */
+    List<Peer> takeToSee() {
+        List<Peer> taken = List.copyOf(toSee);
+        toSee.clear();
+        return taken;
+    }
+
+    /** Those that came or came back since the last call: their views may differ much from this one. */
+    List<Peer> takeCameBack() {
+        List<Peer> taken = List.copyOf(cameBack);
+        cameBack.clear();
+        return taken;
+    }
+
+    // ---- rumours ----
+
+    /** Takes in what the peer says; the speaker proved that it lives. */
+    void learn(long now, Rumour r, Peer from) {
+        if (r.id().equals(self.id)) {
+            aboutMe(now, r);
+            return;
+        }
+        Peer p = roster.get(r.id());
+        if (p == null) {
+            hearsay(now, r, from);
+            return;
+        }
+        if (r.statement() != null && r.statement().revision() > p.statement.revision()) {
+            stated(now, p, r.statement(), now - r.statedMs() * MS);
+        }
+        switch (r.standing()) {
+            case ALIVE -> alive(now, p, r.incarnation());
+            case SUSPECTED -> suspect(now, p, r.incarnation(), r.by().isEmpty() ? from.id.name() : r.by());
+            case GONE -> saidGone(now, p, r.incarnation(), r.by());
+            default -> left(now, p, r.incarnation());
+        }
+    }
+
+    private void stated(long now, Peer p, Statement s, long at) {
+        Statement old = p.statement;
+        p.statement = s;
+        p.statedAt = Math.min(now, at);
+        if (figuresOnly(old, s)) {
+            gossip.tellFigures(p.id);
+        } else {
+            gossip.tell(p.id, true);
+        }
+        if (s.twin() != old.twin() && s.twin() != 0) {
+            changed(now, Change.Kind.TWIN, p.id, "it says that another process lives under its name");
+        }
+        if (s.twin() == self.id.life() && p.id.name().equals(self.id.name())) {
+            twin(now, p);
+        }
+    }
+
+    private static boolean figuresOnly(Statement a, Statement b) {
+        return a.phase() == b.phase() && a.twin() == b.twin() && a.address().equals(b.address())
+                && a.config().equals(b.config()) && a.facts().equals(b.facts());
+    }
+
+    /** Another life under this name is proved to live now: said aloud on both sides; none of them gives way. */
+    void twin(long now, Peer p) {
+        if (self.statement().twin() != p.id.life()) {
+            Statement s = self.statement();
+            self.say(now, s.config(), s.phase(), p.id.life(), s.view(), s.figures(), s.facts());
+            gossip.tell(self.id, true);
+            changed(now, Change.Kind.TWIN, p.id, "another process lives under this name, at " + p.address());
+        }
+    }
+
+    private void aboutMe(long now, Rumour r) {
+        boolean accused = r.heard().accuses() && r.incarnation() >= self.incarnation();
+        // A higher incarnation than this process ever had: it was another's mistake, and is overridden as well.
+        if (!self.left() && (accused || r.incarnation() > self.incarnation())) {
+            self.objectTo(r.incarnation());
+            counters.objections++;
+            health.count(1);
+            gossip.tell(self.id, false);
+            out.changed(new Change(Change.Kind.OBJECTED, self.id, r.by(), roster.size()));
+        }
+    }
+
+    private void hearsay(long now, Rumour r, Peer from) {
+        if (r.statement() == null || tooOld(now, r)) {
+            return; // without an address nobody can look; who is long gone is as good as forgotten
+        }
+        Roster.Hearsay known = roster.hearsay(r.id());
+        if (known == null) {
+            roster.spokenOf(new Roster.Hearsay(r, from.id.life(), now));
+        } else if (known.by != from.id.life()) {
+            roster.forget(known);
+            admit(now, r.id(), newer(known.rumour, r).statement(), now - r.statedMs() * MS,
+                    r.heard().merge(known.rumour.heard()), now - r.sinceMs() * MS, r.by());
+        }
+    }
+
+    private static Rumour newer(Rumour a, Rumour b) {
+        return a.statement().revision() > b.statement().revision() ? a : b;
+    }
+
+    private boolean tooOld(long now, Rumour r) {
+        return (r.standing() == Standing.GONE || r.standing() == Standing.LEFT)
+                && r.sinceMs() * MS >= settings.forgetNs();
+    }
+
+    /** Takes in somebody who was not known. */
+    Peer admit(long now, Identity id, Statement s, long statedAt, Heard heard, long since, String why) {
+        Peer p = new Peer(id, s, Math.min(now, statedAt), heard, heard.standing() == Standing.ALIVE ? now : since);
+        if (heard.accuses()) {
+            p.why = why;
+        }
+        boolean suspect = heard.standing() == Standing.SUSPECTED;
+        p.verdict = suspect ? Standing.ALIVE : heard.standing();
+        p.presentAt = p.present() ? now : Long.MIN_VALUE;
+        p.knockGap = 2 * settings.intervalNs();
+        p.knockAt = now + p.knockGap;
+        if (!roster.add(p)) {
+            counters.refusedMembers++;
+            return null;
+        }
+        gossip.tell(id, true);
+        if (!p.present()) {
+            return p;
+        }
+        changed(now, Change.Kind.JOINED, id, "at " + s.address());
+        cameBack.add(p);
+        for (Peer other : roster.sameName(id)) {
+            formerLife(now, p, other);
+        }
+        if (id.name().equals(self.id.name())) {
+            toSee.add(p);
+        }
+        if (s.twin() == self.id.life() && id.name().equals(self.id.name())) {
+            twin(now, p);
+        }
+        if (suspect) {
+            suspect(now, p, heard.incarnation(), why);
+        }
+        return p;
+    }
+
+    /** Two lives of one name: the later one has taken the address, or both are looked at. */
+    private void formerLife(long now, Peer p, Peer other) {
+        Peer older = p.startedAt() >= other.startedAt() ? other : p;
+        Peer newer = older == p ? other : p;
+        if (!older.present() || !newer.present()) {
+            return;
+        }
+        if (older.address().equals(newer.address())) {
+            gone(now, older, "it came back as " + newer.id);
+        } else {
+            toSee.add(older);
+        }
+    }
+
+    // ---- verdicts ----
+
+    /** It lives in that incarnation. */
+    void alive(long now, Peer p, int incarnation) {
+        Heard said = new Heard(incarnation, Standing.ALIVE);
+        if (said.compareTo(p.heard) <= 0) {
+            return;
+        }
+        p.heard = said;
+        gossip.tell(p.id, p.verdict == Standing.GONE);
+        if (p.verdict == Standing.ALIVE) {
+            return;
+        }
+        boolean back = p.verdict == Standing.GONE;
+        verdict(now, p, Standing.ALIVE, "");
+        changed(now, back ? Change.Kind.BACK : Change.Kind.CLEARED, p.id, "");
+        if (back) {
+            cameBack.add(p);
+        }
+    }
+
+    /** Somebody, or this process itself, gets no answer from it. */
+    void suspect(long now, Peer p, int incarnation, String by) {
+        Heard said = new Heard(incarnation, Standing.SUSPECTED);
+        if (said.compareTo(p.heard) < 0 || p.verdict == Standing.GONE || p.verdict == Standing.LEFT) {
+            return;
+        }
+        if (p.suspicion != null && p.suspicion.incarnation() == incarnation) {
+            if (p.suspicion.confirm(by)) {
+                gossip.tell(p.id, false);
+            }
+            return;
+        }
+        p.heard = p.heard.merge(said);
+        long least = settings.suspicionNs(roster.size());
+        boolean fresh = p.verdict == Standing.ALIVE;
+        if (fresh) {
+            verdict(now, p, Standing.SUSPECTED, by);
+        }
+        suspicion(p, new Suspicion(incarnation, by,
+                Math.min(settings.confirmations(), Math.max(0, roster.size() - 2)), least,
+                least * settings.stretch(), now));
+        gossip.tell(p.id, false);
+        if (fresh) {
+            changed(now, Change.Kind.SUSPECTED, p.id, "by " + by);
+        }
+    }
+
+    private void suspicion(Peer p, Suspicion s) {
+        p.suspicion = s;
+        if (s == null) {
+            suspected.remove(p);
+        } else {
+            suspected.add(p);
+        }
+    }
+
+    private void saidGone(long now, Peer p, int incarnation, String by) {
+        Heard said = new Heard(incarnation, Standing.GONE);
+        if (said.compareTo(p.heard) <= 0) {
+            return;
+        }
+        p.heard = said;
+        if (p.verdict == Standing.SUSPECTED && p.suspicion.incarnation() <= incarnation) {
+            gone(now, p, by);
+        } else if (p.verdict == Standing.ALIVE) {
+            // Two halves that find each other again say this of one another: whoever lives objects in a moment.
+            verdict(now, p, Standing.SUSPECTED, by);
+            suspicion(p, new Suspicion(incarnation, by, 0, health.stretched(GRACE * settings.timeoutNs()), 0, now));
+            changed(now, Change.Kind.SUSPECTED, p.id, "said to be gone" + (by.isEmpty() ? "" : ", by " + by));
+            toSee.add(p);
+        }
+    }
+
+    /** It is gone, and others are told so. */
+    void gone(long now, Peer p, String why) {
+        if (!p.present()) {
+            return;
+        }
+        p.heard = p.heard.merge(new Heard(p.heard.incarnation(), Standing.GONE));
+        verdict(now, p, Standing.GONE, why);
+        p.knockGap = 2 * settings.intervalNs();
+        p.knockAt = now + p.knockGap;
+        gossip.tell(p.id, false);
+        changed(now, Change.Kind.GONE, p.id, why);
+    }
+
+    private void left(long now, Peer p, int incarnation) {
+        Heard said = new Heard(incarnation, Standing.LEFT);
+        if (said.compareTo(p.heard) <= 0) {
+            return;
+        }
+        p.heard = said;
+        gossip.tell(p.id, false);
+        if (p.verdict != Standing.LEFT) {
+            verdict(now, p, Standing.LEFT, "");
+            changed(now, Change.Kind.LEFT, p.id, "");
+        }
+    }
+
+    private void verdict(long now, Peer p, Standing v, String why) {
+        p.presentAt = p.present() ? now : p.presentAt;
+        p.verdict = v;
+        p.since = now;
+        p.why = why;
+        if (v != Standing.SUSPECTED) {
+            suspicion(p, null);
+        }
+        roster.placed(p);
+    }
+
+    /** Believes the suspicions whose time is over. */
+    void believe(long now) {
+        for (Peer p : List.copyOf(suspected)) {
+            if (now >= p.suspicion.endsAt()) {
+                gone(now, p, p.why);
+            }
+        }
+    }
+
+    /** When the next suspicion is over; MAX_VALUE if there is none. */
+    long believesAt() {
+        long next = Long.MAX_VALUE;
+        for (Peer p : suspected) {
+            next = Math.min(next, p.suspicion.endsAt());
+        }
+        return next;
+    }
+
+    /** This process stood still: nobody is blamed for that time. */
+    void pausedFor(long ns) {
+        suspected.forEach(p -> p.suspicion.pausedFor(ns));
+    }
+
+    /** Drops those that are gone for long. */
+    void forget(long now) {
+        for (Peer p : List.copyOf(roster.all())) {
+            if (!p.present() && now - p.since >= settings.forgetNs()) {
+                roster.remove(p);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/peers/Peer.java
@@ -0,0 +1,63 @@
+package gullspar.peers;
+
+/** One life of another process, as it is held here. */
+final class Peer {
+    final Identity id;
+    final ReplayGuard guard = new ReplayGuard();
+    /** What it last said of itself, and when, by the clock of this process. */
+    Statement statement;
+    long statedAt;
+    /** The most that was heard of it. */
+    Heard heard;
+    /**
+     * What this process holds it for. It may lag behind what was heard: that somebody is gone who was alive here
+     * a moment ago is believed a little later, so that it can object.
+     */
+    Standing verdict;
+    long since;
+    /** Who accused it, or why it went; empty if nobody did. */
+    String why = "";
+    Suspicion suspicion;
+    /** When it last answered this process itself; MIN_VALUE if never. */
+    long answeredAt = Long.MIN_VALUE;
+    /** Asked directly it did not answer the last time, though others reached it. */
+    boolean onlyByOthers;
+    /** The last time at which it was held for alive or suspected. */
+    long presentAt;
+    long knockAt;
+    long knockGap;
+    /** Its place among those that are present, -1 if it is not. */
+    int place = -1;
+
+    Peer(Identity id, Statement statement, long statedAt, Heard heard, long since) {
+        this.id = id;
+        this.statement = statement;
+        this.statedAt = statedAt;
+        this.heard = heard;
+        this.verdict = heard.standing();
+        this.since = since;
+    }
+
+    /** Alive, or not yet given up. */
+    boolean present() {
+        return verdict == Standing.ALIVE || verdict == Standing.SUSPECTED;
+    }
+
+    String address() {
+        return statement.address();
+    }
+
+    /** When its process started, by the clock of this one. */
+    long startedAt() {
+        return statedAt - statement.upMs() * 1_000_000L;
+    }
+
+    /** What this process tells of it. */
+    Rumour rumour(long now, boolean withStatement) {
+        Standing told = verdict == Standing.SUSPECTED && heard.standing() == Standing.GONE
+                ? Standing.SUSPECTED : heard.standing();
+        return new Rumour(id, heard.incarnation(), told, told == Standing.ALIVE || !Identity.worded(why) ? ""
+                : why, Math.max(0, now - since) / 1_000_000, withStatement ? statement : null,
+                withStatement ? Math.max(0, now - statedAt) / 1_000_000 : 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/peers/Peers.java
@@ -0,0 +1,420 @@
+package gullspar.peers;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import java.util.zip.CRC32;
+
+/**
+ * One process's part in the fleet. Feed it what comes ({@link #receive}) and the time ({@link #tick}, at the latest
+ * at {@link #wakeAt}); what it wants sent and what changes goes to its {@link Outbox}. The same inputs bring the
+ * same outputs. Not for several threads at once.
+ */
+public final class Peers {
+    /** Strangers are answered so often a second. */
+    private static final double STRANGERS = 32;
+    /** Of those that were only spoken of, so many are asked to prove themselves in an interval, so often each. */
+    private static final int PROOFS = 4, TRIES = 3;
+    /** News go out so often in an interval, where there are any. */
+    private static final int NEWS = 5;
+    /** The view is settled if nothing changes for so many intervals. */
+    private static final int QUIET = 5;
+    /** Each of several members is asked, or answered, once an interval on average; silence for so many is none. */
+    private static final int SILENCE = 6;
+    private static final long MS = 1_000_000L;
+
+    private final Settings settings;
+    private final RandomGenerator random;
+    private final Outbox out;
+    private final Self self;
+    private final Roster roster;
+    private final SelfHealth health;
+    private final Gossip gossip;
+    private final Judgement judgement;
+    private final Post post;
+    private final Detector detector;
+    private final Reconciler reconciler;
+    private final Knocks knocks;
+    private final Counters counters = new Counters();
+    private final Allowance strangers;
+    private long nextProbe;
+    private long nextNews;
+    private long nextSync;
+    private long lastSync;
+    private long nextKeeping;
+    private long nextFigures;
+    private Peer syncWith;
+    /** When this process should be awake at the latest. */
+    private long due;
+    /** The time of the input that is being taken in. */
+    private long clock;
+    private Figures latest = Figures.NONE;
+    /** When a member's datagram came last. */
+    private long heardAt;
+    private boolean cutOff;
+    private int known = 1;
+    private int seen = 1;
+
+    /**
+     * Begins at that time. first: what this process says of itself, with its name and a life that no other has;
+     * seeds: addresses where others may be found.
+     */
+    public Peers(Settings settings, Statement first, List<String> seeds, RandomGenerator random, Outbox out,
+            long now) {
+        this.settings = settings;
+        this.random = random;
+        this.out = out;
+        this.self = new Self(first, now);
+        this.roster = new Roster(settings.members());
+        this.health = new SelfHealth(settings.healthMost());
+        this.gossip = new Gossip(this::rumour);
+        this.judgement = new Judgement(self, settings, roster, gossip, health, out, counters);
+        this.post = new Post(self, roster, gossip, settings, out, counters, now);
+        this.detector = new Detector(settings, self, roster, judgement, health, post, random);
+        this.reconciler = new Reconciler(self, roster, judgement, post, random);
+        this.knocks = new Knocks(settings, self, roster, detector, random, seeds);
+        this.strangers = new Allowance(STRANGERS, now);
+        // Processes that start together must not ask together.
+        this.nextProbe = now + random.nextLong(settings.intervalNs());
+        this.nextNews = now;
+        this.nextSync = now + random.nextLong(settings.syncNs());
+        this.nextKeeping = now;
+        this.nextFigures = now + random.nextLong(settings.figuresNs());
+        this.due = now;
+        this.heardAt = now;
+    }
+
+    private Rumour rumour(Identity id, boolean withStatement) {
+        if (id.equals(self.id)) {
+            return self.rumour(clock, withStatement);
+        }
+        Peer p = roster.get(id);
+        return p == null ? null : p.rumour(clock, withStatement);
+    }
+
+    // ---- inputs ----
+
+    /** A datagram came whose sender holds the fleet's key. */
+    public void receive(long now, Message m) {
+        wake(now);
+        counters.received++;
+        Message.Header h = m.header();
+        if (h.from().equals(self.id) || self.left()) {
+            return;
+        }
+        Peer p = roster.get(h.from());
+        if (p == null) {
+            stranger(now, m);
+        } else if (!p.guard.fresh(h.number())) {
+            counters.repeated++;
+        } else if (p.verdict != Standing.LEFT) {
+            from(now, p, m);
+        }
+        followUp(now);
+    }
+
+    private void from(long now, Peer p, Message m) {
+        Message.Header h = m.header();
+        heardAt = now;
+        judgement.alive(now, p, h.incarnation());
+        m.rumours().forEach(r -> judgement.learn(now, r, p));
+        if (m instanceof Message.Ping q) {
+            post.ack(now, h.address(), h.from(), q.nonce(), self.id, self.incarnation(), q.hello());
+        } else if (m instanceof Message.Ack a) {
+            detector.answered(now, a);
+        } else if (m instanceof Message.PingReq r) {
+            detector.lookFor(now, p, r);
+        } else if (m instanceof Message.Nack n) {
+            detector.nack(n);
+        } else if (m instanceof Message.Digest d) {
+            reconciler.digest(now, p, d);
+        } else if (m instanceof Message.Listing l) {
+            reconciler.listing(now, p, l);
+        } else if (m instanceof Message.Want w) {
+            reconciler.want(now, p, w);
+        }
+        if (p.verdict == Standing.GONE && p.knockAt > now + settings.intervalNs()) {
+            p.knockAt = now + settings.intervalNs(); // it speaks: it is to hear soon that it is held for gone
+        }
+    }
+
+    /**
+     * From a life that has not proved that it lives: what it says of others does not count, since the datagram may
+     * be an old one that somebody sent again. It is asked to answer.
+     */
+    private void stranger(long now, Message m) {
+        counters.strangers++;
+        Message.Header h = m.header();
+        if (m instanceof Message.Ack a && detector.proves(a)) {
+            detector.answered(now, a);
+            Rumour said = a.rumours().stream().filter(r -> r.id().equals(h.from()) && r.statement() != null)
+                    .findFirst().orElse(null);
+            if (said == null) {
+                detector.prove(now, h.address(), h.from());
+                return;
+            }
+            Peer p = judgement.admit(now, h.from(), said.statement(), now - said.statedMs() * MS,
+                    new Heard(h.incarnation(), Standing.ALIVE), now, "");
+            if (p != null) {
+                p.guard.fresh(h.number());
+                p.answeredAt = now;
+                a.rumours().forEach(r -> judgement.learn(now, r, p));
+                if (p.id.name().equals(self.id.name())) {
+                    judgement.twin(now, p);
+                }
+            }
+            return;
+        }
+        if (!strangers.take(1, now)) {
+            return;
+        }
+        if (m instanceof Message.Ping q) {
+            post.ack(now, h.address(), h.from(), q.nonce(), self.id, self.incarnation(), q.hello());
+        }
+        detector.prove(now, h.address(), h.from());
+    }
+
+    /** The time has come, or may have. */
+    public void tick(long now) {
+        wake(now);
+        if (self.left()) {
+            due = Long.MAX_VALUE;
+            return;
+        }
+        detector.expire(now);
+        judgement.believe(now);
+        if (now >= nextProbe) {
+            detector.next(now);
+            nextProbe = now + health.stretched(settings.intervalNs());
+        }
+        if (now >= nextKeeping) {
+            keep(now);
+            nextKeeping = now + settings.intervalNs();
+        }
+        followUp(now);
+        if (now >= nextSync) {
+            sync(now);
+        }
+        if (now >= nextNews) {
+            news(now, settings.fanout());
+            nextNews = now + settings.intervalNs() / NEWS;
+        }
+        due = wakeAt();
+    }
+
+    /** When the time is to be told next. */
+    public long wakeAt() {
+        if (self.left()) {
+            return Long.MAX_VALUE;
+        }
+        long next = Math.min(Math.min(nextProbe, nextKeeping), Math.min(nextSync, nextNews));
+        return Math.min(next, Math.min(detector.expiresAt(), judgement.believesAt()));
+    }
+
+    /** This process's own state has changed, or its figures are to be told. */
+    public void say(long now, Phase phase, String config, Figures figures, Facts facts) {
+        wake(now);
+        Statement s = self.statement();
+        boolean news = phase != s.phase() || !config.equals(s.config()) || !facts.equals(s.facts());
+        latest = figures;
+        if (news) {
+            self.say(now, config, phase, s.twin(), digest(), figures, facts);
+            gossip.tell(self.id, true);
+            due = Math.min(due, nextNews);
+        }
+    }
+
+    /** Says goodbye to as many as it can; nothing is sent after that. */
+    public void leave(long now) {
+        wake(now);
+        self.leave(now);
+        gossip.tell(self.id, true);
+        news(now, settings.fanout() * 3);
+        due = Long.MAX_VALUE;
+    }
+
+    // ---- what it does of itself ----
+
+    /** Whoever stood still for longer than it waits for an answer cannot tell who answered. */
+    private void wake(long now) {
+        clock = now;
+        long late = now - due;
+        if (settings.healthMost() > 0 && late > settings.timeoutNs()) {
+            counters.stalls++;
+            detector.abandon();
+            judgement.pausedFor(late);
+            heardAt += late;
+            health.count((int) Math.min(settings.healthMost(), 1 + late / settings.intervalNs()));
+            nextSync = now;
+            out.changed(new Change(Change.Kind.STOOD_STILL, self.id, late / MS + " ms", roster.size()));
+        }
+        due = Math.max(due, now);
+    }
+
+    private void followUp(long now) {
+        for (Peer p : judgement.takeToSee()) {
+            if (roster.get(p.id) == p && p.present()) {
+                detector.ask(now, p);
+            }
+        }
+        for (Peer p : judgement.takeCameBack()) {
+            detector.joins(p);
+            syncWith = p;
+            nextSync = Math.min(nextSync, Math.max(now, lastSync + settings.intervalNs() / 2));
+        }
+    }
+
+    private void news(long now, int fanout) {
+        if (gossip.isEmpty() || roster.present().isEmpty()) {
+            return;
+        }
+        for (Peer p : roster.draw(fanout, random, null, self.id)) {
+            if (!gossip.isEmpty() && post.affords(1, now)) {
+                post.news(now, p);
+            }
+        }
+    }
+
+    private void sync(long now) {
+        Peer with = syncWith != null && syncWith.present() ? syncWith
+                : roster.draw(1, random, null, self.id).stream().findFirst().orElse(null);
+        syncWith = null;
+        if (with != null) {
+            reconciler.compare(now, with);
+        }
+        lastSync = now;
+        nextSync = now + health.stretched((long) (settings.syncNs() * (0.75 + random.nextDouble() / 2)));
+    }
+
+    /** Once an interval. */
+    private void keep(long now) {
+        lookAround(now);
+        knocks.knock(now, cutOff);
+        hearsay(now);
+        judgement.forget(now);
+        judgement.settle(now, QUIET * settings.intervalNs());
+        Statement s = self.statement();
+        if (now >= nextFigures) {
+            self.say(now, s.config(), s.phase(), twin(s.twin()), digest(), latest, s.facts());
+            gossip.tellFigures(self.id);
+            nextFigures = now + (long) (settings.figuresNs(roster.size()) * (0.75 + random.nextDouble() / 2));
+        }
+    }
+
+    /** A twin that is gone is none. */
+    private long twin(long life) {
+        return life != 0 && roster.present().stream().anyMatch(p -> p.id.life() == life) ? life : 0;
+    }
+
+    private void lookAround(long now) {
+        int lately = 1;
+        int now1 = 1;
+        for (Peer p : roster.all()) {
+            if (p.present()) {
+                p.presentAt = now;
+            }
+            if (p.verdict != Standing.LEFT && p.presentAt != Long.MIN_VALUE
+                    && now - p.presentAt <= settings.windowNs()) {
+                lately++;
+                now1 += p.verdict == Standing.ALIVE ? 1 : 0;
+            }
+        }
+        known = lately;
+        // Who hears nothing at all sees nobody, however long it takes to suspect all one by one.
+        seen = now - heardAt > SILENCE * settings.intervalNs() ? 1 : now1;
+        boolean off = 2 * seen < known;
+        if (off != cutOff) {
+            cutOff = off;
+            out.changed(new Change(off ? Change.Kind.CUT_OFF : Change.Kind.REJOINED, self.id,
+                    "sees " + seen + " of " + known, roster.size()));
+        }
+    }
+
+    private void hearsay(long now) {
+        int asked = 0;
+        for (Roster.Hearsay h : List.copyOf(roster.hearsay())) {
+            if (h.rumour.heard().accuses() || h.rumour.standing() == Standing.LEFT) {
+                if (now - h.at > settings.syncNs() * 3) {
+                    roster.forget(h); // nobody else knows of it
+                }
+            } else if (h.asked >= TRIES) {
+                roster.forget(h);
+            } else if (now >= h.askAt && asked < PROOFS) {
+                asked++;
+                h.asked++;
+                h.askAt = now + 2 * settings.intervalNs();
+                detector.prove(now, h.rumour.statement().address(), h.rumour.id());
+            }
+        }
+    }
+
+    /** Of all that are alive here, itself included. */
+    private int digest() {
+        CRC32 sum = new CRC32();
+        boolean own = false;
+        for (Peer p : roster.all()) {
+            if (!own && p.id.compareTo(self.id) > 0) {
+                own = true;
+                add(sum, self.id.life());
+            }
+            if (p.verdict == Standing.ALIVE) {
+                add(sum, p.id.life());
+            }
+        }
+        if (!own) {
+            add(sum, self.id.life());
+        }
+        return (int) sum.getValue();
+    }
+
+    private static void add(CRC32 sum, long life) {
+        for (int shift = 56; shift >= 0; shift -= 8) {
+            sum.update((int) (life >>> shift) & 0xff);
+        }
+    }
+
+    // ---- the view ----
+
+    /** How many are present, this process included. */
+    public int size() {
+        return roster.size();
+    }
+
+    /** Does it see fewer than half of those that it saw lately? */
+    public boolean cutOff() {
+        return cutOff;
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+
+    /** The whole view, with its ages as of that time. */
+    public View view(long now) {
+        int digest = digest();
+        List<View.Member> members = new ArrayList<>();
+        for (Peer p : roster.all()) {
+            View.Status status = switch (p.verdict) {
+                case ALIVE -> View.Status.ALIVE;
+                case SUSPECTED -> View.Status.SUSPECTED;
+                case GONE -> cutOff ? View.Status.UNKNOWN : View.Status.GONE;
+                default -> View.Status.LEFT;
+            };
+            members.add(new View.Member(p.id, p.statement, status, ms(now - p.since), p.why, ms(now - p.statedAt),
+                    ms(now - p.startedAt()), p.heard.incarnation(), p.statement.twin() != 0, p.onlyByOthers,
+                    p.answeredAt == Long.MIN_VALUE ? -1 : ms(now - p.answeredAt),
+                    !p.present() || p.statement.view() == digest));
+        }
+        members.sort(Comparator.comparing((View.Member m) -> m.id().name()).thenComparing(View.Member::upMs));
+        Statement s = self.statement();
+        View.Member me = new View.Member(self.id, s, self.left() ? View.Status.LEFT : View.Status.ALIVE,
+                ms(now - self.startedAt()), "", ms(now - self.statedAt()), ms(now - self.startedAt()),
+                self.incarnation(), s.twin() != 0, false, 0, true);
+        return new View(me, cutOff, known, seen, judgement.settled(), health.score(), List.copyOf(members));
+    }
+
+    private static long ms(long ns) {
+        return Math.max(0, ns) / MS;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/peers/Reconciler.java
@@ -0,0 +1,198 @@
+package gullspar.peers;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import java.util.zip.CRC32;
+import java.util.zip.CRC32C;
+
+/**
+ * Compares views with one member at a time, so that what rumours missed comes right all the same: a digest for each
+ * of 32 ranges of lives, and where one differs, what is known of each life in it, in pages; then both sides tell
+ * what the other lacks.
+ */
+final class Reconciler {
+    static final int RANGES = 32;
+    private static final int SHIFT = 64 - 5;
+    /** Datagrams that one step of a comparison may take; what is left over comes at the next. */
+    private static final int PAGES = 8;
+
+    private final Self self;
+    private final Roster roster;
+    private final Judgement judgement;
+    private final Post post;
+    private final RandomGenerator random;
+
+    Reconciler(Self self, Roster roster, Judgement judgement, Post post, RandomGenerator random) {
+        this.self = self;
+        this.roster = roster;
+        this.judgement = judgement;
+        this.post = post;
+        this.random = random;
+    }
+
+    /** Begins a comparison. */
+    void compare(long now, Peer with) {
+        if (post.affords(1, now)) {
+            List<Long> ranges = digests();
+            post.plain(now, with, 4 + 9 * RANGES, h -> new Message.Digest(h, ranges));
+        }
+    }
+
+    private NavigableMap<Long, Message.Known> known() {
+        TreeMap<Long, Message.Known> known = new TreeMap<>(Long::compareUnsigned);
+        for (Peer p : roster.all()) {
+            known.put(p.id.life(), new Message.Known(p.id.life(), p.heard.incarnation(), p.heard.standing(),
+                    p.statement.revision()));
+        }
+        known.put(self.id.life(), new Message.Known(self.id.life(), self.incarnation(), self.heard().standing(),
+                self.statement().revision()));
+        return known;
+    }
+
+    /** Two sums of 32 bits for each range, of what is known in the order of lives. */
+    private List<Long> digests() {
+        List<Long> digests = new ArrayList<>(RANGES);
+        NavigableMap<Long, Message.Known> known = known();
+        for (int i = 0; i < RANGES; i++) {
+            CRC32 a = new CRC32();
+            CRC32C b = new CRC32C();
+            ByteBuffer bytes = ByteBuffer.allocate(17);
+            for (Message.Known k : known.subMap(first(i), true, last(i), true).values()) {
+                bytes.clear().putLong(k.life()).putInt(k.incarnation()).put((byte) k.standing().ordinal())
+                        .putInt(k.revision());
+                a.update(bytes.array());
+                b.update(bytes.array());
+            }
+            digests.add(a.getValue() << 32 | b.getValue());
+        }
+        return digests;
+    }
+
+    private static long first(int range) {
+        return (long) range << SHIFT;
+    }
+
+    private static long last(int range) {
+        return first(range) | -1L >>> 64 - SHIFT;
+    }
+
+    /** The other's digests: what is known here of the ranges that differ goes back. */
+    void digest(long now, Peer from, Message.Digest d) {
+        if (d.ranges().size() != RANGES) {
+            return; // another version's; rumours go on
+        }
+        List<Long> mine = digests();
+        NavigableMap<Long, Message.Known> known = known();
+        int begin = random.nextInt(RANGES);
+        int pages = PAGES;
+        for (int i = 0; i < RANGES && pages > 0; i++) {
+            int range = (begin + i) % RANGES;
+            if (!mine.get(range).equals(d.ranges().get(range))) {
+                pages = list(now, from, known, first(range), last(range), pages);
+            }
+        }
+    }
+
+    private int list(long now, Peer to, NavigableMap<Long, Message.Known> known, long first, long last,
+            int pages) {
+        int most = (post.room() - 22) / Message.Known.BYTES;
+        long from = first;
+        int left = pages;
+        List<Message.Known> page = new ArrayList<>();
+        for (Message.Known k : known.subMap(first, true, last, true).values()) {
+            if (page.size() == most) {
+                left = listing(now, to, from, k.life() - 1, page, left);
+                from = k.life();
+                page = new ArrayList<>();
+                if (left == 0) {
+                    return 0;
+                }
+            }
+            page.add(k);
+        }
+        return listing(now, to, from, last, page, left);
+    }
+
+    private int listing(long now, Peer to, long from, long last, List<Message.Known> page, int left) {
+        if (left == 0 || !post.affords(1, now)) {
+            return 0;
+        }
+        post.plain(now, to, 22 + page.size() * Message.Known.BYTES,
+                h -> new Message.Listing(h, from, last, page));
+        return left - 1;
+    }
+
+    /** What the other knows of some lives. */
+    void listing(long now, Peer from, Message.Listing l) {
+        NavigableMap<Long, Message.Known> mine = known();
+        Map<Long, Identity> names = names();
+        List<Long> want = new ArrayList<>();
+        List<Rumour> tell = new ArrayList<>();
+        NavigableMap<Long, Message.Known> missing = Long.compareUnsigned(l.from(), l.to()) > 0 ? new TreeMap<>()
+                : new TreeMap<>(mine.subMap(l.from(), true, l.to(), true));
+        for (Message.Known k : l.known()) {
+            missing.remove(k.life());
+            Message.Known m = mine.get(k.life());
+            if (m == null) {
+                want.add(k.life());
+                continue;
+            }
+            Heard theirs = new Heard(k.incarnation(), k.standing());
+            Heard ours = new Heard(m.incarnation(), m.standing());
+            if (k.revision() > m.revision() || theirs.compareTo(ours) > 0 && k.life() != self.id.life()) {
+                want.add(k.life());
+            } else if (theirs.compareTo(ours) > 0) {
+                judgement.learn(now, new Rumour(self.id, k.incarnation(), k.standing(), "", 0, null, 0), from);
+            }
+            if (m.revision() > k.revision() || ours.compareTo(theirs) > 0) {
+                tell.add(rumour(now, names.get(k.life()), m.revision() > k.revision()));
+            }
+        }
+        missing.keySet().forEach(life -> tell.add(rumour(now, names.get(life), true)));
+        tell(now, from, tell);
+        pages(want, post.room() / Message.Want.BYTES, w -> {
+            if (post.affords(1, now)) {
+                post.plain(now, from, 3 + w.size() * Message.Want.BYTES, h -> new Message.Want(h, w));
+            }
+        });
+    }
+
+    /** The other wants to hear of these lives. */
+    void want(long now, Peer from, Message.Want w) {
+        Map<Long, Identity> names = names();
+        tell(now, from, w.lives().stream().filter(names::containsKey).distinct()
+                .map(life -> rumour(now, names.get(life), true)).toList());
+    }
+
+    private void tell(long now, Peer to, List<Rumour> rumours) {
+        int most = PAGES * 3;
+        pages(rumours, most, page -> {
+            if (post.affords(PAGES, now)) {
+                post.tell(now, to, page);
+            }
+        });
+    }
+
+    private static <T> void pages(List<T> all, int size, Consumer<List<T>> each) {
+        for (int i = 0; i < all.size(); i += size) {
+            each.accept(List.copyOf(all.subList(i, Math.min(all.size(), i + size))));
+        }
+    }
+
+    private Map<Long, Identity> names() {
+        Map<Long, Identity> names = new TreeMap<>();
+        roster.all().forEach(p -> names.put(p.id.life(), p.id));
+        names.put(self.id.life(), self.id);
+        return names;
+    }
+
+    private Rumour rumour(long now, Identity id, boolean withStatement) {
+        return id.equals(self.id) ? self.rumour(now, withStatement) : roster.get(id).rumour(now, withStatement);
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/peers/Rumour.java
@@ -0,0 +1,35 @@
+package gullspar.peers;
+
+/**
+ * What one says of a life to another.
+ *
+ * @param by who accuses it, where somebody does, else empty
+ * @param sinceMs for how long its standing has been as it is, in ms
+ * @param statement what it said of itself, or null where only the standing is told
+ * @param statedMs how long ago it said that, in ms
+ */
+public record Rumour(Identity id, int incarnation, Standing standing, String by, long sinceMs,
+        Statement statement, long statedMs) {
+    /** Numbers, lengths and types, at most. */
+    private static final int REST = 48;
+
+    public Rumour {
+        if (incarnation < 0 || !Identity.worded(by) || sinceMs < 0 || statedMs < 0
+                || statement != null && !statement.id().equals(id)) {
+            throw new IllegalArgumentException("not a rumour of " + id);
+        }
+    }
+
+    Heard heard() {
+        return new Heard(incarnation, standing);
+    }
+
+    /** At most this many on the wire. */
+    int bytes() {
+        return bytes(id, by, statement);
+    }
+
+    static int bytes(Identity id, String by, Statement statement) {
+        return REST + id.name().length() + by.length() + (statement == null ? 0 : statement.bytes());
+    }
+}
