--- /dev/null
+++ b/src/main/java/gullspar/rehearse/judge/FleetJudge.java
@@ -0,0 +1,193 @@
+package gullspar.rehearse.judge;
+
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.Look;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Judges how the proxies saw each other: by what each answered when it was asked, against what is known of
+ * their processes and of the ways between them.
+ */
+final class FleetJudge {
+    /** A rate is one only over so long. */
+    private static final double LEAST_UP_S = 3;
+
+    private final Script.Peers asked;
+    private final Chronicle chronicle;
+    private final long slackNs;
+    private final List<Broken> broken = new ArrayList<>();
+    /** Whose a life was, and when it lived: learnt from what the processes said of themselves. */
+    private final Map<String, Chronicle.Life> lives = new HashMap<>();
+    /** The last that an observer said of a life. */
+    private final Map<String, Look.Seen> last = new HashMap<>();
+    private final Set<String> told = new TreeSet<>();
+
+    private FleetJudge(Script script, Chronicle chronicle, long slackNs) {
+        this.asked = script.peers();
+        this.chronicle = chronicle;
+        this.slackNs = slackNs;
+    }
+
+    static List<Broken> judge(Script script, Chronicle chronicle, long slackNs) {
+        FleetJudge j = new FleetJudge(script, chronicle, slackNs);
+        for (Look l : chronicle.looks()) {
+            chronicle.lives().stream().filter(x -> x.proxy().equals(l.proxy()) && x.from() <= l.at()
+                    && l.at() <= x.until()).findFirst().ifPresent(x -> j.lives.putIfAbsent(l.life(), x));
+        }
+        chronicle.looks().forEach(j::look);
+        return j.broken;
+    }
+
+    private static long ns(double s) {
+        return (long) (s * 1e9);
+    }
+
+    /** Once for each kind of thing that is wrong: the first shows it. */
+    private void wrong(Rule rule, long at, String key, String what) {
+        if (told.add(rule + key)) {
+            broken.add(new Broken(rule, at, what, null));
+        }
+    }
+
+    private boolean livesAt(Chronicle.Life l, long at) {
+        return l.from() <= at && at + slackNs < l.until();
+    }
+
+    /** How long ago both of them were last struck, or began; negative while one is. */
+    private long calmFor(String a, String b, long at) {
+        long since = Math.max(chronicle.settledSince(a, at), chronicle.settledSince(b, at));
+        for (Chronicle.Life l : chronicle.lives()) {
+            if (l.from() <= at && (l.proxy().equals(a) || l.proxy().equals(b))) {
+                since = Math.max(since, l.from());
+            }
+        }
+        return at - since;
+    }
+
+    private void look(Look l) {
+        Chronicle.Life me = lives.get(l.life());
+        if (me == null) {
+            return; // asked while it ended
+        }
+        for (Look.Seen s : l.seen()) {
+            Chronicle.Life other = lives.get(s.life());
+            String who = l.proxy() + " of " + s.name() + '/' + s.life();
+            if (other != null && livesAt(other, l.at())) {
+                if (s.status().equals("gone") && calmFor(l.proxy(), s.name(), l.at()) > ns(asked.quietS())) {
+                    wrong(Rule.FLEET_TRUE, l.at(), who, l.proxy() + " calls " + s.name()
+                            + " gone, which lives and was not struck for " + asked.quietS() + " s");
+                }
+            } else if (other != null && s.present()) {
+                long dead = Math.min(l.at() - other.until(), l.at() - chronicle.settledSince(l.proxy(),
+                        l.at()));
+                if (Math.min(dead, l.at() - me.from()) > ns(asked.goneS())) {
+                    wrong(Rule.FLEET_TRUE, l.at(), who, l.proxy() + " still has " + s.name() + " (life "
+                            + s.life()
+                            + ") as " + s.status() + ", which ended more than " + asked.goneS() + " s ago");
+                }
+            }
+            deaf(l, s, who);
+            noWayBack(l, s, who);
+        }
+        accused(l, me);
+        agreed(l);
+        honest(l);
+        if (l.upS() > LEAST_UP_S && l.sentBytes() / l.upS() > asked.bytesPerS()) {
+            wrong(Rule.FLEET_CHEAP, l.at(), l.life(), l.proxy() + " sent " + (long) (l.sentBytes() / l.upS())
+                    + " bytes a second, of " + asked.bytesPerS());
+        }
+    }
+
+    /** Whoever hears none of the others cannot do its part, however well it is heard. */
+    private void deaf(Look l, Look.Seen s, String who) {
+        long span = ns(asked.goneS());
+        if (s.present() && chronicle.deafThrough(s.name(), l.at() - span, l.at())
+                && chronicle.lives().stream().anyMatch(x -> x.proxy().equals(l.proxy())
+                        && x.from() < l.at() - span
+                        && livesAt(x, l.at()))) {
+            wrong(Rule.FLEET_TRUE, l.at(), who + " deaf", l.proxy() + " has " + s.name() + " as " + s.status()
+                    + ", which has heard none of the others for " + asked.goneS() + " s");
+        }
+    }
+
+    private void noWayBack(Look l, Look.Seen s, String who) {
+        Look.Seen before = last.put(l.life() + who, s);
+        if (before != null && (s.incarnation() < before.incarnation()
+                || before.status().equals("left") && !s.status().equals("left"))) {
+            wrong(Rule.FLEET_FORWARD, l.at(), who, l.proxy() + " had " + s.name() + " as " + before.status()
+                    + " in incarnation " + before.incarnation() + ", and then as " + s.status() + " in "
+                    + s.incarnation());
+        }
+    }
+
+    private void accused(Look l, Chronicle.Life me) {
+        double minutes = Math.max(1, l.upS() / 60);
+        boolean struck = chronicle.settledSince(l.proxy(), l.at()) != Long.MIN_VALUE
+                || chronicle.partings().stream().anyMatch(p -> p.from() <= l.at());
+        if (!struck && l.objections() > asked.accusationsPerMin() * minutes) {
+            wrong(Rule.FLEET_TRUE, l.at(), l.life() + " accused", l.proxy()
+                    + ", which was never struck, had to object "
+                    + l.objections() + " times in " + (l.at() - me.from()) / 1_000_000_000
+                            + " s to being called gone");
+        }
+    }
+
+    /** Long enough after the last fault anywhere each sees all that live, and nobody else as present. */
+    private void agreed(Look l) {
+        long calm = Long.MAX_VALUE;
+        Set<String> living = new TreeSet<>();
+        for (Chronicle.Life x : chronicle.lives()) {
+            if (x.from() <= l.at()) {
+                calm = Math.min(calm, calmFor(x.proxy(), x.proxy(), l.at()));
+                calm = Math.min(calm, x.until() <= l.at() ? l.at() - x.until() : Long.MAX_VALUE);
+                if (livesAt(x, l.at())) {
+                    living.add(x.proxy());
+                }
+            }
+        }
+        if (calm <= ns(asked.agreeS())) {
+            return;
+        }
+        Set<String> sees = new TreeSet<>();
+        sees.add(l.proxy());
+        l.seen().stream().filter(s -> s.status().equals("alive")).forEach(s -> sees.add(s.name()));
+        if (!sees.equals(living)) {
+            wrong(Rule.FLEET_AGREES, l.at(), l.proxy(), l.proxy() + " sees " + sees + " alive, and there are "
+                    + living + ", " + asked.agreeS() + " s after the last fault");
+        }
+    }
+
+    /**
+     * While a minority is cut off from all others, and these were there lately, it says so; the rest does
+     * not.
+     */
+    private void honest(Look l) {
+        List<Chronicle.Parted> now = chronicle.partings().stream()
+                .filter(p -> p.from() <= l.at() && l.at() < p.until()).toList();
+        if (now.size() != 1) {
+            return; // several at once: who hears whom is another question
+        }
+        Chronicle.Parted p = now.get(0);
+        long since = l.at() - p.from();
+        long living = chronicle.lives().stream().filter(x -> livesAt(x, l.at())).count();
+        boolean allAlong = chronicle.lives().stream().allMatch(x ->
+                x.until() <= p.from() - ns(asked.windowS())
+                || x.from() < p.from() - ns(asked.agreeS()) && x.until() > l.at());
+        if (!allAlong || since < ns(asked.goneS()) || since > ns(asked.windowS() * 0.9)) {
+            return;
+        }
+        long side = p.one().contains(l.proxy()) ? p.one().size() : living - p.one().size();
+        boolean minority = 2 * side < living;
+        if (minority != l.cutOff()) {
+            wrong(Rule.FLEET_HONEST, l.at(), l.proxy(), l.proxy() + " hears " + (side - 1) + " of "
+                    + (living - 1)
+                    + " others and says that it is " + (l.cutOff() ? "" : "not ") + "cut off");
+        }
+    }
+}
--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -60,6 +60,9 @@
                     + " clients that sent no sensible request got neither an error nor a close within 3 s",
                             null));
         }
+        if (script.peers() != null) {
+            broken.addAll(FleetJudge.judge(script, chronicle, slackNs));
+        }
         double service = service(chronicle.orders());
         int worstFrom = worstFrom();
         double worst = worstFrom < 0 ? service : windows.get(worstFrom);
--- a/src/main/java/gullspar/rehearse/judge/Rule.java
+++ b/src/main/java/gullspar/rehearse/judge/Rule.java
@@ -8,6 +8,13 @@
     DRAINS_KEPT("nothing new goes to a node later than the grace after the proxy was told that it drains or "
             + "is gone"),
     COLD_SPARED("no cold node is pushed over by all proxies together"),
+    FLEET_TRUE("no proxy that lives and can be reached is called gone for long, and each dead one leaves "
+            + "every view"),
+    FLEET_AGREES("a while after the last fault all proxies see the same, and it is so"),
+    FLEET_FORWARD("nothing that was said of a life is taken back: no incarnation falls, nobody who left "
+            + "returns"),
+    FLEET_HONEST("a proxy that sees fewer than half of those that it saw lately says so, and no other does"),
+    FLEET_CHEAP("to keep a view of the fleet costs each proxy no more than its budget"),
     EXPECTED("the script expects it");
 
     private final String words;
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -5,6 +5,7 @@
 import gullspar.proxy.io.Platform;
 import gullspar.rehearse.judge.Judge;
 import gullspar.rehearse.judge.Verdict;
+import gullspar.rehearse.net.Datagrams;
 import gullspar.rehearse.play.Cast;
 import gullspar.rehearse.play.Played;
 import gullspar.rehearse.play.Progress;
@@ -76,6 +77,7 @@
     private final CompletableFuture<Void> begun = new CompletableFuture<>();
     private final Thread atExit = new Thread(this::killAll, "end of the daemons");
     private final Cast cast;
+    private final LiveFleet fleet;
     private boolean over;
 
     private LivePlay(Script script) throws IOException {
@@ -84,6 +86,9 @@
         this.ways = new LiveWays(script.seed());
         Runtime.getRuntime().addShutdownHook(atExit);
         this.cast = new Cast(this, script, this);
+        this.fleet = script.peers() == null ? null : new LiveFleet(script, folder, loop, clock::now,
+                cast.proxies(),
+                cast.chronicle()::looked);
     }
 
     /** Plays a day to its end; an IOException if it cannot be played here. */
@@ -102,6 +107,9 @@
                 begun.complete(null);
             });
             cast.proxies().forEach(this::start);
+            if (fleet != null) {
+                fleet.look(p -> daemons.containsKey(p) && daemons.get(p).alive());
+            }
         });
         try {
             begun.get(READY_S, TimeUnit.SECONDS);
@@ -210,6 +218,9 @@
             over = true;
             killAll();
             transports.values().forEach(LiveTransport::reset);
+            if (fleet != null) {
+                fleet.relay.close();
+            }
         });
         daemons.values().forEach(DaemonProcess::awaitEnd);
         loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
@@ -274,9 +285,9 @@
     private JsonNode settings(String name) {
         long seed = Agenda.mix(script.seed() * 31 + 9 + Cast.index(name) * 1000L + lives.getOrDefault(name,
                 1));
-        return ProxySettings.of(script, Cast.index(name), name, address(name), cast.fleet().discovery(name),
-                seed,
-                cast.fleet().known(name));
+        JsonNode settings = ProxySettings.of(script, Cast.index(name), name, address(name),
+                cast.fleet().discovery(name), seed, cast.fleet().known(name));
+        return fleet == null ? settings : fleet.with(name, settings);
     }
 
     private void start(String name) {
@@ -291,6 +302,7 @@
             DaemonProcess d = DaemonProcess.start(folder, name, settings(name), script.proxies().memoryMb(),
                     line -> loop.execute(() -> say(who, line)));
             daemons.put(name, d);
+            cast.chronicle().began(name, now());
             d.onEnd(() -> loop.execute(() -> ended(name, d)));
             cast.front().started(name);
         } catch (IOException e) {
@@ -299,6 +311,9 @@
     }
 
     private void ended(String name, DaemonProcess d) {
+        if (daemons.get(name) == d) {
+            cast.chronicle().ended(name, now());
+        }
         if (!over && !ending.contains(name) && daemons.get(name) == d) {
             cast.chronicle().crashed(name, "exit code " + d.exitCode(), now());
             cast.front().ended(name);
@@ -368,16 +383,30 @@
     @Override
     public void slower(String from, String to, long byNs) {
         ways.slower(from, to, byNs);
+        if (fleet != null) {
+            fleet.relay.way(from, to).slower(byNs);
+        }
     }
 
     @Override
     public void lossy(String from, String to, double share) {
         ways.lossy(from, to, share);
+        if (fleet != null) {
+            fleet.relay.way(from, to).lossy(share);
+        }
     }
 
     @Override
     public void cut(String from, String to, boolean on) {
         ways.cut(from, to, on);
+        if (fleet != null) {
+            fleet.relay.way(from, to).cut(on);
+        }
+    }
+
+    @Override
+    public void trouble(String from, String to, Datagrams.Trouble t, double figure) {
+        fleet.relay.trouble(from, to, t, figure);
     }
 
     @Override
--- a/src/main/java/gullspar/rehearse/net/Network.java
+++ b/src/main/java/gullspar/rehearse/net/Network.java
@@ -6,6 +6,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelOption;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,12 +40,17 @@
     private final Map<String, Link> links = new HashMap<>();
     private final Map<InetSocketAddress, Host> addresses = new HashMap<>();
     private final List<Runnable> held = new ArrayList<>();
+    private final Map<InetSocketAddress, MemoryDatagramChannel> sockets = new HashMap<>();
+    private final Map<String, Datagrams> datagrams = new HashMap<>();
+    /** Apart from that of connections, whose draws must not depend on who else talks. */
+    private final SplittableRandom datagramRandom;
     private int channels;
     private int ports = 30_000;
 
     public Network(Agenda agenda, long seed, Distance distance) {
         this.agenda = agenda;
         this.random = new SplittableRandom(seed);
+        this.datagramRandom = new SplittableRandom(seed ^ 0x5bd1e995);
         this.distance = distance;
     }
 
@@ -62,6 +68,46 @@
         return links.computeIfAbsent(from + '>' + to, k -> new Link(distance.ns(from, to), 0));
     }
 
+    /** What the way from one machine to another does to datagrams. */
+    public Datagrams datagrams(String from, String to) {
+        return datagrams.computeIfAbsent(from + '>' + to, k -> new Datagrams());
+    }
+
+    /** A trouble of datagrams begins or ends on the way from one machine to another. */
+    public void trouble(String from, String to, Datagrams.Trouble t, double figure) {
+        datagrams(from, to).trouble(t, figure, (ns, d) -> sockets.values().stream()
+                .filter(s -> s.host().name.equals(to)).findFirst().ifPresent(s -> arrive(host(from), null, s,
+                        ns, d)));
+    }
+
+    void bind(InetSocketAddress address, MemoryDatagramChannel socket) throws BindException {
+        if (sockets.putIfAbsent(address, socket) != null) {
+            throw new BindException("address in use: " + address);
+        }
+    }
+
+    void unbind(InetSocketAddress address, MemoryDatagramChannel socket) {
+        sockets.remove(address, socket);
+    }
+
+    /** A datagram sets out; whoever is at the address when it arrives gets it, if anybody. */
+    void datagram(MemoryDatagramChannel from, InetSocketAddress source, InetSocketAddress to, byte[] bytes) {
+        MemoryDatagramChannel there = sockets.get(to);
+        if (there != null) {
+            datagrams(from.host().name, there.host().name).carry(bytes, datagramRandom,
+                    (ns, d) -> arrive(from.host(), source, there, ns, d));
+        }
+    }
+
+    private void arrive(Host from, InetSocketAddress source, MemoryDatagramChannel to, long ns,
+            byte[] bytes) {
+        agenda.at(agenda.now() + link(from.name, to.host().name).delayNs + ns, 0, () -> {
+            if (from.reachable && to.host().reachable && to.isOpen()) {
+                to.arrived(source, bytes);
+            }
+        });
+    }
+
     /** Cuts a way: what is sent on it is held until it is whole again, and nobody is told. */
     public void cut(String from, String to, boolean on) {
         link(from, to).cut = on;
@@ -82,6 +128,8 @@
     /** The process of a machine has ended: its connections are reset, nothing listens there any more. */
     public void ended(Host host) {
         host.listeners.clear();
+        List.copyOf(sockets.values()).stream().filter(s ->
+                s.host() == host).forEach(MemoryDatagramChannel::doClose);
         List<MemoryChannel> open = List.copyOf(host.open);
         host.open.clear();
         open.forEach(MemoryChannel::abandoned);
@@ -164,6 +212,14 @@
                         .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                         .localAddress(address);
             }
+
+            @Override
+            public Bootstrap datagrams(InetSocketAddress address) {
+                return new Bootstrap().group(host.loop)
+                        .channelFactory(() -> new MemoryDatagramChannel(Network.this, host))
+                        .option(ChannelOption.ALLOCATOR,
+                                UnpooledByteBufAllocator.DEFAULT).localAddress(address);
+            }
         };
     }
 }
--- a/src/main/java/gullspar/rehearse/play/Strikes.java
+++ b/src/main/java/gullspar/rehearse/play/Strikes.java
@@ -1,5 +1,7 @@
 package gullspar.rehearse.play;
 
+import gullspar.rehearse.net.Datagrams;
+
 /**
  * What the timeline can do to the proxies and to the ways between machines: this differs by how a day is
  * played.
@@ -27,4 +29,7 @@
     void reset(String from, String to);
 
     void vanish(String machine, boolean on);
+
+    /** A trouble of the datagrams on a way between two proxies; 0 ends it. */
+    void trouble(String from, String to, Datagrams.Trouble t, double figure);
 }
--- a/src/main/java/gullspar/rehearse/play/Timeline.java
+++ b/src/main/java/gullspar/rehearse/play/Timeline.java
@@ -1,7 +1,9 @@
 package gullspar.rehearse.play;
 
 import gullspar.proxy.io.Platform;
+import gullspar.rehearse.net.Datagrams;
 import gullspar.rehearse.script.Fault;
+import gullspar.rehearse.script.FaultKind;
 import gullspar.rehearse.script.Script;
 import gullspar.rehearse.stage.Chronicle;
 import gullspar.rehearse.stage.Crowd;
@@ -67,12 +69,20 @@
         chronicle.happened(stage.now(), f.toString());
         switch (f.kind().strikes()) {
             case NODES -> struck(f, fleet.running(), random).forEach(n -> node(f, n));
-            case PROXIES -> struck(f, proxies, random).forEach(p -> proxy(f, p));
+            case PROXIES -> {
+                List<String> struck = struck(f, proxies, random);
+                if (f.kind() == FaultKind.PARTITION) {
+                    partition(f, struck);
+                } else {
+                    struck.forEach(p -> proxy(f, p));
+                }
+            }
             case CLASS -> {
                 crowd.heavy(f.names().get(0), f.figure("share"), f.figure("times"));
                 after(f.lasts(), () -> crowd.heavy(f.names().get(0), 0, 1));
             }
             case LINK -> ways(f);
+            case DATAGRAMS -> datagrams(f);
             default -> fleet(f);
         }
         if (f.lasts() > 0) {
@@ -126,8 +136,26 @@
         });
     }
 
+    private void partition(Fault f, List<String> one) {
+        List<String> other = new ArrayList<>(proxies);
+        other.removeAll(one);
+        chronicle.parted(stage.now(), stage.now() + (long) (f.lasts() * 1e9), one);
+        unsettled(f, proxies);
+        during(f, on -> one.forEach(a -> other.forEach(b -> {
+            strikes.cut(a, b, on);
+            strikes.cut(b, a, on);
+        })));
+    }
+
+    /** What these see of others, and others of them, may be wrong until it is over, and a while longer. */
+    private void unsettled(Fault f, List<String> who) {
+        long now = stage.now();
+        who.forEach(p -> chronicle.unsettled(p, now, now + (long) (f.lasts() * 1e9)));
+    }
+
     private void proxy(Fault f, String p) {
         long now = stage.now();
+        unsettled(f, List.of(p));
         switch (f.kind()) {
             case RUSH -> {
                 front.rush(p, f.figure("share"));
@@ -168,6 +196,13 @@
         String from = f.names().get(0);
         String to = f.names().get(1);
         long now = stage.now();
+        if (proxies.containsAll(machines(from)) && proxies.containsAll(machines(to))) {
+            unsettled(f, machines(from));
+            unsettled(f, machines(to));
+            if (f.kind() == FaultKind.CUT_LINK && from.equals("proxies")) {
+                machines(to).forEach(p -> chronicle.deaf(p, now, now + (long) (f.lasts() * 1e9)));
+            }
+        }
         excuse(from, to, now, now + (long) (f.lasts() * 1e9) + AFTER_NS);
         excuse(to, from, now, now + (long) (f.lasts() * 1e9) + AFTER_NS);
         switch (f.kind()) {
@@ -181,6 +216,27 @@
         }
     }
 
+    private void datagrams(Fault f) {
+        String from = f.names().get(0);
+        String to = f.names().get(1);
+        unsettled(f, machines(from));
+        unsettled(f, machines(to));
+        Datagrams.Trouble t = switch (f.kind()) {
+            case JITTERY_LINK -> Datagrams.Trouble.JITTER;
+            case DOUBLED_LINK -> Datagrams.Trouble.TWICE;
+            case TORN_LINK -> Datagrams.Trouble.TORN;
+            case FLIPPED_LINK -> Datagrams.Trouble.FLIPPED;
+            default -> Datagrams.Trouble.STALLED;
+        };
+        double figure = f.kind() == FaultKind.JITTERY_LINK ? f.figure("adds_ms") * 1e6
+                : f.kind() == FaultKind.STALLED_LINK ? 1 : f.figure("share");
+        during(f, on -> each(from, to, (a, b) -> {
+            if (!a.equals(b)) {
+                strikes.trouble(a, b, t, on ? figure : 0);
+            }
+        }));
+    }
+
     /** What a client does not get over a way that is not sound is not the proxy's fault. */
     private void excuse(String from, String to, long since, long until) {
         if (from.equals("clients")) {
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -1,23 +1,32 @@
 package gullspar.rehearse.play;
 
+import gullspar.config.Fleet;
 import gullspar.decide.Balancer;
 import gullspar.decide.Policy;
+import gullspar.peers.Settings;
+import gullspar.peers.net.Membership;
+import gullspar.peers.wire.Envelope;
 import gullspar.proxy.Proxy;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
 import gullspar.proxy.config.Fnv;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.operator.Companion;
 import gullspar.rehearse.judge.Judge;
+import gullspar.rehearse.net.Datagrams;
 import gullspar.rehearse.net.Host;
 import gullspar.rehearse.net.MemoryChannel;
 import gullspar.rehearse.net.Network;
 import gullspar.rehearse.record.DecisionLog;
 import gullspar.rehearse.script.Script;
 import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.Look;
 import gullspar.rehearse.stage.Stage;
 import gullspar.rehearse.time.Agenda;
 import gullspar.rehearse.time.VirtualLoop;
 import io.netty.channel.Channel;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.io.Writer;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -26,7 +35,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
 import java.util.function.UnaryOperator;
 
 /**
@@ -41,6 +52,8 @@
     /** The share of a start after which the daemon asks for the list: 0.7 of 2.5 s as seen on half a core. */
     private static final double ASKS_AFTER = 0.3;
     private static final int MOST_LOG_LINES = 10_000;
+    private static final int PEER_PORT = 9900;
+    private static final long LOOK_NS = 250_000_000L;
 
     /**
      * How a day is to be played. decisions gets the decision log, or is null; module and platform stand
@@ -48,7 +61,12 @@
      * plants a fault.
      */
     public record Options(Writer decisions, UnaryOperator<Balancer.Factory> module,
-            UnaryOperator<Platform> platform, Progress progress) {
+            UnaryOperator<Platform> platform, Progress progress, Peering peering) {
+        public Options(Writer decisions, UnaryOperator<Balancer.Factory> module,
+                UnaryOperator<Platform> platform, Progress progress) {
+            this(decisions, module, platform, progress, new Peering(Fnv::hash, UnaryOperator.identity()));
+        }
+
         /** Nothing but the day. */
         public static Options plain() {
             return logged(null, Progress.NONE);
@@ -60,6 +78,11 @@
         }
     }
 
+    /**
+     * How a process of that name draws its life, and how it watches the fleet; for tests that plant faults.
+     */
+    public record Peering(ToLongFunction<String> lives, UnaryOperator<Settings> settings) { }
+
     private final Script script;
     private final Options options;
     private final Agenda agenda;
@@ -70,6 +93,7 @@
     private final Map<Integer, String> nodeNames = new HashMap<>();
     private final List<String> log = new ArrayList<>();
     private final DecisionLog decisions;
+    private final Envelope keys = new Envelope(List.of(new byte[Envelope.LEAST_KEY_BYTES]));
     private final Cast cast;
     private final Chronicle chronicle;
     private Throwable slip;
@@ -94,6 +118,9 @@
         long began = System.nanoTime(); // only to say how long it took
         cast.open();
         cast.proxies().forEach(this::start);
+        if (script.peers() != null) {
+            look();
+        }
         long[] end = {EPOCH_NS + READY_NS};
         cast.begin(() -> end[0] = agenda.now() + (long) (script.seconds() * 1e9));
         run(end);
@@ -202,6 +229,8 @@
         private final int number;
         private final VirtualLoop loop;
         private Proxy proxy;
+        private Membership member;
+        private boolean paused;
 
         Life(int number, VirtualLoop loop) {
             this.number = number;
@@ -230,6 +259,15 @@
         Platform platform = options.platform().apply(
                 new Platform(life.loop, agenda::now, network.transport(host), line -> say(who, line)));
         long warm = (long) (script.proxies().startS() * 1e9);
+        if (script.peers() != null) {
+            chronicle.began(name, agenda.now());
+            Fleet fleet = fleet(name);
+            life.loop.execute(() -> life.member = Membership.join(fleet,
+                    options.peering().settings().apply(Membership.settings(fleet)), keys,
+                    Agenda.mix(script.seed() * 31 + 12 + options.peering().lives().applyAsLong(who)),
+                            platform,
+                    () -> life.proxy == null ? Companion.Load.NONE : life.proxy.load()));
+        }
         life.loop.schedule(() -> {
             cast.fleet().startsKnowing(name);
             Proxy asking = Proxy.asking(config(name, number), platform,
@@ -237,12 +275,43 @@
             life.loop.schedule(() -> {
                 life.proxy = asking;
                 asking.open();
+                if (life.member != null) {
+                    life.member.at(Companion.Stage.SERVING);
+                }
                 // The front looks at it from now on.
                 loop.execute(() -> cast.front().started(name));
             }, warm - (long) (warm * ASKS_AFTER), TimeUnit.NANOSECONDS);
         }, (long) (warm * ASKS_AFTER), TimeUnit.NANOSECONDS);
     }
 
+    /** The first three are everybody's seeds. */
+    private Fleet fleet(String name) {
+        Script.Peers p = script.peers();
+        return new Fleet(name, peer(name), null, cast.proxies().stream().limit(3).map(this::peer).toList(),
+                null,
+                cast.front().site(name), (long) (p.intervalMs() * 1e6), (long) (p.windowS() * 1e9), 0);
+    }
+
+    private InetSocketAddress peer(String name) {
+        return new InetSocketAddress(address(name).getAddress(), PEER_PORT);
+    }
+
+    /** Asks each that runs how it sees the fleet, again and again. */
+    private void look() {
+        lives.forEach((name, life) -> {
+            String answer = life.member == null || life.loop.ended() || life.paused ? null
+                    : life.member.answer("/_fleet");
+            if (answer != null) {
+                try {
+                    chronicle.looked(Look.of(agenda.now(), answer));
+                } catch (IOException e) {
+                    throw new UncheckedIOException("a proxy answered what is no view", e);
+                }
+            }
+        });
+        loop.schedule(this::look, LOOK_NS, TimeUnit.NANOSECONDS);
+    }
+
     private void say(String who, String line) {
         if (log.size() < MOST_LOG_LINES) {
             log.add(String.format(Locale.ROOT, "%.6f %s %s", (agenda.now() - EPOCH_NS) / 1e9, who, line));
@@ -251,6 +320,9 @@
 
     private void endNow(String name, Life life) {
         life.loop.end();
+        if (script.peers() != null) {
+            chronicle.ended(name, agenda.now());
+        }
         network.ended(network.host(name));
     }
 
@@ -276,7 +348,11 @@
             return;
         }
         cast.front().ended(name);
-        life.proxy.drain().thenRun(() -> {
+        if (life.member != null) {
+            life.loop.execute(() -> life.member.at(Companion.Stage.DRAINING));
+        }
+        life.proxy.drain().thenCompose(v -> life.member == null ? CompletableFuture.completedFuture(null)
+                : life.member.leave()).thenRun(() -> {
             if (!life.loop.ended()) {
                 // Not from inside its own wake-up.
                 loop.execute(() -> {
@@ -298,6 +374,7 @@
 
     @Override
     public void pause(String name, boolean on) {
+        lives.get(name).paused = on;
         lives.get(name).loop.pause(on);
     }
 
@@ -306,16 +383,24 @@
     @Override
     public void slower(String from, String to, long byNs) {
         network.link(from, to).slower(byNs);
+        network.datagrams(from, to).slower(byNs);
     }
 
     @Override
     public void lossy(String from, String to, double share) {
         network.link(from, to).lossy(share);
+        network.datagrams(from, to).lossy(share);
     }
 
     @Override
     public void cut(String from, String to, boolean on) {
         network.cut(from, to, on);
+        network.datagrams(from, to).cut(on);
+    }
+
+    @Override
+    public void trouble(String from, String to, Datagrams.Trouble t, double figure) {
+        network.trouble(from, to, t, figure);
     }
 
     @Override
--- a/src/main/java/gullspar/rehearse/script/Fault.java
+++ b/src/main/java/gullspar/rehearse/script/Fault.java
@@ -19,8 +19,10 @@
     public String toString() {
         StringBuilder s = new StringBuilder(kind.named());
         String some = count + (kind.strikes() == FaultKind.Strikes.NODES ? " node" : " proxy");
+        boolean way = kind.strikes() == FaultKind.Strikes.LINK
+                || kind.strikes() == FaultKind.Strikes.DATAGRAMS;
         String what = names.isEmpty() ? count == 1 ? some : some.replace("proxy", "proxie") + "s"
-                : String.join(kind.strikes() == FaultKind.Strikes.LINK ? " to " : ", ", names);
+                : String.join(way ? " to " : ", ", names);
         s.append(kind.strikes() == FaultKind.Strikes.FLEET ? "" : " " + what);
         figures.forEach((k, v) -> s.append(' ').append(k).append('=').append(Fields.plain(v)));
         return s.toString();
--- a/src/main/java/gullspar/rehearse/script/FaultKind.java
+++ b/src/main/java/gullspar/rehearse/script/FaultKind.java
@@ -38,6 +38,18 @@
     LOSSY_LINK(Strikes.LINK, figure("share", 0.02, 0.0001, 0.9)),
     /** A way carries nothing, in this direction only; nobody is told. */
     CUT_LINK(Strikes.LINK),
+    /** Datagrams of a way take longer by up to so much each, so they overtake one another. */
+    JITTERY_LINK(Strikes.DATAGRAMS, figure("adds_ms", 200, 0.1, 10_000)),
+    /** A share of a way's datagrams comes twice. */
+    DOUBLED_LINK(Strikes.DATAGRAMS, figure("share", 0.2, 0.001, 1)),
+    /** A share of a way's datagrams comes cut short. */
+    TORN_LINK(Strikes.DATAGRAMS, figure("share", 0.1, 0.001, 1)),
+    /** A share of a way's datagrams comes with a bit turned round. */
+    FLIPPED_LINK(Strikes.DATAGRAMS, figure("share", 0.1, 0.001, 1)),
+    /** A way holds its datagrams, and then delivers all at once. */
+    STALLED_LINK(Strikes.DATAGRAMS),
+    /** Those struck and the other proxies hear nothing of each other. */
+    PARTITION(Strikes.PROXIES),
     /** The connections of a way are reset, once. */
     RESET_LINK(Strikes.LINK),
     /** A node's machine vanishes; when it is back it resets the connections that it had. */
@@ -59,8 +71,11 @@
     /** A proxy stands still (SIGSTOP), and goes on. */
     PAUSE(Strikes.PROXIES);
 
-    /** What a fault strikes: nodes or proxies by number or name, a way from one machine to another... */
-    public enum Strikes { NODES, PROXIES, CLASS, LINK, FLEET }
+    /**
+     * What a fault strikes: nodes or proxies by number or name, a way from one machine to another, the
+     * datagrams on a way between proxies...
+     */
+    public enum Strikes { NODES, PROXIES, CLASS, LINK, DATAGRAMS, FLEET }
 
     /** A figure of a fault: its name, the value where none is given, and its bounds. */
     public record Figure(String name, double usual, double least, double most) { }
@@ -93,6 +108,11 @@
         };
     }
 
+    /** Is it one of those that only proxies with a view of the fleet feel? */
+    public boolean betweenProxies() {
+        return strikes == Strikes.DATAGRAMS || this == PARTITION;
+    }
+
     /** The name in scripts. */
     public String named() {
         return Fields.named(this);
--- a/src/main/java/gullspar/rehearse/script/Script.java
+++ b/src/main/java/gullspar/rehearse/script/Script.java
@@ -8,12 +8,13 @@
 
 /**
  * What is to be rehearsed: a fleet, its sites, proxies and clients, and what goes wrong when. The figures are
- * ranges; a day draws from them by its seed.
+ * ranges; a day draws from them by its seed. peers: null where the proxies know nothing of each other.
  */
 public record Script(String title, double seconds, long seed, List<String> sites, Range siteDelayMs,
         Range localDelayMs, Proxies proxies, List<NodeKind> nodes, List<RequestClass> classes,
                 Clients clients,
-        Discovery discovery, Rules rules, List<Fault> faults, Map<String, Double> expect, Search search) {
+        Discovery discovery, Rules rules, List<Fault> faults, Map<String, Double> expect, Search search,
+        Peers peers) {
 
     /** The proxies and what each is told of its limits. */
     public record Proxies(int count, double cores, int memoryMb, int sockets, int attempts,
@@ -44,6 +45,15 @@
     /** How news of the nodes reach the proxies; calls of all are answered in turn, each after answerMs. */
     public record Discovery(Range delayMs, Range weightPeriodMs, Range noticeS, double answerMs) { }
 
+    /**
+     * The view of the fleet that the proxies keep, and what is asked of it, in s: who lives and can be
+     * reached is not called gone for longer than quiet, who is dead has left every view after gone, and
+     * after the last fault all views are equal within agree. bytesPerS: what one of them sends, on average;
+     * accusationsPerMin: how often one that was never struck has to object to being called gone.
+     */
+    public record Peers(double intervalMs, double windowS, double quietS, double goneS, double agreeS,
+            int bytesPerS, double accusationsPerMin) { }
+
     /** The rules in figures. */
     public record Rules(double drainGraceMs, double startCapacity, double coldS, double tipMultiple,
             double fallS) { }
@@ -69,19 +79,19 @@
     public Script with(long otherSeed) {
         return new Script(title, seconds, otherSeed, sites, siteDelayMs, localDelayMs, proxies, nodes,
                 classes,
-                clients, discovery, rules, faults, expect, search);
+                clients, discovery, rules, faults, expect, search, peers);
     }
 
     /** The same, as long as that. */
     public Script with(double otherSeconds) {
         return new Script(title, otherSeconds, seed, sites, siteDelayMs, localDelayMs, proxies, nodes,
                 classes,
-                clients, discovery, rules, faults, expect, search);
+                clients, discovery, rules, faults, expect, search, peers);
     }
 
     /** The same with other faults. */
     public Script with(List<Fault> others) {
         return new Script(title, seconds, seed, sites, siteDelayMs, localDelayMs, proxies, nodes, classes,
-                clients, discovery, rules, others, expect, search);
+                clients, discovery, rules, others, expect, search, peers);
     }
 }
--- a/src/main/java/gullspar/rehearse/script/ScriptReader.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -76,16 +76,18 @@
         Script.Clients clients = clients(f.table("clients"));
         Script.Discovery discovery = discovery(f.table("discovery"));
         Script.Rules rules = rules(f.table("rules"));
+        Script.Peers peers = f.has("peers") ? peers(f.table("peers")) : null;
         int fleet = nodes.stream().mapToInt(Script.NodeKind::count).sum();
         Names names = new Names(numbered("n", fleet), numbered("p", proxies.count()),
                 new LinkedHashSet<>(classes.stream().map(Script.RequestClass::name).toList()));
-        List<Fault> faults = f.tables("fault").stream().map(t -> fault(t, seconds, names)).toList();
+        List<Fault> faults = f.tables("fault").stream().map(t -> fault(t, seconds, names,
+                peers != null)).toList();
         Map<String, Double> expect = expect(f.table("expect"));
-        Script.Search search = search(f.table("search"));
+        Script.Search search = search(f.table("search"), peers != null);
         f.noOthers();
         return new Script(title, seconds, seed, sites, siteDelay, localDelay, proxies, nodes, classes,
                 clients,
-                discovery, rules, faults, expect, search);
+                discovery, rules, faults, expect, search, peers);
     }
 
     private static void distinct(Fields f, String key, List<String> names) {
@@ -203,9 +205,20 @@
         return expect;
     }
 
-    private Script.Search search(Fields f) {
+    private static Script.Peers peers(Fields f) {
+        Script.Peers p = new Script.Peers(f.number("interval_ms", 1000, 50, 60_000),
+                f.number("window_s", 60, 1, 3600), f.number("quiet_s", 5, 0, 600), f.number("gone_s", 90,
+                        0.1, 3600),
+                f.number("agree_s", 60, 0.1, 3600), f.whole("bytes_per_s", 20_000, 100, 1 << 24),
+                f.number("accusations_per_min", 6, 0, 1e6));
+        f.noOthers();
+        return p;
+    }
+
+    private Script.Search search(Fields f, boolean peers) {
         List<FaultKind> kinds = new ArrayList<>();
-        for (String name : f.texts("kinds", Stream.of(FaultKind.values()).map(FaultKind::named).toList())) {
+        for (String name : f.texts("kinds", Stream.of(FaultKind.values())
+                .filter(k -> peers || !k.betweenProxies()).map(FaultKind::named).toList())) {
             Stream.of(FaultKind.values()).filter(k -> k.named().equals(name)).findFirst()
                     .ifPresentOrElse(kinds::add,
                     () -> f.wrong("kinds", "names '" + name + "', which is no kind of fault"));
@@ -224,8 +237,11 @@
     /** Who can be struck by name. */
     private record Names(Set<String> nodes, Set<String> proxies, Set<String> classes) { }
 
-    private Fault fault(Fields f, double seconds, Names names) {
+    private Fault fault(Fields f, double seconds, Names names, boolean peers) {
         FaultKind kind = f.choice("kind", FaultKind.class, null);
+        if (kind.betweenProxies() && !peers) {
+            f.wrong("kind", "strikes what proxies tell each other, and there is no [peers]");
+        }
         double at = f.number("at", 0, LONGEST_S);
         if (at >= seconds) {
             f.wrong("at", "is " + Fields.plain(at) + ", but the day ends at " + Fields.plain(seconds));
@@ -249,6 +265,8 @@
                     figures);
             case LINK -> new Fault(kind, at, lasts, 1, List.of(end(f, "from", names), end(f, "to", names)),
                     figures);
+            case DATAGRAMS -> new Fault(kind, at, lasts, 1,
+                    List.of(proxyEnd(f, "from", names), proxyEnd(f, "to", names)), figures);
             case FLEET -> new Fault(kind, at, lasts, 0, List.of(), figures);
         };
         f.noOthers();
@@ -282,6 +300,15 @@
         return list.size() <= 6 ? String.join(", ", list) : list.get(0) + " to " + list.get(list.size() - 1);
     }
 
+    /** One end of a way between proxies: one, or all. */
+    private static String proxyEnd(Fields f, String key, Names names) {
+        String end = f.text(key);
+        if (!end.isEmpty() && !end.equals("proxies") && !names.proxies().contains(end)) {
+            f.wrong(key, "is '" + end + "', not a proxy or proxies");
+        }
+        return end;
+    }
+
     /** One end of a way: a machine, or all of a sort. */
     private static String end(Fields f, String key, Names names) {
         String end = f.text(key);
--- a/src/main/java/gullspar/rehearse/script/ScriptWriter.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptWriter.java
@@ -52,13 +52,13 @@
         line("title", text(s.title())).line("seconds", plain(s.seconds())).line("seed", s.seed())
                 .line("sites", texts(s.sites())).line("site_delay_ms", range(s.siteDelayMs()))
                 .line("local_delay_ms", range(s.localDelayMs()));
-        Script.Proxies p = s.proxies();
+        Script.Proxies x = s.proxies();
         table("[proxies]");
-        line("count", p.count()).line("cores", plain(p.cores())).line("memory_mb", p.memoryMb())
-                .line("sockets", p.sockets()).line("attempts", p.attempts()).line("cancelling",
-                        p.cancelling())
-                .line("retry_after_ms", plain(p.retryAfterMs()))
-                .line("connect_timeout_ms", plain(p.connectTimeoutMs())).line("start_s", plain(p.startS()));
+        line("count", x.count()).line("cores", plain(x.cores())).line("memory_mb", x.memoryMb())
+                .line("sockets", x.sockets()).line("attempts", x.attempts()).line("cancelling",
+                        x.cancelling())
+                .line("retry_after_ms", plain(x.retryAfterMs()))
+                .line("connect_timeout_ms", plain(x.connectTimeoutMs())).line("start_s", plain(x.startS()));
         s.nodes().forEach(this::nodes);
         s.classes().forEach(this::requestClass);
         Script.Clients c = s.clients();
@@ -76,6 +76,14 @@
         line("drain_grace_ms", plain(r.drainGraceMs())).line("start_capacity", plain(r.startCapacity()))
                 .line("cold_s", plain(r.coldS())).line("tip_multiple", plain(r.tipMultiple()))
                 .line("fall_s", plain(r.fallS()));
+        if (s.peers() != null) {
+            Script.Peers p = s.peers();
+            table("[peers]");
+            line("interval_ms", plain(p.intervalMs())).line("window_s", plain(p.windowS()))
+                    .line("quiet_s", plain(p.quietS())).line("gone_s", plain(p.goneS()))
+                    .line("agree_s", plain(p.agreeS())).line("bytes_per_s", p.bytesPerS())
+                    .line("accusations_per_min", plain(p.accusationsPerMin()));
+        }
         if (!s.expect().isEmpty()) {
             table("[expect]");
             s.expect().forEach((k, v) -> line(k, plain(v)));
@@ -120,7 +128,7 @@
                     : texts(f.names()));
         } else if (strikes == Strikes.CLASS) {
             line("class", text(f.names().get(0)));
-        } else if (strikes == Strikes.LINK) {
+        } else if (strikes == Strikes.LINK || strikes == Strikes.DATAGRAMS) {
             line("from", text(f.names().get(0))).line("to", text(f.names().get(1)));
         }
         f.figures().forEach((k, v) -> line(k, plain(v)));
--- a/src/main/java/gullspar/rehearse/search/Draw.java
+++ b/src/main/java/gullspar/rehearse/search/Draw.java
@@ -56,13 +56,21 @@
             case CLASS -> new Fault(kind, at, lasts, 1,
                     List.of(s.classes().get(r.nextInt(s.classes().size())).name()), figures);
             case LINK -> new Fault(kind, at, lasts, 1, ends(s, r), figures);
+            case DATAGRAMS -> new Fault(kind, at, lasts, 1, List.of(proxies(s, r), proxies(s, r)), figures);
             default -> new Fault(kind, at, lasts, 0, List.of(), figures);
         };
     }
 
+    private static String proxies(Script s, SplittableRandom r) {
+        return r.nextInt(3) == 0 ? "proxies" : "p" + (1 + r.nextInt(s.proxies().count()));
+    }
+
     /** Proxies to nodes or back, or one of them to one, or the clients' way to the proxies. */
     private static List<String> ends(Script s, SplittableRandom r) {
         String proxy = r.nextBoolean() ? "proxies" : "p" + (1 + r.nextInt(s.proxies().count()));
+        if (s.peers() != null && r.nextBoolean()) {
+            return List.of(proxy, proxies(s, r));
+        }
         String other = switch (r.nextInt(4)) {
             case 0 -> "clients";
             case 1 -> "discovery";
--- a/src/main/java/gullspar/rehearse/stage/Chronicle.java
+++ b/src/main/java/gullspar/rehearse/stage/Chronicle.java
@@ -39,6 +39,17 @@
     private final List<String> rudeServed = new ArrayList<>();
     private int rudeSent;
     private int rudeIgnored;
+    private final List<Look> looks = new ArrayList<>();
+    private final List<Life> lives = new ArrayList<>();
+    private final Map<String, List<Stretch>> unsettled = new HashMap<>();
+    private final List<Parted> parted = new ArrayList<>();
+    private final Map<String, List<Stretch>> deaf = new HashMap<>();
+
+    /** One process of a proxy, from its start to its end; MAX_VALUE while it lives. */
+    public record Life(String proxy, long from, long until) { }
+
+    /** Some proxies heard nothing of the others. */
+    public record Parted(long from, long until, List<String> one) { }
 
     /** The day begins now: times in reports count from here. */
     public void begins(long now) {
@@ -122,6 +133,74 @@
         happened(at, proxy + " ended by itself: " + how);
     }
 
+    // ---- the view of the fleet ----
+
+    /** A process of a proxy has begun. */
+    public void began(String proxy, long at) {
+        lives.add(new Life(proxy, at, Long.MAX_VALUE));
+    }
+
+    /** The last process of a proxy has ended. */
+    public void ended(String proxy, long at) {
+        for (int i = lives.size() - 1; i >= 0; i--) {
+            Life l = lives.get(i);
+            if (l.proxy.equals(proxy)) {
+                lives.set(i, new Life(proxy, l.from, Math.min(l.until, at)));
+                return;
+            }
+        }
+    }
+
+    /** In that time a proxy may have been seen wrongly, or have seen others so. */
+    public void unsettled(String proxy, long from, long until) {
+        unsettled.computeIfAbsent(proxy, p -> new ArrayList<>()).add(new Stretch(from, until));
+    }
+
+    /** In that time a proxy heard nothing of any other. */
+    public void deaf(String proxy, long from, long until) {
+        deaf.computeIfAbsent(proxy, p -> new ArrayList<>()).add(new Stretch(from, until));
+    }
+
+    /** Was it so all the time between the two? */
+    public boolean deafThrough(String proxy, long from, long until) {
+        return deaf.getOrDefault(proxy, List.of()).stream().anyMatch(s -> s.from <= from && until <= s.until);
+    }
+
+    public void parted(long from, long until, List<String> one) {
+        parted.add(new Parted(from, until, List.copyOf(one)));
+    }
+
+    /** A proxy was asked how it sees the fleet. */
+    public void looked(Look l) {
+        looks.add(l);
+    }
+
+    public List<Look> looks() {
+        return looks;
+    }
+
+    public List<Life> lives() {
+        return lives;
+    }
+
+    public List<Parted> partings() {
+        return parted;
+    }
+
+    /**
+     * When the last stretch ended, at that time, in which a proxy was unsettled; MIN_VALUE if there was
+     * none.
+     */
+    public long settledSince(String proxy, long at) {
+        long last = Long.MIN_VALUE;
+        for (Stretch s : unsettled.getOrDefault(proxy, List.of())) {
+            if (s.from <= at) {
+                last = Math.max(last, Math.min(s.until, at));
+            }
+        }
+        return last;
+    }
+
     public List<Happening> crashes() {
         return crashes;
     }
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/stage/Look.java
@@ -0,0 +1,46 @@
+package gullspar.rehearse.stage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * How a proxy said that it sees the fleet, as it answers operators at {@code /_fleet}.
+ *
+ * @param sentBytes what it has sent since its start
+ * @param objections how often it had to say that it lives
+ */
+public record Look(long at, String proxy, String life, boolean cutOff, double upS, long sentBytes,
+        long objections,
+        List<Seen> seen) {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** One life of another proxy, as it is seen. */
+    public record Seen(String name, String life, String status, int incarnation) {
+        /** Is it held for somebody who is there, or may be? */
+        public boolean present() {
+            return status.equals("alive") || status.equals("suspected");
+        }
+    }
+
+    /** Reads an answer; an IOException if it is none. */
+    public static Look of(long at, String answer) throws IOException {
+        JsonNode n = JSON.readTree(answer);
+        List<Seen> seen = new ArrayList<>();
+        double up = 0;
+        for (JsonNode m : n.path("members")) {
+            if (m.path("self").asBoolean()) {
+                up = m.path("up_s").asDouble();
+            } else {
+                seen.add(new Seen(m.path("name").asText(), m.path("life").asText(), m.path("status").asText(),
+                        m.path("incarnation").asInt()));
+            }
+        }
+        return new Look(at, n.path("name").asText(), n.path("life").asText(), n.path("cut_off").asBoolean(),
+                up,
+                n.path("datagrams").path("sent_bytes").asLong(), n.path("objections").asLong(),
+                        List.copyOf(seen));
+    }
+}
--- a/src/test/java/gullspar/MainTest.java
+++ b/src/test/java/gullspar/MainTest.java
@@ -11,8 +11,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
 
 /** Exit codes of the command line. */
+@Isolated("what others print would come in between")
 class MainTest {
     private static int drill(byte... input) {
         InputStream in = System.in;
--- a/src/test/java/gullspar/cli/ImportTest.java
+++ b/src/test/java/gullspar/cli/ImportTest.java
@@ -16,8 +16,10 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Isolated;
 
 /** The command that imports: what it writes where, and its exit codes. */
+@Isolated("what others print would come in between")
 class ImportTest {
     private static final String GOOD = "server { listen 80; location / { proxy_pass http://10.0.0.1; } }\n";
     private static final String LOST = "server {\n  listen 80;\n  location / { proxy_pass http://10.0.0.1;\n"
--- a/src/test/java/gullspar/cli/KitCommandsTest.java
+++ b/src/test/java/gullspar/cli/KitCommandsTest.java
@@ -21,9 +21,11 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Isolated;
 
 /** The kit's commands as they are used: exit codes, what is printed where. */
 @Timeout(120)
+@Isolated("what others print would come in between")
 class KitCommandsTest {
     @TempDir
     Path folder;
--- a/src/test/java/gullspar/cli/RoutesTest.java
+++ b/src/test/java/gullspar/cli/RoutesTest.java
@@ -7,8 +7,10 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
 
 /** The commands that look at an operator's file. */
+@Isolated("what others print would come in between")
 class RoutesTest {
     private static final String FILE = "deploy/routes.example.toml";
 
--- a/src/test/java/gullspar/rehearse/live/LivePlayTest.java
+++ b/src/test/java/gullspar/rehearse/live/LivePlayTest.java
@@ -17,12 +17,15 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.parallel.ResourceAccessMode;
+import org.junit.jupiter.api.parallel.ResourceLock;
 
 /**
  * A day with real daemons. What it serves depends on the machine; that it was played, and how it ends, does
  * not.
  */
 @Timeout(180)
+@ResourceLock(value = "child processes", mode = ResourceAccessMode.READ_WRITE)
 class LivePlayTest {
     private static List<Long> daemons() {
         return ProcessHandle.current().children().filter(ProcessHandle::isAlive).map(ProcessHandle::pid)
--- /dev/null
+++ b/src/test/java/gullspar/rehearse/play/FleetDayTest.java
@@ -0,0 +1,359 @@
+package gullspar.rehearse.play;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.peers.Message;
+import gullspar.peers.Rumour;
+import gullspar.peers.Settings;
+import gullspar.peers.Standing;
+import gullspar.peers.wire.Codec;
+import gullspar.peers.wire.Envelope;
+import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Transport;
+import gullspar.rehearse.Days;
+import gullspar.rehearse.judge.Broken;
+import gullspar.rehearse.judge.Rule;
+import gullspar.rehearse.script.Script;
+import gullspar.rehearse.script.ScriptReader;
+import gullspar.rehearse.script.ScriptWriter;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.DatagramPacket;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Days with a view of the fleet: kept as it is, and broken by name where a fault is planted. */
+@Timeout(120)
+class FleetDayTest {
+    /** Numbers between two datagrams, for those that a test makes up. */
+    private static final long ROOM = 1000;
+    private static final String PEERS = """
+        [peers]
+        interval_ms = 200
+        window_s = 20
+        quiet_s = 4
+        gone_s = 7
+        agree_s = 10
+        bytes_per_s = 60000
+        """;
+
+    /** Five proxies, hardly any traffic. */
+    private static Script day(double seconds, String faults) {
+        return Days.parse(Days.text(seconds, PEERS + faults).replace("count = 2\nstart_s",
+                "count = 5\nstart_s")
+                .replace("rate = 150", "rate = 5"));
+    }
+
+    private static final Script KILLED = day(24, Days.fault("kill", 1,
+            "proxies = [\"p2\", \"p4\"]\ndown_s = 1"));
+    private static final Script PARTED = day(40, Days.fault("partition", 1,
+            "for = 10\nproxies = [\"p1\", \"p2\"]"));
+    private static final Script STOPPED = day(26, Days.fault("pause", 1, "for = 5\nproxies = [\"p3\"]"));
+    /** As good as no fault; p3 counts as struck by it, since others may well accuse it while it is slow. */
+    private static final Script QUIET = day(30, Days.fault("pause", 0.1, "for = 0.001\nproxies = [\"p3\"]"));
+    /** p5 is heard and hears nobody. */
+    private static final Script DEAF = day(20, Days.fault("cut-link", 1,
+            "for = 18\nfrom = \"proxies\"\nto = \"p5\""));
+
+    private static List<Broken> broken(Script s, VirtualPlay.Options options) {
+        return VirtualPlay.play(s, options).verdict().broken().stream()
+                .filter(b -> b.rule().name().startsWith("FLEET")).toList();
+    }
+
+    private static void caught(Rule rule, Script s, VirtualPlay.Options options) {
+        List<Broken> broken = broken(s, options);
+        assertTrue(broken.stream().anyMatch(b -> b.rule() == rule), () -> rule + " was not caught, but "
+                + broken);
+    }
+
+    @Test
+    void unplantedTheSameDaysKeepAllRules() {
+        for (Script s : List.of(QUIET, KILLED, PARTED, STOPPED, DEAF)) {
+            assertEquals(List.of(), broken(s, VirtualPlay.Options.plain()), s.faults().toString());
+        }
+    }
+
+    @Test
+    void theShippedDayKeepsAllRulesAndReadsBack() throws Exception {
+        Script s = ScriptReader.read(Path.of("examples/rehearsals/peers.toml"));
+        Played p = VirtualPlay.play(s, VirtualPlay.Options.plain());
+        assertEquals(List.of(), p.verdict().broken());
+        assertTrue(p.chronicle().looks().size() > 500, "looked " + p.chronicle().looks().size());
+        assertTrue(p.log().stream().anyMatch(l -> l.contains("fleet: cut off: sees ")),
+                "who is cut off says so");
+        assertEquals(s, ScriptReader.parse(ScriptWriter.write(s), "again"));
+        assertEquals(p.hash(), VirtualPlay.play(s, VirtualPlay.Options.plain()).hash());
+    }
+
+    // ---- planted ----
+
+    private static VirtualPlay.Options datagrams(Supplier<Filter> filters) {
+        return new VirtualPlay.Options(null, UnaryOperator.identity(), p -> new Platform(p.loop(), p.clock(),
+                new Filtered(p.transport(), filters), p.log()), Progress.NONE);
+    }
+
+    /** p3 has so little of a processor that it reads each datagram late. */
+    private static VirtualPlay.Options starved(UnaryOperator<Settings> settings) {
+        VirtualPlay.Options o = datagrams(() -> new Filter() {
+            private boolean p3;
+
+            @Override
+            Message out(Message m) {
+                p3 = m.header().from().name().equals("p3");
+                return m;
+            }
+
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                if (p3) {
+                    ctx.executor().schedule(() -> ctx.fireChannelRead(message), 250, TimeUnit.MILLISECONDS);
+                } else {
+                    ctx.fireChannelRead(message);
+                }
+            }
+        });
+        return new VirtualPlay.Options(null, o.module(), o.platform(), Progress.NONE,
+                new VirtualPlay.Peering(String::hashCode, settings));
+    }
+
+    /** Whoever is accused does not hear of it, so it does not object. */
+    @Test
+    void withoutObjectionsWhoLivesStaysGone() {
+        caught(Rule.FLEET_TRUE, STOPPED, datagrams(() -> new Filter() {
+            private String self;
+
+            @Override
+            Message in(Message m) {
+                return with(m, m.rumours().stream().filter(r -> !r.id().name().equals(self)).toList());
+            }
+
+            @Override
+            Message out(Message m) {
+                self = m.header().from().name();
+                return m;
+            }
+        }));
+    }
+
+    /** What tells one life of a process from the next is kept in memory only, and begins anew. */
+    @Test
+    void withTheSameLifeAfterARestartWhoIsBackStaysGone() {
+        caught(Rule.FLEET_TRUE, KILLED, new VirtualPlay.Options(null, UnaryOperator.identity(),
+                UnaryOperator.identity(), Progress.NONE, new VirtualPlay.Peering(who ->
+                        who.split("\\.")[0].hashCode(),
+                        UnaryOperator.identity())));
+    }
+
+    /** Nobody knocks at those that are gone, nor at seeds. */
+    @Test
+    void withoutKnocksTwoPartsStayApart() {
+        caught(Rule.FLEET_AGREES, PARTED, datagrams(() -> new Filter() {
+            @Override
+            Message out(Message m) {
+                boolean knock = m instanceof Message.Ping p && (p.target() == 0 || m.rumours().stream()
+                        .anyMatch(r -> r.id().life() == p.target() && r.standing() == Standing.GONE));
+                return knock ? null : m;
+            }
+        }));
+    }
+
+    /** Who has no processor trusts his own hearing all the same. */
+    @Test
+    void withoutOwnHealthWhoIsStarvedBlamesOthers() {
+        assertTrue(broken(QUIET, starved(UnaryOperator.identity())).stream()
+                .noneMatch(b -> b.rule() == Rule.FLEET_TRUE), "with it, it blames nobody");
+        caught(Rule.FLEET_TRUE, QUIET, starved(s -> new Settings(s.intervalNs(), s.timeoutNs(),
+                s.indirect(),
+                s.suspicion(), s.stretch(), s.confirmations(), 0, s.retell(), s.fanout(), s.syncNs(),
+                        s.figuresNs(),
+                s.knockMost(), s.forgetNs(), s.windowNs(), s.members(), s.bytesPerSecond())));
+    }
+
+    /** Whoever is heard is taken for one that answers. */
+    @Test
+    void withOneWayLinksCountedAsHealthyWhoHearsNobodyIsNotNoticed() {
+        caught(Rule.FLEET_TRUE, DEAF, datagrams(() -> new Filter() {
+            /** The last datagram of each life; made-up ones take the numbers up to the next. */
+            private final Map<Long, Message.Header> heard = new HashMap<>();
+
+            @Override
+            Message in(Message m) {
+                heard.put(m.header().from().life(), m.header());
+                return m;
+            }
+
+            @Override
+            Message out(Message m) {
+                return numbered(m, ROOM * m.header().number());
+            }
+
+            @Override
+            Message answerTo(Message m) {
+                Message.Header h = m instanceof Message.Ping p ? heard.get(p.target()) : null;
+                if (h == null) {
+                    return null;
+                }
+                Message.Header next = new Message.Header(h.from(), h.incarnation(), h.address(), h.number()
+                        + 1);
+                heard.put(h.from().life(), next);
+                return new Message.Ack(next, ((Message.Ping) m).nonce(), h.from(), h.incarnation(),
+                        List.of());
+            }
+        }));
+    }
+
+    /** More is sent than the budget allows. */
+    @Test
+    void whoTalksTooMuchIsNamed() {
+        caught(Rule.FLEET_CHEAP, Days.parse(Days.text(8, PEERS.replace("60000", "300"))),
+                VirtualPlay.Options.plain());
+    }
+
+    /** Changes what goes through a proxy's socket. */
+    abstract static class Filter extends ChannelDuplexHandler {
+        private final Envelope envelope = new Envelope(List.of(new byte[Envelope.LEAST_KEY_BYTES]));
+
+        Message in(Message m) {
+            return m;
+        }
+
+        Message out(Message m) {
+            return m;
+        }
+
+        /** What seems to have come in answer to what went out; null for nothing. */
+        Message answerTo(Message m) {
+            return null;
+        }
+
+        static Message with(Message m, List<Rumour> rumours) {
+            if (m instanceof Message.Ping p) {
+                return new Message.Ping(p.header(), p.nonce(), p.target(), p.hello(), rumours);
+            } else if (m instanceof Message.Ack a) {
+                return new Message.Ack(a.header(), a.nonce(), a.of(), a.incarnation(), rumours);
+            } else if (m instanceof Message.PingReq r) {
+                return new Message.PingReq(r.header(), r.nonce(), r.target(), r.address(), rumours);
+            } else if (m instanceof Message.Nack n) {
+                return new Message.Nack(n.header(), n.nonce(), rumours);
+            } else if (m instanceof Message.News n) {
+                return new Message.News(n.header(), rumours);
+            } else if (m instanceof Message.Listing l) {
+                return new Message.Listing(l.header(), l.from(), l.to(), List.of());
+            }
+            return m;
+        }
+
+        static Message numbered(Message m, long number) {
+            Message.Header o = m.header();
+            Message.Header h = new Message.Header(o.from(), o.incarnation(), o.address(), number);
+            if (m instanceof Message.Ping p) {
+                return new Message.Ping(h, p.nonce(), p.target(), p.hello(), p.rumours());
+            } else if (m instanceof Message.Ack a) {
+                return new Message.Ack(h, a.nonce(), a.of(), a.incarnation(), a.rumours());
+            } else if (m instanceof Message.PingReq r) {
+                return new Message.PingReq(h, r.nonce(), r.target(), r.address(), r.rumours());
+            } else if (m instanceof Message.Nack n) {
+                return new Message.Nack(h, n.nonce(), n.rumours());
+            } else if (m instanceof Message.News n) {
+                return new Message.News(h, n.rumours());
+            } else if (m instanceof Message.Listing l) {
+                return new Message.Listing(h, l.from(), l.to(), l.known());
+            } else if (m instanceof Message.Digest d) {
+                return new Message.Digest(h, d.ranges());
+            }
+            return new Message.Want(h, ((Message.Want) m).lives());
+        }
+
+        private Message read(DatagramPacket p) {
+            byte[] d = ByteBufUtil.getBytes(p.content());
+            try {
+                return Codec.decode(d, Envelope.front(), d.length - Envelope.front());
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        private DatagramPacket written(Message m, DatagramPacket like) {
+            return new DatagramPacket(Unpooled.wrappedBuffer(envelope.seal(Codec.encode(m))),
+                    like.recipient(),
+                    like.sender());
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            DatagramPacket p = (DatagramPacket) message;
+            Message m = read(p);
+            ctx.fireChannelRead(written(in(m), p));
+        }
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            DatagramPacket p = (DatagramPacket) message;
+            Message m = out(read(p));
+            if (m == null) {
+                promise.setSuccess();
+            } else {
+                ctx.write(written(m, p), promise);
+                Message answer = answerTo(m);
+                if (answer != null) {
+                    ctx.executor().schedule(() -> ctx.fireChannelRead(written(answer, p)), 2,
+                            TimeUnit.MILLISECONDS);
+                }
+            }
+        }
+    }
+
+    private record Filtered(Transport real, Supplier<Filter> filters) implements Transport {
+        @Override
+        public Bootstrap to(InetSocketAddress address) {
+            return real.to(address);
+        }
+
+        @Override
+        public ServerBootstrap at(InetSocketAddress address) {
+            return real.at(address);
+        }
+
+        @Override
+        public Bootstrap datagrams(InetSocketAddress address) {
+            Bootstrap bare = real.datagrams(address);
+            return new Bootstrap() {
+                @Override
+                public Bootstrap handler(ChannelHandler handler) {
+                    return bare.handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline().addLast(filters.get(), handler);
+                        }
+                    });
+                }
+
+                @Override
+                public <T> Bootstrap option(ChannelOption<T> option, T value) {
+                    bare.option(option, value);
+                    return this;
+                }
+            };
+        }
+    }
+}
--- a/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
+++ b/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
@@ -40,9 +40,11 @@
         String struck = switch (kind.strikes()) {
             case CLASS -> "class = \"look\"\n";
             case LINK -> "from = \"p1\"\nto = \"nodes\"\n";
+            case DATAGRAMS -> "from = \"p1\"\nto = \"proxies\"\n";
             default -> "";
         };
-        Fault f = Days.small(5, Days.fault(kind.named(), 1, struck + (kind.momentary() ? "" : "for = 2\n")))
+        Fault f = Days.small(5, (kind.betweenProxies() ? "[peers]\n" : "")
+                + Days.fault(kind.named(), 1, struck + (kind.momentary() ? "" : "for = 2\n")))
                 .faults().get(0);
         assertEquals(kind, f.kind());
         kind.figures().forEach(g -> assertEquals(g.usual(), f.figure(g.name())));
@@ -50,6 +52,7 @@
 
     @ParameterizedTest
     @CsvSource(delimiter = '~', quoteCharacter = '`', textBlock = """
+        kind = "partition"|for = 1                      | and there is no [peers]
         kind = "crush"                                  | kind is 'crush', not one of neighbour, rush
         kind = "crash"|nodes = 1.5                      | nodes must be a whole number, not 1.5
         kind = "crash"|nodes = ["n99"]                  | nodes names 'n99', and there is only n1 to n8
