--- a/src/main/java/gullspar/peers/Judgement.java
+++ b/src/main/java/gullspar/peers/Judgement.java
@@ -354,10 +354,12 @@
 
     /** Drops those that are gone for long. */
     void forget(long now) {
-        for (Peer p : List.copyOf(roster.all())) {
+        List<Peer> old = new ArrayList<>();
+        for (Peer p : roster.all()) {
             if (!p.present() && now - p.since >= settings.forgetNs()) {
-                roster.remove(p);
+                old.add(p);
             }
         }
+        old.forEach(roster::remove);
     }
 }
--- a/src/main/java/gullspar/peers/Peers.java
+++ b/src/main/java/gullspar/peers/Peers.java
@@ -389,6 +389,15 @@
         return roster.size();
     }
 
+    /** How many are alive, and not suspected, this process included. */
+    public int alive() {
+        int alive = 1;
+        for (Peer p : roster.present()) {
+            alive += p.verdict == Standing.ALIVE ? 1 : 0;
+        }
+        return alive;
+    }
+
     /** Does it see fewer than half of those that it saw lately? */
     public boolean cutOff() {
         return cutOff;
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -22,9 +22,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -117,7 +115,8 @@
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
         } catch (ExecutionException | TimeoutException e) {
-            throw new IOException("the proxies were not ready within " + READY_S + " s; they said: "
+            throw new IOException((e instanceof ExecutionException ? e.getCause().getMessage()
+                    : "the proxies were not ready within " + READY_S + " s") + "; they said: "
                     + String.join("; ", log.subList(Math.max(0, log.size() - 5), log.size())), e);
         }
     }
@@ -255,8 +254,11 @@
     @Override
     public InetSocketAddress address(String machine) {
         return addresses.computeIfAbsent(machine, m -> {
-            try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-                InetSocketAddress a = (InetSocketAddress) s.getLocalSocketAddress();
+            try {
+                InetSocketAddress a = Ports.tcp("127.0.0.4", 1).get(0);
+                while (names.containsKey(a)) {
+                    a = Ports.tcp("127.0.0.4", 1).get(0);
+                }
                 names.put(a, m);
                 return a;
             } catch (IOException e) {
