--- a/src/main/java/gullspar/cli/FleetView.java
+++ b/src/main/java/gullspar/cli/FleetView.java
@@ -108,7 +108,8 @@
                 notes.add("TWIN: two processes live under this name, life " + m.path("life").asText());
             }
             if (m.has("why")) {
-                notes.add(m.path("why").asText());
+                String why = m.path("why").asText();
+                notes.add(why.contains(" ") ? why : "accused by " + why);
             }
             if (m.path("only_by_others").asBoolean()) {
                 notes.add("answers others only");
--- a/src/main/java/gullspar/peers/net/Membership.java
+++ b/src/main/java/gullspar/peers/net/Membership.java
@@ -188,7 +188,8 @@
             case JOINED -> who + " joined, " + c.why();
             case SUSPECTED -> who + " is suspected, " + c.why();
             case CLEARED -> who + " is there after all";
-            case GONE -> who + " is gone" + (c.why().isEmpty() ? "" : ": " + c.why());
+            case GONE -> who + " is gone" + (c.why().isEmpty() ? "" : Identity.named(c.why())
+                    ? ", accused by " + c.why() : ": " + c.why());
             case BACK -> who + " is back";
             case LEFT -> who + " left";
             case TWIN -> who + ": " + c.why();
--- a/src/main/java/gullspar/proxy/operator/OperatorCall.java
+++ b/src/main/java/gullspar/proxy/operator/OperatorCall.java
@@ -77,7 +77,8 @@
     private void other(ChannelHandlerContext ctx, String path, boolean body) {
         String json = other.apply(path);
         if (json == null) {
-            answer(ctx, HttpResponseStatus.NOT_FOUND, "text/plain", "there are /_ready and /_vars\n", body);
+            answer(ctx, HttpResponseStatus.NOT_FOUND, "text/plain",
+                    "there are /_ready and /_vars, and /_fleet with [fleet]\n", body);
         } else {
             answer(ctx, HttpResponseStatus.OK, "application/json", json, body);
         }
--- a/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
+++ b/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
@@ -72,7 +72,7 @@
         assertTrue(p.chronicle().looks().stream().anyMatch(Look::cutOff), "a minority said that it is one");
         Look last = p.chronicle().looks().stream().max(Comparator.comparingLong(Look::at)).orElseThrow();
         assertEquals(6, last.seen().stream().filter(s -> s.status().equals("alive")).count());
-        for (String said : List.of("p3 is gone: p", "p2 is back", "stood still for ",
+        for (String said : List.of("p3 is gone, accused by p", "p2 is back", "stood still for ",
                 "objected to being called gone", "not cut off any more", "settled")) {
             assertTrue(p.log().stream().anyMatch(l -> l.contains("fleet: " + said)), said);
         }
