Three methods of the view of the fleet that nobody calls are gone

Change: Roster.byLife, Gossip.size and Carrier.platform are taken out; they are on no path that the platform loads.

Result: the tests of the state machine, of the borders and of the operators' file are green, style too.

--- a/src/main/java/gullspar/peers/Gossip.java
+++ b/src/main/java/gullspar/peers/Gossip.java
@@ -68,10 +68,6 @@
         return items.isEmpty();
     }
 
-    int size() {
-        return items.size();
-    }
-
     /** Fills so many bytes for one receiver, who needs not be told of himself. */
     void fill(List<Rumour> into, int room, Identity to, int tellings, int light) {
         int left = room;
--- a/src/main/java/gullspar/peers/Roster.java
+++ b/src/main/java/gullspar/peers/Roster.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
@@ -53,10 +52,6 @@
         return peers.values();
     }
 
-    NavigableMap<Identity, Peer> byLife() {
-        return peers;
-    }
-
     /** Those present; not to be changed. */
     List<Peer> present() {
         return present;
--- a/src/main/java/gullspar/peers/net/Carrier.java
+++ b/src/main/java/gullspar/peers/net/Carrier.java
@@ -116,10 +116,6 @@
         channel.close();
     }
 
-    public Platform platform() {
-        return platform;
-    }
-
     /** Datagrams that were dropped since they were not ours, by why. */
     public Map<Envelope.Refusal, Long> refused() {
         return refused;
