--- a/bench/fleet/hard.sh
+++ b/bench/fleet/hard.sh
@@ -8,7 +8,8 @@
 count=${2:-48}
 seeds=${3:-3}
 [ $# -le 3 ] || shift 3
-[ $# -gt 0 ] && [ "$1" != "$how" ] || set -- mass-death seeds-dead rolling halves ring stopped lossy flapping
+[ $# -gt 0 ] && [ "$1" != "$how" ] || set -- mass-death seeds-dead rolling halves ring stopped \
+    lossy flapping taken-over twins new-key forged mad starved
 folder=$(mktemp -d)
 trap 'rm -rf "$folder"' EXIT
 third=$((count / 3)) half=$((count / 2)) most=$((count * 7 / 10))
@@ -33,7 +34,9 @@
 
 faults() {
     case $1 in
-        mass-death) fault kill 2 "proxies = [$(names 1 "$most")]" "down_s = 2" ;;
+        mass-death)
+            fault kill 2 "proxies = [$(names 1 "$((most - count / 5))")]" "down_s = 2"
+            fault move 2 "proxies = [$(names "$((most - count / 5 + 1))" "$most")]" "down_s = 2" ;;
         seeds-dead) fault kill 2 'proxies = ["p1", "p2", "p3"]' "down_s = 40" ;;
         rolling)
             i=1
@@ -62,6 +65,14 @@
                 fault kill $((2 + 2 * i)) 'proxies = ["p7"]' "down_s = 0.5"
                 i=$((i + 1))
             done ;;
+        taken-over) fault take-over 2 'proxies = ["p1", "p5", "p9"]' "down_s = 2" ;;
+        twins) fault twin 2 "for = 70" 'proxies = ["p5"]' ;;
+        new-key) fault new-key 2 "for = 60" ;;
+        forged) fault forged-datagrams 2 "for = 70" 'proxies = ["p1", "p5", "p9"]' "per_s = 500"
+            fault kill 20 'proxies = ["p6", "p7"]' "down_s = 1" ;;
+        mad) fault mad-member 2 "for = 70" 'proxies = ["p5"]' "for_each = 100"
+            fault kill 20 'proxies = ["p6", "p7"]' "down_s = 1" ;;
+        starved) fault starved 2 "for = 40" 'proxies = ["p5", "p9"]' "share = 0.1" "period_ms = 3000" ;;
         *) echo "no such case: $1" >&2; exit 2 ;;
     esac
 }
--- a/src/main/java/gullspar/peers/net/Membership.java
+++ b/src/main/java/gullspar/peers/net/Membership.java
@@ -227,7 +227,7 @@
             Envelope keys = envelope(now == null ? fleet : now);
             String digest = digest(file);
             platform.loop().execute(() -> {
-                carrier.keys(keys);
+                keys(keys);
                 config = digest;
                 tell();
             });
@@ -237,6 +237,11 @@
         }
     }
 
+    /** Takes other keys from now on. On the loop. */
+    public void keys(Envelope keys) {
+        carrier.keys(keys);
+    }
+
     @Override
     public CompletableFuture<Void> leave() {
         CompletableFuture<Void> gone = new CompletableFuture<>();
--- a/src/main/java/gullspar/rehearse/judge/FleetJudge.java
+++ b/src/main/java/gullspar/rehearse/judge/FleetJudge.java
@@ -83,8 +83,14 @@
         for (Look.Seen s : l.seen()) {
             Chronicle.Life other = lives.get(s.life());
             String who = l.proxy() + " of " + s.name() + '/' + s.life();
+            if (other == null && s.present() && chronicle.lives().stream().noneMatch(x ->
+                    x.name().equals(s.name()))) {
+                wrong(Rule.FLEET_TRUE, l.at(), who, l.proxy() + " has " + s.name() + " as " + s.status()
+                        + ", which never was");
+            }
             if (other != null && livesAt(other, l.at())) {
-                if (s.status().equals("gone") && calmFor(l.proxy(), s.name(), l.at()) > ns(asked.quietS())) {
+                if (s.status().equals("gone") && calmFor(l.proxy(), other.proxy(), l.at())
+                        > ns(asked.quietS())) {
                     wrong(Rule.FLEET_TRUE, l.at(), who, l.proxy() + " calls " + s.name()
                             + " gone, which lives and was not struck for " + asked.quietS() + " s");
                 }
@@ -102,6 +108,7 @@
         }
         accused(l, me);
         agreed(l);
+        twins(l, me);
         honest(l);
         if (l.upS() > LEAST_UP_S && l.sentBytes() / l.upS() > asked.bytesPerS()) {
             wrong(Rule.FLEET_CHEAP, l.at(), l.life(), l.proxy() + " sent " + (long) (l.sentBytes() / l.upS())
@@ -152,7 +159,7 @@
                 calm = Math.min(calm, calmFor(x.proxy(), x.proxy(), l.at()));
                 calm = Math.min(calm, x.until() <= l.at() ? l.at() - x.until() : Long.MAX_VALUE);
                 if (livesAt(x, l.at())) {
-                    living.add(x.proxy());
+                    living.add(x.name());
                 }
             }
         }
@@ -160,7 +167,7 @@
             return;
         }
         Set<String> sees = new TreeSet<>();
-        sees.add(l.proxy());
+        sees.add(Chronicle.named(l.proxy()));
         l.seen().stream().filter(s -> s.status().equals("alive")).forEach(s -> sees.add(s.name()));
         if (!sees.equals(living)) {
             wrong(Rule.FLEET_AGREES, l.at(), l.proxy(), l.proxy() + " sees " + sees + " alive, and there are "
@@ -168,6 +175,28 @@
         }
     }
 
+    /** Two processes that live under one name are both seen, and named as that by all: neither wins. */
+    private void twins(Look l, Chronicle.Life me) {
+        for (Chronicle.Life x : chronicle.lives()) {
+            String name = x.name();
+            if (x.proxy().equals(name) || !livesAt(x, l.at())) {
+                continue;
+            }
+            Chronicle.Life first = chronicle.lives().stream().filter(y -> y.proxy().equals(name)
+                    && livesAt(y, l.at())).findFirst().orElse(null);
+            if (first == null || Math.min(calmFor(l.proxy(), name, l.at()), calmFor(x.proxy(), x.proxy(),
+                    l.at())) <= ns(asked.agreeS())) {
+                continue;
+            }
+            long seen = l.seen().stream().filter(s -> s.name().equals(name) && s.present()).count();
+            long owed = me.name().equals(name) ? 1 : 2;
+            if (seen != owed || l.seen().stream().noneMatch(s -> s.name().equals(name) && s.twin())) {
+                wrong(Rule.FLEET_TWINS, l.at(), l.proxy() + name, l.proxy() + " sees " + seen + " of the "
+                        + owed + " others that live under the name " + name + ", and does not name them");
+            }
+        }
+    }
+
     /**
      * While a minority is cut off from all others, and these were there lately, it says so; the rest does
      * not.
@@ -179,6 +208,9 @@
             return; // several at once: who hears whom is another question
         }
         Chronicle.Parted p = now.get(0);
+        if (chronicle.lives().stream().anyMatch(x -> !x.proxy().equals(x.name()) && livesAt(x, l.at()))) {
+            return; // a twin is on neither side
+        }
         long since = l.at() - p.from();
         long living = chronicle.lives().stream().filter(x -> livesAt(x, l.at())).count();
         boolean allAlong = chronicle.lives().stream().allMatch(x ->
--- a/src/main/java/gullspar/rehearse/judge/Rule.java
+++ b/src/main/java/gullspar/rehearse/judge/Rule.java
@@ -14,6 +14,7 @@
     FLEET_FORWARD("nothing that was said of a life is taken back: no incarnation falls, nobody who left "
             + "returns"),
     FLEET_HONEST("a proxy that sees fewer than half of those that it saw lately says so, and no other does"),
+    FLEET_TWINS("two processes that live under one name are both seen, and named to all: neither wins"),
     FLEET_CHEAP("to keep a view of the fleet costs each proxy no more than its budget"),
     EXPECTED("the script expects it");
 
--- a/src/main/java/gullspar/rehearse/live/LiveFleet.java
+++ b/src/main/java/gullspar/rehearse/live/LiveFleet.java
@@ -2,7 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import gullspar.peers.wire.Envelope;
+import gullspar.rehearse.net.Liar;
+import gullspar.rehearse.script.Fault;
+import gullspar.rehearse.script.FaultKind;
 import gullspar.rehearse.script.Script;
+import gullspar.rehearse.stage.Chronicle;
 import gullspar.rehearse.stage.Look;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -15,7 +20,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.Comparator;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -26,6 +33,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * The proxies' view of the fleet on a live day: their files, the relay between them, and questions to each.
@@ -33,17 +41,20 @@
 final class LiveFleet {
     private static final long LOOK_MS = 250;
     private static final Duration PATIENCE = Duration.ofMillis(900);
-    private static final int SEEDS = 3, KEY_BYTES = 32;
+    private static final int SEEDS = 3;
 
     private final Script script;
+    private final List<String> proxies;
     private final Path folder;
     private final EventLoop loop;
     private final LongSupplier clock;
     private final Consumer<Look> heard;
     final Relay relay;
-    private final Map<String, InetSocketAddress> homes = new HashMap<>();
-    private final Map<String, InetSocketAddress> fronts = new HashMap<>();
+    private final String seeds;
     private final Map<String, InetSocketAddress> operators = new HashMap<>();
+    private final Deque<Relay.Place> spare = new ArrayDeque<>();
+    private final Map<String, Liar> liars = new HashMap<>();
+    private final Map<String, List<Integer>> keys = new HashMap<>();
     /** Those that have not answered yet. */
     private final Map<String, Boolean> asked = new ConcurrentHashMap<>();
     private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
@@ -57,45 +68,88 @@
         this.clock = clock;
         this.heard = heard;
         this.relay = new Relay(loop, script.seed() * 31 + 11);
-        byte[] key = new byte[KEY_BYTES];
-        new SplittableRandom(script.seed()).nextBytes(key);
-        Files.writeString(folder.resolve("fleet.key"), HexFormat.of().formatHex(key) + "\n");
-        List<InetSocketAddress> udp = Ports.udp("127.0.0.2", proxies.size());
-        List<InetSocketAddress> tcp = Ports.tcp("127.0.0.3", proxies.size());
-        for (int i = 0; i < proxies.size(); i++) {
-            homes.put(proxies.get(i), udp.get(i));
-            operators.put(proxies.get(i), tcp.get(i));
-            fronts.put(proxies.get(i), relay.front(proxies.get(i), udp.get(i)));
+        List<String> all = new ArrayList<>(proxies);
+        if (script.faults().stream().anyMatch(f -> f.kind() == FaultKind.TWIN)) {
+            proxies.forEach(p -> all.add(p + Chronicle.TWIN));
         }
+        int moves = script.faults().stream().filter(f -> f.kind() == FaultKind.MOVE).mapToInt(Fault::count)
+                .sum();
+        List<InetSocketAddress> udp = Ports.udp("127.0.0.2", all.size() + moves);
+        List<InetSocketAddress> tcp = Ports.tcp("127.0.0.3", all.size());
+        List<Relay.Place> places = new ArrayList<>();
+        udp.forEach(home -> places.add(relay.open(home)));
+        for (int i = 0; i < all.size(); i++) {
+            operators.put(all.get(i), tcp.get(i));
+            relay.move(all.get(i), places.get(i));
+        }
+        spare.addAll(places.subList(all.size(), places.size()));
+        this.proxies = List.copyOf(proxies);
+        this.seeds = places.subList(0, Math.min(SEEDS, proxies.size())).stream()
+                .map(p -> '"' + at(p.address()) + '"').collect(Collectors.joining(", "));
     }
 
     private static String at(InetSocketAddress a) {
         return a.getAddress().getHostAddress() + ":" + a.getPort();
     }
 
-    /** A proxy's configuration, with what operators have written for it. */
-    JsonNode with(String name, JsonNode settings) {
-        Path file = folder.resolve(name + ".toml");
-        StringBuilder seeds = new StringBuilder();
-        fronts.keySet().stream().sorted(Comparator.comparing(p -> Integer.parseInt(p.substring(1))))
-                .limit(SEEDS).forEach(p -> seeds.append(seeds.isEmpty() ? "" : ", ").append('"')
-                        .append(at(fronts.get(p))).append('"'));
+    /** A process's configuration, with what operators have written for it. */
+    JsonNode with(String process, JsonNode settings) {
+        Path file = folder.resolve(process + ".toml");
+        Relay.Place place = relay.placeOf(process);
         try {
-            Files.writeString(file, "[fleet]\nname = \"" + name + "\"\nbind = \"" + at(homes.get(name))
-                    + "\"\nadvertise = \"" + at(fronts.get(name)) + "\"\nseeds = [" + seeds
-                            + "]\nkey_file = \""
-                    + folder.resolve("fleet.key") + "\"\ninterval_ms = " + script.peers().intervalMs()
+            Path keyFile = Files.writeString(folder.resolve(process + ".key"), keysOf(process).stream()
+                    .map(n -> HexFormat.of().formatHex(key(n)) + "\n").collect(Collectors.joining()));
+            Files.writeString(file, "[fleet]\nname = \"" + Chronicle.named(process) + "\"\nbind = \""
+                    + at(place.home) + "\"\nadvertise = \"" + at(place.address()) + "\"\nseeds = [" + seeds
+                    + "]\nkey_file = \"" + keyFile + "\"\ninterval_ms = " + script.peers().intervalMs()
                     + "\nwindow_s = " + script.peers().windowS() + "\n");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
         return ((ObjectNode) settings).put("operators_file", file.toString()).put("operator",
-                at(operators.get(name)));
+                at(operators.get(process)));
+    }
+
+    private List<Integer> keysOf(String process) {
+        return keys.getOrDefault(process, List.of(0));
+    }
+
+    private byte[] key(int number) {
+        byte[] key = new byte[Envelope.LEAST_KEY_BYTES];
+        new SplittableRandom(script.seed() * 31 + number).nextBytes(key);
+        return key;
+    }
+
+    /** A process has the keys of those numbers from when it reads its files next. */
+    void keys(String process, List<Integer> numbers) {
+        keys.put(process, numbers);
+    }
+
+    /** As {@link gullspar.rehearse.play.Strikes#move} says. */
+    void move(List<String> ring) {
+        if (ring.size() == 1) {
+            relay.move(ring.get(0), spare.remove());
+            return;
+        }
+        List<Relay.Place> were = ring.stream().map(relay::placeOf).toList();
+        for (int i = 0; i < ring.size(); i++) {
+            relay.move(ring.get(i), were.get((i + 1) % were.size()));
+        }
+    }
+
+    /** As {@link gullspar.rehearse.play.Strikes#mad} says. */
+    void mad(String process, int forEach) {
+        liars.computeIfAbsent(process, p -> {
+            Liar liar = new Liar(() -> new Envelope(keysOf(p).stream().map(this::key).toList()),
+                    script.seed() * 31 + 14 + Integer.parseInt(p.substring(1)));
+            proxies.stream().filter(o -> !o.equals(p)).forEach(o -> relay.way(p, o).liar(liar));
+            return liar;
+        }).lies(forEach);
     }
 
     /** Asks each proxy again and again, until the end; alive tells whether one can answer. On the loop. */
     void look(Predicate<String> alive) {
-        for (String p : homes.keySet()) {
+        for (String p : operators.keySet()) {
             if (alive.test(p) && asked.putIfAbsent(p, true) == null) {
                 HttpRequest r = HttpRequest.newBuilder(URI.create("http://" + at(operators.get(p))
                         + "/_fleet"))
@@ -103,7 +157,7 @@
                 client.sendAsync(r, HttpResponse.BodyHandlers.ofString()).whenComplete((answer, e) -> {
                     asked.remove(p);
                     if (e == null && answer.statusCode() == 200) {
-                        loop.execute(() -> heard(answer.body()));
+                        loop.execute(() -> heard(p, answer.body()));
                     }
                 });
             }
@@ -111,9 +165,9 @@
         loop.schedule(() -> look(alive), LOOK_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void heard(String answer) {
+    private void heard(String process, String answer) {
         try {
-            heard.accept(Look.of(clock.getAsLong(), answer));
+            heard.accept(Look.of(clock.getAsLong(), process, answer));
         } catch (IOException e) {
             throw new UncheckedIOException("a proxy answered what is no view", e);
         }
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -12,6 +12,7 @@
 import gullspar.rehearse.play.ProxySettings;
 import gullspar.rehearse.play.Strikes;
 import gullspar.rehearse.script.Script;
+import gullspar.rehearse.stage.Chronicle;
 import gullspar.rehearse.stage.Order;
 import gullspar.rehearse.stage.Stage;
 import gullspar.rehearse.stage.Strangers;
@@ -306,7 +307,9 @@
             daemons.put(name, d);
             cast.chronicle().began(name, now());
             d.onEnd(() -> loop.execute(() -> ended(name, d)));
-            cast.front().started(name);
+            if (cast.proxies().contains(name)) {
+                cast.front().started(name); // of a twin it does not know
+            }
         } catch (IOException e) {
             begun.completeExceptionally(e);
         }
@@ -318,7 +321,9 @@
         }
         if (!over && !ending.contains(name) && daemons.get(name) == d) {
             cast.chronicle().crashed(name, "exit code " + d.exitCode(), now());
-            cast.front().ended(name);
+            if (cast.proxies().contains(name)) {
+                cast.front().ended(name);
+            }
             begun.completeExceptionally(new IOException(name + " ended by itself, exit code "
                     + d.exitCode()));
         }
@@ -374,12 +379,46 @@
     public void pause(String name, boolean on) {
         try {
             cast.chronicle().excuse(name, now(), now() + SIGNAL_NS);
-            daemons.get(name).pause(on);
+            if (daemons.get(name).alive()) {
+                daemons.get(name).pause(on);
+            }
         } catch (IOException e) {
             cast.chronicle().happened(now(), name + " could not be paused: " + e.getMessage());
         }
     }
 
+    @Override
+    public void move(List<String> ring) {
+        fleet.move(ring);
+    }
+
+    @Override
+    public void twin(String proxy, boolean on) {
+        String twin = proxy + Chronicle.TWIN;
+        if (on) {
+            start(twin);
+        } else {
+            ending.add(twin);
+            daemons.get(twin).kill();
+        }
+    }
+
+    @Override
+    public void keys(String proxy, List<Integer> numbers) {
+        fleet.keys(proxy, numbers);
+        reload(proxy);
+    }
+
+    @Override
+    public void forge(String proxy) {
+        fleet.relay.forge(proxy);
+    }
+
+    @Override
+    public void mad(String proxy, int forEach) {
+        fleet.mad(proxy, forEach);
+    }
+
     // ---- the ways ----
 
     @Override
--- a/src/main/java/gullspar/rehearse/live/Relay.java
+++ b/src/main/java/gullspar/rehearse/live/Relay.java
@@ -1,6 +1,7 @@
 package gullspar.rehearse.live;
 
 import gullspar.rehearse.net.Datagrams;
+import gullspar.rehearse.net.Forger;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -13,6 +14,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -20,31 +22,48 @@
 /**
  * What the proxies send each other goes through here: each is known to the others by an address of the
  * relay, which tells by the sender's port whose way it is and does to a datagram what that way does. All on
- * the loop.
+ * the loop, but where another is said.
  */
 final class Relay {
+    /** One address of the relay, the one behind it where a process is bound, and who that is, if anybody. */
+    static final class Place {
+        final InetSocketAddress home;
+        private Channel front;
+        private String process;
+
+        private Place(InetSocketAddress home) {
+            this.home = home;
+        }
+
+        /** Where the others are to send to. */
+        InetSocketAddress address() {
+            return (InetSocketAddress) front.localAddress();
+        }
+    }
+
     private final EventLoop loop;
     private final SplittableRandom random;
-    private final Map<Integer, String> senders = new HashMap<>();
-    private final Map<String, InetSocketAddress> homes = new HashMap<>();
-    private final Map<String, Channel> fronts = new HashMap<>();
+    private final Forger forger;
+    private final Map<Integer, Place> byHome = new HashMap<>();
+    private final Map<String, Place> byProcess = new HashMap<>();
     private final Map<String, Datagrams> ways = new HashMap<>();
 
     Relay(EventLoop loop, long seed) {
         this.loop = loop;
         this.random = new SplittableRandom(seed);
+        this.forger = new Forger(seed + 2);
     }
 
-    /** Lets a proxy be reached that is bound to that address; tells where. Not on the loop. */
-    InetSocketAddress front(String name, InetSocketAddress home) {
-        Channel c = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+    /** Makes a place of which nobody is yet. Not on the loop. */
+    Place open(InetSocketAddress home) {
+        Place place = new Place(home);
+        place.front = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
-                        String from = senders.get(p.sender().getPort());
-                        if (from != null) {
-                            way(from, name).carry(ByteBufUtil.getBytes(p.content()), random,
-                                    (ns, d) -> later(name, ns, d));
+                        Place from = byHome.get(p.sender().getPort());
+                        if (from != null && from.process != null) {
+                            came(from, place, ByteBufUtil.getBytes(p.content()));
                         }
                     }
 
@@ -54,18 +73,33 @@
                     }
                 }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(),
                         0)).syncUninterruptibly().channel();
-        loop.submit(() -> {
-            senders.put(home.getPort(), name);
-            homes.put(name, home);
-            fronts.put(name, c);
-        }).syncUninterruptibly();
-        return (InetSocketAddress) c.localAddress();
+        loop.submit(() -> byHome.put(home.getPort(), place)).syncUninterruptibly();
+        return place;
+    }
+
+    private void came(Place from, Place to, byte[] datagram) {
+        forger.hears(datagram);
+        if (to.process != null) {
+            way(from.process, to.process).carry(datagram, random, (ns, d) -> later(to, ns, d));
+        }
+    }
+
+    /** A process is found there from now on. */
+    void move(String process, Place to) {
+        Place was = byProcess.put(process, to);
+        if (was != null && process.equals(was.process)) {
+            was.process = null;
+        }
+        to.process = process;
     }
 
-    private void later(String to, long ns, byte[] datagram) {
-        Runnable send = () ->
-                fronts.get(to).writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram),
-                homes.get(to)));
+    Place placeOf(String process) {
+        return byProcess.get(process);
+    }
+
+    private void later(Place to, long ns, byte[] datagram) {
+        Runnable send = () -> to.front.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram),
+                to.home));
         if (ns <= 0) {
             send.run();
         } else {
@@ -73,16 +107,21 @@
         }
     }
 
-    /** The way from one proxy to another. */
+    /** The way from one process to another. */
     Datagrams way(String from, String to) {
         return ways.computeIfAbsent(from + '>' + to, k -> new Datagrams());
     }
 
     void trouble(String from, String to, Datagrams.Trouble t, double figure) {
-        way(from, to).trouble(t, figure, (ns, d) -> later(to, ns, d));
+        way(from, to).trouble(t, figure, (ns, d) -> later(byProcess.get(to), ns, d));
+    }
+
+    /** A datagram that no process has sent goes to one. */
+    void forge(String to) {
+        later(byProcess.get(to), 0, forger.next());
     }
 
     void close() {
-        fronts.values().forEach(Channel::close);
+        List.copyOf(byHome.values()).forEach(p -> p.front.close());
     }
 }
--- a/src/main/java/gullspar/rehearse/net/Datagrams.java
+++ b/src/main/java/gullspar/rehearse/net/Datagrams.java
@@ -31,6 +31,7 @@
     private double torn;
     private double flipped;
     private boolean stalled;
+    private Liar liar;
 
     /** Adds to the delay; 0 takes it back. */
     public void slower(long byNs) {
@@ -47,6 +48,11 @@
         cuts = Math.max(0, cuts + (on ? 1 : -1));
     }
 
+    /** From now on somebody stands at its beginning who may lie. */
+    public void liar(Liar who) {
+        liar = who;
+    }
+
     /** One trouble begins, or with 0 is over. JITTER: in ns; the others: the share that is struck. */
     public void trouble(Trouble t, double figure, Arrival arrival) {
         switch (t) {
@@ -67,6 +73,14 @@
 
     /** A datagram sets out. */
     public void carry(byte[] datagram, SplittableRandom random, Arrival arrival) {
+        if (liar == null) {
+            carryAsItIs(datagram, random, arrival);
+        } else {
+            liar.of(datagram).forEach(d -> carryAsItIs(d, random, arrival));
+        }
+    }
+
+    private void carryAsItIs(byte[] datagram, SplittableRandom random, Arrival arrival) {
         // Drawn in any case: a trouble that is left out must not shift what others draw.
         double lost = random.nextDouble();
         double copy = random.nextDouble();
--- /dev/null
+++ b/src/main/java/gullspar/rehearse/net/Liar.java
@@ -0,0 +1,92 @@
+package gullspar.rehearse.net;
+
+import gullspar.peers.Facts;
+import gullspar.peers.Figures;
+import gullspar.peers.Identity;
+import gullspar.peers.Message;
+import gullspar.peers.Phase;
+import gullspar.peers.Rumour;
+import gullspar.peers.Standing;
+import gullspar.peers.Statement;
+import gullspar.peers.wire.Codec;
+import gullspar.peers.wire.Envelope;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+
+/**
+ * Makes a member of the fleet a mad one: behind each of its datagrams go others, numbered as its own, that
+ * speak of members which never were. A life that has lied once stays renumbered, since its numbers must not
+ * go back.
+ */
+public final class Liar {
+    /** Numbers between two true datagrams: within the window that a receiver keeps of repeated ones. */
+    private static final int ROOM = 32;
+    private static final int MOST_RUMOUR_BYTES = 160;
+    private static final int IN_ONE = (Message.MOST_BYTES - Message.ENVELOPE - 100) / MOST_RUMOUR_BYTES;
+
+    private final Supplier<Envelope> keys;
+    private final SplittableRandom random;
+    private final Set<Long> lied = new HashSet<>();
+    private int forEach;
+    private int invented;
+
+    /** keys: those that the member has at the moment. */
+    public Liar(Supplier<Envelope> keys, long seed) {
+        this.keys = keys;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** Speaks of so many with each datagram from now on. */
+    public void lies(int count) {
+        forEach = count;
+    }
+
+    /** What becomes of a datagram of the member. */
+    List<byte[]> of(byte[] datagram) {
+        Message m;
+        try {
+            if (forEach == 0 && lied.isEmpty() || keys.get().open(datagram) != null) {
+                return List.of(datagram);
+            }
+            m = Codec.decode(datagram, Envelope.front(), datagram.length - Envelope.front());
+        } catch (IOException e) {
+            throw new UncheckedIOException("a member has sent what is no message", e);
+        }
+        long life = m.header().from().life();
+        if (forEach > 0) {
+            lied.add(life);
+        }
+        if (!lied.contains(life)) {
+            return List.of(datagram);
+        }
+        long number = m.header().number() * ROOM;
+        List<byte[]> out = new ArrayList<>();
+        out.add(sealed(Retold.numbered(m, number)));
+        for (int left = forEach; left > 0 && out.size() < ROOM; left -= IN_ONE) {
+            List<Rumour> rumours = new ArrayList<>();
+            for (int i = 0; i < Math.min(left, IN_ONE); i++) {
+                rumours.add(invented());
+            }
+            out.add(sealed(Retold.numbered(new Message.News(m.header(), rumours), number + out.size())));
+        }
+        return out;
+    }
+
+    private byte[] sealed(Message m) {
+        return keys.get().seal(Codec.encode(m));
+    }
+
+    private Rumour invented() {
+        Identity id = new Identity("ghost" + ++invented, random.nextLong());
+        // Nobody is there, but on a live day it must be an address of this machine.
+        Statement s = new Statement(id, 1, "127.0.0.9:" + (1024 + random.nextInt(60_000)), "", "", "",
+                Phase.SERVING, 1000, 0, 0, Figures.NONE, Facts.NONE);
+        return new Rumour(id, 0, Standing.ALIVE, "", 0, s, 0);
+    }
+}
--- a/src/main/java/gullspar/rehearse/net/Network.java
+++ b/src/main/java/gullspar/rehearse/net/Network.java
@@ -28,6 +28,8 @@
     /** Bytes in one go of the receiver's reading. */
     static final int SEGMENT_BYTES = 16 << 10;
 
+    private static final InetSocketAddress OUTSIDE = new InetSocketAddress("127.9.9.9", 9999);
+
     /** How far it is from one machine to another, one way, in ns. */
     public interface Distance {
         long ns(String from, String to);
@@ -46,6 +48,7 @@
     private final SplittableRandom datagramRandom;
     private int channels;
     private int ports = 30_000;
+    private Forger forger;
 
     public Network(Agenda agenda, long seed, Distance distance) {
         this.agenda = agenda;
@@ -90,8 +93,26 @@
         sockets.remove(address, socket);
     }
 
+    /** Whoever stands beside the ways hears all datagrams from now on. */
+    public void heardBy(Forger who) {
+        forger = who;
+    }
+
+    /** A datagram that no machine of the day has sent comes to one. */
+    public void inject(String to, byte[] datagram) {
+        sockets.values().stream().filter(s -> s.host().name.equals(to)).findFirst().ifPresent(s ->
+                agenda.at(agenda.now(), 0, () -> {
+                    if (s.host().reachable && s.isOpen()) {
+                        s.arrived(OUTSIDE, datagram);
+                    }
+                }));
+    }
+
     /** A datagram sets out; whoever is at the address when it arrives gets it, if anybody. */
     void datagram(MemoryDatagramChannel from, InetSocketAddress source, InetSocketAddress to, byte[] bytes) {
+        if (forger != null) {
+            forger.hears(bytes);
+        }
         MemoryDatagramChannel there = sockets.get(to);
         if (there != null) {
             datagrams(from.host().name, there.host().name).carry(bytes, datagramRandom,
--- a/src/main/java/gullspar/rehearse/play/Cast.java
+++ b/src/main/java/gullspar/rehearse/play/Cast.java
@@ -1,5 +1,6 @@
 package gullspar.rehearse.play;
 
+import gullspar.rehearse.script.FaultKind;
 import gullspar.rehearse.script.Script;
 import gullspar.rehearse.stage.Chronicle;
 import gullspar.rehearse.stage.Crowd;
@@ -38,7 +39,11 @@
 
     /** Starts the nodes and discovery; the proxies may be started then. */
     public void open() {
-        fleet.start(proxies);
+        List<String> all = new ArrayList<>(proxies);
+        if (script.faults().stream().anyMatch(f -> f.kind() == FaultKind.TWIN)) {
+            proxies.forEach(p -> all.add(p + Chronicle.TWIN));
+        }
+        fleet.start(all);
     }
 
     /** Begins the day once all proxies are ready, and calls that then. */
@@ -57,9 +62,9 @@
         return (long) ((longest * 2 + 4000) * 1e6);
     }
 
-    /** The place of a proxy among all, from 0. */
+    /** The place of a proxy, or of its twin, among all, from 0. */
     public static int index(String proxy) {
-        return Integer.parseInt(proxy.substring(1)) - 1;
+        return Integer.parseInt(Chronicle.named(proxy).substring(1)) - 1;
     }
 
     public Chronicle chronicle() {
--- a/src/main/java/gullspar/rehearse/play/Strikes.java
+++ b/src/main/java/gullspar/rehearse/play/Strikes.java
@@ -1,6 +1,7 @@
 package gullspar.rehearse.play;
 
 import gullspar.rehearse.net.Datagrams;
+import java.util.List;
 
 /**
  * What the timeline can do to the proxies and to the ways between machines: this differs by how a day is
@@ -30,6 +31,24 @@
 
     void vanish(String machine, boolean on);
 
+    /**
+     * From their next starts on the first of these has the second's address for the fleet, and so on, the
+     * last the first's; one alone has a new one.
+     */
+    void move(List<String> ring);
+
+    /** A second process under a proxy's name begins, or ends. */
+    void twin(String proxy, boolean on);
+
+    /** A proxy's operator gives it these of the fleet's keys, by number; the first is the one it uses. */
+    void keys(String proxy, List<Integer> numbers);
+
+    /** One datagram that nobody of the fleet sent reaches a proxy. */
+    void forge(String proxy);
+
+    /** A proxy speaks of so many that do not exist with each datagram; 0 ends it. */
+    void mad(String proxy, int forEach);
+
     /** A trouble of the datagrams on a way between two proxies; 0 ends it. */
     void trouble(String from, String to, Datagrams.Trouble t, double figure);
 }
--- a/src/main/java/gullspar/rehearse/play/Timeline.java
+++ b/src/main/java/gullspar/rehearse/play/Timeline.java
@@ -12,7 +12,9 @@
 import gullspar.rehearse.stage.RudeClients;
 import gullspar.rehearse.stage.Stage;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -22,6 +24,9 @@
 final class Timeline {
     /** What still fails on a way right after it is whole again: a retransmission. */
     private static final long AFTER_NS = 1_000_000_000L;
+    /** What must not make anybody's view wrong, however long it goes on. */
+    private static final Set<FaultKind> HARMLESS = EnumSet.of(FaultKind.TWIN, FaultKind.FORGED_DATAGRAMS,
+            FaultKind.MAD_MEMBER);
 
     private final Stage stage;
     private final Script script;
@@ -74,6 +79,7 @@
                 if (f.kind() == FaultKind.PARTITION) {
                     partition(f, struck);
                 } else {
+                    together(f, struck);
                     struck.forEach(p -> proxy(f, p));
                 }
             }
@@ -153,9 +159,62 @@
         who.forEach(p -> chronicle.unsettled(p, now, now + (long) (f.lasts() * 1e9)));
     }
 
+    /** What strikes several as one. */
+    private void together(Fault f, List<String> struck) {
+        if (f.kind() == FaultKind.MOVE) {
+            struck.forEach(p -> strikes.move(List.of(p)));
+        } else if (f.kind() == FaultKind.TAKE_OVER) {
+            strikes.move(struck);
+        }
+    }
+
+    /** On and off until the end: of each period it runs for that share. */
+    private void starved(Fault f, String p, long until) {
+        if (stage.now() >= until) {
+            return;
+        }
+        double period = f.figure("period_ms") / 1e3;
+        double stands = Math.min(period * (1 - f.figure("share")), (until - stage.now()) / 1e9);
+        strikes.pause(p, true);
+        after(stands, () -> {
+            strikes.pause(p, false);
+            after(period - stands, () -> starved(f, p, until));
+        });
+    }
+
+    /** Evenly spread, so many a second, until the end. */
+    private void forged(Fault f, String p, long until) {
+        if (stage.now() < until) {
+            strikes.forge(p);
+            after(1 / f.figure("per_s"), () -> forged(f, p, until));
+        }
+    }
+
+    /** Both know of it, then not at one time: the view of a name that two have is not wrong for that. */
+    private void twin(Fault f, String p) {
+        during(f, on -> {
+            chronicle.unsettled(p, stage.now(), stage.now());
+            chronicle.unsettled(p + Chronicle.TWIN, stage.now(), stage.now());
+            strikes.twin(p, on);
+        });
+    }
+
+    /** Three rounds over all proxies, one proxy after the other. Nobody is to notice. */
+    private void newKey(Fault f) {
+        List<List<Integer>> steps = List.of(List.of(0, 1), List.of(1, 0), List.of(1));
+        for (int i = 0; i < steps.size() * proxies.size(); i++) {
+            List<Integer> keys = steps.get(i / proxies.size());
+            String p = proxies.get(i % proxies.size());
+            after(f.lasts() * i / (steps.size() * proxies.size()), () -> strikes.keys(p, keys));
+        }
+    }
+
     private void proxy(Fault f, String p) {
         long now = stage.now();
-        unsettled(f, List.of(p));
+        long until = now + (long) (f.lasts() * 1e9);
+        if (!HARMLESS.contains(f.kind())) {
+            unsettled(f, List.of(p));
+        }
         switch (f.kind()) {
             case RUSH -> {
                 front.rush(p, f.figure("share"));
@@ -165,7 +224,7 @@
             case SILENT_LIST -> during(f, on -> fleet.silent(p, on));
             case RUDE_CLIENTS -> during(f, on -> rude.rude(p, on ? f.figure("per_s") : 0));
             case SILENT_CLIENTS -> during(f, on -> rude.silent(p, on ? f.figure("per_s") : 0));
-            case KILL -> {
+            case KILL, MOVE, TAKE_OVER -> {
                 chronicle.excuse(p, now, now);
                 strikes.kill(p, f.figure("down_s"));
             }
@@ -175,9 +234,16 @@
                 strikes.reload(p);
             }
             case PAUSE -> {
-                chronicle.excuse(p, now, now + (long) (f.lasts() * 1e9));
+                chronicle.excuse(p, now, until);
                 during(f, on -> strikes.pause(p, on));
             }
+            case STARVED -> {
+                chronicle.excuse(p, now, until);
+                starved(f, p, until);
+            }
+            case TWIN -> twin(f, p);
+            case FORGED_DATAGRAMS -> forged(f, p, until);
+            case MAD_MEMBER -> during(f, on -> strikes.mad(p, on ? (int) f.figure("for_each") : 0));
             default -> throw new IllegalStateException(f.kind().named());
         }
     }
@@ -258,6 +324,7 @@
         switch (f.kind()) {
             case DISCOVERY_DOWN -> during(f, fleet::down);
             case OLD_LIST -> during(f, fleet::freeze);
+            case NEW_KEY -> newKey(f);
             case SHRINK -> {
                 List<String> running = fleet.running();
                 int leave = (int) Math.round(running.size() * (1 - f.figure("to")));
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -1,6 +1,5 @@
 package gullspar.rehearse.play;
 
-import gullspar.config.Fleet;
 import gullspar.decide.Balancer;
 import gullspar.decide.Policy;
 import gullspar.peers.Settings;
@@ -52,7 +51,6 @@
     /** The share of a start after which the daemon asks for the list: 0.7 of 2.5 s as seen on half a core. */
     private static final double ASKS_AFTER = 0.3;
     private static final int MOST_LOG_LINES = 10_000;
-    private static final int PEER_PORT = 9900;
     private static final long LOOK_NS = 250_000_000L;
 
     /**
@@ -93,9 +91,9 @@
     private final Map<Integer, String> nodeNames = new HashMap<>();
     private final List<String> log = new ArrayList<>();
     private final DecisionLog decisions;
-    private final Envelope keys = new Envelope(List.of(new byte[Envelope.LEAST_KEY_BYTES]));
     private final Cast cast;
     private final Chronicle chronicle;
+    private final VirtualFleet fleet;
     private Throwable slip;
 
     private VirtualPlay(Script script, Options options) {
@@ -107,6 +105,8 @@
         this.decisions = new DecisionLog(() -> agenda.now() - EPOCH_NS, this::nodeName, options.decisions());
         this.cast = new Cast(this, script, this);
         this.chronicle = cast.chronicle();
+        this.fleet = script.peers() == null ? null
+                : new VirtualFleet(script, cast, network, this::address, options.peering());
     }
 
     /** Plays a day to its end. */
@@ -118,7 +118,7 @@
         long began = System.nanoTime(); // only to say how long it took
         cast.open();
         cast.proxies().forEach(this::start);
-        if (script.peers() != null) {
+        if (fleet != null) {
             look();
         }
         long[] end = {EPOCH_NS + READY_NS};
@@ -159,7 +159,7 @@
         if (machine.startsWith("n")) {
             return cast.fleet().site(machine);
         }
-        return machine.startsWith("p") ? cast.front().site(machine) : null;
+        return machine.startsWith("p") ? cast.front().site(Chronicle.named(machine)) : null;
     }
 
     private long distance(String from, String to) {
@@ -259,13 +259,9 @@
         Platform platform = options.platform().apply(
                 new Platform(life.loop, agenda::now, network.transport(host), line -> say(who, line)));
         long warm = (long) (script.proxies().startS() * 1e9);
-        if (script.peers() != null) {
+        if (fleet != null) {
             chronicle.began(name, agenda.now());
-            Fleet fleet = fleet(name);
-            life.loop.execute(() -> life.member = Membership.join(fleet,
-                    options.peering().settings().apply(Membership.settings(fleet)), keys,
-                    Agenda.mix(script.seed() * 31 + 12 + options.peering().lives().applyAsLong(who)),
-                            platform,
+            life.loop.execute(() -> life.member = fleet.join(name, who, platform,
                     () -> life.proxy == null ? Companion.Load.NONE : life.proxy.load()));
         }
         life.loop.schedule(() -> {
@@ -278,24 +274,14 @@
                 if (life.member != null) {
                     life.member.at(Companion.Stage.SERVING);
                 }
-                // The front looks at it from now on.
-                loop.execute(() -> cast.front().started(name));
+                if (cast.proxies().contains(name)) {
+                    // The front looks at it from now on; at a twin nobody does.
+                    loop.execute(() -> cast.front().started(name));
+                }
             }, warm - (long) (warm * ASKS_AFTER), TimeUnit.NANOSECONDS);
         }, (long) (warm * ASKS_AFTER), TimeUnit.NANOSECONDS);
     }
 
-    /** The first three are everybody's seeds. */
-    private Fleet fleet(String name) {
-        Script.Peers p = script.peers();
-        return new Fleet(name, peer(name), null, cast.proxies().stream().limit(3).map(this::peer).toList(),
-                null,
-                cast.front().site(name), (long) (p.intervalMs() * 1e6), (long) (p.windowS() * 1e9), 0);
-    }
-
-    private InetSocketAddress peer(String name) {
-        return new InetSocketAddress(address(name).getAddress(), PEER_PORT);
-    }
-
     /** Asks each that runs how it sees the fleet, again and again. */
     private void look() {
         lives.forEach((name, life) -> {
@@ -303,7 +289,7 @@
                     : life.member.answer("/_fleet");
             if (answer != null) {
                 try {
-                    chronicle.looked(Look.of(agenda.now(), answer));
+                    chronicle.looked(Look.of(agenda.now(), name, answer));
                 } catch (IOException e) {
                     throw new UncheckedIOException("a proxy answered what is no view", e);
                 }
@@ -320,7 +306,7 @@
 
     private void endNow(String name, Life life) {
         life.loop.end();
-        if (script.peers() != null) {
+        if (fleet != null) {
             chronicle.ended(name, agenda.now());
         }
         network.ended(network.host(name));
@@ -378,6 +364,38 @@
         lives.get(name).loop.pause(on);
     }
 
+    @Override
+    public void move(List<String> ring) {
+        fleet.move(ring);
+    }
+
+    @Override
+    public void twin(String proxy, boolean on) {
+        String twin = proxy + Chronicle.TWIN;
+        if (on) {
+            start(twin);
+        } else {
+            endNow(twin, lives.get(twin));
+        }
+    }
+
+    @Override
+    public void keys(String proxy, List<Integer> numbers) {
+        Life life = lives.get(proxy);
+        Envelope e = fleet.keys(proxy, numbers);
+        life.loop.execute(() -> life.member.keys(e));
+    }
+
+    @Override
+    public void forge(String proxy) {
+        fleet.forge(proxy);
+    }
+
+    @Override
+    public void mad(String proxy, int forEach) {
+        fleet.mad(proxy, forEach);
+    }
+
     // ---- the ways ----
 
     @Override
--- a/src/main/java/gullspar/rehearse/script/FaultKind.java
+++ b/src/main/java/gullspar/rehearse/script/FaultKind.java
@@ -69,7 +69,21 @@
     /** Discovery moves, and a proxy is told to read its configuration anew (SIGHUP). */
     RELOAD(Strikes.PROXIES),
     /** A proxy stands still (SIGSTOP), and goes on. */
-    PAUSE(Strikes.PROXIES);
+    PAUSE(Strikes.PROXIES),
+    /** A proxy gets only a share of its processor: it runs so long in each period, and stands still. */
+    STARVED(Strikes.PROXIES, figure("share", 0.1, 0.01, 0.95), figure("period_ms", 500, 20, 60_000)),
+    /** A proxy is killed, and comes back where the others do not look for it. */
+    MOVE(Strikes.PROXIES, figure("down_s", 1, 0.1, 60)),
+    /** Proxies are killed, and each comes back at the address that the one before it had. */
+    TAKE_OVER(Strikes.PROXIES, figure("down_s", 1, 0.1, 60)),
+    /** A second process lives under a proxy's name, at an address of its own. */
+    TWIN(Strikes.PROXIES),
+    /** Operators replace the fleet's key, proxy by proxy: both known, the new one used, the old one gone. */
+    NEW_KEY(Strikes.FLEET),
+    /** Datagrams made without the key, changed ones, and old ones once more, so many a second. */
+    FORGED_DATAGRAMS(Strikes.PROXIES, figure("per_s", 200, 1, 5000)),
+    /** A proxy tells the others of some that do not exist: so many for each of its datagrams. */
+    MAD_MEMBER(Strikes.PROXIES, figure("for_each", 100, 1, 500));
 
     /**
      * What a fault strikes: nodes or proxies by number or name, a way from one machine to another, the
@@ -100,17 +114,25 @@
         return figures;
     }
 
+    /** How many it strikes at the least. */
+    public int least() {
+        return this == TAKE_OVER ? 2 : 1;
+    }
+
     /** Is it over in a moment? Such a fault takes no duration. */
     public boolean momentary() {
         return switch (this) {
-            case CRASH, RESTART, REPLACE, DRAIN, RESET_LINK, KILL, STOP, RELOAD -> true;
+            case CRASH, RESTART, REPLACE, DRAIN, RESET_LINK, KILL, STOP, RELOAD, MOVE, TAKE_OVER -> true;
             default -> false;
         };
     }
 
     /** Is it one of those that only proxies with a view of the fleet feel? */
     public boolean betweenProxies() {
-        return strikes == Strikes.DATAGRAMS || this == PARTITION;
+        return strikes == Strikes.DATAGRAMS || switch (this) {
+            case PARTITION, MOVE, TAKE_OVER, TWIN, NEW_KEY, FORGED_DATAGRAMS, MAD_MEMBER -> true;
+            default -> false;
+        };
     }
 
     /** The name in scripts. */
--- a/src/main/java/gullspar/rehearse/script/ScriptReader.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -277,13 +277,15 @@
     private Fault struck(Fields f, String key, Set<String> known, FaultKind kind, double at, double lasts,
             Map<String, Double> figures) {
         if (f.isNumber(key) || !f.has(key)) {
-            int count = f.whole(key, 1, 1, Math.max(1, known.size()));
+            int count = f.whole(key, kind.least(), kind.least(), Math.max(kind.least(), known.size()));
             return new Fault(kind, at, lasts, count, List.of(), figures);
         }
         List<String> named = f.texts(key, List.of());
         named.forEach(n -> known(f, key, n, known));
         if (named.isEmpty()) {
             f.wrong(key, "names nobody");
+        } else if (named.size() < kind.least()) {
+            f.wrong(key, "names one, and this needs two or more");
         }
         return new Fault(kind, at, lasts, named.size(), named, figures);
     }
--- a/src/main/java/gullspar/rehearse/search/Draw.java
+++ b/src/main/java/gullspar/rehearse/search/Draw.java
@@ -51,8 +51,8 @@
         return switch (kind.strikes()) {
             case NODES -> new Fault(kind, at, lasts, 1 + r.nextInt(Math.max(1, s.fleet() / 2)), List.of(),
                     figures);
-            case PROXIES -> new Fault(kind, at, lasts, 1 + r.nextInt(s.proxies().count()), List.of(),
-                    figures);
+            case PROXIES -> new Fault(kind, at, lasts, Math.max(kind.least(), 1 + r.nextInt(s.proxies()
+                    .count())), List.of(), figures);
             case CLASS -> new Fault(kind, at, lasts, 1,
                     List.of(s.classes().get(r.nextInt(s.classes().size())).name()), figures);
             case LINK -> new Fault(kind, at, lasts, 1, ends(s, r), figures);
--- a/src/main/java/gullspar/rehearse/search/Shrink.java
+++ b/src/main/java/gullspar/rehearse/search/Shrink.java
@@ -80,7 +80,7 @@
                 f.count(), f.names(), f.figures()))) {
             continue; // half as long, while that does
         }
-        while (change(i, f -> !f.names().isEmpty() || f.count() < 2 ? null
+        while (change(i, f -> !f.names().isEmpty() || f.count() / 2 < f.kind().least() ? null
                 : new Fault(f.kind(), f.at(), f.lasts(), f.count() / 2, f.names(), f.figures()))) {
             continue; // half as many
         }
--- a/src/main/java/gullspar/rehearse/stage/Chronicle.java
+++ b/src/main/java/gullspar/rehearse/stage/Chronicle.java
@@ -45,8 +45,20 @@
     private final List<Parted> parted = new ArrayList<>();
     private final Map<String, List<Stretch>> deaf = new HashMap<>();
 
-    /** One process of a proxy, from its start to its end; MAX_VALUE while it lives. */
-    public record Life(String proxy, long from, long until) { }
+    /** Stands behind a proxy's name where a second process is meant that lives under it. */
+    public static final String TWIN = "+";
+
+    /** The name that a process has among the others. */
+    public static String named(String process) {
+        return process.endsWith(TWIN) ? process.substring(0, process.length() - TWIN.length()) : process;
+    }
+
+    /** One process of a proxy, or its twin, from its start to its end; MAX_VALUE while it lives. */
+    public record Life(String proxy, long from, long until) {
+        public String name() {
+            return named(proxy);
+        }
+    }
 
     /** Some proxies heard nothing of the others. */
     public record Parted(long from, long until, List<String> one) { }
--- a/src/main/java/gullspar/rehearse/stage/Look.java
+++ b/src/main/java/gullspar/rehearse/stage/Look.java
@@ -9,6 +9,7 @@
 /**
  * How a proxy said that it sees the fleet, as it answers operators at {@code /_fleet}.
  *
+ * @param proxy the process that was asked: a proxy's name, or that of its twin
  * @param sentBytes what it has sent since its start
  * @param objections how often it had to say that it lives
  */
@@ -18,15 +19,15 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** One life of another proxy, as it is seen. */
-    public record Seen(String name, String life, String status, int incarnation) {
+    public record Seen(String name, String life, String status, int incarnation, boolean twin) {
         /** Is it held for somebody who is there, or may be? */
         public boolean present() {
             return status.equals("alive") || status.equals("suspected");
         }
     }
 
-    /** Reads an answer; an IOException if it is none. */
-    public static Look of(long at, String answer) throws IOException {
+    /** Reads the answer of a process; an IOException if it is none. */
+    public static Look of(long at, String process, String answer) throws IOException {
         JsonNode n = JSON.readTree(answer);
         List<Seen> seen = new ArrayList<>();
         double up = 0;
@@ -35,10 +36,10 @@
                 up = m.path("up_s").asDouble();
             } else {
                 seen.add(new Seen(m.path("name").asText(), m.path("life").asText(), m.path("status").asText(),
-                        m.path("incarnation").asInt()));
+                        m.path("incarnation").asInt(), m.path("twin").asBoolean()));
             }
         }
-        return new Look(at, n.path("name").asText(), n.path("life").asText(), n.path("cut_off").asBoolean(),
+        return new Look(at, process, n.path("life").asText(), n.path("cut_off").asBoolean(),
                 up,
                 n.path("datagrams").path("sent_bytes").asLong(), n.path("objections").asLong(),
                         List.copyOf(seen));
--- a/src/test/java/gullspar/rehearse/play/FleetDayTest.java
+++ b/src/test/java/gullspar/rehearse/play/FleetDayTest.java
@@ -7,6 +7,7 @@
 import gullspar.peers.Rumour;
 import gullspar.peers.Settings;
 import gullspar.peers.Standing;
+import gullspar.peers.Statement;
 import gullspar.peers.wire.Codec;
 import gullspar.peers.wire.Envelope;
 import gullspar.proxy.io.Platform;
@@ -14,6 +15,7 @@
 import gullspar.rehearse.Days;
 import gullspar.rehearse.judge.Broken;
 import gullspar.rehearse.judge.Rule;
+import gullspar.rehearse.net.Retold;
 import gullspar.rehearse.script.Script;
 import gullspar.rehearse.script.ScriptReader;
 import gullspar.rehearse.script.ScriptWriter;
@@ -41,6 +43,8 @@
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** Days with a view of the fleet: kept as it is, and broken by name where a fault is planted. */
 @Timeout(120)
@@ -75,6 +79,10 @@
     private static final Script DEAF = day(20, Days.fault("cut-link", 1,
             "for = 18\nfrom = \"proxies\"\nto = \"p5\""));
 
+    private static final Script TWINS = day(24, Days.fault("twin", 1, "for = 22\nproxies = [\"p2\"]"));
+    private static final Script MAD = day(15, Days.fault("mad-member", 1,
+            "for = 13\nproxies = [\"p2\"]\nfor_each = 60"));
+
     private static List<Broken> broken(Script s, VirtualPlay.Options options) {
         return VirtualPlay.play(s, options).verdict().broken().stream()
                 .filter(b -> b.rule().name().startsWith("FLEET")).toList();
@@ -93,6 +101,26 @@
         }
     }
 
+    /** Where somebody is found changes, or the key, or there is somebody who should not be. */
+    @ParameterizedTest
+    @MethodSource("strange")
+    void whateverTheOthersAreToldTheViewHolds(Script s) {
+        Played p = VirtualPlay.play(s, VirtualPlay.Options.plain());
+        assertEquals(List.of(), p.verdict().broken().stream()
+                .filter(b -> b.rule().name().startsWith("FLEET")).toList());
+        assertTrue(p.log().stream().noneMatch(l -> l.contains("uncaught")), "nothing throws");
+    }
+
+    static List<Script> strange() {
+        return List.of(TWINS, MAD,
+                day(24, Days.fault("move", 1, "proxies = [\"p2\"]")
+                        + Days.fault("take-over", 2, "proxies = [\"p1\", \"p3\", \"p4\"]")),
+                day(24, Days.fault("new-key", 1, "for = 16") + Days.fault("kill", 8, "proxies = 1")),
+                day(24, Days.fault("forged-datagrams", 1, "for = 22\nproxies = 3")
+                        + Days.fault("kill", 4, "proxies = [\"p5\"]")),
+                day(24, Days.fault("starved", 1, "for = 8\nproxies = [\"p3\"]\nperiod_ms = 1500")));
+    }
+
     @Test
     void theShippedDayKeepsAllRulesAndReadsBack() throws Exception {
         Script s = ScriptReader.read(Path.of("examples/rehearsals/peers.toml"));
@@ -144,7 +172,7 @@
 
             @Override
             Message in(Message m) {
-                return with(m, m.rumours().stream().filter(r -> !r.id().name().equals(self)).toList());
+                return Retold.with(m, m.rumours().stream().filter(r -> !r.id().name().equals(self)).toList());
             }
 
             @Override
@@ -204,7 +232,7 @@
 
             @Override
             Message out(Message m) {
-                return numbered(m, ROOM * m.header().number());
+                return Retold.numbered(m, ROOM * m.header().number());
             }
 
             @Override
@@ -222,6 +250,48 @@
         }));
     }
 
+    /** Whoever has found its namesake keeps it to itself. */
+    @Test
+    void twinsOfWhomNobodyIsToldAreNamed() {
+        caught(Rule.FLEET_TWINS, TWINS, datagrams(() -> new Filter() {
+            @Override
+            Message out(Message m) {
+                return Retold.with(m, m.rumours().stream().map(r -> r.statement() == null ? r
+                        : new Rumour(r.id(), r.incarnation(), r.standing(), r.by(), r.sinceMs(),
+                                unnamed(r.statement()), r.statedMs())).toList());
+            }
+
+            private Statement unnamed(Statement s) {
+                return new Statement(s.id(), s.revision(), s.address(), s.zone(), s.version(), s.config(),
+                        s.phase(), s.upMs(), 0, s.view(), s.figures(), s.facts());
+            }
+        }));
+    }
+
+    /** Whoever is only spoken of is taken for one that has proved that it lives. */
+    @Test
+    void membersThatNeverWereAreNamed() {
+        caught(Rule.FLEET_TRUE, MAD, datagrams(() -> new Filter() {
+            private final Map<Long, Rumour> spokenOf = new HashMap<>();
+            private long made;
+
+            @Override
+            Message in(Message m) {
+                m.rumours().stream().filter(r -> r.id().name().startsWith("ghost"))
+                        .forEach(r -> spokenOf.put(r.id().life(), r));
+                return m;
+            }
+
+            @Override
+            Message answerTo(Message m) {
+                Rumour r = m instanceof Message.Ping p ? spokenOf.get(p.target()) : null;
+                return r == null ? null : new Message.Ack(
+                        new Message.Header(r.id(), 0, r.statement().address(), ++made),
+                        ((Message.Ping) m).nonce(), r.id(), 0, List.of(r));
+            }
+        }));
+    }
+
     /** More is sent than the budget allows. */
     @Test
     void whoTalksTooMuchIsNamed() {
@@ -246,44 +316,6 @@
             return null;
         }
 
-        static Message with(Message m, List<Rumour> rumours) {
-            if (m instanceof Message.Ping p) {
-                return new Message.Ping(p.header(), p.nonce(), p.target(), p.hello(), rumours);
-            } else if (m instanceof Message.Ack a) {
-                return new Message.Ack(a.header(), a.nonce(), a.of(), a.incarnation(), rumours);
-            } else if (m instanceof Message.PingReq r) {
-                return new Message.PingReq(r.header(), r.nonce(), r.target(), r.address(), rumours);
-            } else if (m instanceof Message.Nack n) {
-                return new Message.Nack(n.header(), n.nonce(), rumours);
-            } else if (m instanceof Message.News n) {
-                return new Message.News(n.header(), rumours);
-            } else if (m instanceof Message.Listing l) {
-                return new Message.Listing(l.header(), l.from(), l.to(), List.of());
-            }
-            return m;
-        }
-
-        static Message numbered(Message m, long number) {
-            Message.Header o = m.header();
-            Message.Header h = new Message.Header(o.from(), o.incarnation(), o.address(), number);
-            if (m instanceof Message.Ping p) {
-                return new Message.Ping(h, p.nonce(), p.target(), p.hello(), p.rumours());
-            } else if (m instanceof Message.Ack a) {
-                return new Message.Ack(h, a.nonce(), a.of(), a.incarnation(), a.rumours());
-            } else if (m instanceof Message.PingReq r) {
-                return new Message.PingReq(h, r.nonce(), r.target(), r.address(), r.rumours());
-            } else if (m instanceof Message.Nack n) {
-                return new Message.Nack(h, n.nonce(), n.rumours());
-            } else if (m instanceof Message.News n) {
-                return new Message.News(h, n.rumours());
-            } else if (m instanceof Message.Listing l) {
-                return new Message.Listing(h, l.from(), l.to(), l.known());
-            } else if (m instanceof Message.Digest d) {
-                return new Message.Digest(h, d.ranges());
-            }
-            return new Message.Want(h, ((Message.Want) m).lives());
-        }
-
         private Message read(DatagramPacket p) {
             byte[] d = ByteBufUtil.getBytes(p.content());
             try {
--- a/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
+++ b/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
@@ -57,6 +57,7 @@
         kind = "crash"|nodes = 1.5                      | nodes must be a whole number, not 1.5
         kind = "crash"|nodes = ["n99"]                  | nodes names 'n99', and there is only n1 to n8
         kind = "crash"|nodes = []                       | nodes names nobody
+        kind = "twin"|for = 1                           | and there is no [peers]
         kind = "crash"|nodes = ["n1", "n1"]             | nodes holds 'n1' twice
         kind = "crash"|nodes = 9                        | nodes is 9, not 1 to 8
         kind = "crash"|for = 2                          | fault: unknown key 'for'
