Seeds are read again at SIGHUP; a search among all that can go wrong between proxies

What an operator can do was missing: name the new seeds to those that run. SIGHUP reads them now, Peers.seeds looks there at once, and the kit's operators do that after a move.

--- a/src/main/java/gullspar/peers/Knocks.java
+++ b/src/main/java/gullspar/peers/Knocks.java
@@ -18,7 +18,7 @@
     private final Roster roster;
     private final Detector detector;
     private final RandomGenerator random;
-    private final List<String> seeds;
+    private List<String> seeds;
     private int seed;
     private long seedAt;
 
@@ -32,6 +32,12 @@
         this.seeds = List.copyOf(seeds);
     }
 
+    /** Others may be found there from now on, and it is looked soon. */
+    void seeds(List<String> others) {
+        seeds = List.copyOf(others);
+        seedAt = Long.MIN_VALUE;
+    }
+
     /** To be called once an interval. */
     void knock(long now, boolean cutOff) {
         boolean alone = roster.present().isEmpty();
--- a/src/main/java/gullspar/peers/Peers.java
+++ b/src/main/java/gullspar/peers/Peers.java
@@ -233,6 +233,12 @@
         }
     }
 
+    /** Others may be found at these addresses from now on, and no more at those named before. */
+    public void seeds(long now, List<String> addresses) {
+        wake(now);
+        knocks.seeds(addresses);
+    }
+
     /** Says goodbye to as many as it can; nothing is sent after that. */
     public void leave(long now) {
         wake(now);
--- a/src/main/java/gullspar/peers/net/Membership.java
+++ b/src/main/java/gullspar/peers/net/Membership.java
@@ -24,6 +24,7 @@
 import java.security.SecureRandom;
 import java.util.Arrays;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Locale;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -152,8 +153,7 @@
         carrier.begin(settings,
                 new Statement(new Identity(name, life), 1, NetUtil.toSocketAddressString(at), fleet.zone(),
                         version == null ? "dev" : version, config, phase, 0, 0, 0, Figures.NONE, Facts.NONE),
-                fleet.seeds().stream().map(NetUtil::toSocketAddressString).toList(),
-                        new SplittableRandom(life));
+                texts(fleet.seeds()), new SplittableRandom(life));
         lastAt = platform.clock().now();
         platform.log().say("fleet: " + name + ", life " + HexFormat.of().toHexDigits(life) + ", at "
                 + NetUtil.toSocketAddressString(at) + ", " + fleet.seeds().size() + " seeds");
@@ -220,14 +220,14 @@
     public void reload() {
         try {
             Fleet now = fleet(file, reader);
-            if (now == null || !now.bind().equals(fleet.bind()) || !now.seeds().equals(fleet.seeds())
-                    || now.intervalNs() != fleet.intervalNs()) {
-                platform.log().say("fleet: only the keys are read again; the rest wants a restart");
+            if (now == null || !now.bind().equals(fleet.bind()) || now.intervalNs() != fleet.intervalNs()) {
+                platform.log().say("fleet: only keys and seeds are read again; the rest wants a restart");
             }
             Envelope keys = envelope(now == null ? fleet : now);
             String digest = digest(file);
             platform.loop().execute(() -> {
                 keys(keys);
+                seeds((now == null ? fleet : now).seeds());
                 config = digest;
                 tell();
             });
@@ -237,6 +237,20 @@
         }
     }
 
+    /** Looks for others there from now on. On the loop. */
+    public void seeds(List<InetSocketAddress> seeds) {
+        if (carrier.begun()) {
+            carrier.with(p -> {
+                p.seeds(platform.clock().now(), texts(seeds));
+                return null;
+            });
+        }
+    }
+
+    private static List<String> texts(List<InetSocketAddress> addresses) {
+        return addresses.stream().map(NetUtil::toSocketAddressString).toList();
+    }
+
     /** Takes other keys from now on. On the loop. */
     public void keys(Envelope keys) {
         carrier.keys(keys);
--- a/src/main/java/gullspar/rehearse/live/LiveFleet.java
+++ b/src/main/java/gullspar/rehearse/live/LiveFleet.java
@@ -50,7 +50,6 @@
     private final LongSupplier clock;
     private final Consumer<Look> heard;
     final Relay relay;
-    private final String seeds;
     private final Map<String, InetSocketAddress> operators = new HashMap<>();
     private final Deque<Relay.Place> spare = new ArrayDeque<>();
     private final Map<String, Liar> liars = new HashMap<>();
@@ -84,8 +83,12 @@
         }
         spare.addAll(places.subList(all.size(), places.size()));
         this.proxies = List.copyOf(proxies);
-        this.seeds = places.subList(0, Math.min(SEEDS, proxies.size())).stream()
-                .map(p -> '"' + at(p.address()) + '"').collect(Collectors.joining(", "));
+    }
+
+    /** Where the first three proxies are found. */
+    private String seeds() {
+        return proxies.stream().limit(SEEDS).map(p -> '"' + at(relay.placeOf(p).address()) + '"')
+                .collect(Collectors.joining(", "));
     }
 
     private static String at(InetSocketAddress a) {
@@ -100,7 +103,7 @@
             Path keyFile = Files.writeString(folder.resolve(process + ".key"), keysOf(process).stream()
                     .map(n -> HexFormat.of().formatHex(key(n)) + "\n").collect(Collectors.joining()));
             Files.writeString(file, "[fleet]\nname = \"" + Chronicle.named(process) + "\"\nbind = \""
-                    + at(place.home) + "\"\nadvertise = \"" + at(place.address()) + "\"\nseeds = [" + seeds
+                    + at(place.home) + "\"\nadvertise = \"" + at(place.address()) + "\"\nseeds = [" + seeds()
                     + "]\nkey_file = \"" + keyFile + "\"\ninterval_ms = " + script.peers().intervalMs()
                     + "\nwindow_s = " + script.peers().windowS() + "\n");
         } catch (IOException e) {
@@ -125,16 +128,15 @@
         keys.put(process, numbers);
     }
 
-    /** As {@link gullspar.rehearse.play.Strikes#move} says. */
-    void move(List<String> ring) {
-        if (ring.size() == 1) {
-            relay.move(ring.get(0), spare.remove());
-            return;
-        }
-        List<Relay.Place> were = ring.stream().map(relay::placeOf).toList();
+    /** As {@link gullspar.rehearse.play.Strikes#move} says; true if a seed is found elsewhere now. */
+    boolean move(List<String> ring) {
+        String before = seeds();
+        List<Relay.Place> places = ring.size() == 1 ? List.of(spare.remove())
+                : ring.stream().map(relay::placeOf).toList();
         for (int i = 0; i < ring.size(); i++) {
-            relay.move(ring.get(i), were.get((i + 1) % were.size()));
+            relay.move(ring.get(i), places.get((i + 1) % places.size()));
         }
+        return !seeds().equals(before);
     }
 
     /** As {@link gullspar.rehearse.play.Strikes#mad} says. */
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -389,7 +389,9 @@
 
     @Override
     public void move(List<String> ring) {
-        fleet.move(ring);
+        if (fleet.move(ring)) {
+            daemons.keySet().forEach(this::reload);
+        }
     }
 
     @Override
--- a/src/main/java/gullspar/rehearse/play/Strikes.java
+++ b/src/main/java/gullspar/rehearse/play/Strikes.java
@@ -33,7 +33,7 @@
 
     /**
      * From their next starts on the first of these has the second's address for the fleet, and so on, the
-     * last the first's; one alone has a new one.
+     * last the first's; one alone has a new one. Where a seed is among them, operators tell all proxies.
      */
     void move(List<String> ring);
 
--- a/src/main/java/gullspar/rehearse/play/Timeline.java
+++ b/src/main/java/gullspar/rehearse/play/Timeline.java
@@ -13,6 +13,7 @@
 import gullspar.rehearse.stage.Stage;
 import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -38,6 +39,7 @@
     private final Strikes strikes;
     private final List<String> proxies;
     private final Platform platform;
+    private final Set<String> twins = new HashSet<>();
 
     Timeline(Stage stage, Script script, Chronicle chronicle, Fleet fleet, Front front, Crowd crowd,
             RudeClients rude, Strikes strikes, List<String> proxies) {
@@ -192,6 +194,10 @@
 
     /** Both know of it, then not at one time: the view of a name that two have is not wrong for that. */
     private void twin(Fault f, String p) {
+        if (!twins.add(p)) {
+            return; // it has one
+        }
+        after(f.lasts(), () -> twins.remove(p));
         during(f, on -> {
             chronicle.unsettled(p, stage.now(), stage.now());
             chronicle.unsettled(p + Chronicle.TWIN, stage.now(), stage.now());
--- a/src/main/java/gullspar/rehearse/play/VirtualFleet.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualFleet.java
@@ -58,15 +58,18 @@
                 Agenda.mix(script.seed() * 31 + 12 + peering.lives().applyAsLong(who)), platform, load);
     }
 
-    /** The first three proxies are everybody's seeds, where they were found at first. */
     private Fleet fleet(String process) {
         Script.Peers p = script.peers();
         String name = Chronicle.named(process);
-        return new Fleet(name, home(process), null,
-                cast.proxies().stream().limit(SEEDS).map(this::firstHome).toList(), null,
+        return new Fleet(name, home(process), null, seeds(), null,
                 cast.front().site(name), (long) (p.intervalMs() * 1e6), (long) (p.windowS() * 1e9), 0);
     }
 
+    /** Where the first three proxies are found. */
+    List<InetSocketAddress> seeds() {
+        return cast.proxies().stream().limit(SEEDS).map(this::home).toList();
+    }
+
     private InetSocketAddress firstHome(String process) {
         return new InetSocketAddress(machines.apply(process).getAddress(), PORT);
     }
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -366,7 +366,12 @@
 
     @Override
     public void move(List<String> ring) {
+        List<InetSocketAddress> before = fleet.seeds();
         fleet.move(ring);
+        List<InetSocketAddress> seeds = fleet.seeds();
+        if (!seeds.equals(before)) {
+            lives.values().forEach(life -> life.loop.execute(() -> life.member.seeds(seeds)));
+        }
     }
 
     @Override
--- a/src/main/java/gullspar/rehearse/script/Script.java
+++ b/src/main/java/gullspar/rehearse/script/Script.java
@@ -59,9 +59,10 @@
             double fallS) { }
 
     /**
-     * What a search may draw: kinds of faults, how many at the most, and the service that is too low for it.
+     * What a search may draw: kinds of faults, how many at the most, for how many s at the end there are
+     * none, and the service that is too low for it.
      */
-    public record Search(List<FaultKind> kinds, int most, double below) { }
+    public record Search(List<FaultKind> kinds, int most, double calmS, double below) { }
 
     public Script {
         sites = List.copyOf(sites);
--- a/src/main/java/gullspar/rehearse/script/ScriptReader.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -227,6 +227,7 @@
             f.wrong("kinds", "names nothing that could be searched");
         }
         Script.Search s = new Script.Search(List.copyOf(kinds), f.whole("most", 5, 1, 50),
+                f.number("calm_s", 0, 0, LONGEST_S),
                 f.number("below", 0, 0, 1));
         f.noOthers();
         return s;
--- a/src/main/java/gullspar/rehearse/script/ScriptWriter.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptWriter.java
@@ -90,7 +90,8 @@
         }
         table("[search]");
         line("kinds", texts(s.search().kinds().stream().map(FaultKind::named).toList()))
-                .line("most", s.search().most()).line("below", plain(s.search().below()));
+                .line("most", s.search().most()).line("calm_s", plain(s.search().calmS()))
+                .line("below", plain(s.search().below()));
         s.faults().forEach(this::fault);
     }
 
--- a/src/main/java/gullspar/rehearse/search/Draw.java
+++ b/src/main/java/gullspar/rehearse/search/Draw.java
@@ -38,8 +38,10 @@
     }
 
     private static Fault fault(Script s, FaultKind kind, SplittableRandom r) {
-        double at = tenth(r.nextDouble() * s.seconds() * BEGIN_IN);
-        double left = Math.min(LONGEST_S, s.seconds() - at);
+        // A day that is all calm was cut down by a search: it has faults of its own.
+        double end = s.seconds() > s.search().calmS() ? s.seconds() - s.search().calmS() : s.seconds();
+        double at = tenth(r.nextDouble() * end * BEGIN_IN);
+        double left = Math.min(LONGEST_S, end - at);
         double lasts = kind.momentary() ? 0 : Math.max(0.1, Math.floor(10 * left * (0.05 + 0.95 * r
                 .nextDouble())) / 10);
         Map<String, Double> figures = new LinkedHashMap<>();
--- a/src/test/java/gullspar/peers/PeersTest.java
+++ b/src/test/java/gullspar/peers/PeersTest.java
@@ -223,6 +223,16 @@
         assertTrue(t.until(120, t::agreed) >= 0);
     }
 
+    @Test
+    void seedsThatAreNamedLaterAreLookedForAtOnce() {
+        Town t = settled(18, 4);
+        Life far = t.start("p5", "b5:1"); // neither knows of the other
+        assertTrue(t.until(40, t::agreed) < 0);
+        t.get(2).input(() -> t.get(2).peers.seeds(t.now, List.of("b5:1")));
+        assertTrue(t.until(10, t::agreed) >= 0);
+        assertEquals(5, far.peers.size());
+    }
+
     @Test
     void theAddressOfADeadOneIsTakenOverByAnother() {
         Town t = settled(14, 10);
--- a/src/test/java/gullspar/rehearse/play/FleetDayTest.java
+++ b/src/test/java/gullspar/rehearse/play/FleetDayTest.java
@@ -113,7 +113,7 @@
 
     static List<Script> strange() {
         return List.of(TWINS, MAD,
-                day(24, Days.fault("move", 1, "proxies = [\"p2\"]")
+                day(24, Days.fault("move", 1, "proxies = [\"p1\", \"p2\", \"p3\"]")
                         + Days.fault("take-over", 2, "proxies = [\"p1\", \"p3\", \"p4\"]")),
                 day(24, Days.fault("new-key", 1, "for = 16") + Days.fault("kill", 8, "proxies = 1")),
                 day(24, Days.fault("forged-datagrams", 1, "for = 22\nproxies = 3")
