A proxy started where SIGHUP is ignored says so; large fleets are looked at less often

Excluded: a file that is turned down (it would say so), a watch that falls silent (no such line), the change of the warm-up (main does it too). The plays were started under nohup, /proc/PID/status has SigIgn 1007, and the runtime leaves an ignored SIGHUP ignored without a word, so nobody moved to the new discovery. What was to blame in the program: Signals.on took it for heard. It looks at what the signal was before, and the start says 'SIGHUP is not heard'; ServeTest starts one under a trap.

--- a/bench/fleet/cost.sh
+++ b/bench/fleet/cost.sh
@@ -1,14 +1,15 @@
 #!/bin/sh
 # What the view of the fleet costs a process: the same quiet day of real processes with and without it, in turn, and of
-# each the share of a core and the resident memory of its proxies in the middle of the day: medians and the most. What it
-# printed is in docs/fleet.md.
-# usage: bench/fleet/cost.sh [PROXIES [PAIRS]]
+# each the share of a core and the resident memory of its proxies in the middle of the day: medians and the most. Before
+# that, starts of one proxy in turn with and without it, on one core, until it is warm. What it printed is in
+# docs/fleet.md.
+# usage: bench/fleet/cost.sh [PROXIES [PAIRS [STARTS]]]
 set -eu
 cd "$(dirname "$0")/../.."
-exec python3 - "${1:-100}" "${2:-3}" <<'EOF'
-import os, statistics, subprocess, sys, tempfile, time
+exec python3 - "${1:-100}" "${2:-3}" "${3:-9}" <<'EOF'
+import json, os, socket, statistics, subprocess, sys, tempfile, time
 
-count, pairs = int(sys.argv[1]), int(sys.argv[2])
+count, pairs, starts = (int(a) for a in sys.argv[1:4])
 TICK, PAGE = os.sysconf("SC_CLK_TCK"), os.sysconf("SC_PAGE_SIZE")
 DAY = """
 title = "quiet"
@@ -34,6 +35,37 @@
 """
 
 
+def free(kind):
+    with socket.socket(socket.AF_INET, kind) as s:
+        s.bind(("127.0.0.1", 0))
+        return "127.0.0.1:%d" % s.getsockname()[1]
+
+
+def start(peers, folder):
+    settings = json.load(open("deploy/warm.json"))
+    settings["listen"], settings["operator"] = free(socket.SOCK_STREAM), free(socket.SOCK_STREAM)
+    if peers:
+        with open(folder + "/fleet.key", "w") as key:
+            key.write("ab" * 32 + "\n")
+        with open(folder + "/fleet.toml", "w") as file:
+            file.write('[fleet]\nname = "p1"\nbind = "%s"\nseeds = []\nkey_file = "%s/fleet.key"\n'
+                       % (free(socket.SOCK_DGRAM), folder))
+        settings["operators_file"] = folder + "/fleet.toml"
+    with open(folder + "/config.json", "w") as file:
+        json.dump(settings, file)
+    began = time.monotonic()
+    with subprocess.Popen(["taskset", "-c", "0", "sh", "deploy/serve.sh"], stderr=subprocess.PIPE, text=True,
+                          env=dict(os.environ, NODE_CONFIG=folder + "/config.json")) as p:
+        for line in p.stderr:
+            if line.rstrip().endswith("requests to warm up"):  # what comes then waits for discovery
+                break
+        else:
+            raise SystemExit("the proxy ended before it was warm")
+        seconds = time.monotonic() - began
+        p.kill()
+    return seconds
+
+
 def children(of):
     kids = [int(p) for p in os.listdir("/proc") if p.isdigit() and parent(p) == of]
     return [k for k in kids if b"gullspar.Main" in read("/proc/%d/cmdline" % k)]
@@ -80,6 +112,15 @@
         return cpu, memory
 
 
+took = {False: [], True: []}
+with tempfile.TemporaryDirectory() as folder:
+    for i in range(starts):
+        for peers in ((False, True) if i % 2 == 0 else (True, False)):
+            took[peers].append(start(peers, folder))
+print("start, s, least, median and most of %d: without %.3f, %.3f, %.3f; with %.3f, %.3f, %.3f; median of pairs %.3f" % (
+    starts, min(took[False]), statistics.median(took[False]), max(took[False]), min(took[True]),
+    statistics.median(took[True]), max(took[True]),
+    statistics.median(b / a for a, b in zip(took[False], took[True]))), flush=True)
 rows = {False: ([], []), True: ([], [])}
 for i in range(pairs):
     for peers in ((False, True) if i % 2 == 0 else (True, False)):
--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -47,7 +47,7 @@
         EventLoop loop = loop();
         Reloads reloads = new Reloads(environment, loop);
         if (!Signals.on("HUP", () -> started.thenAccept(reloads::read))) {
-            LOG.say("this runtime cannot hear SIGHUP: the configuration is read at the start only");
+            LOG.say(Signals.NO_HUP);
         }
         LibraryLog.install();
         LOG.say("starting");
--- a/src/main/java/gullspar/proxy/io/Signals.java
+++ b/src/main/java/gullspar/proxy/io/Signals.java
@@ -8,9 +8,17 @@
  * to end it, so the class that most runtimes have is looked up by name.
  */
 public final class Signals {
+    /** What a process says that does not hear of SIGHUP. */
+    public static final String NO_HUP = "SIGHUP is not heard: it is ignored where this was started (nohup?), "
+            + "or the runtime cannot hear it; the configuration is read at the start only";
+
     private Signals() { }
 
-    /** Calls the action at each such signal, on a thread of its own; false if that is not to be had. */
+    /**
+     * Calls the action at each such signal, on a thread of its own; false if that is not to be had: the
+     * runtime has no such class, or the process was started where the signal is ignored (nohup, a trap),
+     * which the runtime leaves as it is.
+     */
     public static boolean on(String name, Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
@@ -24,10 +32,10 @@
                 case "hashCode" -> System.identityHashCode(self);
                 default -> "handler of SIG" + name;
             };
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance(name),
                     Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler}, call));
-            return true;
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             return false;
         }
--- a/src/main/java/gullspar/rehearse/live/LiveFleet.java
+++ b/src/main/java/gullspar/rehearse/live/LiveFleet.java
@@ -39,7 +39,6 @@
  * The proxies' view of the fleet on a live day: their files, the relay between them, and questions to each.
  */
 final class LiveFleet {
-    private static final long LOOK_MS = 250;
     private static final Duration PATIENCE = Duration.ofMillis(900);
     private static final int SEEDS = 3;
 
@@ -164,7 +163,7 @@
                 });
             }
         }
-        loop.schedule(() -> look(alive), LOOK_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> look(alive), Look.everyMs(proxies.size()), TimeUnit.MILLISECONDS);
     }
 
     private void heard(String process, String answer) {
--- a/src/main/java/gullspar/rehearse/play/Timeline.java
+++ b/src/main/java/gullspar/rehearse/play/Timeline.java
@@ -40,6 +40,9 @@
     private final List<String> proxies;
     private final Platform platform;
     private final Set<String> twins = new HashSet<>();
+    /** The number of the key that all proxies use, and until when the one before it is being replaced. */
+    private int key;
+    private long keyUntil;
 
     Timeline(Stage stage, Script script, Chronicle chronicle, Fleet fleet, Front front, Crowd crowd,
             RudeClients rude, Strikes strikes, List<String> proxies) {
@@ -207,7 +210,12 @@
 
     /** Three rounds over all proxies, one proxy after the other. Nobody is to notice. */
     private void newKey(Fault f) {
-        List<List<Integer>> steps = List.of(List.of(0, 1), List.of(1, 0), List.of(1));
+        if (stage.now() < keyUntil) {
+            return; // one is being replaced: no operator begins with the next
+        }
+        keyUntil = stage.now() + (long) (f.lasts() * 1e9);
+        int old = key++;
+        List<List<Integer>> steps = List.of(List.of(old, old + 1), List.of(old + 1, old), List.of(old + 1));
         for (int i = 0; i < steps.size() * proxies.size(); i++) {
             List<Integer> keys = steps.get(i / proxies.size());
             String p = proxies.get(i % proxies.size());
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -51,7 +51,6 @@
     /** The share of a start after which the daemon asks for the list: 0.7 of 2.5 s as seen on half a core. */
     private static final double ASKS_AFTER = 0.3;
     private static final int MOST_LOG_LINES = 10_000;
-    private static final long LOOK_NS = 250_000_000L;
 
     /**
      * How a day is to be played. decisions gets the decision log, or is null; module and platform stand
@@ -295,7 +294,7 @@
                 }
             }
         });
-        loop.schedule(this::look, LOOK_NS, TimeUnit.NANOSECONDS);
+        loop.schedule(this::look, Look.everyMs(cast.proxies().size()), TimeUnit.MILLISECONDS);
     }
 
     private void say(String who, String line) {
--- a/src/main/java/gullspar/rehearse/stage/Look.java
+++ b/src/main/java/gullspar/rehearse/stage/Look.java
@@ -17,6 +17,14 @@
         long objections,
         List<Seen> seen) {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long LEAST_MS = 250;
+    /** Answers grow with the fleet: a larger one is asked less often. */
+    private static final int SMALL = 25;
+
+    /** How long after the last time each of so many proxies is asked again, in ms. */
+    public static long everyMs(int proxies) {
+        return LEAST_MS * Math.max(SMALL, proxies) / SMALL;
+    }
 
     /** One life of another proxy, as it is seen. */
     public record Seen(String name, String life, String status, int incarnation, boolean twin) {
--- a/src/main/java/gullspar/site/SiteDaemon.java
+++ b/src/main/java/gullspar/site/SiteDaemon.java
@@ -38,7 +38,7 @@
         CompletableFuture<Runnable> started = new CompletableFuture<>();
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         if (!Signals.on("HUP", () -> started.thenAccept(Runnable::run))) {
-            LOG.say("this runtime cannot hear SIGHUP: the configuration is read at the start only");
+            LOG.say(Signals.NO_HUP);
         }
         LibraryLog.install();
         Site site = first.get();
--- a/src/test/java/gullspar/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -101,6 +101,25 @@
         }
     }
 
+    /** The runtime leaves a signal alone that was ignored when it started, and says nothing of it. */
+    @Test
+    void whereSighupIsIgnoredTheStartSaysSo() throws Exception {
+        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+            write(discovery, backend);
+            ProcessBuilder nohup = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"",
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), "gullspar.Main", "serve");
+            nohup.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
+            Process p = nohup.start();
+            try (BufferedReader log = p.errorReader()) {
+                said(log, "SIGHUP is not heard");
+                said(log, "to warm up");
+            } finally {
+                p.destroyForcibly().waitFor();
+            }
+        }
+    }
+
     /** Where many start at once discovery answers one after the other: its answer is not waited for twice. */
     @Test
     void theListIsAskedForBeforeTheWarmUp() throws Exception {
--- a/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
+++ b/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
@@ -22,8 +22,9 @@
 import org.junit.jupiter.api.parallel.ResourceLock;
 
 /**
- * Seven real processes that keep a view of each other through a join, kills, restarts with nothing kept, a
- * stopped process, a partition and its healing, on ways that spoil datagrams.
+ * Seven real processes that keep a view of each other through a join, kills, restarts with nothing kept and
+ * at each other's addresses, a stopped process, a partition and its healing, on ways that spoil datagrams,
+ * while the key is replaced, somebody forges, and one speaks of others that never were.
  */
 @Timeout(180)
 @Execution(ExecutionMode.CONCURRENT)
@@ -42,7 +43,10 @@
         """;
 
     private static Script day() {
-        String faults = Days.fault("kill", 0.5, "proxies = [\"p3\", \"p6\"]\ndown_s = 2")
+        String faults = Days.fault("take-over", 0.5, "proxies = [\"p3\", \"p6\"]\ndown_s = 2")
+                + Days.fault("new-key", 1, "for = 16")
+                + Days.fault("forged-datagrams", 1, "for = 20\nproxies = [\"p4\"]\nper_s = 200")
+                + Days.fault("mad-member", 2, "for = 15\nproxies = [\"p7\"]\nfor_each = 20")
                 + Days.fault("pause", 3, "for = 3\nproxies = [\"p2\"]")
                 + Days.fault("partition", 8, "for = 7\nproxies = [\"p1\", \"p4\"]")
                 + Days.fault("kill", 12, "proxies = [\"p5\"]\ndown_s = 0.5")
