--- a/src/test/java/gullspar/ArchitectureTest.java
+++ b/src/test/java/gullspar/ArchitectureTest.java
@@ -14,6 +14,7 @@
 import com.tngtech.archunit.library.dependencies.SliceAssignment;
 import com.tngtech.archunit.library.dependencies.SliceIdentifier;
 import java.io.IOException;
+import java.time.Instant;
 import org.junit.jupiter.api.Test;
 
 /** The borders between the packages. */
@@ -64,6 +65,14 @@
     }
 
     /** Who is there is decided alike in service and in rehearsals; the same inputs bring the same outputs. */
+    /** So a clock that is set an hour on or back changes the stamps of a log, and nothing else. */
+    @Test
+    void onlyTheClocksOriginAndTheLogReadTheTimeOfDay() {
+        noClasses().that().resideOutsideOfPackage("gullspar.proxy.io").should()
+                .callMethod(System.class, "currentTimeMillis").orShould().callMethod(Instant.class, "now")
+                .check(ALL);
+    }
+
     @Test
     void theViewOfTheFleetIsDecidedWithoutInputOutputOrClock() {
         classes().that().resideInAPackage("gullspar.peers").should().onlyDependOnClassesThat()
