--- a/src/main/java/gullspar/peers/Detector.java
+++ b/src/main/java/gullspar/peers/Detector.java
@@ -54,6 +54,9 @@
         }
     }
 
+    /** Each member asks, or is asked, once in a round over all; so many intervals more are no silence. */
+    private static final int SLACK = 6;
+
     private final Settings settings;
     private final Roster roster;
     private final Judgement judgement;
@@ -238,12 +241,17 @@
         q.direct = false;
         for (Peer helper : roster.draw(settings.indirect(), random, q.target, null)) {
             if (helper.verdict == Standing.ALIVE) {
-                q.nacksWanted++;
+                // One that is silent itself tells nothing of how well this process hears.
+                q.nacksWanted += now - helper.heardAt <= lately() ? 1 : 0;
                 post.pingReq(now, helper, nonce, q.target);
             }
         }
     }
 
+    private long lately() {
+        return (roster.size() + SLACK) * settings.intervalNs();
+    }
+
     private void failed(long now, Question q) {
         // If those who were asked to help are not heard either, it is likely this process that hears badly.
         health.count(q.nacksWanted > 0 ? Math.max(0, q.nacksWanted - q.nacks) : 1);
--- a/src/main/java/gullspar/peers/Judgement.java
+++ b/src/main/java/gullspar/peers/Judgement.java
@@ -175,6 +175,7 @@
         boolean suspect = heard.standing() == Standing.SUSPECTED;
         p.verdict = suspect ? Standing.ALIVE : heard.standing();
         p.presentAt = p.present() ? now : Long.MIN_VALUE;
+        p.heardAt = now;
         p.knockGap = 2 * settings.intervalNs();
         p.knockAt = now + p.knockGap;
         if (!roster.add(p)) {
--- a/src/main/java/gullspar/peers/Peer.java
+++ b/src/main/java/gullspar/peers/Peer.java
@@ -18,6 +18,8 @@
     /** Who accused it, or why it went; empty if nobody did. */
     String why = "";
     Suspicion suspicion;
+    /** When a datagram of it came last, or, before any has, when it was taken in. */
+    long heardAt;
     /** When it last answered this process itself; MIN_VALUE if never. */
     long answeredAt = Long.MIN_VALUE;
     /** Asked directly it did not answer the last time, though others reached it. */
--- a/src/main/java/gullspar/peers/Peers.java
+++ b/src/main/java/gullspar/peers/Peers.java
@@ -123,6 +123,7 @@
     private void from(long now, Peer p, Message m) {
         Message.Header h = m.header();
         heardAt = now;
+        p.heardAt = now;
         judgement.alive(now, p, h.incarnation());
         m.rumours().forEach(r -> judgement.learn(now, r, p));
         if (m instanceof Message.Ping q) {
@@ -259,6 +260,7 @@
             detector.abandon();
             judgement.pausedFor(late);
             heardAt += late;
+            roster.present().forEach(p -> p.heardAt += late);
             health.count((int) Math.min(settings.healthMost(), 1 + late / settings.intervalNs()));
             nextSync = now;
             out.changed(new Change(Change.Kind.STOOD_STILL, self.id, late / MS + " ms", roster.size()));
--- a/src/test/java/gullspar/peers/PeersTest.java
+++ b/src/test/java/gullspar/peers/PeersTest.java
@@ -223,6 +223,23 @@
         assertTrue(t.until(120, t::agreed) >= 0);
     }
 
+    /** Half of whom it asks say nothing, nor do helpers that are dead as well: its own hearing is good. */
+    @Test
+    void aSurvivorThatStoodStillIsRidOfTheDeadSoon() {
+        Town t = settled(19, 10);
+        Life survivor = t.get(10);
+        survivor.pause(true);
+        t.run(10);
+        List<Life> dead = t.living().stream().filter(l -> l != survivor).toList();
+        dead.forEach(Life::kill);
+        for (int i = 1; i <= 9; i++) {
+            t.start("q" + i, "b" + i + ":1", survivor.address); // knows nothing of the dead
+        }
+        survivor.pause(false);
+        double took = t.until(600, () -> survivor.peers.size() == 10 && t.agreed());
+        assertTrue(took >= 0 && took < 180, "after " + took + " s");
+    }
+
     @Test
     void seedsThatAreNamedLaterAreLookedForAtOnce() {
         Town t = settled(18, 4);
