The warm-up goes over file sockets where they lead somewhere, else within the process

A probe, one core, five pairs of starts: the first 25 requests took 79 ms against 29, the first 100 took 0.15 s of CPU against 0.05. What reads and writes sockets was not run before the first client came; the guess that it is the smaller part was wrong. So sockets in the file system come first again, and channels within the process only where those cannot be had, or where nobody was met within 0.25 s, or nothing answered within 1 s. The archive of classes holds both ways.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -100,6 +100,8 @@
             throws ConfigException, IOException {
         Config config = Config.read(environment);
         warm(config, factory);
+        // The classes of both ways are recorded: which one the platform leaves is not known here.
+        Warmup.within(config, factory, WARM_REQUESTS, WARM_MS);
         Proxy.start(config, Platform.of(loop()), factory).drain().join();
     }
 
--- a/src/main/java/gullspar/proxy/Warmup.java
+++ b/src/main/java/gullspar/proxy/Warmup.java
@@ -22,26 +22,39 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.local.LocalAddress;
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
  * Before a proxy says that it is ready, a throwaway one serves some requests that it makes up itself. Guards
  * against the first clients paying for loading and compiling: on half a core that took seconds, in which
- * most of their requests were late. It all goes over channels within this process: no address is listened on
- * before the proxy serves, nobody from outside can come upon answers that are made up, and nothing of it
- * depends on what the platform lets through. Sockets themselves stay cold, which is the smaller part.
+ * most of their requests were late. It all goes over sockets in the file system, so that what reads and
+ * writes real ones is warm as well; where they cannot be had or lead nowhere, over channels within this
+ * process. No address is listened on before the proxy serves, and nobody from outside can come upon answers
+ * that are made up.
  */
 final class Warmup {
     private static final int CLIENTS = 6, BACKENDS = 4;
@@ -49,53 +62,111 @@
     /** One answer in so many is an error, a refusal of the backend, or an end of the connection. */
     private static final int ODD_ANSWERS = 25;
 
+    /**
+     * A platform may let a process have a socket in the file system and lead nobody there: so long it is
+     * waited for somebody to come, and for the first answer, which on a small share of a core takes its time.
+     */
+    private static final long PATIENCE_MS = 250, ANSWER_MS = 1000;
+
     private static final Log LOG = Log.standardError();
 
     private final Config config;
     private final EventLoop loop;
     private final Proxy proxy;
     private final int most;
-    /** Where the clients find the proxy, and where it finds its backends. */
-    private final LocalAddress door = new LocalAddress(Warmup.class);
-    private final LocalAddress behind = new LocalAddress(Warmup.class);
+    private final Means means;
     private final CompletableFuture<Integer> done = new CompletableFuture<>();
+    private int accepted;
     private int asked;
     private int answered;
     private int served;
     private int worked;
 
+    /** What it goes over: door is where clients find the proxy, behind where it finds its backends. */
+    private record Means(IoHandlerFactory io, Class<? extends Channel> client,
+            Class<? extends ServerChannel> server, SocketAddress door, SocketAddress behind) {
+        static Means files(Path folder) {
+            return new Means(NioIoHandler.newFactory(), NioDomainSocketChannel.class,
+                    NioServerDomainSocketChannel.class, UnixDomainSocketAddress.of(folder.resolve("door")),
+                    UnixDomainSocketAddress.of(folder.resolve("behind")));
+        }
+
+        static Means within() {
+            return new Means(LocalIoHandler.newFactory(), LocalChannel.class, LocalServerChannel.class,
+                    new LocalAddress(Warmup.class), new LocalAddress(Warmup.class));
+        }
+    }
+
     /** To be called on the loop. */
-    private Warmup(Config config, EventLoop loop, Balancer.Factory factory, int most) {
+    private Warmup(Config config, EventLoop loop, Balancer.Factory factory, int most, Means means) {
         this.config = config;
         this.loop = loop;
+        this.means = means;
         this.proxy = new Proxy(config, new Platform(loop, Clock.system(), new Within(), LOG), factory);
         this.most = most;
     }
 
     /** Plays so many requests, or as many as the time allows; returns how many were served. */
     static int run(Config config, Balancer.Factory factory, int requests, long mostMs) {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
+        Path folder = null;
+        try {
+            folder = Files.createTempDirectory("warm");
+            return play(config, factory, requests, mostMs, Means.files(folder));
+        } catch (IOException e) {
+            return within(config, factory, requests, mostMs);
+        } finally {
+            delete(folder);
+        }
+    }
+
+    /** The same without sockets. */
+    static int within(Config config, Balancer.Factory factory, int requests, long mostMs) {
+        try {
+            return play(config, factory, requests, mostMs, Means.within());
+        } catch (IOException e) {
+            LOG.say("not warmed up: " + e);
+            return 0;
+        }
+    }
+
+    /** An IOException if these means lead nowhere. */
+    private static int play(Config config, Balancer.Factory factory, int requests, long mostMs, Means means)
+            throws IOException {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, means.io);
         EventLoop loop = group.next();
         try {
-            CompletableFuture<Integer> done = loop.submit(() -> {
-                Warmup r = new Warmup(config, loop, factory, requests);
+            return loop.submit(() -> {
+                Warmup r = new Warmup(config, loop, factory, requests, means);
                 r.begin(mostMs);
                 return r.done;
-            }).get();
-            return done.get();
-        } catch (Exception e) {
-            LOG.say("not warmed up: " + e);
-            return 0;
+            }).get().get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause());
         } finally {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
         }
     }
 
+    private static void delete(Path folder) {
+        try {
+            if (folder != null) {
+                Files.deleteIfExists(folder.resolve("door"));
+                Files.deleteIfExists(folder.resolve("behind"));
+                Files.deleteIfExists(folder);
+            }
+        } catch (IOException e) {
+            LOG.say("left behind by the warm-up: " + folder);
+        }
+    }
+
     /** Every address is that of the made-up backends. */
     private final class Within implements Transport {
         @Override
         public Bootstrap to(InetSocketAddress address) {
-            return towards(behind);
+            return towards(means.behind);
         }
 
         @Override
@@ -104,8 +175,8 @@
         }
     }
 
-    private Bootstrap towards(LocalAddress address) {
-        return new Bootstrap().group(loop).channel(LocalChannel.class).remoteAddress(address);
+    private Bootstrap towards(SocketAddress address) {
+        return new Bootstrap().group(loop).channel(means.client).remoteAddress(address);
     }
 
     private void begin(long mostMs) {
@@ -116,13 +187,21 @@
                     config.listen()));
         }
         proxy.hear(new News(ListKind.FULL, 1, list));
-        open(behind, c -> c.pipeline().addLast(new Backend()),
-                () -> open(door, proxy::accept, this::connect));
+        open(means.behind, c -> c.pipeline().addLast(new Backend()),
+                () -> open(means.door, this::accept, this::connect));
+        loop.schedule(() -> leadsNowhere(accepted == 0), PATIENCE_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> leadsNowhere(answered == 0), ANSWER_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void leadsNowhere(boolean so) {
+        if (so) {
+            done.completeExceptionally(new ConnectException("nobody is met at " + means.door));
+        }
     }
 
     /** Somebody is there at an address from then on. */
-    private void open(LocalAddress address, Consumer<Channel> accept, Runnable then) {
-        new ServerBootstrap().group(loop).channel(LocalServerChannel.class).childHandler(initially(accept))
+    private void open(SocketAddress address, Consumer<Channel> accept, Runnable then) {
+        new ServerBootstrap().group(loop).channel(means.server).childHandler(initially(accept))
                 .bind(address).addListener(f -> {
                     if (f.isSuccess()) {
                         then.run();
@@ -141,9 +220,19 @@
         };
     }
 
+    private void accept(Channel client) {
+        accepted++;
+        proxy.accept(client);
+    }
+
     private void connect() {
         for (int i = 0; i < CLIENTS; i++) {
-            towards(door).handler(initially(c -> c.pipeline().addLast(new Asking()))).connect();
+            towards(means.door).handler(initially(c -> c.pipeline().addLast(new Asking()))).connect()
+                    .addListener(f -> {
+                        if (!f.isSuccess()) {
+                            done.completeExceptionally(f.cause());
+                        }
+                    });
         }
     }
 
