--- /dev/null
+++ b/bench/fleet/cost.sh
@@ -0,0 +1,94 @@
+#!/bin/sh
+# What the view of the fleet costs a process: the same quiet day of real processes with and without it, in turn, and of
+# each the share of a core and the resident memory of its proxies in the middle of the day: medians and the most. What it
+# printed is in docs/fleet.md.
+# usage: bench/fleet/cost.sh [PROXIES [PAIRS]]
+set -eu
+cd "$(dirname "$0")/../.."
+exec python3 - "${1:-100}" "${2:-3}" <<'EOF'
+import os, statistics, subprocess, sys, tempfile, time
+
+count, pairs = int(sys.argv[1]), int(sys.argv[2])
+TICK, PAGE = os.sysconf("SC_CLK_TCK"), os.sysconf("SC_PAGE_SIZE")
+DAY = """
+title = "quiet"
+seconds = 60
+[proxies]
+count = %d
+start_s = 1
+%s
+[[nodes]]
+kind = "node"
+count = 4
+slots = 8
+connections = 4000
+[[class]]
+name = "look"
+effect = "idempotent"
+share = 1
+work_ms = [2, 4]
+promise_ms = 1000
+give_up_ms = 2000
+[clients]
+rate = %d
+"""
+
+
+def children(of):
+    kids = [int(p) for p in os.listdir("/proc") if p.isdigit() and parent(p) == of]
+    return [k for k in kids if b"gullspar.Main" in read("/proc/%d/cmdline" % k)]
+
+
+def read(path):
+    try:
+        return open(path, "rb").read()
+    except OSError:
+        return b""
+
+
+def fields(pid):
+    return read("/proc/%s/stat" % pid).rpartition(b")")[2].split()
+
+
+def parent(pid):
+    f = fields(pid)
+    return int(f[1]) if f else 0
+
+
+def busy(pid):
+    f = fields(pid)
+    return (int(f[11]) + int(f[12])) / TICK
+
+
+def play(peers):
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as day:
+        day.write(DAY % (count, "[peers]\ninterval_ms = 1000" if peers else "", max(1, count // 10)))
+        day.flush()
+        rig = subprocess.Popen(["java", "-jar", "target/gullspar.jar", "rehearse", "--live", day.name, "--json"],
+                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
+        began = time.monotonic()
+        while len(children(rig.pid)) < count and time.monotonic() - began < 60:
+            time.sleep(0.5)
+        time.sleep(30)  # they are all there, and the wave of the start is over
+        kids = children(rig.pid)
+        before, at = {k: busy(k) for k in kids}, time.monotonic()
+        time.sleep(20)
+        seconds = time.monotonic() - at
+        cpu = [100 * (busy(k) - before[k]) / seconds for k in kids]
+        memory = [int(read("/proc/%d/statm" % k).split()[1]) * PAGE / 2**20 for k in kids]
+        rig.communicate()
+        return cpu, memory
+
+
+rows = {False: ([], []), True: ([], [])}
+for i in range(pairs):
+    for peers in ((False, True) if i % 2 == 0 else (True, False)):
+        cpu, memory = play(peers)
+        rows[peers][0].extend(cpu)
+        rows[peers][1].extend(memory)
+print("| %d proxies, %d plays each | share of a core: median, most | resident, MB: median, most |" % (count, pairs))
+print("| --- | --- | --- |")
+for peers, (cpu, memory) in rows.items():
+    print("| %s | %.2f %%, %.2f %% | %.1f, %.1f |" % ("with the view" if peers else "without", statistics.median(cpu),
+          max(cpu), statistics.median(memory), max(memory)))
+EOF
--- a/benchmarks/run.sh
+++ b/benchmarks/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# JMH: routing among 10, 1,000 and 10,000 routes. About two minutes.
+# JMH: routing among 10, 1,000 and 10,000 routes; a datagram of the view of the fleet. About four minutes.
 # usage: benchmarks/run.sh [JMH OPTION...]
 set -eu
 cd "$(dirname "$0")/.."
--- /dev/null
+++ b/benchmarks/src/main/java/gullspar/benchmarks/FleetBenchmark.java
@@ -0,0 +1,137 @@
+package gullspar.benchmarks;
+
+import gullspar.peers.Change;
+import gullspar.peers.Facts;
+import gullspar.peers.Figures;
+import gullspar.peers.Identity;
+import gullspar.peers.Message;
+import gullspar.peers.Outbox;
+import gullspar.peers.Peers;
+import gullspar.peers.Phase;
+import gullspar.peers.Rumour;
+import gullspar.peers.Settings;
+import gullspar.peers.Standing;
+import gullspar.peers.Statement;
+import gullspar.peers.wire.Codec;
+import gullspar.peers.wire.Envelope;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * What a datagram of the view of the fleet costs: a question with six rumours that nobody has not heard, from
+ * one member after the other, made, sealed, opened, read, taken in and answered.
+ */
+@State(Scope.Benchmark)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 5, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(2)
+public class FleetBenchmark {
+    private static final long S = 1_000_000_000L;
+    private static final int RUMOURS = 6;
+
+    /** Members, the one that is measured included. */
+    @Param({"10", "100", "1000"})
+    public int members;
+
+    private final Envelope envelope = new Envelope(List.of(new byte[Envelope.LEAST_KEY_BYTES]));
+    private final List<Statement> others = new ArrayList<>();
+    private final List<Message> out = new ArrayList<>();
+    private final List<Identity> asked = new ArrayList<>();
+    private Peers peers;
+    private long[] numbers;
+    private long now = 1000 * S;
+    private int turn;
+    private long answered;
+
+    /** Lets all others prove that they live. */
+    @Setup
+    public void meet() {
+        Random random = new Random(5);
+        for (int i = 1; i < members; i++) {
+            others.add(new Statement(new Identity("p" + i, random.nextLong()), 1, "10.0." + i / 250 + "."
+                    + (1 + i % 250) + ":7946", "zone", "0.1.0", "0badcafe", Phase.SERVING, 100_000, 0, 0,
+                    new Figures(50, 1, 3), Facts.NONE));
+        }
+        numbers = new long[members];
+        peers = new Peers(Settings.every(S), new Statement(new Identity("me", 1), 1, "10.1.0.1:7946", "zone",
+                "0.1.0", "0badcafe", Phase.SERVING, 0, 0, 0, Figures.NONE, Facts.NONE), List.of(), random,
+                new Outbox() {
+                    @Override
+                    public void send(String to, Message m) {
+                        out.add(m);
+                    }
+
+                    @Override
+                    public void changed(Change c) {
+                        // nobody is told
+                    }
+                }, now);
+        for (int i = 0; i < others.size(); i++) {
+            Statement s = others.get(i);
+            out.clear();
+            now += S / 10;
+            peers.receive(now, new Message.Ping(header(i), 7, 1, true, List.of()));
+            long nonce = out.stream().filter(m -> m instanceof Message.Ping).mapToLong(m ->
+                    ((Message.Ping) m).nonce()).findFirst().orElseThrow();
+            peers.receive(now, new Message.Ack(header(i), nonce, s.id(), 0, List.of(rumour(s))));
+        }
+        if (peers.size() != members) {
+            throw new IllegalStateException("knows " + peers.size() + " of " + members);
+        }
+    }
+
+    private Message.Header header(int i) {
+        Statement s = others.get(i);
+        return new Message.Header(s.id(), 0, s.address(), ++numbers[i]);
+    }
+
+    private static Rumour rumour(Statement s) {
+        return new Rumour(s.id(), 0, Standing.ALIVE, "", 0, s, 100);
+    }
+
+    private byte[] question() {
+        int i = turn = (turn + 1) % others.size();
+        List<Rumour> rumours = new ArrayList<>();
+        for (int k = 1; k <= RUMOURS; k++) {
+            rumours.add(rumour(others.get((i + k) % others.size())));
+        }
+        return envelope.seal(Codec.encode(new Message.Ping(header(i), 7, 1, false, rumours)));
+    }
+
+    /** Made and sealed only. */
+    @Benchmark
+    public byte[] made() {
+        return question();
+    }
+
+    /** Made, sealed, opened, read, taken in; and its answer made and sealed. */
+    @Benchmark
+    public long madeAndTaken() throws IOException {
+        byte[] d = question();
+        if (envelope.open(d) != null) {
+            throw new IllegalStateException("not taken");
+        }
+        out.clear();
+        peers.receive(now, Codec.decode(d, Envelope.front(), d.length - Envelope.front()));
+        for (Message m : out) {
+            answered += envelope.seal(Codec.encode(m)).length;
+        }
+        return answered;
+    }
+}
--- a/src/main/java/gullspar/rehearse/report/HtmlReport.java
+++ b/src/main/java/gullspar/rehearse/report/HtmlReport.java
@@ -50,6 +50,9 @@
         head(title);
         timeline();
         nodes();
+        if (!chronicle.looks().isEmpty()) {
+            fleet();
+        }
         worst();
         broken();
         table();
@@ -210,6 +213,39 @@
         return util < 0.3 ? "low" : util < 0.7 ? "mid" : util < 0.95 ? "high" : "full";
     }
 
+    /** A strip for each process of a proxy: how it saw the others; grey where it did not answer. */
+    private void fleet() {
+        FleetChart chart = new FleetChart(chronicle, day.script().seconds());
+        add("<h2>The view of the fleet</h2>");
+        add("<p class=\"soft\">How each proxy saw the others, the worst answer of each second, and at the "
+                + "end of its line the bytes a second that it sent.</p>");
+        add("<ul class=\"legend\"><li><i style=\"background:var(--low)\"></i>as it was</li>"
+            + "<li><i style=\"background:var(--mid)\"></i>somebody suspected, or dead and still there</li>"
+                + "<li><i style=\"background:var(--late)\"></i>somebody who lives is missing</li>"
+                + "<li><i style=\"background:var(--refused)\"></i>says that it is cut off</li>"
+                + "<li><i style=\"background:var(--down)\"></i>no answer</li></ul>");
+        add("<div class=\"nodes\">");
+        for (String p : chart.processes()) {
+            add("<span>%s</span>", escaped(p));
+            add("<svg viewBox=\"0 0 %.2f 1\" preserveAspectRatio=\"none\" role=\"img\" "
+                    + "aria-label=\"%s\">", day.script().seconds(), escaped(p));
+            chart.of(p).forEach((second, c) -> add("<rect x=\"%d\" y=\"0\" width=\"1.02\" height=\"1\" "
+                    + "fill=\"var(--%s)\"><title>%s at %d s: has %d, of %d that live</title></rect>", second,
+                    shade(c.sight()), escaped(p), second, c.present(), c.living()));
+            add("</svg><span class=\"num\">%.0f</span>", chart.bytesPerSecond(p));
+        }
+        add("</div>");
+    }
+
+    private static String shade(FleetChart.Sight s) {
+        return switch (s) {
+            case RIGHT -> "low";
+            case BEHIND -> "mid";
+            case LACKS -> "late";
+            default -> "refused";
+        };
+    }
+
     private void worst() {
         Verdict v = day.verdict();
         long from = chronicle.start() + v.worstFromNs();
--- a/src/test/java/gullspar/rehearse/report/ReportTest.java
+++ b/src/test/java/gullspar/rehearse/report/ReportTest.java
@@ -10,6 +10,7 @@
 import gullspar.rehearse.judge.Rule;
 import gullspar.rehearse.play.Played;
 import gullspar.rehearse.play.VirtualPlay;
+import java.util.List;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 
@@ -46,6 +47,28 @@
         return text.split(part, -1).length - 1;
     }
 
+    /** One that dies is missed, then known to be gone; whoever is alone says so; all is well in the end. */
+    @Test
+    void theViewOfTheFleetIsDrawnAsItWas() {
+        Played p = VirtualPlay.play(Days.parse(Days.text(30, "[peers]\ninterval_ms = 200\nwindow_s = 20\n"
+                + Days.fault("kill", 2, "proxies = [\"p2\"]\ndown_s = 12")
+                + Days.fault("partition", 18, "for = 5\nproxies = [\"p3\"]"))
+                .replace("count = 2\nstart_s", "count = 3\nstart_s")), VirtualPlay.Options.plain());
+        FleetChart chart = new FleetChart(p.chronicle(), 30);
+        assertEquals(List.of("p1", "p2", "p3"), chart.processes());
+        assertEquals(FleetChart.Sight.RIGHT, chart.of("p1").get(0).sight());
+        assertEquals(FleetChart.Sight.BEHIND, chart.of("p1").get(2).sight(), "it is dead and still there");
+        assertEquals(new FleetChart.Cell(FleetChart.Sight.RIGHT, 2, 2, chart.of("p1").get(12).bytes()),
+                chart.of("p1").get(12));
+        assertFalse(chart.of("p2").containsKey(8), "a dead process was asked");
+        assertEquals(FleetChart.Sight.CUT_OFF, chart.of("p3").get(21).sight());
+        assertEquals(FleetChart.Sight.RIGHT, chart.of("p3").get(29).sight());
+        assertTrue(chart.bytesPerSecond("p1") > 0);
+        String html = HtmlReport.of(p);
+        assertTrue(html.contains("p3 at 21 s: has ") && html.contains("The view of the fleet"));
+        assertFalse(HtmlReport.of(day).contains("The view of the fleet"));
+    }
+
     /** The plot and its table tell of the same orders, and of all. */
     @Test
     void everyOrderIsCountedOnce() {
