--- a/src/main/java/gullspar/decide/Balancer.java
+++ b/src/main/java/gullspar/decide/Balancer.java
@@ -104,6 +104,15 @@
         /** Starts an attempt, numbered 0, 1, 2... per ticket; timeoutNs 0 is until the client gives up. */
         void send(int ticket, int server, long timeoutNs);
 
+        /**
+         * The same where the rules bind a repeat to a time: it goes out within so long from now, though a
+         * connection may have to be made first, or ends as MOOT; Long.MAX_VALUE for whenever it may be. A
+         * host whose attempts go out at once need not look.
+         */
+        default void send(int ticket, int server, long timeoutNs, long withinNs) {
+            send(ticket, server, timeoutNs);
+        }
+
         /** Final answer: refused, and harmless to try again; retryInNs 0 is no advice. */
         void refuse(int ticket, long retryInNs);
 
--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -360,8 +360,9 @@
         if (bound == null || t.profile.effect() != Effect.DEDUPLICATED || t.profile.scope() == Scope.ALL) {
             return true;
         }
-        return zone(s) == zone(bound.to)
-                && (t.profile.scope() == Scope.ZONE || s.listed.cell() == bound.to.listed.cell());
+        // Where that was when it got the first: the list may have moved it since.
+        return zone(s) == (bound.group.zone() & 255)
+                && (t.profile.scope() == Scope.ZONE || s.listed.cell() == bound.group.cell());
     }
 
     /** Smooth weighted rotation over the factors of the fit servers; null if there is none. */
@@ -550,6 +551,7 @@
     }
 
     private void send(Ticket t, Server s, long now) {
+        Attempt bound = bound(t);
         t.attempts.add(new Attempt(s, s.load(), now));
         t.out++;
         s.owedSince = s.out++ == 0 ? now : s.owedSince;
@@ -561,7 +563,14 @@
                 && !(t.profile.effect() == Effect.DEDUPLICATED && t.profile.scope() == Scope.ALL);
         long most = Math.min(cut ? Math.max(1, t.aim - now) : Long.MAX_VALUE,
                 t.profile.attemptNs() > 0 ? t.profile.attemptNs() : Long.MAX_VALUE);
-        out.send(t.request.ticket(), s.id, most == Long.MAX_VALUE ? 0 : most);
+        long within = bound == null || t.profile.effect() != Effect.DEDUPLICATED ? Long.MAX_VALUE
+                : bound.sentAt + remembered(t) - now;
+        out.send(t.request.ticket(), s.id, most == Long.MAX_VALUE ? 0 : most, within);
+    }
+
+    /** How long its repeats are surely dropped, from the first attempt that may have run. */
+    private long remembered(Ticket t) {
+        return t.profile.windowNs() - 2 * settings.stepNs();
     }
 
     /** May another attempt start now, by the rules on repeats? */
@@ -573,7 +582,7 @@
         Attempt bound = bound(t);
         return bound == null || t.profile.effect() == Effect.IDEMPOTENT
                 || t.profile.effect() == Effect.DEDUPLICATED
-                && now - bound.sentAt < t.profile.windowNs() - 2 * settings.stepNs();
+                && now - bound.sentAt < remembered(t);
     }
 
     private int most(Profile p) {
--- a/src/main/java/gullspar/decide/Ticket.java
+++ b/src/main/java/gullspar/decide/Ticket.java
@@ -29,12 +29,15 @@
     /** One attempt; ahead is the load that the server had when it was sent, ended is null while it is out. */
     static final class Attempt {
         final Server to;
+        /** The server as it was listed then: a repeat is bound to the group of that moment. */
+        final Balancer.Member group;
         final double ahead;
         final long sentAt;
         Balancer.Status ended;
 
         Attempt(Server to, double ahead, long sentAt) {
             this.to = to;
+            this.group = to.listed;
             this.ahead = ahead;
             this.sentAt = sentAt;
         }
--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -49,6 +49,17 @@
         if (!Signals.on("HUP", () -> started.thenAccept(reloads::read))) {
             LOG.say(Signals.NO_HUP);
         }
+        Ending ending = new Ending();
+        try {
+            serve(environment, factory, companions, loop, reloads, started, ending);
+        } finally {
+            ending.never(); // what has failed must not seem to have ended well
+        }
+    }
+
+    private static void serve(Map<String, String> environment, Balancer.Factory factory,
+            Companion.Factory companions, EventLoop loop, Reloads reloads, CompletableFuture<Proxy> started,
+            Ending ending) throws ConfigException, IOException {
         LibraryLog.install();
         LOG.say("starting");
         Config config = reloads.first();
@@ -65,6 +76,9 @@
             }
         }
         warm(config, factory); // meanwhile discovery may answer
+        if (!ending.from(beside == null ? () -> proxy.drain().join() : together(proxy, beside, loop))) {
+            loop.terminationFuture().awaitUninterruptibly(); // told to end: it does not open
+        }
         Proxy.on(platform, () -> {
             proxy.open();
             return proxy;
@@ -75,17 +89,54 @@
         if (port != null) {
             loop.execute(() -> port.about(proxy));
         }
-        Runnable end = beside == null ? () -> proxy.drain().join() : together(proxy, beside, loop);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            end.run();
-            // A process that a signal ends reports the signal; this one has ended well.
-            Runtime.getRuntime().halt(0);
-        }, "drain"));
         started.complete(proxy);
         loop.terminationFuture().awaitUninterruptibly();
         throw new IOException("the event loop has ended"); // better gone than deaf
     }
 
+    /**
+     * What a signal to end does, at whatever moment it comes. Until the proxy opens it holds nothing, and the
+     * process just ends; from then on all is answered first. One that is told to end does not open any more.
+     */
+    private static final class Ending implements Runnable {
+        private Runnable first = () -> { };
+        private boolean begun;
+        private boolean failed;
+
+        Ending() {
+            Runtime.getRuntime().addShutdownHook(new Thread(this, "drain"));
+        }
+
+        synchronized void never() {
+            failed = true;
+        }
+
+        private synchronized boolean failed() {
+            return failed;
+        }
+
+        /** That comes first from now on; false if the end has begun. */
+        synchronized boolean from(Runnable drain) {
+            first = drain;
+            return !begun;
+        }
+
+        private synchronized Runnable begin() {
+            begun = true;
+            return first;
+        }
+
+        @Override
+        public void run() {
+            if (failed()) {
+                return;
+            }
+            begin().run();
+            // A process that a signal ends reports the signal; this one has ended well.
+            Runtime.getRuntime().halt(0);
+        }
+    }
+
     /** The end of a proxy with a companion; apart, so that without one its class is not needed. */
     private static Runnable together(Proxy proxy, Companion beside, EventLoop loop) {
         return () -> {
--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -1,5 +1,6 @@
 package gullspar.proxy;
 
+import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Outcome;
 import gullspar.decide.Balancer.Report;
 import gullspar.decide.Balancer.Request;
@@ -141,7 +142,11 @@
     private void passOn(Answer answer) {
         finish();
         owner.passing(true);
+        // One that never ends is no answer: by the end of its client's time it has failed.
+        ScheduledFuture<?> end = owner.platform.loop().schedule(client::cutOff,
+                Math.max(0, left(owner.platform.clock().now()) + margin), TimeUnit.NANOSECONDS);
         client.answer(answer.head(), answer.body(), answer.rest(), whole -> {
+            end.cancel(false);
             owner.passing(false);
             owner.figures.ended(of.place(), whole ? 200 : 502);
         });
@@ -158,7 +163,7 @@
 
     // ---- what the module does with it ----
 
-    void send(int server, long timeoutNs) {
+    void send(int server, long timeoutNs, long withinNs) {
         long now = owner.platform.clock().now();
         long left = left(now);
         int number = attempts.size();
@@ -169,6 +174,7 @@
             return;
         }
         attempts.add(owner.backends.send(server, message, timeoutNs == 0 ? left : Math.min(timeoutNs, left),
+                withinNs, of.profile().effect() == Effect.IDEMPOTENT,
                 (a, status, report, answer) -> ended(number, server, a.began(), status, report, answer)));
     }
 
--- a/src/main/java/gullspar/proxy/Exchanges.java
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -94,10 +94,11 @@
 
     // ---- the module's actions, by ticket ----
 
-    void send(int ticket, int server, long timeoutNs) {
+    /** withinNs: it goes out within so long or not at all. */
+    void send(int ticket, int server, long timeoutNs, long withinNs) {
         Exchange x = byTicket.get(ticket);
         if (x != null) {
-            x.send(server, timeoutNs);
+            x.send(server, timeoutNs, withinNs);
             return;
         }
         platform.log().say("an attempt for ticket " + ticket + ", which is over");
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -35,15 +35,19 @@
         OperatorPort.Subject {
     /** With the list that it was started with a proxy serves if discovery says nothing for so long. */
     private static final long LIST_WAIT_MS = 3000;
-    /** After SIGTERM clients go on coming for 0.4 s at the most; then the listener closes. */
-    private static final long ACCEPT_MS = 550;
-    /** Requests come whole within so long after that, or never. */
-    private static final long DRAIN_SLACK_MS = 100;
     /**
-     * SIGKILL follows SIGTERM after the longest deadline, of which so much counts, and the slack. By so much
-     * before that the idle connections are closed, and all requests have their answers.
+     * After SIGTERM clients go on coming for 0.4 s at the most (the protocol); then the listener closes, but
+     * for so much longer not while somebody still comes.
      */
-    private static final long LONGEST_KEPT_MS = 3000, KILL_SLACK_MS = 700, CLOSE_MS = 500, ANSWER_MS = 150;
+    private static final long ACCEPT_MS = 550, STILL_COMES_MS = 200;
+    /**
+     * SIGKILL follows SIGTERM after the longest deadline, of which so much counts, and the slack (the
+     * protocol). By so much before that no request is taken any more, all have their answers, and the process
+     * ends though a client does not read its own.
+     */
+    private static final long LONGEST_KEPT_MS = 3000, KILL_SLACK_MS = 700, CLOSE_MS = 500, ANSWER_MS = 150,
+            LEAVE_MS = 80;
+    private static final long LOOK_MS = 10;
 
     private final Platform platform;
     private final Config config;
@@ -57,6 +61,9 @@
     private final Classes classes;
     private final Figures figures = new Figures();
     private boolean listed;
+    /** The list that it was started with, null if there is none; does the module know of it? */
+    private News known;
+    private boolean knownHeard;
     /** It may take clients; until then it only learns what backends there are. */
     private boolean open;
     private boolean draining;
@@ -64,6 +71,12 @@
 
     /** To be called on the loop. */
     Proxy(Config config, Platform platform, Balancer.Factory factory) {
+        this(config, platform, factory, config.settings().askForList() ? Discovery.Patience.SERVICE
+                : Discovery.Patience.AGENT);
+    }
+
+    /** One that waits for discovery with that patience. */
+    Proxy(Config config, Platform platform, Balancer.Factory factory, Discovery.Patience patience) {
         this.config = config;
         this.platform = platform;
         Sockets sockets = new Sockets(config.sockets());
@@ -72,7 +85,7 @@
         this.classes = new Classes(config);
         this.exchanges = new Exchanges(platform, events, backends, figures);
         this.frontend = new Frontend(platform, config, classes, sockets.clients, exchanges, () -> listed);
-        this.discovery = new Discovery(platform, config, this);
+        this.discovery = new Discovery(platform, Discovery.source(config), this, patience);
         this.module = factory.create(config.settings(), config.seed(), platform.clock().now(), this);
         events.to(module);
     }
@@ -84,7 +97,11 @@
 
     /** Starts one that may not listen yet. To be called on the loop. */
     public static Proxy begin(Config config, Platform platform, Balancer.Factory factory) {
-        Proxy p = asking(config, platform, factory);
+        return begun(new Proxy(config, platform, factory));
+    }
+
+    static Proxy begun(Proxy p) {
+        p.ask();
         p.open();
         return p;
     }
@@ -102,6 +119,9 @@
 
     /** Takes clients from now on, or, with an inherited listener, once there is a list. On the loop. */
     public void open() {
+        if (draining) {
+            return;
+        }
         open = true;
         if (!config.inherited()) {
             listen();
@@ -136,19 +156,34 @@
 
     private void ask() {
         platform.log().say("asks discovery for the backends");
-        News known = discovery.known();
+        known = discovery.known();
         if (known != null) {
             discovery.startFrom(known.version());
-            hear(known);
         }
-        if (!config.settings().askForList()) {
+        if (config.settings().askForList()) {
+            hearKnown();
+        } else {
+            // What the agent has counts as told from the first moment: until it has spoken the known list may
+            // name backends that have left, and nobody is sent to by it.
             discovery.watch(true);
         }
-        platform.loop().schedule(() -> {
-            if (known != null && !known.list().isEmpty()) {
-                listed();
-            }
-        }, LIST_WAIT_MS, TimeUnit.MILLISECONDS);
+        platform.loop().schedule(this::unheard, LIST_WAIT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Discovery says nothing: the known list has to do, if there is one. */
+    void unheard() {
+        if (!listed && known != null && !known.list().isEmpty()) {
+            platform.log().say("discovery says nothing: the list of the start has to do");
+            hearKnown();
+            listed();
+        }
+    }
+
+    private void hearKnown() {
+        if (known != null && !knownHeard) {
+            knownHeard = true;
+            hear(known);
+        }
     }
 
     private void listen() {
@@ -211,49 +246,70 @@
             platform.log().say("draining");
             draining = true;
             frontend.drain();
+            long lastMs = Math.min(LONGEST_KEPT_MS,
+                    TimeUnit.NANOSECONDS.toMillis(config.longestDeadlineNs())) + KILL_SLACK_MS;
+            exchanges.endBy(platform.clock().now() + TimeUnit.MILLISECONDS.toNanos(lastMs - ANSWER_MS));
             if (config.inherited()) {
-                handOver();
+                handOver(lastMs);
                 return;
             }
-            platform.loop().schedule(() -> {
-                frontend.close();
-                whenEmpty(0);
-            }, ACCEPT_MS, TimeUnit.MILLISECONDS);
+            after(ACCEPT_MS, () -> shut(-1, 0));
+            after(lastMs - CLOSE_MS, frontend::turnAway);
+            after(lastMs - LEAVE_MS, this::drained);
         });
         return ended;
     }
 
+    private void after(long ms, Runnable what) {
+        platform.loop().schedule(what, ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void drained() {
+        if (ended.complete(null)) {
+            platform.log().say("drained");
+        }
+    }
+
+    /**
+     * Closes the listener, once nobody comes any more: whoever waits in the system's queue when it closes
+     * has asked for nothing and is not heard.
+     */
+    private void shut(long accepted, long waitedMs) {
+        long now = frontend.accepted();
+        if (now != accepted && waitedMs < STILL_COMES_MS) {
+            after(LOOK_MS, () -> shut(now, waitedMs + LOOK_MS));
+        } else {
+            frontend.refuseNew();
+            whenEmpty();
+        }
+    }
+
     /**
      * Another process accepts from the same queue. The connections that this one holds are served until
      * shortly before the end, each answer the last one of its connection: to close one that its client is
      * about to use would cost that request.
      */
-    private void handOver() {
-        if (listening != null) {
-            frontend.refuseNew();
-        }
-        long lastMs = Math.min(LONGEST_KEPT_MS, TimeUnit.NANOSECONDS.toMillis(config.longestDeadlineNs()))
-                + KILL_SLACK_MS;
-        exchanges.endBy(platform.clock().now() + TimeUnit.MILLISECONDS.toNanos(lastMs - ANSWER_MS));
-        platform.loop().schedule(() -> frontend.close(), lastMs - CLOSE_MS, TimeUnit.MILLISECONDS);
+    private void handOver(long lastMs) {
+        frontend.refuseNew();
+        after(lastMs - CLOSE_MS, frontend::close);
         whenLeft();
     }
 
     private void whenLeft() {
         if (frontend.open() == 0 && exchanges.open() == 0) {
-            platform.log().say("drained");
-            ended.complete(null);
+            drained();
         } else {
-            platform.loop().schedule(this::whenLeft, 10, TimeUnit.MILLISECONDS);
+            after(LOOK_MS, this::whenLeft);
         }
     }
 
-    private void whenEmpty(long waitedMs) {
-        if (exchanges.open() == 0 && (frontend.open() == 0 || waitedMs >= DRAIN_SLACK_MS)) {
-            platform.log().say("drained");
-            ended.complete(null);
+    /** Ends once nobody is owed an answer, none is on its way to its client and none may yet be asked for. */
+    private void whenEmpty() {
+        frontend.close();
+        if (exchanges.open() == 0 && !frontend.owes()) {
+            drained();
         } else {
-            platform.loop().schedule(() -> whenEmpty(waitedMs + 10), 10, TimeUnit.MILLISECONDS);
+            after(LOOK_MS, this::whenEmpty);
         }
     }
 
@@ -261,6 +317,7 @@
 
     @Override
     public void news(News news) {
+        hearKnown(); // changes count from there
         hear(news);
         listed();
     }
@@ -298,7 +355,12 @@
 
     @Override
     public void send(int ticket, int server, long timeoutNs) {
-        exchanges.send(ticket, server, timeoutNs);
+        exchanges.send(ticket, server, timeoutNs, Long.MAX_VALUE);
+    }
+
+    @Override
+    public void send(int ticket, int server, long timeoutNs, long withinNs) {
+        exchanges.send(ticket, server, timeoutNs, withinNs);
     }
 
     @Override
--- a/src/main/java/gullspar/proxy/backend/Attempt.java
+++ b/src/main/java/gullspar/proxy/backend/Attempt.java
@@ -39,10 +39,13 @@
     private final long timeoutNs;
     /** When the time began that it has. */
     private long began;
+    /** It must have gone out by then. */
+    private final long latest;
     private boolean sent;
+    private boolean calledOff;
     private boolean ended;
 
-    Attempt(Backend backend, Message request, EventLoop loop, Clock clock, long timeoutNs,
+    Attempt(Backend backend, Message request, EventLoop loop, Clock clock, long timeoutNs, long withinNs,
             Listener listener, Runnable whenWritten) {
         this.backend = backend;
         this.request = request;
@@ -51,6 +54,7 @@
         this.began = clock.now();
         this.timeoutNs = timeoutNs;
         this.deadline = began + timeoutNs;
+        this.latest = withinNs == Long.MAX_VALUE ? withinNs : began + withinNs;
         this.listener = listener;
         this.whenWritten = whenWritten;
     }
@@ -71,6 +75,14 @@
         timer = loop.schedule(this::timeOut, timeoutNs, TimeUnit.NANOSECONDS);
     }
 
+    /**
+     * May it still go out? Not if it is over or called off, which ends it a moment later, nor once it is too
+     * late for it.
+     */
+    boolean mayBegin() {
+        return !ended && !calledOff && clock.now() <= latest;
+    }
+
     /** The request that it sends. */
     Message request() {
         return request;
@@ -113,8 +125,12 @@
         return written;
     }
 
-    /** Takes it back: it ends as cancelled, if it has not ended by then; never within this call. */
+    /**
+     * Takes it back: it ends as cancelled, if it has not ended by then; never within this call. One that has
+     * not gone out does not go out any more, though its connection may come up in this very moment.
+     */
     public void cancel() {
+        calledOff = true;
         loop.execute(() -> giveUp(Status.CANCELLED));
     }
 
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -28,6 +28,12 @@
     /** An idle connection is closed so long before the backend does it: no request may cross that. */
     private static final long KEEP_ALIVE_MARGIN_NS = 1_500_000_000L;
     private static final long SWEEP_MS = 500;
+    /**
+     * A second answer to a request may come some milliseconds late (the operators' page): on a connection
+     * that carries the next request by then it would be taken for that one's answer. Another is used or made
+     * meanwhile.
+     */
+    private static final long SETTLE_NS = 20_000_000L;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -127,23 +133,35 @@
         return clock.now() - c.idleSince() < keepAliveNs;
     }
 
-    private Connection reuse(Backend b) {
-        // The one idle longest: what a backend closes right behind an answer, or sends too much, is seen by
-        // then.
-        Connection c = b.idle.pollFirst();
+    /**
+     * An idle connection, null if there is none to use. The one idle longest: what a backend closes right
+     * behind an answer, or sends too much, is seen by then. For what may not be repeated the one used last:
+     * a backend that closes what stands idle, sooner than it must, closes that last.
+     */
+    private Connection reuse(Backend b, boolean repeatable) {
         // Not left to the sweep: one that stands still would write to what the backend is about to close.
-        while (c != null && !(fresh(c) && c.active())) {
-            c.close();
-            c = b.idle.pollFirst();
+        while (!b.idle.isEmpty() && !(fresh(b.idle.peekFirst()) && b.idle.peekFirst().active())) {
+            b.idle.pollFirst().close();
         }
-        return c;
+        Connection found = null;
+        for (Connection c : b.idle) {
+            if (clock.now() - c.idleSince() >= SETTLE_NS && c.active() && (found == null || !repeatable)) {
+                found = c;
+            }
+        }
+        b.idle.remove(found);
+        return found;
     }
 
     // ---- attempts ----
 
-    /** Starts an attempt; it ends later, never within this call. */
-    public Attempt send(int server, Message request, long timeoutNs, Attempt.Listener listener) {
-        Attempt a = new Attempt(backends.get(server), request, loop, clock, timeoutNs, listener,
+    /**
+     * Starts an attempt; it ends later, never within this call. It goes out within so long or not at all;
+     * repeatable: may it run twice?
+     */
+    public Attempt send(int server, Message request, long timeoutNs, long withinNs, boolean repeatable,
+            Attempt.Listener listener) {
+        Attempt a = new Attempt(backends.get(server), request, loop, clock, timeoutNs, withinNs, listener,
                 () -> written++);
         if (a.backend() == null) {
             loop.execute(() -> a.end(Status.MOOT, null, null)); // gone since
@@ -152,7 +170,7 @@
         if (request.rest() == null) {
             a.startTimer();
         }
-        Connection idle = reuse(a.backend());
+        Connection idle = reuse(a.backend(), repeatable);
         if (idle != null) {
             idle.begin(a);
         } else if (sockets.take()) {
@@ -177,8 +195,10 @@
         a.over(c);
         connect.channel().closeFuture().addListener(f -> sockets.release());
         connect.addListener(f -> {
-            if (f.isSuccess() && !a.ended()) {
-                c.begin(a);
+            if (f.isSuccess()) {
+                // Not within this turn's reading: what else it brings, the end of the client or the news of a
+                // drain, counts first.
+                loop.execute(() -> c.begin(a));
             } else {
                 c.close();
                 loop.execute(() -> a.end(Status.CONNECT_FAILED, null, null));
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -20,6 +21,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 /** A connection: carries one attempt at a time. */
@@ -32,6 +35,9 @@
     private static final long UPLOAD_STALL_NS = 2_000_000_000L;
 
     private final Backend backend;
+    /** The process that it leads to: where that was and when it had started. */
+    private final InetSocketAddress address;
+    private final long bootNs;
     private final EventLoop loop;
     private final Clock clock;
     private final long drainGraceNs;
@@ -54,6 +60,8 @@
 
     Connection(Backend backend, EventLoop loop, Clock clock, long drainGraceNs) {
         this.backend = backend;
+        this.address = backend.address;
+        this.bootNs = backend.bootNs;
         this.loop = loop;
         this.clock = clock;
         this.drainGraceNs = drainGraceNs;
@@ -82,12 +90,18 @@
 
     void begin(Attempt a) {
         a.over(this);
-        // Connecting takes time: the news that the backend drains or is gone may have come meanwhile.
-        if (backend.leftAt != 0 && clock.now() - backend.leftAt > drainGraceNs) {
+        // Connecting takes time: meanwhile the news may have come that the backend drains or is gone, the
+        // request may be nobody's any more, the time may be over in which its repeats are dropped, and the
+        // backend may have closed again.
+        if (backend.leftAt != 0 && clock.now() - backend.leftAt > drainGraceNs || !a.mayBegin()) {
             channel.close();
             loop.execute(() -> a.end(Status.MOOT, null, null));
             return;
         }
+        if (!channel.isActive()) {
+            loop.execute(() -> a.end(Status.CONNECT_FAILED, null, null));
+            return;
+        }
         attempt = a;
         head = null;
         interim = 0;
@@ -99,7 +113,7 @@
         decoder.expect();
         Pieces upload = a.request().rest();
         if (upload == null) {
-            channel.writeAndFlush(a.toWrite()).addListener(f -> written(a, f.isSuccess()));
+            channel.writeAndFlush(a.toWrite(), tellsOf(a));
             return;
         }
         sentAt = clock.now();
@@ -116,12 +130,19 @@
         upload();
     }
 
+    /** It listens before anything is written: within one process an answer may come from inside the write. */
+    private ChannelPromise tellsOf(Attempt a) {
+        return channel.newPromise().addListener(f -> written(a, f.isSuccess()));
+    }
+
     private void written(Attempt a, boolean success) {
         if (watch != null) {
             watch.cancel(false);
         }
         if (success) {
             a.written();
+        } else if (attempt == a) {
+            broken(); // before its last byte was handed over: it never ran
         } else {
             channel.close();
         }
@@ -137,8 +158,7 @@
         }
         if (attempt == a && upload.taken()) {
             a.sent();
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(f -> written(a, f.isSuccess()));
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, tellsOf(a));
         }
     }
 
@@ -262,7 +282,8 @@
     }
 
     private void keepOrClose(boolean written) {
-        if (written && !trailed && HttpUtil.isKeepAlive(head) && backend.leftAt == 0) {
+        if (written && !trailed && HttpUtil.isKeepAlive(head) && backend.leftAt == 0
+                && backend.bootNs == bootNs && Objects.equals(backend.address, address)) {
             idleSince = clock.now();
             backend.idle.addLast(this);
         } else {
@@ -272,12 +293,16 @@
 
     private void served() {
         Attempt a = attempt;
+        Status status = Answers.status(head);
+        if (status == Status.OK && !a.isWritten()) {
+            broken(); // ahead of the whole request nothing has begun: it is the answer to something else
+            return;
+        }
         byte[] bytes = new byte[body.readableBytes()];
         body.readBytes(bytes);
         attempt = null;
         decoder.quiet();
         keepOrClose(a.isWritten());
-        Status status = Answers.status(head);
         a.end(status, LoadReport.last(head.headers().getAll("Server-Load")),
                 status == Status.OK || status == Status.MOOT ? new Answer(head, bytes, null) : null);
     }
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -29,6 +29,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.Consumer;
 
 /**
@@ -62,6 +63,8 @@
 
     /** Bodies of up to so many bytes are awaited, if there is room; larger ones go on while they come. */
     private static final int MOST_AWAITED = 1 << 20;
+    /** Of a body that waits with nothing sent on, and is not read, so much is read to see its client go. */
+    private static final int MOST_PEEKED = 256 << 10;
     /** A head must come within so long: from connecting for the first, from its first byte for later ones. */
     static final long HEAD_NS = 2_500_000_000L;
     /** A body that comes may pause so long, and needs so many bytes a second after a first while. */
@@ -101,6 +104,8 @@
     /** The connection ends while more may still come of a request. */
     private boolean cutShort;
     private boolean used;
+    /** Answers that the system has not taken yet. */
+    private int unwritten;
     /** No more is read: an error or the end is on its way, since then. */
     private boolean ending;
     private long partSince;
@@ -120,11 +125,28 @@
         return !busy && line.isEmpty() && !partial();
     }
 
+    /** Is a request open or begun, or an answer still on its way to the system? */
+    boolean owed() {
+        return !idle() || rest != null || unwritten > 0;
+    }
+
+    /** Of a request that has come in part the rest is not waited for any more. */
+    void turnAway() {
+        if (partial() && !ending) {
+            end(503, "this proxy ends");
+        }
+    }
+
     /** Has a request on it ever been answered? */
     boolean used() {
         return used;
     }
 
+    /** Does it end by itself: an error or the last answer is on its way, or the client's own end awaited? */
+    boolean ending() {
+        return ending;
+    }
+
     boolean busy() {
         return busy;
     }
@@ -146,8 +168,16 @@
         channel.close();
     }
 
+    /** Ends the connection in the middle of an answer, which tells the client that it is not whole. */
+    public void cutOff() {
+        channel.close();
+    }
+
     /** Ends a connection that has kept the proxy waiting for longer than the limits allow. */
     void check(long now, long requestNs, long idleNs) {
+        if (upload != null && upload.paused() && upload.untouched() && upload.waiting() < MOST_PEEKED) {
+            channel.read(); // one that has left is seen only by reading, and nothing has gone out for it yet
+        }
         if (rest != null) {
             if (now - lastMoved > ANSWER_STALL_NS) {
                 channel.close();
@@ -275,9 +305,13 @@
             line.add(w);
         } else {
             // Whoever sends so many at once is no usual client. None of those in line has been sent on, and
-            // their deadlines would run out in it.
+            // their deadlines would run out in it: each is turned away.
+            String why = "too many requests at once on a connection";
+            List<Waiting> turnedAway = line.stream().map(o -> new Waiting(null, 429, why, o.at(), true,
+                    o.version())).toList();
             forgetLine();
-            end(429, "too many requests at once on a connection");
+            line.addAll(turnedAway);
+            end(429, why);
         }
     }
 
@@ -383,6 +417,8 @@
     }
 
     private void ended(ChannelFuture written, boolean last) {
+        unwritten++;
+        written.addListener(f -> unwritten--);
         if (last) {
             written.addListener(f -> finish());
         } else if (!line.isEmpty()) {
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -73,6 +73,7 @@
     private final Crowding crowding = new Crowding();
     private final BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE);
     private Channel listener;
+    private long accepted;
     private boolean draining;
 
     /** ready: are there backends to serve with? */
@@ -107,6 +108,7 @@
     /** A new connection of a client. */
     public void accept(Channel c) {
         crowding.accepted++;
+        accepted++;
         if (!sockets.take()) {
             crowding.refused++;
             c.close();
@@ -121,8 +123,7 @@
 
     private void sweep() {
         long now = clock.now();
-        Stream.concat(unused.stream(), used.stream()).toList().forEach(c -> c.check(now, REQUEST_NS,
-                IDLE_NS));
+        all().toList().forEach(c -> c.check(now, REQUEST_NS, IDLE_NS));
     }
 
     private void sayRejected() {
@@ -140,14 +141,41 @@
 
     /** Takes no more connections. */
     public void refuseNew() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+            sayRejected();
+        }
+        listener = null;
+    }
+
+    /** Connections that have been accepted so far. */
+    public long accepted() {
+        return accepted;
+    }
+
+    private Stream<Client> all() {
+        return Stream.concat(unused.stream(), used.stream());
     }
 
-    /** Takes no more connections, and ends those between requests. */
+    /** Takes no more connections, and ends those between requests, but for those that have just come. */
     public void close() {
         refuseNew();
-        sayRejected();
-        Stream.concat(unused.stream(), used.stream()).filter(Client::idle).toList().forEach(Client::close);
+        all().filter(c -> !c.owed() && !c.ending() && !fresh(c)).toList().forEach(Client::close);
+    }
+
+    /** Has it come so lately that its request may be on the way? */
+    private boolean fresh(Client c) {
+        return !c.used() && clock.now() - c.connectedAt < FRESH_NS;
+    }
+
+    /** Is there a client whose request has begun or may, or whose answer is still being written? */
+    public boolean owes() {
+        return all().anyMatch(c -> c.owed() || fresh(c));
+    }
+
+    /** Of what has come in part the rest is not waited for any more, and nothing new is taken. */
+    public void turnAway() {
+        all().toList().forEach(Client::turnAway);
     }
 
     /**
@@ -159,7 +187,7 @@
      * if there is none.
      */
     private boolean closeOneIdle() {
-        boolean old = !unused.isEmpty() && clock.now() - unused.iterator().next().connectedAt > FRESH_NS;
+        boolean old = !unused.isEmpty() && !fresh(unused.iterator().next());
         return old && closeFirst(unused, false) || closeFirst(used, true) || closeFirst(unused, false);
     }
 
@@ -192,7 +220,9 @@
     @Override
     public void whole(Client client, Message m, long at) {
         String path = new QueryStringDecoder(m.uri()).rawPath();
-        if (path.equals("/_health")) {
+        Known of = named(path);
+        // A class may be called like this path; its requests have an id.
+        if (path.equals("/_health") && (of == null || m.id() == null)) {
             // Whoever holds an inherited listener is one of two that are one proxy: the other goes on.
             boolean up = ready.getAsBoolean() && (!draining || config.inherited());
             int status = up ? 200 : 503;
@@ -200,9 +230,6 @@
             m.release();
             return;
         }
-        int slash = path.indexOf('/', 1);
-        Known of = path.startsWith("/")
-                ? classes.of(path.substring(1, slash < 0 ? path.length() : slash)) : null;
         if (of == null) {
             client.answer(404, null, "no such class");
             m.release();
@@ -226,6 +253,24 @@
         m.release();
     }
 
+    /** The class that a path begins with, null if it is none; its name may be escaped. */
+    private Known named(String path) {
+        if (!path.startsWith("/")) {
+            return null;
+        }
+        int slash = path.indexOf('/', 1);
+        String name = path.substring(1, slash < 0 ? path.length() : slash);
+        Known of = classes.of(name);
+        if (of == null && name.indexOf('%') >= 0) {
+            try {
+                of = classes.of(new QueryStringDecoder("/" + name).path().substring(1));
+            } catch (IllegalArgumentException e) {
+                return null; // an escape that is none
+            }
+        }
+        return of;
+    }
+
     @Override
     public BodyBudget budget() {
         return budget;
--- a/src/main/java/gullspar/proxy/config/Json.java
+++ b/src/main/java/gullspar/proxy/config/Json.java
@@ -3,50 +3,123 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.async.ByteArrayFeeder;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
- * Reads JSON into a tree. Jackson's parser and nodes do the work; its ObjectMapper is left out, since making
- * one sets up dates, zones and locales, a fifth of a second of a start on half a core. The parser limits
- * depth and lengths.
+ * Reads JSON into trees, one value after the other, also where it comes in pieces cut at any byte. Jackson's
+ * non-blocking parser and its nodes do the work; its ObjectMapper is left out, since making one sets up
+ * dates, zones and locales, a fifth of a second of a start on half a core. The parser limits depth and
+ * lengths.
  */
 public final class Json {
     private static final JsonFactory PARSERS = new JsonFactory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
-    private Json() { }
+    private final JsonParser parser;
+    private final ByteArrayFeeder feeder;
+    /** The objects and lists that have begun and not ended, the innermost first. */
+    private final Deque<JsonNode> open = new ArrayDeque<>();
+    /** The names of the fields that wait for their values, the innermost first. */
+    private final Deque<String> names = new ArrayDeque<>();
+    private int pending;
 
+    /** For what comes in pieces. */
+    public Json() {
+        try {
+            parser = PARSERS.createNonBlockingByteArrayParser();
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // nothing is read here
+        }
+        feeder = (ByteArrayFeeder) parser.getNonBlockingInputFeeder();
+    }
+
+    /** Reads one value that is there whole; a missing node if there is none. */
     public static JsonNode read(byte[] bytes) throws IOException {
-        try (JsonParser parser = PARSERS.createParser(bytes)) {
-            parser.nextToken();
-            return value(parser);
+        Json json = new Json();
+        json.add(bytes);
+        JsonNode value = json.next();
+        if (value == null) {
+            json.feeder.endOfInput(); // what was cut off is an error from now on
+            value = json.next();
         }
+        return value == null ? NODES.missingNode() : value;
     }
 
-    /** The value that begins with the current token; leaves the parser at its last. */
-    private static JsonNode value(JsonParser parser) throws IOException {
-        JsonToken token = parser.currentToken();
-        if (token == null) {
-            return NODES.missingNode();
+    /** Adds what has come; all that came before has been asked for by {@link #next}. */
+    public void add(byte[] bytes) throws IOException {
+        pending += bytes.length;
+        feeder.feedInput(bytes, 0, bytes.length);
+    }
+
+    /** Has no object or list begun that has not ended? */
+    public boolean between() {
+        return open.isEmpty();
+    }
+
+    /** So many bytes were added of an object or list that has begun and not ended, or a few more. */
+    public int pending() {
+        return pending;
+    }
+
+    /** The next value that is whole; null if there is none yet. An IOException if this is no JSON. */
+    public JsonNode next() throws IOException {
+        for (JsonToken t = parser.nextToken(); t != null; t = parser.nextToken()) {
+            if (t == JsonToken.NOT_AVAILABLE) {
+                pending = between() ? 0 : pending;
+                return null;
+            }
+            JsonNode value = take(t);
+            if (value != null && between()) {
+                pending = 0;
+                return value;
+            }
         }
+        return null;
+    }
+
+    /** Takes a token in; the value that ends with it, null if none does. */
+    private JsonNode take(JsonToken token) throws IOException {
         switch (token) {
+            case FIELD_NAME:
+                names.push(parser.currentName());
+                return null;
             case START_OBJECT:
-                ObjectNode object = NODES.objectNode();
-                for (String name = parser.nextFieldName(); name != null; name = parser.nextFieldName()) {
-                    parser.nextToken();
-                    object.set(name, value(parser));
-                }
-                return object;
+                return begin(NODES.objectNode());
             case START_ARRAY:
-                ArrayNode array = NODES.arrayNode();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    array.add(value(parser));
-                }
-                return array;
+                return begin(NODES.arrayNode());
+            case END_OBJECT:
+            case END_ARRAY:
+                return open.pop();
+            default:
+                return put(scalar(token));
+        }
+    }
+
+    private JsonNode begin(JsonNode container) {
+        put(container);
+        open.push(container);
+        return null;
+    }
+
+    /** Puts a value into what it is part of. */
+    private JsonNode put(JsonNode value) {
+        if (open.peek() instanceof ObjectNode object) {
+            object.set(names.pop(), value);
+        } else if (open.peek() instanceof ArrayNode array) {
+            array.add(value);
+        }
+        return value;
+    }
+
+    private JsonNode scalar(JsonToken token) throws IOException {
+        switch (token) {
             case VALUE_STRING:
                 return NODES.textNode(parser.getText());
             case VALUE_NUMBER_INT:
--- a/src/main/java/gullspar/proxy/discovery/Catalog.java
+++ b/src/main/java/gullspar/proxy/discovery/Catalog.java
@@ -32,10 +32,10 @@
 
     /** Reads one list; throws IllegalArgumentException if it is not one, and then nothing has changed. */
     News read(JsonNode root) {
-        JsonNode generation = root.path("generation");
+        long generation = generation(root);
         JsonNode instances = root.path("instances");
-        if (!generation.canConvertToLong() || !generation.isNumber() || !instances.isArray()) {
-            throw new IllegalArgumentException("no generation or instances");
+        if (!instances.isArray()) {
+            throw new IllegalArgumentException("no instances");
         }
         boolean whole = root.path("reset").asBoolean(false);
         List<JsonNode> entries = new ArrayList<>();
@@ -69,7 +69,16 @@
                 numbers.remove(owners.remove(l.member().id()));
             }
         }
-        return new News(whole ? ListKind.FULL : ListKind.DELTA, generation.asLong(), list);
+        return new News(whole ? ListKind.FULL : ListKind.DELTA, generation, list);
+    }
+
+    /** The version of a list; throws IllegalArgumentException if it has none. */
+    static long generation(JsonNode root) {
+        JsonNode generation = root.path("generation");
+        if (!generation.canConvertToLong() || !generation.isNumber()) {
+            throw new IllegalArgumentException("no generation");
+        }
+        return generation.asLong();
     }
 
     private static State state(JsonNode entry) {
--- a/src/main/java/gullspar/proxy/discovery/Discovery.java
+++ b/src/main/java/gullspar/proxy/discovery/Discovery.java
@@ -24,10 +24,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
@@ -56,41 +54,59 @@
         }
     }
 
-    /** Two and a half beats of 2 s: what is not heard counts as told after 6 s all the same. */
-    private static final long SILENCE_MS = 5000;
-    private static final long FIRST_PAUSE_MS = 100, LONGEST_PAUSE_MS = 1600;
-    private static final int LONGEST_LINE = 4 << 20;
+    /**
+     * How long a watch is waited for, in ms: until its connection is up; until its answer begins (then
+     * another is opened beside it, where that costs nothing); from one word of it to the next. The protocol's
+     * beats come every 2 s, and what a watch misses counts as told 6 s after it fell silent, opening it
+     * anew and what that brings included.
+     */
+    public record Patience(long connectMs, long beginMs, long silenceMs) {
+        private static final long SILENCE_MS = 3000;
+        /** An agent on this machine answers at once: whatever it says counts from when it could have. */
+        public static final Patience AGENT = new Patience(200, 200, SILENCE_MS);
+        /** A service that all proxies call may let a call wait in turn. */
+        public static final Patience SERVICE = new Patience(1000, 5000, SILENCE_MS);
+    }
+
+    /**
+     * An agent costs nothing and has news from the first moment that it is there again, which bind after the
+     * settings' grace: pauses, connecting and waiting for its answer together stay well under any such.
+     */
+    private static final long FIRST_PAUSE_MS = 10, LONGEST_PAUSE_MS = 80;
+    /** One that does not answer gets no new watch sooner than twice the time of the last, up to so often. */
+    private static final int LONGEST_BEGINNINGS = 8;
+    private static final int LONGEST_VALUE = 4 << 20;
 
     private final Platform platform;
     private final EventLoop loop;
     private final boolean askForList;
     private final JsonNode known;
     private final Listener listener;
-    private final long silenceMs;
+    private final Patience patience;
     private final Catalog catalog;
     private InetSocketAddress address;
     private long version = -1;
     private long pauseMs = FIRST_PAUSE_MS;
+    private int beginnings = 1;
     private boolean wanted;
     private Channel watch;
+    /** One that was overtaken, at another place or saying nothing yet: heard until the newer one speaks. */
+    private Channel former;
     private ScheduledFuture<?> retry;
+    /** What was wrong last, until something was understood: told once, however often it comes. */
+    private String complaint;
 
     public Discovery(Platform platform, Config config, Listener listener) {
-        this(platform, config, listener, SILENCE_MS);
-    }
-
-    /** One that gives up a watch after so long with no word, in ms. */
-    public Discovery(Platform platform, Config config, Listener listener, long silenceMs) {
-        this(platform, new Source(config.discovery(), config.settings().askForList(), config.known(),
-                config.kinds(), config.zones()), listener, silenceMs);
+        this(platform, source(config), listener);
     }
 
     /** One that watches a source that no configuration of the platform names. */
     public Discovery(Platform platform, Source source, Listener listener) {
-        this(platform, source, listener, SILENCE_MS);
+        this(platform, source, listener, source.askForList() ? Patience.SERVICE : Patience.AGENT);
     }
 
-    private Discovery(Platform platform, Source source, Listener listener, long silenceMs) {
+    /** One of another patience. */
+    public Discovery(Platform platform, Source source, Listener listener, Patience patience) {
         this.platform = platform;
         this.loop = platform.loop();
         this.askForList = source.askForList();
@@ -98,7 +114,13 @@
         this.catalog = new Catalog(source.kinds(), source.zones());
         this.listener = listener;
         this.address = source.address();
-        this.silenceMs = silenceMs;
+        this.patience = patience;
+    }
+
+    /** What a configuration of the platform says of it. */
+    public static Source source(Config config) {
+        return new Source(config.discovery(), config.settings().askForList(), config.known(),
+                config.kinds(), config.zones());
     }
 
     /** The list that the proxy was started with; null if there is none that can be read. */
@@ -124,7 +146,10 @@
         }
     }
 
-    /** Discovery is elsewhere now: the watch goes on there at once, from the last version that was heard. */
+    /**
+     * Discovery is elsewhere now: the watch goes on there at once, from the last version that was heard. What
+     * the former place still says is taken until the new one speaks: it may take its time to come up.
+     */
     public void move(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
@@ -132,12 +157,22 @@
         address = to;
         pauseMs = FIRST_PAUSE_MS;
         if (wanted) {
-            close();
-            open();
+            overtake();
         }
     }
 
+    /** Opens another watch beside one that works or may yet begin to; the first of the two to speak stays. */
+    private void overtake() {
+        Channel kept = former != null ? former : watch;
+        watch = kept == watch ? null : watch;
+        former = null;
+        close();
+        former = kept;
+        open();
+    }
+
     private void close() {
+        leaveFormer();
         Channel old = watch;
         watch = null;
         if (old != null) {
@@ -149,10 +184,18 @@
         }
     }
 
+    private void leaveFormer() {
+        Channel old = former;
+        former = null;
+        if (old != null) {
+            old.close();
+        }
+    }
+
     private void open() {
         retry = null;
         ChannelFuture connect = platform.transport().to(address)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) silenceMs)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) patience.connectMs())
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
@@ -164,6 +207,9 @@
     }
 
     private void ended(Channel c) {
+        if (c == former) {
+            former = null;
+        }
         if (c != watch) {
             return; // closed on purpose
         }
@@ -181,9 +227,17 @@
         pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
     }
 
-    /** One watch: lines of JSON in a chunked answer. A line counts once its end has come. */
+    private void complain(String what) {
+        if (!what.equals(complaint)) {
+            complaint = what;
+            platform.log().say(what);
+        }
+    }
+
+    /** One watch: objects in a chunked answer, with blank lines between them while nothing changes. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final Json values = new Json();
+        private final InetSocketAddress at = address;
         private ScheduledFuture<?> silence;
 
         @Override
@@ -193,18 +247,27 @@
                     "/catalog/members?stream=1" + from);
             get.headers().set(HttpHeaderNames.HOST, ctx.channel().remoteAddress().toString().substring(1));
             ctx.writeAndFlush(get);
-            heard(ctx);
+            silence = loop.schedule(() -> late(ctx), beginnings * patience.beginMs(), TimeUnit.MILLISECONDS);
         }
 
-        /** A discovery that is cut off leaves the watch open and silent: give it up. */
-        private void heard(ChannelHandlerContext ctx) {
-            if (silence != null) {
-                silence.cancel(false);
+        /** Its answer has not begun. */
+        private void late(ChannelHandlerContext ctx) {
+            await(ctx, patience.silenceMs());
+            if (askForList) {
+                ctx.close();
+            } else if (ctx.channel() == watch) {
+                beginnings = Math.min(2 * beginnings, LONGEST_BEGINNINGS);
+                overtake();
             }
+        }
+
+        /** A discovery that is cut off leaves the watch open and silent: it is given up after so long. */
+        private void await(ChannelHandlerContext ctx, long ms) {
+            silence.cancel(false);
             silence = loop.schedule(() -> {
-                platform.log().say("discovery is silent: the watch is opened again");
+                complain("discovery is silent: the watch is opened again");
                 ctx.close();
-            }, silenceMs, TimeUnit.MILLISECONDS);
+            }, ms, TimeUnit.MILLISECONDS);
         }
 
         @Override
@@ -214,6 +277,9 @@
                 ctx.close();
                 return;
             }
+            if (message instanceof HttpResponse) {
+                await(ctx, patience.silenceMs());
+            }
             if (message instanceof HttpContent content) {
                 read(ctx, content.content());
             }
@@ -222,39 +288,78 @@
             }
         }
 
+        private boolean current(ChannelHandlerContext ctx) {
+            return ctx.channel() == watch || ctx.channel() == former;
+        }
+
         private void read(ChannelHandlerContext ctx, ByteBuf bytes) {
-            while (bytes.isReadable() && ctx.channel() == watch) {
-                byte b = bytes.readByte();
-                if (b != '\n') {
-                    line.write(b);
-                } else {
+            if (!current(ctx)) {
+                return;
+            }
+            try {
+                if (values.between()) {
+                    beats(ctx, bytes);
+                }
+                byte[] some = new byte[bytes.readableBytes()];
+                bytes.readBytes(some);
+                values.add(some);
+                for (JsonNode n = values.next(); n != null && current(ctx); n = values.next()) {
                     heard(ctx);
-                    line(ctx, line.toByteArray());
-                    line.reset();
+                    take(ctx, n);
                 }
-                if (line.size() > LONGEST_LINE) {
-                    platform.log().say("a line of discovery is too long");
-                    ctx.close();
-                    return;
+                if (values.pending() > LONGEST_VALUE) {
+                    throw new IOException("it is longer than " + LONGEST_VALUE + " bytes");
                 }
+            } catch (IOException | IllegalArgumentException e) {
+                // It may have been news: only a new watch from the last version is sure to bring it. A
+                // parser's message runs over several lines; the first says what is wrong.
+                pauseMs = LONGEST_PAUSE_MS;
+                complain("what discovery says is not understood: "
+                        + e.getMessage().lines().findFirst().orElse(""));
+                ctx.close();
             }
         }
 
-        private void line(ChannelHandlerContext ctx, byte[] bytes) {
-            if (new String(bytes, StandardCharsets.UTF_8).isBlank()) {
-                return;
+        /** Blanks between values; a line's end among them is a word. */
+        private void beats(ChannelHandlerContext ctx, ByteBuf bytes) throws IOException {
+            boolean beat = false;
+            while (bytes.isReadable() && bytes.getByte(bytes.readerIndex()) <= ' ') {
+                beat |= bytes.readByte() == '\n';
             }
-            News news;
-            try {
-                news = catalog.read(Json.read(bytes));
-            } catch (IOException | IllegalArgumentException e) {
-                // It may have been news: only a new watch from the last version is sure to bring it.
-                platform.log().say("a line of discovery is not understood: " + e.getMessage());
-                ctx.close();
-                return;
+            if (beat) {
+                heard(ctx);
+            }
+            if (bytes.isReadable() && bytes.getByte(bytes.readerIndex()) != '{') {
+                throw new IOException("no object");
+            }
+        }
+
+        /** A word has come: this watch works. */
+        private void heard(ChannelHandlerContext ctx) {
+            await(ctx, patience.silenceMs());
+            if (ctx.channel() == former && at.equals(address)) {
+                former = null;
+                close();
+                watch = ctx.channel();
+            }
+            if (ctx.channel() == watch) {
+                pauseMs = FIRST_PAUSE_MS;
+                beginnings = 1;
+                leaveFormer();
+            }
+        }
+
+        private void take(ChannelHandlerContext ctx, JsonNode list) {
+            long generation = Catalog.generation(list);
+            if (generation < version) {
+                if (ctx.channel() == former) {
+                    return; // the newer watch was quicker
+                }
+                throw new IllegalArgumentException("generation " + generation + " comes after " + version);
             }
+            News news = catalog.read(list);
+            complaint = null;
             version = news.version();
-            pauseMs = FIRST_PAUSE_MS;
             listener.news(news);
         }
 
--- a/src/main/java/gullspar/proxy/http/Pieces.java
+++ b/src/main/java/gullspar/proxy/http/Pieces.java
@@ -118,6 +118,11 @@
         return state == State.COMING;
     }
 
+    /** Bytes that wait to be taken. */
+    public int waiting() {
+        return waiting;
+    }
+
     /** Has its bringer been told to pause? */
     public boolean paused() {
         return paused;
--- a/src/main/java/gullspar/rehearse/record/DecisionLog.java
+++ b/src/main/java/gullspar/rehearse/record/DecisionLog.java
@@ -153,10 +153,20 @@
 
         @Override
         public void send(int ticket, int server, long timeoutNs) {
+            sends(ticket, server, timeoutNs, "");
+            out.send(ticket, server, timeoutNs);
+        }
+
+        @Override
+        public void send(int ticket, int server, long timeoutNs, long withinNs) {
+            sends(ticket, server, timeoutNs, withinNs == Long.MAX_VALUE ? "" : " within=" + withinNs);
+            out.send(ticket, server, timeoutNs, withinNs);
+        }
+
+        private void sends(int ticket, int server, long timeoutNs, String more) {
             int attempt = attempts.merge(ticket, 1, Integer::sum) - 1;
             line(who, "Send t=" + ticket + " a=" + attempt + " n=" + nodes.apply(server) + " timeout="
-                    + timeoutNs);
-            out.send(ticket, server, timeoutNs);
+                    + timeoutNs + more);
         }
 
         @Override
--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -12,6 +12,8 @@
 import gullspar.proxy.config.Config;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -45,6 +47,7 @@
             assertTrue(o.over());
             assertEquals(7, o.report().inflight());
             assertEquals(0.61, o.report().util());
+            setup.passes(20);
             sent(client);
             wire.read(); // on the same connection
             wire.write(OK);
@@ -166,11 +169,125 @@
             assertTrue(one.read().endsWith("body"));
             second.write(OK);
             assertTrue(two.read().endsWith("body"));
+            setup.passes(20);
             sent(one);
             assertTrue(first.read().startsWith("GET "));
         }
     }
 
+    /**
+     * A second answer to a request may come some milliseconds late: the next request must not be on that
+     * connection by then.
+     */
+    @Test
+    void aSecondAnswerThatComesLateIsNeverTheAnswerToTheNextRequest() throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            sent(client);
+            Peer.Wire first = backend.accept();
+            first.read();
+            first.write(OK);
+            assertTrue(client.read().endsWith("body"));
+            sent(client); // at once
+            Peer.Wire second = backend.accept();
+            second.read();
+            first.write(OK);
+            assertTrue(first.ended());
+            second.write(OK.replace("body", "next"));
+            assertTrue(client.read().endsWith("next"));
+        }
+    }
+
+    /** The idle connection that its backend is the least likely to be closing just then. */
+    @Test
+    void whatMayNotRunTwiceGoesOverTheConnectionUsedLast() throws Exception {
+        try (Peer.Wire one = setup.client(); Peer.Wire two = setup.client()) {
+            sent(one);
+            Peer.Wire first = backend.accept();
+            first.read();
+            sent(two);
+            Peer.Wire second = backend.accept();
+            second.read();
+            first.write(OK);
+            one.read();
+            second.write(OK);
+            two.read();
+            setup.passes(20);
+            one.write(Setup.get().replace("GET /look", "POST /pay").replace("\r\n\r\n",
+                    "\r\nContent-Length: 0\r\n\r\n"));
+            Request r = setup.request();
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            assertTrue(second.read().startsWith("POST /pay"));
+        }
+    }
+
+    /**
+     * The module sends a request, and its connection comes up while the loop stands still: what happens until
+     * go is found in the same turn as that.
+     */
+    private Peer.Wire comesUp(Runnable send, CountDownLatch go) throws Exception {
+        setup.loop.execute(() -> {
+            send.run();
+            setup.loop.execute(() -> {
+                try {
+                    go.await(20, TimeUnit.SECONDS);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        });
+        return backend.accept();
+    }
+
+    /** Its client has left by the time that the connection is up: both are found in one turn. */
+    @Test
+    void aRequestWhoseClientLeavesWhileItsConnectionComesUpIsNotSent() throws Exception {
+        Peer.Wire client = setup.client();
+        client.write(Setup.get());
+        Request r = setup.request();
+        CountDownLatch go = new CountDownLatch(1);
+        Peer.Wire wire = comesUp(() -> setup.actions.send(r.ticket(), server, 0), go);
+        client.reset();
+        go.countDown();
+        assertEquals(r.ticket(), setup.next("withdrawn", Integer.class));
+        assertTrue(setup.outcome().over());
+        assertEquals("", wire.read());
+    }
+
+    /** A repeat whose time has run out while its connection came up might take effect a second time. */
+    @Test
+    void aRepeatThatComesUpTooLateIsNotSent() throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.get());
+            Request r = setup.request();
+            CountDownLatch go = new CountDownLatch(1);
+            Peer.Wire wire = comesUp(() -> setup.actions.send(r.ticket(), server, 0, 100_000_000L), go);
+            setup.passes(101);
+            go.countDown();
+            assertEquals(Status.MOOT, setup.outcome().status());
+            assertEquals("", wire.read());
+            setup.act(() -> setup.actions.fail(r.ticket()));
+            client.read();
+        }
+    }
+
+    /** A backend begins with the last byte: what it says ahead of that is no answer to this request. */
+    @Test
+    void anAnswerAheadOfTheWholeRequestIsNotServed() throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            String body = "x".repeat(8 << 20);
+            client.write("POST /pay HTTP/1.1\r\nHost: api\r\nRequest-Id: ahead\r\nRequest-Timeout: 30\r\n"
+                    + "Content-Length: " + body.length() + "\r\n\r\n" + body.substring(0, 4 << 20));
+            Request r = setup.request();
+            setup.act(() -> setup.actions.send(r.ticket(), server, 0));
+            Peer.Wire wire = backend.accept();
+            wire.until("\r\n\r\n");
+            wire.write(OK);
+            assertEquals(Status.CONNECT_FAILED, setup.outcome().status());
+            setup.act(() -> setup.actions.refuse(r.ticket(), 0));
+            assertTrue(client.read().startsWith("HTTP/1.1 503 "));
+        }
+    }
+
     @Test
     void bytesOnAnIdleConnectionCloseItAlsoWhereTheyMakeNoMessage() throws Exception {
         try (Peer.Wire client = setup.client()) {
--- a/src/test/java/gullspar/proxy/DiscoveryTest.java
+++ b/src/test/java/gullspar/proxy/DiscoveryTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gullspar.decide.Balancer.ListKind;
 import gullspar.decide.Balancer.Member;
@@ -19,6 +20,7 @@
 import gullspar.proxy.discovery.Listed;
 import gullspar.proxy.discovery.News;
 import gullspar.proxy.io.Platform;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -55,7 +57,7 @@
     }
 
     @Test
-    void aLineCountsOnceItsEndHasComeAndTheWatchResumesByVersion() throws Exception {
+    void aListCountsOnceItsEndHasComeAndTheWatchResumesByVersion() throws Exception {
         Peer.Wire watch = discovery.accept();
         assertTrue(watch.read().startsWith("GET /catalog/members?stream=1&index=41 "));
         String line = list(42, false, "s-1", "terminating");
@@ -63,7 +65,8 @@
         Member m = member();
         assertEquals(new Member(known, 1, State.DRAINING, 1_700_000_000_000_000_000L, 3, 1, 0.5), m);
         assertEquals(ListKind.DELTA, setup.next("kind", ListKind.class));
-        watch.write(chunk(list(43, false, "s-1", "in_service").trim())).close(); // no line end: no news
+        String cut = list(43, false, "s-1", "in_service").trim();
+        watch.write(chunk(cut.substring(0, cut.length() - 1))).close(); // no end: no news
         Peer.Wire second = discovery.accept();
         assertTrue(second.read().startsWith("GET /catalog/members?stream=1&index=42 "));
         second.write(HEAD + chunk(list(44, true, "s-2", "in_service")));
@@ -73,7 +76,8 @@
 
     @Test
     void aLineThatIsNotUnderstoodChangesNothingAndTheWatchIsOpenedAgain() throws Exception {
-        for (String bad : List.of("{\n", "{}\n", "{\"generation\":42,\"instances\":[{}]}\n",
+        for (String bad : List.of("{x\n", "nonsense\n", "[]\n", "{}\n",
+                "{\"generation\":42,\"instances\":[{}]}\n",
                 list(42, false, "s-1", "resting"))) {
             Peer.Wire watch = discovery.accept();
             watch.read();
@@ -85,11 +89,173 @@
         assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("members")));
     }
 
+    /** Lists may come indented, cut anywhere: neither lines nor chunks mean anything. */
+    @Test
+    void anIndentedListIsHeardWhereverItIsCut() throws Exception {
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        watch.write(HEAD);
+        ObjectMapper mapper = new ObjectMapper();
+        int length = pretty(mapper, 100, "terminating").length();
+        for (int cut = 1; cut < length; cut++) {
+            String both = pretty(mapper, 100 + cut, cut % 2 == 0 ? "terminating" : "in_service");
+            watch.write(chunk("\r\n\n" + both.substring(0, cut))).write(chunk(both.substring(cut)));
+            assertEquals(cut % 2 == 0 ? State.DRAINING : State.READY, member().state());
+        }
+        // Two in one read, with nothing between them.
+        watch.write(chunk(pretty(mapper, 900, "terminating") + pretty(mapper, 901, "in_service")));
+        assertEquals(State.DRAINING, member().state());
+        assertEquals(State.READY, member().state());
+        assertTrue(discovery.quiet(), "the watch was opened again");
+    }
+
+    private String pretty(ObjectMapper mapper, int generation, String lifecycle) throws Exception {
+        return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(
+                mapper.readTree(list(generation, false, "s-1", lifecycle)));
+    }
+
+    @Test
+    void aListOfALowerGenerationChangesNothingAndTheWatchGoesOnFromTheLast() throws Exception {
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        watch.write(HEAD + chunk(list(43, false, "s-1", "terminating")));
+        assertEquals(State.DRAINING, member().state());
+        watch.write(chunk(list(42, true, "s-1", "in_service")));
+        assertTrue(watch.ended());
+        Peer.Wire next = discovery.accept();
+        assertTrue(next.read().contains("index=43 "));
+        assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("members")));
+    }
+
+    /** What never ends is not gathered for ever. */
+    @Test
+    void aListWithoutEndIsLetGo() throws Exception {
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        watch.write(HEAD + chunk("{\"generation\":42,\"instances\":["));
+        String much = " ".repeat(1 << 20);
+        try {
+            for (int i = 0; i < 64; i++) {
+                watch.write(chunk(much));
+            }
+        } catch (IOException e) {
+            // the other side has closed: what is wanted
+        }
+        assertTrue(watch.ended());
+        assertTrue(discovery.accept().read().contains("index=41 "));
+    }
+
+    /** Blank lines inside a list that was cut off are no beats. */
+    @Test
+    void aListThatIsCutOffIsNotWaitedForForEver() throws Exception {
+        another(new Discovery.Patience(60_000, 60_000, 200));
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        watch.write(HEAD + chunk("\n" + list(42, false, "s-1", "terminating").substring(0, 60)));
+        CountDownLatch over = new CountDownLatch(1);
+        Thread beats = new Thread(() -> {
+            try {
+                while (over.getCount() > 0) {
+                    watch.write(chunk("\n"));
+                    Thread.onSpinWait();
+                }
+            } catch (IOException e) {
+                // given up: what is wanted
+            }
+        });
+        beats.start();
+        assertTrue(discovery.accept().read().startsWith("GET /catalog/members?stream=1 "));
+        over.countDown();
+        beats.join();
+    }
+
+    private Discovery another(Discovery.Patience patience) throws Exception {
+        discovery.accept(); // that of the proxy
+        Discovery d = new Discovery(Platform.of(setup.loop),
+                Discovery.source(Setup.config(discovery, backend)), setup.proxy, patience);
+        setup.act(() -> d.watch(true));
+        return d;
+    }
+
+    /** The agent is silent while discovery is down, and answers whom it likes when it is back. */
+    @Test
+    void aWatchThatIsAcceptedAndSaysNothingIsOvertakenAndStillHeard() throws Exception {
+        another(new Discovery.Patience(60_000, 20, 60_000));
+        Peer.Wire mute = discovery.accept();
+        mute.read();
+        Peer.Wire second = discovery.accept();
+        mute.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+        assertEquals(State.DRAINING, member().state());
+        second.read();
+        assertTrue(second.ended());
+        mute.write(chunk(list(43, false, "s-1", "in_service")));
+        assertEquals(State.READY, member().state());
+    }
+
+    @Test
+    void ofTwoWatchesTheOneThatSpeaksStays() throws Exception {
+        another(new Discovery.Patience(60_000, 20, 60_000));
+        Peer.Wire mute = discovery.accept();
+        Peer.Wire second = discovery.accept();
+        second.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+        while (!second.read().startsWith("GET ")) {
+            second = discovery.accept(); // overtaken once more before it was heard
+            second.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+        }
+        assertEquals(State.DRAINING, member().state());
+        mute.read();
+        assertTrue(mute.ended());
+    }
+
+    /** A new place may take its time to come up, and what is told meanwhile counts. */
+    @Test
+    void whileTheNewPlaceSaysNothingTheFormerOneIsHeard() throws Exception {
+        Discovery d = another(Setup.PATIENCE);
+        Peer.Wire former = discovery.accept();
+        former.read();
+        former.write(HEAD + chunk("\n"));
+        try (Peer elsewhere = new Peer()) {
+            setup.act(() -> d.move(elsewhere.address()));
+            Peer.Wire watch = elsewhere.accept();
+            watch.read();
+            former.write(chunk(list(42, false, "s-1", "terminating")));
+            assertEquals(State.DRAINING, member().state());
+            watch.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+            assertEquals(State.DRAINING, member().state());
+            assertTrue(former.ended());
+        }
+    }
+
+    /**
+     * What the agent has counts as told from the first moment of a process, so nobody is sent to by the list
+     * of the start until it has spoken. Changes then count from that list.
+     */
+    @Test
+    void theListOfTheStartIsNotUsedUntilDiscoveryHasSpoken() throws Exception {
+        setup.close();
+        discovery.accept();
+        setup = new Setup().unheard(Setup.config(discovery, backend), Setup.PATIENCE);
+        Peer.Wire watch = discovery.accept();
+        assertTrue(watch.read().contains("index=41 "));
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.get());
+            Setup.Told first = setup.told.poll(20, TimeUnit.SECONDS);
+            assertEquals("request", first.what());
+            setup.act(() -> setup.actions.send(((Request) first.event()).ticket(), known, 0));
+            assertEquals(Status.MOOT, setup.outcome().status());
+            watch.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+            assertEquals(ListKind.CACHED, setup.next("kind", ListKind.class));
+            assertEquals(State.DRAINING, member().state());
+            assertTrue(backend.quiet());
+        }
+    }
+
     @Test
     void aSilentWatchIsGivenUp() throws Exception {
         Config config = Setup.config(discovery, backend);
         discovery.accept().read(); // that of the proxy
-        Discovery quick = new Discovery(Platform.of(setup.loop), config, setup.proxy, 200);
+        Discovery quick = new Discovery(Platform.of(setup.loop), Discovery.source(config), setup.proxy,
+                new Discovery.Patience(60_000, 60_000, 200));
         setup.loop.submit(() -> quick.watch(true)).get(20, TimeUnit.SECONDS);
         Peer.Wire watch = discovery.accept();
         watch.read();
@@ -137,6 +303,9 @@
 
     @Test
     void readyOnlyOnceTheListIsIn() throws Exception {
+        setup.close();
+        discovery.accept();
+        setup = new Setup().unheard(Setup.config(discovery, backend), Setup.PATIENCE);
         Peer.Wire watch = discovery.accept();
         watch.read();
         try (Peer.Wire client = setup.client()) {
@@ -167,7 +336,8 @@
     @Test
     void numbersOfBackendsThatAreGoneAreGivenUp() throws Exception {
         Config config = Setup.config(discovery, backend);
-        Discovery d = new Discovery(Platform.of(setup.loop), config, setup.proxy, 60_000);
+        Discovery d = new Discovery(Platform.of(setup.loop), Discovery.source(config), setup.proxy,
+                Setup.PATIENCE);
         setup.act(() -> d.watch(true));
         discovery.accept(); // that of the proxy
         Peer.Wire watch = discovery.accept();
--- a/src/test/java/gullspar/proxy/FrontendTest.java
+++ b/src/test/java/gullspar/proxy/FrontendTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import gullspar.decide.Balancer.Outcome;
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer.Status;
@@ -131,7 +133,9 @@
     void tooManyAtOnceAreTurnedAwayUnsent() throws Exception {
         try (Peer.Wire client = setup.client()) {
             client.write(Setup.get().repeat(Client.MOST_PIPELINED + 1));
-            assertTrue(client.read().startsWith("HTTP/1.1 429 "));
+            for (int i = 0; i <= Client.MOST_PIPELINED; i++) { // each one that has been taken
+                assertTrue(client.read().startsWith("HTTP/1.1 429 "));
+            }
             assertTrue(client.ended());
             assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("request")));
         }
@@ -285,6 +289,62 @@
         }
     }
 
+    /** All that was sent on a connection that is open belongs to somebody: it is waited for and answered. */
+    @Test
+    void aRequestThatIsHalfThereWhenTheListenerClosesIsAwaitedAndAnswered() throws Exception {
+        try (Peer.Wire idle = setup.client(); Peer.Wire half = setup.client()) {
+            String request = Setup.get();
+            half.write(request.substring(0, 20));
+            CompletableFuture<Void> drained = setup.proxy.drain();
+            assertTrue(idle.ended());
+            // The loop's own timers: well after that, all that was due by then has been done.
+            setup.loop.schedule(() -> { }, 300, TimeUnit.MILLISECONDS).sync();
+            assertFalse(drained.isDone(), "it ended with a request half read");
+            half.write(request.substring(20));
+            Request r = setup.request();
+            setup.act(() -> setup.actions.fail(r.ticket()));
+            assertTrue(half.read().contains("connection: close\r\n"));
+            drained.get(20, TimeUnit.SECONDS);
+        }
+    }
+
+    /** What does not come whole in time is told so, before the process is killed. */
+    @Test
+    void aRequestThatStaysHalfThereIsRefusedBeforeTheEnd() throws Exception {
+        try (Peer.Wire half = setup.client(); Peer.Wire fresh = setup.client()) {
+            half.write("GET /look/1 HTTP/1.1\r\nRequest-Id: ");
+            CompletableFuture<Void> drained = setup.proxy.drain();
+            assertTrue(half.read().startsWith("HTTP/1.1 503 "));
+            drained.get(20, TimeUnit.SECONDS);
+            assertTrue(fresh.ended());
+        }
+    }
+
+    /** Names of classes come from the settings: one may be that of a path of ours, or need escapes. */
+    @Test
+    void aClassMayBeCalledAnything() throws Exception {
+        setup.close();
+        JsonNode root = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
+        ((ObjectNode) root.at("/settings/profiles/0")).put("name", "_health");
+        ((ObjectNode) root.at("/settings/profiles/1")).put("name", "gr\u00f6\u00dfe 1/2+%");
+        setup = new Setup().start(Config.parse(root, Map.of()));
+        try (Peer.Wire client = setup.client()) {
+            client.write("GET /_health HTTP/1.1\r\n\r\n");
+            assertTrue(client.read().startsWith("HTTP/1.1 200 "));
+            client.write(Setup.get().replace("/look", "/_health"));
+            assertEquals(0, setup.request().profile());
+        }
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.get().replace("GET /look", "POST /gr%C3%B6%C3%9Fe%201%2F2+%25").replace(
+                    "\r\n\r\n", "\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n"));
+            assertEquals(1, setup.request().profile());
+        }
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.get().replace("/look", "/gr%"));
+            assertTrue(client.read().startsWith("HTTP/1.1 40"));
+        }
+    }
+
     @Test
     void aDrainAnswersWhatCameBeforeAndAfterItAndEnds() throws Exception {
         try (Peer.Wire idle = setup.client(); Peer.Wire before = setup.client()) {
--- a/src/test/java/gullspar/proxy/LargeBodiesTest.java
+++ b/src/test/java/gullspar/proxy/LargeBodiesTest.java
@@ -286,6 +286,7 @@
                 assertArrayEquals(body, got);
                 given.get(20, TimeUnit.SECONDS);
                 // Both connections are of use again.
+                setup.passes(20);
                 write(client, Setup.get());
                 Request next = setup.request();
                 setup.act(() -> setup.actions.send(next.ticket(), server, 0));
--- a/src/test/java/gullspar/proxy/OperatorTest.java
+++ b/src/test/java/gullspar/proxy/OperatorTest.java
@@ -180,6 +180,7 @@
             setup.outcome();
             Request r = setup.request();
             assertEquals(3, r.profile(), "behind the three that there were");
+            setup.passes(20); // the connection is used again
             setup.act(() -> setup.actions.send(r.ticket(), server, 0));
             b.read();
             b.reset();
--- a/src/test/java/gullspar/proxy/Peer.java
+++ b/src/test/java/gullspar/proxy/Peer.java
@@ -129,6 +129,11 @@
             }
         }
 
+        /** Ends its sending and goes on reading. */
+        public void endSending() throws IOException {
+            socket.shutdownOutput();
+        }
+
         /** Ends the connection with a reset, as a process that dies does. */
         public void reset() throws IOException {
             socket.setSoLinger(true, 0);
--- a/src/test/java/gullspar/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -136,6 +136,24 @@
         }
     }
 
+    /** Before it takes clients a proxy holds nothing: told to end it ends at once, and well. */
+    @Test
+    void aSignalToEndDuringTheWarmUpEndsWell() throws Exception {
+        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+            write(discovery, backend);
+            Process p = serve(discovery, "-Xlog:disable");
+            try (BufferedReader log = p.errorReader()) {
+                said(log, "asks discovery");
+                signal(p, "TERM");
+                assertTrue(p.waitFor(60, TimeUnit.SECONDS));
+                assertEquals(0, p.exitValue());
+                assertTrue(log.lines().noneMatch(l -> l.endsWith("ready")), "it opened all the same");
+            } finally {
+                p.destroyForcibly().waitFor();
+            }
+        }
+    }
+
     /** On half a core each of these costs a start a tenth of a second or more, and none is of use there. */
     @Test
     void aStartLoadsNothingOfWhatItHasNoUseFor() throws Exception {
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -9,7 +9,11 @@
 import gullspar.decide.Balancer;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.discovery.Discovery;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Transport;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -20,6 +24,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** A configuration, and a proxy whose module is the test: it sees each event and takes actions by hand. */
 final class Setup implements AutoCloseable {
@@ -53,6 +58,7 @@
     Balancer.Actions actions;
     /** What the module does when it is told of a request, before the test hears of it. */
     volatile Runnable onRequest = () -> { };
+    private final AtomicLong ahead = new AtomicLong();
     private boolean nested;
 
     static JsonNode json(String discovery, String backend, int sockets, long connectTimeoutMs) {
@@ -68,14 +74,36 @@
         return Config.parse(json(discovery.hostPort(), backend.hostPort(), 1024, 5000), Map.of());
     }
 
+    /** Discovery is given as long as a test may take: what is done when it is not heard has own tests. */
+    static final Discovery.Patience PATIENCE = new Discovery.Patience(60_000, 60_000, 60_000);
+
+    /** One that serves with the list of the start, as it would once discovery had kept it waiting. */
     Setup start(Config config) throws IOException {
-        proxy = Proxy.start(config, Platform.of(loop), (settings, seed, now, out) -> {
-            actions = out;
-            return new Module();
-        });
+        unheard(config, PATIENCE);
+        if (!config.inherited()) {
+            loop.submit(proxy::unheard).syncUninterruptibly();
+        }
         return this;
     }
 
+    /** One that discovery has told nothing yet. */
+    Setup unheard(Config config, Discovery.Patience patience) throws IOException {
+        Clock system = Clock.system();
+        Platform platform = new Platform(loop, () -> system.now() + ahead.get(), Transport.tcp(loop),
+                Log.standardError());
+        proxy = Proxy.on(platform, () -> Proxy.begun(new Proxy(config, platform,
+                (settings, seed, now, out) -> {
+                    actions = out;
+                    return new Module();
+                }, patience))).bound();
+        return this;
+    }
+
+    /** So much time passes at once for whatever reads the clock; timers take no notice. */
+    void passes(long ms) {
+        ahead.addAndGet(TimeUnit.MILLISECONDS.toNanos(ms));
+    }
+
     Peer.Wire client() throws IOException {
         return Peer.Wire.to(proxy.address());
     }
--- a/src/test/java/gullspar/proxy/backend/PassedOnTest.java
+++ b/src/test/java/gullspar/proxy/backend/PassedOnTest.java
@@ -30,6 +30,7 @@
         Message m = Message.whole(HttpMethod.GET, "/look", new DefaultHttpHeaders(),
                 new Body(new BodyBudget(1000), 1000));
         connection.begin(new Attempt(backend, m, channel.eventLoop(), () -> 1, 1_000_000_000L,
+                Long.MAX_VALUE,
                 (a, status, report, answer) -> answers.add(answer), () -> { }));
         channel.releaseOutbound();
     }
--- a/src/test/java/gullspar/rehearse/play/SameInstantTest.java
+++ b/src/test/java/gullspar/rehearse/play/SameInstantTest.java
@@ -88,6 +88,9 @@
                         return new Module();
                     }));
             runTo(10);
+            // Until discovery has spoken nobody is sent to.
+            write(atDiscovery, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + chunk(list(1, "in_service")));
             network.transport(network.host("client")).to(PROXY).handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel c) {
@@ -97,6 +100,10 @@
             runTo(20);
         }
 
+        static String chunk(String text) {
+            return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+        }
+
         static String list(int generation, String lifecycle) {
             return "{\"generation\":" + generation + ",\"reset\":true,\"instances\":[{\"instanceId\":\"n1\","
                     + "\"hostPort\":\"127.1.0.2:9000\",\"zone\":\"north\",\"machineType\":\"fast\","
@@ -238,10 +245,8 @@
         bothOften(courses(t -> {
             t.seen.clear();
             t.at(START + 30 * MS, () -> Table.write(t.atClient, GET));
-            String line = Table.list(2, "terminating") + "\n";
             t.at(START + 30 * MS, () -> Table.write(t.atDiscovery,
-                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
-                    + "\r\n\r\n" + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n"));
+                    Table.chunk(Table.list(2, "terminating"))));
             t.runTo(40);
             return t.seen;
         }), "drains, request, client reads HTTP/1.1 503", "request, drains, node reads GET /look/1");
