Judge: nothing goes out for a client that left; a bound on resting connections

Clients of the kit left at their deadline only.

Cause of the second: UpgradeTest failed once, a client was refused (503): with a rest of 20 ms for each connection, 8 clients that ask without a pause took more connections than a process has. Where 8 rest at a backend, the one that has rested longest is used, as before the rest. UpgradeTest and BackendsTest pass again; measured no further.

--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -31,9 +31,11 @@
     /**
      * A second answer to a request may come some milliseconds late (the operators' page): on a connection
      * that carries the next request by then it would be taken for that one's answer. Another is used or made
-     * meanwhile.
+     * meanwhile, unless so many rest already: of these the one that rested longest is used, since at such a
+     * rate a connection for each 20 ms would be more than backends hold.
      */
     private static final long SETTLE_NS = 20_000_000L;
+    private static final int MOST_RESTING = 8;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -143,9 +145,12 @@
         while (!b.idle.isEmpty() && !(fresh(b.idle.peekFirst()) && b.idle.peekFirst().active())) {
             b.idle.pollFirst().close();
         }
-        Connection found = null;
+        Connection found = b.idle.size() < MOST_RESTING ? null : b.idle.peekFirst();
         for (Connection c : b.idle) {
-            if (clock.now() - c.idleSince() >= SETTLE_NS && c.active() && (found == null || !repeatable)) {
+            if (clock.now() - c.idleSince() < SETTLE_NS) {
+                break; // nor have those behind it
+            }
+            if (c.active() && (found == null || !repeatable)) {
                 found = c;
             }
         }
--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -21,6 +21,8 @@
  */
 public final class Judge {
     private static final int WORST_S = 10;
+    /** A client that leaves is to be heard of within so long: the operators' stricter acceptance. */
+    private static final long LEFT_NS = 300_000_000L;
     private static final long STEP_NS = 1_000_000_000L;
 
     private final Script script;
@@ -45,6 +47,7 @@
     private Verdict verdict() {
         chronicle.orders().forEach(o -> {
             o.tries.forEach(this::oneAnswer);
+            o.tries.forEach(this::leftAlone);
             o.tries.forEach(this::nothingTwice);
             o.tries.forEach(this::drainsKept);
             effects(o);
@@ -124,7 +127,7 @@
 
     private Map<String, Integer> counts() {
         Map<String, Integer> counts = new LinkedHashMap<>();
-        for (String name : List.of("served", "late", "refused", "failed", "given up", "closed",
+        for (String name : List.of("served", "late", "refused", "failed", "given up", "left", "closed",
                 "not taken")) {
             counts.put(name, 0);
         }
@@ -143,6 +146,7 @@
                     ? t.endedAt <= t.order.at + (long) (t.order.kind.promiseMs() * 1e6) ? "served" : "late"
                     : refused(t) ? "refused" : "failed";
             case GIVEN_UP -> "given up";
+            case LEFT -> "left";
             case CLOSED -> "closed";
             case NOT_TAKEN -> "not taken";
             default -> "open";
@@ -185,6 +189,16 @@
         }
     }
 
+    private void leftAlone(Try t) {
+        for (Attempt a : t.attempts) {
+            if (t.ending == Try.Ending.LEFT && a.sentAt > t.endedAt + LEFT_NS + slackNs) {
+                broken(Rule.LEFT_ALONE, a.sentAt, t, String.format(Locale.ROOT,
+                        "an attempt went out to %s %.3f s after its client had left", a.node,
+                        (a.sentAt - t.endedAt) / 1e9));
+            }
+        }
+    }
+
     private void nothingTwice(Try t) {
         Effect effect = t.order.kind.effect();
         if (effect == Effect.IDEMPOTENT) {
--- a/src/main/java/gullspar/rehearse/play/Timeline.java
+++ b/src/main/java/gullspar/rehearse/play/Timeline.java
@@ -89,6 +89,11 @@
                 }
             }
             case CLASS -> {
+                if (f.kind() == FaultKind.LEAVING) {
+                    crowd.leaving(f.names().get(0), f.figure("share"), f.figure("within_ms"));
+                    after(f.lasts(), () -> crowd.leaving(f.names().get(0), 0, 0));
+                    break;
+                }
                 crowd.heavy(f.names().get(0), f.figure("share"), f.figure("times"));
                 after(f.lasts(), () -> crowd.heavy(f.names().get(0), 0, 1));
             }
--- a/src/main/java/gullspar/rehearse/script/FaultKind.java
+++ b/src/main/java/gullspar/rehearse/script/FaultKind.java
@@ -12,6 +12,8 @@
     RUSH(Strikes.PROXIES, figure("share", 0.15, 0.01, 0.9)),
     /** A share of a class's requests costs many times the usual work. */
     HEAVY(Strikes.CLASS, figure("share", 0.02, 0.001, 1), figure("times", 10, 1.1, 100)),
+    /** A share of a class's clients leave before their answer, at any moment within so long. */
+    LEAVING(Strikes.CLASS, figure("share", 0.2, 0.001, 1), figure("within_ms", 300, 1, 60_000)),
     /** Traffic falls and the fleet shrinks to a share of its size, evenly over the time. */
     SHRINK(Strikes.FLEET, figure("to", 0.5, 0.05, 0.95), figure("traffic", 0.5, 0.05, 1)),
     /** A node's process ends; after a while it starts again, cold. 0: it stays away. */
--- a/src/main/java/gullspar/rehearse/stage/Crowd.java
+++ b/src/main/java/gullspar/rehearse/stage/Crowd.java
@@ -48,6 +48,7 @@
     private final double[] keyShares;
     private final Map<String, Deque<Connection>> idle = new HashMap<>();
     private final Map<String, double[]> heavy = new HashMap<>();
+    private final Map<String, double[]> leaving = new HashMap<>();
     private double traffic = 1;
     private long until;
     private int orders;
@@ -94,6 +95,11 @@
         heavy.put(name, new double[] {share, times});
     }
 
+    /** A share of a class's clients leave within so long of asking; 0 ends it. */
+    public void leaving(String name, double share, double withinMs) {
+        leaving.put(name, new double[] {share, withinMs});
+    }
+
     /** Requests that have not ended. */
     public int open() {
         return open;
@@ -201,7 +207,7 @@
         open--;
         boolean refused = t.status == 429 || t.status == 503;
         boolean may = refused || how == Try.Ending.NOT_TAKEN || t.order.kind.effect() != Effect.AT_MOST_ONCE;
-        if (t.status != 200 && may && t.order.tries.size() <= script.clients().retries()) {
+        if (t.status != 200 && how != Try.Ending.LEFT && may && t.order.tries.size() <= script.clients().retries()) {
             double wait = Math.max(retryAfterS, script.clients().retryWaitMs().draw(draw) / 1e3);
             platform.loop().schedule(() -> attempt(t.order, draw), (long) (wait * 1e9), TimeUnit.NANOSECONDS);
         }
@@ -238,7 +244,13 @@
                 ended(t, draw, Try.Ending.NOT_TAKEN, 0);
                 return;
             }
-            patience = platform.loop().schedule(this::giveUp, t.deadline - now, TimeUnit.NANOSECONDS);
+            patience = platform.loop().schedule(() -> leave(t, Try.Ending.GIVEN_UP), t.deadline - now,
+                    TimeUnit.NANOSECONDS);
+            double[] l = leaving.getOrDefault(t.order.kind.name(), new double[] {0, 0});
+            if (l[0] > 0 && draw.nextDouble() < l[0]) {
+                platform.loop().schedule(() -> leave(t, Try.Ending.LEFT),
+                        (long) (draw.nextDouble() * l[1] * 1e6), TimeUnit.NANOSECONDS);
+            }
             channel.pipeline().context(HttpClientCodec.class)
                     .writeAndFlush(Unpooled.copiedBuffer(text(t, now), StandardCharsets.US_ASCII));
         }
@@ -266,11 +278,13 @@
             return s.append("\r\n\r\n").append(safe ? "" : "x".repeat(c.bodyBytes())).toString();
         }
 
-        private void giveUp() {
-            Try t = current;
-            current = null;
-            channel.close();
-            ended(t, draw, Try.Ending.GIVEN_UP, 0);
+        private void leave(Try t, Try.Ending how) {
+            if (current == t) {
+                current = null;
+                patience.cancel(false);
+                channel.close();
+                ended(t, draw, how, 0);
+            }
         }
 
         @Override
--- a/src/main/java/gullspar/rehearse/stage/Try.java
+++ b/src/main/java/gullspar/rehearse/stage/Try.java
@@ -8,7 +8,7 @@
  */
 public final class Try {
     /** How it ended for its client. */
-    public enum Ending { OPEN, ANSWERED, GIVEN_UP, CLOSED, NOT_TAKEN }
+    public enum Ending { OPEN, ANSWERED, GIVEN_UP, LEFT, CLOSED, NOT_TAKEN }
 
     public final Order order;
     public final String id;
--- a/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
+++ b/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
@@ -62,11 +62,36 @@
 
     @Test
     void unplantedTheSameDaysKeepAllRules() {
-        for (Script s : List.of(QUIET, HARMED, LEAVING, COLD)) {
+        for (Script s : List.of(QUIET, HARMED, LEAVING, COLD, IMPATIENT)) {
             assertEquals(List.of(), play(s, VirtualPlay.Options.plain()).broken());
         }
     }
 
+    // ---- clients that leave ----
+
+    private static final Script IMPATIENT = Days.small(6, Days.fault("leaving", 0.5,
+            "for = 5\nclass = \"pay\"\nshare = 0.5\nwithin_ms = 20"));
+
+    /** The proxy hears of the end of a client only long after, and what it sends on meanwhile it sends late. */
+    @Test
+    void aRequestWhoseClientHasLeftIsSentOn() {
+        caught(Rule.LEFT_ALONE, "after its client had left", IMPATIENT, Planted.sockets(
+                () -> new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelInactive(ChannelHandlerContext ctx) {
+                        ctx.executor().schedule(ctx::fireChannelInactive, 5, TimeUnit.SECONDS);
+                    }
+                }, address -> new ChannelOutboundHandlerAdapter() {
+                    @Override
+                    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                        String text = ((ByteBuf) message).toString(StandardCharsets.US_ASCII);
+                        int late = text.startsWith("POST /pay") ? 380 : 0;
+                        ctx.executor().schedule(() -> ctx.writeAndFlush(message, promise), late,
+                                TimeUnit.MILLISECONDS);
+                    }
+                }));
+    }
+
     // ---- one final answer ----
 
     /** Does something else with every so many answers that a proxy writes to its clients. */
