--- a/src/main/java/gullspar/rehearse/stage/Crowd.java
+++ b/src/main/java/gullspar/rehearse/stage/Crowd.java
@@ -207,7 +207,8 @@
         open--;
         boolean refused = t.status == 429 || t.status == 503;
         boolean may = refused || how == Try.Ending.NOT_TAKEN || t.order.kind.effect() != Effect.AT_MOST_ONCE;
-        if (t.status != 200 && how != Try.Ending.LEFT && may && t.order.tries.size() <= script.clients().retries()) {
+        boolean again = t.status != 200 && how != Try.Ending.LEFT && may;
+        if (again && t.order.tries.size() <= script.clients().retries()) {
             double wait = Math.max(retryAfterS, script.clients().retryWaitMs().draw(draw) / 1e3);
             platform.loop().schedule(() -> attempt(t.order, draw), (long) (wait * 1e9), TimeUnit.NANOSECONDS);
         }
--- a/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
+++ b/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
@@ -72,7 +72,7 @@
     private static final Script IMPATIENT = Days.small(6, Days.fault("leaving", 0.5,
             "for = 5\nclass = \"pay\"\nshare = 0.5\nwithin_ms = 20"));
 
-    /** The proxy hears of the end of a client only long after, and what it sends on meanwhile it sends late. */
+    /** The proxy hears of the end of a client only long after, and what it sends on it sends late. */
     @Test
     void aRequestWhoseClientHasLeftIsSentOn() {
         caught(Rule.LEFT_ALONE, "after its client had left", IMPATIENT, Planted.sockets(
