--- a/src/main/java/gullspar/cli/Direct.java
+++ b/src/main/java/gullspar/cli/Direct.java
@@ -60,7 +60,7 @@
         void run() throws ConfigException, IOException;
     }
 
-    private static void quicker() {
+    static void quicker() {
         // Nobody records a flight here, and Netty's events for it cost a start 0.3 s on half a core.
         System.setProperty("io.netty.jfr.enabled", "false");
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // it would look for others first
--- a/src/main/java/gullspar/cli/Tool.java
+++ b/src/main/java/gullspar/cli/Tool.java
@@ -18,6 +18,7 @@
         exitCodeList = {"0:done", "1:it could not be done, or a rehearsal broke a rule", "2:wrong usage"},
         subcommands = {Tool.Serve.class, Tool.Drill.class, Tool.Warm.class, Rehearse.class, TryOut.class,
                 Routes.Check.class, Routes.Which.class, Import.class, FleetView.class,
+                Versions.Control.class, Versions.Publish.class, Versions.Look.class,
                 Tool.Completion.class})
 public final class Tool implements Runnable {
     @Spec
@@ -47,6 +48,7 @@
     /** The daemon. */
     @Command(name = "serve", mixinStandardHelpOptions = true, description = {"Runs one proxy.",
         "With --config it serves plain HTTP by the routes and pools of that file (docs/routing.md).",
+        "With --follow the routes and pools come from control processes (docs/versions.md).",
         "Without, it reads the file that NODE_CONFIG names; NODE_LISTEN and NODE_DISCOVERY win over it at "
             + "the start."},
         exitCodeListHeading = "%nExit codes:%n",
@@ -56,8 +58,22 @@
         @Option(names = "--config", paramLabel = "FILE", description = "Routes and pools (TOML).")
         private Path config;
 
+        @Option(names = "--follow", paramLabel = "FILE",
+                description = "Where the control processes are, and what is this process's own (TOML).")
+        private Path follow;
+
+        @Spec
+        private CommandSpec spec;
+
         @Override
         public Integer call() {
+            if (config != null && follow != null) {
+                throw new ParameterException(spec.commandLine(), "--config and --follow exclude each other");
+            }
+            if (follow != null) {
+                Direct.quicker();
+                return Versions.serve(follow);
+            }
             return config == null ? Direct.serve() : Direct.serve(config);
         }
     }
--- /dev/null
+++ b/src/main/java/gullspar/config/FollowFile.java
@@ -0,0 +1,70 @@
+package gullspar.config;
+
+import gullspar.toml.Fields;
+import gullspar.toml.Problem;
+import gullspar.toml.ProblemsException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.tomlj.Toml;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlPosition;
+
+/**
+ * How a proxy follows the document of its control processes: [control], beside what belongs to this process
+ * alone (docs/versions.md).
+ *
+ * @param name what it is called there, the same after a restart, and nobody else's
+ * @param addresses of the control processes
+ * @param folder where it keeps the version that it runs
+ * @param waitNs so long it asks control at the start before it serves by its disk
+ * @param own [operator] and [fleet]
+ */
+public record FollowFile(String name, List<InetSocketAddress> addresses, Path folder, long waitNs,
+        OperatorsFile own) {
+    /** Reads a file; an IOException if that is not possible at all. */
+    public static FollowFile read(Path file) throws IOException, ProblemsException {
+        return parse(Files.readString(file), file.toString());
+    }
+
+    /** Reads a text; the name stands before each problem. */
+    public static FollowFile parse(String text, String file) throws ProblemsException {
+        List<Problem> problems = new ArrayList<>();
+        TomlParseResult toml = Toml.parse(text);
+        toml.errors().forEach(e -> problems.add(new Problem(e.position().line(), e.position().column(),
+                e.getMessage().lines().findFirst().orElse("not TOML"))));
+        FollowFile c = problems.isEmpty()
+                ? follow(new Fields(toml, "", TomlPosition.positionAt(1, 1), problems)) : null;
+        if (!problems.isEmpty()) {
+            throw new ProblemsException(file, problems);
+        }
+        return c;
+    }
+
+    private static FollowFile follow(Fields f) {
+        if (!f.has("control")) {
+            f.wrong("there is no [control]");
+        }
+        Fields c = f.table("control");
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        for (String a : c.texts("addresses", List.of())) {
+            InetSocketAddress at = OperatorsFile.address(a);
+            if (at == null) {
+                c.wrong("addresses", "holds '" + a + "', not an IP address and a port");
+            } else {
+                addresses.add(at);
+            }
+        }
+        if (f.has("control") && !c.has("addresses")) {
+            c.wrong("control: addresses is missing");
+        }
+        FollowFile file = new FollowFile(ControlFile.name(c, "name"), List.copyOf(addresses),
+                Path.of(c.text("folder")), Values.seconds(c, "wait_s", 3, 0), OperatorsFile.read(f));
+        c.noOthers();
+        f.noOthers();
+        return file;
+    }
+}
--- a/src/main/java/gullspar/config/OperatorsFile.java
+++ b/src/main/java/gullspar/config/OperatorsFile.java
@@ -102,7 +102,8 @@
         return fleet;
     }
 
-    private static InetSocketAddress address(String text) {
+    /** An IP address and a port other than 0; null if it is none. */
+    static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         InetAddress ip = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0,
                 colon));
--- a/src/main/java/gullspar/site/SiteDaemon.java
+++ b/src/main/java/gullspar/site/SiteDaemon.java
@@ -35,13 +35,32 @@
      */
     public static boolean run(Path file, Supplier<Site> first, Balancer.Factory factory,
             Companion.Factory companions) throws IOException {
+        return run(file, new Source() {
+            @Override
+            public Site first() {
+                return first.get();
+            }
+
+            @Override
+            public void serve(Taker to) { }
+
+            @Override
+            public void reload(Taker to) {
+                read(file, to);
+            }
+        }, factory, companions);
+    }
+
+    /** The same by another source; file: what companions read. */
+    public static boolean run(Path file, Source source, Balancer.Factory factory,
+            Companion.Factory companions) throws IOException {
         CompletableFuture<Runnable> started = new CompletableFuture<>();
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         if (!Signals.on("HUP", () -> started.thenAccept(Runnable::run))) {
             LOG.say(Signals.NO_HUP);
         }
         LibraryLog.install();
-        Site site = first.get();
+        Site site = source.first();
         if (site == null) {
             return false;
         }
@@ -71,9 +90,12 @@
             // A process that a signal ends reports the signal; this one has ended well.
             Runtime.getRuntime().halt(0);
         }, "drain"));
-        site.listeners().forEach(l -> LOG.say("listening on " + NetUtil.toSocketAddressString(l.address())));
+        site.listeners().forEach(l -> LOG.say("listening on "
+                + NetUtil.toSocketAddressString(proxy.address(l.address()))));
+        Source.Taker taker = (s, done) -> loop.execute(() -> proxy.reload(s, done));
+        source.serve(taker);
         started.complete(() -> {
-            reload(proxy, loop, file);
+            source.reload(taker);
             if (beside != null) {
                 beside.reload();
             }
@@ -94,10 +116,9 @@
     }
 
     /** Reads the file again, off the loop, and hands it over. */
-    private static void reload(SiteProxy proxy, EventLoop loop, Path file) {
+    private static void read(Path file, Source.Taker to) {
         try {
-            Site site = SiteReader.read(file);
-            loop.execute(() -> proxy.reload(site));
+            to.take(SiteReader.read(file), why -> { });
         } catch (ProblemsException e) {
             e.getMessage().lines().forEach(line -> LOG.say("the new configuration is not used: " + line));
         } catch (IOException e) {
--- a/src/main/java/gullspar/site/SiteProxy.java
+++ b/src/main/java/gullspar/site/SiteProxy.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The proxy by an operator's file: listeners, routes, and a pool for each name, all on one event loop. A new
@@ -56,6 +57,7 @@
     /** Requests that have ended. */
     private long done;
     private Site next;
+    private Consumer<String> nextDone;
 
     private SiteProxy(Site site, Platform platform, Balancer.Factory factory, long seed) {
         this.platform = platform;
@@ -154,8 +156,17 @@
 
     /** Replaces what there is; if a listener cannot be had, nothing changes. To be called on the loop. */
     public void reload(Site s) {
+        reload(s, why -> { });
+    }
+
+    /** The same; done is told, on the loop, why nothing has changed, or null once the new one holds. */
+    public void reload(Site s, Consumer<String> done) {
         if (replacing) {
+            if (next != null) {
+                nextDone.accept("a newer one came before it was used");
+            }
             next = s;
+            nextDone = done;
             return;
         }
         replacing = true;
@@ -168,10 +179,11 @@
                 platform.log().say("the new configuration is not used: " + cause.getMessage());
             }
             replacing = false;
+            done.accept(cause == null ? null : cause.getMessage());
             if (next != null) {
                 Site newest = next;
                 next = null;
-                reload(newest);
+                reload(newest, nextDone);
             }
         });
     }
--- /dev/null
+++ b/src/main/java/gullspar/versions/Delta.java
@@ -0,0 +1,121 @@
+package gullspar.versions;
+
+import com.github.difflib.DiffUtils;
+import com.github.difflib.algorithm.myers.MyersDiffWithLinearSpace;
+import com.github.difflib.patch.AbstractDelta;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * What became of a text from one version to the next, line by line. The checksum of the result says whether
+ * it was applied to the right text.
+ *
+ * @param to the version that it makes; its parent is the one that it is applied to
+ * @param hunks from the top to the bottom, none over another
+ */
+public record Delta(Version to, List<Hunk> hunks) {
+    /**
+     * Lines that are replaced.
+     *
+     * @param at the first of them in the former text, from 0
+     * @param removed how many go
+     * @param lines what stands there instead
+     */
+    public record Hunk(int at, int removed, List<String> lines) { }
+
+    /** Middles of more lines than that are replaced as one: comparing them could take seconds. */
+    private static final int MOST_COMPARED = 4000;
+    private static final int HUNK_BYTES = 12;
+
+    /** The change from one text to the version whose text is the other. */
+    public static Delta between(String from, Document to) {
+        List<String> a = lines(from);
+        List<String> b = lines(to.text());
+        int head = 0;
+        int shorter = Math.min(a.size(), b.size());
+        while (head < shorter && a.get(head).equals(b.get(head))) {
+            head++;
+        }
+        int tail = 0;
+        while (tail < shorter - head
+                && a.get(a.size() - 1 - tail).equals(b.get(b.size() - 1 - tail))) {
+            tail++;
+        }
+        return new Delta(to.version(), hunks(a.subList(head, a.size() - tail),
+                b.subList(head, b.size() - tail), head));
+    }
+
+    private static List<Hunk> hunks(List<String> a, List<String> b, int at) {
+        if (a.isEmpty() && b.isEmpty()) {
+            return List.of();
+        }
+        if (a.isEmpty() || b.isEmpty() || a.size() + b.size() > MOST_COMPARED) {
+            return List.of(new Hunk(at, a.size(), List.copyOf(b)));
+        }
+        List<Hunk> hunks = new ArrayList<>();
+        for (AbstractDelta<String> d : DiffUtils.diff(a, b, new MyersDiffWithLinearSpace<>(), null)
+                .getDeltas()) {
+            join(hunks, new Hunk(at + d.getSource().getPosition(), d.getSource().size(),
+                    List.copyOf(d.getTarget().getLines())));
+        }
+        return List.copyOf(hunks);
+    }
+
+    /** The library tells of lines that go and of those that come in their place one after the other. */
+    private static void join(List<Hunk> hunks, Hunk h) {
+        Hunk last = hunks.isEmpty() ? null : hunks.get(hunks.size() - 1);
+        if (last == null || last.at + last.removed != h.at) {
+            hunks.add(h);
+            return;
+        }
+        List<String> lines = new ArrayList<>(last.lines);
+        lines.addAll(h.lines);
+        hunks.set(hunks.size() - 1, new Hunk(last.at, last.removed + h.removed, List.copyOf(lines)));
+    }
+
+    private static List<String> lines(String text) {
+        return Arrays.asList(text.split("\n", -1));
+    }
+
+    /** The text that the changes make of another, in their order; a MismatchException if they don't fit. */
+    public static Document apply(Document from, List<Delta> deltas) throws MismatchException {
+        List<String> lines = lines(from.text());
+        Version v = from.version();
+        for (Delta d : deltas) {
+            if (!d.to.follows(v)) {
+                throw new MismatchException("version " + d.to + " does not follow " + v);
+            }
+            lines = d.applied(lines);
+            v = d.to;
+        }
+        return Document.verified(v, String.join("\n", lines));
+    }
+
+    private List<String> applied(List<String> from) throws MismatchException {
+        List<String> to = new ArrayList<>(from.size());
+        int at = 0;
+        for (Hunk h : hunks) {
+            if (h.at < at || h.removed < 0 || (long) h.at + h.removed > from.size()) {
+                throw new MismatchException("a change at a line that is not there: " + h.at);
+            }
+            to.addAll(from.subList(at, h.at));
+            to.addAll(h.lines);
+            at = h.at + h.removed;
+        }
+        to.addAll(from.subList(at, from.size()));
+        return to;
+    }
+
+    /** About how many bytes it takes on the wire, packed: a checksum does not shrink, lines do by half. */
+    public int bytes() {
+        int lines = 0;
+        for (Hunk h : hunks) {
+            lines += HUNK_BYTES;
+            for (String line : h.lines) {
+                lines += line.length() + 2;
+            }
+        }
+        return Checksum.LENGTH + HUNK_BYTES + lines / 2;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/versions/net/ControlClient.java
@@ -0,0 +1,59 @@
+package gullspar.versions.net;
+
+import gullspar.versions.Message;
+import gullspar.versions.wire.Frames;
+import java.io.Closeable;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+
+/** An operator's command calls a control process. Blocks; an IOException if nothing comes in time. */
+public final class ControlClient implements Closeable {
+    private final Socket socket = new Socket();
+    private final Frames.Joined joined = new Frames.Joined(FollowerNode.MOST);
+    private final DataInputStream in;
+
+    /** Connects; patienceMs: for that, and for each answer. */
+    public ControlClient(InetSocketAddress at, int patienceMs) throws IOException {
+        try {
+            socket.connect(at, patienceMs);
+            socket.setSoTimeout(patienceMs);
+            socket.setTcpNoDelay(true);
+            in = new DataInputStream(socket.getInputStream());
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
+    }
+
+    /** Sends a message and waits for the next one of that type. */
+    public <T extends Message> T ask(Message m, Class<T> type) throws IOException {
+        for (byte[] f : Frames.of(m)) {
+            socket.getOutputStream().write(f);
+        }
+        while (true) {
+            int length;
+            try {
+                length = in.readInt();
+            } catch (EOFException e) {
+                throw new IOException("it closed the connection", e);
+            }
+            if (length < 2 || length > Frames.MOST) {
+                throw new IOException("it does not speak this protocol");
+            }
+            byte[] frame = new byte[length];
+            in.readFully(frame);
+            Message answer = joined.add(frame);
+            if (type.isInstance(answer)) {
+                return type.cast(answer);
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/versions/net/Following.java
@@ -0,0 +1,133 @@
+package gullspar.versions.net;
+
+import gullspar.config.FollowFile;
+import gullspar.config.Site;
+import gullspar.config.SiteReader;
+import gullspar.proxy.io.Log;
+import gullspar.proxy.io.Platform;
+import gullspar.site.Source;
+import gullspar.toml.ProblemsException;
+import gullspar.versions.Delta;
+import gullspar.versions.Document;
+import gullspar.versions.Follower;
+import gullspar.versions.Message;
+import gullspar.versions.Preference;
+import gullspar.versions.file.DiskFolder;
+import gullspar.versions.file.Folder;
+import gullspar.versions.file.Store;
+import gullspar.versions.wire.Codec;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Consumer;
+
+/**
+ * A proxy's configuration by its control processes. It has a loop and a worker of its own: reading a large
+ * document must not hold up requests.
+ */
+public final class Following implements Source {
+    private static final Log LOG = Log.standardError();
+
+    private final FollowFile file;
+    private final Store store;
+    private final ExecutorService worker;
+    private final FollowerNode node;
+    private final EventLoop loop;
+    private final Store.Found found;
+    private final CompletableFuture<Site> first = new CompletableFuture<>();
+    /** Completed when the proxy serves. */
+    private final CompletableFuture<Taker> proxy = new CompletableFuture<>();
+
+    private Following(FollowFile file, Folder folder) throws IOException {
+        this.file = file;
+        this.store = new Store(folder);
+        this.found = store.read();
+        this.worker = Executors.newSingleThreadExecutor(r -> {
+            Thread t = new Thread(r, "versions-disk");
+            t.setDaemon(true);
+            return t;
+        });
+        this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        Follower.Settings usual = Follower.Settings.USUAL;
+        this.node = new FollowerNode(file.name(), Message.Role.PROXY, new Follower.Settings(file.waitNs(),
+                usual.silenceNs(), usual.leastNs(), usual.mostNs(), usual.retryNs()),
+                inOrder(file.name(), file.addresses()), Platform.of(loop),
+                new SplittableRandom(System.nanoTime()), this::take, m -> { }, "versions: ");
+    }
+
+    /** Takes the folder and looks what is there; an IOException if that cannot be. */
+    public static Following of(FollowFile file) throws IOException {
+        return new Following(file, DiskFolder.hold(file.folder()));
+    }
+
+    /** The addresses in the order in which a follower of that name tries them. */
+    public static List<InetSocketAddress> inOrder(String name, List<InetSocketAddress> addresses) {
+        Map<String, InetSocketAddress> byText = new HashMap<>();
+        addresses.forEach(a -> byText.put(NetUtil.toSocketAddressString(a), a));
+        return Preference.order(name, List.copyOf(byText.keySet())).stream().map(byText::get).toList();
+    }
+
+    @Override
+    public Site first() {
+        found.damage().forEach(line -> LOG.say("versions: " + line));
+        Document stored = found.kept() == null ? null : found.kept().document();
+        LOG.say("versions: " + (stored == null ? "nothing on the disk" : "has " + stored.version()
+                + " on the disk") + "; asks " + file.addresses().size() + " control processes");
+        loop.execute(() -> node.start(stored, found.mayBeOlder()));
+        return first.join();
+    }
+
+    /** Reads the document, keeps it, then puts it in force. */
+    private void take(Document d, List<Delta> led, boolean kept, Consumer<String> done) {
+        worker.execute(() -> {
+            Site site;
+            try {
+                Site shared = SiteReader.parse(d.text(), "version " + d.version().number());
+                site = new Site(shared.listeners(), shared.pools(), shared.limits(), shared.forwarded(),
+                        file.own());
+                if (!kept) {
+                    store.keep(new Codec.Kept(d, null, List.of()));
+                }
+            } catch (ProblemsException e) {
+                done.accept("this program cannot use it: " + e.getMessage().lines().findFirst().orElse(""));
+                return;
+            } catch (IOException e) {
+                done.accept("it cannot be kept: " + (e.getMessage() == null ? e : e.getMessage()));
+                return;
+            }
+            if (first.complete(site)) {
+                proxy.thenRun(() -> {
+                    LOG.say("versions: " + d.version() + " is in force");
+                    done.accept(null);
+                });
+            } else {
+                proxy.thenAccept(p -> p.take(site, why -> {
+                    if (why == null) {
+                        LOG.say("versions: " + d.version() + " is in force");
+                    }
+                    done.accept(why);
+                }));
+            }
+        });
+    }
+
+    @Override
+    public void serve(Taker to) {
+        proxy.complete(to);
+    }
+
+    @Override
+    public void reload(Taker to) {
+        LOG.say("versions: the configuration comes from control; SIGHUP reads nothing of it");
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/versions/net/SharedDocument.java
@@ -0,0 +1,42 @@
+package gullspar.versions.net;
+
+import gullspar.config.OperatorsFile;
+import gullspar.config.Site;
+import gullspar.config.SiteReader;
+import gullspar.toml.ProblemsException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Looks at a change before anybody runs it. */
+public final class SharedDocument {
+    private SharedDocument() { }
+
+    /** All that is wrong with it, a line each: what SiteReader finds, and what is one process's own. */
+    public static List<String> problems(String file, String text) {
+        Site site;
+        try {
+            site = SiteReader.parse(text, file);
+        } catch (ProblemsException e) {
+            return e.getMessage().lines().toList();
+        }
+        List<String> problems = new ArrayList<>();
+        OperatorsFile own = site.operators();
+        if (own.operator() != null) {
+            problems.add(place(file, text, "operator"));
+        }
+        if (own.fleet() != null) {
+            problems.add(place(file, text, "fleet"));
+        }
+        return problems;
+    }
+
+    private static String place(String file, String text, String table) {
+        List<String> lines = text.lines().toList();
+        int line = 0;
+        while (line < lines.size() - 1 && !lines.get(line).strip().startsWith("[" + table)) {
+            line++;
+        }
+        return file + ":" + (line + 1) + ":1: [" + table
+                + "] belongs to one process: it stands in the file of --follow, not in what all share";
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/versions/wire/Codec.java
@@ -0,0 +1,400 @@
+package gullspar.versions.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import gullspar.versions.Checksum;
+import gullspar.versions.Delta;
+import gullspar.versions.Document;
+import gullspar.versions.Message;
+import gullspar.versions.Publisher;
+import gullspar.versions.Version;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Messages, and what a disk keeps, as CBOR (RFC 8949): an array each, the kind first, fields by place. What
+ * stands behind the fields that are known is passed over, so that a newer version may add some.
+ */
+public final class Codec {
+    /** What a disk keeps. oldest: what the first of the changes is applied to. */
+    public record Kept(Document document, Version oldest, List<Delta> deltas) { }
+
+    private static final CBORFactory CBOR = new CBORFactory();
+    private static final int HELLO = 1;
+    private static final int HEAD = 2;
+    private static final int UPDATE = 3;
+    private static final int WANT = 4;
+    private static final int ACK = 5;
+    private static final int REPORT = 6;
+    private static final int PUBLISH = 7;
+    private static final int PUBLISHED = 8;
+    private static final int LOOK = 9;
+    private static final int LOOKED = 10;
+    private static final int KEPT = 20;
+
+    private Codec() { }
+
+    private interface Writer {
+        void write(JsonGenerator g) throws IOException;
+    }
+
+    private static byte[] bytes(Writer w) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (JsonGenerator g = CBOR.createGenerator(bytes)) {
+            w.write(g);
+        } catch (IOException e) {
+            throw new IllegalStateException("memory that cannot be written to", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    // ---- writing ----
+
+    /** A message as bytes. */
+    public static byte[] encode(Message m) {
+        return bytes(g -> message(g, m));
+    }
+
+    /** What is to be kept, as bytes. */
+    public static byte[] encode(Kept k) {
+        return bytes(g -> {
+            begin(g, KEPT, 4);
+            version(g, k.document().version());
+            g.writeString(k.document().text());
+            version(g, k.oldest());
+            deltas(g, k.deltas());
+            g.writeEndArray();
+        });
+    }
+
+    private static void begin(JsonGenerator g, int kind, int fields) throws IOException {
+        g.writeStartArray(null, fields + 1);
+        g.writeNumber(kind);
+    }
+
+    private static void message(JsonGenerator g, Message m) throws IOException {
+        if (m instanceof Message.Hello h) {
+            begin(g, HELLO, 3);
+            g.writeString(h.name());
+            g.writeNumber(h.role().ordinal());
+            version(g, h.has());
+        } else if (m instanceof Message.Head h) {
+            begin(g, HEAD, 3);
+            g.writeString(h.control());
+            version(g, h.head());
+            g.writeBoolean(h.inStep());
+        } else if (m instanceof Message.Update u) {
+            begin(g, UPDATE, 4);
+            version(g, u.to());
+            version(g, u.ancestor());
+            deltas(g, u.deltas());
+            g.writeString(u.text());
+        } else if (m instanceof Message.Want) {
+            begin(g, WANT, 0);
+        } else if (m instanceof Message.Ack a) {
+            begin(g, ACK, 2);
+            version(g, a.inForce());
+            g.writeString(cut(a.trouble()));
+        } else if (m instanceof Message.Report r) {
+            begin(g, REPORT, 1);
+            running(g, r.all());
+        } else if (m instanceof Message.Publish p) {
+            begin(g, PUBLISH, 3);
+            g.writeNumber(p.after());
+            g.writeString(p.file());
+            g.writeString(p.text());
+        } else if (m instanceof Message.Published p) {
+            begin(g, PUBLISHED, 3);
+            g.writeNumber(p.outcome().ordinal());
+            version(g, p.head());
+            texts(g, p.lines());
+        } else if (m instanceof Message.Look l) {
+            begin(g, LOOK, 1);
+            g.writeBoolean(l.whole());
+        } else if (m instanceof Message.Looked l) {
+            begin(g, LOOKED, 7);
+            g.writeString(l.control());
+            g.writeBoolean(l.primary());
+            g.writeBoolean(l.inStep());
+            version(g, l.head());
+            g.writeNumber(l.followers());
+            g.writeNumber(l.inForce());
+            running(g, l.all());
+        }
+        g.writeEndArray();
+    }
+
+    private static String cut(String why) {
+        return why.length() > Message.LONGEST_WHY ? why.substring(0, Message.LONGEST_WHY) : why;
+    }
+
+    private static void version(JsonGenerator g, Version v) throws IOException {
+        version(g, v, true);
+    }
+
+    /** parent: is that written as well? */
+    private static void version(JsonGenerator g, Version v, boolean parent) throws IOException {
+        if (v == null) {
+            g.writeNull();
+            return;
+        }
+        g.writeStartArray(null, 4);
+        g.writeNumber(v.epoch());
+        g.writeNumber(v.number());
+        g.writeBinary(v.text().bytes());
+        if (parent) {
+            g.writeBinary(v.parent().bytes());
+        } else {
+            g.writeNull();
+        }
+        g.writeEndArray();
+    }
+
+    private static void texts(JsonGenerator g, List<String> all) throws IOException {
+        g.writeStartArray(null, all.size());
+        for (String t : all) {
+            g.writeString(t);
+        }
+        g.writeEndArray();
+    }
+
+    private static void deltas(JsonGenerator g, List<Delta> all) throws IOException {
+        g.writeStartArray(null, all.size());
+        Version before = null;
+        for (Delta d : all) {
+            g.writeStartArray(null, 2);
+            version(g, d.to(), before == null || !d.to().follows(before));
+            before = d.to();
+            g.writeStartArray(null, d.hunks().size());
+            for (Delta.Hunk h : d.hunks()) {
+                g.writeStartArray(null, 3);
+                g.writeNumber(h.at());
+                g.writeNumber(h.removed());
+                texts(g, h.lines());
+                g.writeEndArray();
+            }
+            g.writeEndArray();
+            g.writeEndArray();
+        }
+        g.writeEndArray();
+    }
+
+    private static void running(JsonGenerator g, List<Message.Running> all) throws IOException {
+        g.writeStartArray(null, all.size());
+        for (Message.Running r : all) {
+            g.writeStartArray(null, 7);
+            g.writeString(r.name());
+            g.writeBoolean(r.control());
+            g.writeNumber(r.epoch());
+            g.writeNumber(r.number());
+            g.writeString(cut(r.trouble()));
+            g.writeNumber(r.awayMs());
+            g.writeString(r.via());
+            g.writeEndArray();
+        }
+        g.writeEndArray();
+    }
+
+    // ---- reading ----
+
+    private interface Reader<T> {
+        T read(JsonParser p, int kind) throws IOException;
+    }
+
+    private static <T> T read(byte[] bytes, Reader<T> reader) throws IOException {
+        try (JsonParser p = CBOR.createParser(bytes)) {
+            array(p.nextToken());
+            T t = reader.read(p, (int) number(p, 0, Integer.MAX_VALUE));
+            if (t != null) {
+                end(p);
+            }
+            return t;
+        } catch (IllegalArgumentException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    /** The message in these bytes; null for a kind that is not known. An IOException if it is none. */
+    public static Message decode(byte[] bytes) throws IOException {
+        return read(bytes, Codec::message);
+    }
+
+    /** What was kept; an IOException, also for a text that is not its version's, if it is nothing of it. */
+    public static Kept kept(byte[] bytes) throws IOException {
+        Kept k = read(bytes, (p, kind) -> {
+            if (kind != KEPT) {
+                throw new IOException("a message where a document must be");
+            }
+            Document d = new Document(must(version(p)), text(p, Document.LONGEST));
+            return new Kept(d, version(p), deltas(p));
+        });
+        if (!Checksum.of(k.document().text()).equals(k.document().version().text())) {
+            throw new IOException("the text does not have the checksum of version " + k.document().version());
+        }
+        return k;
+    }
+
+    private static Message message(JsonParser p, int kind) throws IOException {
+        return switch (kind) {
+            case HELLO -> new Message.Hello(name(p), one(p, Message.Role.values()), version(p));
+            case HEAD -> new Message.Head(name(p), version(p), flag(p));
+            case UPDATE -> new Message.Update(must(version(p)), version(p), deltas(p),
+                    text(p, Document.LONGEST));
+            case WANT -> new Message.Want();
+            case ACK -> new Message.Ack(version(p), text(p, Message.LONGEST_WHY));
+            case REPORT -> new Message.Report(running(p));
+            case PUBLISH -> new Message.Publish(number(p, 0, Long.MAX_VALUE), text(p, 4096),
+                    text(p, Document.LONGEST));
+            case PUBLISHED -> new Message.Published(one(p, Publisher.Outcome.values()), version(p), texts(p));
+            case LOOK -> new Message.Look(flag(p));
+            case LOOKED -> new Message.Looked(name(p), flag(p), flag(p), version(p),
+                    (int) number(p, 0, Integer.MAX_VALUE), (int) number(p, 0, Integer.MAX_VALUE), running(p));
+            default -> null;
+        };
+    }
+
+    private static void array(JsonToken t) throws IOException {
+        if (t != JsonToken.START_ARRAY) {
+            throw new IOException("no array where one must be");
+        }
+    }
+
+    /** Passes over what a newer version has put behind. */
+    private static void end(JsonParser p) throws IOException {
+        for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
+            if (t == null) {
+                throw new IOException("the message ends in the middle");
+            }
+            p.skipChildren();
+        }
+    }
+
+    private static long number(JsonParser p, long least, long most) throws IOException {
+        if (p.nextToken() != JsonToken.VALUE_NUMBER_INT) {
+            throw new IOException("no number where one must be");
+        }
+        long n = p.getLongValue();
+        if (n < least || n > most) {
+            throw new IOException("a number out of its bounds: " + n);
+        }
+        return n;
+    }
+
+    private static <E> E one(JsonParser p, E[] all) throws IOException {
+        return all[(int) number(p, 0, all.length - 1)];
+    }
+
+    private static boolean flag(JsonParser p) throws IOException {
+        JsonToken t = p.nextToken();
+        if (t != JsonToken.VALUE_TRUE && t != JsonToken.VALUE_FALSE) {
+            throw new IOException("no flag where one must be");
+        }
+        return t == JsonToken.VALUE_TRUE;
+    }
+
+    private static String text(JsonParser p, int most) throws IOException {
+        if (p.nextToken() != JsonToken.VALUE_STRING) {
+            throw new IOException("no text where one must be");
+        }
+        String t = p.getText();
+        if (t.length() > most) {
+            throw new IOException("a text of " + t.length() + " characters, " + most + " at the most");
+        }
+        return t;
+    }
+
+    private static String name(JsonParser p) throws IOException {
+        return text(p, Message.LONGEST_NAME);
+    }
+
+    private static Version must(Version v) throws IOException {
+        if (v == null) {
+            throw new IOException("no version where one must be");
+        }
+        return v;
+    }
+
+    /** before: whose id it is if it is left out; null if it must be there. */
+    private static Checksum checksum(JsonParser p, Version before) throws IOException {
+        JsonToken t = p.nextToken();
+        if (t == JsonToken.VALUE_NULL && before != null) {
+            return before.id();
+        }
+        if (t != JsonToken.VALUE_EMBEDDED_OBJECT) {
+            throw new IOException("no checksum where one must be");
+        }
+        return Checksum.read(p.getBinaryValue());
+    }
+
+    private static Version version(JsonParser p) throws IOException {
+        return version(p, null);
+    }
+
+    /** Null where none is told; before: whose successor it is, where its parent is left out. */
+    private static Version version(JsonParser p, Version before) throws IOException {
+        JsonToken t = p.nextToken();
+        if (t == JsonToken.VALUE_NULL) {
+            return null;
+        }
+        array(t);
+        long epoch = number(p, 1, Long.MAX_VALUE);
+        long number = number(p, 1, Long.MAX_VALUE);
+        Checksum text = checksum(p, null);
+        Version v = new Version(epoch, number, text, checksum(p, before));
+        end(p);
+        return v;
+    }
+
+    private static List<String> texts(JsonParser p) throws IOException {
+        List<String> all = new ArrayList<>();
+        array(p.nextToken());
+        for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
+            if (t != JsonToken.VALUE_STRING) {
+                throw new IOException("no text where one must be");
+            }
+            all.add(p.getText());
+        }
+        return all;
+    }
+
+    private static List<Delta> deltas(JsonParser p) throws IOException {
+        List<Delta> all = new ArrayList<>();
+        array(p.nextToken());
+        for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
+            array(t);
+            all.add(new Delta(must(version(p, all.isEmpty() ? null : all.get(all.size() - 1).to())),
+                    hunks(p)));
+            end(p);
+        }
+        return all;
+    }
+
+    private static List<Delta.Hunk> hunks(JsonParser p) throws IOException {
+        List<Delta.Hunk> all = new ArrayList<>();
+        array(p.nextToken());
+        for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
+            array(t);
+            all.add(new Delta.Hunk((int) number(p, 0, Integer.MAX_VALUE),
+                    (int) number(p, 0, Integer.MAX_VALUE), texts(p)));
+            end(p);
+        }
+        return all;
+    }
+
+    private static List<Message.Running> running(JsonParser p) throws IOException {
+        List<Message.Running> all = new ArrayList<>();
+        array(p.nextToken());
+        for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
+            array(t);
+            all.add(new Message.Running(name(p), flag(p), number(p, 0, Long.MAX_VALUE),
+                    number(p, 0, Long.MAX_VALUE), text(p, Message.LONGEST_WHY),
+                    number(p, 0, Long.MAX_VALUE / 4_000_000), name(p)));
+            end(p);
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/gullspar/versions/wire/Packing.java
@@ -0,0 +1,67 @@
+package gullspar.versions.wire;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+/** Bytes, compressed (RFC 1951) where that makes them fewer: one byte says which; then, if so, the length. */
+public final class Packing {
+    /** In bytes, unpacked; more is refused. */
+    public static final int MOST = 64 << 20;
+    /** Fewer are not worth it. */
+    private static final int LEAST = 200;
+    private static final int HEAD = 1 + Integer.BYTES;
+
+    private Packing() { }
+
+    /** Packed as well as the level says, 1 to 9. */
+    public static byte[] pack(byte[] plain, int level) {
+        if (plain.length >= LEAST) {
+            Deflater d = new Deflater(level, true);
+            try {
+                byte[] out = new byte[plain.length];
+                d.setInput(plain);
+                d.finish();
+                int n = d.deflate(out, HEAD, out.length - HEAD);
+                if (d.finished()) {
+                    ByteBuffer.wrap(out).put((byte) 1).putInt(plain.length);
+                    return Arrays.copyOf(out, HEAD + n);
+                }
+            } finally {
+                d.end();
+            }
+        }
+        return ByteBuffer.allocate(1 + plain.length).put((byte) 0).put(plain).array();
+    }
+
+    /** An IOException for bytes that were not packed so. */
+    public static byte[] unpack(byte[] packed) throws IOException {
+        if (packed.length > 0 && packed[0] == 0) {
+            return Arrays.copyOfRange(packed, 1, packed.length);
+        }
+        if (packed.length < HEAD || packed[0] != 1) {
+            throw new IOException("bytes that are packed in no known way");
+        }
+        int length = ByteBuffer.wrap(packed).getInt(1);
+        if (length < 0 || length > MOST) {
+            throw new IOException("a message of " + length + " bytes, " + MOST + " at the most");
+        }
+        Inflater i = new Inflater(true);
+        try {
+            byte[] out = new byte[length];
+            i.setInput(packed, HEAD, packed.length - HEAD);
+            int n = i.inflate(out);
+            if (n != length || !i.finished() && i.inflate(new byte[1]) != 0) {
+                throw new IOException("a message of another length than it says");
+            }
+            return out;
+        } catch (DataFormatException e) {
+            throw new IOException("a message that cannot be unpacked: " + e.getMessage(), e);
+        } finally {
+            i.end();
+        }
+    }
+}
--- a/src/test/java/gullspar/ArchitectureTest.java
+++ b/src/test/java/gullspar/ArchitectureTest.java
@@ -86,6 +86,29 @@
                         "com.fasterxml.jackson.core..", "com.fasterxml.jackson.dataformat.cbor..").check(ALL);
     }
 
+    /** Which version holds is decided alike whenever and wherever it is played. */
+    @Test
+    void versionsAreDecidedWithoutInputOutputOrClock() {
+        classes().that().resideInAPackage("gullspar.versions").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("gullspar.versions", "java.lang..", "java.util", "java.util.function",
+                        "java.util.random", "java.util.stream", "java.util.zip", "java.nio",
+                        "java.nio.charset", "java.security", "com.github.difflib..").check(ALL);
+        noClasses().that().resideInAPackage("gullspar.versions").should()
+                .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+                .orShould().callMethod(Math.class, "random")
+                .orShould().accessClassesThat().belongToAnyOf(Thread.class).check(ALL);
+        classes().that().resideInAPackage("gullspar.versions.wire").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("gullspar.versions", "gullspar.versions.wire", "java..",
+                        "com.fasterxml.jackson.core..", "com.fasterxml.jackson.dataformat.cbor..").check(ALL);
+    }
+
+    /** A proxy that follows nobody loads nothing of it. */
+    @Test
+    void onlyTheCommandLineKnowsOfVersions() {
+        noClasses().that().resideOutsideOfPackages("gullspar.versions..", "gullspar.cli..").should()
+                .dependOnClassesThat(resideInAPackage("gullspar.versions..")).check(ALL);
+    }
+
     /** The daemon is shipped and started without the kit, the simulator's wire and the command line. */
     @Test
     void theDaemonDependsOnNothingAboveIt() {
--- /dev/null
+++ b/src/test/java/gullspar/versions/FollowerTest.java
@@ -0,0 +1,303 @@
+package gullspar.versions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** What a follower takes, refuses and says. */
+class FollowerTest {
+    private static final long MS = 1_000_000L;
+
+    /** What was done for it, in order. */
+    private static final class Host implements Follower.Host {
+        private final List<Message> sent = new ArrayList<>();
+        private final List<Document> taken = new ArrayList<>();
+        private final List<List<Delta>> led = new ArrayList<>();
+        private final List<String> said = new ArrayList<>();
+        private final List<Integer> connects = new ArrayList<>();
+        private int disconnects;
+
+        @Override
+        public void connect(int which) {
+            connects.add(which);
+        }
+
+        @Override
+        public void disconnect() {
+            disconnects++;
+        }
+
+        @Override
+        public void send(Message m) {
+            sent.add(m);
+        }
+
+        @Override
+        public void take(Document d, List<Delta> how, boolean kept) {
+            taken.add(d);
+            led.add(how);
+        }
+
+        @Override
+        public void say(String line) {
+            said.add(line);
+        }
+    }
+
+    private final Host host = new Host();
+    private final List<Document> all = Chain.of(12, 100);
+    private final Follower follower = new Follower("p", Message.Role.PROXY, Follower.Settings.USUAL, 3,
+            new SplittableRandom(1), host);
+
+    private static Message.Head head(Document d, boolean inStep) {
+        return new Message.Head("c1", d == null ? null : d.version(), inStep);
+    }
+
+    private Message.Update changes(int from, int to) {
+        List<Delta> deltas = new ArrayList<>();
+        for (int i = from; i < to; i++) {
+            deltas.add(Chain.delta(all.get(i), all.get(i + 1)));
+        }
+        return new Message.Update(all.get(to).version(), null, deltas, "");
+    }
+
+    private static Message.Update whole(Document d, Document ancestor) {
+        return new Message.Update(d.version(), ancestor == null ? null : ancestor.version(), List.of(),
+                d.text());
+    }
+
+    /** It runs that one, by its disk and a control process that has the same. */
+    private void running(int which) {
+        follower.start(0, all.get(which), false);
+        follower.opened(MS);
+        follower.received(2 * MS, head(all.get(which), true));
+        follower.taken(3 * MS, all.get(which).version(), null);
+    }
+
+    private Message.Ack ack() {
+        for (int i = host.sent.size() - 1; i >= 0; i--) {
+            if (host.sent.get(i) instanceof Message.Ack a) {
+                return a;
+            }
+        }
+        throw new AssertionError("nothing acknowledged");
+    }
+
+    @Test
+    void changesAreVerifiedKeptPutInForceAndAcknowledgedInThatOrder() {
+        running(3);
+        assertEquals(all.get(3).version(), ack().inForce());
+        follower.received(10 * MS, changes(3, 5));
+        assertEquals(all.get(5), host.taken.get(1));
+        assertEquals(2, host.led.get(1).size());
+        assertEquals(all.get(3).version(), ack().inForce(), "acknowledged before it is in force");
+        follower.taken(20 * MS, all.get(5).version(), null);
+        assertEquals(all.get(5).version(), ack().inForce());
+    }
+
+    @Test
+    void whatComesWhileOneIsTakenIsTakenInOneGo() {
+        running(3);
+        follower.received(10 * MS, changes(3, 4));
+        follower.received(11 * MS, changes(4, 5));
+        follower.received(12 * MS, changes(5, 7));
+        assertEquals(2, host.taken.size());
+        follower.taken(20 * MS, all.get(4).version(), null);
+        assertEquals(all.get(7), host.taken.get(2));
+        assertEquals(3, host.led.get(2).size());
+    }
+
+    @Test
+    void aLowerVersionIsRefusedAndTheNextControlProcessTried() {
+        running(5);
+        follower.received(10 * MS, whole(all.get(3), null));
+        assertEquals(1, host.taken.size());
+        assertEquals(1, host.disconnects);
+        assertEquals(all.get(5), follower.held());
+        follower.tick(600 * MS);
+        assertEquals(List.of(0, 1), host.connects);
+    }
+
+    @Test
+    void aForkIsRefusedWhetherByChangesOrWhole() {
+        running(5);
+        Document fork = Chain.after(all.get(4), "fork");
+        Document child = Chain.after(fork, "child of the fork");
+        follower.received(10 * MS, new Message.Update(child.version(), null,
+                List.of(Chain.delta(fork, child)), ""));
+        assertTrue(host.sent.get(host.sent.size() - 1) instanceof Message.Want);
+        follower.received(20 * MS, whole(child, fork));
+        assertEquals(1, host.taken.size());
+        assertTrue(ack().trouble().contains("another version of the same place"), ack().trouble());
+        assertEquals(all.get(5).version(), follower.inForce());
+    }
+
+    @Test
+    void aForkIsSeenAtOnceWhereBothStandAtTheSamePlace() {
+        running(5);
+        follower.received(10 * MS, head(Chain.after(all.get(4), "fork"), true));
+        assertTrue(ack().trouble().contains("another version of the same place"));
+        follower.received(20 * MS, head(all.get(5), true));
+        assertEquals("", ack().trouble());
+    }
+
+    @Test
+    void aHigherEpochIsTakenOverAForkOfTheFormerOne() {
+        running(5);
+        Document next = Chain.after(all.get(4), 2, "of the new primary");
+        follower.received(10 * MS, whole(next, all.get(5)));
+        assertEquals(next, host.taken.get(1));
+        assertTrue(next.version().order(all.get(8).version()) > 0);
+        follower.taken(20 * MS, next.version(), null);
+        follower.received(30 * MS, changes(5, 8));
+        assertEquals(2, host.taken.size(), "the former primary goes on, and is not heard");
+    }
+
+    @Test
+    void changesThatDoNotFitAreAnsweredByAskingForTheWholeOnce() {
+        running(3);
+        follower.received(10 * MS, changes(5, 6));
+        assertTrue(host.sent.get(host.sent.size() - 1) instanceof Message.Want);
+        follower.received(20 * MS, changes(5, 6));
+        assertEquals(1, host.disconnects);
+        follower.tick(600 * MS);
+        follower.opened(700 * MS);
+        follower.received(800 * MS, whole(all.get(6), all.get(3)));
+        assertEquals(all.get(6), host.taken.get(1));
+    }
+
+    @Test
+    void aTextThatIsNotItsVersionsIsNeverTaken() {
+        running(3);
+        follower.received(10 * MS, new Message.Update(all.get(6).version(), null, List.of(), "torn"));
+        assertEquals(1, host.taken.size());
+    }
+
+    @Test
+    void controlIsAskedForABoundedTimeBeforeTheDiskHolds() {
+        follower.start(0, all.get(3), false);
+        follower.closed(10 * MS, "refused");
+        follower.tick(2900 * MS);
+        assertEquals(List.of(), host.taken);
+        follower.tick(3000 * MS);
+        assertEquals(List.of(all.get(3)), host.taken);
+    }
+
+    @Test
+    void aControlProcessOutOfStepIsNotBelievedAtTheStart() {
+        follower.start(0, all.get(3), false);
+        follower.opened(MS);
+        follower.received(2 * MS, head(all.get(3), false));
+        assertEquals(List.of(), host.taken);
+        follower.tick(3000 * MS);
+        assertEquals(List.of(all.get(3)), host.taken);
+        follower.tick(3100 * MS);
+        assertEquals(1, host.disconnects, "it looks whether another one knows more");
+    }
+
+    @Test
+    void aPutBackDiskDoesNotBringAnOlderVersionBackWhereControlKnowsBetter() {
+        follower.start(0, all.get(3), false);
+        follower.opened(MS);
+        follower.received(2 * MS, head(all.get(9), true));
+        assertEquals(List.of(), host.taken);
+        follower.received(3 * MS, changes(3, 9));
+        assertEquals(List.of(all.get(9)), host.taken);
+    }
+
+    @Test
+    void anOlderCopyIsNeverUsedWhileControlTellsOfAHigherOne() {
+        follower.start(0, all.get(3), true);
+        follower.opened(MS);
+        follower.received(2 * MS, head(all.get(9), true));
+        for (long t = 0; t < 20_000; t += 100) {
+            follower.heard(t * MS);
+            follower.tick(t * MS);
+        }
+        assertEquals(List.of(), host.taken);
+        follower.received(20_000 * MS, changes(3, 9));
+        assertEquals(List.of(all.get(9)), host.taken);
+    }
+
+    @Test
+    void anOlderCopyIsUsedWithTheWordWhereAllOfControlIsGone() {
+        follower.start(0, all.get(3), true);
+        follower.closed(MS, "refused");
+        follower.tick(3000 * MS);
+        assertEquals(List.of(all.get(3)), host.taken);
+        assertTrue(host.said.stream().anyMatch(s -> s.contains("may be older than what ran here")),
+                host.said.toString());
+    }
+
+    @Test
+    void whatCannotBeKeptIsNotInForceIsSaidAndTriedAgain() {
+        running(3);
+        follower.received(10 * MS, changes(3, 4));
+        follower.taken(20 * MS, all.get(4).version(), "it cannot be kept: No space left on device");
+        assertEquals(all.get(3).version(), ack().inForce());
+        assertTrue(ack().trouble().contains("No space left"));
+        follower.heard(10_000 * MS);
+        follower.tick(10_100 * MS);
+        assertEquals(3, host.taken.size());
+        follower.taken(10_200 * MS, all.get(4).version(), null);
+        assertEquals(all.get(4).version(), ack().inForce());
+        assertEquals("", ack().trouble());
+    }
+
+    @Test
+    void silenceIsNoticedAndPausesGrowAndAreDrawn() {
+        running(3);
+        follower.tick(3000 * MS);
+        assertEquals(0, host.disconnects);
+        follower.tick(3600 * MS);
+        assertEquals(1, host.disconnects);
+        long last = 3600;
+        List<Long> pauses = new ArrayList<>();
+        for (long t = 3600; t < 200_000 && host.connects.size() < 40; t += 10) {
+            int before = host.connects.size();
+            follower.tick(t * MS);
+            if (host.connects.size() > before) {
+                pauses.add(t - last);
+                last = t;
+                follower.closed(t * MS, "refused");
+            }
+        }
+        assertTrue(pauses.stream().allMatch(p -> p <= 8020), pauses.toString());
+        assertTrue(pauses.subList(6, pauses.size()).stream().mapToLong(p -> p).average().orElse(0) > 2500);
+        assertTrue(host.connects.containsAll(List.of(0, 1, 2)));
+        assertEquals(all.get(3).version(), follower.inForce(), "it goes on without control");
+    }
+
+    @Test
+    void inStepIsOnlyWhoHasAllThatItsControlProcessHad() {
+        follower.start(0, all.get(3), false);
+        follower.opened(MS);
+        follower.received(2 * MS, head(all.get(9), true));
+        assertFalse(follower.inStep(3 * MS), "a disk that was put back");
+        follower.received(4 * MS, changes(3, 9));
+        assertTrue(follower.inStep(5 * MS));
+        assertFalse(follower.inStep(5000 * MS), "silent");
+        follower.received(5100 * MS, head(all.get(9), false));
+        assertFalse(follower.inStep(5200 * MS), "the other end is not");
+    }
+
+    @Test
+    void eachNameHasItsOwnOrderAndTheyAreEven() {
+        List<String> addresses = List.of("a:1", "b:1", "c:1", "d:1", "e:1", "f:1");
+        int[] first = new int[6];
+        for (int i = 0; i < 640; i++) {
+            first[addresses.indexOf(Preference.order("proxy-" + i, addresses).get(0))]++;
+        }
+        for (int n : first) {
+            assertTrue(n > 60 && n < 160, n + " of 640");
+        }
+        assertEquals(Preference.order("x", addresses), Preference.order("x", addresses));
+        assertNull(new History(1, 1).head());
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/versions/HistoryTest.java
@@ -0,0 +1,69 @@
+package gullspar.versions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a follower gets. */
+class HistoryTest {
+    private final List<Document> all = Chain.of(200, 4000);
+
+    @Test
+    void oneThatWasAwayGetsTheChangesOnly() throws MismatchException {
+        History h = Chain.history(all, 1000);
+        Document old = all.get(41);
+        History.Answer a = h.answer(old.version());
+        assertEquals(History.Kind.CHANGES, a.kind());
+        assertEquals(158, a.deltas().size());
+        assertEquals(h.head(), Delta.apply(old, a.deltas()));
+    }
+
+    @Test
+    void beyondWhatIsKeptItIsTheWhole() {
+        History h = Chain.history(all, 100);
+        assertEquals(History.Kind.CHANGES, h.answer(all.get(99).version()).kind());
+        assertEquals(History.Kind.SNAPSHOT, h.answer(all.get(98).version()).kind());
+        assertEquals(History.Kind.SNAPSHOT, h.answer(null).kind());
+        assertEquals(History.Kind.NOTHING, h.answer(all.get(199).version()).kind());
+    }
+
+    @Test
+    void changesThatAreMoreThanTheWholeGoAsTheWhole() {
+        History h = Chain.history(Chain.of(200, 3), 1000);
+        assertEquals(History.Kind.SNAPSHOT, h.answer(Chain.of(1, 3).get(0).version()).kind());
+    }
+
+    @Test
+    void aHigherAndAForkedVersionGetNothing() {
+        History h = Chain.history(all.subList(0, 100), 1000);
+        assertEquals(History.Kind.AHEAD, h.answer(all.get(100).version()).kind());
+        Document fork = Chain.after(all.get(48), "other");
+        assertEquals(History.Kind.FORKED, h.answer(fork.version()).kind());
+        assertEquals(History.Kind.FORKED, h.answer(Chain.after(all.get(98), "other").version()).kind());
+        assertEquals(History.Kind.AHEAD, new History(5, 5).answer(fork.version()).kind());
+    }
+
+    @Test
+    void aHigherEpochHoldsOverWhatTheFormerPrimaryWrote() {
+        History h = Chain.history(all.subList(0, 50), 1000);
+        Document lost = Chain.after(all.get(49), "only the former primary had it");
+        Document next = Chain.after(all.get(49), 2, "of the new primary");
+        h.append(next, List.of(Chain.delta(h.head(), next)));
+        assertEquals(History.Kind.SNAPSHOT, h.answer(lost.version()).kind());
+        assertEquals(History.Kind.CHANGES, h.answer(all.get(49).version()).kind());
+    }
+
+    @Test
+    void nothingOlderIsTakenAndARestartKeepsTheChain() {
+        History h = Chain.history(all, 50);
+        assertThrows(IllegalArgumentException.class, () -> h.append(all.get(198), List.of()));
+        History again = new History(50, 1 << 20);
+        again.restore(h.head(), h.oldest(), h.deltas());
+        assertEquals(h.answer(all.get(160).version()), again.answer(all.get(160).version()));
+        History broken = new History(50, 1 << 20);
+        broken.restore(h.head(), all.get(3).version(), h.deltas());
+        assertEquals(History.Kind.SNAPSHOT, broken.answer(all.get(160).version()).kind());
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/versions/PaceTest.java
@@ -0,0 +1,54 @@
+package gullspar.versions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.junit.jupiter.api.Test;
+
+/** How much goes out, and to how many at once. */
+class PaceTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    @Test
+    void inNoSecondMoreGoesThanAllowedButForOneFrame() {
+        Pace p = new Pace(10_000, 0);
+        Deque<long[]> last = new ArrayDeque<>();
+        long now = 5 * SECOND;
+        int within = 0;
+        int most = 0;
+        int all = 0;
+        for (int i = 0; i < 500; i++) {
+            now = Math.max(now, p.readyAt(now));
+            int frame = i % 3 == 0 ? 2048 : 300;
+            p.spend(now, frame);
+            last.add(new long[] {now, frame});
+            within += frame;
+            all += frame;
+            while (last.peek()[0] <= now - SECOND) {
+                within -= last.poll()[1];
+            }
+            most = Math.max(most, within);
+        }
+        assertTrue(most <= 10_000 + 2048, "worst second: " + most);
+        double mean = all / ((now - 5 * SECOND) / 1e9);
+        assertTrue(mean > 6_500 && mean < 7_500, "mean: " + mean);
+    }
+
+    @Test
+    void soManyHaveATurnAndTheOthersComeInTheirOrder() {
+        Turns t = new Turns(2);
+        assertTrue(t.has("a"));
+        assertTrue(t.has("b"));
+        assertFalse(t.has("c"));
+        assertFalse(t.has("d"));
+        assertEquals("c", t.over("a"));
+        assertFalse(t.has("d"), "c was there before");
+        assertTrue(t.has("c"));
+        assertEquals(null, t.over("d"));
+        assertEquals(null, t.over("b"));
+        assertEquals(2, t.highest());
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/versions/file/StoreTest.java
@@ -0,0 +1,218 @@
+package gullspar.versions.file;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.versions.Chain;
+import gullspar.versions.Document;
+import gullspar.versions.wire.Codec;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What a disk gives back, whatever happens to it. */
+class StoreTest {
+    /** Nothing happens after it. */
+    private static final class Dead extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** In memory; fails or dies at an operation, a write then with a part of its bytes. */
+    private static final class Faulty implements Folder {
+        private final Map<String, byte[]> files = new HashMap<>();
+        private int operations;
+        private int diesAt = -1;
+        private int failsAt = -1;
+        private double part;
+
+        private boolean now() throws IOException {
+            int at = operations++;
+            if (at == failsAt) {
+                throw new IOException("No space left on device");
+            }
+            return at == diesAt;
+        }
+
+        @Override
+        public byte[] read(String name) {
+            return files.get(name);
+        }
+
+        @Override
+        public void write(String name, byte[] content) throws IOException {
+            int n = (int) (content.length * part);
+            if (operations == diesAt || operations == failsAt) {
+                files.put(name, Arrays.copyOf(content, n));
+            }
+            if (now()) {
+                throw new Dead();
+            }
+            files.put(name, content);
+        }
+
+        @Override
+        public void rename(String from, String to) throws IOException {
+            if (now()) {
+                throw new Dead();
+            }
+            if (!files.containsKey(from)) {
+                throw new IOException("no " + from);
+            }
+            files.put(to, files.remove(from));
+        }
+
+        @Override
+        public void sync() throws IOException {
+            if (now()) {
+                throw new Dead();
+            }
+        }
+    }
+
+    private final List<Document> all = Chain.of(40, 60);
+
+    private static Codec.Kept kept(Document d) {
+        return new Codec.Kept(d, null, List.of());
+    }
+
+    /** Whatever was kept, or began to be: never an older one, whenever the process ends. */
+    @Test
+    void whateverOperationIsTheLastOneNothingOlderComesBack() throws IOException {
+        for (int dies = 0; dies < 24; dies++) {
+            for (double part : new double[] {0, 0.5, 1}) {
+                Faulty f = new Faulty();
+                f.diesAt = dies;
+                f.part = part;
+                int done = -1;
+                Store s = new Store(f);
+                s.read();
+                try {
+                    for (int i = 0; i < 10; i++) {
+                        s.keep(kept(all.get(i)));
+                        done = i;
+                    }
+                } catch (Dead e) {
+                    // and starts again
+                }
+                f.diesAt = -1;
+                for (int again = 0; again < 3; again++) {
+                    Store.Found found = new Store(f).read();
+                    int has = found.kept() == null ? -1
+                            : (int) found.kept().document().version().number() - 1;
+                    assertTrue(has == done || has == done + 1, "dies at " + dies + ": has " + has
+                            + ", had kept " + done);
+                    assertFalse(found.mayBeOlder(), "dies at " + dies);
+                    assertEquals(List.of(), found.damage());
+                    Store next = new Store(f);
+                    next.read();
+                    next.keep(kept(all.get(has + 1)));
+                    done = has + 1;
+                }
+            }
+        }
+    }
+
+    /** It dies once, starts, and dies again at any operation: the newest that is whole is never lost. */
+    @Test
+    void twoEndsInARowLoseNothingEither() throws IOException {
+        for (int first = 4; first < 12; first++) {
+            for (int second = 0; second < 6; second++) {
+                Faulty f = new Faulty();
+                f.diesAt = first;
+                f.part = 0.3;
+                int done = -1;
+                for (int life = 0; life < 3; life++) {
+                    Store s = new Store(f);
+                    Store.Found found = s.read();
+                    int has = found.kept() == null ? -1
+                            : (int) found.kept().document().version().number() - 1;
+                    assertTrue(has >= done, "has " + has + ", had " + done);
+                    done = has;
+                    try {
+                        for (int i = has + 1; i < has + 6; i++) {
+                            s.keep(kept(all.get(i)));
+                            done = i;
+                        }
+                    } catch (Dead e) {
+                        // and starts again
+                    }
+                    f.diesAt = life == 0 ? f.operations + second : -1;
+                }
+            }
+        }
+    }
+
+    @Test
+    void aDiskThatFailsLeavesTheFormerOneAndLaterTakesTheNext() throws IOException {
+        for (int fails = 0; fails < 12; fails++) {
+            Faulty f = new Faulty();
+            f.failsAt = fails;
+            f.part = 0.7;
+            Store s = new Store(f);
+            s.read();
+            int done = -1;
+            for (int i = 0; i < 12; i++) {
+                try {
+                    s.keep(kept(all.get(i)));
+                    done = i;
+                } catch (IOException e) {
+                    Store.Found found = new Store(f).read();
+                    int has = found.kept() == null ? -1
+                            : (int) found.kept().document().version().number() - 1;
+                    assertTrue(has == done || has == i);
+                }
+            }
+            assertEquals(all.get(11), new Store(f).read().kept().document());
+        }
+    }
+
+    @Test
+    void aDamagedFileIsNamedAndTheFormerOneIsSaidToBeOlder() throws IOException {
+        SplittableRandom r = new SplittableRandom(5);
+        for (int i = 0; i < 300; i++) {
+            Faulty f = new Faulty();
+            Store s = new Store(f);
+            s.read();
+            s.keep(kept(all.get(0)));
+            s.keep(kept(all.get(1)));
+            byte[] b = f.files.get(Store.CURRENT).clone();
+            if (i % 2 == 0) {
+                b[r.nextInt(b.length)] ^= (byte) (1 + r.nextInt(255));
+            } else {
+                b = Arrays.copyOf(b, r.nextInt(b.length));
+            }
+            f.files.put(Store.CURRENT, b);
+            Store again = new Store(f);
+            Store.Found found = again.read();
+            assertEquals(all.get(0), found.kept().document());
+            assertTrue(found.mayBeOlder());
+            assertTrue(found.damage().get(0).startsWith("the file current is damaged"));
+            again.keep(kept(all.get(2)));
+            Store.Found mended = new Store(f).read();
+            assertEquals(all.get(2), mended.kept().document());
+            assertFalse(mended.mayBeOlder());
+            assertTrue(f.files.containsKey(Store.PREVIOUS));
+        }
+    }
+
+    @Test
+    void aFolderOfTheFileSystemDoesTheSameAndIsHeldByOne(@TempDir Path folder) throws IOException {
+        try (DiskFolder d = DiskFolder.hold(folder)) {
+            assertThrows(IOException.class, () -> DiskFolder.hold(folder));
+            Store s = new Store(d);
+            assertEquals(null, s.read().kept());
+            s.keep(kept(all.get(0)));
+            s.keep(kept(all.get(1)));
+            assertEquals(all.get(1), new Store(d).read().kept().document());
+        }
+        DiskFolder.hold(folder).close();
+    }
+}
