Bench: scale runs of real proxies beside hollow ones, small and full

Need: the size in two years (640 proxies, 6,600 backends) has to be measured, not reckoned: what the control part of a proxy costs, what discovery has to send, how long until all know, and what faults bring.

Change: bench/scale/run.sh starts real proxies as deployed beside processes full of hollow ones: the daemon's own Proxy on real loopback sockets, each on a loop and thread of its own, without clients, before a stand-in for discovery that counts each message by kind. Processor time comes from the system's accounts by process. Whatever ends a run ends all that it started, by id; bad arguments, too little memory, a port taken and a child that dies have an exit code and one line each. ScaleTest plays the small run and asserts counts only.

--- /dev/null
+++ b/src/test/java/gullspar/scale/BackendList.java
@@ -0,0 +1,75 @@
+package gullspar.scale;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntFunction;
+import java.util.stream.Collectors;
+
+/** The list of backends as discovery holds it, with the version at which each entry changed last. */
+final class BackendList {
+    static final int ZONES = 8;
+
+    private record Entry(String text, long version, boolean gone) { }
+
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final IntFunction<String> addresses;
+    private long version = 1;
+    private byte[] whole;
+
+    /** So many, at those addresses by number. */
+    BackendList(int count, IntFunction<String> addresses) {
+        this.addresses = addresses;
+        for (int i = 0; i < count; i++) {
+            put(i, "in_service", 1.0);
+        }
+    }
+
+    long version() {
+        return version;
+    }
+
+    private String put(int number, String lifecycle, double weight) {
+        String id = "s-" + Integer.toHexString(0x5be20000 + number);
+        String text = "{\"instanceId\":\"" + id + "\",\"hostPort\":\"" + addresses.apply(number)
+                + "\",\"zone\":\"z" + number % ZONES + "\",\"machineType\":\"usual\",\"cell\":" + number % 40
+                + ",\"lifecycle\":\"" + lifecycle + "\",\"weight\":" + weight + ",\"startedAtMs\":0}";
+        whole = null;
+        entries.put(id, new Entry(text, version, lifecycle.equals("terminated")));
+        return text;
+    }
+
+    /** An entry is there from now on, or gone; the line that says so. */
+    byte[] change(int number, boolean there) {
+        version++;
+        return line(version, false, List.of(put(number, there ? "in_service" : "terminated", 1.0)));
+    }
+
+    /** The weights of the first so many are told anew; the line that says so. */
+    byte[] weights(int count, double weight) {
+        version++;
+        return line(version, false, java.util.stream.IntStream.range(0, count)
+                .mapToObj(i -> put(i, "in_service", weight)).toList());
+    }
+
+    byte[] whole() {
+        if (whole == null) {
+            whole = line(version, true, entries.values().stream().filter(e -> !e.gone).map(Entry::text)
+                    .toList());
+        }
+        return whole;
+    }
+
+    /** What changed after that version. */
+    byte[] since(long index) {
+        return line(version, false, entries.values().stream().filter(e -> e.version > index).map(Entry::text)
+                .toList());
+    }
+
+    private static byte[] line(long version, boolean reset, Collection<String> list) {
+        return (list.stream().collect(Collectors.joining(",", "{\"generation\":" + version + ",\"reset\":"
+                + reset + ",\"instances\":[", "]}\n"))).getBytes(StandardCharsets.US_ASCII);
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/DiscoveryStandIn.java
@@ -0,0 +1,261 @@
+package gullspar.scale;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Discovery for all proxies of a run: lists are pushed, one listener for each zone. All that it writes and
+ * reads is counted by kind, as the bytes of HTTP. On one loop of its own.
+ */
+final class DiscoveryStandIn implements AutoCloseable {
+    private static final long BEAT_MS = 2000;
+
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final BackendList list;
+    private final Tally tally = new Tally();
+    private final InetSocketAddress[] addresses = new InetSocketAddress[BackendList.ZONES];
+    private final Channel[] listeners = new Channel[BackendList.ZONES];
+    private final boolean[] cut = new boolean[BackendList.ZONES];
+    private final Set<Watch> watches = new LinkedHashSet<>();
+    private boolean forgotten;
+
+    /** port: of the first zone's listener, 0 for any. */
+    DiscoveryStandIn(BackendList list, int port) throws ScaleException {
+        this.list = list;
+        for (int z = 0; z < addresses.length; z++) {
+            ChannelFuture f = bind(z, new InetSocketAddress("127.0.0.1", z == 0 ? port : 0));
+            if (!f.awaitUninterruptibly().isSuccess()) {
+                close();
+                throw new ScaleException(ScaleException.PORT, "port " + port + " is taken: "
+                        + f.cause().getMessage());
+            }
+            addresses[z] = (InetSocketAddress) f.channel().localAddress();
+        }
+    }
+
+    private ChannelFuture bind(int zone, InetSocketAddress at) {
+        ChannelFuture f = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 4096).option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(new Watch(zone));
+                    }
+                }).bind(at);
+        listeners[zone] = f.channel();
+        return f;
+    }
+
+    InetSocketAddress address(int zone) {
+        return addresses[zone % addresses.length];
+    }
+
+    private <T> T onLoop(Callable<T> what) {
+        try {
+            return loop.submit(what).get();
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A change, and what it is known by. */
+    record Told(long version, long atNs) { }
+
+    /** A backend comes or goes. */
+    Told change(int number, boolean there) {
+        return onLoop(() -> push(list.change(number, there), "change"));
+    }
+
+    /** The weights of so many are told anew. */
+    Told weights(int count, double weight) {
+        return onLoop(() -> push(list.weights(count, weight), "weights"));
+    }
+
+    private Told push(byte[] line, String kind) {
+        long at = System.nanoTime();
+        ByteBuf chunk = chunk(line);
+        watches.forEach(w -> w.push(chunk, kind));
+        chunk.release();
+        return new Told(list.version(), at);
+    }
+
+    long version() {
+        return onLoop(list::version);
+    }
+
+    int watching() {
+        return onLoop(watches::size);
+    }
+
+    Map<String, Tally.Sum> kinds() {
+        return onLoop(tally::kinds);
+    }
+
+    long worstSecond(long fromNs) {
+        return onLoop(() -> tally.worstSecond(fromNs));
+    }
+
+    /** A zone hears nothing and is not heard, until it is back; connections stay open. */
+    void cut(int zone, boolean on) {
+        onLoop(() -> {
+            cut[zone] = on;
+            if (!on) {
+                watches.stream().filter(w -> w.zone == zone).toList().forEach(Watch::begin);
+            }
+            return null;
+        });
+    }
+
+    /** It is gone: connections end, new ones are refused; or back, at the same addresses. */
+    void down(boolean on) throws ScaleException {
+        if (on) {
+            onLoop(() -> {
+                List.of(listeners).forEach(Channel::close);
+                List.copyOf(watches).forEach(Watch::end);
+                return null;
+            });
+            return;
+        }
+        for (int z = 0; z < addresses.length; z++) {
+            if (!bind(z, addresses[z]).awaitUninterruptibly().isSuccess()) {
+                throw new ScaleException(ScaleException.PORT, "discovery cannot come back at "
+                        + addresses[z]);
+            }
+        }
+    }
+
+    /** All watches end, and whoever comes back gets the whole list. */
+    Told startAnew() {
+        return onLoop(() -> {
+            forgotten = true;
+            list.change(0, true);
+            long at = System.nanoTime();
+            List.copyOf(watches).forEach(Watch::end);
+            return new Told(list.version(), at);
+        });
+    }
+
+    /** From now on whoever comes back gets only what changed. */
+    void remembers() {
+        onLoop(() -> forgotten = false);
+    }
+
+    private static ByteBuf chunk(byte[] line) {
+        return Unpooled.wrappedBuffer(Unpooled.copiedBuffer(Integer.toHexString(line.length) + "\r\n",
+                StandardCharsets.US_ASCII), Unpooled.wrappedBuffer(line),
+                Unpooled.copiedBuffer("\r\n", StandardCharsets.US_ASCII));
+    }
+
+    @Override
+    public void close() {
+        loop.parent().shutdownGracefully(0, 0, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /** One connection to it. */
+    private final class Watch extends ChannelInboundHandlerAdapter {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        private final StringBuilder call = new StringBuilder();
+        private final int zone;
+        private ChannelHandlerContext ctx;
+        private long told = Long.MIN_VALUE;
+        private boolean begun;
+
+        Watch(int zone) {
+            this.zone = zone;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext c, Object message) {
+            ByteBuf b = (ByteBuf) message;
+            call.append(b.toString(StandardCharsets.US_ASCII));
+            b.release();
+            if (ctx == null && call.indexOf("\r\n\r\n") >= 0) {
+                ctx = c;
+                tally.add("call", call.length());
+                List<String> index = new QueryStringDecoder(call.toString().split(" ")[1]).parameters()
+                        .getOrDefault("index", List.of("-1"));
+                told = Long.parseLong(index.get(0));
+                watches.add(this);
+                begin();
+            }
+        }
+
+        /** What it has not been told, if it can be reached; the whole list if that is not known. */
+        void begin() {
+            if (cut[zone]) {
+                return;
+            }
+            if (!begun) {
+                begun = true;
+                write(Unpooled.copiedBuffer(HEAD, StandardCharsets.US_ASCII), "head");
+                beat();
+            }
+            if (told < 0 || forgotten) {
+                write(chunk(list.whole()), "whole");
+            } else if (told < list.version()) {
+                write(chunk(list.since(told)), "missed");
+            }
+            told = list.version();
+        }
+
+        void push(ByteBuf chunk, String kind) {
+            if (begun && !cut[zone]) {
+                told = list.version();
+                write(chunk.retainedDuplicate(), kind);
+            }
+        }
+
+        private void beat() {
+            loop.schedule(() -> {
+                if (watches.contains(this)) {
+                    if (!cut[zone]) {
+                        write(Unpooled.copiedBuffer("1\r\n\n\r\n", StandardCharsets.US_ASCII), "beat");
+                    }
+                    beat();
+                }
+            }, BEAT_MS, TimeUnit.MILLISECONDS);
+        }
+
+        private void write(ByteBuf bytes, String kind) {
+            tally.add(kind, bytes.readableBytes());
+            ctx.writeAndFlush(bytes);
+        }
+
+        void end() {
+            watches.remove(this);
+            ctx.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext c) {
+            watches.remove(this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+            c.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/HearingModule.java
@@ -0,0 +1,71 @@
+package gullspar.scale;
+
+import gullspar.decide.Balancer;
+import gullspar.decide.Policy;
+import java.util.List;
+import java.util.concurrent.ConcurrentSkipListMap;
+
+/** The decision module as it runs in service, and beside it when each version of the list was taken in. */
+final class HearingModule implements Balancer {
+    private static final int MOST_KEPT = 2000;
+
+    private final Policy policy;
+    /** By version: the moment, in the machine's monotonic time, which all its processes share. */
+    private final ConcurrentSkipListMap<Long, Long> heard = new ConcurrentSkipListMap<>();
+
+    HearingModule(Settings settings, long seed, long now, Actions out) {
+        this.policy = new Policy(settings, seed, now, out);
+    }
+
+    /** When it knew that version or a later one; -1 if it does not yet. */
+    long heardAt(long version) {
+        var e = heard.ceilingEntry(version);
+        return e == null ? -1 : e.getValue();
+    }
+
+    @Override
+    public void onMembers(long now, ListKind kind, long version, List<Member> members) {
+        policy.onMembers(now, kind, version, members);
+        if (kind == ListKind.FULL || kind == ListKind.DELTA) {
+            heard.putIfAbsent(version, System.nanoTime());
+            if (heard.size() > MOST_KEPT) {
+                heard.pollFirstEntry();
+            }
+        }
+    }
+
+    @Override
+    public void onRequest(long now, Request request) {
+        policy.onRequest(now, request);
+    }
+
+    @Override
+    public void onStreamBegun(long now, int ticket, int attempt, int server, long elapsedNs) {
+        policy.onStreamBegun(now, ticket, attempt, server, elapsedNs);
+    }
+
+    @Override
+    public void onOutcome(long now, Outcome outcome) {
+        policy.onOutcome(now, outcome);
+    }
+
+    @Override
+    public void onWithdrawn(long now, int ticket) {
+        policy.onWithdrawn(now, ticket);
+    }
+
+    @Override
+    public void onTimer(long now, long token) {
+        policy.onTimer(now, token);
+    }
+
+    @Override
+    public void onProfiles(List<Profile> profiles) {
+        policy.onProfiles(profiles);
+    }
+
+    @Override
+    public int avoided() {
+        return policy.avoided();
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/HollowMembers.java
@@ -0,0 +1,129 @@
+package gullspar.scale;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import gullspar.config.Fleet;
+import gullspar.peers.net.Membership;
+import gullspar.peers.wire.Envelope;
+import gullspar.proxy.config.Json;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Transport;
+import gullspar.proxy.operator.Companion;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Members of the view of the fleet, over UDP, with nothing to serve. Each is on a loop of its own. */
+final class HollowMembers implements Hollow.Part {
+    private static final byte[] KEY = new byte[Envelope.LEAST_KEY_BYTES];
+
+    private record Member(EventLoop loop, Membership membership) { }
+
+    private final List<Member> members = new ArrayList<>();
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicLong sentBytes = new AtomicLong();
+    private final AtomicLong received = new AtomicLong();
+    private final AtomicLong receivedBytes = new AtomicLong();
+
+    @Override
+    public String answer(String[] words) throws IOException {
+        return switch (words[0]) {
+            case "start" -> start(Integer.parseInt(words[1]), Integer.parseInt(words[2]),
+                    Integer.parseInt(words[3]), Integer.parseInt(words[4]));
+            case "counts" -> sent + " " + sentBytes + " " + received + " " + receivedBytes;
+            case "present" -> present();
+            default -> null;
+        };
+    }
+
+    /** Where the member of that number is, in a fleet whose number keeps it from others. */
+    private static InetSocketAddress at(int fleet, int number) {
+        return new InetSocketAddress("127." + (100 + fleet % 100) + "." + fleet / 100 % 250 + "."
+                + (1 + number / 200), 20_000 + number % 200);
+    }
+
+    private String start(int fleet, int first, int count, int intervalMs) {
+        List<InetSocketAddress> seeds = List.of(at(fleet, 0), at(fleet, 1), at(fleet, 2));
+        for (int i = first; i < first + count; i++) {
+            EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+            Platform platform = new Platform(loop, Clock.system(), counting(loop), line -> { });
+            Fleet of = new Fleet("p" + i, at(fleet, i), null, seeds, null, "z" + i % BackendList.ZONES,
+                    intervalMs * 1_000_000L, 60_000_000_000L, 0);
+            long life = 0x9e3779b97f4a7c15L * (i + 1 + 1000L * fleet);
+            Membership m = loop.submit(() -> Membership.join(of, Membership.settings(of),
+                    new Envelope(List.of(KEY)), life, platform, () -> Companion.Load.NONE))
+                    .syncUninterruptibly().getNow();
+            loop.execute(() -> m.at(Companion.Stage.SERVING));
+            members.add(new Member(loop, m));
+        }
+        return Integer.toString(members.size());
+    }
+
+    /** How many each of them sees. */
+    private String present() throws IOException {
+        StringBuilder all = new StringBuilder();
+        for (Member m : members) {
+            String page = m.loop.submit(() -> m.membership.answer("/_fleet")).syncUninterruptibly().getNow();
+            JsonNode seen = Json.read((page == null ? "{}" : page).getBytes(StandardCharsets.UTF_8));
+            all.append(seen.path("seen").asInt()).append(' ');
+        }
+        return all.toString().strip();
+    }
+
+    private Transport counting(EventLoop loop) {
+        Transport tcp = Transport.tcp(loop);
+        return new Transport() {
+            @Override
+            public Bootstrap to(InetSocketAddress address) {
+                return tcp.to(address);
+            }
+
+            @Override
+            public ServerBootstrap at(InetSocketAddress address) {
+                return tcp.at(address);
+            }
+
+            @Override
+            public Bootstrap datagrams(InetSocketAddress address) {
+                return new Bootstrap().group(loop).channelFactory(HollowMembers.this::counted)
+                        .localAddress(address);
+            }
+        };
+    }
+
+    private NioDatagramChannel counted() {
+        NioDatagramChannel c = new NioDatagramChannel();
+        c.pipeline().addFirst(new Counting());
+        return c;
+    }
+
+    /** Counts what goes to the socket and what comes from it. */
+    private final class Counting extends ChannelDuplexHandler {
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise done) {
+            sent.incrementAndGet();
+            sentBytes.addAndGet(((DatagramPacket) message).content().readableBytes());
+            ctx.write(message, done);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            received.incrementAndGet();
+            receivedBytes.addAndGet(((DatagramPacket) message).content().readableBytes());
+            ctx.fireChannelRead(message);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/HollowProxies.java
@@ -0,0 +1,103 @@
+package gullspar.scale;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gullspar.proxy.Proxy;
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.config.Json;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Transport;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Collectors;
+
+/**
+ * Hollow proxies: the daemon's own {@link Proxy}, each on a loop and thread of its own as in service, with a
+ * listener that nobody connects to.
+ */
+final class HollowProxies implements Hollow.Part {
+    private final ObjectNode template;
+    private final List<HearingModule> modules = new ArrayList<>();
+    private final List<Proxy> proxies = new ArrayList<>();
+    private final AtomicLong connects = new AtomicLong();
+    private final AtomicLong failures = new AtomicLong();
+    private volatile String failure = "";
+
+    HollowProxies(Path config) throws IOException {
+        template = (ObjectNode) Json.read(Files.readAllBytes(config));
+    }
+
+    @Override
+    public String answer(String[] words) throws IOException, ConfigException {
+        return switch (words[0]) {
+            case "start" -> start(Integer.parseInt(words[1]), Integer.parseInt(words[2]),
+                    List.of(words).subList(3, words.length));
+            case "heard" -> heard(Long.parseLong(words[1]));
+            case "connects" -> Long.toString(connects.get());
+            case "failures" -> failures.get() + " " + failure;
+            default -> null;
+        };
+    }
+
+    /** So many from that number on; discovery by zone. */
+    private String start(int first, int count, List<String> discovery) throws IOException, ConfigException {
+        for (int i = first; i < first + count; i++) {
+            NodeConfig.number(template, i);
+            template.put("discovery", discovery.get(i % discovery.size()));
+            Config config = Config.parse(template, Map.of());
+            EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+            Platform platform = new Platform(loop, Clock.system(), counting(Transport.tcp(loop)), this::say);
+            proxies.add(Proxy.start(config, platform, (settings, seed, now, out) -> {
+                HearingModule m = new HearingModule(settings, seed, now, out);
+                modules.add(m);
+                return m;
+            }));
+        }
+        return Integer.toString(proxies.size());
+    }
+
+    private void say(String line) {
+        if (line.contains("failed") || line.contains("not understood")) {
+            failures.incrementAndGet();
+            failure = line;
+        }
+    }
+
+    private Transport counting(Transport tcp) {
+        return new Transport() {
+            @Override
+            public Bootstrap to(InetSocketAddress address) {
+                connects.incrementAndGet();
+                return tcp.to(address);
+            }
+
+            @Override
+            public ServerBootstrap at(InetSocketAddress address) {
+                return tcp.at(address);
+            }
+        };
+    }
+
+    /** When each knew that version, -1 for not yet. */
+    private String heard(long version) {
+        return modules.stream().map(m -> Long.toString(m.heardAt(version))).collect(Collectors.joining(" "));
+    }
+
+    /** Kept reachable: what they hold is measured. */
+    JsonNode template() {
+        return template;
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/NodeConfig.java
@@ -0,0 +1,42 @@
+package gullspar.scale;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gullspar.proxy.config.Json;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** A proxy's configuration as a platform writes it, of the sizes of a run. */
+final class NodeConfig {
+    private NodeConfig() { }
+
+    /** proxies: how many there are in all; known: the list of the start, null for none. */
+    static ObjectNode of(int proxies, int tenants, byte[] known) throws IOException {
+        ObjectNode root = (ObjectNode) Json.read(Files.readAllBytes(Path.of("deploy/warm.json")));
+        root.put("listen", "127.0.0.1:0").remove("operator");
+        ((ObjectNode) root.get("limits")).put("memory_mb", 192).put("sockets", 1024);
+        if (known == null) {
+            root.remove("known");
+        } else {
+            root.set("known", Json.read(known));
+        }
+        ObjectNode settings = (ObjectNode) root.get("settings");
+        settings.put("balancers", proxies);
+        ArrayNode zones = settings.putArray("zones");
+        for (int z = 0; z < BackendList.ZONES; z++) {
+            zones.add("z" + z);
+        }
+        ArrayNode names = settings.putArray("tenants");
+        for (int t = 0; t < tenants; t++) {
+            names.add("tenant-" + t);
+        }
+        return root;
+    }
+
+    /** The same for the proxy of that number. */
+    static void number(ObjectNode root, int number) {
+        root.put("name", "p" + number).put("seed", Integer.toHexString(0x10000 + number));
+        ((ObjectNode) root.get("settings")).put("me", number).put("zone", number % BackendList.ZONES);
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/Pause.java
@@ -0,0 +1,15 @@
+package gullspar.scale;
+
+/** Time that passes. */
+final class Pause {
+    private Pause() { }
+
+    static void ms(long ms) throws ScaleException {
+        try {
+            Thread.sleep(Math.max(0, ms));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new ScaleException(ScaleException.TIME, "interrupted");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/Ports.java
@@ -0,0 +1,31 @@
+package gullspar.scale;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Free ports for processes still to start, at a loopback address that the kernel gives to nobody else. */
+final class Ports {
+    private Ports() { }
+
+    static List<String> free(int count) throws IOException {
+        long pid = ProcessHandle.current().pid();
+        String address = "127." + (2 + pid % 90) + "." + pid / 90 % 250 + ".1";
+        List<ServerSocket> held = new ArrayList<>();
+        List<String> ports = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(address));
+                held.add(s);
+                ports.add(address + ":" + s.getLocalPort());
+            }
+        } finally {
+            for (ServerSocket s : held) {
+                s.close();
+            }
+        }
+        return ports;
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/Results.java
@@ -0,0 +1,85 @@
+package gullspar.scale;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What was measured: series of points, each series along one axis with the others held. */
+final class Results {
+    /** One measured value at one size. */
+    record Point(long size, double value) { }
+
+    /** What a series is about. */
+    record About(String id, String what, String unit, String axis, Map<String, Object> fixed) { }
+
+    private final Map<String, List<Point>> points = new LinkedHashMap<>();
+    private final Map<String, About> abouts = new LinkedHashMap<>();
+    private final Map<String, Object> heads = new LinkedHashMap<>();
+    private final List<Map<String, Object>> alike = new ArrayList<>();
+
+    void head(String key, Object value) {
+        heads.put(key, value);
+    }
+
+    void add(About about, long size, double value) {
+        abouts.putIfAbsent(about.id(), about);
+        points.computeIfAbsent(about.id(), i -> new ArrayList<>()).add(new Point(size, round(value)));
+        System.out.println("  " + about.id() + "  " + about.axis() + "=" + size + "  " + round(value) + " "
+                + about.unit());
+    }
+
+    /** The same figure of a real and of a hollow proxy, and what explains a difference. */
+    void alike(String figure, String unit, double real, double hollow, String why) {
+        Map<String, Object> row = new LinkedHashMap<>();
+        row.put("figure", figure);
+        row.put("unit", unit);
+        row.put("real", round(real));
+        row.put("hollow", round(hollow));
+        row.put("hollow_to_real", round(hollow / real));
+        row.put("within_20_percent", Math.abs(hollow / real - 1) <= 0.2);
+        row.put("difference", why);
+        alike.add(row);
+        System.out.println("  " + row);
+    }
+
+    /** The one value of a series at a size; NaN if there is none. */
+    double value(String id, long size) {
+        return points.getOrDefault(id, List.of()).stream().filter(p -> p.size() == size)
+                .mapToDouble(Point::value).findFirst().orElse(Double.NaN);
+    }
+
+    private static double round(double v) {
+        return v == 0 || !Double.isFinite(v) ? 0
+                : new java.math.BigDecimal(v).round(new java.math.MathContext(4)).doubleValue();
+    }
+
+    void write(Path file) throws IOException {
+        Map<String, Object> root = new LinkedHashMap<>(heads);
+        List<Map<String, Object>> all = new ArrayList<>();
+        abouts.forEach((id, a) -> {
+            Map<String, Object> s = new LinkedHashMap<>();
+            s.put("id", id);
+            s.put("what", a.what());
+            s.put("unit", a.unit());
+            s.put("axis", a.axis());
+            s.put("fixed", a.fixed());
+            s.put("points", points.get(id));
+            long most = points.get(id).stream().mapToLong(Point::size).max().orElse(0);
+            if (points.get(id).stream().mapToLong(Point::size).distinct().count() > 2) {
+                s.put("held_out", most);
+            }
+            all.add(s);
+        });
+        root.put("series", all);
+        root.put("hollow_and_real", alike);
+        Files.createDirectories(file.toAbsolutePath().getParent());
+        String text = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValueAsString(root);
+        Files.writeString(file, text + "\n");
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/ScaleException.java
@@ -0,0 +1,14 @@
+package gullspar.scale;
+
+/** Why a scale run cannot go on: one clear line, and the exit code that stands for it. */
+final class ScaleException extends Exception {
+    private static final long serialVersionUID = 1L;
+    static final int USAGE = 2, MEMORY = 3, PORT = 4, CHILD = 5, COUNT = 6, TIME = 7;
+
+    final int code;
+
+    ScaleException(int code, String message) {
+        super(message);
+        this.code = code;
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/scale/ScaleTest.java
@@ -0,0 +1,139 @@
+package gullspar.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
+
+/** The small scale run: what is counted is as foretold, and whatever ends a run leaves nothing behind. */
+@Timeout(180)
+@ResourceLock("much of the machine")
+class ScaleTest {
+    @TempDir
+    Path folder;
+
+    /** What a run said and how it ended. */
+    private record Ended(int code, List<String> said) {
+        private List<Long> pids() {
+            return said.stream().filter(l -> l.startsWith("started ")).map(ScaleTest::pid).toList();
+        }
+
+        private void leftNothing() {
+            pids().forEach(p -> assertFalse(ProcessHandle.of(p).map(ProcessHandle::isAlive).orElse(false),
+                    () -> "pid " + p + " is still there"));
+        }
+
+        /** One line says why. */
+        private String complaint() {
+            List<String> lines = said.stream().filter(l -> l.startsWith("scale: ")).toList();
+            assertEquals(1, lines.size(), () -> String.join("\n", said));
+            return lines.get(0);
+        }
+    }
+
+    private static long pid(String started) {
+        return Long.parseLong(started.replaceAll(".* pid ", ""));
+    }
+
+    private Ended run(Consumer<String> heard, String... args) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m", "-cp",
+                System.getProperty("java.class.path"), "gullspar.scale.ScaleRun"));
+        command.addAll(List.of(args));
+        Process p = new ProcessBuilder(command).redirectErrorStream(true).start();
+        List<String> said = new ArrayList<>();
+        try (BufferedReader r = p.inputReader()) {
+            for (String line = r.readLine(); line != null; line = r.readLine()) {
+                said.add(line);
+                heard.accept(line);
+            }
+        } finally {
+            p.destroy();
+        }
+        assertTrue(p.waitFor(20, TimeUnit.SECONDS));
+        return new Ended(p.exitValue(), said);
+    }
+
+    private Ended run(String... args) throws IOException, InterruptedException {
+        return run(line -> { }, args);
+    }
+
+    @Test
+    void allKnowEachChangeAndAllMessagesAreCountedAsForetold() throws Exception {
+        Path out = folder.resolve("small.json");
+        Ended e = run("small", "--out", out.toString());
+        assertEquals(0, e.code, () -> String.join("\n", e.said));
+        assertTrue(e.pids().size() >= 5, e.pids().toString());
+        e.leftNothing();
+        JsonNode root = new ObjectMapper().readTree(Files.readString(out));
+        Set<String> ids = new TreeSet<>();
+        root.path("series").forEach(s -> ids.add(s.path("id").asText()));
+        assertTrue(ids.containsAll(List.of("proxy.control.cpu.rest.backends", "known.change.all.backends",
+                "proxy.control.heap.backends", "proxy.added.p99.backends", "fault.tenth.back.known",
+                "fault.zone.back.known", "fault.discovery.back.reconnects")), ids.toString());
+        assertTrue(root.path("hollow_and_real").size() > 3);
+        for (JsonNode s : root.path("series")) {
+            assertTrue(Set.of("proxies", "backends", "services", "routes", "tenants", "changes").contains(
+                    s.path("axis").asText()), s.toString());
+        }
+    }
+
+    @Test
+    void aChildThatDiesEndsTheRunByName() throws Exception {
+        Ended e = run(line -> {
+            if (line.startsWith("started hollow process 0")) {
+                ProcessHandle.of(pid(line)).orElseThrow().destroyForcibly();
+            }
+        }, "small", "--out", folder.resolve("none.json").toString());
+        assertEquals(ScaleException.CHILD, e.code, () -> String.join("\n", e.said));
+        assertTrue(e.complaint().contains("hollow process 0, pid"), e.complaint());
+        assertTrue(e.complaint().contains("has died, exit code 137"), e.complaint());
+        e.leftNothing();
+    }
+
+    @Test
+    void badArgumentsAreNamed() throws Exception {
+        for (String[] bad : new String[][] {{"huge"}, {"--port"}, {"--port", "x"}, {"--port", "70000"}}) {
+            Ended e = run(bad);
+            assertEquals(ScaleException.USAGE, e.code, String.join(" ", bad));
+            assertTrue(e.complaint().contains("usage: bench/scale/run.sh"), e.complaint());
+            assertTrue(e.pids().isEmpty());
+        }
+    }
+
+    @Test
+    void tooLittleMemoryIsNamedBeforeAnythingStarts() throws Exception {
+        Ended e = run("small", "--memory-mb", "300");
+        assertEquals(ScaleException.MEMORY, e.code);
+        assertTrue(e.complaint().contains("too little memory: 300 MB"), e.complaint());
+        assertTrue(e.pids().isEmpty());
+    }
+
+    @Test
+    void aPortThatIsTakenIsNamed() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            Ended e = run("small", "--port", Integer.toString(taken.getLocalPort()));
+            assertEquals(ScaleException.PORT, e.code, () -> String.join("\n", e.said));
+            assertTrue(e.complaint().contains("port " + taken.getLocalPort() + " is taken"), e.complaint());
+            e.leftNothing();
+        }
+    }
+}
