Discovery: each watch has to tell a list soon, else another is opened beside it

Need: a change counts as told 6 s after discovery had it and could be reached, whatever calls do meanwhile. Reasoned out from the code, order by order; before, these took longer or for ever: - head, blank lines or half of a list, then silence: 3 s each time, without end (only the head was waited for); - a place whose versions are lower than one heard before: refused for as long as it counted so; - no descriptor for a watch: the channel that never was never closed, and no further watch was ever opened; - an agent that answers only calls made after its return: asked each 1.6 s; - asked-for lists: a call given up after 5 s, a pause of up to 3 s, a call that waits 2 s; and a call that failed at a new place ended the former place's watch, which was still heard; - SIGHUP during the warm-up: read after it.

Change: one deadline for a watch's first whole list (Patience.listMs: 0.25 s pushed, 2.5 s asked for); pushed, another is opened beside it then, all stay for up to 3 s and the first to tell a list where discovery is now ends the others. Lower versions are refused for 1.5 s, then the place is asked for its whole list and believed. The module's longest pause between calls is 0.9 s (3 s before). A signal is heard as soon as there is a proxy.

Tests: DiscoveryTest, one for each order.

--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -73,8 +73,12 @@
     /** Memory of own rates (a release must not shrink the cold budgets it needs), and how often it ages. */
     private static final double RATE_NS = 15e9, RATE_LEAST_NS = 1e9;
     private static final long AGE_NS = 50_000_000L;
-    /** First pause before discovery is asked again after a failure; doubles, eight times at most. */
-    private static final long ASK_NS = 250_000_000L;
+    /**
+     * First pause before discovery is asked again after a failure; it doubles, up to the other. A change
+     * counts 6 s after discovery had it and could be reached, and a call that is never answered and one that
+     * waits in turn take 4.5 of them.
+     */
+    private static final long ASK_NS = 250_000_000L, ASK_MOST_NS = 600_000_000L;
 
     /** The proxy's own pulse: with none for twice as long it stood still. */
     private static final long PULSE_NS = 50_000_000L;
@@ -154,7 +158,7 @@
         if (kind == ListKind.FAILED) {
             // A failure may mean a broken subscription. Jitter keeps the proxies from asking in step.
             askAgain(now + (long) (askPause * (0.5 + random.nextDouble())));
-            askPause = Math.min(askPause * 2, 8 * ASK_NS);
+            askPause = Math.min(askPause * 2, ASK_MOST_NS);
             return;
         }
         if (kind != ListKind.CACHED) {
--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -67,6 +67,7 @@
                 ? new Platform(loop, Clock.system(), Inherited.transport(loop), LOG) : Platform.of(loop);
         OperatorPort port = operatorPort(config, platform);
         Proxy proxy = Proxy.on(platform, () -> Proxy.asking(config, platform, factory));
+        started.complete(proxy); // what a new configuration changes counts during the warm-up too
         Companion beside = config.operatorsFile() == null ? null
                 : companions.start(config.operatorsFile(), config.name(), platform, proxy::load);
         if (beside != null) {
@@ -89,7 +90,6 @@
         if (port != null) {
             loop.execute(() -> port.about(proxy));
         }
-        started.complete(proxy);
         loop.terminationFuture().awaitUninterruptibly();
         throw new IOException("the event loop has ended"); // better gone than deaf
     }
--- a/src/main/java/gullspar/proxy/discovery/Catalog.java
+++ b/src/main/java/gullspar/proxy/discovery/Catalog.java
@@ -37,7 +37,7 @@
         if (!instances.isArray()) {
             throw new IllegalArgumentException("no instances");
         }
-        boolean whole = root.path("reset").asBoolean(false);
+        boolean whole = whole(root);
         List<JsonNode> entries = new ArrayList<>();
         List<InetSocketAddress> addresses = new ArrayList<>();
         for (JsonNode e : instances) {
@@ -81,6 +81,11 @@
         return generation.asLong();
     }
 
+    /** Does a list name all that there is? */
+    static boolean whole(JsonNode root) {
+        return root.path("reset").asBoolean(false);
+    }
+
     private static State state(JsonNode entry) {
         return switch (entry.path("lifecycle").asText()) {
             case "in_service" -> State.READY;
--- a/src/main/java/gullspar/proxy/discovery/Discovery.java
+++ b/src/main/java/gullspar/proxy/discovery/Discovery.java
@@ -26,13 +26,18 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Keeps a watch on discovery and turns what it says into list events. A watch that ends, falls silent or says
- * what cannot be read is opened again from the last version; the old list stands meanwhile.
+ * what cannot be read is opened again from the last version; the old list stands meanwhile. Only a list that
+ * has come whole shows that a watch works: until then it has a deadline, and where lists are pushed another
+ * is opened beside it.
  */
 public final class Discovery {
     /** Who hears of it: news, or that the watch failed. */
@@ -55,17 +60,25 @@
     }
 
     /**
-     * How long a watch is waited for, in ms: until its connection is up; until its answer begins (then
-     * another is opened beside it, where that costs nothing); from one word of it to the next. The protocol's
-     * beats come every 2 s, and what a watch misses counts as told 6 s after it fell silent, opening it
-     * anew and what that brings included.
+     * How long is waited, in ms: for a connection; for a watch's first list, from opening it; from one word
+     * of it to the next. The protocol's beats come every 2 s. What a watch misses counts as told 6 s after it
+     * fell silent, and any change 6 s after discovery had it and could be reached: a silence, or a call that
+     * is never answered, a pause of the module's and a call that waits in turn have to fit in there.
      */
-    public record Patience(long connectMs, long beginMs, long silenceMs) {
+    public record Patience(long connectMs, long listMs, long silenceMs) {
         private static final long SILENCE_MS = 3000;
-        /** An agent on this machine answers at once: whatever it says counts from when it could have. */
-        public static final Patience AGENT = new Patience(200, 200, SILENCE_MS);
-        /** A service that all proxies call may let a call wait in turn. */
-        public static final Patience SERVICE = new Patience(1000, 5000, SILENCE_MS);
+        /** An agent on this machine answers at once, and what it has counts from when it could have. */
+        public static final Patience AGENT = new Patience(200, 250, SILENCE_MS);
+        /** A service that all proxies call may let a call wait in turn, 2 s at most. */
+        public static final Patience SERVICE = new Patience(1000, 2500, SILENCE_MS);
+
+        /**
+         * A place that answers with versions lower than one heard before may lag behind or may have begun to
+         * count anew. So long it may catch up; then its lists hold, since nothing else will ever come.
+         */
+        long behindMs() {
+            return silenceMs / 2;
+        }
     }
 
     /**
@@ -73,8 +86,8 @@
      * settings' grace: pauses, connecting and waiting for its answer together stay well under any such.
      */
     private static final long FIRST_PAUSE_MS = 10, LONGEST_PAUSE_MS = 80;
-    /** One that does not answer gets no new watch sooner than twice the time of the last, up to so often. */
-    private static final int LONGEST_BEGINNINGS = 8;
+    /** An agent that says nothing has fewer open before the first is given up: a bound on descriptors. */
+    private static final int MOST_WATCHES = 16;
     private static final int LONGEST_VALUE = 4 << 20;
 
     private final Platform platform;
@@ -87,12 +100,15 @@
     private InetSocketAddress address;
     private long version = -1;
     private long pauseMs = FIRST_PAUSE_MS;
-    private int beginnings = 1;
     private boolean wanted;
-    private Channel watch;
-    /** One that was overtaken, at another place or saying nothing yet: heard until the newer one speaks. */
-    private Channel former;
-    private ScheduledFuture<?> retry;
+    /** Those that are open, the oldest first. All are heard, until one tells a list at the right place. */
+    private final Set<Watch> watches = new LinkedHashSet<>();
+    /** The one that has told a list where discovery is now; null while none has. */
+    private Watch current;
+    /** When another is opened; null while the current one works, and where calls are asked for. */
+    private ScheduledFuture<?> opening;
+    /** When a list came first that is older than the last version; 0 if the last one that came is not. */
+    private long behindSince;
     /** What was wrong last, until something was understood: told once, however often it comes. */
     private String complaint;
 
@@ -139,16 +155,19 @@
 
     /** Opens the watch or closes it. Pushed lists are watched for good; one that is asked for is one call. */
     public void watch(boolean on) {
-        close();
         wanted = on;
+        close(w -> !on || w.at.equals(address));
+        current = null;
         if (on) {
             open();
+        } else {
+            openNoMore();
         }
     }
 
     /**
      * Discovery is elsewhere now: the watch goes on there at once, from the last version that was heard. What
-     * the former place still says is taken until the new one speaks: it may take its time to come up.
+     * the former place still says is taken until the new one has told a list: it may take a while to come up.
      */
     public void move(InetSocketAddress to) {
         if (to.equals(address)) {
@@ -156,75 +175,64 @@
         }
         address = to;
         pauseMs = FIRST_PAUSE_MS;
+        behindSince = 0;
+        current = null;
         if (wanted) {
-            overtake();
+            open();
         }
     }
 
-    /** Opens another watch beside one that works or may yet begin to; the first of the two to speak stays. */
-    private void overtake() {
-        Channel kept = former != null ? former : watch;
-        watch = kept == watch ? null : watch;
-        former = null;
-        close();
-        former = kept;
-        open();
+    private void close(Predicate<Watch> which) {
+        for (Watch w : List.copyOf(watches)) {
+            if (which.test(w)) {
+                watches.remove(w);
+                w.close();
+            }
+        }
     }
 
-    private void close() {
-        leaveFormer();
-        Channel old = watch;
-        watch = null;
-        if (old != null) {
-            old.close();
-        }
-        if (retry != null) {
-            retry.cancel(false);
-            retry = null;
+    /** Another watch is opened in so long at the latest. */
+    private void openWithin(long ms) {
+        if (opening != null && opening.getDelay(TimeUnit.MILLISECONDS) < ms) {
+            return;
         }
+        openNoMore();
+        opening = loop.schedule(this::open, ms, TimeUnit.MILLISECONDS);
     }
 
-    private void leaveFormer() {
-        Channel old = former;
-        former = null;
-        if (old != null) {
-            old.close();
+    private void openNoMore() {
+        if (opening != null) {
+            opening.cancel(false);
+            opening = null;
         }
     }
 
     private void open() {
-        retry = null;
-        ChannelFuture connect = platform.transport().to(address)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) patience.connectMs())
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel c) {
-                        c.pipeline().addLast(new HttpClientCodec(), new Watch());
-                    }
-                }).connect();
-        watch = connect.channel();
-        watch.closeFuture().addListener(f -> ended(connect.channel()));
-    }
-
-    private void ended(Channel c) {
-        if (c == former) {
-            former = null;
+        openNoMore();
+        if (!askForList) {
+            // Whatever becomes of this one: a connection that never comes up, an answer that never begins or
+            // stops half way.
+            openWithin(patience.listMs());
         }
-        if (c != watch) {
-            return; // closed on purpose
+        if (watches.stream().filter(w -> w.at.equals(address)).count() < MOST_WATCHES) {
+            new Watch().open();
         }
-        watch = null;
-        if (!wanted) {
-            return;
+    }
+
+    private void ended(Watch w) {
+        w.deadline.cancel(false);
+        if (!watches.remove(w) || !w.at.equals(address)) {
+            return; // closed on purpose, or at a place that discovery has left
         }
         if (askForList) {
             // Here calls cost, and the module says when to ask again.
             wanted = false;
             listener.failed();
-            return;
+        } else if (current == null || current == w) {
+            openWithin(pauseMs);
+            pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
         }
-        retry = loop.schedule(this::open, pauseMs, TimeUnit.MILLISECONDS);
-        pauseMs = Math.min(2 * pauseMs, LONGEST_PAUSE_MS);
+        current = current == w ? null : current;
     }
 
     private void complain(String what) {
@@ -234,42 +242,68 @@
         }
     }
 
+    private boolean behindForLong() {
+        return behindSince != 0 && platform.clock().now() - behindSince
+                >= TimeUnit.MILLISECONDS.toNanos(patience.behindMs());
+    }
+
     /** One watch: objects in a chunked answer, with blank lines between them while nothing changes. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final Json values = new Json();
         private final InetSocketAddress at = address;
-        private ScheduledFuture<?> silence;
-
-        @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            String from = version < 0 ? "" : "&index=" + version;
-            DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/catalog/members?stream=1" + from);
-            get.headers().set(HttpHeaderNames.HOST, ctx.channel().remoteAddress().toString().substring(1));
-            ctx.writeAndFlush(get);
-            silence = loop.schedule(() -> late(ctx), beginnings * patience.beginMs(), TimeUnit.MILLISECONDS);
+        private Channel channel;
+        /** It has told a list: from then on blank lines are words too. */
+        private boolean told;
+        private ScheduledFuture<?> deadline;
+
+        void open() {
+            watches.add(this);
+            ChannelFuture connect = platform.transport().to(at)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) patience.connectMs())
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline().addLast(new HttpClientCodec(), Watch.this);
+                        }
+                    }).connect();
+            channel = connect.channel();
+            deadline(askForList ? patience.listMs() : patience.silenceMs());
+            // Where there is no descriptor for it there is no channel either that could close.
+            connect.addListener(f -> {
+                if (!f.isSuccess()) {
+                    loop.execute(() -> ended(this));
+                }
+            });
+            channel.closeFuture().addListener(f -> ended(this));
         }
 
-        /** Its answer has not begun. */
-        private void late(ChannelHandlerContext ctx) {
-            await(ctx, patience.silenceMs());
-            if (askForList) {
-                ctx.close();
-            } else if (ctx.channel() == watch) {
-                beginnings = Math.min(2 * beginnings, LONGEST_BEGINNINGS);
-                overtake();
+        void close() {
+            if (channel.isOpen()) { // where there was no descriptor for it, it never was
+                channel.close();
             }
         }
 
-        /** A discovery that is cut off leaves the watch open and silent: it is given up after so long. */
-        private void await(ChannelHandlerContext ctx, long ms) {
-            silence.cancel(false);
-            silence = loop.schedule(() -> {
+        /** Within so long it has to say something, or is given up: cut off, it would stay open and silent. */
+        private void deadline(long ms) {
+            if (deadline != null) {
+                deadline.cancel(false);
+            }
+            deadline = loop.schedule(() -> {
                 complain("discovery is silent: the watch is opened again");
-                ctx.close();
+                close();
             }, ms, TimeUnit.MILLISECONDS);
         }
 
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            // A place that has begun to count anew knows nothing of the last version.
+            String from = version < 0 || behindForLong() ? "" : "&index=" + version;
+            DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/catalog/members?stream=1" + from);
+            get.headers().set(HttpHeaderNames.HOST, ctx.channel().remoteAddress().toString().substring(1));
+            ctx.writeAndFlush(get);
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
             if (message.decoderResult().isFailure()
@@ -277,35 +311,27 @@
                 ctx.close();
                 return;
             }
-            if (message instanceof HttpResponse) {
-                await(ctx, patience.silenceMs());
-            }
             if (message instanceof HttpContent content) {
-                read(ctx, content.content());
+                read(content.content());
             }
             if (message instanceof LastHttpContent) {
                 ctx.close();
             }
         }
 
-        private boolean current(ChannelHandlerContext ctx) {
-            return ctx.channel() == watch || ctx.channel() == former;
-        }
-
-        private void read(ChannelHandlerContext ctx, ByteBuf bytes) {
-            if (!current(ctx)) {
+        private void read(ByteBuf bytes) {
+            if (!watches.contains(this)) {
                 return;
             }
             try {
                 if (values.between()) {
-                    beats(ctx, bytes);
+                    beats(bytes);
                 }
                 byte[] some = new byte[bytes.readableBytes()];
                 bytes.readBytes(some);
                 values.add(some);
-                for (JsonNode n = values.next(); n != null && current(ctx); n = values.next()) {
-                    heard(ctx);
-                    take(ctx, n);
+                for (JsonNode n = values.next(); n != null && watches.contains(this); n = values.next()) {
+                    take(n);
                 }
                 if (values.pending() > LONGEST_VALUE) {
                     throw new IOException("it is longer than " + LONGEST_VALUE + " bytes");
@@ -316,58 +342,59 @@
                 pauseMs = LONGEST_PAUSE_MS;
                 complain("what discovery says is not understood: "
                         + e.getMessage().lines().findFirst().orElse(""));
-                ctx.close();
+                close();
             }
         }
 
         /** Blanks between values; a line's end among them is a word. */
-        private void beats(ChannelHandlerContext ctx, ByteBuf bytes) throws IOException {
+        private void beats(ByteBuf bytes) throws IOException {
             boolean beat = false;
             while (bytes.isReadable() && bytes.getByte(bytes.readerIndex()) <= ' ') {
                 beat |= bytes.readByte() == '\n';
             }
-            if (beat) {
-                heard(ctx);
+            if (beat && told) {
+                heard();
             }
             if (bytes.isReadable() && bytes.getByte(bytes.readerIndex()) != '{') {
                 throw new IOException("no object");
             }
         }
 
-        /** A word has come: this watch works. */
-        private void heard(ChannelHandlerContext ctx) {
-            await(ctx, patience.silenceMs());
-            if (ctx.channel() == former && at.equals(address)) {
-                former = null;
-                close();
-                watch = ctx.channel();
-            }
-            if (ctx.channel() == watch) {
+        /** A word has come of one that works: where discovery is now, no other is needed. */
+        private void heard() {
+            deadline(patience.silenceMs());
+            if (current != this && at.equals(address)) {
+                current = this;
                 pauseMs = FIRST_PAUSE_MS;
-                beginnings = 1;
-                leaveFormer();
+                openNoMore();
+                Discovery.this.close(w -> w != this);
             }
         }
 
-        private void take(ChannelHandlerContext ctx, JsonNode list) {
+        private void take(JsonNode list) {
             long generation = Catalog.generation(list);
             if (generation < version) {
-                if (ctx.channel() == former) {
-                    return; // the newer watch was quicker
+                if (!at.equals(address)) {
+                    return; // where discovery is now more is known
                 }
-                throw new IllegalArgumentException("generation " + generation + " comes after " + version);
+                if (!behindForLong() || !Catalog.whole(list)) {
+                    behindSince = behindSince == 0 ? platform.clock().now() : behindSince;
+                    throw new IllegalArgumentException(
+                            "generation " + generation + " comes after " + version);
+                }
+                platform.log().say("discovery counts anew: " + generation + " after " + version);
             }
             News news = catalog.read(list);
             complaint = null;
             version = news.version();
+            if (at.equals(address)) {
+                behindSince = 0;
+            }
+            told = true;
+            heard();
             listener.news(news);
         }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            silence.cancel(false);
-        }
-
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/src/test/java/gullspar/decide/PolicyTest.java
+++ b/src/test/java/gullspar/decide/PolicyTest.java
@@ -934,6 +934,18 @@
         assertEquals(asked, r.actions.size(), "not asked again while subscribed");
     }
 
+    /** What counts 6 s after discovery could be reached leaves no time for long pauses. */
+    @Test
+    void howeverOftenCallsFailDiscoveryIsAskedAgainWithinASecond() {
+        Rig r = new Rig(Rig.settings(true, Rig.SAFE));
+        for (int asked = 1; asked < 50; asked++) {
+            assertEquals(asked, r.actions.size());
+            r.list(ListKind.FAILED).pass(100);
+            assertEquals(asked, r.actions.size(), "asked again at once");
+            r.pass(800);
+        }
+    }
+
     @Test
     void anUnansweredCallIsRepeatedBeforeTheRuleBinds() {
         Rig r = new Rig(Rig.settings(true, Rig.SAFE)).list(ListKind.CACHED, Rig.ready(1));
--- a/src/test/java/gullspar/proxy/DiscoveryTest.java
+++ b/src/test/java/gullspar/proxy/DiscoveryTest.java
@@ -8,6 +8,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gullspar.decide.Balancer.ListKind;
 import gullspar.decide.Balancer.Member;
@@ -19,13 +20,26 @@
 import gullspar.proxy.discovery.Discovery;
 import gullspar.proxy.discovery.Listed;
 import gullspar.proxy.discovery.News;
+import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.Transport;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelException;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -226,6 +240,284 @@
         }
     }
 
+    /** Only a whole list shows that a watch works: not its head, half of a list, or a blank line. */
+    @Test
+    void aWatchThatBeginsAndTellsNoListIsNotWaitedFor() throws Exception {
+        another(new Discovery.Patience(60_000, 20, 60_000));
+        String list = list(42, false, "s-1", "terminating");
+        for (String begun : List.of("", HEAD, HEAD + chunk("\n\n"), HEAD + chunk(list.substring(0, 60)),
+                HEAD + chunk(list.substring(0, 60)) + chunk("\n"))) {
+            Peer.Wire watch = discovery.accept();
+            watch.read();
+            watch.write(begun);
+        }
+        Peer.Wire whole = discovery.accept();
+        whole.write(HEAD + chunk(list));
+        assertEquals(State.DRAINING, member().state());
+    }
+
+    /** As many watches as a silent agent leaves open at most: no descriptors without end. */
+    @Test
+    void anAgentThatSaysNothingHoldsFewWatches() throws Exception {
+        Discovery d = another(new Discovery.Patience(60_000, 1, 60_000));
+        List<Peer.Wire> mute = new ArrayList<>();
+        for (int i = 0; i < 16; i++) {
+            mute.add(discovery.accept());
+        }
+        setup.loop.schedule(() -> { }, 50, TimeUnit.MILLISECONDS).sync(); // many times over its patience
+        assertTrue(discovery.quiet(), "more are open than any use");
+        mute.get(0).write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+        assertEquals(State.DRAINING, member().state());
+        setup.act(() -> d.watch(false));
+    }
+
+    /** A connection may never come up: the system goes on trying, and another is made meanwhile. */
+    @Test
+    void aConnectThatNeverComesUpIsNotWaitedFor() throws Exception {
+        discovery.accept(); // that of the proxy
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<SocketChannel> queued = new ArrayList<>();
+            CountDownLatch more = new CountDownLatch(3);
+            InetSocketAddress address = (InetSocketAddress) full.getLocalSocketAddress();
+            for (int i = 0; i < 8; i++) { // more than its queue takes
+                SocketChannel c = SocketChannel.open();
+                c.configureBlocking(false);
+                c.connect(address);
+                queued.add(c);
+            }
+            Transport tcp = Transport.tcp(setup.loop);
+            Discovery d = new Discovery(on(to -> {
+                more.countDown();
+                return tcp.to(to);
+            }), Discovery.Source.pushed(address), setup.proxy, new Discovery.Patience(60_000, 20, 60_000));
+            setup.act(() -> d.watch(true));
+            assertTrue(more.await(20, TimeUnit.SECONDS), "the first was waited for");
+            setup.act(() -> d.watch(false));
+            for (SocketChannel c : queued) {
+                c.close();
+            }
+        }
+    }
+
+    /** Idle clients may have taken every descriptor: the system gives none for a watch, and later does. */
+    @Test
+    void aWatchThatGotNoDescriptorIsOpenedLater() throws Exception {
+        discovery.accept(); // that of the proxy
+        Transport tcp = Transport.tcp(setup.loop);
+        AtomicInteger without = new AtomicInteger(3);
+        Discovery d = new Discovery(on(to -> without.getAndDecrement() <= 0 ? tcp.to(to)
+                : new Bootstrap().group(setup.loop).remoteAddress(to).channelFactory(() -> {
+                    throw new ChannelException("Too many open files");
+                })), Discovery.source(Setup.config(discovery, backend)), setup.proxy, Setup.PATIENCE);
+        setup.act(() -> d.watch(true));
+        Peer.Wire watch = discovery.accept();
+        watch.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+        assertEquals(State.DRAINING, member().state());
+    }
+
+    private Platform on(Function<InetSocketAddress, Bootstrap> to) {
+        return new Platform(setup.loop, Clock.system(), new Transport() {
+            @Override
+            public Bootstrap to(InetSocketAddress address) {
+                return to.apply(address);
+            }
+
+            @Override
+            public ServerBootstrap at(InetSocketAddress address) {
+                throw new AssertionError("discovery listens nowhere");
+            }
+        }, Log.standardError());
+    }
+
+    /** A place that answers with lower versions has begun to count anew, if it goes on so. */
+    @Test
+    void aPlaceThatCountsAnewIsBelievedInTheEnd() throws Exception {
+        another(new Discovery.Patience(60_000, 60_000, 400));
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        watch.write(HEAD + chunk(list(43, false, "s-1", "in_service")));
+        assertEquals(State.READY, member().state());
+        watch.close();
+        answerUntilTold(discovery, list(7, true, "s-1", "terminating"));
+        assertEquals(ListKind.FULL, setup.next("kind", ListKind.class));
+    }
+
+    /** Changes after a version that it never had say nothing: it is asked for the whole list. */
+    @Test
+    void aPlaceThatCountsAnewIsAskedForTheWholeList() throws Exception {
+        another(new Discovery.Patience(60_000, 60_000, 400));
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        watch.write(HEAD + chunk(list(43, false, "s-1", "in_service")));
+        assertEquals(State.READY, member().state());
+        watch.close();
+        String asked = "";
+        while (!asked.startsWith("GET /catalog/members?stream=1 ")) {
+            watch = discovery.accept();
+            asked = watch.read();
+            if (asked.contains("&index=")) {
+                watch.write(HEAD + chunk("{\"generation\":7,\"reset\":false,\"instances\":[]}\n"));
+            }
+        }
+        assertTrue(setup.told.stream().noneMatch(t -> t.what().equals("members")));
+        watch.write(HEAD + chunk(list(7, true, "s-1", "terminating")));
+        assertEquals(State.DRAINING, member().state());
+        assertEquals(ListKind.FULL, setup.next("kind", ListKind.class));
+    }
+
+    /** At a new place too; a list of the former place counts as long as the new one is behind. */
+    @Test
+    void aNewPlaceThatCountsAnewIsBelievedInTheEnd() throws Exception {
+        Discovery d = another(new Discovery.Patience(60_000, 60_000, 2000));
+        Peer.Wire former = discovery.accept();
+        former.read();
+        former.write(HEAD + chunk(list(42, false, "s-1", "in_service")));
+        assertEquals(State.READY, member().state());
+        try (Peer elsewhere = new Peer()) {
+            setup.act(() -> d.move(elsewhere.address()));
+            Peer.Wire watch = elsewhere.accept();
+            assertTrue(watch.read().contains("&index=42 "));
+            former.write(chunk(list(43, false, "s-1", "terminating")));
+            assertEquals(State.DRAINING, member().state());
+            watch.write(HEAD + chunk(list(7, true, "s-1", "in_service")));
+            answerUntilTold(elsewhere, list(8, true, "s-1", "terminating"));
+            assertTrue(former.ended());
+        }
+    }
+
+    /** Answers each watch that is opened there with that, until it is taken. */
+    private void answerUntilTold(Peer place, String list) throws Exception {
+        AtomicBoolean taken = new AtomicBoolean();
+        Thread answers = new Thread(() -> {
+            while (!taken.get()) {
+                try {
+                    Peer.Wire w = place.accept();
+                    w.read();
+                    w.write(HEAD + chunk(list));
+                } catch (IOException | InterruptedException | AssertionError e) {
+                    // that watch has been closed, or none comes any more
+                }
+            }
+        });
+        answers.setDaemon(true);
+        answers.start();
+        try {
+            assertEquals(State.DRAINING, member().state());
+        } finally {
+            taken.set(true);
+        }
+    }
+
+    /** The former place's words are none of the new one's, and whichever watch speaks there counts. */
+    @Test
+    void whileTheFormerPlaceGoesOnTheMuteNewOneIsTriedAgain() throws Exception {
+        Discovery d = another(new Discovery.Patience(60_000, 20, 60_000));
+        Peer.Wire former = discovery.accept();
+        former.read();
+        former.write(HEAD + chunk(list(42, false, "s-1", "in_service")));
+        assertEquals(State.READY, member().state());
+        try (Peer elsewhere = new Peer()) {
+            setup.act(() -> d.move(elsewhere.address()));
+            Peer.Wire mute = elsewhere.accept();
+            for (int i = 0; i < 3; i++) {
+                former.write(chunk("\n"));
+                elsewhere.accept();
+            }
+            former.write(chunk(list(43, false, "s-1", "terminating")));
+            assertEquals(State.DRAINING, member().state());
+            mute.write(HEAD + chunk(list(44, false, "s-1", "in_service")));
+            assertEquals(State.READY, member().state());
+            assertTrue(former.ended());
+        }
+    }
+
+    /** Two new configurations before either place speaks, the second of them down for a while. */
+    @Test
+    void afterTwoMovesAllAreHeardUntilTheLastPlaceSpeaks() throws Exception {
+        Discovery d = another(Setup.PATIENCE);
+        Peer.Wire first = discovery.accept();
+        first.read();
+        first.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
+        assertEquals(State.DRAINING, member().state());
+        InetSocketAddress down;
+        try (Peer third = new Peer()) {
+            down = third.address();
+        }
+        try (Peer second = new Peer()) {
+            setup.act(() -> d.move(second.address()));
+            Peer.Wire between = second.accept();
+            setup.act(() -> d.move(down));
+            between.write(HEAD + chunk(list(43, false, "s-1", "in_service")));
+            assertEquals(State.READY, member().state());
+            first.write(chunk(list(44, false, "s-1", "terminating")));
+            assertEquals(State.DRAINING, member().state());
+            try (Peer up = new Peer(down.getPort())) {
+                up.accept().write(HEAD + chunk(list(45, true, "s-1", "in_service")));
+                assertEquals(State.READY, member().state());
+                assertTrue(first.ended());
+                between.read();
+                assertTrue(between.ended());
+            }
+        }
+    }
+
+    private Discovery asked(Discovery.Patience patience) throws Exception {
+        discovery.accept(); // that of the proxy
+        Discovery d = new Discovery(Platform.of(setup.loop), new Discovery.Source(discovery.address(), true,
+                MissingNode.getInstance(), List.of("m1", "m2"), List.of("a", "b")), setup.proxy, patience);
+        setup.act(() -> d.watch(true));
+        return d;
+    }
+
+    private void failed() throws Exception {
+        ListKind kind = setup.next("kind", ListKind.class);
+        while (kind != ListKind.FAILED) {
+            kind = setup.next("kind", ListKind.class);
+        }
+    }
+
+    /** The module says when a call is made again, so it has to hear of each that fails, however it does. */
+    @Test
+    void aCallThatTellsNoListFails() throws Exception {
+        Discovery d = asked(new Discovery.Patience(60_000, 50, 60_000));
+        String list = list(42, false, "s-1", "terminating");
+        for (String begun : List.of("", HEAD, HEAD + chunk("\n"), HEAD + chunk(list.substring(0, 60)),
+                "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")) {
+            Peer.Wire call = discovery.accept();
+            call.read();
+            call.write(begun);
+            failed();
+            assertTrue(call.ended());
+            assertTrue(discovery.quiet(), "it was made again unasked");
+            setup.act(() -> d.watch(true));
+        }
+        discovery.accept().write(HEAD + chunk(list));
+        assertEquals(State.DRAINING, member().state());
+    }
+
+    /** Calls at a new place fail in turn, and the former one still tells. */
+    @Test
+    void whileCallsAtTheNewPlaceFailTheFormerOneIsHeard() throws Exception {
+        Discovery d = asked(Setup.PATIENCE);
+        Peer.Wire former = discovery.accept();
+        former.read();
+        former.write(HEAD + chunk(list(42, false, "s-1", "in_service")));
+        assertEquals(State.READY, member().state());
+        try (Peer elsewhere = new Peer()) {
+            setup.act(() -> d.move(elsewhere.address()));
+            for (int i = 0; i < 3; i++) {
+                elsewhere.accept().reset();
+                failed();
+                setup.act(() -> d.watch(true));
+            }
+            former.write(chunk(list(43, false, "s-1", "terminating")));
+            assertEquals(State.DRAINING, member().state());
+            elsewhere.accept().write(HEAD + chunk(list(44, false, "s-1", "in_service")));
+            assertEquals(State.READY, member().state());
+            assertTrue(former.ended());
+        }
+    }
+
     /**
      * What the agent has counts as told from the first moment of a process, so nobody is sent to by the list
      * of the start until it has spoken. Changes then count from that list.
--- a/src/test/java/gullspar/proxy/Peer.java
+++ b/src/test/java/gullspar/proxy/Peer.java
@@ -20,7 +20,14 @@
     private final Thread acceptor;
 
     public Peer() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        this(0);
+    }
+
+    /** One at a port that another has left. */
+    public Peer(int port) throws IOException {
+        server = new ServerSocket();
+        server.setReuseAddress(true);
+        server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 50);
         acceptor = new Thread(() -> {
             try {
                 while (true) {
--- a/src/test/java/gullspar/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -154,6 +154,25 @@
         }
     }
 
+    /** Lists of the new place count some seconds after the signal, and a start may take as long. */
+    @Test
+    void aNewConfigurationDuringTheWarmUpCountsAtOnce() throws Exception {
+        try (Peer discovery = new Peer(); Peer elsewhere = new Peer(); Peer backend = new Peer()) {
+            write(discovery, backend);
+            Process p = serve(discovery, "-Xlog:disable");
+            try (BufferedReader log = p.errorReader()) {
+                said(log, "asks discovery");
+                write(elsewhere, backend);
+                signal(p, "HUP");
+                said(log, "a new configuration");
+                said(log, "to warm up");
+                assertTrue(elsewhere.accept().read().contains("index=41 "));
+            } finally {
+                p.destroyForcibly().waitFor();
+            }
+        }
+    }
+
     /** On half a core each of these costs a start a tenth of a second or more, and none is of use there. */
     @Test
     void aStartLoadsNothingOfWhatItHasNoUseFor() throws Exception {
