--- a/src/main/java/gullspar/versions/Delta.java
+++ b/src/main/java/gullspar/versions/Delta.java
@@ -80,31 +80,64 @@
 
     /** The text that the changes make of another, in their order; a MismatchException if they don't fit. */
     public static Document apply(Document from, List<Delta> deltas) throws MismatchException {
-        List<String> lines = lines(from.text());
+        String text = from.text();
         Version v = from.version();
         for (Delta d : deltas) {
             if (!d.to.follows(v)) {
                 throw new MismatchException("version " + d.to + " does not follow " + v);
             }
-            lines = d.applied(lines);
+            text = d.applied(text);
             v = d.to;
         }
-        return Document.verified(v, String.join("\n", lines));
+        return Document.verified(v, text);
     }
 
-    private List<String> applied(List<String> from) throws MismatchException {
-        List<String> to = new ArrayList<>(from.size());
-        int at = 0;
+    /**
+     * A proxy does this for each change to a text of a million characters: it is copied in pieces, not taken
+     * apart into lines. Every line counts as ending in a line feed, and the last one's goes again.
+     */
+    private String applied(String from) throws MismatchException {
+        StringBuilder to = new StringBuilder(from.length() + bytes());
+        int line = 0;
+        int start = 0;
         for (Hunk h : hunks) {
-            if (h.at < at || h.removed < 0 || (long) h.at + h.removed > from.size()) {
-                throw new MismatchException("a change at a line that is not there: " + h.at);
+            int at = skip(from, start, h.at - line);
+            copy(from, start, at, to);
+            h.lines.forEach(l -> to.append(l).append('\n'));
+            start = skip(from, at, h.removed);
+            line = h.at + h.removed;
+        }
+        copy(from, start, from.length() + 1, to);
+        if (to.length() == 0) {
+            throw new MismatchException("a change that leaves no line");
+        }
+        to.setLength(to.length() - 1);
+        return to.toString();
+    }
+
+    /** Where so many lines further begin; one past the end of the text behind the last one. */
+    private static int skip(String text, int start, int lines) throws MismatchException {
+        int at = start;
+        for (int i = 0; i < lines && at <= text.length(); i++) {
+            int feed = text.indexOf('\n', at);
+            at = feed < 0 ? text.length() + 1 : feed + 1;
+            if (feed < 0 && i < lines - 1) {
+                throw new MismatchException("a change at a line that is not there");
+            }
+        }
+        if (lines < 0 || lines > 0 && start > text.length()) {
+            throw new MismatchException("a change at a line that is not there");
+        }
+        return at;
+    }
+
+    private static void copy(String from, int start, int end, StringBuilder to) {
+        if (start <= from.length()) {
+            to.append(from, start, Math.min(end, from.length()));
+            if (end > from.length()) {
+                to.append('\n');
             }
-            to.addAll(from.subList(at, h.at));
-            to.addAll(h.lines);
-            at = h.at + h.removed;
         }
-        to.addAll(from.subList(at, from.size()));
-        return to;
     }
 
     /** About how many bytes it takes on the wire, packed: a checksum does not shrink, lines do by half. */
--- /dev/null
+++ b/src/test/java/gullspar/versions/scale/Relay.java
@@ -0,0 +1,134 @@
+package gullspar.versions.scale;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A link of some length before a listener: every byte of a connection comes so much later, and a segment
+ * that is lost holds up those behind it by a retransmission, drawn from 200 to 400 ms, once more if that is
+ * lost as well. TCP on loopback loses nothing; this is what it would make of it.
+ */
+public final class Relay {
+    private static final int SEGMENT = 1448;
+    private static final double RETRANSMIT_LEAST_MS = 200;
+    private static final double RETRANSMIT_MORE_MS = 200;
+
+    private final long delayNs;
+    private final double loss;
+    private final SplittableRandom random;
+    private final MultiThreadIoEventLoopGroup loops;
+    private final InetSocketAddress to;
+    /** Connections that came, and bytes either way, since the start. */
+    public final AtomicLong connections = new AtomicLong();
+    public final AtomicLong bytes = new AtomicLong();
+    private Channel listener;
+
+    public Relay(InetSocketAddress to, double delayMs, double loss, long seed,
+            MultiThreadIoEventLoopGroup loops) {
+        this.to = to;
+        this.delayNs = (long) (delayMs * 1e6);
+        this.loss = loss;
+        this.random = new SplittableRandom(seed);
+        this.loops = loops;
+    }
+
+    /** A group for relays, of so many threads. */
+    public static MultiThreadIoEventLoopGroup threads(int n) {
+        return new MultiThreadIoEventLoopGroup(n, NioIoHandler.newFactory());
+    }
+
+    /** Listens on a port of its own. */
+    public InetSocketAddress listen() {
+        listener = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false).childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        connections.incrementAndGet();
+                        join(c);
+                    }
+                }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+        return (InetSocketAddress) listener.localAddress();
+    }
+
+    public void close() {
+        listener.close().syncUninterruptibly();
+    }
+
+    private void join(Channel near) {
+        ChannelFuture f = new Bootstrap().group(near.eventLoop()).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.AUTO_READ, false)
+                .handler(new ChannelInboundHandlerAdapter()).connect(to);
+        f.addListener(done -> {
+            if (!done.isSuccess()) {
+                near.close();
+                return;
+            }
+            Channel far = f.channel();
+            near.pipeline().addLast(new Way(far));
+            far.pipeline().addLast(new Way(near));
+            near.config().setAutoRead(true);
+            far.config().setAutoRead(true);
+        });
+    }
+
+    /** How much later a segment comes than it was sent. */
+    private synchronized long travel(int length) {
+        long ns = delayNs;
+        for (int i = 0; i < length; i += SEGMENT) {
+            while (random.nextDouble() < loss) {
+                ns += (long) ((RETRANSMIT_LEAST_MS + random.nextDouble() * RETRANSMIT_MORE_MS) * 1e6);
+            }
+        }
+        return ns;
+    }
+
+    /** One direction of a connection. */
+    private final class Way extends ChannelInboundHandlerAdapter {
+        private final Channel out;
+        private long last;
+
+        Way(Channel out) {
+            this.out = out;
+        }
+
+        private void later(EventLoop loop, int length, Runnable what) {
+            long now = System.nanoTime();
+            last = Math.max(last, now + travel(length));
+            loop.schedule(what, last - now, TimeUnit.NANOSECONDS);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            int n = ((ByteBuf) message).readableBytes();
+            bytes.addAndGet(n);
+            later(context.channel().eventLoop(), n, () -> out.writeAndFlush(message));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            later(context.channel().eventLoop(), 1, out::close);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
