Where SIGHUP is ignored a changed configuration file is heard of by looking at it

Need: a process started where SIGHUP is ignored (nohup, some supervisors) never hears it. It goes by the place that discovery has left, is refused there, and holds its last list for good: hundreds of sends to backends that drain.

GNU timeout hides the case: what it starts hears SIGHUP again.

Change: there, and only there, the file's time, size and key are looked at twice a second, and a change is read as at SIGHUP. The process of a site does the same.

Tests: ServeTest, a start under trap '' HUP takes a new file with no signal. The test that a signal to end comes after new configurations now waits for "ready" first, since these no longer wait for the end of the warm-up.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -4,6 +4,7 @@
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
 import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.FileChanges;
 import gullspar.proxy.io.Inherited;
 import gullspar.proxy.io.LibraryLog;
 import gullspar.proxy.io.Log;
@@ -46,8 +47,10 @@
         CompletableFuture<Proxy> started = new CompletableFuture<>();
         EventLoop loop = loop();
         Reloads reloads = new Reloads(environment, loop);
-        if (!Signals.on("HUP", () -> started.thenAccept(reloads::read))) {
+        Runnable reload = () -> started.thenAccept(reloads::read);
+        if (!Signals.on("HUP", reload)) {
             LOG.say(Signals.NO_HUP);
+            Config.file(environment).ifPresent(file -> FileChanges.on(file, reload));
         }
         Ending ending = new Ending();
         try {
--- a/src/main/java/gullspar/proxy/config/Config.java
+++ b/src/main/java/gullspar/proxy/config/Config.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -32,13 +33,10 @@
         InetSocketAddress operator, boolean inherited, Path operatorsFile, String name, Set<String> keys) {
 
     public static Config read(Map<String, String> environment) throws ConfigException {
-        String path = environment.get("NODE_CONFIG");
-        if (path == null || path.isEmpty()) {
-            throw new ConfigException("NODE_CONFIG is not set");
-        }
+        Path path = file(environment).orElseThrow(() -> new ConfigException("NODE_CONFIG is not set"));
         JsonNode root;
         try {
-            root = Json.read(Files.readAllBytes(Path.of(path)));
+            root = Json.read(Files.readAllBytes(path));
         } catch (IOException e) {
             // A parser's message runs over several lines; the first says what is wrong.
             throw new ConfigException("cannot read " + path + ": "
@@ -47,6 +45,12 @@
         return parse(root, environment);
     }
 
+    /** Where the configuration is, if the environment says so. */
+    public static Optional<Path> file(Map<String, String> environment) {
+        return Optional.of(environment.getOrDefault("NODE_CONFIG", "")).filter(p -> !p.isEmpty())
+                .map(Path::of);
+    }
+
     /**
      * The configuration as it is now. The environment is that of the start, so for what may change later,
      * the address of discovery, the file wins. A key that the file had before and lacks now makes it half a
--- a/src/main/java/gullspar/proxy/io/Signals.java
+++ b/src/main/java/gullspar/proxy/io/Signals.java
@@ -10,7 +10,7 @@
 public final class Signals {
     /** What a process says that does not hear of SIGHUP. */
     public static final String NO_HUP = "SIGHUP is not heard: it is ignored where this was started (nohup?), "
-            + "or the runtime cannot hear it; the configuration is read at the start only";
+            + "or the runtime cannot hear it; the configuration is read again when its file has changed";
 
     private Signals() { }
 
--- a/src/main/java/gullspar/site/SiteDaemon.java
+++ b/src/main/java/gullspar/site/SiteDaemon.java
@@ -3,6 +3,7 @@
 import gullspar.config.Site;
 import gullspar.config.SiteReader;
 import gullspar.decide.Balancer;
+import gullspar.proxy.io.FileChanges;
 import gullspar.proxy.io.LibraryLog;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
@@ -56,8 +57,10 @@
             Companion.Factory companions) throws IOException {
         CompletableFuture<Runnable> started = new CompletableFuture<>();
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        if (!Signals.on("HUP", () -> started.thenAccept(Runnable::run))) {
+        Runnable reload = () -> started.thenAccept(Runnable::run);
+        if (!Signals.on("HUP", reload)) {
             LOG.say(Signals.NO_HUP);
+            FileChanges.on(file, reload);
         }
         LibraryLog.install();
         Site site = source.first();
--- a/src/test/java/gullspar/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -80,6 +80,7 @@
             Process p = serve(first, "-Xlog:disable");
             try (BufferedReader log = p.errorReader()) {
                 assertTrue(first.accept().read().contains("index=41 "));
+                said(log, "ready"); // during the warm-up signals count too, but another end is a good one
                 write(second, backend);
                 signal(p, "HUP");
                 Peer.Wire watch = second.accept(); // the file wins over the environment of the start
@@ -101,10 +102,13 @@
         }
     }
 
-    /** The runtime leaves a signal alone that was ignored when it started, and says nothing of it. */
+    /**
+     * The runtime leaves a signal alone that was ignored when it started, and says nothing of it. Without the
+     * signal too a new configuration counts: a proxy that went by the old place would hold its list for good.
+     */
     @Test
-    void whereSighupIsIgnoredTheStartSaysSo() throws Exception {
-        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+    void whereSighupIsIgnoredTheStartSaysSoAndTheFileIsLookedAt() throws Exception {
+        try (Peer discovery = new Peer(); Peer elsewhere = new Peer(); Peer backend = new Peer()) {
             write(discovery, backend);
             ProcessBuilder nohup = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"",
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
@@ -114,6 +118,11 @@
             try (BufferedReader log = p.errorReader()) {
                 said(log, "SIGHUP is not heard");
                 said(log, "to warm up");
+                write("{\"listen\":");
+                said(log, "is not used");
+                write(elsewhere, backend);
+                said(log, "a new configuration");
+                assertTrue(elsewhere.accept().read().contains("index=41 "));
             } finally {
                 p.destroyForcibly().waitFor();
             }
