--- a/src/main/java/gullspar/proxy/io/FileChanges.java
+++ b/src/main/java/gullspar/proxy/io/FileChanges.java
@@ -15,7 +15,7 @@
 
     private FileChanges() { }
 
-    /** Calls the action after each change from now on, on a thread of its own, which ends with the process. */
+    /** Calls the action after each change from now on, on a thread of its own that ends with the process. */
     public static void on(Path file, Runnable action) {
         List<Object> first = stamp(file);
         Thread thread = new Thread(() -> {
--- a/src/test/java/gullspar/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -173,8 +173,11 @@
                 said(log, "asks discovery");
                 write(elsewhere, backend);
                 signal(p, "HUP");
-                said(log, "a new configuration");
-                said(log, "to warm up");
+                String line = log.readLine();
+                while (!line.contains("a new configuration")) {
+                    assertFalse(line.contains("to warm up"), "it waited for the warm-up");
+                    line = log.readLine();
+                }
                 assertTrue(elsewhere.accept().read().contains("index=41 "));
             } finally {
                 p.destroyForcibly().waitFor();
