--- a/src/test/java/gullspar/scale/Accounts.java
+++ b/src/test/java/gullspar/scale/Accounts.java
@@ -13,6 +13,8 @@
     private static final int PAGE = 4096;
     private static final long TICK_NS = 10_000_000L;
 
+    static final Booked NONE = new Booked(Map.of(), 0);
+
     private Accounts() { }
 
     /** Processor time of a process so far: by thread that lives, in ns, and of all there were, in ticks. */
