Discovery: a whole list is taken in by time in proportion to its length

Those numbered before were looked for in a list of the ids, each from the front.

Change: they are looked for in a hash set.

--- a/src/main/java/gullspar/proxy/discovery/Catalog.java
+++ b/src/main/java/gullspar/proxy/discovery/Catalog.java
@@ -9,8 +9,10 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Reads lists in discovery's form and keeps the number by which the module knows each instance. */
@@ -51,7 +53,8 @@
         }
         List<Listed> list = new ArrayList<>();
         if (whole) {
-            List<String> ids = entries.stream().map(e -> e.path("instanceId").asText()).toList();
+            Set<String> ids = new HashSet<>(); // in a list each number kept would be looked for among all
+            entries.forEach(e -> ids.add(e.path("instanceId").asText()));
             numbers.keySet().retainAll(ids);
             owners.values().retainAll(ids);
         }
