Capacity: a page whose tables come from committed results, and a test that holds it to them

CapacityTest fails where page and results disagree and where a row lacks source, limit or mechanism; planted faults are caught by name.

--- /dev/null
+++ b/src/test/java/gullspar/capacity/CapacityTest.java
@@ -0,0 +1,257 @@
+package gullspar.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** docs/CAPACITY.md says what the committed results say, and each of its rows is whole. */
+class CapacityTest {
+    private static final Path SCALE = Path.of("bench/scale");
+    private static final Path PAGE = Path.of("docs/CAPACITY.md"), ROADMAP = Path.of("docs/ROADMAP.md");
+    private static final String RESULTS = """
+        {"script":"bench/scale/x.sh","date":"2026-12-02","commit":"abc1234",
+         "machine":{"cores":8,"memory_gib":24,"java":"17","kernel":"6"},"seeds":[1],
+         "series":[{"id":"list.bytes","what":"bytes of a list","unit":"B","axis":"backends",
+           "fixed":{"proxies":40},
+           "points":[{"size":100,"value":1100},{"size":1000,"value":10100},{"size":6600,"value":66100}],
+           "held_out":6600}]}
+        """;
+    private static final String LETTER = """
+        [letter]
+        backends = { value = 6600, what = "backends" }
+        bytes = { value = 10000, unit = "B", what = "bytes" }
+        """;
+    private static final String ROW = """
+        [[row]]
+        id = "list"
+        role = "control"
+        events = ["rest"]
+        quantity = "messages"
+        what = "a whole list"
+        terms = [{ series = "list.bytes", at = "backends" }]
+        unit = "B"
+        limit = "bytes"
+        along = "backends"
+        mechanism = "the watch"
+        """;
+
+    @TempDir
+    Path folder;
+
+    @BeforeEach
+    void small() throws IOException {
+        Files.createDirectories(folder.resolve("results"));
+        write("results/x.json", RESULTS);
+        write("letter.toml", LETTER);
+        write("rows.toml", ROW);
+    }
+
+    private void write(String name, String text) throws IOException {
+        Files.writeString(folder.resolve(name), text);
+    }
+
+    private String refused() {
+        return assertThrows(CapacityException.class, () -> new CapacityPage(folder)).getMessage();
+    }
+
+    // ---- the page that is shipped ----
+
+    @Test
+    void thePageIsWhatTheResultsSay() throws IOException {
+        CapacityPage page = new CapacityPage(SCALE);
+        assertEquals(List.of(), page.drift(Files.readString(PAGE), "CAPACITY.md",
+                List.copyOf(page.tables().keySet())));
+        assertEquals(List.of(), page.drift(Files.readString(ROADMAP), "ROADMAP.md", List.of("choice")));
+    }
+
+    @Test
+    void everyRoleHasEveryEventAndQuantity() {
+        assertEquals(List.of(), Rows.gaps(new CapacityPage(SCALE).rows()));
+    }
+
+    @Test
+    void everyCommittedSeriesStandsOnItsMachineAndCommit() {
+        Results.read(SCALE.resolve("results")).sources().values().forEach(s -> {
+            assertTrue(s.commit().matches("[0-9a-f]{7,}"), s.file() + " is of commit " + s.commit());
+            assertTrue(s.date().matches("20\\d\\d-\\d\\d-\\d\\d"), s.file() + " is of " + s.date());
+        });
+    }
+
+    // ---- planted faults ----
+
+    @Test
+    void aPageOutOfDateIsNamed() throws IOException {
+        CapacityPage page = new CapacityPage(folder);
+        String empty = "<!-- written by bench/scale/page.sh: limits -->\n<!-- end -->\n";
+        String filled = page.filled(empty, "page");
+        assertEquals(List.of(), page.drift(filled, "page", List.of("limits")));
+        assertEquals(List.of("page: the table 'limits' is not what the results say; bench/scale/page.sh "
+                + "writes it"), page.drift(filled.replace("990 backends", "980 backends"), "page",
+                        List.of("limits")));
+        assertEquals(List.of("page lacks the table 'choice'"), page.drift(filled, "page", List.of("choice")));
+        write("results/x.json", RESULTS.replace("10100", "20100"));
+        assertEquals(1, new CapacityPage(folder).drift(filled, "page", List.of("limits")).size());
+    }
+
+    @Test
+    void aPageIsWrittenTheSameTwice() {
+        CapacityPage page = new CapacityPage(folder);
+        String once = page.filled("a\n<!-- written by bench/scale/page.sh: series -->\n<!-- end -->\nb\n",
+                "p");
+        assertEquals(once, page.filled(once, "p"));
+        assertTrue(once.startsWith("a\n") && once.endsWith("\nb\n"), once);
+        assertEquals("p: the table 'series' has no end", assertThrows(CapacityException.class, () ->
+                page.filled("<!-- written by bench/scale/page.sh: series -->\n", "p")).getMessage());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "limit = \"bytes\"|row list has no limit|",
+        "limit = \"bytes\"|row list has no limit: the letter has no hope|limit = \"hope\"",
+        "mechanism = \"the watch\"|row list has no mechanism, nor says that it is missing|",
+        "terms = [{ series = \"list.bytes\", at = \"backends\" }]|row list has no source|",
+        "series = \"list.bytes\"|row list has no source: no results hold list.words|series = \"list.words\"",
+        "series = \"list.bytes\", at = \"backends\"|row list has no source: a number that is neither "
+                + "measured, nor said to be assumed, nor exact|value = 3",
+        "role = \"control\"|row list has no role: ''|",
+        "events = [\"rest\"]|row list has no event: []|",
+        "events = [\"rest\"]|row list has no event: [storm]|events = [\"storm\"]",
+        "quantity = \"messages\"|row list has no quantity: ''|",
+        "along = \"backends\"|row list has no size to grow along: |",
+        "id = \"list\"|row '' (a whole list) has no name of its own|"})
+    void aRowThatLacksSomethingIsNamed(String part, String says, String instead) throws IOException {
+        write("rows.toml", ROW.replace(part, instead == null ? "" : instead));
+        String refused = refused();
+        assertTrue(refused.lines().anyMatch(l -> l.strip().equals(says.strip())), refused);
+    }
+
+    @Test
+    void aMissingMechanismWillDoAndSoWillAnAssumption() throws IOException {
+        write("rows.toml", ROW.replace("mechanism = \"the watch\"", "missing = \"changes\"")
+                + ROW.replace("\"list\"", "\"guess\"").replace("series = \"list.bytes\", at = \"backends\"",
+                        "value = 3, times = [\"backends\"]") + "assumed = \"a look\"\n");
+        String choice = new CapacityPage(folder).tables().get("choice");
+        assertTrue(choice.contains("| 1 | **changes** | 990 backends | 0.15 | a whole list |"), choice);
+        String role = new CapacityPage(folder).tables().get("role control");
+        assertTrue(role.contains("*assumed*; to be measured by a look"), role);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"seeds\":[1],|x.json: no seeds|",
+        "\"commit\":\"abc1234\",|x.json: no commit|",
+        "\"cores\":8,|x.json: machine: no cores|",
+        "\"id\":\"list.bytes\",|x.json: series[0]: no id|",
+        "\"axis\":\"backends\",|x.json: series[0] (list.bytes): no axis|",
+        "{\"size\":6600,\"value\":66100}|x.json: series[0] (list.bytes): points[2]: size is no number|{}",
+        "\"value\":10100|x.json: series[0] (list.bytes): points[1]: value is no number|\"value\":\"many\"",
+        "\"held_out\":6600|x.json: series[0] (list.bytes): the held-out size 640 was not measured"
+                + "|\"held_out\":640",
+        "{\"size\":100,\"value\":1100},|x.json: list.bytes: one size is left for the fit|"})
+    void resultsThatAreMalformedAreNamed(String part, String says, String instead) throws IOException {
+        write("results/x.json", RESULTS.replace(part, instead == null ? "" : instead));
+        assertEquals(says, refused());
+    }
+
+    @Test
+    void resultsThatAreNoJsonOrComeTwiceAreNamed() throws IOException {
+        write("results/y.json", RESULTS);
+        assertEquals("y.json: list.bytes is in x.json too", refused());
+        write("results/y.json", RESULTS.substring(0, 150));
+        assertTrue(refused().matches("(?s)y\\.json:\\d+: no JSON: Unexpected end-of-input.*"), refused());
+    }
+
+    // ---- the fit ----
+
+    private Series series(UnaryOperator<String> change) throws IOException {
+        write("results/x.json", change.apply(RESULTS));
+        return Results.read(folder.resolve("results")).get("list.bytes");
+    }
+
+    @Test
+    void aLineIsFoundAndForetellsWhatWasHeldOut() throws IOException {
+        Fit f = Fit.of(series(r -> r));
+        assertEquals(10, f.slope(), 1e-9);
+        assertEquals(100, f.intercept(), 1e-6);
+        assertEquals(66_100, f.foretold(), 1e-6);
+        assertTrue(f.linear());
+        assertEquals(33_100, f.at(3300), 1e-6);
+    }
+
+    /** Anscombe's first quartet: slope 0.5001, its standard error 0.1179, intercept 3.0001. */
+    @Test
+    void slopeAndErrorAreThoseOfAKnownSet() throws IOException {
+        double[] x = {10, 8, 13, 9, 11, 14, 6, 4, 12, 7, 5};
+        double[] y = {8.04, 6.95, 7.58, 8.81, 8.33, 9.96, 7.24, 4.26, 10.84, 4.82, 5.68};
+        StringBuilder points = new StringBuilder("[");
+        for (int i = 0; i < x.length; i++) {
+            points.append(i == 0 ? "" : ",").append("{\"size\":").append(x[i]).append(",\"value\":")
+                    .append(y[i]).append('}');
+        }
+        Fit f = Fit.of(series(r -> r.replaceFirst("\\[\\{\"size\"[^]]*]", points + "]")
+                .replaceFirst(",\\s*\"held_out\":6600", "")));
+        assertEquals(0.50009, f.slope(), 1e-5);
+        assertEquals(0.11791, f.slopeError(), 1e-5);
+        assertEquals(3.00009, f.intercept(), 1e-5);
+        assertTrue(Double.isNaN(f.foretold()));
+    }
+
+    @Test
+    void aHeldOutSizeThatIsMissedByMoreThanAQuarterIsNotLinear() throws IOException {
+        assertTrue(Fit.of(series(r -> r.replace("66100", "53000"))).linear());
+        assertTrue(Fit.of(series(r -> r.replace("66100", "88000"))).linear());
+        assertFalse(Fit.of(series(r -> r.replace("66100", "52000"))).linear());
+        Fit bent = Fit.of(series(r -> r.replace("66100", "89000")));
+        assertFalse(bent.linear());
+        assertEquals(89_000, bent.at(6600), 1e-6);
+        assertEquals(10_100, bent.at(1000), 1e-6);
+        assertEquals((10_100 + 89_000) / 2.0, bent.at(3800), 1e-6);
+        assertTrue(new CapacityPage(folder).tables().get("series").contains("**not linear**"));
+    }
+
+    @Test
+    void oneSizeIsAConstant() throws IOException {
+        Fit f = Fit.of(series(r -> r.replaceFirst("\\[\\{\"size\"[^]]*]", "[{\"size\":3,\"value\":7},"
+                + "{\"size\":3,\"value\":9},{\"size\":3,\"value\":8}]")
+                .replaceFirst(",\\s*\"held_out\":6600", "")));
+        assertEquals(8, f.at(1e6));
+        assertFalse(f.beyond(1e6));
+    }
+
+    // ---- the breaking size ----
+
+    @Test
+    void theBreakingSizeIsWhereTheLimitIsPassed() throws IOException {
+        CapacityPage page = new CapacityPage(folder);
+        Map<String, Fit> fits = Map.of("list.bytes", Fit.of(series(r -> r)));
+        Letter letter = Letter.read(folder.resolve("letter.toml"));
+        Row row = page.rows().get(0);
+        assertEquals(990, row.breaksAt(fits, letter), 1e-6);
+        assertEquals(0.15, row.part(fits, letter), 1e-9);
+        write("rows.toml", ROW.replace("at = \"backends\"", "at = \"backends\", times = [\"backends\"]"));
+        assertEquals(27.02, Rows.read(folder.resolve("rows.toml")).get(0).breaksAt(fits, letter), 0.01);
+        write("rows.toml", ROW.replace("series = \"list.bytes\", at = \"backends\"", "value = 3"));
+        assertEquals(Double.POSITIVE_INFINITY, Rows.read(folder.resolve("rows.toml")).get(0)
+                .breaksAt(fits, letter));
+    }
+
+    @Test
+    void numbersAreShownToThreeDigits() {
+        assertEquals(List.of("0", "0.0123", "1.23", "12.3", "123", "1,230", "1,170,000"), List.of(
+                Show.number(0), Show.number(0.012345), Show.number(1.2345), Show.number(12.345),
+                Show.number(123.45), Show.number(1234.5), Show.number(1_166_630)));
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/capacity/Inputs.java
@@ -0,0 +1,110 @@
+package gullspar.capacity;
+
+import gullspar.proxy.config.Config;
+import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.config.Json;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/** Lists, settings and operators' files of any size, in the forms that a proxy reads. */
+final class Inputs {
+    static final List<String> KINDS = List.of("fast-1c", "mid-1c", "slow-2c");
+    static final List<String> ZONES = List.of("north-a", "north-b", "north-c", "south-a", "south-b",
+            "south-c", "east-a", "east-b");
+
+    private Inputs() { }
+
+    /** The entry of one backend, with a weight as live ones are. */
+    static String entry(int backend, double weight, String lifecycle) {
+        return String.format(Locale.ROOT, "{\"instanceId\":\"s-%08x\",\"hostPort\":\"10.%d.%d.%d:9000\","
+                + "\"zone\":\"%s\",\"machineType\":\"%s\",\"cell\":%d,\"lifecycle\":\"%s\",\"weight\":%.3f,"
+                + "\"startedAtMs\":%d}", backend * 0x9e3779b1, backend / 60000, backend / 250 % 250,
+                1 + backend % 250, ZONES.get(backend % ZONES.size()), KINDS.get(backend % KINDS.size()),
+                backend / 5, lifecycle, weight, 1764646553000L + backend);
+    }
+
+    /** A whole list, or the changes of some backends. */
+    static byte[] list(int backends, boolean whole, long generation, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        return ("{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":["
+                + IntStream.range(0, backends).mapToObj(i -> entry(i, random.nextDouble(0.3, 2),
+                        "in_service")).collect(Collectors.joining(",")) + "]}\n")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The configuration of one of so many proxies, with so many tenants, and a list that is known. */
+    static byte[] settings(int proxies, int tenants, String known) {
+        return ("""
+            {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
+             "limits":{"cores":1.0,"memory_mb":256,"sockets":1024},"known":%s,
+             "settings":{"me":0,"balancers":%d,"zone":0,"step_ns":5000000,"zones":[%s],"skus":[%s],
+              "tenants":[%s],"discovery":"pushed",
+              "profiles":[
+               {"name":"look","effect":"idempotent","promise_ns":250000000,"give_up_ns":600000000,
+                "worth":5.0},
+               {"name":"order","effect":"deduplicated","dedup_scope":"zone","window_ns":1200000000,
+                "promise_ns":400000000,"give_up_ns":1200000000,"worth":10.0}],
+              "limits":{"cancelling":true,"max_attempts":5,"retry_after":true,"max_retry_after_ns":1200000000,
+               "connect_timeout_ns":120000000,"keepalive_ns":15000000000},
+              "rules":{"start_capacity":0.31,"cold_ns":8800000000,"tip_multiple":3.0,"fall_ns":1500000000,
+               "drain_grace_ns":500000000}}}
+            """).formatted(known, proxies, quoted(ZONES), quoted(KINDS), IntStream.range(0, tenants)
+                .mapToObj(i -> '"' + tenant(i) + '"').collect(Collectors.joining(",")))
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    static String tenant(int i) {
+        return String.format("tenant-%05d", i * 7919 % 100_000);
+    }
+
+    private static String quoted(List<String> names) {
+        return names.stream().map(n -> '"' + n + '"').collect(Collectors.joining(","));
+    }
+
+    static Config config(byte[] json) {
+        try {
+            return Config.parse(Json.read(json), Map.of());
+        } catch (ConfigException | IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /**
+     * An operators' file of so many routes: ten a host, of which one is a regular expression; a pool for each
+     * eight routes, as 310 services are to 2,400 routes, with the servers declared or from discovery.
+     */
+    static String routes(int routes, int servers, String listener, String mark) {
+        int pools = Math.max(1, routes * 310 / 2400);
+        StringBuilder b = new StringBuilder("[[listener]]\naddress = \"" + listener + "\"\n\n");
+        for (int p = 0; p < pools; p++) {
+            b.append("[[pool]]\nname = \"service-").append(p).append("\"\n");
+            b.append(servers == 0 ? "discovery = \"127.0.0.1:9\"\n" : "");
+            for (int s = 0; s < servers; s++) {
+                b.append("[[pool.server]]\naddress = \"10.").append(p % 250).append('.').append(s)
+                        .append(".1:9000\"\nweight = ").append(1 + s % 3).append('\n');
+            }
+        }
+        for (int r = 0; r < routes; r++) {
+            if (r % 10 == 0) {
+                b.append("\n[[host]]\nnames = [\"shop").append(r / 10).append(".example.org\"]\n")
+                        .append(r == 0 ? "default = true\n" : "");
+            }
+            b.append("[[host.route]]\nname = \"route-").append(r).append("\"\n");
+            if (r % 10 == 9) {
+                b.append("match = \"regex\"\npath = \"^/r").append(r).append("/[a-z0-9]+$\"\n");
+            } else {
+                b.append("path = \"/r").append(r).append("/\"\n");
+            }
+            b.append("pool = \"service-").append(r % pools).append("\"\ndeadline_ms = 900\nattempts = 3\n");
+            b.append(r % 4 == 0 ? "rewrite = { to = \"/v2/\" }\n" : "");
+        }
+        return b.append("\n[[host]]\nnames = [\"mark.example.org\"]\n[[host.route]]\npath = \"/mark\"\n"
+                + "answer = { status = 200, body = \"").append(mark).append("\" }\n").toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/capacity/NoActions.java
@@ -0,0 +1,50 @@
+package gullspar.capacity;
+
+import gullspar.decide.Balancer;
+
+/** Takes what the module does and keeps the last send. */
+final class NoActions implements Balancer.Actions {
+    int server;
+    int sends;
+    int refused;
+
+    @Override
+    public void send(int ticket, int to, long timeoutNs) {
+        server = to;
+        sends++;
+    }
+
+    @Override
+    public void refuse(int ticket, long retryInNs) {
+        refused++;
+    }
+
+    @Override
+    public void fail(int ticket) {
+        refused++;
+    }
+
+    @Override
+    public void cancel(int ticket, int attempt) { }
+
+    @Override
+    public void timer(long at, long token) { }
+
+    @Override
+    public void probe(int to) { }
+
+    @Override
+    public void closeIdle(int to) { }
+
+    @Override
+    public void tell(int peer, byte[] message) { }
+
+    @Override
+    public void log(String line) { }
+
+    @Override
+    public void subscribe(boolean on) { }
+
+    @Override
+    public void reload() { }
+}
--- /dev/null
+++ b/src/test/java/gullspar/capacity/Results.java
@@ -0,0 +1,130 @@
+package gullspar.capacity;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Reads all files of results in a folder; each fault is told with file and place. */
+final class Results {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Map<String, Series> series = new TreeMap<>();
+
+    private Results() { }
+
+    static Results read(Path folder) {
+        Results r = new Results();
+        try (Stream<Path> files = Files.list(folder)) {
+            files.filter(f -> f.toString().endsWith(".json")).sorted().forEach(r::file);
+        } catch (IOException e) {
+            throw new CapacityException(folder + " cannot be read: " + e.getMessage());
+        }
+        return r;
+    }
+
+    Map<String, Series> series() {
+        return series;
+    }
+
+    Series get(String id) {
+        return series.get(id);
+    }
+
+    private void file(Path file) {
+        String name = String.valueOf(file.getFileName());
+        try {
+            JsonNode root = JSON.readTree(Files.readString(file));
+            take(name, root);
+        } catch (JsonProcessingException e) {
+            throw new CapacityException(name + ":" + e.getLocation().getLineNr() + ": no JSON: "
+                    + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new CapacityException(name + " cannot be read: " + e.getMessage());
+        }
+    }
+
+    private void take(String name, JsonNode root) {
+        JsonNode machine = root.path("machine");
+        List<String> seeds = new ArrayList<>();
+        root.path("seeds").forEach(s -> seeds.add(s.asText()));
+        if (!machine.isObject()) {
+            throw new CapacityException(name + ": no machine");
+        }
+        if (!root.path("seeds").isArray()) {
+            throw new CapacityException(name + ": no seeds");
+        }
+        Series.Source source = new Series.Source(name, text(name, root, "script"), text(name, root, "date"),
+                text(name, root, "commit"), machine(name, machine), String.join(", ", seeds));
+        if (!root.path("series").isArray()) {
+            throw new CapacityException(name + ": no series");
+        }
+        int i = 0;
+        for (JsonNode s : root.path("series")) {
+            Series read = series(name + ": series[" + i++ + "]", s, source);
+            Series other = series.putIfAbsent(read.id(), read);
+            if (other != null) {
+                throw new CapacityException(name + ": " + read.id() + " is in " + other.source().file()
+                        + " too");
+            }
+        }
+    }
+
+    private static String machine(String name, JsonNode m) {
+        return text(name + ": machine", m, "cores") + " cores, " + text(name + ": machine", m, "memory_gib")
+                + " GiB, Java " + text(name + ": machine", m, "java") + ", "
+                + text(name + ": machine", m, "kernel");
+    }
+
+    private static Series series(String where, JsonNode s, Series.Source source) {
+        String id = text(where, s, "id");
+        String at = where + " (" + id + ")";
+        List<Series.Point> points = new ArrayList<>();
+        if (!s.path("points").isArray() || s.path("points").isEmpty()) {
+            throw new CapacityException(at + ": no points");
+        }
+        for (JsonNode p : s.path("points")) {
+            points.add(new Series.Point(number(at + ": points[" + points.size() + "]", p, "size"),
+                    number(at + ": points[" + points.size() + "]", p, "value")));
+        }
+        Map<String, String> fixed = new LinkedHashMap<>();
+        s.path("fixed").properties().forEach(e -> fixed.put(e.getKey(), e.getValue().asText()));
+        double heldOut = s.hasNonNull("held_out") ? number(at, s, "held_out") : 0;
+        if (heldOut != 0 && points.stream().noneMatch(p -> p.size() == heldOut)) {
+            throw new CapacityException(at + ": the held-out size " + Show.number(heldOut)
+                    + " was not measured");
+        }
+        return new Series(id, text(at, s, "what"), s.path("unit").asText(""), text(at, s, "axis"), fixed,
+                points, heldOut, source);
+    }
+
+    private static String text(String where, JsonNode n, String key) {
+        String v = n.path(key).asText("");
+        if (v.isEmpty()) {
+            throw new CapacityException(where + ": no " + key);
+        }
+        return v;
+    }
+
+    private static double number(String where, JsonNode n, String key) {
+        if (!n.path(key).isNumber() || !Double.isFinite(n.path(key).asDouble())) {
+            throw new CapacityException(where + ": " + key + " is no number");
+        }
+        return n.path(key).asDouble();
+    }
+
+    /** The files, in order, with what each one is. */
+    Map<String, Series.Source> sources() {
+        return series.values().stream().map(Series::source).collect(Collectors.toMap(Series.Source::file,
+                s -> s, (a, b) -> a, TreeMap::new));
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/capacity/ResultsWriter.java
@@ -0,0 +1,99 @@
+package gullspar.capacity;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.LocalDate;
+import java.time.ZoneOffset;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Writes one file of results: what was measured, on which machine, of which commit. */
+public final class ResultsWriter {
+    private static final ObjectMapper JSON = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT);
+
+    private final ObjectNode root = JSON.createObjectNode();
+    private final Map<String, ObjectNode> series = new LinkedHashMap<>();
+
+    /** What a script gives, with the seeds that it drew by. */
+    public ResultsWriter(String script, List<Integer> seeds) {
+        root.put("script", script);
+        root.put("date", LocalDate.now(ZoneOffset.UTC).toString());
+        root.put("commit", System.getProperty("commit", "unknown"));
+        ObjectNode machine = root.putObject("machine");
+        machine.put("cores", 8);
+        machine.put("cores_used", Runtime.getRuntime().availableProcessors());
+        machine.put("memory_gib", memoryGib());
+        machine.put("java", System.getProperty("java.version"));
+        machine.put("flags", System.getProperty("flags", ""));
+        machine.put("kernel", System.getProperty("os.version"));
+        ArrayNode drawn = root.putArray("seeds");
+        seeds.forEach(drawn::add);
+    }
+
+    /** What a file holds already, so that further sizes come beside it; of the same machine and commit. */
+    public ResultsWriter onto(Path file) throws IOException {
+        JsonNode before = JSON.readTree(Files.readString(file));
+        for (String same : new String[] {"machine", "commit"}) {
+            if (!before.path(same).equals(JSON.readTree(root.get(same).toString()))) {
+                throw new IOException(file + " is of another " + same);
+            }
+        }
+        before.path("series").forEach(s -> series.put(s.path("id").asText(), (ObjectNode) s));
+        return this;
+    }
+
+    private static long memoryGib() {
+        try {
+            return Files.readAllLines(Path.of("/proc/meminfo")).stream().filter(l -> l.startsWith("MemTotal"))
+                    .mapToLong(l -> Math.round(Long.parseLong(l.replaceAll("\\D", "")) / 1048576.0)).sum();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** One point of a series; the first names the series. heldOut: the size to foretell, 0 for none. */
+    public ResultsWriter point(String id, String what, String unit, String axis, Map<String, Integer> fixed,
+            double heldOut, double size, double value) {
+        ObjectNode s = series.computeIfAbsent(id, i -> {
+            ObjectNode n = JSON.createObjectNode();
+            n.put("id", i).put("what", what).put("unit", unit).put("axis", axis);
+            ObjectNode f = n.putObject("fixed");
+            fixed.forEach(f::put);
+            n.putArray("points");
+            return n;
+        });
+        if (heldOut > s.path("held_out").asDouble()) {
+            s.put("held_out", heldOut);
+        }
+        ((ArrayNode) s.get("points")).addObject().put("size", size).put("value", rounded(value));
+        System.err.printf("%s at %.0f: %.6g %s%n", id, size, value, unit);
+        return this;
+    }
+
+    /** Five digits are more than any of this is worth. */
+    private static double rounded(double v) {
+        return v == 0 ? 0 : Double.parseDouble(String.format(java.util.Locale.ROOT, "%.5g", v));
+    }
+
+    /** So far; a later call writes all again. */
+    public void write(Path file) throws IOException {
+        ArrayNode all = JSON.createArrayNode();
+        series.values().forEach(all::add);
+        root.set("series", all);
+        Files.createDirectories(file.toAbsolutePath().getParent());
+        Files.writeString(file, JSON.writeValueAsString(root) + "\n");
+    }
+
+    /** What has been measured so far. */
+    public Set<String> ids() {
+        return series.keySet();
+    }
+}
--- a/src/test/java/gullspar/peers/Town.java
+++ b/src/test/java/gullspar/peers/Town.java
@@ -45,12 +45,15 @@
         @Override
         public void send(String to, Message m) {
             sent++;
+            posted.accept(this, m);
             carry(this, to, m);
         }
 
         @Override
         public void changed(Change c) {
-            changes.add(c);
+            if (remembers) {
+                changes.add(c);
+            }
             heard.accept(this, c);
         }
 
@@ -131,6 +134,10 @@
     final Set<String> cut = new HashSet<>();
     /** What everybody's changes are told to. */
     BiConsumer<Life, Change> heard = (l, c) -> { };
+    /** What each datagram is told to as it is sent, and as it comes to somebody. */
+    BiConsumer<Life, Message> posted = (l, m) -> { }, taken = (l, m) -> { };
+    /** Is what came last kept, and what changed? Large towns that are only counted forget it. */
+    boolean remembers = true;
 
     Town(long seed, Settings settings) {
         this.random = new SplittableRandom(seed);
@@ -178,7 +185,10 @@
             at(now + delayNs + (jitterNs > 0 ? random.nextLong(jitterNs) : 0), () -> {
                 Life l = addresses.get(to);
                 if (l != null && !cut.contains(from.name + '>' + l.name)) {
-                    l.last.put(from.life, m);
+                    if (remembers) {
+                        l.last.put(from.life, m);
+                    }
+                    taken.accept(l, m);
                     l.input(() -> l.peers.receive(now, m));
                 }
             });
