Kit: a rule that what discovery has had for 6 s has to be known, whatever became of calls

Need: the judge took for told what had been written to a watch. A proxy without a working watch was never told, so it could send to nodes that drain for good and keep all rules.

Change: Rule.LISTS_HEARD. 6 s after an agent has a change, or can be reached again with it, the change is due; what goes to a node that leaves later than the grace after that breaks the rule.

--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -253,6 +253,12 @@
                         "an attempt went to %s %.3f s after %s was told that it leaves", a.node,
                         (a.sentAt - told) / 1e9, t.proxy));
             }
+            long due = chronicle.dueLeaving(t.proxy, a.node, a.sentAt);
+            if (due != 0 && a.sentAt > due + grace + slackNs) {
+                broken(Rule.LISTS_HEARD, a.sentAt, t, String.format(Locale.ROOT,
+                        "an attempt went to %s %.3f s after %s had to know that it leaves", a.node,
+                        (a.sentAt - due) / 1e9, t.proxy));
+            }
         }
     }
 }
--- a/src/main/java/gullspar/rehearse/judge/Rule.java
+++ b/src/main/java/gullspar/rehearse/judge/Rule.java
@@ -7,6 +7,8 @@
     NOTHING_TWICE("nothing takes effect twice, and a refusal says that a retry is harmless"),
     DRAINS_KEPT("nothing new goes to a node later than the grace after the proxy was told that it drains or "
             + "is gone"),
+    LISTS_HEARD("nothing new goes to a node later than the grace after discovery has had it for 6 s, and "
+            + "could be reached, that it drains or is gone, whatever became of the proxy's calls"),
     COLD_SPARED("no cold node is pushed over by all proxies together"),
     LEFT_ALONE("no attempt, first or further, begins for a request whose client left 0.1 s ago"),
     FLEET_TRUE("no proxy that lives and can be reached is called gone for long, and each dead one leaves "
--- a/src/main/java/gullspar/rehearse/stage/Agent.java
+++ b/src/main/java/gullspar/rehearse/stage/Agent.java
@@ -28,6 +28,8 @@
     private static final long BEAT_MS = 2000;
     /** After it has moved, open watches at the old address stay so long. */
     private static final long LINGER_MS = 1500;
+    /** What it has had for so long, while it could be reached, has to be known. */
+    private static final long DUE_MS = 6000;
 
     /** An instance as listed. */
     record Entry(String id, String hostPort, String site, String kind, int cell, String lifecycle,
@@ -64,6 +66,8 @@
     private int moves;
     private boolean silent;
     private boolean down;
+    /** How often it began or ceased to be reachable, with what it has. */
+    private int turned;
 
     Agent(String proxy, Stage stage, Chronicle chronicle, Turns turns) {
         this.turns = turns;
@@ -106,6 +110,7 @@
         if (!down) {
             listen();
         }
+        turned();
         platform.loop().schedule(() -> left.forEach(Watch::close), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -117,10 +122,30 @@
         } else {
             listen();
         }
+        turned();
+    }
+
+    /** Whatever it has counts from now on, if it can be reached. */
+    private void turned() {
+        turned++;
+        dueInTime(entries.values().stream().map(Versioned::entry).toList());
+    }
+
+    private void dueInTime(List<Entry> list) {
+        int since = turned;
+        list.stream().filter(e -> !e.leaving())
+                .forEach(e -> chronicle.due(proxy, e.id(), false, stage.now()));
+        platform.loop().schedule(() -> {
+            if (since == turned && !silent && !down && old == null) {
+                list.stream().filter(e -> e.leaving() && entries.get(e.id()).entry == e)
+                        .forEach(e -> chronicle.due(proxy, e.id(), true, stage.now()));
+            }
+        }, DUE_MS, TimeUnit.MILLISECONDS);
     }
 
     void silent(boolean on) {
         silent = on;
+        turned();
         if (!on && !unheard.isEmpty()) {
             List<Entry> missed = List.copyOf(unheard);
             unheard.clear();
@@ -132,12 +157,14 @@
     void freeze(boolean on) {
         old = on ? new LinkedHashMap<>(entries) : null;
         oldVersion = version;
+        turned();
     }
 
     /** News have come through. */
     void arrived(List<Entry> changed) {
         version++;
         changed.forEach(e -> entries.put(e.id(), new Versioned(e, version)));
+        dueInTime(changed);
         if (silent) {
             unheard.addAll(changed);
         } else {
--- a/src/main/java/gullspar/rehearse/stage/Chronicle.java
+++ b/src/main/java/gullspar/rehearse/stage/Chronicle.java
@@ -30,6 +30,8 @@
     private final List<Order> orders = new ArrayList<>();
     private final Map<String, Try> tries = new HashMap<>();
     private final Map<String, List<Told>> told = new HashMap<>();
+    /** The same by what discovery has had for long enough, whether or not any watch heard it. */
+    private final Map<String, List<Told>> due = new HashMap<>();
     private final List<Happening> happenings = new ArrayList<>();
     private final List<Happening> crashes = new ArrayList<>();
     private final Map<String, Long> fallen = new LinkedHashMap<>();
@@ -103,7 +105,17 @@
     }
 
     void told(String proxy, String node, boolean leaving, long at) {
-        List<Told> list = told.computeIfAbsent(proxy + '>' + node, k -> new ArrayList<>());
+        note(told, proxy, node, leaving, at);
+    }
+
+    /** From now on a proxy has to know it, however it fared with its calls. */
+    void due(String proxy, String node, boolean leaving, long at) {
+        note(due, proxy, node, leaving, at);
+    }
+
+    private static void note(Map<String, List<Told>> in, String proxy, String node, boolean leaving,
+            long at) {
+        List<Told> list = in.computeIfAbsent(proxy + '>' + node, k -> new ArrayList<>());
         if (list.isEmpty() || list.get(list.size() - 1).leaving != leaving) {
             list.add(new Told(at, leaving));
         }
@@ -111,8 +123,17 @@
 
     /** When a proxy was told that a node leaves, if that is what it last heard by that time; else 0. */
     public long toldLeaving(String proxy, String node, long by) {
+        return leaving(told, proxy, node, by);
+    }
+
+    /** When a proxy had to know at the latest that a node leaves, if that still holds by then; else 0. */
+    public long dueLeaving(String proxy, String node, long by) {
+        return leaving(due, proxy, node, by);
+    }
+
+    private static long leaving(Map<String, List<Told>> in, String proxy, String node, long by) {
         long since = 0;
-        for (Told t : told.getOrDefault(proxy + '>' + node, List.of())) {
+        for (Told t : in.getOrDefault(proxy + '>' + node, List.of())) {
             if (t.at <= by) {
                 since = t.leaving ? t.at : 0;
             }
--- a/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
+++ b/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
@@ -25,6 +25,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -65,7 +66,7 @@
 
     @Test
     void unplantedTheSameDaysKeepAllRules() {
-        for (Script s : List.of(QUIET, HARMED, LEAVING, COLD, IMPATIENT)) {
+        for (Script s : List.of(QUIET, HARMED, LEAVING, UNHEARD, COLD, IMPATIENT)) {
             assertEquals(List.of(), play(s, VirtualPlay.Options.plain()).broken());
         }
     }
@@ -303,6 +304,26 @@
         caught(Rule.DRAINS_KEPT, "was told that it leaves", LEAVING, news(text -> text, 1500));
     }
 
+    /** All watches end, and some drains come while there is none. */
+    private static final Script UNHEARD = Days.small(14, Days.fault("discovery-down", 1, "for = 1")
+            + Days.fault("drain", 3, "nodes = 2\ngrace_s = 11"));
+
+    /** A proxy whose further calls are never written is told nothing, and has to know all the same. */
+    @Test
+    void noWatchWorksAgain() {
+        Set<InetSocketAddress> asked = new HashSet<>();
+        caught(Rule.LISTS_HEARD, "had to know that it leaves", UNHEARD, Planted.sockets(null,
+                address -> new ChannelOutboundHandlerAdapter() {
+                    @Override
+                    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                        String text = ((ByteBuf) message).toString(StandardCharsets.US_ASCII);
+                        if (!text.startsWith("GET /catalog/") || asked.add(address)) {
+                            ctx.write(message, promise);
+                        }
+                    }
+                }));
+    }
+
     // ---- cold nodes ----
 
     /** Modules that send so many of all they send to the node that started last, while it is there. */
