A request that lies unread on an idle connection is taken before the close

Need: a request that comes as its connection is closed between requests is lost with it, and where it may not run twice its client does not send it again. The close looked at what the loop had read, up to a turn ago.

Now what is there is read first (the end of a proxy, and connections that were idle for too long); a request is taken, and in a drain its answer ends the connection. CrossingTest was seen red without it.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -188,6 +188,19 @@
         channel.close();
     }
 
+    /**
+     * Ends it between requests. Not if one has begun to come that the loop has not come round to read: it
+     * would be lost with the connection, and where it may not run twice its client has to know that it never
+     * ran.
+     */
+    boolean closeBetweenRequests() {
+        if (present() && (owed() || ending)) {
+            return false;
+        }
+        channel.close();
+        return true;
+    }
+
     /** Ends the connection in the middle of an answer, which tells the client that it is not whole. */
     public void cutOff() {
         channel.close();
@@ -206,7 +219,7 @@
         } else if (late(now)) {
             end(408, "the request did not come in time");
         } else if (idle() && now - idleSince > (used ? idleNs : requestNs)) {
-            channel.close();
+            closeBetweenRequests();
         }
     }
 
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -181,7 +181,8 @@
     /** Takes no more connections, and ends those between requests, but for those that have just come. */
     public void close() {
         refuseNew();
-        all().filter(c -> !c.owed() && !c.ending() && !fresh(c)).toList().forEach(Client::close);
+        all().filter(c -> !c.owed() && !c.ending() && !fresh(c)).toList()
+                .forEach(Client::closeBetweenRequests);
     }
 
     /** Has it come so lately that its request may be on the way? */
