--- a/src/test/java/gullspar/capacity/ResultsWriter.java
+++ b/src/test/java/gullspar/capacity/ResultsWriter.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Writes one file of results: what was measured, on which machine, of which commit. */
 public final class ResultsWriter {
@@ -46,6 +47,11 @@
                 throw new IOException(file + " is of another " + same);
             }
         }
+        root.put("script", before.path("script").asText() + "; " + root.path("script").asText());
+        Set<Integer> seeds = new TreeSet<>();
+        before.path("seeds").forEach(x -> seeds.add(x.asInt()));
+        root.path("seeds").forEach(x -> seeds.add(x.asInt()));
+        seeds.forEach(root.putArray("seeds")::add);
         before.path("series").forEach(s -> series.put(s.path("id").asText(), (ObjectNode) s));
         return this;
     }
--- a/src/test/java/gullspar/capacity/Show.java
+++ b/src/test/java/gullspar/capacity/Show.java
@@ -33,6 +33,9 @@
 
     static String with(double v, String unit) {
         double a = Math.abs(v);
+        if (unit.equals("1/s")) {
+            return number(v) + "/s";
+        }
         boolean rate = unit.endsWith("/s");
         String base = rate ? unit.substring(0, unit.length() - 2) : unit;
         int step = a >= 1e9 ? 3 : a >= 1e6 ? 2 : a >= 1e3 ? 1 : 0;
