--- a/src/main/java/gullspar/decide/Classes.java
+++ b/src/main/java/gullspar/decide/Classes.java
@@ -22,6 +22,7 @@
 
     private List<Profile> profiles = List.of();
     private double[] median = {};
+    private long[] mostLeft = {};
     /** A request's time against that of all at the same server, and how many answers tell it. */
     private double[] size = {};
     private double[] sized = {};
@@ -36,6 +37,7 @@
         int had = size.length;
         profiles = known;
         median = Arrays.copyOf(median, known.size());
+        mostLeft = Arrays.copyOf(mostLeft, known.size());
         size = Arrays.copyOf(size, known.size());
         sized = Arrays.copyOf(sized, known.size());
         worth = Arrays.copyOf(worth, known.size());
@@ -45,8 +47,11 @@
         rank();
     }
 
-    void asked(int profile) {
+    /** A request with so much time left; the most that one had. */
+    long asked(int profile, long leftNs) {
         worth[profile] += profiles.get(profile).worth();
+        mostLeft[profile] = Math.max(mostLeft[profile], leftNs);
+        return mostLeft[profile];
     }
 
     void age(double keep) {
--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -100,7 +100,6 @@
     private final double[] weights = new double[2], times = new double[2], open = new double[2];
     private final long[] kindAt = new long[256], usualAt = new long[256];
     private final Classes classes = new Classes();
-    private long[] mostLeft = {};
     private List<Profile> profiles;
     private double meanWorth;
     private long minPromise;
@@ -137,7 +136,6 @@
         minPromise = known.stream().mapToLong(Profile::promiseNs).min().orElse(0);
         meanWorth = known.stream().mapToDouble(Profile::worth).average().orElse(1);
         classes.know(profiles);
-        mostLeft = Arrays.copyOf(mostLeft, known.size());
     }
 
     // ---- discovery ----
@@ -405,8 +403,7 @@
             s.fit = slow * s.load() <= most;
             open[side] += s.fit ? weight(s) : 0;
         }
-        // Own zone first: crossing must save more worth than it costs. Where classes give way, the short
-        // queues of a zone without room tell nothing of the wait for it.
+        // Own zone first: crossing must save worth. Where classes give way short queues tell of no wait.
         boolean cross = missed(0, t, now) - missed(1, t, now) > settings.crossZonePrice()
                 || open[0] == 0 && classes.ranked(t.request.profile());
         Server best = null;
@@ -449,8 +446,8 @@
      * answers that are late already; hurts where marked repeats come short of time for another reason.
      */
     private long aim(Request r, Profile p, long now) {
-        mostLeft[r.profile()] = Math.max(mostLeft[r.profile()], r.leftNs());
-        long waited = r.repeat() && r.leftNs() < mostLeft[r.profile()] - settings.stepNs()
+        long most = classes.asked(r.profile(), r.leftNs());
+        long waited = r.repeat() && r.leftNs() < most - settings.stepNs()
                 ? p.giveUpNs() - r.leftNs() : 0;
         return now + Math.min(r.leftNs(), p.promiseNs() - waited);
     }
@@ -462,7 +459,6 @@
         servesSince = arrivals == 0 ? now : servesSince; // none yet, or none for so long that no rate is left
         arrivals++;
         Profile profile = profiles.get(request.profile());
-        classes.asked(request.profile());
         Ticket t = new Ticket(request, profile, aim(request, profile, now), now + request.leftNs());
         tickets.put(request.ticket(), t);
         if (t.profile.sequential() && request.key() != 0) {
