Versions: a slip of the reader's costs one change, not all that come after it

Need: an exception while a change was checked, or a version read, left the worker's task unanswered: a primary took no further change, a proxy no further version, for good. Found by reading.

Change: it is a problem of that change, or the trouble of that version, like any other.

Tests: TownTest has one for the primary; TownTest, VersionsServeTest and ModuleSizeTest passed.

--- a/src/main/java/gullspar/versions/net/ControlNode.java
+++ b/src/main/java/gullspar/versions/net/ControlNode.java
@@ -285,10 +285,15 @@
         busy = true;
         History next = history.copy();
         worker.execute(() -> {
-            List<String> problems = check.problems(p.file(), p.text());
-            if (problems.isEmpty()) {
-                next.append(d.document(), next.head() == null ? List.of()
-                        : List.of(Delta.between(next.head().text(), d.document())));
+            List<String> problems = new ArrayList<>();
+            try {
+                problems.addAll(check.problems(p.file(), p.text()));
+                if (problems.isEmpty()) {
+                    next.append(d.document(), next.head() == null ? List.of()
+                            : List.of(Delta.between(next.head().text(), d.document())));
+                }
+            } catch (RuntimeException e) { // a slip of the reader's costs this change, not all that follow
+                problems.add(p.file() + ":1:1: this program failed on it: " + e);
             }
             platform.loop().execute(() -> {
                 if (problems.isEmpty()) {
--- a/src/main/java/gullspar/versions/net/Following.java
+++ b/src/main/java/gullspar/versions/net/Following.java
@@ -107,6 +107,9 @@
             } catch (IOException e) {
                 done.accept("it cannot be kept: " + (e.getMessage() == null ? e : e.getMessage()));
                 return;
+            } catch (RuntimeException e) { // a slip of the reader's: one version is lost, not all that follow
+                done.accept("this program failed on it: " + e);
+                return;
             }
             if (first.complete(site)) {
                 proxy.thenRun(() -> {
--- a/src/test/java/gullspar/versions/net/TownTest.java
+++ b/src/test/java/gullspar/versions/net/TownTest.java
@@ -58,6 +58,25 @@
         assertEquals(away.everRan, away.inForce);
     }
 
+    @Test
+    void aSlipOfTheReaderCostsOneChangeAndNotThoseAfterIt() throws IOException {
+        Town t = new Town(4, 1, 1, 20 * MS);
+        t.check = (file, text) -> {
+            if (text.equals("slip")) {
+                throw new IllegalStateException("a slip");
+            }
+            return List.of();
+        };
+        t.start();
+        t.go(S);
+        Message.Published p = changed(t, "slip", 0);
+        assertEquals(Publisher.Outcome.WRONG, p.outcome());
+        assertTrue(p.lines().get(0).startsWith("f:1:1: ") && p.lines().get(0).contains("a slip"),
+                p.lines().toString());
+        accepted(t, Chain.text(10, 0), 0);
+        assertTrue(t.until(1, 3 * S));
+    }
+
     @Test
     void controlGoneForTenMinutesAndBackBringsNoStampede() throws IOException {
         int n = Integer.getInteger("versions.followers", 60);
