Capacity: the page lists the series that its rows and answers stand on

Need: further files of results come beside these; the page should change when a row uses them, not when they land.

Change: the tables of series and runs hold what rows and answers use.

--- a/src/test/java/gullspar/capacity/CapacityPage.java
+++ b/src/test/java/gullspar/capacity/CapacityPage.java
@@ -8,7 +8,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -21,7 +23,6 @@
     private static final Map<String, String> EVENTS = events();
 
     private final Letter letter;
-    private final Results results;
     private final Map<String, Fit> fits = new TreeMap<>();
     private final List<Row> rows;
 
@@ -29,10 +30,9 @@
 
     CapacityPage(Path folder) {
         this.letter = Letter.read(folder.resolve("letter.toml"));
-        this.results = Results.read(folder.resolve("results"));
         this.rows = Rows.read(folder.resolve("rows.toml"));
         this.answers = text(folder.resolve("answers.md"));
-        results.series().forEach((id, s) -> fits.put(id, Fit.of(s)));
+        Results.read(folder.resolve("results")).series().forEach((id, s) -> fits.put(id, Fit.of(s)));
         List<String> faults = Rows.faults(rows, fits, letter);
         if (!faults.isEmpty()) {
             throw new CapacityException(String.join("\n", faults));
@@ -280,9 +280,18 @@
                 }).toList());
     }
 
+    /** Series that a row or an answer stands on; others are not on the page. */
+    private List<Fit> used() {
+        Set<String> ids = new TreeSet<>();
+        rows.forEach(r -> ids.addAll(r.series()));
+        FIGURE.matcher(answers).results().map(m -> m.group(1).split(" ")).filter(a -> a.length > 1)
+                .forEach(a -> ids.add(a[1]));
+        return fits.values().stream().filter(f -> ids.contains(f.series().id())).toList();
+    }
+
     private String series() {
         return table("series | what | slope ± standard error | at 0 | sizes measured | runs a size, spread | "
-                + "held out: foretold, seen | run", fits.values().stream().map(f -> {
+                + "held out: foretold, seen | run", used().stream().map(f -> {
                     Series s = f.series();
                     return List.of("`" + s.id() + "`", s.what() + fixed(s),
                             f.constant() ? Show.with(f.intercept(), s.unit())
@@ -320,8 +329,9 @@
     }
 
     private String runs() {
-        return table("run | script | date | commit | machine | seeds", results.sources().values().stream()
-                .map(s -> List.of(s.file(), "`" + s.script() + "`", s.date(), s.commit(), s.machine(),
+        return table("run | script | date | commit | machine | seeds", used().stream()
+                .map(f -> f.series().source()).distinct().map(s -> List.of(s.file(), "`" + s.script() + "`",
+                s.date(), s.commit(), s.machine(),
                         s.seeds())).toList());
     }
 }
--- a/src/test/java/gullspar/capacity/CapacityTest.java
+++ b/src/test/java/gullspar/capacity/CapacityTest.java
@@ -227,7 +227,8 @@
         assertFalse(f.linear());
         assertEquals(66_100, f.at(6600), 1e-6);
         assertEquals(38_100, f.at(3800), 1e-6);
-        assertTrue(new CapacityPage(folder).tables().get("series").contains("| two sizes foretell nothing |"));
+        String series = new CapacityPage(folder).tables().get("series");
+        assertTrue(series.contains("| two sizes foretell nothing |"), series);
     }
 
     @Test
