--- a/src/test/java/gullspar/versions/scale/VersionsRun.java
+++ b/src/test/java/gullspar/versions/scale/VersionsRun.java
@@ -202,6 +202,8 @@
     /** Bytes of each follower, second by second, while something is done. */
     private final class Meter {
         private final List<long[]> seconds = new ArrayList<>();
+        /** When each was read: on a busy machine a second may be longer. */
+        private final List<Long> times = new ArrayList<>();
         private final List<Long> connections = new ArrayList<>();
         private final Thread thread = new Thread(this::run, "meter");
         private volatile boolean over;
@@ -223,6 +225,7 @@
                 long next = System.nanoTime();
                 while (!over) {
                     seconds.add(all());
+                    times.add(System.nanoTime());
                     connections.add(relays.stream().mapToLong(r -> r.connections.get()).sum());
                     next += TimeUnit.SECONDS.toNanos(1);
                     long rest = next - System.nanoTime();
@@ -243,15 +246,16 @@
         double mean() {
             long[] a = seconds.get(0);
             long[] b = seconds.get(seconds.size() - 1);
-            return (double) (Arrays.stream(b).sum() - Arrays.stream(a).sum()) / a.length
-                    / (seconds.size() - 1);
+            return (Arrays.stream(b).sum() - Arrays.stream(a).sum()) * 1e9 / a.length
+                    / (times.get(times.size() - 1) - times.get(0));
         }
 
         double worst() {
-            long worst = 0;
+            double worst = 0;
             for (int s = 1; s < seconds.size(); s++) {
+                double length = Math.max(1, (times.get(s) - times.get(s - 1)) / 1e9);
                 for (int i = 0; i < followers; i++) {
-                    worst = Math.max(worst, seconds.get(s)[i] - seconds.get(s - 1)[i]);
+                    worst = Math.max(worst, (seconds.get(s)[i] - seconds.get(s - 1)[i]) / length);
                 }
             }
             return worst;
