The event loop waits for its timers instead of polling, and dates what it reads

Cause: Netty's NIO handler rounds the time to the next timer to the nearest ms and, for the last half of one, looks at the sockets again and again without a wait.

Change: OrderedNioHandler stands round Netty's handler. It rounds the wait up to whole ms; serves what the process opened first, then clients, then listeners; reads clients for 20 ms a turn; and knows since when what it reads may have lain unread (LookTimes). A request's time counts from there, and the module is told of its age. "ready" is said once the listener is bound.

With the rounding, or the first look without a wait, taken out, OrderedNioHandlerTest fails (1 and 3 tests).

--- a/src/main/java/gullspar/decide/Balancer.java
+++ b/src/main/java/gullspar/decide/Balancer.java
@@ -82,9 +82,18 @@
     /** A server as listed. bootNs is the clock time of its last start, 0 for long ago. */
     record Member(int id, int kind, State state, long bootNs, int cell, int zone, double units) { }
 
-    /** A request; key 0 is none; leftNs is the time until the client abandons it; hintNs 0 is no hint. */
+    /**
+     * A request; key 0 is none; leftNs is the time until the client abandons it; hintNs 0 is no hint. ageNs:
+     * how long it may have waited since its client sent it, unread or in line behind another.
+     */
     record Request(int ticket, int profile, int tenant, long key, long leftNs, long hintNs,
-            boolean repeat) { }
+            boolean repeat, long ageNs) {
+        /** One that is told of as it is sent. */
+        public Request(int ticket, int profile, int tenant, long key, long leftNs, long hintNs,
+                boolean repeat) {
+            this(ticket, profile, tenant, key, leftNs, hintNs, repeat, 0);
+        }
+    }
 
     /** A load report; NaN for each value that the servers do not report. */
     record Report(double inflight, double queue, double util, double recentMs, double perSecond,
--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -441,15 +441,15 @@
     }
 
     /**
-     * When an answer stops earning anything. A client's repeat that comes with less time than first tries
-     * do has waited since the first: what is left of the promise counts from there. Guards against work for
-     * answers that are late already; hurts where marked repeats come short of time for another reason.
+     * When an answer stops earning anything. A client's repeat with less time than first tries have has
+     * waited since the first, and what lay unread since it was sent: the promise counts from there. Guards
+     * against work for late answers; hurts where marked repeats come short of time for another reason.
      */
     private long aim(Request r, Profile p, long now) {
         long most = classes.asked(r.profile(), r.leftNs());
         long waited = r.repeat() && r.leftNs() < most - settings.stepNs()
                 ? p.giveUpNs() - r.leftNs() : 0;
-        return now + Math.min(r.leftNs(), p.promiseNs() - waited);
+        return now + Math.min(r.leftNs(), p.promiseNs() - Math.max(waited, r.ageNs()));
     }
 
     @Override
--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -3,12 +3,12 @@
 import gullspar.decide.Balancer;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
-import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.FileChanges;
 import gullspar.proxy.io.Inherited;
 import gullspar.proxy.io.LibraryLog;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.ServingLoop;
 import gullspar.proxy.io.Signals;
 import gullspar.proxy.operator.Companion;
 import gullspar.proxy.operator.Figures;
@@ -16,8 +16,6 @@
 import gullspar.proxy.operator.Report;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -45,7 +43,8 @@
             Companion.Factory companions) throws ConfigException, IOException {
         // The default would end the process, so this comes first: an early signal waits for the proxy.
         CompletableFuture<Proxy> started = new CompletableFuture<>();
-        EventLoop loop = loop();
+        ServingLoop serving = ServingLoop.start();
+        EventLoop loop = serving.loop();
         Reloads reloads = new Reloads(environment, loop);
         Runnable reload = () -> started.thenAccept(reloads::read);
         if (!Signals.on("HUP", reload)) {
@@ -54,20 +53,21 @@
         }
         Ending ending = new Ending();
         try {
-            serve(environment, factory, companions, loop, reloads, started, ending);
+            serve(environment, factory, companions, serving, reloads, started, ending);
         } finally {
             ending.never(); // what has failed must not seem to have ended well
         }
     }
 
     private static void serve(Map<String, String> environment, Balancer.Factory factory,
-            Companion.Factory companions, EventLoop loop, Reloads reloads, CompletableFuture<Proxy> started,
-            Ending ending) throws ConfigException, IOException {
+            Companion.Factory companions, ServingLoop serving, Reloads reloads,
+            CompletableFuture<Proxy> started, Ending ending) throws ConfigException, IOException {
+        EventLoop loop = serving.loop();
         LibraryLog.install();
         LOG.say("starting");
         Config config = reloads.first();
         Platform platform = config.inherited()
-                ? new Platform(loop, Clock.system(), Inherited.transport(loop), LOG) : Platform.of(loop);
+                ? Platform.of(serving, Inherited.transport(loop), LOG) : Platform.of(serving);
         OperatorPort port = operatorPort(config, platform);
         Proxy proxy = Proxy.on(platform, () -> Proxy.asking(config, platform, factory));
         started.complete(proxy); // what a new configuration changes counts during the warm-up too
@@ -156,7 +156,7 @@
         warm(config, factory);
         // The classes of both ways are recorded: which one the platform leaves is not known here.
         Warmup.within(config, factory, WARM_REQUESTS, WARM_MS);
-        Proxy.start(config, Platform.of(loop()), factory).drain().join();
+        Proxy.start(config, Platform.of(ServingLoop.start()), factory).drain().join();
     }
 
     private static void warm(Config config, Balancer.Factory factory) {
@@ -176,10 +176,6 @@
         LOG.say("served " + Warmup.run(config, factory, WARM_REQUESTS, WARM_MS) + " requests to warm up");
     }
 
-    private static EventLoop loop() {
-        return new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    }
-
     /** Listens for operators, where the platform says so; null where it does not. */
     private static OperatorPort operatorPort(Config config, Platform platform) throws IOException {
         if (config.operator() == null) {
--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -58,8 +58,10 @@
         if (message.rest() == null || !message.rest().coming()) {
             came(at);
         }
+        boolean whole = deadline != Long.MAX_VALUE;
         tell((now, module) -> module.onRequest(now, new Request(ticket, of.place(), asked.tenant(),
-                asked.key(), Math.max(0, left(now)), asked.hintNs(), asked.repeat())));
+                asked.key(), Math.max(0, left(now)), asked.hintNs(), asked.repeat(),
+                whole ? Math.max(0, now - at) : 0)));
     }
 
     /** Its last byte has come. */
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -337,7 +337,11 @@
             if (listening == null) {
                 listen(); // until there was a list the process before this one served
             }
-            platform.log().say("ready");
+            listening.addListener(bound -> {
+                if (bound.isSuccess()) {
+                    platform.log().say("ready");
+                }
+            });
         }
     }
 
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -55,6 +55,9 @@
         /** For so long a body may be left unread while nothing has gone out for its connection's requests. */
         long unreadNs();
 
+        /** When what is read now may have come, at the earliest. */
+        long cameAt();
+
         /** An answer is about to be written; true if the connection should end with it. */
         boolean answered(Client client, int status);
 
@@ -257,14 +260,14 @@
         if (message instanceof LastHttpContent) {
             if (upload == null) {
                 add(new Waiting(Message.whole(head.method(), head.uri(), head.headers(), body), 0, null,
-                        owner.now(), HttpUtil.isKeepAlive(head),
+                        owner.cameAt(), HttpUtil.isKeepAlive(head),
                         head.protocolVersion()));
             } else {
                 Pieces all = upload;
                 upload = null;
                 all.whole();
                 if (taken != null && taken.rest() == all) {
-                    owner.came(this, owner.now());
+                    owner.came(this, owner.cameAt());
                 }
             }
             head = null;
@@ -285,8 +288,8 @@
         if (upload == null && body.add(bytes) != Body.Added.TAKEN) {
             upload = new Pieces(() -> channel.config().setAutoRead(true), () -> { });
             add(new Waiting(new Message(head.method(), head.uri(), head.headers(), body, upload,
-                    HttpUtil.getContentLength(head, -1L)), 0, null, owner.now(), HttpUtil.isKeepAlive(head),
-                        head.protocolVersion()));
+                    HttpUtil.getContentLength(head, -1L)), 0, null, owner.cameAt(),
+                        HttpUtil.isKeepAlive(head), head.protocolVersion()));
             if (ending) {
                 return false;
             }
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -239,6 +239,11 @@
         return clock.now();
     }
 
+    @Override
+    public long cameAt() {
+        return clock.now() - platform.unread().ns();
+    }
+
     @Override
     public void whole(Client client, Message m, long at) {
         String path = new QueryStringDecoder(m.uri()).rawPath();
--- /dev/null
+++ b/src/main/java/gullspar/proxy/io/ServingLoop.java
@@ -0,0 +1,24 @@
+package gullspar.proxy.io;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/**
+ * An event loop of one thread for a process that serves.
+ *
+ * @param loop the loop
+ * @param unread how long what it reads now may have waited
+ * @param figures what it has done
+ */
+public record ServingLoop(EventLoop loop, UnreadAge unread, LoopFigures figures) {
+    /** Starts one over the sockets of this machine. */
+    public static ServingLoop start() {
+        OrderedNioHandler[] made = new OrderedNioHandler[1];
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, executor -> {
+            made[0] = new OrderedNioHandler(NioIoHandler.newFactory().newHandler(executor), System::nanoTime);
+            return made[0];
+        }).next();
+        return new ServingLoop(loop, made[0]::unreadNs, made[0].figures());
+    }
+}
--- a/src/main/java/gullspar/site/SiteDaemon.java
+++ b/src/main/java/gullspar/site/SiteDaemon.java
@@ -7,14 +7,13 @@
 import gullspar.proxy.io.LibraryLog;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.ServingLoop;
 import gullspar.proxy.io.Signals;
 import gullspar.proxy.operator.Companion;
 import gullspar.proxy.operator.OperatorPort;
 import gullspar.toml.ProblemsException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -56,7 +55,8 @@
     public static boolean run(Path file, Source source, Balancer.Factory factory,
             Companion.Factory companions) throws IOException {
         CompletableFuture<Runnable> started = new CompletableFuture<>();
-        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        ServingLoop serving = ServingLoop.start();
+        EventLoop loop = serving.loop();
         Runnable reload = () -> started.thenAccept(Runnable::run);
         if (!Signals.on("HUP", reload)) {
             LOG.say(Signals.NO_HUP);
@@ -67,7 +67,7 @@
         if (site == null) {
             return false;
         }
-        Platform platform = Platform.of(loop);
+        Platform platform = Platform.of(serving);
         OperatorPort port = site.operators().operator() == null ? null
                 : listen(site.operators().operator(), platform);
         SiteProxy proxy = SiteProxy.start(site, platform, factory, System.nanoTime());
--- a/src/main/java/gullspar/versions/net/ControlDaemon.java
+++ b/src/main/java/gullspar/versions/net/ControlDaemon.java
@@ -4,11 +4,10 @@
 import gullspar.proxy.io.LibraryLog;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.ServingLoop;
 import gullspar.versions.file.DiskFolder;
 import gullspar.versions.file.Store;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.util.SplittableRandom;
@@ -28,9 +27,10 @@
         try (DiskFolder folder = DiskFolder.hold(file.folder())) {
             Store store = new Store(folder);
             Store.Found found = store.read();
-            EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+            ServingLoop serving = ServingLoop.start();
+            EventLoop loop = serving.loop();
             ExecutorService worker = Executors.newSingleThreadExecutor();
-            ControlNode node = new ControlNode(file, Platform.of(loop), store, worker,
+            ControlNode node = new ControlNode(file, Platform.of(serving), store, worker,
                     new SplittableRandom(System.nanoTime()), new SharedDocument()::problems);
             CompletableFuture<String> bound = new CompletableFuture<>();
             loop.execute(() -> node.start(found, bound::complete));
--- a/src/main/java/gullspar/versions/net/Following.java
+++ b/src/main/java/gullspar/versions/net/Following.java
@@ -5,6 +5,7 @@
 import gullspar.config.SiteReader;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.ServingLoop;
 import gullspar.site.Source;
 import gullspar.toml.Blocks;
 import gullspar.toml.ProblemsException;
@@ -18,8 +19,6 @@
 import gullspar.versions.file.Store;
 import gullspar.versions.wire.Codec;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -60,11 +59,12 @@
             t.setDaemon(true);
             return t;
         });
-        this.loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        ServingLoop serving = ServingLoop.start();
+        this.loop = serving.loop();
         Follower.Settings usual = Follower.Settings.USUAL;
         this.node = new FollowerNode(file.name(), Message.Role.PROXY, new Follower.Settings(file.waitNs(),
                 usual.silenceNs(), usual.leastNs(), usual.mostNs(), usual.retryNs()),
-                inOrder(file.name(), file.addresses()), Platform.of(loop),
+                inOrder(file.name(), file.addresses()), Platform.of(serving),
                 new SplittableRandom(System.nanoTime()), this::take, m -> { }, "versions: ");
     }
 
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -13,6 +13,7 @@
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.ServingLoop;
 import gullspar.proxy.io.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -23,8 +24,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -62,7 +61,8 @@
     /** What the module was told. */
     record Told(String what, Object event) { }
 
-    final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    final ServingLoop serving = ServingLoop.start();
+    final EventLoop loop = serving.loop();
     final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
     Proxy proxy;
     Balancer.Actions actions;
@@ -104,7 +104,7 @@
     Setup unheard(Config config, Discovery.Patience patience) throws IOException {
         Clock system = Clock.system();
         Platform platform = new Platform(loop, () -> system.now() + ahead.get(), new Observed(),
-                Log.standardError());
+                Log.standardError(), serving.unread(), serving.figures());
         proxy = Proxy.on(platform, () -> Proxy.begun(new Proxy(config, platform,
                 (settings, seed, now, out) -> {
                     actions = out;
--- a/src/test/java/gullspar/proxy/client/PassingOnTest.java
+++ b/src/test/java/gullspar/proxy/client/PassingOnTest.java
@@ -30,6 +30,11 @@
         @Override
         public void whole(Client client, Message message, long at) { }
 
+        @Override
+        public long cameAt() {
+            return now();
+        }
+
         @Override
         public void came(Client client, long at) { }
 
--- /dev/null
+++ b/src/test/java/gullspar/proxy/io/OrderedNioHandlerTest.java
@@ -0,0 +1,282 @@
+package gullspar.proxy.io;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongConsumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The loop over real sockets: order, dates, a bound on reading, and waits instead of polling. */
+@Timeout(60)
+class OrderedNioHandlerTest {
+    private static final int TIMERS = 200;
+    private final ServingLoop serving = ServingLoop.start();
+    /** What the loop did, in order, and how long what it read had waited. */
+    private final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
+    private final List<Socket> clients = new ArrayList<>();
+    private final CountDownLatch go = new CountDownLatch(1);
+    private volatile LongConsumer whileReading = age -> { };
+    private ServerSocket backend;
+    private Channel listener;
+    private InetSocketAddress address;
+
+    private record Seen(String what, long ageNs) { }
+
+    private final class Notes extends ChannelInboundHandlerAdapter {
+        private final String what;
+
+        Notes(String what) {
+            this.what = what;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            long age = serving.unread().ns();
+            ((ByteBuf) message).release();
+            seen.add(new Seen(what, age));
+            whileReading.accept(age);
+        }
+    }
+
+    @BeforeEach
+    void listen() throws Exception {
+        backend = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        listener = new ServerBootstrap().group(serving.loop()).channel(NioServerSocketChannel.class)
+                .handler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext ctx, Object message) {
+                        seen.add(new Seen("accept", serving.unread().ns()));
+                        ctx.fireChannelRead(message);
+                    }
+                }).childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(new Notes("client"));
+                    }
+                }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
+        address = (InetSocketAddress) listener.localAddress();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        go.countDown();
+        for (Socket s : clients) {
+            s.close();
+        }
+        backend.close();
+        serving.loop().parent().shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private Socket connect() throws Exception {
+        Socket s = new Socket(address.getAddress(), address.getPort());
+        clients.add(s);
+        return s;
+    }
+
+    private Socket accepted() throws Exception {
+        Socket s = connect();
+        assertEquals("accept", next().what());
+        serving.loop().submit(() -> { }).get(); // registered
+        return s;
+    }
+
+    /** A connection that the loop opens; this is its other end. */
+    private Socket opened() throws Exception {
+        new Bootstrap().group(serving.loop()).channel(NioSocketChannel.class).handler(new Notes("answer"))
+                .connect(backend.getLocalSocketAddress()).sync();
+        Socket s = backend.accept();
+        clients.add(s);
+        return s;
+    }
+
+    private Seen next() throws InterruptedException {
+        Seen s = seen.poll(20, TimeUnit.SECONDS);
+        if (s == null) {
+            throw new AssertionError("the loop read nothing");
+        }
+        return s;
+    }
+
+    /** The loop stands still until it may go on. */
+    private Future<?> standStill() throws Exception {
+        CountDownLatch still = new CountDownLatch(1);
+        Future<?> task = serving.loop().submit(() -> {
+            still.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        still.await();
+        return task;
+    }
+
+    @Test
+    void timersAreWaitedForAndNotPolled() throws Exception {
+        CountDownLatch done = new CountDownLatch(TIMERS);
+        long[] turns = new long[2];
+        serving.loop().submit(() -> {
+            turns[0] = serving.figures().turns();
+            again(done);
+        }).get();
+        assertTrue(done.await(50, TimeUnit.SECONDS));
+        serving.loop().submit(() -> {
+            turns[1] = serving.figures().turns();
+        }).get();
+        assertTrue(turns[1] - turns[0] <= 3 * TIMERS, (turns[1] - turns[0]) + " turns for " + TIMERS
+                + " timers");
+    }
+
+    private void again(CountDownLatch done) {
+        done.countDown();
+        if (done.getCount() > 0) {
+            serving.loop().schedule(() -> again(done), 1_400, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    @Test
+    void afterAStandstillAnswersComeFirstThenClientsThenNewConnections() throws Exception {
+        Socket client = accepted();
+        Socket server = opened();
+        standStill();
+        connect();
+        client.getOutputStream().write(1);
+        server.getOutputStream().write(1);
+        go.countDown();
+        assertEquals("answer", next().what());
+        assertEquals("client", next().what());
+        assertEquals("accept", next().what());
+    }
+
+    @Test
+    void whatLayUnreadIsDatedByTheLastLook() throws Exception {
+        Socket client = accepted();
+        standStill();
+        long sent = System.nanoTime();
+        client.getOutputStream().write(1);
+        TimeUnit.MILLISECONDS.sleep(300);
+        long waited = System.nanoTime() - sent;
+        go.countDown();
+        assertTrue(next().ageNs() >= waited);
+    }
+
+    @Test
+    void whatANewConnectionBringsIsDatedByTheLookThatFoundTheConnection() throws Exception {
+        standStill();
+        long sent = System.nanoTime();
+        connect().getOutputStream().write(1);
+        TimeUnit.MILLISECONDS.sleep(300);
+        long waited = System.nanoTime() - sent;
+        go.countDown();
+        assertEquals("accept", next().what());
+        assertTrue(next().ageNs() >= waited);
+    }
+
+    @Test
+    void newConnectionsBeyondOneTurnsShareKeepTheirDate() throws Exception {
+        standStill();
+        long sent = System.nanoTime();
+        for (int i = 0; i < 40; i++) {
+            connect().getOutputStream().write(1);
+        }
+        TimeUnit.MILLISECONDS.sleep(300);
+        long waited = System.nanoTime() - sent;
+        go.countDown();
+        int read = 0;
+        while (read < 40) {
+            Seen s = next();
+            read += s.what().equals("client") ? 1 : 0;
+            assertTrue(s.ageNs() >= waited / 2, s + " of " + waited);
+        }
+    }
+
+    @Test
+    void whatEndsALongWaitHasJustCome() throws Exception {
+        Socket client = accepted();
+        long idleSince = System.nanoTime();
+        TimeUnit.MILLISECONDS.sleep(800);
+        long idle = System.nanoTime() - idleSince;
+        client.getOutputStream().write(1);
+        assertTrue(next().ageNs() < idle, "dated by the beginning of the wait");
+    }
+
+    @Test
+    void clientsAreReadForABoundedTimeAndNoneIsForgotten() throws Exception {
+        List<Socket> many = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            many.add(accepted());
+        }
+        Socket server = opened();
+        AtomicBoolean answered = new AtomicBoolean();
+        standStill();
+        for (Socket s : many) {
+            s.getOutputStream().write(1);
+        }
+        whileReading = age -> {
+            if (answered.compareAndSet(false, true)) {
+                write(server); // an answer that comes while clients are read
+            }
+            busy(OrderedNioHandler.READING_NS / 4);
+        };
+        go.countDown();
+        List<String> order = new ArrayList<>();
+        for (int i = 0; i < 12 + 1; i++) {
+            order.add(next().what());
+        }
+        assertTrue(order.indexOf("answer") < 12, "all clients were read before the answer: " + order);
+        assertEquals(12, order.stream().filter("client"::equals).count());
+        assertTrue(serving.loop().submit(() -> serving.figures().postponed()).get() > 0);
+    }
+
+    private static void write(Socket to) {
+        try {
+            to.getOutputStream().write(1);
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private static void busy(long ns) {
+        long until = System.nanoTime() + ns;
+        while (System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    void aStandstillIsCounted() throws Exception {
+        standStill();
+        TimeUnit.MILLISECONDS.sleep(150);
+        go.countDown();
+        serving.loop().schedule(() -> { }, 1, TimeUnit.MILLISECONDS).get(); // a turn later
+        long[] found = serving.loop().submit(() -> new long[] {serving.figures().standstills(),
+                serving.figures().longestStandstillNs()}).get();
+        assertTrue(found[0] >= 1);
+        assertTrue(found[1] >= TimeUnit.MILLISECONDS.toNanos(150));
+    }
+}
--- a/src/test/java/gullspar/site/Served.java
+++ b/src/test/java/gullspar/site/Served.java
@@ -4,12 +4,10 @@
 import gullspar.config.SiteReader;
 import gullspar.decide.Policy;
 import gullspar.proxy.Peer;
-import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.ServingLoop;
 import gullspar.proxy.io.Transport;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.BlockingQueue;
@@ -23,12 +21,13 @@
     static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
     static final String LISTENER = "[[listener]]\naddress = \"127.0.0.1:0\"\n";
 
-    final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    final ServingLoop serving = ServingLoop.start();
+    final EventLoop loop = serving.loop();
     final BlockingQueue<String> log = new LinkedBlockingQueue<>();
     final SiteProxy proxy;
 
     public Served(String toml) throws Exception {
-        Platform platform = new Platform(loop, Clock.system(), Transport.tcp(loop), log::add);
+        Platform platform = Platform.of(serving, Transport.tcp(loop), log::add);
         proxy = SiteProxy.start(SiteReader.parse(toml, "test"), platform, Policy::new, 7);
     }
 
