What a proxy finds behind a standstill is dated by its beginning, shown with a stopped process

Cause: a wait that SIGSTOP cuts short ends with nothing found, and the next look found what had come meanwhile: that was dated by the moment of reading (a request sent 111 ms behind a stop of 1 s was given 241 ms when none were left).

Change: LookTimes keeps the beginning of a wait that lasted too long until the next look, which does not wait. StandstillTest stops a real process for 0.3, 1 and 3 s, and slows one to a tenth for 5 s, under clients that send each 10 ms: each request ends within its time and 0.5 s, or 0.5 s behind the standstill if it was over by then; no attempt is told over 0.15 s more than its client has left; nothing goes out behind an answer or twice; a second later 9 in 10 are served again.

--- a/src/main/java/gullspar/proxy/io/LookTimes.java
+++ b/src/main/java/gullspar/proxy/io/LookTimes.java
@@ -12,36 +12,46 @@
     static final long OVERSLEPT_NS = 20_000_000L;
 
     private boolean first = true;
-    private long lastLook;
+    private boolean overslept;
+    private long ended;
+    private long seenUntil;
     private long readableSince;
 
     /**
-     * A look has ended. One that may wait has to follow one that may not and found nothing, where the work
-     * before it took {@link #SHORT_NS} or more: else data that came during that work seem to have just come.
+     * A look has ended. One that may wait has to follow one that may not and found nothing, wherever
+     * {@link #unsure} says so: else data that came before it seem to have just come.
      *
      * @param began when it began
-     * @param ended when it ended
+     * @param now when it ended
      * @param allowedNs for how long it was allowed to wait for data; 0 if it was not
      * @return how long the thread stood still during the look, 0 if it did not
      */
-    long looked(long began, long ended, long allowedNs) {
-        long waited = ended - began;
-        boolean overslept = waited > allowedNs + OVERSLEPT_NS;
-        if (overslept) {
-            readableSince = began;
-        } else if (allowedNs == 0) {
-            readableSince = first ? began : lastLook;
-        } else {
-            readableSince = ended; // it slept until the data woke it
-        }
+    long looked(long began, long now, long allowedNs) {
+        long waited = now - began;
+        overslept = waited > allowedNs + OVERSLEPT_NS;
+        long before = first ? began : seenUntil;
+        // A wait that ends in time was ended by the data, or by a timer.
+        readableSince = allowedNs == 0 ? before : overslept ? began : now;
+        // Where the thread stood still, the wait may have ended by its time and not have looked again.
+        seenUntil = overslept ? Math.min(began, readableSince) : now;
+        ended = now;
         first = false;
-        lastLook = ended;
         return overslept ? waited - allowedNs : 0;
     }
 
-    /** When the last look ended. */
-    long lastLook() {
-        return lastLook;
+    /** For how long the loop has worked since its last look, at that time. */
+    long worked(long now) {
+        return first ? 0 : now - ended;
+    }
+
+    /** May data have come, at that time, that did not end a wait? */
+    boolean unsure(long now) {
+        return overslept || worked(now) >= SHORT_NS;
+    }
+
+    /** What is read outside of a look's findings came after that. */
+    long seenUntil() {
+        return seenUntil;
     }
 
     /** No data that the last look found was readable before. */
--- a/src/main/java/gullspar/proxy/io/OrderedNioHandler.java
+++ b/src/main/java/gullspar/proxy/io/OrderedNioHandler.java
@@ -62,17 +62,18 @@
 
     /** How long what is read now may have waited, in ns. */
     long unreadNs() {
-        long since = serving == null ? times.lastLook() : serving.readableSince;
+        long since = serving == null ? times.seenUntil() : serving.readableSince;
         return Math.max(0, clock.getAsLong() - since);
     }
 
     @Override
     public int run(IoHandlerContext of) {
         turn++;
-        long worked = turn == 1 ? 0 : clock.getAsLong() - times.lastLook();
+        long now = clock.getAsLong();
+        long worked = times.worked(now);
         int ready = 0;
         long overslept = 0;
-        if (worked >= LookTimes.SHORT_NS) {
+        if (times.unsure(now)) {
             overslept = look(of, false);
             ready = ready();
         }
--- /dev/null
+++ b/src/test/java/gullspar/proxy/StandstillTest.java
@@ -0,0 +1,301 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A process that loses its processor under load, by SIGSTOP: what it then finds in its sockets is older than
+ * the moment in which it reads that. Clients go on sending at a fixed rate, whatever becomes of the answers.
+ */
+@Timeout(120)
+class StandstillTest {
+    /** The deadline of each request; longer than the slack, else a late answer could not be told. */
+    private static final long TIMEOUT_NS = 900_000_000L;
+    /** An answer may come so much behind its time (the protocol). */
+    private static final long SLACK_NS = 500_000_000L;
+    /** An attempt may tell so much more than its client has left. */
+    private static final long TOLD_SLACK_NS = 150_000_000L;
+    private static final long BACK_NS = 1_000_000_000L;
+    private static final long EVERY_MS = 10;
+    private static final double SERVED = 0.9;
+
+    @TempDir
+    Path folder;
+    private final Map<String, Sent> sent = new ConcurrentHashMap<>();
+    private final AtomicInteger ids = new AtomicInteger();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
+    private Backend backend;
+    private Peer discovery;
+    private Process process;
+    private InetSocketAddress door;
+    /** Requests ask for what the backend never answers. */
+    private volatile boolean hanging;
+
+    /** One request as its client sees it, and its attempts as the backend sees them. */
+    private static final class Sent {
+        final long at = System.nanoTime();
+        final boolean hangs;
+        final List<Attempt> attempts = new ArrayList<>();
+        volatile long endedAt;
+        volatile String status = "";
+
+        Sent(boolean hangs) {
+            this.hangs = hangs;
+        }
+
+        synchronized void attempt(Attempt a) {
+            attempts.add(a);
+        }
+
+        synchronized List<Attempt> attempts() {
+            return List.copyOf(attempts);
+        }
+    }
+
+    private record Attempt(long at, long toldNs) { }
+
+    /** Answers each request but those that are to hang, and notes them all. */
+    private final class Backend implements AutoCloseable {
+        final ServerSocket server = new ServerSocket(0, 200, InetAddress.getLoopbackAddress());
+
+        Backend() throws IOException {
+            threads.execute(() -> {
+                try {
+                    while (true) {
+                        Peer.Wire wire = new Peer.Wire(server.accept());
+                        threads.execute(() -> serve(wire));
+                    }
+                } catch (IOException e) {
+                    // closed: the test is over
+                }
+            });
+        }
+
+        private void serve(Peer.Wire wire) {
+            try (wire) {
+                for (String r = wire.read(); !r.isEmpty(); r = wire.read()) {
+                    Sent request = sent.get(header(r, "request-id"));
+                    request.attempt(new Attempt(System.nanoTime(),
+                            (long) (Double.parseDouble(header(r, "request-timeout")) * 1e9)));
+                    if (!r.contains("/hang")) {
+                        wire.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    }
+                }
+            } catch (IOException e) {
+                // the proxy has given it up
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    private static String header(String message, String name) {
+        return message.lines().filter(l -> l.toLowerCase(Locale.ROOT).startsWith(name + ":"))
+                .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse("");
+    }
+
+    @BeforeEach
+    void start() throws Exception {
+        backend = new Backend();
+        discovery = new Peer();
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            door = (InetSocketAddress) s.getLocalSocketAddress();
+        }
+        String address = "127.0.0.1:" + backend.server.getLocalPort();
+        String config = Setup.json(discovery.hostPort(), address, 1024, 5000).toString()
+                .replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + door.getPort() + "\"");
+        Path file = Files.writeString(folder.resolve("config.json"), config);
+        ProcessBuilder java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+                .toString(), "-Xlog:disable", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
+                System.getProperty("java.class.path"), "gullspar.Main", "serve");
+        java.environment().putAll(Map.of("NODE_CONFIG", file.toString(), "NODE_DISCOVERY",
+                discovery.hostPort()));
+        process = java.redirectErrorStream(true).start();
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        String list = "{\"generation\":42,\"reset\":true,\"instances\":[{\"instanceId\":\"s-1\",\"hostPort\":\""
+                + address + "\",\"zone\":\"a\",\"machineType\":\"m1\",\"cell\":3,\"lifecycle\":\"in_service\","
+                + "\"weight\":1.0,\"startedAtMs\":0}]}\n";
+        watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(
+                list.length()) + "\r\n" + list + "\r\n");
+        BufferedReader log = process.inputReader();
+        String line = log.readLine();
+        while (line != null && !line.endsWith("ready")) {
+            line = log.readLine();
+        }
+        assertTrue(line != null, "the process ended before it was ready");
+        threads.execute(() -> log.lines().forEach(l -> { }));
+        clock.scheduleAtFixedRate(() -> watch(watch), 500, 500, TimeUnit.MILLISECONDS);
+    }
+
+    /** A beat, so that the watch is not taken for silent. */
+    private static void watch(Peer.Wire watch) {
+        try {
+            watch.write("1\r\n\n\r\n");
+        } catch (IOException e) {
+            // the process has ended
+        }
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        clock.shutdownNow();
+        process.destroyForcibly().waitFor();
+        backend.close();
+        discovery.close();
+        threads.shutdownNow();
+    }
+
+    private void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start()
+                .waitFor());
+    }
+
+    /** Sends a request now, on a connection of its own; safe ones and, each third, one that is not. */
+    private void send() {
+        String id = "r" + ids.incrementAndGet();
+        Sent request = new Sent(hanging);
+        sent.put(id, request);
+        String method = ids.get() % 3 == 0 ? "POST /pay" : "GET /look";
+        threads.execute(() -> {
+            try (Peer.Wire wire = Peer.Wire.to(door)) {
+                wire.write(method + (request.hangs ? "/hang" : "/1") + " HTTP/1.1\r\nHost: a\r\nRequest-Id: "
+                        + id + "\r\nRequest-Timeout: 0.9\r\n" + (method.startsWith("POST")
+                        ? "Content-Length: 0\r\n" : "") + "\r\n");
+                String answer = wire.read();
+                request.status = answer.length() < 12 ? "closed" : answer.substring(9, 12);
+            } catch (IOException e) {
+                request.status = "closed: " + e;
+            }
+            request.endedAt = System.nanoTime();
+        });
+    }
+
+    private void load(long ms) throws Exception {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        var sending = clock.scheduleAtFixedRate(this::send, 0, EVERY_MS, TimeUnit.MILLISECONDS);
+        TimeUnit.NANOSECONDS.sleep(until - System.nanoTime());
+        sending.cancel(false);
+    }
+
+    /** Every request has ended, well or not. */
+    private void allEnded() throws Exception {
+        threads.shutdown();
+        for (Sent s : sent.values()) {
+            while (s.endedAt == 0) {
+                TimeUnit.MILLISECONDS.sleep(EVERY_MS);
+            }
+        }
+    }
+
+    /** Since that moment each request has to end in its time, those unread at that end excepted till then. */
+    private void inTime(long from, long resumed) {
+        for (Map.Entry<String, Sent> e : sent.entrySet()) {
+            Sent s = e.getValue();
+            String what = e.getKey() + ", sent " + ms(s.at - from) + " ms behind the stop, ended " + s.status
+                    + " after " + ms(s.endedAt - s.at) + " ms: ";
+            assertTrue(s.status.matches("200|503|502|504"), what + "no answer");
+            assertTrue(s.attempts().size() <= 1, what + "sent on twice");
+            s.attempts().forEach(a -> assertTrue(a.at() <= s.endedAt, what + "sent on behind its answer"));
+            if (s.at >= from) {
+                assertTrue(s.endedAt <= Math.max(s.at + TIMEOUT_NS, resumed) + SLACK_NS, what + "late");
+                s.attempts().forEach(a -> toldTheTruth(s, a, what));
+            }
+        }
+    }
+
+    private static void toldTheTruth(Sent s, Attempt a, String what) {
+        long left = s.at + TIMEOUT_NS - a.at();
+        assertTrue(a.toldNs() <= left + TOLD_SLACK_NS, what + "its attempt was given " + ms(a.toldNs())
+                + " ms, when " + ms(left) + " were left");
+    }
+
+    private void servedFrom(long time) {
+        List<Sent> later = sent.values().stream().filter(s -> s.at > time).toList();
+        long served = later.stream().filter(s -> s.status.equals("200")).count();
+        assertTrue(served >= SERVED * later.size(), "a second behind the standstill " + served + " of "
+                + later.size() + " were served");
+    }
+
+    private static long ms(long ns) {
+        return TimeUnit.NANOSECONDS.toMillis(ns);
+    }
+
+    private long standStill(long ms) throws Exception {
+        signal("STOP");
+        load(ms);
+        long resumed = System.nanoTime();
+        signal("CONT");
+        return resumed;
+    }
+
+    /** The backend answers nothing of what comes then: only the proxy's own reckoning ends that in time. */
+    @ParameterizedTest
+    @ValueSource(longs = {300, 1000, 3000})
+    void whatIsReadBehindAStandstillIsDatedByItsBeginning(long standstillMs) throws Exception {
+        load(1000);
+        long stopped = System.nanoTime();
+        hanging = true;
+        long resumed = standStill(standstillMs);
+        hanging = false;
+        load(500);
+        allEnded();
+        inTime(stopped, resumed);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {300, 1000, 3000})
+    void serviceIsBackASecondBehindAStandstill(long standstillMs) throws Exception {
+        load(1000);
+        long stopped = System.nanoTime();
+        long resumed = standStill(standstillMs);
+        load(TimeUnit.NANOSECONDS.toMillis(BACK_NS) + 1000);
+        allEnded();
+        inTime(stopped, resumed);
+        servedFrom(resumed + BACK_NS);
+    }
+
+    @Test
+    void aProcessWithATenthOfItsTimeAnswersInTime() throws Exception {
+        load(1000);
+        long slowed = System.nanoTime();
+        for (int i = 0; i < 50; i++) {
+            standStill(90);
+            load(10);
+        }
+        long resumed = System.nanoTime();
+        load(TimeUnit.NANOSECONDS.toMillis(BACK_NS) + 1000);
+        allEnded();
+        inTime(slowed, slowed);
+        servedFrom(resumed + BACK_NS);
+    }
+}
--- a/src/test/java/gullspar/proxy/io/LookTimesTest.java
+++ b/src/test/java/gullspar/proxy/io/LookTimesTest.java
@@ -1,6 +1,8 @@
 package gullspar.proxy.io;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
@@ -34,13 +36,31 @@
         times.looked(0, 1, 0);
         assertEquals(949 * MS, times.looked(1 * MS, 1000 * MS, 50 * MS));
         assertEquals(1 * MS, times.readableSince());
-        assertEquals(1000 * MS, times.lastLook());
+    }
+
+    /** A wait that SIGSTOP cuts short ends with nothing, and the next look finds what came meanwhile. */
+    @Test
+    void whatIsFoundBehindAWaitThatLastedTooLongIsDatedByTheBeginningOfThatWait() {
+        times.looked(0, 1, 0);
+        times.looked(1 * MS, 1000 * MS, 50 * MS);
+        assertTrue(times.unsure(1000 * MS));
+        times.looked(1000 * MS, 1000 * MS + 5, 0);
+        assertEquals(1 * MS, times.readableSince());
+        assertFalse(times.unsure(1000 * MS + 6));
+    }
+
+    @Test
+    void afterMuchWorkALookMayNotWaitAtFirst() {
+        times.looked(0, 10 * MS, 50 * MS);
+        assertFalse(times.unsure(10 * MS + LookTimes.SHORT_NS - 1));
+        assertTrue(times.unsure(10 * MS + LookTimes.SHORT_NS));
+        assertEquals(LookTimes.SHORT_NS, times.worked(10 * MS + LookTimes.SHORT_NS));
     }
 
     @Test
     void aLookThatMayNotWaitAndTakesLongStoodStill() {
         times.looked(0, 10 * MS, 50 * MS);
         assertEquals(500 * MS, times.looked(20 * MS, 520 * MS, 0));
-        assertEquals(20 * MS, times.readableSince());
+        assertEquals(10 * MS, times.readableSince());
     }
 }
