A class archive that is not used is said at the start, and the warm-up is given longer without one

Need: an archive whose jar was copied or rebuilt is passed over by the runtime; its own warning goes to standard output. A start is slower then, and the warm-up's 2 s end before the code is warm.

Without the archive the warm-up may take 3.5 s; it runs over the handler that serves.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -5,6 +5,7 @@
 import gullspar.proxy.config.ConfigException;
 import gullspar.proxy.io.FileChanges;
 import gullspar.proxy.io.Inherited;
+import gullspar.proxy.io.ClassArchive;
 import gullspar.proxy.io.LibraryLog;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
@@ -29,6 +30,8 @@
      */
     private static final int WARM_REQUESTS = 300;
     private static final long WARM_MS = 2000;
+    /** The same where classes are loaded one by one: more of it is loading, and less is left for the code. */
+    private static final long WARM_UNARCHIVED_MS = 3500;
 
     private static final Log LOG = Log.standardError();
 
@@ -65,6 +68,11 @@
         EventLoop loop = serving.loop();
         LibraryLog.install();
         LOG.say("starting");
+        ClassArchive archive = ClassArchive.ofThisProcess();
+        if (archive == ClassArchive.UNUSED) {
+            LOG.say("the class archive is not used, it was made for another build or runtime: build again; "
+                    + "until then starts take longer");
+        }
         Config config = reloads.first();
         Platform platform = config.inherited()
                 ? Platform.of(serving, Inherited.transport(loop), LOG) : Platform.of(serving);
@@ -79,7 +87,7 @@
                 loop.execute(() -> port.with(beside));
             }
         }
-        warm(config, factory); // meanwhile discovery may answer
+        warm(config, factory, archive); // meanwhile discovery may answer
         if (!ending.from(beside == null ? () -> proxy.drain().join() : together(proxy, beside, loop))) {
             loop.terminationFuture().awaitUninterruptibly(); // told to end: it does not open
         }
@@ -153,13 +161,13 @@
     public static void warm(Map<String, String> environment, Balancer.Factory factory)
             throws ConfigException, IOException {
         Config config = Config.read(environment);
-        warm(config, factory);
+        warm(config, factory, ClassArchive.NONE);
         // The classes of both ways are recorded: which one the platform leaves is not known here.
         Warmup.within(config, factory, WARM_REQUESTS, WARM_MS);
         Proxy.start(config, Platform.of(ServingLoop.start()), factory).drain().join();
     }
 
-    private static void warm(Config config, Balancer.Factory factory) {
+    private static void warm(Config config, Balancer.Factory factory, ClassArchive archive) {
         if (config.operator() != null) {
             OperatorPort.rehearse(new OperatorPort.Subject() {
                 @Override
@@ -169,11 +177,12 @@
 
                 @Override
                 public String figures() {
-                    return new Report(config.classes(), new Figures(), 0, 0, 0, 0).json();
+                    return new Report(config.classes(), new Figures(), 0, 0, 0, 0, null).json();
                 }
             });
         }
-        LOG.say("served " + Warmup.run(config, factory, WARM_REQUESTS, WARM_MS) + " requests to warm up");
+        long limitMs = archive == ClassArchive.UNUSED ? WARM_UNARCHIVED_MS : WARM_MS;
+        LOG.say("served " + Warmup.run(config, factory, WARM_REQUESTS, limitMs) + " requests to warm up");
     }
 
     /** Listens for operators, where the platform says so; null where it does not. */
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -231,7 +231,7 @@
     @Override
     public String figures() {
         return new Report(classes.names(), figures, backends.written(), exchanges.open(), backends.listed(),
-                module.avoided()).json();
+                module.avoided(), platform.figures()).json();
     }
 
     /** What it has done so far, for whoever runs beside it. On the loop. */
--- a/src/main/java/gullspar/proxy/Warmup.java
+++ b/src/main/java/gullspar/proxy/Warmup.java
@@ -12,6 +12,7 @@
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
+import gullspar.proxy.io.ServingLoop;
 import gullspar.proxy.io.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -30,7 +31,6 @@
 import io.netty.channel.local.LocalChannel;
 import io.netty.channel.local.LocalIoHandler;
 import io.netty.channel.local.LocalServerChannel;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioDomainSocketChannel;
 import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
 import java.io.IOException;
@@ -86,7 +86,7 @@
     private record Means(IoHandlerFactory io, Class<? extends Channel> client,
             Class<? extends ServerChannel> server, SocketAddress door, SocketAddress behind) {
         static Means files(Path folder) {
-            return new Means(NioIoHandler.newFactory(), NioDomainSocketChannel.class,
+            return new Means(ServingLoop.handlers(), NioDomainSocketChannel.class,
                     NioServerDomainSocketChannel.class, UnixDomainSocketAddress.of(folder.resolve("door")),
                     UnixDomainSocketAddress.of(folder.resolve("behind")));
         }
--- a/src/main/java/gullspar/proxy/operator/Report.java
+++ b/src/main/java/gullspar/proxy/operator/Report.java
@@ -2,18 +2,22 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import gullspar.proxy.io.ClassArchive;
+import gullspar.proxy.io.LoopFigures;
 import java.io.IOException;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.IntToLongFunction;
 
 /**
  * The figures at one moment. written: attempts whose last byte went to a backend; pending: requests taken and
- * not yet ended; members and unavailable: backends in the list, and those of them that get nothing new.
+ * not yet ended; members and unavailable: backends in the list, and those of them that get nothing new; loop:
+ * what the event loop has done, null where nobody counts.
  */
 public record Report(List<String> classes, Figures figures, long written, int pending, int members,
-        int unavailable) {
+        int unavailable, LoopFigures loop) {
     private static final JsonFactory JSON = new JsonFactory();
 
     /** As JSON, one object. Written field by field: a mapper costs a small proxy half a second to load. */
@@ -30,6 +34,11 @@
             to.writeNumberField("members_unavailable", unavailable);
             to.writeNumberField("config_reloads", figures.reloads());
             to.writeNumberField("config_reload_errors", figures.reloadErrors());
+            to.writeStringField("class_archive",
+                    ClassArchive.ofThisProcess().name().toLowerCase(Locale.ROOT));
+            if (loop != null) {
+                loop(to);
+            }
             to.writeEndObject();
         } catch (IOException e) {
             throw new UncheckedIOException(e); // a string does not fail
@@ -37,6 +46,17 @@
         return text.toString();
     }
 
+    private void loop(JsonGenerator to) throws IOException {
+        to.writeObjectFieldStart("loop");
+        to.writeNumberField("turns", loop.turns());
+        to.writeNumberField("empty_turns", loop.emptyTurns());
+        to.writeNumberField("served", loop.served());
+        to.writeNumberField("postponed", loop.postponed());
+        to.writeNumberField("standstills", loop.standstills());
+        to.writeNumberField("longest_standstill_ms", loop.longestStandstillNs() / 1_000_000);
+        to.writeEndObject();
+    }
+
     private void byClass(JsonGenerator to, String name, IntToLongFunction count) throws IOException {
         to.writeObjectFieldStart(name);
         for (int i = 0; i < classes.size(); i++) {
--- a/src/test/java/gullspar/proxy/StandstillTest.java
+++ b/src/test/java/gullspar/proxy/StandstillTest.java
@@ -142,9 +142,9 @@
         process = java.redirectErrorStream(true).start();
         Peer.Wire watch = discovery.accept();
         watch.read();
-        String list = "{\"generation\":42,\"reset\":true,\"instances\":[{\"instanceId\":\"s-1\",\"hostPort\":\""
-                + address + "\",\"zone\":\"a\",\"machineType\":\"m1\",\"cell\":3,\"lifecycle\":\"in_service\","
-                + "\"weight\":1.0,\"startedAtMs\":0}]}\n";
+        String list = "{\"generation\":42,\"reset\":true,\"instances\":[{\"instanceId\":\"s-1\","
+                + "\"hostPort\":\"" + address + "\",\"zone\":\"a\",\"machineType\":\"m1\",\"cell\":3,"
+                + "\"lifecycle\":\"in_service\",\"weight\":1.0,\"startedAtMs\":0}]}\n";
         watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(
                 list.length()) + "\r\n" + list + "\r\n");
         BufferedReader log = process.inputReader();
@@ -185,12 +185,13 @@
         String id = "r" + ids.incrementAndGet();
         Sent request = new Sent(hanging);
         sent.put(id, request);
-        String method = ids.get() % 3 == 0 ? "POST /pay" : "GET /look";
+        boolean unsafe = ids.get() % 3 == 0;
+        String line = (unsafe ? "POST /pay" : "GET /look") + (request.hangs ? "/hang" : "/1");
+        String length = unsafe ? "Content-Length: 0\r\n" : "";
         threads.execute(() -> {
             try (Peer.Wire wire = Peer.Wire.to(door)) {
-                wire.write(method + (request.hangs ? "/hang" : "/1") + " HTTP/1.1\r\nHost: a\r\nRequest-Id: "
-                        + id + "\r\nRequest-Timeout: 0.9\r\n" + (method.startsWith("POST")
-                        ? "Content-Length: 0\r\n" : "") + "\r\n");
+                wire.write(line + " HTTP/1.1\r\nHost: a\r\nRequest-Id: " + id
+                        + "\r\nRequest-Timeout: 0.9\r\n" + length + "\r\n");
                 String answer = wire.read();
                 request.status = answer.length() < 12 ? "closed" : answer.substring(9, 12);
             } catch (IOException e) {
