--- a/src/main/java/gullspar/Main.java
+++ b/src/main/java/gullspar/Main.java
@@ -8,7 +8,7 @@
  * the tool, whose library a start in service must not pay for.
  */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         System.exit(run(args));
--- a/src/main/java/gullspar/cli/Direct.java
+++ b/src/main/java/gullspar/cli/Direct.java
@@ -16,24 +16,28 @@
 
 /** The commands that a platform starts. They load nothing that they do not run on, and return exit codes. */
 public final class Direct {
-    private Direct() { }
+    private Direct() {}
 
     /** One real proxy, by the environment; returns only if it cannot go on. */
     public static int serve() {
-        return daemon(() -> Daemon.run(System.getenv(), Policy::new,
-                (file, name, platform, load) -> Membership.start(file, OperatorsFile::read, name,
-                        platform,
-                        load)));
+        return daemon(() -> Daemon.run(
+                System.getenv(),
+                Policy::new,
+                (file, name, platform, load) -> Membership.start(file, OperatorsFile::read, name, platform, load)));
     }
 
     /** One proxy for plain HTTP, by an operator's file; returns only if it cannot go on. */
     static int serve(Path config) {
         quicker();
         try {
-            return SiteDaemon.run(config, () -> Written.read(config, SiteReader::read), Policy::new,
-                    (file, name, platform, load) -> Membership.start(file, f ->
-                            SiteReader.read(f).operators(), name,
-                            platform, load)) ? 1 : 2;
+            return SiteDaemon.run(
+                            config,
+                            () -> Written.read(config, SiteReader::read),
+                            Policy::new,
+                            (file, name, platform, load) -> Membership.start(
+                                    file, f -> SiteReader.read(f).operators(), name, platform, load))
+                    ? 1
+                    : 2;
         } catch (IOException e) {
             return failed(e.getMessage());
         }
--- a/src/main/java/gullspar/cli/FleetView.java
+++ b/src/main/java/gullspar/cli/FleetView.java
@@ -21,12 +21,21 @@
 import picocli.CommandLine.Spec;
 
 /** The fleet as one of its members sees it. */
-@Command(name = "fleet", mixinStandardHelpOptions = true, description = {
-    "Prints who is there as one member sees it, by its operators' address (docs/fleet.md).",
-    "A line each: name, status and for how long, phase, version, how old its word is, who disagrees."},
-        subcommands = FleetView.NewKey.class, exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:it answered, and is not cut off", "1:it did not answer",
-            "2:wrong usage", "3:it answered, and says that it is cut off"})
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Prints who is there as one member sees it, by its operators' address (docs/fleet.md).",
+            "A line each: name, status and for how long, phase, version, how old its word is, who disagrees."
+        },
+        subcommands = FleetView.NewKey.class,
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {
+            "0:it answered, and is not cut off",
+            "1:it did not answer",
+            "2:wrong usage",
+            "3:it answered, and says that it is cut off"
+        })
 final class FleetView implements Callable<Integer> {
     private static final Duration PATIENCE = Duration.ofSeconds(5);
     private static final int CUT_OFF = 3;
@@ -34,7 +43,10 @@
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--at", paramLabel = "HOST:PORT", defaultValue = "127.0.0.1:9901",
+    @Option(
+            names = "--at",
+            paramLabel = "HOST:PORT",
+            defaultValue = "127.0.0.1:9901",
             description = "The operators' address of a member (${DEFAULT-VALUE}).")
     private String at;
 
@@ -44,7 +56,8 @@
     @Option(names = "--watch", description = "Asks again every second, until Ctrl-C.")
     private boolean watch;
 
-    private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
+    private final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(PATIENCE).build();
 
     @Override
     public Integer call() throws InterruptedException {
@@ -68,8 +81,8 @@
 
     private int look(URI uri) throws InterruptedException {
         try {
-            HttpResponse<String> r = client.send(HttpRequest.newBuilder(uri).timeout(PATIENCE).build(),
-                    HttpResponse.BodyHandlers.ofString());
+            HttpResponse<String> r = client.send(
+                    HttpRequest.newBuilder(uri).timeout(PATIENCE).build(), HttpResponse.BodyHandlers.ofString());
             if (r.statusCode() != 200) {
                 System.err.println(at + " answers " + r.statusCode()
                         + (r.statusCode() == 404 ? ": it takes part in no fleet" : ""));
@@ -91,21 +104,37 @@
     /** For people. */
     static List<String> lines(JsonNode view) {
         List<String> lines = new ArrayList<>();
-        lines.add(String.format(Locale.ROOT, "%s sees %d of %d%s%s%s", view.path("name").asText(),
-                view.path("seen").asInt(), view.path("known").asInt(),
+        lines.add(String.format(
+                Locale.ROOT,
+                "%s sees %d of %d%s%s%s",
+                view.path("name").asText(),
+                view.path("seen").asInt(),
+                view.path("known").asInt(),
                 view.path("cut_off").asBoolean() ? ", CUT OFF from most: unknown is not gone" : "",
                 view.path("settled").asBoolean() ? ", settled" : ", not settled",
-                view.path("health").asInt() > 0 ? ", hears badly (" + view.path("health").asInt() + ")"
+                view.path("health").asInt() > 0
+                        ? ", hears badly (" + view.path("health").asInt() + ")"
                         : ""));
-        lines.add(String.format(Locale.ROOT, "  %-16s %-9s %8s %-9s %-12s %-8s %8s %7s  %s", "name", "status",
-                "for", "phase", "version", "zone", "told", "req/s", ""));
+        lines.add(String.format(
+                Locale.ROOT,
+                "  %-16s %-9s %8s %-9s %-12s %-8s %8s %7s  %s",
+                "name",
+                "status",
+                "for",
+                "phase",
+                "version",
+                "zone",
+                "told",
+                "req/s",
+                ""));
         for (JsonNode m : view.path("members")) {
             List<String> notes = new ArrayList<>();
             if (m.path("self").asBoolean()) {
                 notes.add("this one");
             }
             if (m.path("twin").asBoolean()) {
-                notes.add("TWIN: two processes live under this name, life " + m.path("life").asText());
+                notes.add("TWIN: two processes live under this name, life "
+                        + m.path("life").asText());
             }
             if (m.has("why")) {
                 String why = m.path("why").asText();
@@ -117,23 +146,35 @@
             if (!m.path("agrees").asBoolean(true) && !m.path("status").asText().equals("gone")) {
                 notes.add("sees others");
             }
-            lines.add(String.format(Locale.ROOT, "  %-16s %-9s %8s %-9s %-12s %-8s %8s %7.1f  %s",
-                    m.path("name").asText(), m.path("status").asText(), time(m.path("since_s").asDouble()),
-                    m.path("phase").asText(), m.path("version").asText(), m.path("zone").asText(),
-                    time(m.path("told_s").asDouble()), m.path("requests_per_s").asDouble(),
-                    String.join("; ", notes)).stripTrailing());
+            lines.add(String.format(
+                            Locale.ROOT,
+                            "  %-16s %-9s %8s %-9s %-12s %-8s %8s %7.1f  %s",
+                            m.path("name").asText(),
+                            m.path("status").asText(),
+                            time(m.path("since_s").asDouble()),
+                            m.path("phase").asText(),
+                            m.path("version").asText(),
+                            m.path("zone").asText(),
+                            time(m.path("told_s").asDouble()),
+                            m.path("requests_per_s").asDouble(),
+                            String.join("; ", notes))
+                    .stripTrailing());
         }
         return lines;
     }
 
     private static String time(double s) {
-        return s < 120 ? String.format(Locale.ROOT, "%.0fs", s)
-                : s < 7200 ? String.format(Locale.ROOT, "%.0fm", s / 60)
-                : String.format(Locale.ROOT, "%.0fh", s / 3600);
+        return s < 120
+                ? String.format(Locale.ROOT, "%.0fs", s)
+                : s < 7200
+                        ? String.format(Locale.ROOT, "%.0fm", s / 60)
+                        : String.format(Locale.ROOT, "%.0fh", s / 3600);
     }
 
     /** A key for a fleet. */
-    @Command(name = "new-key", mixinStandardHelpOptions = true,
+    @Command(
+            name = "new-key",
+            mixinStandardHelpOptions = true,
             description = "Prints a new key for a key file: 32 random bytes, in hexadecimal.")
     static final class NewKey implements Callable<Integer> {
         private static final int BYTES = 32;
--- a/src/main/java/gullspar/cli/Import.java
+++ b/src/main/java/gullspar/cli/Import.java
@@ -26,7 +26,9 @@
 import picocli.CommandLine.Spec;
 
 /** Makes configurations of those of other proxies. */
-@Command(name = "import", mixinStandardHelpOptions = true,
+@Command(
+        name = "import",
+        mixinStandardHelpOptions = true,
         description = "Makes an operator's file of another proxy's configuration.",
         subcommands = Import.Nginx.class)
 final class Import implements Runnable {
@@ -39,16 +41,24 @@
     }
 
     /** From nginx. */
-    @Command(name = "nginx", mixinStandardHelpOptions = true,
+    @Command(
+            name = "nginx",
+            mixinStandardHelpOptions = true,
             description = "Reads nginx's files with all that they include, and writes routes and pools "
                     + "(docs/import-nginx.md).",
             exitCodeListHeading = "%nExit codes:%n",
-            exitCodeList = {"0:all is translated or without effect here, or --partial",
-                "1:what came out cannot be written or read", "2:wrong usage, or files with errors",
-                "3:something cannot be translated: nothing is written"})
+            exitCodeList = {
+                "0:all is translated or without effect here, or --partial",
+                "1:what came out cannot be written or read",
+                "2:wrong usage, or files with errors",
+                "3:something cannot be translated: nothing is written"
+            })
     static final class Nginx implements Callable<Integer> {
         /** How the report is written. */
-        enum Form { text, json }
+        enum Form {
+            text,
+            json
+        }
 
         @Parameters(arity = "1..*", paramLabel = "FILE", description = "The main file, or several.")
         private List<Path> files;
@@ -56,14 +66,19 @@
         @Option(names = "-o", paramLabel = "OUT", description = "Writes there, not to standard output.")
         private Path out;
 
-        @Option(names = "--report", paramLabel = "FORM", description = "text, on standard error: what could "
-                + "not be translated and all remarks; json: every directive, on standard output with -o.")
+        @Option(
+                names = "--report",
+                paramLabel = "FORM",
+                description = "text, on standard error: what could "
+                        + "not be translated and all remarks; json: every directive, on standard output with -o.")
         private Form form = Form.text;
 
         @Option(names = "--partial", description = "Writes what could be translated all the same.")
         private boolean partial;
 
-        @Option(names = "--host", paramLabel = "NAME=ADDRESS",
+        @Option(
+                names = "--host",
+                paramLabel = "NAME=ADDRESS",
                 description = "The IP address of a name in the files; may come again.")
         private Map<String, String> hosts = new LinkedHashMap<>();
 
--- a/src/main/java/gullspar/cli/Rehearse.java
+++ b/src/main/java/gullspar/cli/Rehearse.java
@@ -32,13 +32,19 @@
 import picocli.CommandLine.Spec;
 
 /** Plays a day. */
-@Command(name = "rehearse", mixinStandardHelpOptions = true, description = {
-    "Plays a day by a script: in virtual time, the same every time for one script and seed.",
-    "Scripts are described in docs/rehearsal.md; examples are in examples/rehearsals."},
+@Command(
+        name = "rehearse",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays a day by a script: in virtual time, the same every time for one script and seed.",
+            "Scripts are described in docs/rehearsal.md; examples are in examples/rehearsals."
+        },
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:all rules kept, all expectations met",
-                "1:a rule was broken, or the day could not be played",
-            "2:wrong usage, or a script with errors (nothing is played)"},
+        exitCodeList = {
+            "0:all rules kept, all expectations met",
+            "1:a rule was broken, or the day could not be played",
+            "2:wrong usage, or a script with errors (nothing is played)"
+        },
         subcommands = {SearchDays.class, Rehearse.Diff.class, Rehearse.Faults.class})
 final class Rehearse implements Callable<Integer> {
     static final int BROKEN = 1;
@@ -50,8 +56,7 @@
     @Parameters(arity = "0..1", paramLabel = "SCRIPT", description = "The script to play.")
     private Path script;
 
-    @Option(names = "--seed", paramLabel = "N", description =
-            "Plays it with this seed, not with the script's.")
+    @Option(names = "--seed", paramLabel = "N", description = "Plays it with this seed, not with the script's.")
     private Integer seed;
 
     @Option(names = "--log", paramLabel = "FILE", description = "Writes the decision log there.")
@@ -60,8 +65,7 @@
     @Option(names = "--live", description = "Plays it in real time, with real daemon processes on loopback.")
     private boolean live;
 
-    @Option(names = "--report", paramLabel = "FILE", description =
-            "Writes a page there, for people to look at.")
+    @Option(names = "--report", paramLabel = "FILE", description = "Writes a page there, for people to look at.")
     private Path report;
 
     @Option(names = "--json", description = "Prints the result as JSON, for machines.")
@@ -80,8 +84,7 @@
         for (Path p : Stream.of(log, report).filter(Objects::nonNull).toList()) {
             // Said before a day is played, not after.
             if (!Files.isDirectory(p.toAbsolutePath().getParent()) || Files.isDirectory(p)) {
-                throw new ParameterException(spec.commandLine(), p
-                        + " cannot be written: no such folder, or one");
+                throw new ParameterException(spec.commandLine(), p + " cannot be written: no such folder, or one");
             }
         }
         Terminal terminal = new Terminal();
@@ -122,38 +125,51 @@
 
     private int broken(Played p) {
         Broken first = p.verdict().broken().get(0);
-        System.err.println("BROKEN: " + first.rule().words() + (p.verdict().broken().size() > 1
-                ? " (and " + (p.verdict().broken().size() - 1) + " more)" : ""));
-        System.err.printf(Locale.ROOT, "at %.6f s: %s%n", (first.at() - p.chronicle().start()) / 1e9,
-                first.what());
+        System.err.println("BROKEN: " + first.rule().words()
+                + (p.verdict().broken().size() > 1
+                        ? " (and " + (p.verdict().broken().size() - 1) + " more)"
+                        : ""));
+        System.err.printf(
+                Locale.ROOT, "at %.6f s: %s%n", (first.at() - p.chronicle().start()) / 1e9, first.what());
         if (first.request() != null) {
             Story.of(first.request(), p.chronicle()).forEach(line -> System.err.println("  " + line));
         }
-        System.err.println("play it again: ./gullspar rehearse " + script + " --seed " + p.script().seed()
-                + (live ? " --live" : ""));
+        System.err.println("play it again: ./gullspar rehearse " + script + " --seed "
+                + p.script().seed() + (live ? " --live" : ""));
         return BROKEN;
     }
 
     private static List<String> table(Played p) {
         Verdict v = p.verdict();
         return List.of(
-                String.format(Locale.ROOT, "%s, seed %d: %d orders in %.0f s, played in %.1f s", p.script()
-                        .title(),
-                        p.script().seed(), v.orders(), p.script().seconds(), p.tookNs() / 1e9),
+                String.format(
+                        Locale.ROOT,
+                        "%s, seed %d: %d orders in %.0f s, played in %.1f s",
+                        p.script().title(),
+                        p.script().seed(),
+                        v.orders(),
+                        p.script().seconds(),
+                        p.tookNs() / 1e9),
                 String.format(Locale.ROOT, "  service        %.4f of the worth asked for", v.service()),
-                String.format(Locale.ROOT, "  worst 10 s     %.4f, from %.0f s", v.worst10s(),
-                        v.worstFromNs() / 1e9),
+                String.format(Locale.ROOT, "  worst 10 s     %.4f, from %.0f s", v.worst10s(), v.worstFromNs() / 1e9),
                 String.format(Locale.ROOT, "  worst class    %.4f, %s", v.worstClass(), v.worstClassName()),
-                "  tries          " + v.counts().entrySet().stream().filter(e -> e.getValue() > 0)
-                        .map(e -> e.getValue() + " " + e.getKey()).collect(Collectors.joining(", ")),
+                "  tries          "
+                        + v.counts().entrySet().stream()
+                                .filter(e -> e.getValue() > 0)
+                                .map(e -> e.getValue() + " " + e.getKey())
+                                .collect(Collectors.joining(", ")),
                 "  ran twice      " + v.twice() + " keyed orders, by their clients' own retries",
                 "  rules          " + (v.kept() ? "all kept" : v.broken().size() + " times broken"));
     }
 
     /** Compares two decision logs. */
-    @Command(name = "diff", mixinStandardHelpOptions = true, description = {
-        "Shows the first decision in which two runs part, and what each side knew then.",
-        "Both files are decision logs, as rehearse --log writes them."},
+    @Command(
+            name = "diff",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Shows the first decision in which two runs part, and what each side knew then.",
+                "Both files are decision logs, as rehearse --log writes them."
+            },
             exitCodeListHeading = "%nExit codes:%n",
             exitCodeList = {"0:the same", "1:they part", "2:wrong usage, or a file that is no decision log"})
     static final class Diff implements Callable<Integer> {
@@ -183,16 +199,20 @@
     }
 
     /** Lists what scripts can let happen. */
-    @Command(name = "faults", mixinStandardHelpOptions = true,
+    @Command(
+            name = "faults",
+            mixinStandardHelpOptions = true,
             description = "Lists the kinds of faults with their figures, the usual values and the bounds.")
     static final class Faults implements Callable<Integer> {
         @Override
         public Integer call() {
             for (FaultKind k : FaultKind.values()) {
                 System.out.println(k.named() + "  (" + k.strikes().name().toLowerCase(Locale.ROOT)
-                        + (k.momentary() ? "" : ", for") + ")" + k.figures().stream().map(f -> String.format(
-                        Locale.ROOT, "  %s = %s (%s to %s)", f.name(), f.usual(), f.least(), f.most()))
-                        .collect(Collectors.joining()));
+                        + (k.momentary() ? "" : ", for") + ")"
+                        + k.figures().stream()
+                                .map(f -> String.format(
+                                        Locale.ROOT, "  %s = %s (%s to %s)", f.name(), f.usual(), f.least(), f.most()))
+                                .collect(Collectors.joining()));
             }
             return 0;
         }
--- a/src/main/java/gullspar/cli/Routes.java
+++ b/src/main/java/gullspar/cli/Routes.java
@@ -24,14 +24,18 @@
 
 /** The commands that look at an operator's file with no daemon. */
 final class Routes {
-    private Routes() { }
+    private Routes() {}
 
     /** Is a file right? */
-    @Command(name = "check", mixinStandardHelpOptions = true,
-            description = {"Reads a configuration of routes and pools, or an operators' file of the",
-                "platform's proxy, and says all that is wrong with it."},
-            exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:it can be used",
-                    "2:it cannot, or wrong usage"})
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Reads a configuration of routes and pools, or an operators' file of the",
+                "platform's proxy, and says all that is wrong with it."
+            },
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {"0:it can be used", "2:it cannot, or wrong usage"})
     static final class Check implements Callable<Integer> {
         @Parameters(paramLabel = "FILE", description = "The configuration (TOML, docs/routing.md).")
         private Path file;
@@ -39,17 +43,23 @@
         @Override
         public Integer call() {
             return Written.read(file, f -> {
-                String text = Files.readString(f);
-                return OperatorsFile.only(text) ? OperatorsFile.parse(text, f.toString())
-                        : SiteReader.parse(text, f.toString());
-            }) == null ? 2 : 0;
+                                String text = Files.readString(f);
+                                return OperatorsFile.only(text)
+                                        ? OperatorsFile.parse(text, f.toString())
+                                        : SiteReader.parse(text, f.toString());
+                            })
+                            == null
+                    ? 2
+                    : 0;
         }
     }
 
     /** Where would a request go? */
-    @Command(name = "route", mixinStandardHelpOptions = true,
-            description = "Says which route of a configuration a request takes, why, and what would be "
-                    + "sent where.",
+    @Command(
+            name = "route",
+            mixinStandardHelpOptions = true,
+            description =
+                    "Says which route of a configuration a request takes, why, and what would be " + "sent where.",
             exitCodeListHeading = "%nExit codes:%n",
             exitCodeList = {"0:there is a route", "1:there is none", "2:wrong usage, or a file with errors"})
     static final class Which implements Callable<Integer> {
@@ -65,8 +75,7 @@
         @Parameters(index = "2", paramLabel = "URL", description = "http://host/path?query")
         private String url;
 
-        @Option(names = "-H", paramLabel = "HEADER", description =
-                "A header, as 'Name: value'; may come again.")
+        @Option(names = "-H", paramLabel = "HEADER", description = "A header, as 'Name: value'; may come again.")
         private List<String> headers = new ArrayList<>();
 
         @Override
@@ -99,9 +108,11 @@
                     throw new ParameterException(spec.commandLine(), "'" + url + "' is not http://host/path");
                 }
                 String path = u.getPath() == null || u.getPath().isEmpty() ? "/" : u.getPath();
-                return new Request(method.toUpperCase(Locale.ROOT), u.getHost(), path, u.getRawQuery(),
-                        name -> headers.stream().filter(h -> h.regionMatches(true, 0, name + ":", 0,
-                                name.length() + 1)).map(h -> h.substring(name.length() + 1).trim()).toList());
+                return new Request(
+                        method.toUpperCase(Locale.ROOT), u.getHost(), path, u.getRawQuery(), name -> headers.stream()
+                                .filter(h -> h.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                                .map(h -> h.substring(name.length() + 1).trim())
+                                .toList());
             } catch (URISyntaxException e) {
                 throw new ParameterException(spec.commandLine(), "'" + url + "': " + e.getReason());
             }
@@ -116,34 +127,37 @@
                 return found.route().pool() == null ? "" : found.route().pool().pool();
             }
             int group = Character.digit(name.charAt(0), 10);
-            return group < 0 ? r.value(name) : group < found.groups().size() ? found.groups().get(group) : "";
+            return group < 0
+                    ? r.value(name)
+                    : group < found.groups().size() ? found.groups().get(group) : "";
         }
 
         private static void say(Router.Found found, Request r, Site site) {
             Route route = found.route();
             Template.Values values = name -> value(found, r, name);
             if (route.answer() != null) {
-                System.out.println("answer " + route.answer().status() + (route.answer().location() == null
-                        ? ""
-                        : ", Location: " + route.answer().location().fill(values)));
+                System.out.println("answer " + route.answer().status()
+                        + (route.answer().location() == null
+                                ? ""
+                                : ", Location: " + route.answer().location().fill(values)));
                 return;
             }
             Route.ToPool to = route.pool();
-            System.out.println("pool " + to.pool() + ", class " + Route.kind(to.kind(), r.method()).name()
-                    .toLowerCase(Locale.ROOT) + ", within "
+            System.out.println("pool " + to.pool() + ", class "
+                    + Route.kind(to.kind(), r.method()).name().toLowerCase(Locale.ROOT) + ", within "
                     + to.limits().deadlineNs() / 1_000_000 + " ms, at most "
                     + to.limits().attempts() + " attempts");
             System.out.println("sends " + r.method() + " " + to.rewrite().of(r.path())
                     + (r.query() == null ? "" : "?" + r.query()));
-            to.request().set().forEach((name, value) -> System.out.println("  " + name + ": " +
-                    value.fill(values)));
+            to.request().set().forEach((name, value) -> System.out.println("  " + name + ": " + value.fill(values)));
             to.request().remove().forEach(name -> System.out.println("  without " + name));
             Site.Pool pool = site.pools().get(to.pool());
             if (pool.discovery() != null) {
                 System.out.println("  servers from " + pool.discovery());
             }
-            pool.servers().forEach(s -> System.out.println("  server " + s.name() + " weight " + s.weight()
-                    + (s.backup() ? " backup" : "") + (s.down() ? " down" : "")));
+            pool.servers()
+                    .forEach(s -> System.out.println("  server " + s.name() + " weight " + s.weight()
+                            + (s.backup() ? " backup" : "") + (s.down() ? " down" : "")));
         }
     }
 }
--- a/src/main/java/gullspar/cli/SearchDays.java
+++ b/src/main/java/gullspar/cli/SearchDays.java
@@ -17,14 +17,21 @@
 import picocli.CommandLine.Spec;
 
 /** Looks for days that break a rule. */
-@Command(name = "search", mixinStandardHelpOptions = true, description = {
-    "Plays days with faults drawn at random until a rule breaks or the service falls under the script's "
-            + "bound,",
-    "cuts each such day down to the smallest that still does, and writes it as a script.",
-    "Ctrl-C ends it; the same command goes on where it stopped."},
+@Command(
+        name = "search",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Plays days with faults drawn at random until a rule breaks or the service falls under the script's "
+                    + "bound,",
+            "cuts each such day down to the smallest that still does, and writes it as a script.",
+            "Ctrl-C ends it; the same command goes on where it stopped."
+        },
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:nothing was found", "1:something was found, or it could not be searched",
-            "2:wrong usage, or a script with errors"})
+        exitCodeList = {
+            "0:nothing was found",
+            "1:something was found, or it could not be searched",
+            "2:wrong usage, or a script with errors"
+        })
 final class SearchDays implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -32,14 +39,20 @@
     @Parameters(paramLabel = "SCRIPT", description = "The fleet and, in [search], what may be drawn.")
     private Path script;
 
-    @Option(names = "--seeds", paramLabel = "N", defaultValue = "100",
+    @Option(
+            names = "--seeds",
+            paramLabel = "N",
+            defaultValue = "100",
             description = "How many days to play (${DEFAULT-VALUE}).")
     private int seeds;
 
     @Option(names = "--jobs", paramLabel = "J", description = "How many at once (the number of cores).")
     private Integer jobs;
 
-    @Option(names = "--out", paramLabel = "DIR", defaultValue = "found",
+    @Option(
+            names = "--out",
+            paramLabel = "DIR",
+            defaultValue = "found",
             description = "Where scripts and the state of the search go (${DEFAULT-VALUE}).")
     private Path out;
 
@@ -53,8 +66,8 @@
             return Rehearse.WRONG;
         }
         Terminal terminal = new Terminal();
-        Search search = new Search(s, seeds, out, VirtualPlay.Options.logged(null, Progress.NONE),
-                new Search.Listener() {
+        Search search =
+                new Search(s, seeds, out, VirtualPlay.Options.logged(null, Progress.NONE), new Search.Listener() {
                     @Override
                     public void at(int done, int found, int of) {
                         terminal.status(done + " of " + of + " days played, " + found + " found");
--- a/src/main/java/gullspar/cli/Terminal.java
+++ b/src/main/java/gullspar/cli/Terminal.java
@@ -36,8 +36,7 @@
     @Override
     public void at(double second, double of) {
         int done = (int) (30 * second / of);
-        status(String.format(Locale.ROOT, "playing [%s%s] %.0f of %.0f s", "#".repeat(done),
-                ".".repeat(30 - done),
-                second, of));
+        status(String.format(
+                Locale.ROOT, "playing [%s%s] %.0f of %.0f s", "#".repeat(done), ".".repeat(30 - done), second, of));
     }
 }
--- a/src/main/java/gullspar/cli/Tool.java
+++ b/src/main/java/gullspar/cli/Tool.java
@@ -11,20 +11,34 @@
 import picocli.CommandLine.Spec;
 
 /** The command line as people use it: help, version, completion and the commands of the kit. */
-@Command(name = "gullspar", mixinStandardHelpOptions = true, versionProvider = Tool.Version.class,
+@Command(
+        name = "gullspar",
+        mixinStandardHelpOptions = true,
+        versionProvider = Tool.Version.class,
         description = "A load-balancing proxy for HTTP/1.1, with a kit to rehearse it.",
         synopsisSubcommandLabel = "COMMAND",
         exitCodeListHeading = "%nExit codes:%n",
         exitCodeList = {"0:done", "1:it could not be done, or a rehearsal broke a rule", "2:wrong usage"},
-        subcommands = {Tool.Serve.class, Tool.Drill.class, Tool.Warm.class, Rehearse.class, TryOut.class,
-                Routes.Check.class, Routes.Which.class, Import.class, FleetView.class,
-                Versions.Control.class, Versions.Publish.class, Versions.Look.class,
-                Tool.Completion.class})
+        subcommands = {
+            Tool.Serve.class,
+            Tool.Drill.class,
+            Tool.Warm.class,
+            Rehearse.class,
+            TryOut.class,
+            Routes.Check.class,
+            Routes.Which.class,
+            Import.class,
+            FleetView.class,
+            Versions.Control.class,
+            Versions.Publish.class,
+            Versions.Look.class,
+            Tool.Completion.class
+        })
 public final class Tool implements Runnable {
     @Spec
     private CommandSpec spec;
 
-    private Tool() { }
+    private Tool() {}
 
     /** Runs a command line and returns its exit code. */
     public static int run(String[] args) {
@@ -46,19 +60,29 @@
     }
 
     /** The daemon. */
-    @Command(name = "serve", mixinStandardHelpOptions = true, description = {"Runs one proxy.",
-        "With --config it serves plain HTTP by the routes and pools of that file (docs/routing.md).",
-        "With --follow the routes and pools come from control processes (docs/versions.md).",
-        "Without, it reads the file that NODE_CONFIG names; NODE_LISTEN and NODE_DISCOVERY win over it at "
-            + "the start."},
-        exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:ended by SIGTERM, all answered", "1:it cannot start or go on",
-            "2:wrong usage, or a file with errors"})
+    @Command(
+            name = "serve",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Runs one proxy.",
+                "With --config it serves plain HTTP by the routes and pools of that file (docs/routing.md).",
+                "With --follow the routes and pools come from control processes (docs/versions.md).",
+                "Without, it reads the file that NODE_CONFIG names; NODE_LISTEN and NODE_DISCOVERY win over it at "
+                        + "the start."
+            },
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {
+                "0:ended by SIGTERM, all answered",
+                "1:it cannot start or go on",
+                "2:wrong usage, or a file with errors"
+            })
     static final class Serve implements Callable<Integer> {
         @Option(names = "--config", paramLabel = "FILE", description = "Routes and pools (TOML).")
         private Path config;
 
-        @Option(names = "--follow", paramLabel = "FILE",
+        @Option(
+                names = "--follow",
+                paramLabel = "FILE",
                 description = "Where the control processes are, and what is this process's own (TOML).")
         private Path follow;
 
@@ -79,7 +103,9 @@
     }
 
     /** The adapter to the simulator. */
-    @Command(name = "drill", mixinStandardHelpOptions = true,
+    @Command(
+            name = "drill",
+            mixinStandardHelpOptions = true,
             description = "Puts the decision module on the simulator's wire, on standard input and output.")
     static final class Drill implements Callable<Integer> {
         @Override
@@ -89,7 +115,9 @@
     }
 
     /** What the build runs to record classes. */
-    @Command(name = "warm", mixinStandardHelpOptions = true,
+    @Command(
+            name = "warm",
+            mixinStandardHelpOptions = true,
             description = "Warms a proxy up, as at every start, and ends: the build records what that loads.")
     static final class Warm implements Callable<Integer> {
         @Override
@@ -99,7 +127,9 @@
     }
 
     /** For shells. */
-    @Command(name = "completion", mixinStandardHelpOptions = true,
+    @Command(
+            name = "completion",
+            mixinStandardHelpOptions = true,
             description = "Prints a completion script for bash and zsh: source it.")
     static final class Completion implements Callable<Integer> {
         @Spec
--- a/src/main/java/gullspar/cli/TryOut.java
+++ b/src/main/java/gullspar/cli/TryOut.java
@@ -16,13 +16,21 @@
 import picocli.CommandLine.Option;
 
 /** The first thing that a new user runs. */
-@Command(name = "try", mixinStandardHelpOptions = true, description = {
-    "Starts a small fleet, discovery and one real daemon on loopback, with a little traffic, and says how "
-            + "to send",
-    "a request by hand. Needs no settings. Ctrl-C ends all of it."},
+@Command(
+        name = "try",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Starts a small fleet, discovery and one real daemon on loopback, with a little traffic, and says how "
+                    + "to send",
+            "a request by hand. Needs no settings. Ctrl-C ends all of it."
+        },
         exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:it ended by itself (--seconds)", "1:it could not be started", "2:wrong usage",
-                "130:it was ended by Ctrl-C"})
+        exitCodeList = {
+            "0:it ended by itself (--seconds)",
+            "1:it could not be started",
+            "2:wrong usage",
+            "130:it was ended by Ctrl-C"
+        })
 final class TryOut implements Callable<Integer> {
     private static final long END_S = 10;
 
@@ -36,14 +44,17 @@
         Terminal terminal = new Terminal();
         CountDownLatch end = new CountDownLatch(1);
         CountDownLatch ended = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            end.countDown();
-            try {
-                ended.await(END_S, TimeUnit.SECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "end"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            end.countDown();
+                            try {
+                                ended.await(END_S, TimeUnit.SECONDS);
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        },
+                        "end"));
         if (seconds != null) {
             CompletableFuture.delayedExecutor(seconds, TimeUnit.SECONDS).execute(end::countDown);
         }
@@ -72,18 +83,22 @@
     private void say(Terminal terminal, LivePlay.Now now) {
         if (!told) {
             told = true;
-            String at = "http://" + now.proxy().getAddress().getHostAddress() + ":" + now.proxy().getPort();
-            System.out.println("ready. A request to paste into another terminal (each needs an id of its "
-                    + "own):");
+            String at = "http://" + now.proxy().getAddress().getHostAddress() + ":"
+                    + now.proxy().getPort();
+            System.out.println("ready. A request to paste into another terminal (each needs an id of its " + "own):");
             System.out.println();
-            System.out.println("  curl -i -H \"Request-Id: $RANDOM$RANDOM\" -H 'Request-Timeout: 1' " + at
-                    + "/look/1");
+            System.out.println("  curl -i -H \"Request-Id: $RANDOM$RANDOM\" -H 'Request-Timeout: 1' " + at + "/look/1");
             System.out.println("  curl -i -H \"Request-Id: $RANDOM$RANDOM\" -H 'Request-Timeout: 1'"
                     + " -H 'Idempotency-Key: my-order-1' -d 'two bottles' " + at + "/order/1");
             System.out.println();
             System.out.println("Ctrl-C ends all of it.");
         }
-        terminal.status(String.format(Locale.ROOT, "%d nodes, %.0f orders a second, %.1f %% served in time,"
-                + " %d requests by hand", now.nodes(), now.rate(), 100 * now.inTime(), now.strangers()));
+        terminal.status(String.format(
+                Locale.ROOT,
+                "%d nodes, %.0f orders a second, %.1f %% served in time," + " %d requests by hand",
+                now.nodes(),
+                now.rate(),
+                100 * now.inTime(),
+                now.strangers()));
     }
 }
--- a/src/main/java/gullspar/cli/Versions.java
+++ b/src/main/java/gullspar/cli/Versions.java
@@ -30,7 +30,7 @@
 final class Versions {
     private static final int PATIENCE_MS = 10_000;
 
-    private Versions() { }
+    private Versions() {}
 
     private static InetSocketAddress address(CommandSpec spec, String option, String text) {
         int colon = text.lastIndexOf(':');
@@ -50,10 +50,14 @@
     }
 
     private static String line(Message.Running r) {
-        String away = r.awayMs() == 0 ? "" : String.format(Locale.ROOT, " away for %.0f s",
-                r.awayMs() / 1e3);
-        return String.format(Locale.ROOT, "  %-24s %-10s by %s%s%s", r.name(),
-                r.number() == 0 ? "nothing" : r.epoch() + "." + r.number(), r.via(), away,
+        String away = r.awayMs() == 0 ? "" : String.format(Locale.ROOT, " away for %.0f s", r.awayMs() / 1e3);
+        return String.format(
+                Locale.ROOT,
+                "  %-24s %-10s by %s%s%s",
+                r.name(),
+                r.number() == 0 ? "nothing" : r.epoch() + "." + r.number(),
+                r.via(),
+                away,
                 r.trouble().isEmpty() ? "" : "; " + r.trouble().replaceAll("\\p{Cntrl}", "?"));
     }
 
@@ -64,8 +68,13 @@
             return 2;
         }
         try {
-            return SiteDaemon.run(follow, Following.of(file), Policy::new, (f, name, platform, load) ->
-                    Membership.start(f, Versions::own, name, platform, load)) ? 1 : 2;
+            return SiteDaemon.run(
+                            follow,
+                            Following.of(file),
+                            Policy::new,
+                            (f, name, platform, load) -> Membership.start(f, Versions::own, name, platform, load))
+                    ? 1
+                    : 2;
         } catch (IOException e) {
             System.err.println("gullspar: " + why(e));
             return 1;
@@ -77,13 +86,17 @@
     }
 
     /** The daemon. */
-    @Command(name = "control", mixinStandardHelpOptions = true, description =
-        "Runs a control process: it has the routes and pools and hands each version to all proxies.",
+    @Command(
+            name = "control",
+            mixinStandardHelpOptions = true,
+            description = "Runs a control process: it has the routes and pools and hands each version to all proxies.",
             exitCodeListHeading = "%nExit codes:%n",
-            exitCodeList = {"0:ended by SIGTERM", "1:it cannot start or go on",
-                "2:wrong usage, or a file with errors"})
+            exitCodeList = {"0:ended by SIGTERM", "1:it cannot start or go on", "2:wrong usage, or a file with errors"})
     static final class Control implements Callable<Integer> {
-        @Option(names = "--config", required = true, paramLabel = "FILE",
+        @Option(
+                names = "--config",
+                required = true,
+                paramLabel = "FILE",
                 description = "What this process is (TOML, docs/versions.md).")
         private Path config;
 
@@ -105,15 +118,21 @@
     }
 
     /** A change. */
-    @Command(name = "publish", mixinStandardHelpOptions = true, description = {
-        "Makes a file of routes and pools the next version, and waits until it is in force everywhere.",
-        "To go back, publish the former text: it becomes a version of its own."},
+    @Command(
+            name = "publish",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Makes a file of routes and pools the next version, and waits until it is in force everywhere.",
+                "To go back, publish the former text: it becomes a version of its own."
+            },
             exitCodeListHeading = "%nExit codes:%n",
-            exitCodeList = {"0:in force everywhere, or that is the newest version already",
+            exitCodeList = {
+                "0:in force everywhere, or that is the newest version already",
                 "1:the primary does not answer or takes no changes; nothing is in force",
                 "2:wrong usage, or the file has errors; nothing is in force",
                 "3:another version came first; nothing is in force",
-                "4:it is a version now, but not in force everywhere in time"})
+                "4:it is a version now, but not in force everywhere in time"
+            })
     static final class Publish implements Callable<Integer> {
         private static final int LATER = 3;
         private static final int MISSING = 4;
@@ -128,12 +147,19 @@
         @Option(names = "--to", required = true, paramLabel = "HOST:PORT", description = "The primary.")
         private String to;
 
-        @Option(names = "--after", paramLabel = "N", description = {
-            "The number of the version that the file was made from, 0 for none: refused if another came",
-            "since. Without, the newest when this is called."})
+        @Option(
+                names = "--after",
+                paramLabel = "N",
+                description = {
+                    "The number of the version that the file was made from, 0 for none: refused if another came",
+                    "since. Without, the newest when this is called."
+                })
         private Long after;
 
-        @Option(names = "--wait", paramLabel = "S", defaultValue = "10",
+        @Option(
+                names = "--wait",
+                paramLabel = "S",
+                defaultValue = "10",
                 description = "Seconds to wait until it is in force everywhere (${DEFAULT-VALUE}).")
         private double wait;
 
@@ -146,11 +172,13 @@
             }
             boolean sent = false;
             try (ControlClient control = new ControlClient(at, PATIENCE_MS)) {
-                long number = after != null ? after : number(control.ask(new Message.Look(false),
-                        Message.Looked.class).head());
+                long number = after != null
+                        ? after
+                        : number(control.ask(new Message.Look(false), Message.Looked.class)
+                                .head());
                 sent = true;
-                Message.Published p = control.ask(new Message.Publish(number, file.toString(), text),
-                        Message.Published.class);
+                Message.Published p =
+                        control.ask(new Message.Publish(number, file.toString(), text), Message.Published.class);
                 p.lines().forEach(System.err::println);
                 return switch (p.outcome()) {
                     case ACCEPTED, SAME -> until(control, p.head());
@@ -159,8 +187,11 @@
                     default -> 1;
                 };
             } catch (IOException e) {
-                System.err.println(to + (sent ? " was told and did not answer, see 'gullspar versions' for "
-                        + "what holds: " : " does not answer: ") + why(e));
+                System.err.println(to
+                        + (sent
+                                ? " was told and did not answer, see 'gullspar versions' for " + "what holds: "
+                                : " does not answer: ")
+                        + why(e));
                 return 1;
             }
         }
@@ -173,14 +204,15 @@
             long end = System.nanoTime() + (long) (wait * 1e9);
             while (true) {
                 Message.Looked l = control.ask(new Message.Look(false), Message.Looked.class);
-                List<Message.Running> missing = l.all().stream().filter(r -> below(r, v)).toList();
+                List<Message.Running> missing =
+                        l.all().stream().filter(r -> below(r, v)).toList();
                 if (missing.isEmpty()) {
                     System.out.println("version " + v + " is in force at all " + l.followers());
                     return 0;
                 }
                 if (System.nanoTime() > end) {
-                    System.out.println("version " + v + " is not in force at " + missing.size() + " of "
-                            + l.followers() + ":");
+                    System.out.println(
+                            "version " + v + " is not in force at " + missing.size() + " of " + l.followers() + ":");
                     missing.stream().limit(SHOWN).map(Versions::line).forEach(System.out::println);
                     return MISSING;
                 }
@@ -190,20 +222,22 @@
     }
 
     /** Who runs what. */
-    @Command(name = "versions", mixinStandardHelpOptions = true,
-            description = {"Prints who runs which version, as a control process knows: the primary of all,",
-                "another one of those that are connected to it."},
+    @Command(
+            name = "versions",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Prints who runs which version, as a control process knows: the primary of all,",
+                "another one of those that are connected to it."
+            },
             exitCodeListHeading = "%nExit codes:%n",
-            exitCodeList = {"0:all run the newest one", "1:it does not answer", "2:wrong usage",
-                "4:some do not"})
+            exitCodeList = {"0:all run the newest one", "1:it does not answer", "2:wrong usage", "4:some do not"})
     static final class Look implements Callable<Integer> {
         private static final int MISSING = 4;
 
         @Spec
         private CommandSpec spec;
 
-        @Option(names = "--at", required = true, paramLabel = "HOST:PORT",
-                description = "A control process.")
+        @Option(names = "--at", required = true, paramLabel = "HOST:PORT", description = "A control process.")
         private String at;
 
         @Override
--- a/src/main/java/gullspar/cli/Written.java
+++ b/src/main/java/gullspar/cli/Written.java
@@ -8,7 +8,7 @@
 
 /** Files that somebody has written, read for a command. */
 final class Written {
-    private Written() { }
+    private Written() {}
 
     /** Makes something of a file. */
     interface Reader<T> {
--- a/src/main/java/gullspar/config/ControlFile.java
+++ b/src/main/java/gullspar/config/ControlFile.java
@@ -28,8 +28,16 @@
  * @param snapshots how many followers get the whole document at once
  * @param forgetNs a follower that has been away for longer is forgotten
  */
-public record ControlFile(String name, String primary, long epoch, Map<String, InetSocketAddress> controls,
-        Path folder, int bytesPerSecond, int firstBytesPerSecond, int snapshots, long forgetNs) {
+public record ControlFile(
+        String name,
+        String primary,
+        long epoch,
+        Map<String, InetSocketAddress> controls,
+        Path folder,
+        int bytesPerSecond,
+        int firstBytesPerSecond,
+        int snapshots,
+        long forgetNs) {
     private static final String NAME = "[A-Za-z0-9._+-]{1,64}";
     private static final int LEAST_BYTES = 2000;
 
@@ -42,10 +50,13 @@
     public static ControlFile parse(String text, String file) throws ProblemsException {
         List<Problem> problems = new ArrayList<>();
         TomlParseResult toml = Toml.parse(text);
-        toml.errors().forEach(e -> problems.add(new Problem(e.position().line(), e.position().column(),
-                e.getMessage().lines().findFirst().orElse("not TOML"))));
-        ControlFile c = problems.isEmpty()
-                ? control(new Fields(toml, "", TomlPosition.positionAt(1, 1), problems)) : null;
+        toml.errors()
+                .forEach(e -> problems.add(new Problem(
+                        e.position().line(),
+                        e.position().column(),
+                        e.getMessage().lines().findFirst().orElse("not TOML"))));
+        ControlFile c =
+                problems.isEmpty() ? control(new Fields(toml, "", TomlPosition.positionAt(1, 1), problems)) : null;
         if (!problems.isEmpty()) {
             throw new ProblemsException(file, problems);
         }
@@ -86,11 +97,16 @@
                 }
             }
         }
-        ControlFile c = new ControlFile(name, primary, f.whole("epoch", 1, 1, Integer.MAX_VALUE),
-                Map.copyOf(controls), Path.of(f.text("folder")),
+        ControlFile c = new ControlFile(
+                name,
+                primary,
+                f.whole("epoch", 1, 1, Integer.MAX_VALUE),
+                Map.copyOf(controls),
+                Path.of(f.text("folder")),
                 f.whole("bytes_per_second", 10_000, LEAST_BYTES, 1 << 28),
                 f.whole("first_bytes_per_second", 200_000, LEAST_BYTES, 1 << 28),
-                f.whole("snapshots", 8, 1, 10_000), Values.seconds(f, "forget_s", 3600, 1));
+                f.whole("snapshots", 8, 1, 10_000),
+                Values.seconds(f, "forget_s", 3600, 1));
         f.noOthers();
         return c;
     }
--- a/src/main/java/gullspar/config/FollowFile.java
+++ b/src/main/java/gullspar/config/FollowFile.java
@@ -23,8 +23,7 @@
  * @param waitNs so long it asks control at the start before it serves by its disk
  * @param own [operator] and [fleet]
  */
-public record FollowFile(String name, List<InetSocketAddress> addresses, Path folder, long waitNs,
-        OperatorsFile own) {
+public record FollowFile(String name, List<InetSocketAddress> addresses, Path folder, long waitNs, OperatorsFile own) {
     /** Reads a file; an IOException if that is not possible at all. */
     public static FollowFile read(Path file) throws IOException, ProblemsException {
         return parse(Files.readString(file), file.toString());
@@ -34,10 +33,13 @@
     public static FollowFile parse(String text, String file) throws ProblemsException {
         List<Problem> problems = new ArrayList<>();
         TomlParseResult toml = Toml.parse(text);
-        toml.errors().forEach(e -> problems.add(new Problem(e.position().line(), e.position().column(),
-                e.getMessage().lines().findFirst().orElse("not TOML"))));
-        FollowFile c = problems.isEmpty()
-                ? follow(new Fields(toml, "", TomlPosition.positionAt(1, 1), problems)) : null;
+        toml.errors()
+                .forEach(e -> problems.add(new Problem(
+                        e.position().line(),
+                        e.position().column(),
+                        e.getMessage().lines().findFirst().orElse("not TOML"))));
+        FollowFile c =
+                problems.isEmpty() ? follow(new Fields(toml, "", TomlPosition.positionAt(1, 1), problems)) : null;
         if (!problems.isEmpty()) {
             throw new ProblemsException(file, problems);
         }
@@ -61,8 +63,12 @@
         if (f.has("control") && !c.has("addresses")) {
             c.wrong("control: addresses is missing");
         }
-        FollowFile file = new FollowFile(ControlFile.name(c, "name"), List.copyOf(addresses),
-                Path.of(c.text("folder")), Values.seconds(c, "wait_s", 3, 0), OperatorsFile.read(f));
+        FollowFile file = new FollowFile(
+                ControlFile.name(c, "name"),
+                List.copyOf(addresses),
+                Path.of(c.text("folder")),
+                Values.seconds(c, "wait_s", 3, 0),
+                OperatorsFile.read(f));
         c.noOthers();
         f.noOthers();
         return file;
--- a/src/main/java/gullspar/config/OperatorsFile.java
+++ b/src/main/java/gullspar/config/OperatorsFile.java
@@ -27,6 +27,7 @@
 public record OperatorsFile(InetSocketAddress operator, Fleet fleet) {
     /** As a name in a fleet may be: see docs/fleet.md. */
     private static final Set<String> TABLES = Set.of("operator", "fleet");
+
     private static final String NAME = "[A-Za-z0-9._+-]{1,32}";
 
     /** Reads a file that holds nothing else; an IOException if that is not possible at all. */
@@ -44,8 +45,11 @@
     public static OperatorsFile parse(String text, String name) throws ProblemsException {
         TomlParseResult toml = Toml.parse(text);
         List<Problem> problems = new ArrayList<>();
-        toml.errors().forEach(e -> problems.add(new Problem(e.position().line(), e.position().column(),
-                e.getMessage().lines().findFirst().orElse("not TOML"))));
+        toml.errors()
+                .forEach(e -> problems.add(new Problem(
+                        e.position().line(),
+                        e.position().column(),
+                        e.getMessage().lines().findFirst().orElse("not TOML"))));
         OperatorsFile file = null;
         if (problems.isEmpty()) {
             Fields f = new Fields(toml, "", TomlPosition.positionAt(1, 1), problems);
@@ -79,7 +83,8 @@
         if (bind != null && bind.getAddress().isAnyLocalAddress() && !f.has("advertise")) {
             f.wrong("bind", "is every address of this machine: the others need one, by advertise");
         }
-        if (advertise != null && (advertise.getPort() == 0 || advertise.getAddress().isAnyLocalAddress())) {
+        if (advertise != null
+                && (advertise.getPort() == 0 || advertise.getAddress().isAnyLocalAddress())) {
             f.wrong("advertise", "is no address that others could reach");
         }
         List<InetSocketAddress> seeds = new ArrayList<>();
@@ -95,8 +100,15 @@
         if (!zone.isEmpty() && !zone.matches(NAME)) {
             f.wrong("zone", "must be up to 32 of letters, digits and . _ + -");
         }
-        Fleet fleet = new Fleet(name, bind, advertise, List.copyOf(seeds), Path.of(f.text("key_file")), zone,
-                Values.millis(f, "interval_ms", 1000, 50), Values.seconds(f, "window_s", 60, 1),
+        Fleet fleet = new Fleet(
+                name,
+                bind,
+                advertise,
+                List.copyOf(seeds),
+                Path.of(f.text("key_file")),
+                zone,
+                Values.millis(f, "interval_ms", 1000, 50),
+                Values.seconds(f, "window_s", 60, 1),
                 f.whole("bytes_per_second", 0, 0, 1 << 24));
         f.noOthers();
         return fleet;
@@ -105,10 +117,10 @@
     /** An IP address and a port other than 0; null if it is none. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
-        InetAddress ip = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0,
-                colon));
+        InetAddress ip = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
         String port = text.substring(colon + 1);
-        return ip != null && port.matches("\\d{1,5}") && Integer.parseInt(port) <= 65_535
-                && Integer.parseInt(port) > 0 ? new InetSocketAddress(ip, Integer.parseInt(port)) : null;
+        return ip != null && port.matches("\\d{1,5}") && Integer.parseInt(port) <= 65_535 && Integer.parseInt(port) > 0
+                ? new InetSocketAddress(ip, Integer.parseInt(port))
+                : null;
     }
 }
--- a/src/main/java/gullspar/config/RouteReader.java
+++ b/src/main/java/gullspar/config/RouteReader.java
@@ -20,8 +20,8 @@
 final class RouteReader {
     private static final Pattern TOKEN = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
     /** Framing and the next hop are the proxy's own affair. */
-    private static final Set<String> NOT_TO_SET = Set.of("connection", "content-length", "transfer-encoding",
-            "keep-alive", "te", "trailer", "upgrade");
+    private static final Set<String> NOT_TO_SET =
+            Set.of("connection", "content-length", "transfer-encoding", "keep-alive", "te", "trailer", "upgrade");
 
     private final Set<String> pools;
 
@@ -44,8 +44,10 @@
         boolean toPool = r.has("pool");
         boolean answered = r.has("answer");
         if (toPool == answered) {
-            r.wrong(toPool ? "a route goes to a pool or is answered, not both"
-                    : "a route needs a pool to go to, or an answer");
+            r.wrong(
+                    toPool
+                            ? "a route goes to a pool or is answered, not both"
+                            : "a route needs a pool to go to, or an answer");
         }
         Route.ToPool pool = toPool ? toPool(r, prefix) : null;
         Route.Answer answer = answered ? answer(r) : null;
@@ -81,8 +83,7 @@
             made = p == null ? made : new Condition.Matches(of, p);
         } else {
             Range share = w.range("share", 0, 100);
-            made = new Condition.Share(of, (int) Math.round(share.from() * 100),
-                    (int) Math.round(share.to() * 100));
+            made = new Condition.Share(of, (int) Math.round(share.from() * 100), (int) Math.round(share.to() * 100));
         }
         w.noOthers();
         return made;
@@ -93,8 +94,13 @@
         if (!pool.isEmpty() && !pools.contains(pool)) {
             r.wrong("pool", "is '" + pool + "', and there is no such pool");
         }
-        return new Route.ToPool(pool, r.choice("class", Route.Kind.class, Route.Kind.BY_METHOD), limits(r),
-                rewrite(r, prefix), changes(r, "request_headers"), changes(r, "answer_headers"));
+        return new Route.ToPool(
+                pool,
+                r.choice("class", Route.Kind.class, Route.Kind.BY_METHOD),
+                limits(r),
+                rewrite(r, prefix),
+                changes(r, "request_headers"),
+                changes(r, "answer_headers"));
     }
 
     private static Route.Limits limits(Fields r) {
@@ -106,9 +112,13 @@
                 r.wrong("retry_on", "holds '" + s + "', not a status from \"400\" to \"599\"");
             }
         }
-        return new Route.Limits(Values.millis(r, "deadline_ms", 60_000, 1), r.whole("attempts", 3, 1, 100),
-                Values.millis(r, "attempt_ms", 0, 0), (long) (r.number("body_kb", 1024, 0, 1e9) * 1024),
-                retryOn, Values.seconds(r, "remembered_s", 60, 0));
+        return new Route.Limits(
+                Values.millis(r, "deadline_ms", 60_000, 1),
+                r.whole("attempts", 3, 1, 100),
+                Values.millis(r, "attempt_ms", 0, 0),
+                (long) (r.number("body_kb", 1024, 0, 1e9) * 1024),
+                retryOn,
+                Values.seconds(r, "remembered_s", 60, 0));
     }
 
     private static Rewrite rewrite(Fields r, String prefix) {
@@ -134,8 +144,8 @@
             return HeaderChanges.NONE;
         }
         Fields f = r.table(key);
-        HeaderChanges changes = new HeaderChanges(values(f, "set"), values(f, "add"), values(f, "add_ok"),
-                f.texts("remove", List.of()));
+        HeaderChanges changes = new HeaderChanges(
+                values(f, "set"), values(f, "add"), values(f, "add_ok"), f.texts("remove", List.of()));
         changes.remove().forEach(name -> header(f, "remove", name));
         f.noOthers();
         return changes;
@@ -164,9 +174,12 @@
     private static Route.Answer answer(Fields r) {
         Fields a = r.table("answer");
         Template location = a.has("location") ? Values.template(a, "location", a.text("location")) : null;
-        Route.Answer answer = new Route.Answer(a.whole("status", 200, 599),
-                Values.template(a, "body", a.text("body", "")), a.text("type", "text/plain; charset=utf-8"),
-                location, changes(a, "headers"));
+        Route.Answer answer = new Route.Answer(
+                a.whole("status", 200, 599),
+                Values.template(a, "body", a.text("body", "")),
+                a.text("type", "text/plain; charset=utf-8"),
+                location,
+                changes(a, "headers"));
         a.noOthers();
         return answer;
     }
--- a/src/main/java/gullspar/config/SiteReader.java
+++ b/src/main/java/gullspar/config/SiteReader.java
@@ -26,7 +26,13 @@
  */
 public final class SiteReader {
     /** How the path of a route is meant. */
-    private enum Match { PREFIX, PREFIX_ENDS, EXACT, REGEX, REGEX_ANY_CASE }
+    private enum Match {
+        PREFIX,
+        PREFIX_ENDS,
+        EXACT,
+        REGEX,
+        REGEX_ANY_CASE
+    }
 
     /** What is known of a listener while the hosts are read. */
     private static final class Listening {
@@ -45,10 +51,11 @@
     private final Map<String, Listening> listeners = new LinkedHashMap<>();
     /** Where no listener can be read, hosts are still looked at. */
     private final Listening nowhere = new Listening(null);
+
     private final PoolReader pools = new PoolReader();
     private RouteReader routes;
 
-    private SiteReader() { }
+    private SiteReader() {}
 
     /** Reads a file; an IOException if that is not possible at all. */
     public static Site read(Path file) throws IOException, ProblemsException {
@@ -73,10 +80,12 @@
     public static Site parse(String text, String name) throws ProblemsException {
         TomlParseResult toml = Toml.parse(text);
         SiteReader r = new SiteReader();
-        toml.errors().forEach(e -> r.problems.add(new Problem(e.position().line(), e.position().column(),
-                e.getMessage().lines().findFirst().orElse("not TOML"))));
-        Site s = r.problems.isEmpty()
-                ? r.site(new Fields(toml, "", TomlPosition.positionAt(1, 1), r.problems)) : null;
+        toml.errors()
+                .forEach(e -> r.problems.add(new Problem(
+                        e.position().line(),
+                        e.position().column(),
+                        e.getMessage().lines().findFirst().orElse("not TOML"))));
+        Site s = r.problems.isEmpty() ? r.site(new Fields(toml, "", TomlPosition.positionAt(1, 1), r.problems)) : null;
         if (!r.problems.isEmpty()) {
             throw new ProblemsException(name, r.problems);
         }
@@ -105,15 +114,24 @@
         Site.Forwarded forwarded = f.choice("forwarded", Site.Forwarded.class, Site.Forwarded.REPLACE);
         OperatorsFile operators = OperatorsFile.read(f);
         f.noOthers();
-        return new Site(listeners.values().stream().map(l -> new Site.Listener(l.address,
-                new Router(l.hosts))).toList(), Map.copyOf(pools.pools()), limits, forwarded, operators);
+        return new Site(
+                listeners.values().stream()
+                        .map(l -> new Site.Listener(l.address, new Router(l.hosts)))
+                        .toList(),
+                Map.copyOf(pools.pools()),
+                limits,
+                forwarded,
+                operators);
     }
 
     private static Site.Limits limits(Fields f) {
-        Site.Limits limits = new Site.Limits(f.whole("sockets", 1024, 16, 1 << 20),
-                (long) (f.number("bodies_mb", 16, 0, 1e6) * (1 << 20)), Values.seconds(f, "request_s", 60,
-                        0.001), Values.seconds(f, "idle_s", 75, 0.001), Values.seconds(f, "stall_s", 60,
-                                0.001), Values.seconds(f, "drain_s", 30, 0),
+        Site.Limits limits = new Site.Limits(
+                f.whole("sockets", 1024, 16, 1 << 20),
+                (long) (f.number("bodies_mb", 16, 0, 1e6) * (1 << 20)),
+                Values.seconds(f, "request_s", 60, 0.001),
+                Values.seconds(f, "idle_s", 75, 0.001),
+                Values.seconds(f, "stall_s", 60, 0.001),
+                Values.seconds(f, "drain_s", 30, 0),
                 Values.seconds(f, "retry_after_s", 1, 0));
         f.noOthers();
         return limits;
@@ -208,15 +226,19 @@
         return paths;
     }
 
-    private void add(Paths<List<Route>> paths, Fields r, Match match, String path, List<Route> routes,
+    private void add(
+            Paths<List<Route>> paths,
+            Fields r,
+            Match match,
+            String path,
+            List<Route> routes,
             Paths<List<Route>> nested) {
         switch (match) {
             case EXACT -> paths.add(Paths.Kind.EXACT, path, routes, nested);
             case PREFIX -> paths.add(Paths.Kind.PREFIX, path, routes, nested);
             case PREFIX_ENDS -> paths.add(Paths.Kind.PREFIX_ENDS, path, routes, nested);
             default -> {
-                Pattern p = Values.pattern(r, "path", path, match == Match.REGEX ? 0
-                        : Pattern.CASE_INSENSITIVE);
+                Pattern p = Values.pattern(r, "path", path, match == Match.REGEX ? 0 : Pattern.CASE_INSENSITIVE);
                 if (p != null) {
                     paths.add(p, routes, nested);
                 }
--- a/src/main/java/gullspar/config/Values.java
+++ b/src/main/java/gullspar/config/Values.java
@@ -12,14 +12,13 @@
 final class Values {
     static final double LONGEST_S = 24 * 3600;
 
-    private Values() { }
+    private Values() {}
 
     /** An IP address and a port, no names are looked up; null, and a problem, if it is none. */
     static InetSocketAddress address(Fields f, String key) {
         String text = f.text(key);
         int colon = text.lastIndexOf(':');
-        InetAddress ip = colon < 0 ? null
-                : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
+        InetAddress ip = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
         String port = text.substring(colon + 1);
         if (ip != null && port.matches("\\d{1,5}") && Integer.parseInt(port) <= 65_535) {
             return new InetSocketAddress(ip, Integer.parseInt(port));
--- a/src/main/java/gullspar/decide/Admission.java
+++ b/src/main/java/gullspar/decide/Admission.java
@@ -8,6 +8,7 @@
 final class Admission {
     /** Attempts lately sent for each served, and as many more to find out; from so many lost. */
     private static final double THROTTLE_RATIO = 1.2;
+
     private static final double THROTTLE_FLOOR = 1;
     private static final double THROTTLE_LOST = 0.7;
     /** Share of the arrivals that may go out while fewer than that were served. */
@@ -51,7 +52,6 @@
      * that will have left: of little patience, or held here for long.
      */
     boolean hopeless(Ticket t, long now) {
-        return t.aim - now < classes.usual(t.request.profile())
-                || now >= t.deadline - HOLD_NS - 2 * settings.stepNs();
+        return t.aim - now < classes.usual(t.request.profile()) || now >= t.deadline - HOLD_NS - 2 * settings.stepNs();
     }
 }
--- a/src/main/java/gullspar/decide/Balancer.java
+++ b/src/main/java/gullspar/decide/Balancer.java
@@ -11,21 +11,44 @@
 public interface Balancer {
 
     /** May a request of a class run twice? */
-    enum Effect { IDEMPOTENT, DEDUPLICATED, AT_MOST_ONCE }
+    enum Effect {
+        IDEMPOTENT,
+        DEDUPLICATED,
+        AT_MOST_ONCE
+    }
 
     /** Which servers drop repeats of a DEDUPLICATED request. */
-    enum Scope { ALL, ZONE, CELL }
+    enum Scope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** State of a server in the list. */
-    enum State { GONE, READY, DRAINING }
+    enum State {
+        GONE,
+        READY,
+        DRAINING
+    }
 
     /** What a list event is: changes only, a whole list, the whole list as cached, or a failed call. */
-    enum ListKind { DELTA, FULL, CACHED, FAILED }
+    enum ListKind {
+        DELTA,
+        FULL,
+        CACHED,
+        FAILED
+    }
 
     /** How an attempt ended. */
     enum Status {
-        ERROR(false), OK(false), FULL(true), TIMEOUT(false), CONNECT_FAILED(true), RESET(false),
-        CANCELLED(false), MOOT(true);
+        ERROR(false),
+        OK(false),
+        FULL(true),
+        TIMEOUT(false),
+        CONNECT_FAILED(true),
+        RESET(false),
+        CANCELLED(false),
+        MOOT(true);
 
         /** True if this outcome proves that the attempt never ran; FULL unless the settings deny it. */
         public final boolean neverRan;
@@ -41,17 +64,45 @@
      * sequential classes with one key run one at a time, in the order taken. attempts: so many at the most, 0
      * for what the settings say; attemptNs: the longest that one may take, 0 for no limit of its own.
      */
-    record Profile(Effect effect, Scope scope, long windowNs, long promiseNs, long giveUpNs, double worth,
-            double lateShare, boolean streamed, boolean sequential, int attempts, long attemptNs) {
-        public Profile(Effect effect, Scope scope, long windowNs, long promiseNs, long giveUpNs, double worth,
-                double lateShare, boolean streamed, boolean sequential) {
+    record Profile(
+            Effect effect,
+            Scope scope,
+            long windowNs,
+            long promiseNs,
+            long giveUpNs,
+            double worth,
+            double lateShare,
+            boolean streamed,
+            boolean sequential,
+            int attempts,
+            long attemptNs) {
+        public Profile(
+                Effect effect,
+                Scope scope,
+                long windowNs,
+                long promiseNs,
+                long giveUpNs,
+                double worth,
+                double lateShare,
+                boolean streamed,
+                boolean sequential) {
             this(effect, scope, windowNs, promiseNs, giveUpNs, worth, lateShare, streamed, sequential, 0, 0);
         }
 
         /** The same with so many attempts at the most. */
         public Profile withAttempts(int most) {
-            return new Profile(effect, scope, windowNs, promiseNs, giveUpNs, worth, lateShare, streamed,
-                    sequential, most, attemptNs);
+            return new Profile(
+                    effect,
+                    scope,
+                    windowNs,
+                    promiseNs,
+                    giveUpNs,
+                    worth,
+                    lateShare,
+                    streamed,
+                    sequential,
+                    most,
+                    attemptNs);
         }
     }
 
@@ -61,47 +112,90 @@
      * attempt that may still be running. listWeights: while no server reports its load, requests follow the
      * weights of the list, and the promises are limits rather than what is usual.
      */
-    record Settings(int me, int balancers, int zone, List<Profile> profiles, boolean askForList,
-            boolean mayCancel, int maxAttempts, long maxRetryAfterNs, double startCapacity, long coldNs,
-            double tipMultiple, long fallNs, long askWithinNs, long stepNs, double crossZonePrice,
-            boolean fullIsNoProof, long turnGapNs, boolean listWeights) {
+    record Settings(
+            int me,
+            int balancers,
+            int zone,
+            List<Profile> profiles,
+            boolean askForList,
+            boolean mayCancel,
+            int maxAttempts,
+            long maxRetryAfterNs,
+            double startCapacity,
+            long coldNs,
+            double tipMultiple,
+            long fallNs,
+            long askWithinNs,
+            long stepNs,
+            double crossZonePrice,
+            boolean fullIsNoProof,
+            long turnGapNs,
+            boolean listWeights) {
         public Settings {
             profiles = List.copyOf(profiles);
         }
 
-        public Settings(int me, int balancers, int zone, List<Profile> profiles, boolean askForList,
-                boolean mayCancel, int maxAttempts, long maxRetryAfterNs, double startCapacity, long coldNs,
-                double tipMultiple, long fallNs, long askWithinNs, long stepNs, double crossZonePrice,
-                boolean fullIsNoProof, long turnGapNs) {
-            this(me, balancers, zone, profiles, askForList, mayCancel, maxAttempts, maxRetryAfterNs,
-                    startCapacity, coldNs, tipMultiple, fallNs, askWithinNs, stepNs, crossZonePrice,
-                    fullIsNoProof, turnGapNs, false);
+        public Settings(
+                int me,
+                int balancers,
+                int zone,
+                List<Profile> profiles,
+                boolean askForList,
+                boolean mayCancel,
+                int maxAttempts,
+                long maxRetryAfterNs,
+                double startCapacity,
+                long coldNs,
+                double tipMultiple,
+                long fallNs,
+                long askWithinNs,
+                long stepNs,
+                double crossZonePrice,
+                boolean fullIsNoProof,
+                long turnGapNs) {
+            this(
+                    me,
+                    balancers,
+                    zone,
+                    profiles,
+                    askForList,
+                    mayCancel,
+                    maxAttempts,
+                    maxRetryAfterNs,
+                    startCapacity,
+                    coldNs,
+                    tipMultiple,
+                    fallNs,
+                    askWithinNs,
+                    stepNs,
+                    crossZonePrice,
+                    fullIsNoProof,
+                    turnGapNs,
+                    false);
         }
     }
 
     /** A server as listed. bootNs is the clock time of its last start, 0 for long ago. */
-    record Member(int id, int kind, State state, long bootNs, int cell, int zone, double units) { }
+    record Member(int id, int kind, State state, long bootNs, int cell, int zone, double units) {}
 
     /**
      * A request; key 0 is none; leftNs is the time until the client abandons it; hintNs 0 is no hint. ageNs:
      * how long it may have waited since its client sent it, unread or in line behind another.
      */
-    record Request(int ticket, int profile, int tenant, long key, long leftNs, long hintNs,
-            boolean repeat, long ageNs) {
+    record Request(
+            int ticket, int profile, int tenant, long key, long leftNs, long hintNs, boolean repeat, long ageNs) {
         /** One that is told of as it is sent. */
-        public Request(int ticket, int profile, int tenant, long key, long leftNs, long hintNs,
-                boolean repeat) {
+        public Request(int ticket, int profile, int tenant, long key, long leftNs, long hintNs, boolean repeat) {
             this(ticket, profile, tenant, key, leftNs, hintNs, repeat, 0);
         }
     }
 
     /** A load report; NaN for each value that the servers do not report. */
-    record Report(double inflight, double queue, double util, double recentMs, double perSecond,
-            double errorsPerSecond) { }
+    record Report(
+            double inflight, double queue, double util, double recentMs, double perSecond, double errorsPerSecond) {}
 
     /** How an attempt ended; over: the request is finished; report may be null. */
-    record Outcome(int ticket, int attempt, int server, Status status, long elapsedNs, boolean over,
-            Report report) { }
+    record Outcome(int ticket, int attempt, int server, Status status, long elapsedNs, boolean over, Report report) {}
 
     /** Makes the balancer of one proxy. */
     interface Factory {
@@ -173,8 +267,8 @@
     }
 
     /** The result of a probe; not heard by a module that sends none. */
-    default void onProbe(long now, int server, Status status, long elapsedNs, Report report) { }
+    default void onProbe(long now, int server, Status status, long elapsedNs, Report report) {}
 
     /** A message of another proxy; not heard by a module that shares nothing. */
-    default void onPeer(long now, int peer, byte[] message) { }
+    default void onPeer(long now, int peer, byte[] message) {}
 }
--- a/src/main/java/gullspar/decide/Classes.java
+++ b/src/main/java/gullspar/decide/Classes.java
@@ -25,6 +25,7 @@
     private long[] mostLeft = {};
     /** A request's time against that of all at the same server, and how many answers tell it. */
     private double[] size = {};
+
     private double[] sized = {};
     /** The worth asked for lately. */
     private double[] worth = {};
@@ -92,7 +93,8 @@
     private boolean givesWay(int c, int d) {
         Profile p = profiles.get(c);
         Profile o = profiles.get(d);
-        return o.promiseNs() < p.promiseNs() && o.worth() / size[d] > DEARER * p.worth() / size[c]
+        return o.promiseNs() < p.promiseNs()
+                && o.worth() / size[d] > DEARER * p.worth() / size[c]
                 && worth[d] > worth[c];
     }
 
--- a/src/main/java/gullspar/decide/ColdBudget.java
+++ b/src/main/java/gullspar/decide/ColdBudget.java
@@ -44,13 +44,17 @@
     /** Requests in a ns. */
     private double rate(Server s, double warmth, double subset, long now) {
         int ready = Math.max(1, zones.ready(s.zone()));
-        double mine = zones.sentToEach(s.zone()) / rates.lived(TrafficRates.RATE_NS, now)
+        double mine = zones.sentToEach(s.zone())
+                / rates.lived(TrafficRates.RATE_NS, now)
                 * Math.max(1, zones.ready(s.zone()) / subset);
         double wanted = mine + rates.unsent / rates.lived(ZoneFigures.USUAL_NS, now) / ready;
         double even = s.parallel / s.pace / Math.max(1, settings.balancers());
         mine = Math.max(mine, Math.min(wanted, even));
         double idle = Math.min(1, 2 * Math.max(ServerWeights.SPARE_FLOOR, s.spare));
-        return SAFETY * idle * Math.max(mine * settings.tipMultiple() * warmth,
-                1.0 / settings.fallNs() / Math.max(1, settings.balancers()));
+        return SAFETY
+                * idle
+                * Math.max(
+                        mine * settings.tipMultiple() * warmth,
+                        1.0 / settings.fallNs() / Math.max(1, settings.balancers()));
     }
 }
--- a/src/main/java/gullspar/decide/DiscoveryCalls.java
+++ b/src/main/java/gullspar/decide/DiscoveryCalls.java
@@ -12,6 +12,7 @@
      * waits in turn take 4.5 of them. In ns.
      */
     private static final long FIRST_PAUSE_NS = 250_000_000L;
+
     private static final long MOST_PAUSE_NS = 600_000_000L;
 
     private final Settings settings;
--- a/src/main/java/gullspar/decide/Ejection.java
+++ b/src/main/java/gullspar/decide/Ejection.java
@@ -10,6 +10,7 @@
     private static final double MOST = 0.34;
     /** Silent: owes answers, and gave none for so many of its usual gaps plus this share of a promise. */
     private static final double SILENT_GAPS = 6;
+
     private static final double SILENT_PROMISE = 0.8;
     /** Pause before the first trial of an ejected server, in ns; doubles, four times at most. */
     private static final long TRIAL_NS = 500_000_000L;
@@ -22,8 +23,8 @@
 
     /** Owes answers and gives none: told from a slow one by the gaps between its answers, to any request. */
     boolean silent(Server s, double minPromiseNs, long now) {
-        return s.out > 0 && now - s.owedSince > minPromiseNs * SILENT_PROMISE
-                + SILENT_GAPS * s.pace * (1 + s.others / s.out);
+        return s.out > 0
+                && now - s.owedSince > minPromiseNs * SILENT_PROMISE + SILENT_GAPS * s.pace * (1 + s.others / s.out);
     }
 
     /** Ejects a server, if not too many are, or puts off the next trial of one that is. */
--- a/src/main/java/gullspar/decide/Outcomes.java
+++ b/src/main/java/gullspar/decide/Outcomes.java
@@ -9,6 +9,7 @@
 final class Outcomes {
     /** So many answers tell a pace, for so long at the most; the pace of the kind counts as a few more. */
     private static final double PACE_ANSWERS = 10;
+
     private static final double PACE_NS = 10e9;
     private static final double KIND_ANSWERS = 4;
     /** An answer so far over the service time, reported and median, and half the promise counts as lost. */
@@ -24,8 +25,15 @@
     private final Servers servers;
     private double minPromiseNs;
 
-    Outcomes(Settings settings, Classes classes, TrafficRates rates, ZoneFigures zones, KindPaces kinds,
-            ServerWeights weights, Ejection ejection, Servers servers) {
+    Outcomes(
+            Settings settings,
+            Classes classes,
+            TrafficRates rates,
+            ZoneFigures zones,
+            KindPaces kinds,
+            ServerWeights weights,
+            Ejection ejection,
+            Servers servers) {
         this.settings = settings;
         this.classes = classes;
         this.rates = rates;
--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -28,6 +28,7 @@
     private static final long PULSE_NS = 50_000_000L;
     /** Tokens of the timers for what waits and for the pulse; those below number the calls to discovery. */
     private static final long WAIT_TOKEN = 1L << 32;
+
     private static final long PULSE_TOKEN = WAIT_TOKEN + 1;
 
     private final Settings settings;
@@ -36,6 +37,7 @@
     private final Map<Long, Turn> turns = new HashMap<>();
     /** Requests that wait here, those worth most first. */
     private final List<Ticket> waiting = new ArrayList<>();
+
     private final Classes classes = new Classes();
     private final ZoneFigures zones;
     private final TrafficRates rates;
@@ -55,6 +57,7 @@
     private long wokeAt;
     /** The class of which the last offer found no room. */
     private Profile full;
+
     private boolean armed;
 
     public Policy(Settings settings, long seed, long now, Actions out) {
@@ -69,8 +72,14 @@
         weights = new ServerWeights(settings, zones);
         servers = new Servers(settings, random, zones, kinds, weights);
         ejection = new Ejection(servers.all());
-        rotation = new Rotation(settings, servers.all(), zones, weights, ejection,
-                new ColdBudget(settings, zones, rates, weights), classes);
+        rotation = new Rotation(
+                settings,
+                servers.all(),
+                zones,
+                weights,
+                ejection,
+                new ColdBudget(settings, zones, rates, weights),
+                classes);
         admission = new Admission(settings, classes, rates);
         repeats = new RepeatRules(settings);
         outcomes = new Outcomes(settings, classes, rates, zones, kinds, weights, ejection, servers);
@@ -94,7 +103,8 @@
         minPromise = shortest(known);
         weights.promise(minPromise);
         outcomes.promise(minPromise);
-        rotation.profiles(minPromise, known.stream().mapToDouble(Profile::worth).average().orElse(1));
+        rotation.profiles(
+                minPromise, known.stream().mapToDouble(Profile::worth).average().orElse(1));
         classes.know(profiles);
     }
 
@@ -222,12 +232,11 @@
         rates.sent++;
         zones.sent(s.zone());
         // An answer that would earn nothing leaves the server, unless a repeat would then run beside it.
-        boolean cut = settings.mayCancel() && t.profile.lateShare() == 0
-                && !RepeatRules.droppedEverywhere(t.profile);
-        long most = Math.min(cut ? Math.max(1, t.aim - now) : Long.MAX_VALUE,
+        boolean cut = settings.mayCancel() && t.profile.lateShare() == 0 && !RepeatRules.droppedEverywhere(t.profile);
+        long most = Math.min(
+                cut ? Math.max(1, t.aim - now) : Long.MAX_VALUE,
                 t.profile.attemptNs() > 0 ? t.profile.attemptNs() : Long.MAX_VALUE);
-        out.send(t.request.ticket(), s.id, most == Long.MAX_VALUE ? 0 : most,
-                repeats.withinNs(t, bound, now));
+        out.send(t.request.ticket(), s.id, most == Long.MAX_VALUE ? 0 : most, repeats.withinNs(t, bound, now));
     }
 
     /**
@@ -305,8 +314,8 @@
         a.ended = o.status();
         t.out--;
         a.to.out--;
-        if (t.turn != null && (o.status() == Status.TIMEOUT || o.status() == Status.RESET
-                || o.status() == Status.CANCELLED)) {
+        if (t.turn != null
+                && (o.status() == Status.TIMEOUT || o.status() == Status.RESET || o.status() == Status.CANCELLED)) {
             t.turn.restUntil = now + settings.turnGapNs();
         }
         if (now != wokeAt) {
@@ -328,8 +337,9 @@
 
     @Override
     public int avoided() {
-        return (int) servers.all().stream().filter(s -> s.named && s.listed.state() != State.GONE
-                && (s.ejected || !s.ready())).count();
+        return (int) servers.all().stream()
+                .filter(s -> s.named && s.listed.state() != State.GONE && (s.ejected || !s.ready()))
+                .count();
     }
 
     @Override
--- a/src/main/java/gullspar/decide/RepeatRules.java
+++ b/src/main/java/gullspar/decide/RepeatRules.java
@@ -18,8 +18,8 @@
     /** The first attempt that may have run: it binds all further ones. Null if none may have. */
     Attempt bound(Ticket t) {
         for (Attempt a : t.attempts) {
-            boolean never = a.ended != null && a.ended.neverRan
-                    && !(a.ended == Status.FULL && settings.fullIsNoProof());
+            boolean never =
+                    a.ended != null && a.ended.neverRan && !(a.ended == Status.FULL && settings.fullIsNoProof());
             if (!never) {
                 return a;
             }
@@ -34,18 +34,23 @@
 
     /** Within that time from now an attempt has to go out, in ns; MAX_VALUE for whenever it may be. */
     long withinNs(Ticket t, Attempt bound, long now) {
-        return bound == null || t.profile.effect() != Effect.DEDUPLICATED ? Long.MAX_VALUE
+        return bound == null || t.profile.effect() != Effect.DEDUPLICATED
+                ? Long.MAX_VALUE
                 : bound.sentAt + rememberedNs(t) - now;
     }
 
     /** May another attempt start now? */
     boolean mayAttempt(Ticket t, long now) {
-        if (t.over || t.begun || now >= t.aim || t.attempts.size() >= most(t.profile)
+        if (t.over
+                || t.begun
+                || now >= t.aim
+                || t.attempts.size() >= most(t.profile)
                 || now >= t.deadline - settings.stepNs()) {
             return false;
         }
         Attempt bound = bound(t);
-        return bound == null || t.profile.effect() == Effect.IDEMPOTENT
+        return bound == null
+                || t.profile.effect() == Effect.IDEMPOTENT
                 || t.profile.effect() == Effect.DEDUPLICATED && now - bound.sentAt < rememberedNs(t);
     }
 
--- a/src/main/java/gullspar/decide/RetryBudget.java
+++ b/src/main/java/gullspar/decide/RetryBudget.java
@@ -4,9 +4,11 @@
 final class RetryBudget {
     /** Further attempts for each first try, and the most saved up. */
     private static final double RATE = 0.02;
+
     private static final double BURST = 5;
     /** The same after a broken connection or a spoilt answer: that tells of no load, and comes in rows. */
     private static final double RESEND_RATE = 0.3;
+
     private static final double RESEND_BURST = 10;
 
     private double retries = BURST / 2;
--- a/src/main/java/gullspar/decide/Rotation.java
+++ b/src/main/java/gullspar/decide/Rotation.java
@@ -35,8 +35,14 @@
     /** No server was fit in the last pass. */
     private boolean none;
 
-    Rotation(Settings settings, List<Server> servers, ZoneFigures zones, ServerWeights weights,
-            Ejection ejection, ColdBudget cold, Classes classes) {
+    Rotation(
+            Settings settings,
+            List<Server> servers,
+            ZoneFigures zones,
+            ServerWeights weights,
+            Ejection ejection,
+            ColdBudget cold,
+            Classes classes) {
         this.settings = settings;
         this.servers = servers;
         this.zones = zones;
@@ -93,8 +99,7 @@
 
     /** A trial: one request at a time that is still whole, and none that could be lost with it. */
     private boolean trial(Server s, Ticket t, Attempt bound, long now) {
-        boolean may = now >= s.trialAt && bound == null
-                && (s.out == 0 || t.profile.effect() != Effect.AT_MOST_ONCE);
+        boolean may = now >= s.trialAt && bound == null && (s.out == 0 || t.profile.effect() != Effect.AT_MOST_ONCE);
         if (may) {
             ejection.eject(s, now);
         }
--- a/src/main/java/gullspar/decide/Server.java
+++ b/src/main/java/gullspar/decide/Server.java
@@ -12,10 +12,12 @@
     double util, held, heard, fresh, others;
     /** Requests that run side by side without slowing each other: the requests above count in these. */
     double parallel, rate, busy, told;
+
     double tokens;
     final long bootNs;
     /** When a connection to it failed last; 0 for never. */
     long refusedAt;
+
     long renewedAt, learntAt, owedSince, trialAt, trialPause, tokensAt;
     int out, failures;
     boolean named, ejected, fit, blind;
--- a/src/main/java/gullspar/decide/ServerWeights.java
+++ b/src/main/java/gullspar/decide/ServerWeights.java
@@ -23,6 +23,7 @@
     private final ZoneFigures zones;
     /** No server has reported its load: the weights of the list count. */
     private boolean byList;
+
     private double parallel = 1;
     private double minPromiseNs;
 
@@ -51,7 +52,8 @@
     double warmth(Server s, long now) {
         long start = Math.max(s.bootNs, s.refusedAt);
         double age = (now - start) / (double) settings.coldNs();
-        return start <= 0 || age >= 1 ? 1
+        return start <= 0 || age >= 1
+                ? 1
                 : settings.startCapacity() + (1 - settings.startCapacity()) * Math.max(0, age);
     }
 
--- a/src/main/java/gullspar/decide/Servers.java
+++ b/src/main/java/gullspar/decide/Servers.java
@@ -14,6 +14,7 @@
 final class Servers {
     /** Servers of the own zone in the subset at the least; how often to hear of each in a promise. */
     private static final double SUBSET_LEAST = 2;
+
     private static final double SUBSET_HEARD = 2;
     /** Spreads the proxies' subsets evenly over the servers, however many of each there are. */
     private static final double GOLDEN = 0.6180339887;
@@ -26,8 +27,7 @@
     private final IntMap<Server> byId = new IntMap<>();
     private final List<Server> all = new ArrayList<>();
 
-    Servers(Settings settings, SplittableRandom random, ZoneFigures zones, KindPaces kinds,
-            ServerWeights weights) {
+    Servers(Settings settings, SplittableRandom random, ZoneFigures zones, KindPaces kinds, ServerWeights weights) {
         this.settings = settings;
         this.random = random;
         this.zones = zones;
@@ -59,7 +59,7 @@
     private void place() {
         zones.forgetReady();
         all.sort(Comparator.comparingInt(s -> s.id));
-        for (Iterator<Server> i = all.iterator(); i.hasNext();) {
+        for (Iterator<Server> i = all.iterator(); i.hasNext(); ) {
             Server s = i.next();
             s.place = s.ready() ? zones.countReady(s.zone()) : zones.ready(s.zone());
             if (s.out == 0 && (!s.named || s.listed.state() == State.GONE)) {
--- a/src/main/java/gullspar/decide/Ticket.java
+++ b/src/main/java/gullspar/decide/Ticket.java
@@ -11,6 +11,7 @@
     final Balancer.Profile profile;
     /** When its answer stops earning anything, and when its client leaves. */
     final long aim;
+
     final long deadline;
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
@@ -31,6 +32,7 @@
         final Server to;
         /** The server as it was listed then: a repeat is bound to the group of that moment. */
         final Balancer.Member group;
+
         final double ahead;
         final long sentAt;
         Balancer.Status ended;
--- a/src/main/java/gullspar/decide/TrafficRates.java
+++ b/src/main/java/gullspar/decide/TrafficRates.java
@@ -4,10 +4,12 @@
 final class TrafficRates {
     /** Memory of sends by zone, in ns: a release must not shrink the cold budgets that it needs. */
     static final double RATE_NS = 15e9;
+
     private static final double RATE_LEAST_NS = 1e9;
 
     /** Requests that came; those that no server got; attempts sent, served in good time, and lost. */
     double arrivals;
+
     double unsent;
     double sent;
     double good;
--- a/src/main/java/gullspar/decide/ZoneFigures.java
+++ b/src/main/java/gullspar/decide/ZoneFigures.java
@@ -9,6 +9,7 @@
 final class ZoneFigures {
     /** Memory of what is usual for the requests at all servers, in ns. */
     static final double USUAL_NS = 2e9;
+
     private static final int FIRST_ZONES = 8;
 
     private final long startedAt;
--- a/src/main/java/gullspar/drill/Host.java
+++ b/src/main/java/gullspar/drill/Host.java
@@ -1,5 +1,6 @@
 package gullspar.drill;
 
+import gullspar.decide.Balancer;
 import gullspar.decide.Balancer.ListKind;
 import gullspar.decide.Balancer.Member;
 import gullspar.decide.Balancer.Outcome;
@@ -7,7 +8,6 @@
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer.State;
 import gullspar.decide.Balancer.Status;
-import gullspar.decide.Balancer;
 import gullspar.settings.SettingsException;
 import gullspar.settings.SettingsParser;
 import java.io.BufferedInputStream;
@@ -28,10 +28,10 @@
     private static final ListKind[] LIST_KINDS = ListKind.values();
 
     /** A running instance and which report column holds what (see {@link #REPORT_NAMES}). */
-    private record Instance(Balancer balancer, int[] columns, int profiles) { }
+    private record Instance(Balancer balancer, int[] columns, int profiles) {}
 
-    private static final List<String> REPORT_NAMES = List.of("outstanding", "backlog", "utilization",
-            "recent_ms", "throughput", "errors_per_s");
+    private static final List<String> REPORT_NAMES =
+            List.of("outstanding", "backlog", "utilization", "recent_ms", "throughput", "errors_per_s");
 
     private final Balancer.Factory factory;
     private final Map<Integer, Instance> instances = new HashMap<>();
@@ -71,8 +71,12 @@
         try {
             if (start != null) {
                 int[] columns = columns(start.columns());
-                instances.put(proxy, new Instance(factory.create(start.settings(), b.i64(at + 5), b.clock,
-                        reply.forInstance(proxy)), columns, start.settings().profiles().size()));
+                instances.put(
+                        proxy,
+                        new Instance(
+                                factory.create(start.settings(), b.i64(at + 5), b.clock, reply.forInstance(proxy)),
+                                columns,
+                                start.settings().profiles().size()));
                 return;
             }
             deliver(b, at, code, running(instances.get(proxy), code, proxy));
@@ -116,16 +120,35 @@
                 if (b.u8(at + 9) >= to.profiles()) {
                     throw new WireException("a request of class " + b.u8(at + 9) + " of " + to.profiles());
                 }
-                m.onRequest(now, new Request(b.i32(at + 5), b.u8(at + 9), b.u16(at + 10), b.i64(at + 12),
-                        b.i64(at + 20), (flags & 1) != 0 ? b.i64(at + 28) : 0, (flags & 2) != 0));
+                m.onRequest(
+                        now,
+                        new Request(
+                                b.i32(at + 5),
+                                b.u8(at + 9),
+                                b.u16(at + 10),
+                                b.i64(at + 12),
+                                b.i64(at + 20),
+                                (flags & 1) != 0 ? b.i64(at + 28) : 0,
+                                (flags & 2) != 0));
             }
             case 4 -> m.onStreamBegun(now, b.i32(at + 5), b.u16(at + 9), b.i32(at + 11), b.i64(at + 15));
-            case 5 -> m.onOutcome(now, new Outcome(b.i32(at + 5), b.u16(at + 9), b.i32(at + 11),
-                    pick(STATUSES, b.u16(at + 15), "outcome"), b.i64(at + 17), b.u8(at + 25) != 0,
-                    report(b, at + 26, to.columns())));
+            case 5 -> m.onOutcome(
+                    now,
+                    new Outcome(
+                            b.i32(at + 5),
+                            b.u16(at + 9),
+                            b.i32(at + 11),
+                            pick(STATUSES, b.u16(at + 15), "outcome"),
+                            b.i64(at + 17),
+                            b.u8(at + 25) != 0,
+                            report(b, at + 26, to.columns())));
             case 6 -> m.onWithdrawn(now, b.i32(at + 5));
             case 7 -> m.onTimer(now, b.i64(at + 5));
-            case 8 -> m.onProbe(now, b.i32(at + 5), pick(STATUSES, b.u16(at + 9), "outcome"), b.i64(at + 11),
+            case 8 -> m.onProbe(
+                    now,
+                    b.i32(at + 5),
+                    pick(STATUSES, b.u16(at + 9), "outcome"),
+                    b.i64(at + 11),
                     report(b, at + 19, to.columns()));
             case 9 -> m.onPeer(now, b.i32(at + 5), b.bytes(at + 9));
             default -> throw new WireException("unknown event code " + code);
@@ -138,8 +161,14 @@
         List<Member> list = new ArrayList<>(n);
         for (int i = 0; i < n; i++) {
             int e = from + i * ENTRY;
-            list.add(new Member(b.i32(e), b.u16(e + 4), pick(STATES, b.u8(e + 6), "server state"),
-                    b.i64(e + 7), b.u16(e + 15), b.u8(e + 17), b.f32(e + 18)));
+            list.add(new Member(
+                    b.i32(e),
+                    b.u16(e + 4),
+                    pick(STATES, b.u8(e + 6), "server state"),
+                    b.i64(e + 7),
+                    b.u16(e + 15),
+                    b.u8(e + 17),
+                    b.f32(e + 18)));
         }
         return List.copyOf(list);
     }
@@ -158,9 +187,15 @@
         if (n > 4) {
             throw new WireException("a load report of " + n + " values");
         }
-        return n == 0 ? null : new Report(value(b, at, n, columns[0]), value(b, at, n, columns[1]),
-                value(b, at, n, columns[2]), value(b, at, n, columns[3]), value(b, at, n, columns[4]),
-                value(b, at, n, columns[5]));
+        return n == 0
+                ? null
+                : new Report(
+                        value(b, at, n, columns[0]),
+                        value(b, at, n, columns[1]),
+                        value(b, at, n, columns[2]),
+                        value(b, at, n, columns[3]),
+                        value(b, at, n, columns[4]),
+                        value(b, at, n, columns[5]));
     }
 
     private static double value(Batch b, int at, int n, int column) {
--- a/src/main/java/gullspar/drill/Reply.java
+++ b/src/main/java/gullspar/drill/Reply.java
@@ -84,7 +84,8 @@
     private ByteBuffer begin(int code, int proxy) {
         if (records.remaining() < RECORD) {
             records = ByteBuffer.wrap(Arrays.copyOf(records.array(), records.capacity() * 2))
-                    .order(ByteOrder.LITTLE_ENDIAN).position(records.position());
+                    .order(ByteOrder.LITTLE_ENDIAN)
+                    .position(records.position());
         }
         return records.put((byte) code).putInt(proxy);
     }
--- a/src/main/java/gullspar/importer/Chosen.java
+++ b/src/main/java/gullspar/importer/Chosen.java
@@ -7,7 +7,7 @@
 /** A variable whose text is chosen by a request: by map or split_clients. */
 final class Chosen {
     /** One of the texts, and when it is chosen; null for whatever is left. */
-    record Choice(Draft.When when, String text) { }
+    record Choice(Draft.When when, String text) {}
 
     final Directive directive;
     final List<Choice> choices = new ArrayList<>();
@@ -51,8 +51,9 @@
             } else {
                 String plain = key.startsWith("\\") ? key.substring(1) : key;
                 boolean letters = plain.chars().anyMatch(Character::isLetter);
-                c.choices.add(new Choice(letters ? Draft.When.matches(of, "(?i)^\\Q" + plain + "\\E$")
-                        : Draft.When.is(of, plain), text));
+                c.choices.add(new Choice(
+                        letters ? Draft.When.matches(of, "(?i)^\\Q" + plain + "\\E$") : Draft.When.is(of, plain),
+                        text));
             }
         }
         c.choices.addAll(regexes);
--- a/src/main/java/gullspar/importer/Draft.java
+++ b/src/main/java/gullspar/importer/Draft.java
@@ -25,8 +25,16 @@
     }
 
     /** A server of a pool. */
-    record Server(String comment, String address, int weight, boolean backup, boolean down, int maxFailures,
-            double failS, double slowStartS, int maxConnections) { }
+    record Server(
+            String comment,
+            String address,
+            int weight,
+            boolean backup,
+            boolean down,
+            int maxFailures,
+            double failS,
+            double slowStartS,
+            int maxConnections) {}
 
     /** A pool. */
     static final class Pool {
@@ -95,6 +103,7 @@
 
     /** By address; the comment of each. */
     final Map<String, String> listeners = new LinkedHashMap<>();
+
     final Map<String, Pool> pools = new LinkedHashMap<>();
     final List<Host> hosts = new ArrayList<>();
     double idleS = -1;
--- a/src/main/java/gullspar/importer/Importer.java
+++ b/src/main/java/gullspar/importer/Importer.java
@@ -25,7 +25,7 @@
     }
 
     /** What came out: all directives as read, what became of each, and the file; null on problems. */
-    public record Imported(List<Directive> directives, Report report, String toml) { }
+    public record Imported(List<Directive> directives, Report report, String toml) {}
 
     /**
      * Reads files and all that they include, one after another, and translates them. hosts: the addresses of
@@ -90,8 +90,7 @@
             }
         }
         limits(scope);
-        Servers servers = new Servers(draft, report, upstreams, new Locations(draft, report, upstreams,
-                chosen));
+        Servers servers = new Servers(draft, report, upstreams, new Locations(draft, report, upstreams, chosen));
         for (Directive d : block) {
             if (d.is("server") && d.block() != null) {
                 servers.declare(d, scope);
@@ -112,8 +111,7 @@
     /** Times that are one value for the process here. */
     private void limits(Scope http) {
         draft.idleS = seconds(http, "keepalive_timeout");
-        draft.requestS = Math.max(seconds(http, "client_header_timeout"),
-                seconds(http, "client_body_timeout"));
+        draft.requestS = Math.max(seconds(http, "client_header_timeout"), seconds(http, "client_body_timeout"));
         draft.stallS = seconds(http, "send_timeout");
     }
 
@@ -153,8 +151,7 @@
             report.put(d, Report.Verdict.NO_EFFECT, "it is off, as always here");
         } else if (Tables.WHERE_USED.contains(name)) {
             report.put(d, Report.Verdict.NO_EFFECT, "nothing that is passed on or answered comes under it");
-        } else if (List.of("keepalive_timeout", "client_header_timeout", "client_body_timeout",
-                "send_timeout")
+        } else if (List.of("keepalive_timeout", "client_header_timeout", "client_body_timeout", "send_timeout")
                 .contains(name)) {
             report.put(d, Report.Verdict.NO_EFFECT, "one value for all that is served here, that of http");
         } else if (d.is("map") || d.is("split_clients")) {
@@ -167,8 +164,9 @@
     }
 
     private static boolean off(Directive d) {
-        return Tables.NOT.containsKey(d.name().text()) && d.arguments().size() == 1
-                && d.argument(0).orElse("").equals("off") || d.is("proxy_redirect")
-                && d.argument(0).orElse("").equals("off");
+        return Tables.NOT.containsKey(d.name().text())
+                        && d.arguments().size() == 1
+                        && d.argument(0).orElse("").equals("off")
+                || d.is("proxy_redirect") && d.argument(0).orElse("").equals("off");
     }
 }
--- a/src/main/java/gullspar/importer/Known.java
+++ b/src/main/java/gullspar/importer/Known.java
@@ -13,20 +13,28 @@
 final class Known {
     private static final Pattern VARIABLE = Pattern.compile("\\$(?:\\{(\\w+)\\}|([1-9]|\\w+))");
     /** What is escaped, a class of characters, or a group: 1 is ? of one that may not count, 2 its name. */
-    private static final Pattern GROUP = Pattern.compile(
-            "\\\\.|\\[(?:\\\\.|[^\\]])*\\]|\\((\\?)?(?:P?<([A-Za-z]\\w*)>)?");
-    private static final Map<String, String> SAME = Map.ofEntries(Map.entry("host", "host"),
-            Map.entry("http_host", "host_header"), Map.entry("remote_addr", "client"),
-            Map.entry("proxy_add_x_forwarded_for", "forwarded_for"), Map.entry("scheme", "scheme"),
-            Map.entry("server_port", "port"), Map.entry("request_uri", "uri"), Map.entry("uri", "path"),
-            Map.entry("document_uri", "path"), Map.entry("args", "query"),
-            Map.entry("query_string", "query"), Map.entry("request_method", "method"),
+    private static final Pattern GROUP =
+            Pattern.compile("\\\\.|\\[(?:\\\\.|[^\\]])*\\]|\\((\\?)?(?:P?<([A-Za-z]\\w*)>)?");
+
+    private static final Map<String, String> SAME = Map.ofEntries(
+            Map.entry("host", "host"),
+            Map.entry("http_host", "host_header"),
+            Map.entry("remote_addr", "client"),
+            Map.entry("proxy_add_x_forwarded_for", "forwarded_for"),
+            Map.entry("scheme", "scheme"),
+            Map.entry("server_port", "port"),
+            Map.entry("request_uri", "uri"),
+            Map.entry("uri", "path"),
+            Map.entry("document_uri", "path"),
+            Map.entry("args", "query"),
+            Map.entry("query_string", "query"),
+            Map.entry("request_method", "method"),
             Map.entry("request_id", "request_id"));
 
     /** Names that have a fixed text here: set, chosen by a map, or of the place. */
     private final Map<String, String> fixed = new HashMap<>();
 
-    Known() { }
+    Known() {}
 
     Known(Known outer) {
         fixed.putAll(outer.fixed);
@@ -77,8 +85,7 @@
                 .replace("$is_args$query_string", "${is_args_and_args}"));
         StringBuilder s = new StringBuilder();
         while (m.find()) {
-            m.appendReplacement(s, Matcher.quoteReplacement(
-                    variable(m.group(1) != null ? m.group(1) : m.group(2))));
+            m.appendReplacement(s, Matcher.quoteReplacement(variable(m.group(1) != null ? m.group(1) : m.group(2))));
         }
         m.appendTail(s);
         return s.toString();
@@ -103,7 +110,8 @@
         for (String kind : List.of("http_", "cookie_", "arg_")) {
             if (name.startsWith(kind) && name.length() > kind.length()) {
                 String rest = name.substring(kind.length());
-                return kind.equals("http_") ? "${header." + rest.replace('_', '-') + "}"
+                return kind.equals("http_")
+                        ? "${header." + rest.replace('_', '-') + "}"
                         : "${" + kind.substring(0, kind.length() - 1) + "." + rest + "}";
             }
         }
--- a/src/main/java/gullspar/importer/Locations.java
+++ b/src/main/java/gullspar/importer/Locations.java
@@ -20,8 +20,8 @@
     private static final int MOST_BRANCHES = 64;
     private static final String BY_RETURN = "the return of this block answers first";
     /** Headers that belong to one connection, or to the framing on it. */
-    private static final Set<String> OF_CONNECTIONS = Set.of("Connection", "Upgrade", "Content-Length",
-            "Transfer-Encoding", "TE", "Keep-Alive", "Trailer");
+    private static final Set<String> OF_CONNECTIONS =
+            Set.of("Connection", "Upgrade", "Content-Length", "Transfer-Encoding", "TE", "Keep-Alive", "Trailer");
 
     private final Draft draft;
     private final Report report;
@@ -43,7 +43,8 @@
         for (Directive d : block) {
             if (d.is("location") && d.block() != null && !d.arguments().isEmpty()) {
                 String first = d.arguments().get(0).text();
-                plain.add(d.arguments().size() == 1 ? first : d.arguments().get(1).text());
+                plain.add(
+                        d.arguments().size() == 1 ? first : d.arguments().get(1).text());
             }
         }
         for (Directive d : block) {
@@ -54,8 +55,7 @@
         return all;
     }
 
-    private void place(Directive d, Scope outer, Known known, List<Route> all, Set<String> plain,
-            Set<String> seen) {
+    private void place(Directive d, Scope outer, Known known, List<Route> all, Set<String> plain, Set<String> seen) {
         try {
             Route place = new Route();
             kind(d, place);
@@ -71,7 +71,9 @@
             routes.get(0).nested.addAll(places(d.block(), scope, known));
             all.addAll(routes);
             report.translated(d);
-            if (!place.match.startsWith("regex") && place.path.endsWith("/") && place.path.length() > 1
+            if (!place.match.startsWith("regex")
+                    && place.path.endsWith("/")
+                    && place.path.length() > 1
                     && routes.get(0).pool != null) {
                 slash(d, place.path, all, plain);
             }
@@ -133,10 +135,13 @@
     private List<Route> routes(Directive at, Scope scope, Known known, Route place) throws Untranslatable {
         known = sets(scope, known);
         List<Route> routes = new ArrayList<>();
-        String regex = !place.match.startsWith("regex") ? null
+        String regex = !place.match.startsWith("regex")
+                ? null
                 : place.match.equals("regex") ? place.path : "(?i)" + place.path;
         Directive answer = null;
-        Directive pass = scope.own("proxy_pass").isEmpty() ? null : scope.own("proxy_pass").get(0);
+        Directive pass = scope.own("proxy_pass").isEmpty()
+                ? null
+                : scope.own("proxy_pass").get(0);
         for (Directive d : at.block()) {
             if (answer != null && (d.is("rewrite") || d.is("return") || d.is("proxy_pass"))) {
                 report.put(d, Report.Verdict.NO_EFFECT, BY_RETURN);
@@ -166,24 +171,31 @@
 
     /** Does a rewrite that sends clients elsewhere fit every path? */
     private static boolean always(Scope scope) {
-        return scope.own("rewrite").stream().anyMatch(d -> redirects(d)
-                && Set.of("^", "^/", "^(.*)$", "^(.*)", "^/(.*)$", "^/(.*)", ".*", "^.*$", "^/.*$", "(.*)")
-                .contains(d.argument(0).orElse("")));
+        return scope.own("rewrite").stream()
+                .anyMatch(d -> redirects(d)
+                        && Set.of("^", "^/", "^(.*)$", "^(.*)", "^/(.*)$", "^/(.*)", ".*", "^.*$", "^/.*$", "(.*)")
+                                .contains(d.argument(0).orElse("")));
     }
 
     private static String handler(Scope scope) {
-        for (String other : List.of("fastcgi_pass", "uwsgi_pass", "scgi_pass", "grpc_pass", "memcached_pass",
-                "try_files", "stub_status", "empty_gif")) {
+        for (String other : List.of(
+                "fastcgi_pass",
+                "uwsgi_pass",
+                "scgi_pass",
+                "grpc_pass",
+                "memcached_pass",
+                "try_files",
+                "stub_status",
+                "empty_gif")) {
             if (!scope.own(other).isEmpty()) {
                 return other + " is not spoken here; put an HTTP server before it and pass to that";
             }
         }
-        return "it serves files from disk, which is not done here; put a file server behind it and pass to "
-                + "that";
+        return "it serves files from disk, which is not done here; put a file server behind it and pass to " + "that";
     }
 
     /** One combination of the texts that chosen variables have, and when it is. */
-    private record Branch(List<When> when, Known known) { }
+    private record Branch(List<When> when, Known known) {}
 
     private List<Branch> branches(List<String> texts, Known known) throws Untranslatable {
         List<Branch> all = new ArrayList<>(List.of(new Branch(List.of(), known)));
@@ -197,8 +209,7 @@
                     if (choice.when() != null) {
                         when.add(choice.when());
                     }
-                    next.add(new Branch(when, new Known(b.known).with(name,
-                            b.known.template(choice.text()))));
+                    next.add(new Branch(when, new Known(b.known).with(name, b.known.template(choice.text()))));
                 }
             }
             if (next.size() > MOST_BRANCHES) {
@@ -232,7 +243,8 @@
         Known known = new Known(outer);
         for (Directive d : scope.own("set")) {
             try {
-                known.with(d.argument(0).orElse("").replaceFirst("^\\$", ""),
+                known.with(
+                        d.argument(0).orElse("").replaceFirst("^\\$", ""),
                         known.template(d.argument(1).orElse("")));
                 report.translated(d);
             } catch (Untranslatable e) {
@@ -289,8 +301,8 @@
         return location.startsWith("/") ? "${scheme}://${host_header}" + location : location;
     }
 
-    private void rewrite(Directive d, Scope scope, Known known, Route place, Directive pass,
-            List<Route> routes) throws Untranslatable {
+    private void rewrite(Directive d, Scope scope, Known known, Route place, Directive pass, List<Route> routes)
+            throws Untranslatable {
         try {
             String flag = d.argument(2).orElse("");
             if (redirects(d)) {
@@ -302,9 +314,11 @@
                 routes.subList(before, routes.size()).forEach(r -> r.when.add(0, fits));
                 report.translated(d);
             } else {
-                throw new Untranslatable(flag.equals("break") ? "a rewrite that nothing is passed on after"
-                        : "it looks for a location anew with the new path; name that location's pool here "
-                            + "and end it with break");
+                throw new Untranslatable(
+                        flag.equals("break")
+                                ? "a rewrite that nothing is passed on after"
+                                : "it looks for a location anew with the new path; name that location's pool here "
+                                        + "and end it with break");
             }
         } catch (Untranslatable e) {
             report.not(d, e.getMessage());
@@ -314,7 +328,8 @@
     /** Does a rewrite send the client elsewhere? */
     static boolean redirects(Directive d) {
         String flag = d.argument(2).orElse("");
-        return flag.equals("permanent") || flag.equals("redirect")
+        return flag.equals("permanent")
+                || flag.equals("redirect")
                 || d.argument(1).orElse("").matches("(https?://|\\$scheme).*");
     }
 
@@ -328,11 +343,10 @@
         boolean drop = to.endsWith("?");
         String plain = drop ? to.substring(0, to.length() - 1) : to;
         if (!drop && plain.contains("?")) {
-            throw new Untranslatable("arguments of its own and the request's behind them; end it with ? if "
-                    + "those need not go on");
+            throw new Untranslatable(
+                    "arguments of its own and the request's behind them; end it with ? if " + "those need not go on");
         }
-        boolean has = plain.contains("$request_uri") || plain.contains("$args")
-                || plain.contains("$is_args");
+        boolean has = plain.contains("$request_uri") || plain.contains("$args") || plain.contains("$is_args");
         r.location = place(new Known(known).groups(regex).template(plain)) + (drop || has ? "" : "${args}");
         added(scope, known, r);
         report.translated(d);
@@ -341,8 +355,9 @@
 
     // ---- proxy_pass ----
 
-    private void pass(Directive pass, Scope scope, Known known, Route place, Directive rewrite, String regex,
-            List<Route> routes) throws Untranslatable {
+    private void pass(
+            Directive pass, Scope scope, Known known, Route place, Directive rewrite, String regex, List<Route> routes)
+            throws Untranslatable {
         List<String> texts = new ArrayList<>(texts(pass));
         scope.find("proxy_set_header").forEach(h -> texts.addAll(texts(h)));
         scope.find("add_header").forEach(h -> texts.addAll(texts(h)));
@@ -357,8 +372,7 @@
             throw new Untranslatable("its proxy_pass could not be translated");
         }
         for (String files : List.of("root", "index")) {
-            scope.own(files).forEach(d -> report.put(d, Report.Verdict.NO_EFFECT,
-                    "what comes here is passed on"));
+            scope.own(files).forEach(d -> report.put(d, Report.Verdict.NO_EFFECT, "what comes here is passed on"));
         }
         report.translated(pass);
     }
@@ -375,24 +389,24 @@
         }
         Matcher m = PASS.matcher(url);
         if (!m.matches()) {
-            throw new Untranslatable(url.contains("$") ? "where " + url + " leads is not known here"
-                    : "'" + url + "' is no URL");
+            throw new Untranslatable(
+                    url.contains("$") ? "where " + url + " leads is not known here" : "'" + url + "' is no URL");
         }
         if (!m.group(1).equals("http")) {
             throw new Untranslatable(m.group(1) + " to servers: only plain HTTP is spoken to them");
         }
         r.pool = upstreams.pool(m.group(2), pass);
         path(m.group(3), written.contains("$"), r, rewrite, regex, known);
-        String proxyHost = m.group(2).endsWith(":80") ? m.group(2).substring(0, m.group(2).length() - 3)
-                : m.group(2);
+        String proxyHost =
+                m.group(2).endsWith(":80") ? m.group(2).substring(0, m.group(2).length() - 3) : m.group(2);
         requestHeaders(scope, new Known(known).with("proxy_host", proxyHost), r);
         answerHeaders(scope, known, r);
         limits(scope, r);
     }
 
     /** How the path changes on the way. */
-    private static void path(String uri, boolean variables, Route r, Directive rewrite, String regex,
-            Known known) throws Untranslatable {
+    private static void path(String uri, boolean variables, Route r, Directive rewrite, String regex, Known known)
+            throws Untranslatable {
         if (rewrite != null) {
             String from = Known.regex(rewrite.argument(0).orElse(""));
             String to = rewrite.argument(1).orElse("");
@@ -416,8 +430,8 @@
             r.rewritePattern = to.startsWith("${path}") ? "^(.*)$" : Known.whole(regex == null ? "^" : regex);
             r.rewriteTo = to.replace("${path}", "$1");
         } else {
-            throw new Untranslatable("with variables in its path the arguments do not go on; end it with "
-                    + "$is_args$args");
+            throw new Untranslatable(
+                    "with variables in its path the arguments do not go on; end it with " + "$is_args$args");
         }
         if (r.rewriteTo.contains("${")) {
             throw new Untranslatable("the path is made of " + r.rewriteTo);
@@ -478,8 +492,10 @@
         for (Directive d : scope.find("add_header")) {
             try {
                 boolean always = d.argument(2).orElse("").equals("always");
-                (always ? r.answerHeaders.add : r.answerHeaders.addOk).put(d.argument(0).orElse(""),
-                        known.template(d.argument(1).orElse("")));
+                (always ? r.answerHeaders.add : r.answerHeaders.addOk)
+                        .put(
+                                d.argument(0).orElse(""),
+                                known.template(d.argument(1).orElse("")));
                 report.translated(d);
             } catch (Untranslatable e) {
                 report.not(d, e.getMessage());
@@ -514,9 +530,9 @@
         String remark = "";
         for (Word w : d.arguments()) {
             switch (w.text()) {
-                case "error", "timeout", "invalid_header" -> { }
-                case "http_500", "http_502", "http_503", "http_504", "http_429" ->
-                    statuses.add(w.text().substring(5));
+                case "error", "timeout", "invalid_header" -> {}
+                case "http_500", "http_502", "http_503", "http_504", "http_429" -> statuses.add(
+                        w.text().substring(5));
                 case "off" -> r.attempts = 1;
                 case "non_idempotent" -> {
                     r.safe = true;
@@ -524,8 +540,7 @@
                             + "may run twice";
                 }
                 default -> {
-                    report.not(d, w.text() +
-                            ": here that answer tells nothing of the server and is passed on");
+                    report.not(d, w.text() + ": here that answer tells nothing of the server and is passed on");
                     return;
                 }
             }
@@ -567,8 +582,12 @@
         try {
             double kb = Units.kilobytes(scope.value("client_max_body_size", "1m"));
             if (d != null) {
-                report.translated(d, kb == 0 ? "0 is no limit there; here it is 1 GB, and all bodies in hand "
-                        + "share limits.bodies_mb" : "");
+                report.translated(
+                        d,
+                        kb == 0
+                                ? "0 is no limit there; here it is 1 GB, and all bodies in hand "
+                                        + "share limits.bodies_mb"
+                                : "");
             }
             if (kb > 16 * 1024) {
                 draft.bodiesMb = Math.max(draft.bodiesMb, Math.ceil(kb / 512));
--- a/src/main/java/gullspar/importer/Report.java
+++ b/src/main/java/gullspar/importer/Report.java
@@ -9,10 +9,14 @@
 /** What became of each directive: exactly one of three, and why. */
 public final class Report {
     /** What can become of a directive. */
-    public enum Verdict { NO_EFFECT, TRANSLATED, NOT_TRANSLATABLE }
+    public enum Verdict {
+        NO_EFFECT,
+        TRANSLATED,
+        NOT_TRANSLATABLE
+    }
 
     /** What became of one; why is empty where a translation needs no remark. */
-    public record Entry(Directive directive, Verdict verdict, String why) { }
+    public record Entry(Directive directive, Verdict verdict, String why) {}
 
     private final Map<Directive, Entry> entries = new IdentityHashMap<>();
 
@@ -22,7 +26,8 @@
      */
     void put(Directive d, Verdict verdict, String why) {
         Entry known = entries.get(d);
-        if (known == null || known.verdict().ordinal() < verdict.ordinal()
+        if (known == null
+                || known.verdict().ordinal() < verdict.ordinal()
                 || known.verdict() == verdict && known.why().isEmpty()) {
             entries.put(d, new Entry(d, verdict, why));
         }
@@ -54,10 +59,12 @@
 
     /** All entries, in the order of the files. */
     public List<Entry> entries(List<Directive> tree) {
-        return tree.stream().flatMap(d -> {
-            List<Entry> below = d.block() == null ? List.of() : entries(d.block());
-            return Stream.concat(Stream.of(entries.get(d)), below.stream());
-        }).toList();
+        return tree.stream()
+                .flatMap(d -> {
+                    List<Entry> below = d.block() == null ? List.of() : entries(d.block());
+                    return Stream.concat(Stream.of(entries.get(d)), below.stream());
+                })
+                .toList();
     }
 
     /** Is there anything that could not be translated? */
--- a/src/main/java/gullspar/importer/Scope.java
+++ b/src/main/java/gullspar/importer/Scope.java
@@ -13,7 +13,8 @@
 
     Scope(Scope outer, List<Directive> block) {
         this.outer = outer;
-        block.forEach(d -> own.computeIfAbsent(d.name().text(), n -> new ArrayList<>()).add(d));
+        block.forEach(d ->
+                own.computeIfAbsent(d.name().text(), n -> new ArrayList<>()).add(d));
     }
 
     /** Those of this block alone, in their order. */
--- a/src/main/java/gullspar/importer/Servers.java
+++ b/src/main/java/gullspar/importer/Servers.java
@@ -12,8 +12,7 @@
 
 /** Virtual hosts: where each listens, under which names, and what it does before its places are looked at. */
 final class Servers {
-    private static final Set<String> OF_SOCKETS = Set.of("reuseport", "deferred", "bind", "fastopen",
-            "setfib");
+    private static final Set<String> OF_SOCKETS = Set.of("reuseport", "deferred", "bind", "fastopen", "setfib");
 
     private final Draft draft;
     private final Report report;
@@ -22,6 +21,7 @@
     private final Set<String> taken = new HashSet<>();
     /** By listener, the first host there; it is the default unless another says that it is. */
     private final Map<String, Draft.Host> firsts = new LinkedHashMap<>();
+
     private final Set<String> declaredDefault = new HashSet<>();
 
     Servers(Draft draft, Report report, Upstreams upstreams, Locations locations) {
@@ -37,8 +37,7 @@
         report.translated(server);
         listen(server, scope, host);
         if (host.listeners.isEmpty()) {
-            report.all(server, Report.Verdict.NOT_TRANSLATABLE,
-                    "its server listens nowhere that is translated");
+            report.all(server, Report.Verdict.NOT_TRANSLATABLE, "its server listens nowhere that is translated");
             return;
         }
         String name = names(scope, host);
@@ -48,11 +47,11 @@
         if (server.block().stream().noneMatch(d -> d.is("return"))) {
             host.routes.addAll(locations.places(server.block(), scope, known));
         }
-        if (host.first.stream().anyMatch(r -> r.when.isEmpty()) || host.routes.stream().anyMatch(r ->
-                r.path.equals("/") && r.match.equals("prefix"))) {
+        if (host.first.stream().anyMatch(r -> r.when.isEmpty())
+                || host.routes.stream().anyMatch(r -> r.path.equals("/") && r.match.equals("prefix"))) {
             for (String files : List.of("root", "index")) {
-                scope.own(files).forEach(d -> report.put(d, Report.Verdict.NO_EFFECT,
-                        "every path is passed on or answered"));
+                scope.own(files)
+                        .forEach(d -> report.put(d, Report.Verdict.NO_EFFECT, "every path is passed on or answered"));
             }
         }
         if (host.first.isEmpty() && host.routes.isEmpty()) {
@@ -88,11 +87,11 @@
     private void listen(Directive d, Draft.Host host) throws Untranslatable {
         boolean isDefault = false;
         List<String> dropped = new ArrayList<>();
-        for (Word w : d.arguments().subList(Math.min(1, d.arguments().size()), d.arguments().size())) {
+        for (Word w : d.arguments()
+                .subList(Math.min(1, d.arguments().size()), d.arguments().size())) {
             String p = w.text();
             if (p.equals("ssl") || p.equals("quic") || p.equals("spdy")) {
-                throw new Untranslatable("clients are not encrypted here: put something that ends TLS before "
-                        + "it");
+                throw new Untranslatable("clients are not encrypted here: put something that ends TLS before " + "it");
             } else if (p.equals("http2")) {
                 throw new Untranslatable("HTTP/2 is not spoken here: put something that speaks it before it");
             } else if (p.equals("proxy_protocol")) {
@@ -110,15 +109,14 @@
         if (!fresh) {
             report.put(d, Report.Verdict.NO_EFFECT, "0.0.0.0 hears IPv6 as well");
         } else {
-            report.translated(d, dropped.isEmpty() ? "" : "without " + String.join(", ", dropped)
-                    + ", which the system decides");
+            report.translated(
+                    d, dropped.isEmpty() ? "" : "without " + String.join(", ", dropped) + ", which the system decides");
         }
     }
 
     private String address(String text) throws Untranslatable {
-        String t = text.matches("\\d+") ? "0.0.0.0:" + text : text.startsWith("*:") ? "0.0.0.0" +
-                text.substring(1)
-                : text;
+        String t =
+                text.matches("\\d+") ? "0.0.0.0:" + text : text.startsWith("*:") ? "0.0.0.0" + text.substring(1) : text;
         t = t.startsWith("[::]") ? "0.0.0.0" + t.substring(4) : t;
         String address = upstreams.address(t, 80);
         String port = address.substring(address.lastIndexOf(':'));
@@ -166,8 +164,9 @@
                         late.add(name);
                     }
                 }
-                report.translated(d, late.isEmpty() ? "" : "without " + String.join(", ", late)
-                        + ", which an earlier server has");
+                report.translated(
+                        d,
+                        late.isEmpty() ? "" : "without " + String.join(", ", late) + ", which an earlier server has");
             } catch (Untranslatable e) {
                 report.not(d, e.getMessage());
             }
@@ -185,8 +184,7 @@
         }
         if (text.startsWith("~")) {
             if (text.contains("(?<") || text.contains("(?P<")) {
-                throw new Untranslatable("a name that is caught in server_name; list the hosts, or use "
-                        + "${host}");
+                throw new Untranslatable("a name that is caught in server_name; list the hosts, or use " + "${host}");
             }
             return "~(?i)" + Known.regex(text.substring(1));
         }
--- a/src/main/java/gullspar/importer/Tables.java
+++ b/src/main/java/gullspar/importer/Tables.java
@@ -13,10 +13,20 @@
     /** Not translatable, why, and what to do where there is a way. */
     static final Map<String, String> NOT = new HashMap<>();
     /** Translated where a request that is passed on comes under them. */
-    static final Set<String> WHERE_USED = Set.of("proxy_connect_timeout", "proxy_read_timeout",
-            "proxy_send_timeout", "proxy_set_header", "proxy_hide_header", "add_header",
-            "client_max_body_size", "proxy_next_upstream", "proxy_next_upstream_tries",
-            "proxy_next_upstream_timeout", "default_type", "set", "proxy_pass_request_headers",
+    static final Set<String> WHERE_USED = Set.of(
+            "proxy_connect_timeout",
+            "proxy_read_timeout",
+            "proxy_send_timeout",
+            "proxy_set_header",
+            "proxy_hide_header",
+            "add_header",
+            "client_max_body_size",
+            "proxy_next_upstream",
+            "proxy_next_upstream_tries",
+            "proxy_next_upstream_timeout",
+            "default_type",
+            "set",
+            "proxy_pass_request_headers",
             "proxy_pass_request_body");
 
     private static void none(String why, String... names) {
@@ -32,100 +42,326 @@
     }
 
     static {
-        none("the process is run by whoever starts it", "user", "worker_processes", "worker_cpu_affinity",
-                "worker_priority", "worker_rlimit_nofile", "worker_rlimit_core", "worker_shutdown_timeout",
-                "pid", "daemon", "master_process", "env", "lock_file", "working_directory",
-                        "timer_resolution",
-                "pcre_jit", "thread_pool", "debug_points", "load_module");
-        none("one event loop, and limits.sockets for all connections", "events", "worker_connections", "use",
-                "multi_accept", "accept_mutex", "accept_mutex_delay", "debug_connection",
-                        "worker_aio_requests");
-        none("the log is on standard error; there is none of each request", "error_log", "access_log",
-                "log_format", "log_not_found", "log_subrequest", "open_log_file_cache", "rewrite_log",
+        none(
+                "the process is run by whoever starts it",
+                "user",
+                "worker_processes",
+                "worker_cpu_affinity",
+                "worker_priority",
+                "worker_rlimit_nofile",
+                "worker_rlimit_core",
+                "worker_shutdown_timeout",
+                "pid",
+                "daemon",
+                "master_process",
+                "env",
+                "lock_file",
+                "working_directory",
+                "timer_resolution",
+                "pcre_jit",
+                "thread_pool",
+                "debug_points",
+                "load_module");
+        none(
+                "one event loop, and limits.sockets for all connections",
+                "events",
+                "worker_connections",
+                "use",
+                "multi_accept",
+                "accept_mutex",
+                "accept_mutex_delay",
+                "debug_connection",
+                "worker_aio_requests");
+        none(
+                "the log is on standard error; there is none of each request",
+                "error_log",
+                "access_log",
+                "log_format",
+                "log_not_found",
+                "log_subrequest",
+                "open_log_file_cache",
+                "rewrite_log",
                 "uninitialized_variable_warn");
-        none("no files are served", "sendfile", "sendfile_max_chunk", "tcp_nopush", "aio", "aio_write",
-                "directio", "directio_alignment", "output_buffers", "open_file_cache",
-                "open_file_cache_valid", "open_file_cache_min_uses", "open_file_cache_errors", "types",
-                "disable_symlinks", "read_ahead", "etag", "if_modified_since", "max_ranges", "charset",
-                "charset_types", "source_charset", "override_charset");
-        none("always so", "tcp_nodelay", "reset_timedout_connection", "proxy_http_version",
-                "chunked_transfer_encoding", "ignore_invalid_headers", "proxy_socket_keepalive",
-                "lingering_close", "lingering_time", "lingering_timeout", "postpone_output",
-                "absolute_redirect", "port_in_redirect", "server_name_in_redirect", "recursive_error_pages");
-        none("connections of clients end by idleness alone", "keepalive_requests", "keepalive_time",
+        none(
+                "no files are served",
+                "sendfile",
+                "sendfile_max_chunk",
+                "tcp_nopush",
+                "aio",
+                "aio_write",
+                "directio",
+                "directio_alignment",
+                "output_buffers",
+                "open_file_cache",
+                "open_file_cache_valid",
+                "open_file_cache_min_uses",
+                "open_file_cache_errors",
+                "types",
+                "disable_symlinks",
+                "read_ahead",
+                "etag",
+                "if_modified_since",
+                "max_ranges",
+                "charset",
+                "charset_types",
+                "source_charset",
+                "override_charset");
+        none(
+                "always so",
+                "tcp_nodelay",
+                "reset_timedout_connection",
+                "proxy_http_version",
+                "chunked_transfer_encoding",
+                "ignore_invalid_headers",
+                "proxy_socket_keepalive",
+                "lingering_close",
+                "lingering_time",
+                "lingering_timeout",
+                "postpone_output",
+                "absolute_redirect",
+                "port_in_redirect",
+                "server_name_in_redirect",
+                "recursive_error_pages");
+        none(
+                "connections of clients end by idleness alone",
+                "keepalive_requests",
+                "keepalive_time",
                 "keepalive_disable");
-        none("memory is kept small in other ways: bodies under limits.bodies_mb, answers streamed",
-                "client_body_buffer_size", "client_body_in_single_buffer", "client_body_temp_path",
-                "client_body_in_file_only", "client_header_buffer_size", "large_client_header_buffers",
-                "connection_pool_size", "request_pool_size", "proxy_buffer_size", "proxy_buffers",
-                "proxy_busy_buffers_size", "proxy_max_temp_file_size", "proxy_temp_file_write_size",
-                "proxy_temp_path", "proxy_buffering", "proxy_request_buffering", "proxy_limit_rate",
-                "proxy_headers_hash_max_size", "proxy_headers_hash_bucket_size",
-                        "subrequest_output_buffer_size");
-        none("tables grow as they need", "server_names_hash_max_size", "server_names_hash_bucket_size",
-                "types_hash_max_size", "types_hash_bucket_size", "variables_hash_max_size",
-                "variables_hash_bucket_size", "map_hash_max_size", "map_hash_bucket_size");
-        none("answers are passed on as servers made them: let those compress", "gzip", "gzip_types",
-                "gzip_vary", "gzip_proxied", "gzip_comp_level", "gzip_min_length", "gzip_buffers",
-                "gzip_http_version", "gzip_disable", "gzip_static", "gunzip", "gunzip_buffers");
+        none(
+                "memory is kept small in other ways: bodies under limits.bodies_mb, answers streamed",
+                "client_body_buffer_size",
+                "client_body_in_single_buffer",
+                "client_body_temp_path",
+                "client_body_in_file_only",
+                "client_header_buffer_size",
+                "large_client_header_buffers",
+                "connection_pool_size",
+                "request_pool_size",
+                "proxy_buffer_size",
+                "proxy_buffers",
+                "proxy_busy_buffers_size",
+                "proxy_max_temp_file_size",
+                "proxy_temp_file_write_size",
+                "proxy_temp_path",
+                "proxy_buffering",
+                "proxy_request_buffering",
+                "proxy_limit_rate",
+                "proxy_headers_hash_max_size",
+                "proxy_headers_hash_bucket_size",
+                "subrequest_output_buffer_size");
+        none(
+                "tables grow as they need",
+                "server_names_hash_max_size",
+                "server_names_hash_bucket_size",
+                "types_hash_max_size",
+                "types_hash_bucket_size",
+                "variables_hash_max_size",
+                "variables_hash_bucket_size",
+                "map_hash_max_size",
+                "map_hash_bucket_size");
+        none(
+                "answers are passed on as servers made them: let those compress",
+                "gzip",
+                "gzip_types",
+                "gzip_vary",
+                "gzip_proxied",
+                "gzip_comp_level",
+                "gzip_min_length",
+                "gzip_buffers",
+                "gzip_http_version",
+                "gzip_disable",
+                "gzip_static",
+                "gunzip",
+                "gunzip_buffers");
         none("this proxy does not say what it is", "server_tokens");
         none("nobody looks up names", "resolver", "resolver_timeout");
-        none("nothing is cached, so this is of no use", "proxy_cache_bypass", "proxy_cache_key",
-                "proxy_cache_lock", "proxy_cache_lock_age", "proxy_cache_lock_timeout", "proxy_cache_methods",
-                "proxy_cache_min_uses", "proxy_cache_path", "proxy_cache_purge", "proxy_cache_revalidate",
-                "proxy_cache_use_stale", "proxy_cache_valid", "proxy_cache_background_update",
-                "proxy_cache_convert_head", "proxy_cache_max_range_offset", "proxy_no_cache");
+        none(
+                "nothing is cached, so this is of no use",
+                "proxy_cache_bypass",
+                "proxy_cache_key",
+                "proxy_cache_lock",
+                "proxy_cache_lock_age",
+                "proxy_cache_lock_timeout",
+                "proxy_cache_methods",
+                "proxy_cache_min_uses",
+                "proxy_cache_path",
+                "proxy_cache_purge",
+                "proxy_cache_revalidate",
+                "proxy_cache_use_stale",
+                "proxy_cache_valid",
+                "proxy_cache_background_update",
+                "proxy_cache_convert_head",
+                "proxy_cache_max_range_offset",
+                "proxy_no_cache");
         none("headers of answers have no meaning to this proxy", "proxy_ignore_headers", "proxy_pass_header");
         none("a client that leaves always takes its attempt along", "proxy_ignore_client_abort");
-        not("clients are not encrypted here: put something that ends TLS before it", "ssl_certificate",
-                "ssl_certificate_key", "ssl", "ssl_protocols", "ssl_ciphers", "ssl_session_cache",
-                "ssl_session_timeout", "ssl_session_tickets", "ssl_session_ticket_key", "ssl_dhparam",
-                "ssl_prefer_server_ciphers", "ssl_stapling", "ssl_stapling_verify", "ssl_client_certificate",
-                "ssl_verify_client", "ssl_verify_depth", "ssl_trusted_certificate", "ssl_ecdh_curve",
-                "ssl_buffer_size", "ssl_crl", "ssl_early_data", "ssl_password_file", "ssl_reject_handshake",
-                "ssl_conf_command", "http2", "http3", "quic_retry", "ssl_preread");
-        not("only plain HTTP is spoken to servers", "proxy_ssl_certificate", "proxy_ssl_certificate_key",
-                "proxy_ssl_ciphers", "proxy_ssl_name", "proxy_ssl_protocols", "proxy_ssl_server_name",
-                "proxy_ssl_session_reuse", "proxy_ssl_trusted_certificate", "proxy_ssl_verify",
+        not(
+                "clients are not encrypted here: put something that ends TLS before it",
+                "ssl_certificate",
+                "ssl_certificate_key",
+                "ssl",
+                "ssl_protocols",
+                "ssl_ciphers",
+                "ssl_session_cache",
+                "ssl_session_timeout",
+                "ssl_session_tickets",
+                "ssl_session_ticket_key",
+                "ssl_dhparam",
+                "ssl_prefer_server_ciphers",
+                "ssl_stapling",
+                "ssl_stapling_verify",
+                "ssl_client_certificate",
+                "ssl_verify_client",
+                "ssl_verify_depth",
+                "ssl_trusted_certificate",
+                "ssl_ecdh_curve",
+                "ssl_buffer_size",
+                "ssl_crl",
+                "ssl_early_data",
+                "ssl_password_file",
+                "ssl_reject_handshake",
+                "ssl_conf_command",
+                "http2",
+                "http3",
+                "quic_retry",
+                "ssl_preread");
+        not(
+                "only plain HTTP is spoken to servers",
+                "proxy_ssl_certificate",
+                "proxy_ssl_certificate_key",
+                "proxy_ssl_ciphers",
+                "proxy_ssl_name",
+                "proxy_ssl_protocols",
+                "proxy_ssl_server_name",
+                "proxy_ssl_session_reuse",
+                "proxy_ssl_trusted_certificate",
+                "proxy_ssl_verify",
                 "proxy_ssl_verify_depth");
-        not("a client does not stay with one server here; keep sessions where all servers find them",
-                "ip_hash", "hash", "sticky", "sticky_cookie_insert");
+        not(
+                "a client does not stay with one server here; keep sessions where all servers find them",
+                "ip_hash",
+                "hash",
+                "sticky",
+                "sticky_cookie_insert");
         not("conditions are written as routes with header or when", "if");
-        not("no files are served here: put a file server behind it and pass to that", "try_files", "root",
-                "alias", "index", "autoindex", "autoindex_exact_size", "autoindex_format",
-                "autoindex_localtime", "random_index", "expires", "internal", "dav_methods", "mp4", "flv",
-                "secure_link", "secure_link_md5", "image_filter", "xslt_stylesheet", "ssi");
-        not("what an error looks like is left to servers; a route can answer by itself", "error_page",
+        not(
+                "no files are served here: put a file server behind it and pass to that",
+                "try_files",
+                "root",
+                "alias",
+                "index",
+                "autoindex",
+                "autoindex_exact_size",
+                "autoindex_format",
+                "autoindex_localtime",
+                "random_index",
+                "expires",
+                "internal",
+                "dav_methods",
+                "mp4",
+                "flv",
+                "secure_link",
+                "secure_link_md5",
+                "image_filter",
+                "xslt_stylesheet",
+                "ssi");
+        not(
+                "what an error looks like is left to servers; a route can answer by itself",
+                "error_page",
                 "proxy_intercept_errors");
-        not("who may come is not decided here: put that before it, or in the servers", "auth_request",
-                "auth_request_set", "auth_basic", "auth_basic_user_file", "auth_jwt", "allow", "deny",
-                "satisfy", "limit_except", "valid_referers", "geo", "geoip_country", "geoip2");
-        not("no rate is limited by client; the module refuses what servers cannot do", "limit_req",
-                "limit_req_zone", "limit_req_status", "limit_req_log_level", "limit_conn", "limit_conn_zone",
-                "limit_conn_status", "limit_rate", "limit_rate_after");
-        not("the address of a client is that of its connection; see forwarded", "set_real_ip_from",
-                "real_ip_header", "real_ip_recursive");
-        not("answers are passed on as they are", "sub_filter", "sub_filter_once", "sub_filter_types",
-                "sub_filter_last_modified", "add_before_body", "add_after_body", "proxy_cookie_domain",
-                "proxy_cookie_path", "proxy_cookie_flags", "add_trailer", "userid", "slice", "mirror",
-                "mirror_request_body", "proxy_store", "proxy_store_access");
+        not(
+                "who may come is not decided here: put that before it, or in the servers",
+                "auth_request",
+                "auth_request_set",
+                "auth_basic",
+                "auth_basic_user_file",
+                "auth_jwt",
+                "allow",
+                "deny",
+                "satisfy",
+                "limit_except",
+                "valid_referers",
+                "geo",
+                "geoip_country",
+                "geoip2");
+        not(
+                "no rate is limited by client; the module refuses what servers cannot do",
+                "limit_req",
+                "limit_req_zone",
+                "limit_req_status",
+                "limit_req_log_level",
+                "limit_conn",
+                "limit_conn_zone",
+                "limit_conn_status",
+                "limit_rate",
+                "limit_rate_after");
+        not(
+                "the address of a client is that of its connection; see forwarded",
+                "set_real_ip_from",
+                "real_ip_header",
+                "real_ip_recursive");
+        not(
+                "answers are passed on as they are",
+                "sub_filter",
+                "sub_filter_once",
+                "sub_filter_types",
+                "sub_filter_last_modified",
+                "add_before_body",
+                "add_after_body",
+                "proxy_cookie_domain",
+                "proxy_cookie_path",
+                "proxy_cookie_flags",
+                "add_trailer",
+                "userid",
+                "slice",
+                "mirror",
+                "mirror_request_body",
+                "proxy_store",
+                "proxy_store_access");
         not("nothing is cached here: put a cache behind it", "proxy_cache");
         not("the method of a request always goes on", "proxy_method", "proxy_set_body");
         not("connections to servers start at whatever address the system gives", "proxy_bind");
         not("not HTTP", "stream", "mail");
-        not("only HTTP/1.1 is spoken to servers", "grpc_pass", "fastcgi_pass", "uwsgi_pass", "scgi_pass",
-                "memcached_pass", "fastcgi_param", "fastcgi_index", "fastcgi_split_path_info",
-                "fastcgi_read_timeout", "uwsgi_param", "grpc_set_header", "uwsgi_read_timeout",
-                "fastcgi_buffers", "fastcgi_buffer_size", "fastcgi_cache");
-        not("scripts are not run", "js_import", "js_content", "js_set", "perl", "perl_set", "perl_modules",
-                "lua_package_path", "lua_shared_dict", "access_by_lua", "content_by_lua", "rewrite_by_lua",
-                "access_by_lua_file", "content_by_lua_file", "rewrite_by_lua_file", "init_by_lua_file");
+        not(
+                "only HTTP/1.1 is spoken to servers",
+                "grpc_pass",
+                "fastcgi_pass",
+                "uwsgi_pass",
+                "scgi_pass",
+                "memcached_pass",
+                "fastcgi_param",
+                "fastcgi_index",
+                "fastcgi_split_path_info",
+                "fastcgi_read_timeout",
+                "uwsgi_param",
+                "grpc_set_header",
+                "uwsgi_read_timeout",
+                "fastcgi_buffers",
+                "fastcgi_buffer_size",
+                "fastcgi_cache");
+        not(
+                "scripts are not run",
+                "js_import",
+                "js_content",
+                "js_set",
+                "perl",
+                "perl_set",
+                "perl_modules",
+                "lua_package_path",
+                "lua_shared_dict",
+                "access_by_lua",
+                "content_by_lua",
+                "rewrite_by_lua",
+                "access_by_lua_file",
+                "content_by_lua_file",
+                "rewrite_by_lua_file",
+                "init_by_lua_file");
         not("use a route of its own with an answer", "stub_status", "empty_gif", "status", "api");
         not("it looks for a location anew", "break");
         not("slashes in a path are always merged", "merge_slashes");
     }
 
-    private Tables() { }
+    private Tables() {}
 
     /** Directives that run scripts in a block. */
     static boolean script(String name) {
--- a/src/main/java/gullspar/importer/TomlWriter.java
+++ b/src/main/java/gullspar/importer/TomlWriter.java
@@ -64,7 +64,8 @@
     private void host(Host h) {
         // A default that is one at some of its listeners only is written as two hosts with the same routes.
         if (!h.defaultAt.isEmpty() && !h.defaultAt.containsAll(h.listeners)) {
-            Collection<String> others = h.listeners.stream().filter(l -> !h.defaultAt.contains(l)).toList();
+            Collection<String> others =
+                    h.listeners.stream().filter(l -> !h.defaultAt.contains(l)).toList();
             host(h, h.defaultAt, true);
             host(h, others, false);
         } else {
@@ -103,7 +104,10 @@
             } else if (w.matches() != null) {
                 text("matches", w.matches());
             } else {
-                s.append("share = [").append(plain(w.from())).append(", ").append(plain(w.to()))
+                s.append("share = [")
+                        .append(plain(w.from()))
+                        .append(", ")
+                        .append(plain(w.to()))
                         .append("]\n");
             }
         }
@@ -121,8 +125,11 @@
         number("body_kb", r.bodyKb, 1024);
         s.append("retry_on = ").append(list(r.retryOn)).append('\n');
         if (r.rewritePattern != null) {
-            s.append("rewrite = { pattern = ").append(quoted(r.rewritePattern)).append(", to = ")
-                    .append(quoted(r.rewriteTo)).append(" }\n");
+            s.append("rewrite = { pattern = ")
+                    .append(quoted(r.rewritePattern))
+                    .append(", to = ")
+                    .append(quoted(r.rewriteTo))
+                    .append(" }\n");
         } else if (r.rewriteTo != null) {
             s.append("rewrite = { to = ").append(quoted(r.rewriteTo)).append(" }\n");
         }
@@ -153,12 +160,18 @@
     private static String changes(Draft.Headers h) {
         StringBuilder b = new StringBuilder("{ ");
         String between = "";
-        for (Map.Entry<String, Map<String, String>> e : Map.of("set", h.set, "add", h.add, "add_ok", h.addOk)
-                .entrySet().stream().sorted(Map.Entry.comparingByKey()).toList()) {
+        for (Map.Entry<String, Map<String, String>> e :
+                Map.of("set", h.set, "add", h.add, "add_ok", h.addOk).entrySet().stream()
+                        .sorted(Map.Entry.comparingByKey())
+                        .toList()) {
             if (!e.getValue().isEmpty()) {
-                b.append(between).append(e.getKey()).append(" = { ").append(e.getValue().entrySet().stream()
-                        .map(v -> quoted(v.getKey()) + " = " + quoted(v.getValue()))
-                        .collect(Collectors.joining(", "))).append(" }");
+                b.append(between)
+                        .append(e.getKey())
+                        .append(" = { ")
+                        .append(e.getValue().entrySet().stream()
+                                .map(v -> quoted(v.getKey()) + " = " + quoted(v.getValue()))
+                                .collect(Collectors.joining(", ")))
+                        .append(" }");
                 between = ", ";
             }
         }
--- a/src/main/java/gullspar/importer/Units.java
+++ b/src/main/java/gullspar/importer/Units.java
@@ -8,7 +8,7 @@
     private static final Pattern TIME = Pattern.compile("(\\d+)(ms|[smhdwMy]?)\\s*");
     private static final Pattern SIZE = Pattern.compile("(\\d+)([kKmMgG]?)");
 
-    private Units() { }
+    private Units() {}
 
     /** A time in ms: 500ms, 10s, 1h30m, and seconds where no unit is written. */
     static long millis(String text) throws Untranslatable {
@@ -17,16 +17,17 @@
         int at = 0;
         while (at < text.length() && m.region(at, text.length()).lookingAt()) {
             long n = Long.parseLong(m.group(1).length() > 12 ? "999999999999" : m.group(1));
-            sum += n * switch (m.group(2)) {
-                case "ms" -> 1;
-                case "m" -> 60_000;
-                case "h" -> 3_600_000;
-                case "d" -> 86_400_000L;
-                case "w" -> 7 * 86_400_000L;
-                case "M" -> 30 * 86_400_000L;
-                case "y" -> 365 * 86_400_000L;
-                default -> 1000;
-            };
+            sum += n
+                    * switch (m.group(2)) {
+                        case "ms" -> 1;
+                        case "m" -> 60_000;
+                        case "h" -> 3_600_000;
+                        case "d" -> 86_400_000L;
+                        case "w" -> 7 * 86_400_000L;
+                        case "M" -> 30 * 86_400_000L;
+                        case "y" -> 365 * 86_400_000L;
+                        default -> 1000;
+                    };
             at = m.end();
         }
         if (text.isEmpty() || at < text.length()) {
--- a/src/main/java/gullspar/importer/Upstreams.java
+++ b/src/main/java/gullspar/importer/Upstreams.java
@@ -54,14 +54,15 @@
                 pool.keepAliveS = Units.millis(d.argument(0).orElse("")) / 1000.0;
                 report.translated(d);
             }
-            case "keepalive_requests", "keepalive_time" -> report.put(d, Report.Verdict.NO_EFFECT,
-                    "connections to servers end by idleness alone");
+            case "keepalive_requests", "keepalive_time" -> report.put(
+                    d, Report.Verdict.NO_EFFECT, "connections to servers end by idleness alone");
             case "zone" -> report.put(d, Report.Verdict.NO_EFFECT, "one process knows all there is to know");
             case "least_conn", "random", "least_time" -> {
                 pool.learnt = true;
-                report.translated(d,
+                report.translated(
+                        d,
                         "becomes the module's own choice (balance = \"learnt\"): by what servers "
-                        + "have in hand and how quick they are");
+                                + "have in hand and how quick they are");
             }
             default -> {
                 String why = Tables.NOT.get(d.name().text());
@@ -79,7 +80,8 @@
         double slowS = 0;
         boolean backup = false;
         boolean down = false;
-        for (Word w : d.arguments().subList(Math.min(1, d.arguments().size()), d.arguments().size())) {
+        for (Word w : d.arguments()
+                .subList(Math.min(1, d.arguments().size()), d.arguments().size())) {
             String[] p = w.text().split("=", 2);
             String v = p.length > 1 ? p[1] : "";
             switch (p[0]) {
@@ -96,9 +98,8 @@
         if (weight == 0) {
             throw new Untranslatable("a weight of 0");
         }
-        return new Draft.Server(d.place().toString(), address, weight, backup, down, maxFailures, failS,
-                slowS,
-                connections);
+        return new Draft.Server(
+                d.place().toString(), address, weight, backup, down, maxFailures, failS, slowS, connections);
     }
 
     /** An IP address and a port; a name must be known. */
--- a/src/main/java/gullspar/journal/Entry.java
+++ b/src/main/java/gullspar/journal/Entry.java
@@ -6,16 +6,28 @@
  */
 public sealed interface Entry {
     /** Which request: the run of the proxy that took it, and its number within that run. */
-    record Request(long run, long number) { }
+    record Request(long run, long number) {}
 
     /** May it run twice? A keyed one where repeats are discarded, an unsafe one nowhere. */
-    enum Kind { KEYED, UNSAFE }
+    enum Kind {
+        KEYED,
+        UNSAFE
+    }
 
     /** How an attempt ended. LOST: nobody knows whether it ran. NEVER_RAN: it is proven that it did not. */
-    enum Outcome { SERVED, NEVER_RAN, LOST }
+    enum Outcome {
+        SERVED,
+        NEVER_RAN,
+        LOST
+    }
 
     /** The final answer. ABANDONED: the client left before there was one. */
-    enum Answer { SERVED, REFUSED, FAILED, ABANDONED }
+    enum Answer {
+        SERVED,
+        REFUSED,
+        FAILED,
+        ABANDONED
+    }
 
     Request request();
 
@@ -25,16 +37,23 @@
      * It was taken. key is empty where there is none; hashed: it is a hash of the key and not the key itself;
      * windowMs: so long repeats of it are discarded at its site.
      */
-    record Taken(Request request, long atMs, Kind kind, String key, boolean hashed, String clientId, String
-            route,
-            long windowMs) implements Entry { }
+    record Taken(
+            Request request,
+            long atMs,
+            Kind kind,
+            String key,
+            boolean hashed,
+            String clientId,
+            String route,
+            long windowMs)
+            implements Entry {}
 
     /** An attempt is about to go out: on disk before its first byte. site: where repeats are discarded. */
-    record Intent(Request request, long atMs, int attempt, String node, String site) implements Entry { }
+    record Intent(Request request, long atMs, int attempt, String node, String site) implements Entry {}
 
     /** An attempt has ended. */
-    record Ended(Request request, long atMs, int attempt, Outcome outcome) implements Entry { }
+    record Ended(Request request, long atMs, int attempt, Outcome outcome) implements Entry {}
 
     /** The final answer is given. */
-    record Answered(Request request, long atMs, Answer answer) implements Entry { }
+    record Answered(Request request, long atMs, Answer answer) implements Entry {}
 }
--- a/src/main/java/gullspar/journal/EntryCodec.java
+++ b/src/main/java/gullspar/journal/EntryCodec.java
@@ -14,11 +14,12 @@
     /** A longer text is cut: ids and keys have 128 characters at the most where they come in. */
     private static final int LONGEST_TEXT = 1024;
 
-    private EntryCodec() { }
+    private EntryCodec() {}
 
     static byte type(Entry e) {
-        return e instanceof Entry.Taken ? TAKEN : e instanceof Entry.Intent ? INTENT
-                : e instanceof Entry.Ended ? ENDED : ANSWERED;
+        return e instanceof Entry.Taken
+                ? TAKEN
+                : e instanceof Entry.Intent ? INTENT : e instanceof Entry.Ended ? ENDED : ANSWERED;
     }
 
     static byte[] encode(Entry e) {
--- a/src/main/java/gullspar/journal/Scan.java
+++ b/src/main/java/gullspar/journal/Scan.java
@@ -22,7 +22,7 @@
     }
 
     /** Where the last whole record ends, how many there were, and whether a record was begun behind it. */
-    public record End(long at, long records, boolean torn) { }
+    public record End(long at, long records, boolean torn) {}
 
     private static final int WINDOW = 2 * (Segment.LONGEST + Segment.RECORD_HEAD);
 
--- a/src/main/java/gullspar/journal/Segment.java
+++ b/src/main/java/gullspar/journal/Segment.java
@@ -20,9 +20,9 @@
     private static final short MARK = (short) 0xa75e;
 
     /** The head of a segment. before: records in the segments ahead of it. */
-    public record Head(int version, long number, long before, long createdMs) { }
+    public record Head(int version, long number, long before, long createdMs) {}
 
-    private Segment() { }
+    private Segment() {}
 
     private static int sum(byte[] bytes, int from, int to) {
         CRC32C crc = new CRC32C();
@@ -47,7 +47,11 @@
     /** The bytes of a head of some version. */
     static byte[] head(int version, long number, long before, long createdMs) {
         ByteBuffer b = ByteBuffer.allocate(HEAD);
-        b.putLong(MAGIC).putShort((short) version).putShort((short) 0).putLong(number).putLong(before)
+        b.putLong(MAGIC)
+                .putShort((short) version)
+                .putShort((short) 0)
+                .putLong(number)
+                .putLong(before)
                 .putLong(createdMs);
         return b.putInt(sum(b.array(), 0, HEAD - 4)).array();
     }
@@ -67,8 +71,8 @@
         }
         int version = b.getShort() & 0xffff;
         if (version > VERSION) {
-            throw new NewerVersionException("this segment is of version " + version
-                    + ", and this program reads up to " + VERSION);
+            throw new NewerVersionException(
+                    "this segment is of version " + version + ", and this program reads up to " + VERSION);
         }
         b.getShort();
         return new Head(version, b.getLong(), b.getLong(), b.getLong());
@@ -94,8 +98,7 @@
 
     /** Is that the payload of that head? */
     static boolean holds(byte[] bytes, int at, int length) {
-        return ByteBuffer.wrap(bytes).getInt(at + 12)
-                == sum(bytes, at + RECORD_HEAD, at + RECORD_HEAD + length);
+        return ByteBuffer.wrap(bytes).getInt(at + 12) == sum(bytes, at + RECORD_HEAD, at + RECORD_HEAD + length);
     }
 
     /** The type in a record's head. */
@@ -109,7 +112,6 @@
             int length = length(bytes, at);
             return length >= 0 && end - at < RECORD_HEAD + length;
         }
-        return end - at < 1 || bytes[at] == (byte) (MARK >> 8) && (end - at < 2 || bytes[at + 1] == (byte)
-                MARK);
+        return end - at < 1 || bytes[at] == (byte) (MARK >> 8) && (end - at < 2 || bytes[at + 1] == (byte) MARK);
     }
 }
--- a/src/main/java/gullspar/journal/Story.java
+++ b/src/main/java/gullspar/journal/Story.java
@@ -13,7 +13,13 @@
      * may
      * have run all the same.
      */
-    public enum State { NEVER_SENT, UNCERTAIN, SERVED, REFUSED, FAILED }
+    public enum State {
+        NEVER_SENT,
+        UNCERTAIN,
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /** An attempt; the outcome is null while nobody knows it, the node empty where its intent was lost. */
     public record Attempt(int number, String node, String site, long atMs, Outcome outcome) {
@@ -40,7 +46,9 @@
         } else if (e instanceof Entry.Intent i) {
             put(new Attempt(i.attempt(), i.node(), i.site(), i.atMs(), known(i.attempt())));
         } else if (e instanceof Entry.Ended d) {
-            Attempt a = attempts.stream().filter(x -> x.number() == d.attempt()).findFirst()
+            Attempt a = attempts.stream()
+                    .filter(x -> x.number() == d.attempt())
+                    .findFirst()
                     .orElse(new Attempt(d.attempt(), "", "", d.atMs(), null));
             put(new Attempt(a.number(), a.node(), a.site(), a.atMs(), d.outcome()));
         } else if (e instanceof Entry.Answered a) {
@@ -50,7 +58,10 @@
     }
 
     private Outcome known(int number) {
-        return attempts.stream().filter(a -> a.number() == number).map(Attempt::outcome).findFirst()
+        return attempts.stream()
+                .filter(a -> a.number() == number)
+                .map(Attempt::outcome)
+                .findFirst()
                 .orElse(null);
     }
 
@@ -100,8 +111,8 @@
 
     /** May it have run? Also where records are lost that could tell. */
     public boolean mayHaveRun() {
-        return answer != Answer.REFUSED && (doubtful || taken == null
-                || attempts.stream().anyMatch(Attempt::mayHaveRun));
+        return answer != Answer.REFUSED
+                && (doubtful || taken == null || attempts.stream().anyMatch(Attempt::mayHaveRun));
     }
 
     public State state() {
--- a/src/main/java/gullspar/journal/file/Appender.java
+++ b/src/main/java/gullspar/journal/file/Appender.java
@@ -22,17 +22,21 @@
  */
 public final class Appender {
     /** What a record survives once it is done: the end of the process, or of the machine. */
-    public enum Durability { PROCESS, MACHINE }
+    public enum Durability {
+        PROCESS,
+        MACHINE
+    }
 
     /** Who hears, on the writer's thread, whether an entry is recorded. */
     public interface Done {
         void done(boolean recorded);
     }
 
-    private record Waiting(Entry entry, Done done) { }
+    private record Waiting(Entry entry, Done done) {}
 
     /** So many entries may wait; more are not recorded. */
     private static final int MOST_WAITING = 100_000;
+
     private static final int BATCH_BYTES = 1 << 20;
 
     private final Disk disk;
@@ -43,6 +47,7 @@
     private final AtomicInteger waiting = new AtomicInteger();
     /** Entries but intents that a failed write may have lost, in their order; ahead of the queue. */
     private final List<Waiting> again = new ArrayList<>();
+
     private Disk.File segment;
     private long number;
     private long records;
@@ -50,8 +55,8 @@
     private volatile String failure;
 
     /** number: of the first segment that it begins; records: those in the journal so far. */
-    public Appender(Disk disk, Durability durability, long segmentBytes, long number, long records,
-            LongSupplier clockMs) {
+    public Appender(
+            Disk disk, Durability durability, long segmentBytes, long number, long records, LongSupplier clockMs) {
         this.disk = disk;
         this.durability = durability;
         this.segmentBytes = segmentBytes;
--- a/src/main/java/gullspar/journal/file/FolderDisk.java
+++ b/src/main/java/gullspar/journal/file/FolderDisk.java
@@ -27,8 +27,7 @@
     /** Takes a folder, which is made if need be; an IOException if another process has it. */
     public static FolderDisk hold(Path folder) throws IOException {
         Files.createDirectories(folder);
-        FileChannel c = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
+        FileChannel c = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock lock = null;
         try {
             lock = c.tryLock();
@@ -57,8 +56,11 @@
     @Override
     public List<Long> segments() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.map(f -> f.getFileName().toString()).filter(n -> n.matches("\\d{16}\\" + SUFFIX))
-                    .map(n -> Long.parseLong(n.substring(0, 16))).sorted().toList();
+            return files.map(f -> f.getFileName().toString())
+                    .filter(n -> n.matches("\\d{16}\\" + SUFFIX))
+                    .map(n -> Long.parseLong(n.substring(0, 16)))
+                    .sorted()
+                    .toList();
         }
     }
 
@@ -67,8 +69,7 @@
         if (lockFile == null) {
             throw new IOException("this journal is only looked at");
         }
-        FileChannel c = FileChannel.open(path(number), StandardOpenOption.CREATE_NEW,
-                StandardOpenOption.WRITE);
+        FileChannel c = FileChannel.open(path(number), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
         try (FileChannel names = FileChannel.open(folder, StandardOpenOption.READ)) {
             names.force(true);
         } catch (IOException e) {
--- a/src/main/java/gullspar/journal/file/Recovery.java
+++ b/src/main/java/gullspar/journal/file/Recovery.java
@@ -16,9 +16,9 @@
      * some
      * are lost.
      */
-    public record Found(long nextNumber, long records, List<String> damage) { }
+    public record Found(long nextNumber, long records, List<String> damage) {}
 
-    private Recovery() { }
+    private Recovery() {}
 
     /**
      * Tells a visitor of all entries and of each loss at its place among them. An IOException where a segment
@@ -40,8 +40,7 @@
             } else if (first) {
                 records = head.before(); // those ahead of it were let go when their time was over
             } else if (head.before() > records) {
-                damage.add("segment " + n + ": " + (head.before() - records) +
-                        " records are missing before it");
+                damage.add("segment " + n + ": " + (head.before() - records) + " records are missing before it");
                 visitor.lost(0, 0);
                 records = head.before();
             }
@@ -53,8 +52,7 @@
 
                 @Override
                 public void lost(long from, long to) {
-                    damage.add("segment " + n + ": " + (to - from) + " bytes from " + from +
-                            " cannot be read");
+                    damage.add("segment " + n + ": " + (to - from) + " bytes from " + from + " cannot be read");
                     visitor.lost(from, to);
                 }
             });
--- a/src/main/java/gullspar/nginx/Directive.java
+++ b/src/main/java/gullspar/nginx/Directive.java
@@ -29,6 +29,7 @@
 
     /** How many directives there are in all, this one and those of its block included. */
     public int count() {
-        return 1 + (block == null ? 0 : block.stream().mapToInt(Directive::count).sum());
+        return 1
+                + (block == null ? 0 : block.stream().mapToInt(Directive::count).sum());
     }
 }
--- a/src/main/java/gullspar/nginx/Lexer.java
+++ b/src/main/java/gullspar/nginx/Lexer.java
@@ -11,10 +11,16 @@
  */
 final class Lexer {
     /** What a token is. */
-    enum Type { WORD, OPEN, CLOSE, END, EOF }
+    enum Type {
+        WORD,
+        OPEN,
+        CLOSE,
+        END,
+        EOF
+    }
 
     /** A token; the word is null for all others. */
-    record Token(Type type, Word word, Place place) { }
+    record Token(Type type, Word word, Place place) {}
 
     private final String text;
     private final Path file;
--- a/src/main/java/gullspar/nginx/Loader.java
+++ b/src/main/java/gullspar/nginx/Loader.java
@@ -26,6 +26,7 @@
     private final Path folder;
     /** The folder as it was given: places name files in the way in which the first one was named. */
     private final Path given;
+
     private final List<Problem> problems;
     private final Deque<Path> open = new ArrayDeque<>();
     private int files;
@@ -54,8 +55,7 @@
         String text;
         try {
             if (Files.size(real) > LARGEST_BYTES) {
-                problems.add(new Problem(from, "larger than " + (LARGEST_BYTES >> 20) + " MiB: " + file,
-                        line));
+                problems.add(new Problem(from, "larger than " + (LARGEST_BYTES >> 20) + " MiB: " + file, line));
                 return List.of();
             }
             text = Files.readString(real);
@@ -84,12 +84,12 @@
             }
             whole.add(d);
             if (d.is("include")) {
-                String line = text.lines().skip(d.place().line() - 1L).findFirst().orElse("");
+                String line =
+                        text.lines().skip(d.place().line() - 1L).findFirst().orElse("");
                 if (d.arguments().size() != 1) {
                     problems.add(new Problem(d.place(), "include takes one name", line));
                 } else {
-                    named(d.arguments().get(0), line).forEach(f ->
-                            whole.addAll(read(asGiven(f), d.place(), line)));
+                    named(d.arguments().get(0), line).forEach(f -> whole.addAll(read(asGiven(f), d.place(), line)));
                 }
             }
         }
@@ -107,8 +107,12 @@
         }
         List<Path> found = new ArrayList<>(List.of(path.getRoot()));
         for (Path part : path) {
-            found = part.toString().matches(".*[*?\\[].*") ? fitting(found, part.toString(), name, line)
-                    : found.stream().map(p -> p.resolve(part)).filter(Files::exists).toList();
+            found = part.toString().matches(".*[*?\\[].*")
+                    ? fitting(found, part.toString(), name, line)
+                    : found.stream()
+                            .map(p -> p.resolve(part))
+                            .filter(Files::exists)
+                            .toList();
         }
         return found.stream().filter(Files::isRegularFile).toList();
     }
@@ -127,8 +131,7 @@
                 here.sort(null);
                 found.addAll(here);
             } catch (IOException | UncheckedIOException | PatternSyntaxException e) {
-                problems.add(new Problem(name.place(), "cannot be listed: " + f + " (" + e.getMessage()
-                        + ")", line));
+                problems.add(new Problem(name.place(), "cannot be listed: " + f + " (" + e.getMessage() + ")", line));
             }
         }
         return found;
--- a/src/main/java/gullspar/nginx/Parser.java
+++ b/src/main/java/gullspar/nginx/Parser.java
@@ -13,6 +13,7 @@
 public final class Parser {
     /** Blocks deeper than that are a slip, or an attack. */
     private static final int DEEPEST = 100;
+
     private static final String SCRIPT = "_by_lua_block";
 
     private final Lexer lexer;
@@ -94,8 +95,7 @@
                     return end == Type.EOF ? Type.EOF : Type.END;
                 }
                 default -> {
-                    lexer.problem(name.place(), "directive \"" + name.text()
-                            + "\" is not terminated by \";\"");
+                    lexer.problem(name.place(), "directive \"" + name.text() + "\" is not terminated by \";\"");
                     into.add(new Directive(name, arguments, null, null));
                     return t.type();
                 }
--- a/src/main/java/gullspar/peers/Detector.java
+++ b/src/main/java/gullspar/peers/Detector.java
@@ -42,6 +42,7 @@
         private int nacks;
         /** Who is told, with which nonce, where one asks for another. */
         private Peer asker;
+
         private long askersNonce;
         private boolean direct = true;
 
@@ -68,7 +69,13 @@
     private final List<Peer> round = new ArrayList<>();
     private int place;
 
-    Detector(Settings settings, Self self, Roster roster, Judgement judgement, SelfHealth health, Post post,
+    Detector(
+            Settings settings,
+            Self self,
+            Roster roster,
+            Judgement judgement,
+            SelfHealth health,
+            Post post,
             RandomGenerator random) {
         this.settings = settings;
         this.self = self;
@@ -108,7 +115,11 @@
 
     /** Asks one member, in its turn or out of it. */
     void ask(long now, Peer p) {
-        Question q = new Question(Kind.TURN, p, p.address(), now + health.stretched(settings.timeoutNs()),
+        Question q = new Question(
+                Kind.TURN,
+                p,
+                p.address(),
+                now + health.stretched(settings.timeoutNs()),
                 now + health.stretched(settings.intervalNs()));
         long nonce = open(q);
         if (nonce != 0) {
@@ -121,13 +132,14 @@
      * is.
      */
     void prove(long now, String address, Identity target) {
-        if (open.values().stream().anyMatch(q -> q.kind == Kind.PROOF && q.address.equals(address)
-                && now - q.askedAt < settings.intervalNs())) {
+        if (open.values().stream()
+                .anyMatch(q ->
+                        q.kind == Kind.PROOF && q.address.equals(address) && now - q.askedAt < settings.intervalNs())) {
             return;
         }
         // No answer has no consequence, so there is time for one from whoever is far away or slow.
-        long nonce = open(new Question(Kind.PROOF, null, address, Long.MAX_VALUE,
-                now + PROOF_INTERVALS * settings.intervalNs()));
+        long nonce = open(
+                new Question(Kind.PROOF, null, address, Long.MAX_VALUE, now + PROOF_INTERVALS * settings.intervalNs()));
         if (nonce != 0) {
             open.get(nonce).askedAt = now;
         }
@@ -150,8 +162,12 @@
 
     /** Another asks this process to look for somebody. */
     void lookFor(long now, Peer asker, Message.PingReq r) {
-        Question q = new Question(Kind.FOR_ANOTHER, null, r.address(),
-                now + (long) (NACK_AFTER * settings.timeoutNs()), now + settings.intervalNs());
+        Question q = new Question(
+                Kind.FOR_ANOTHER,
+                null,
+                r.address(),
+                now + (long) (NACK_AFTER * settings.timeoutNs()),
+                now + settings.intervalNs());
         q.asker = asker;
         q.askersNonce = r.nonce();
         long nonce = open(q);
@@ -180,8 +196,7 @@
             case FOR_ANOTHER -> {
                 open.remove(a.nonce());
                 if (himself) {
-                    post.ack(now, q.asker.address(), q.asker.id, q.askersNonce, a.of(), a.incarnation(),
-                            false);
+                    post.ack(now, q.asker.address(), q.asker.id, q.askersNonce, a.of(), a.incarnation(), false);
                 }
             }
             default -> open.remove(a.nonce());
@@ -217,7 +232,7 @@
 
     /** Asks others, and draws conclusions, where the time is over. */
     void expire(long now) {
-        for (Iterator<Map.Entry<Long, Question>> i = open.entrySet().iterator(); i.hasNext();) {
+        for (Iterator<Map.Entry<Long, Question>> i = open.entrySet().iterator(); i.hasNext(); ) {
             Map.Entry<Long, Question> e = i.next();
             Question q = e.getValue();
             if (now >= q.othersAt) {
--- a/src/main/java/gullspar/peers/Facts.java
+++ b/src/main/java/gullspar/peers/Facts.java
@@ -49,16 +49,18 @@
     private Facts(Map<String, Fact> facts) {
         this.facts = Collections.unmodifiableMap(new TreeMap<>(facts));
         this.bytes = facts.entrySet().stream()
-                .mapToInt(f -> EACH + f.getKey().length() + f.getValue().value.length).sum();
+                .mapToInt(f -> EACH + f.getKey().length() + f.getValue().value.length)
+                .sum();
     }
 
     /** An IllegalArgumentException if they do not fit, or a name cannot be one. */
     public static Facts of(Map<String, Fact> facts) {
         Facts f = new Facts(facts);
-        if (f.bytes > BUDGET || !facts.keySet().stream().allMatch(Identity::named)
+        if (f.bytes > BUDGET
+                || !facts.keySet().stream().allMatch(Identity::named)
                 || facts.values().stream().anyMatch(v -> v.version < 0)) {
-            throw new IllegalArgumentException("facts of " + f.bytes + " bytes, of at most " + BUDGET
-                    + ", or a name that cannot be");
+            throw new IllegalArgumentException(
+                    "facts of " + f.bytes + " bytes, of at most " + BUDGET + ", or a name that cannot be");
         }
         return f;
     }
@@ -72,7 +74,8 @@
 
     /** The same with a number. */
     public Facts with(String name, int version, long value) {
-        return with(name, version, ByteBuffer.allocate(Long.BYTES).putLong(value).array());
+        return with(
+                name, version, ByteBuffer.allocate(Long.BYTES).putLong(value).array());
     }
 
     /** The same without one. */
@@ -85,7 +88,8 @@
     /** A number of that version or a lower one; empty if it is not told, newer, or not a number. */
     public OptionalLong number(String name, int version) {
         Fact f = facts.get(name);
-        return f == null || f.version > version || f.value.length != Long.BYTES ? OptionalLong.empty()
+        return f == null || f.version > version || f.value.length != Long.BYTES
+                ? OptionalLong.empty()
                 : OptionalLong.of(ByteBuffer.wrap(f.value).getLong());
     }
 
--- a/src/main/java/gullspar/peers/Gossip.java
+++ b/src/main/java/gullspar/peers/Gossip.java
@@ -32,8 +32,8 @@
 
     private final Source source;
     private final Map<Identity, Item> items = new HashMap<>();
-    private final TreeSet<Item> order = new TreeSet<>(Comparator.<Item>comparingInt(i -> i.told)
-            .thenComparing(i -> -i.number));
+    private final TreeSet<Item> order =
+            new TreeSet<>(Comparator.<Item>comparingInt(i -> i.told).thenComparing(i -> -i.number));
     private long numbers;
 
     Gossip(Source source) {
--- a/src/main/java/gullspar/peers/Heard.java
+++ b/src/main/java/gullspar/peers/Heard.java
@@ -13,7 +13,8 @@
         if (left != (o.standing == Standing.LEFT)) {
             return left ? 1 : -1;
         }
-        return incarnation != o.incarnation ? Integer.compare(incarnation, o.incarnation)
+        return incarnation != o.incarnation
+                ? Integer.compare(incarnation, o.incarnation)
                 : standing.compareTo(o.standing);
     }
 
--- a/src/main/java/gullspar/peers/Judgement.java
+++ b/src/main/java/gullspar/peers/Judgement.java
@@ -12,6 +12,7 @@
 final class Judgement {
     /** Who is said to be gone while he was alive here is given so many time-outs to object. */
     private static final int GRACE = 3;
+
     private static final long MS = 1_000_000L;
 
     private final Self self;
@@ -24,11 +25,18 @@
     private final Set<Peer> suspected = new LinkedHashSet<>();
     /** Members that came, came back, or are to be looked at out of turn. */
     private final List<Peer> toSee = new ArrayList<>();
+
     private final List<Peer> cameBack = new ArrayList<>();
     private long changedAt;
     private boolean settled = true;
 
-    Judgement(Self self, Settings settings, Roster roster, Gossip gossip, SelfHealth health, Outbox out,
+    Judgement(
+            Self self,
+            Settings settings,
+            Roster roster,
+            Gossip gossip,
+            SelfHealth health,
+            Outbox out,
             Counters counters) {
         this.self = self;
         this.settings = settings;
@@ -113,8 +121,11 @@
     }
 
     private static boolean figuresOnly(Statement a, Statement b) {
-        return a.phase() == b.phase() && a.twin() == b.twin() && a.address().equals(b.address())
-                && a.config().equals(b.config()) && a.facts().equals(b.facts());
+        return a.phase() == b.phase()
+                && a.twin() == b.twin()
+                && a.address().equals(b.address())
+                && a.config().equals(b.config())
+                && a.facts().equals(b.facts());
     }
 
     /**
@@ -151,8 +162,14 @@
             roster.spokenOf(new Roster.Hearsay(r, from.id.life(), now));
         } else if (known.by != from.id.life()) {
             roster.forget(known);
-            admit(now, r.id(), newer(known.rumour, r).statement(), now - r.statedMs() * MS,
-                    r.heard().merge(known.rumour.heard()), now - r.sinceMs() * MS, r.by());
+            admit(
+                    now,
+                    r.id(),
+                    newer(known.rumour, r).statement(),
+                    now - r.statedMs() * MS,
+                    r.heard().merge(known.rumour.heard()),
+                    now - r.sinceMs() * MS,
+                    r.by());
         }
     }
 
@@ -167,8 +184,7 @@
 
     /** Takes in somebody who was not known. */
     Peer admit(long now, Identity id, Statement s, long statedAt, Heard heard, long since, String why) {
-        Peer p = new Peer(id, s, Math.min(now, statedAt), heard, heard.standing() == Standing.ALIVE ? now
-                : since);
+        Peer p = new Peer(id, s, Math.min(now, statedAt), heard, heard.standing() == Standing.ALIVE ? now : since);
         if (heard.accuses()) {
             p.why = why;
         }
@@ -256,9 +272,15 @@
         if (fresh) {
             verdict(now, p, Standing.SUSPECTED, by);
         }
-        suspicion(p, new Suspicion(incarnation, by,
-                Math.min(settings.confirmations(), Math.max(0, roster.size() - 2)), least,
-                least * settings.stretch(), now));
+        suspicion(
+                p,
+                new Suspicion(
+                        incarnation,
+                        by,
+                        Math.min(settings.confirmations(), Math.max(0, roster.size() - 2)),
+                        least,
+                        least * settings.stretch(),
+                        now));
         gossip.tell(p.id, false);
         if (fresh) {
             changed(now, Change.Kind.SUSPECTED, p.id, "by " + by);
@@ -286,8 +308,7 @@
             // Two halves that find each other again say this of one another: whoever lives objects in a
             // moment.
             verdict(now, p, Standing.SUSPECTED, by);
-            suspicion(p, new Suspicion(incarnation, by, 0, health.stretched(GRACE * settings.timeoutNs()), 0,
-                    now));
+            suspicion(p, new Suspicion(incarnation, by, 0, health.stretched(GRACE * settings.timeoutNs()), 0, now));
             changed(now, Change.Kind.SUSPECTED, p.id, "said to be gone" + (by.isEmpty() ? "" : ", by " + by));
             toSee.add(p);
         }
--- a/src/main/java/gullspar/peers/Knocks.java
+++ b/src/main/java/gullspar/peers/Knocks.java
@@ -22,8 +22,7 @@
     private int seed;
     private long seedAt;
 
-    Knocks(Settings settings, Self self, Roster roster, Detector detector, RandomGenerator random,
-            List<String> seeds) {
+    Knocks(Settings settings, Self self, Roster roster, Detector detector, RandomGenerator random, List<String> seeds) {
         this.settings = settings;
         this.self = self;
         this.roster = roster;
--- a/src/main/java/gullspar/peers/Message.java
+++ b/src/main/java/gullspar/peers/Message.java
@@ -23,7 +23,9 @@
         private static final int REST = 40;
 
         public Header {
-            if (!Heard.incarnation(incarnation) || number < 1 || address.isEmpty()
+            if (!Heard.incarnation(incarnation)
+                    || number < 1
+                    || address.isEmpty()
                     || address.length() > Statement.LONGEST_ADDRESS) {
                 throw new IllegalArgumentException("not a speaker: " + from);
             }
@@ -61,8 +63,7 @@
      * @param target the life that is meant, 0 if the asker does not know who is at that address
      * @param hello the asker has not heard the asked one's statement, and asks for it
      */
-    record Ping(Header header, long nonce, long target, boolean hello, List<Rumour> rumours)
-            implements Message {
+    record Ping(Header header, long nonce, long target, boolean hello, List<Rumour> rumours) implements Message {
         @Override
         public int body() {
             return 9 + 9 + 1;
@@ -74,8 +75,7 @@
      *
      * @param of who is alive, of that incarnation: the speaker, but where another was asked for
      */
-    record Ack(Header header, long nonce, Identity of, int incarnation, List<Rumour> rumours)
-            implements Message {
+    record Ack(Header header, long nonce, Identity of, int incarnation, List<Rumour> rumours) implements Message {
         @Override
         public int body() {
             return 9 + 11 + of.name().length() + 5;
--- a/src/main/java/gullspar/peers/Peer.java
+++ b/src/main/java/gullspar/peers/Peer.java
@@ -6,6 +6,7 @@
     final ReplayGuard guard = new ReplayGuard();
     /** What it last said of itself, and when, by the clock of this process. */
     Statement statement;
+
     long statedAt;
     /** The most that was heard of it. */
     Heard heard;
@@ -14,9 +15,11 @@
      * here a moment ago is believed a little later, so that it can object.
      */
     Standing verdict;
+
     long since;
     /** Who accused it, or why it went; empty if nobody did. */
     String why = "";
+
     Suspicion suspicion;
     /** When a datagram of it came last, or, before any has, when it was taken in. */
     long heardAt;
@@ -26,6 +29,7 @@
     boolean onlyByOthers;
     /** The last time at which it was held for alive or suspected. */
     long presentAt;
+
     long knockAt;
     long knockGap;
     /** Its place among those that are present, -1 if it is not. */
@@ -57,9 +61,15 @@
     /** What this process tells of it. */
     Rumour rumour(long now, boolean withStatement) {
         Standing told = verdict == Standing.SUSPECTED && heard.standing() == Standing.GONE
-                ? Standing.SUSPECTED : heard.standing();
-        return new Rumour(id, heard.incarnation(), told, told == Standing.ALIVE || !Identity.worded(why) ? ""
-                : why, Math.max(0, now - since) / 1_000_000, withStatement ? statement : null,
+                ? Standing.SUSPECTED
+                : heard.standing();
+        return new Rumour(
+                id,
+                heard.incarnation(),
+                told,
+                told == Standing.ALIVE || !Identity.worded(why) ? "" : why,
+                Math.max(0, now - since) / 1_000_000,
+                withStatement ? statement : null,
                 withStatement ? Math.max(0, now - statedAt) / 1_000_000 : 0);
     }
 }
