--- a/src/main/java/gullspar/peers/Peers.java
+++ b/src/main/java/gullspar/peers/Peers.java
@@ -28,6 +28,7 @@
      * none.
      */
     private static final int SILENCE = 6;
+
     private static final long MS = 1_000_000L;
 
     private final Settings settings;
@@ -55,9 +56,11 @@
     private long due;
     /** The time of the input that is being taken in. */
     private long clock;
+
     private Figures latest = Figures.NONE;
     /** When a member's datagram came last. */
     private long heardAt;
+
     private boolean cutOff;
     private int known = 1;
     private int seen = 1;
@@ -66,8 +69,7 @@
      * Begins at that time. first: what this process says of itself, with its name and a life that no other
      * has; seeds: addresses where others may be found.
      */
-    public Peers(Settings settings, Statement first, List<String> seeds, RandomGenerator random, Outbox out,
-            long now) {
+    public Peers(Settings settings, Statement first, List<String> seeds, RandomGenerator random, Outbox out, long now) {
         this.settings = settings;
         this.random = random;
         this.out = out;
@@ -155,16 +157,24 @@
         Message.Header h = m.header();
         if (m instanceof Message.Ack a && detector.proves(a)) {
             detector.answered(now, a);
-            Rumour said = a.rumours().stream().filter(r -> r.id().equals(h.from()) && r.statement() != null)
-                    .findFirst().orElse(null);
+            Rumour said = a.rumours().stream()
+                    .filter(r -> r.id().equals(h.from()) && r.statement() != null)
+                    .findFirst()
+                    .orElse(null);
             if (said == null) {
                 if (strangers.take(1, now)) {
                     detector.prove(now, h.address(), h.from());
                 }
                 return;
             }
-            Peer p = judgement.admit(now, h.from(), said.statement(), now - said.statedMs() * MS,
-                    new Heard(h.incarnation(), Standing.ALIVE), now, "");
+            Peer p = judgement.admit(
+                    now,
+                    h.from(),
+                    said.statement(),
+                    now - said.statedMs() * MS,
+                    new Heard(h.incarnation(), Standing.ALIVE),
+                    now,
+                    "");
             if (p != null) {
                 p.guard.fresh(h.number());
                 p.answeredAt = now;
@@ -293,7 +303,8 @@
     }
 
     private void sync(long now) {
-        Peer with = syncWith != null && syncWith.present() ? syncWith
+        Peer with = syncWith != null && syncWith.present()
+                ? syncWith
                 : roster.draw(1, random, null, self.id).stream().findFirst().orElse(null);
         syncWith = null;
         if (with != null) {
@@ -330,7 +341,8 @@
             if (p.present()) {
                 p.presentAt = now;
             }
-            if (p.verdict != Standing.LEFT && p.presentAt != Long.MIN_VALUE
+            if (p.verdict != Standing.LEFT
+                    && p.presentAt != Long.MIN_VALUE
                     && now - p.presentAt <= settings.windowNs()) {
                 lately++;
                 now1 += p.verdict == Standing.ALIVE ? 1 : 0;
@@ -342,8 +354,11 @@
         boolean off = 2 * seen < known;
         if (off != cutOff) {
             cutOff = off;
-            out.changed(new Change(off ? Change.Kind.CUT_OFF : Change.Kind.REJOINED, self.id,
-                    "sees " + seen + " of " + known, roster.size()));
+            out.changed(new Change(
+                    off ? Change.Kind.CUT_OFF : Change.Kind.REJOINED,
+                    self.id,
+                    "sees " + seen + " of " + known,
+                    roster.size()));
         }
     }
 
@@ -420,23 +435,42 @@
         int digest = digest();
         List<View.Member> members = new ArrayList<>();
         for (Peer p : roster.all()) {
-            View.Status status = switch (p.verdict) {
-                case ALIVE -> View.Status.ALIVE;
-                case SUSPECTED -> View.Status.SUSPECTED;
-                case GONE -> cutOff ? View.Status.UNKNOWN : View.Status.GONE;
-                default -> View.Status.LEFT;
-            };
-            members.add(new View.Member(p.id, p.statement, status, ms(now - p.since), p.why,
+            View.Status status =
+                    switch (p.verdict) {
+                        case ALIVE -> View.Status.ALIVE;
+                        case SUSPECTED -> View.Status.SUSPECTED;
+                        case GONE -> cutOff ? View.Status.UNKNOWN : View.Status.GONE;
+                        default -> View.Status.LEFT;
+                    };
+            members.add(new View.Member(
+                    p.id,
+                    p.statement,
+                    status,
+                    ms(now - p.since),
+                    p.why,
                     ms(now - p.statedAt),
-                    ms(now - p.startedAt()), p.heard.incarnation(), p.statement.twin() != 0, p.onlyByOthers,
+                    ms(now - p.startedAt()),
+                    p.heard.incarnation(),
+                    p.statement.twin() != 0,
+                    p.onlyByOthers,
                     p.answeredAt == Long.MIN_VALUE ? -1 : ms(now - p.answeredAt),
                     !p.present() || p.statement.view() == digest));
         }
         members.sort(Comparator.comparing((View.Member m) -> m.id().name()).thenComparing(View.Member::upMs));
         Statement s = self.statement();
-        View.Member me = new View.Member(self.id, s, self.left() ? View.Status.LEFT : View.Status.ALIVE,
-                ms(now - self.startedAt()), "", ms(now - self.statedAt()), ms(now - self.startedAt()),
-                self.incarnation(), s.twin() != 0, false, 0, true);
+        View.Member me = new View.Member(
+                self.id,
+                s,
+                self.left() ? View.Status.LEFT : View.Status.ALIVE,
+                ms(now - self.startedAt()),
+                "",
+                ms(now - self.statedAt()),
+                ms(now - self.startedAt()),
+                self.incarnation(),
+                s.twin() != 0,
+                false,
+                0,
+                true);
         return new View(me, cutOff, known, seen, judgement.settled(), health.score(), List.copyOf(members));
     }
 
--- a/src/main/java/gullspar/peers/Post.java
+++ b/src/main/java/gullspar/peers/Post.java
@@ -16,8 +16,7 @@
     private final Counters counters;
     private final Allowance allowance;
 
-    Post(Self self, Roster roster, Gossip gossip, Settings settings, Outbox out, Counters counters,
-            long now) {
+    Post(Self self, Roster roster, Gossip gossip, Settings settings, Outbox out, Counters counters, long now) {
         this.self = self;
         this.roster = roster;
         this.gossip = gossip;
@@ -33,19 +32,20 @@
     }
 
     void ping(long now, String address, Identity target, long nonce, boolean hello) {
-        send(now, address, target, hello,
+        send(
+                now,
+                address,
+                target,
+                hello,
                 (h, r) -> new Message.Ping(h, nonce, target == null ? 0 : target.life(), hello, r));
     }
 
-    void ack(long now, String address, Identity to, long nonce, Identity of, int incarnation,
-            boolean introduced) {
-        send(now, address, to, introduced,
-                (h, r) -> new Message.Ack(h, nonce, of, incarnation, r));
+    void ack(long now, String address, Identity to, long nonce, Identity of, int incarnation, boolean introduced) {
+        send(now, address, to, introduced, (h, r) -> new Message.Ack(h, nonce, of, incarnation, r));
     }
 
     void pingReq(long now, Peer to, long nonce, Peer target) {
-        send(now, to.address(), to.id, false,
-                (h, r) -> new Message.PingReq(h, nonce, target.id, target.address(), r));
+        send(now, to.address(), to.id, false, (h, r) -> new Message.PingReq(h, nonce, target.id, target.address(), r));
     }
 
     void nack(long now, String address, Identity to, long nonce) {
@@ -103,12 +103,10 @@
         // Whoever is accused must hear of it first of all, so that it can object.
         Peer p = to == null ? null : roster.get(to);
         if (p != null && p.heard.accuses()) {
-            left = add(rumours, new Rumour(p.id, p.heard.incarnation(), p.heard.standing(), "", 0, null, 0),
-                    left);
+            left = add(rumours, new Rumour(p.id, p.heard.incarnation(), p.heard.standing(), "", 0, null, 0), left);
         }
         if (p != null) {
-            gossip.fill(rumours, left, to, settings.tellings(roster.size()),
-                    Settings.lightTellings(roster.size()));
+            gossip.fill(rumours, left, to, settings.tellings(roster.size()), Settings.lightTellings(roster.size()));
         }
         post(now, address, making.make(h, rumours));
     }
--- a/src/main/java/gullspar/peers/Reconciler.java
+++ b/src/main/java/gullspar/peers/Reconciler.java
@@ -47,12 +47,17 @@
     private NavigableMap<Long, Message.Known> known() {
         TreeMap<Long, Message.Known> known = new TreeMap<>(Long::compareUnsigned);
         for (Peer p : roster.all()) {
-            known.put(p.id.life(), new Message.Known(p.id.life(), p.heard.incarnation(), p.heard.standing(),
-                    p.statement.revision()));
+            known.put(
+                    p.id.life(),
+                    new Message.Known(p.id.life(), p.heard.incarnation(), p.heard.standing(), p.statement.revision()));
         }
-        known.put(self.id.life(), new Message.Known(self.id.life(), self.incarnation(),
-                self.heard().standing(),
-                self.statement().revision()));
+        known.put(
+                self.id.life(),
+                new Message.Known(
+                        self.id.life(),
+                        self.incarnation(),
+                        self.heard().standing(),
+                        self.statement().revision()));
         return known;
     }
 
@@ -65,7 +70,10 @@
             CRC32C b = new CRC32C();
             ByteBuffer bytes = ByteBuffer.allocate(17);
             for (Message.Known k : known.subMap(first(i), true, last(i), true).values()) {
-                bytes.clear().putLong(k.life()).putInt(k.incarnation()).put((byte) k.standing().ordinal())
+                bytes.clear()
+                        .putLong(k.life())
+                        .putInt(k.incarnation())
+                        .put((byte) k.standing().ordinal())
                         .putInt(k.revision());
                 a.update(bytes.array());
                 b.update(bytes.array());
@@ -100,8 +108,7 @@
         }
     }
 
-    private int list(long now, Peer to, NavigableMap<Long, Message.Known> known, long first, long last,
-            int pages) {
+    private int list(long now, Peer to, NavigableMap<Long, Message.Known> known, long first, long last, int pages) {
         int most = (post.room() - 22) / Message.Known.BYTES;
         long from = first;
         int left = pages;
@@ -149,8 +156,7 @@
             if (k.revision() > m.revision() || theirs.compareTo(ours) > 0 && k.life() != self.id.life()) {
                 want.add(k.life());
             } else if (theirs.compareTo(ours) > 0) {
-                judgement.learn(now, new Rumour(self.id, k.incarnation(), k.standing(), "", 0, null, 0),
-                        from);
+                judgement.learn(now, new Rumour(self.id, k.incarnation(), k.standing(), "", 0, null, 0), from);
             }
             if (m.revision() > k.revision() || ours.compareTo(theirs) > 0) {
                 tell.add(rumour(now, names.get(k.life()), m.revision() > k.revision()));
@@ -168,8 +174,14 @@
     /** The other wants to hear of these lives. */
     void want(long now, Peer from, Message.Want w) {
         Map<Long, Identity> names = names();
-        tell(now, from, w.lives().stream().filter(names::containsKey).distinct()
-                .map(life -> rumour(now, names.get(life), true)).toList());
+        tell(
+                now,
+                from,
+                w.lives().stream()
+                        .filter(names::containsKey)
+                        .distinct()
+                        .map(life -> rumour(now, names.get(life), true))
+                        .toList());
     }
 
     private void tell(long now, Peer to, List<Rumour> rumours) {
@@ -195,7 +207,8 @@
     }
 
     private Rumour rumour(long now, Identity id, boolean withStatement) {
-        return id.equals(self.id) ? self.rumour(now, withStatement) : roster.get(id).rumour(now,
-                withStatement);
+        return id.equals(self.id)
+                ? self.rumour(now, withStatement)
+                : roster.get(id).rumour(now, withStatement);
     }
 }
--- a/src/main/java/gullspar/peers/Roster.java
+++ b/src/main/java/gullspar/peers/Roster.java
@@ -37,6 +37,7 @@
     private final TreeMap<Identity, Peer> peers = new TreeMap<>();
     /** In no order: for drawing one in one step. */
     private final List<Peer> present = new ArrayList<>();
+
     private final Map<Identity, Hearsay> hearsay = new LinkedHashMap<>();
 
     Roster(int most) {
@@ -65,8 +66,10 @@
     /** Takes one in; false if there are too many. Who is gone for the longest makes room. */
     boolean add(Peer p) {
         if (peers.size() >= most - 1) {
-            Peer oldest = peers.values().stream().filter(o -> !o.present())
-                    .min(Comparator.comparingLong(o -> o.since)).orElse(null);
+            Peer oldest = peers.values().stream()
+                    .filter(o -> !o.present())
+                    .min(Comparator.comparingLong(o -> o.since))
+                    .orElse(null);
             if (oldest == null) {
                 return false;
             }
--- a/src/main/java/gullspar/peers/Rumour.java
+++ b/src/main/java/gullspar/peers/Rumour.java
@@ -8,13 +8,16 @@
  * @param statement what it said of itself, or null where only the standing is told
  * @param statedMs how long ago it said that, in ms
  */
-public record Rumour(Identity id, int incarnation, Standing standing, String by, long sinceMs,
-        Statement statement, long statedMs) {
+public record Rumour(
+        Identity id, int incarnation, Standing standing, String by, long sinceMs, Statement statement, long statedMs) {
     /** Numbers, lengths and types, at most. */
     private static final int REST = 48;
 
     public Rumour {
-        if (!Heard.incarnation(incarnation) || !Identity.worded(by) || sinceMs < 0 || statedMs < 0
+        if (!Heard.incarnation(incarnation)
+                || !Identity.worded(by)
+                || sinceMs < 0
+                || statedMs < 0
                 || statement != null && !statement.id().equals(id)) {
             throw new IllegalArgumentException("not a rumour of " + id);
         }
--- a/src/main/java/gullspar/peers/Self.java
+++ b/src/main/java/gullspar/peers/Self.java
@@ -44,15 +44,31 @@
 
     void leave(long now) {
         left = true;
-        say(now, statement.config(), Phase.LEAVING, statement.twin(), statement.view(), statement.figures(),
+        say(
+                now,
+                statement.config(),
+                Phase.LEAVING,
+                statement.twin(),
+                statement.view(),
+                statement.figures(),
                 statement.facts());
     }
 
     /** The next revision of what it says. */
     void say(long now, String config, Phase phase, long twin, int view, Figures figures, Facts facts) {
-        statement = new Statement(id, statement.revision() + 1, statement.address(), statement.zone(),
-                statement.version(), config, phase, (now - startedAt) / 1_000_000, twin, view, figures,
-                        facts);
+        statement = new Statement(
+                id,
+                statement.revision() + 1,
+                statement.address(),
+                statement.zone(),
+                statement.version(),
+                config,
+                phase,
+                (now - startedAt) / 1_000_000,
+                twin,
+                view,
+                figures,
+                facts);
         statedAt = now;
     }
 
@@ -74,7 +90,13 @@
     }
 
     Rumour rumour(long now, boolean withStatement) {
-        return new Rumour(id, incarnation, left ? Standing.LEFT : Standing.ALIVE, "", 0,
-                withStatement ? statement : null, withStatement ? (now - statedAt) / 1_000_000 : 0);
+        return new Rumour(
+                id,
+                incarnation,
+                left ? Standing.LEFT : Standing.ALIVE,
+                "",
+                0,
+                withStatement ? statement : null,
+                withStatement ? (now - statedAt) / 1_000_000 : 0);
     }
 }
--- a/src/main/java/gullspar/peers/Settings.java
+++ b/src/main/java/gullspar/peers/Settings.java
@@ -23,13 +23,30 @@
  * @param members how many are kept at the most
  * @param bytesPerSecond what this process sends at the most, answers included
  */
-public record Settings(long intervalNs, long timeoutNs, int indirect, int suspicion, int stretch,
-        int confirmations, int healthMost, int retell, int fanout, long syncNs, long figuresNs, int knockMost,
-        long forgetNs, long windowNs, int members, int bytesPerSecond) {
+public record Settings(
+        long intervalNs,
+        long timeoutNs,
+        int indirect,
+        int suspicion,
+        int stretch,
+        int confirmations,
+        int healthMost,
+        int retell,
+        int fanout,
+        long syncNs,
+        long figuresNs,
+        int knockMost,
+        long forgetNs,
+        long windowNs,
+        int members,
+        int bytesPerSecond) {
     private static final long MS = 1_000_000L;
 
     public Settings {
-        if (intervalNs < 10 * MS || timeoutNs < MS || timeoutNs * 2 > intervalNs || members < 2
+        if (intervalNs < 10 * MS
+                || timeoutNs < MS
+                || timeoutNs * 2 > intervalNs
+                || members < 2
                 || bytesPerSecond < 4 * Message.MOST_BYTES) {
             throw new IllegalArgumentException("settings that cannot be: " + intervalNs + ", " + timeoutNs);
         }
@@ -37,23 +54,65 @@
 
     /** The usual ones, all in proportion to the interval. */
     public static Settings every(long intervalNs) {
-        return new Settings(intervalNs, intervalNs * 2 / 5, 3, 4, 6, 2, 8, 4, 3, 10 * intervalNs,
-                5 * intervalNs, 32, 3_600_000 * MS, Math.max(60_000 * MS, intervalNs), 10_000,
+        return new Settings(
+                intervalNs,
+                intervalNs * 2 / 5,
+                3,
+                4,
+                6,
+                2,
+                8,
+                4,
+                3,
+                10 * intervalNs,
+                5 * intervalNs,
+                32,
+                3_600_000 * MS,
+                Math.max(60_000 * MS, intervalNs),
+                10_000,
                 (int) Math.min(1 << 20, 64_000_000_000_000L / intervalNs));
     }
 
     /** The same with another window in which members count as seen lately. */
     public Settings within(long ns) {
-        return new Settings(intervalNs, timeoutNs, indirect, suspicion, stretch, confirmations, healthMost,
+        return new Settings(
+                intervalNs,
+                timeoutNs,
+                indirect,
+                suspicion,
+                stretch,
+                confirmations,
+                healthMost,
                 retell,
-                fanout, syncNs, figuresNs, knockMost, forgetNs, ns, members, bytesPerSecond);
+                fanout,
+                syncNs,
+                figuresNs,
+                knockMost,
+                forgetNs,
+                ns,
+                members,
+                bytesPerSecond);
     }
 
     /** The same with another bound on what is sent. */
     public Settings atMost(int bytes) {
-        return new Settings(intervalNs, timeoutNs, indirect, suspicion, stretch, confirmations, healthMost,
+        return new Settings(
+                intervalNs,
+                timeoutNs,
+                indirect,
+                suspicion,
+                stretch,
+                confirmations,
+                healthMost,
                 retell,
-                fanout, syncNs, figuresNs, knockMost, forgetNs, windowNs, members, bytes);
+                fanout,
+                syncNs,
+                figuresNs,
+                knockMost,
+                forgetNs,
+                windowNs,
+                members,
+                bytes);
     }
 
     /** The least time under suspicion in a fleet of that size, in ns. */
--- a/src/main/java/gullspar/peers/Statement.java
+++ b/src/main/java/gullspar/peers/Statement.java
@@ -9,16 +9,32 @@
  * @param twin the life of another process that lives under the same name, 0 if it knows of none
  * @param view digest of whom it held for alive then
  */
-public record Statement(Identity id, int revision, String address, String zone, String version, String config,
-        Phase phase, long upMs, long twin, int view, Figures figures, Facts facts) {
+public record Statement(
+        Identity id,
+        int revision,
+        String address,
+        String zone,
+        String version,
+        String config,
+        Phase phase,
+        long upMs,
+        long twin,
+        int view,
+        Figures figures,
+        Facts facts) {
     /** An address of IPv6 with its brackets and port has 47 characters. */
     public static final int LONGEST_ADDRESS = 48;
     /** What stands round the texts, at most: numbers, lengths, types. */
     private static final int REST = 80;
 
     public Statement {
-        if (address.isEmpty() || address.length() > LONGEST_ADDRESS || !Identity.worded(zone)
-                || !Identity.worded(version) || !Identity.worded(config) || revision < 1 || upMs < 0) {
+        if (address.isEmpty()
+                || address.length() > LONGEST_ADDRESS
+                || !Identity.worded(zone)
+                || !Identity.worded(version)
+                || !Identity.worded(config)
+                || revision < 1
+                || upMs < 0) {
             throw new IllegalArgumentException("not a statement: " + id + " at " + address);
         }
         for (int i = 0; i < address.length(); i++) {
@@ -30,7 +46,12 @@
 
     /** At most this many on the wire. */
     int bytes() {
-        return REST + id.name().length() + address.length() + zone.length() + version.length()
-                + config.length() + facts.bytes();
+        return REST
+                + id.name().length()
+                + address.length()
+                + zone.length()
+                + version.length()
+                + config.length()
+                + facts.bytes();
     }
 }
--- a/src/main/java/gullspar/peers/View.java
+++ b/src/main/java/gullspar/peers/View.java
@@ -13,11 +13,13 @@
  * @param health 0 is well; above, this process hears badly and waits longer
  * @param members all others, by name and then the latest first
  */
-public record View(Member self, boolean cutOff, int known, int seen, boolean settled, int health,
-        List<Member> members) {
+public record View(
+        Member self, boolean cutOff, int known, int seen, boolean settled, int health, List<Member> members) {
     /** What a member is held for. */
     public enum Status {
-        ALIVE, SUSPECTED, GONE,
+        ALIVE,
+        SUSPECTED,
+        GONE,
         /** It is not heard, and neither are most: it may be this process that is cut off. */
         UNKNOWN,
         LEFT
@@ -36,16 +38,28 @@
      * @param answeredMs when it last answered this process itself; -1 if never
      * @param agrees false if it sees others than this process does, as far as its last statement tells
      */
-    public record Member(Identity id, Statement statement, Status status, long sinceMs, String why,
+    public record Member(
+            Identity id,
+            Statement statement,
+            Status status,
+            long sinceMs,
+            String why,
             long statedMs,
-            long upMs, int incarnation, boolean twin, boolean onlyByOthers, long answeredMs,
-                    boolean agrees) { }
+            long upMs,
+            int incarnation,
+            boolean twin,
+            boolean onlyByOthers,
+            long answeredMs,
+            boolean agrees) {}
 
     /** The latest life under that name; null if there is none. */
     public Member named(String name) {
         if (self.id().name().equals(name)) {
             return self;
         }
-        return members.stream().filter(m -> m.id().name().equals(name)).findFirst().orElse(null);
+        return members.stream()
+                .filter(m -> m.id().name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 }
--- a/src/main/java/gullspar/peers/net/Carrier.java
+++ b/src/main/java/gullspar/peers/net/Carrier.java
@@ -68,11 +68,12 @@
 
     /** Binds a socket there; {@link #begin} is to follow once that is done. */
     public ChannelFuture bind(InetSocketAddress address) {
-        ChannelFuture bound = platform.transport().datagrams(address)
+        ChannelFuture bound = platform.transport()
+                .datagrams(address)
                 // One byte more than may come, so that what is too long is seen to be.
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Message.MOST_BYTES
-                        + 1))
-                .handler(new Incoming()).bind();
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(Message.MOST_BYTES + 1))
+                .handler(new Incoming())
+                .bind();
         channel = bound.channel();
         return bound;
     }
@@ -87,7 +88,8 @@
      * reached at.
      */
     public void begin(Settings settings, Statement first, List<String> seeds, RandomGenerator random) {
-        this.peers = new Peers(settings, first, seeds, random, this, platform.clock().now());
+        this.peers =
+                new Peers(settings, first, seeds, random, this, platform.clock().now());
         arm();
     }
 
@@ -150,8 +152,7 @@
 
     private static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
-        InetAddress ip = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0,
-                colon));
+        InetAddress ip = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
         try {
             int port = ip == null ? 0 : Integer.parseInt(text.substring(colon + 1));
             return port <= 0 || port > 65_535 ? null : new InetSocketAddress(ip, port);
@@ -210,8 +211,8 @@
             armed.cancel(false);
         }
         armedAt = next;
-        armed = platform.loop().schedule(this::wake, Math.max(0, next - platform.clock().now()),
-                TimeUnit.NANOSECONDS);
+        armed = platform.loop()
+                .schedule(this::wake, Math.max(0, next - platform.clock().now()), TimeUnit.NANOSECONDS);
     }
 
     private void wake() {
--- a/src/main/java/gullspar/peers/net/FleetPage.java
+++ b/src/main/java/gullspar/peers/net/FleetPage.java
@@ -18,7 +18,7 @@
 final class FleetPage {
     private static final JsonFactory JSON = new JsonFactory();
 
-    private FleetPage() { }
+    private FleetPage() {}
 
     static String of(View v, Counters c, Carrier carrier) {
         StringWriter text = new StringWriter();
--- a/src/main/java/gullspar/peers/net/KeyFile.java
+++ b/src/main/java/gullspar/peers/net/KeyFile.java
@@ -17,7 +17,7 @@
 public final class KeyFile {
     private static final int MOST_BYTES = 4096;
 
-    private KeyFile() { }
+    private KeyFile() {}
 
     /** Reads one; an IOException that says what is wrong, and where. */
     public static List<byte[]> read(Path file) throws IOException {
@@ -45,8 +45,12 @@
                 }
             }
             if (line.length() % 2 != 0 || line.length() / 2 < Envelope.LEAST_KEY_BYTES) {
-                throw wrong(file, i, column, "a key of " + line.length() + " digits, not "
-                        + 2 * Envelope.LEAST_KEY_BYTES + " or more, in pairs");
+                throw wrong(
+                        file,
+                        i,
+                        column,
+                        "a key of " + line.length() + " digits, not " + 2 * Envelope.LEAST_KEY_BYTES
+                                + " or more, in pairs");
             }
             if (keys.size() == Envelope.MOST_KEYS) {
                 throw wrong(file, i, column, "a third key: two at one time are enough to replace one");
--- a/src/main/java/gullspar/peers/net/Membership.java
+++ b/src/main/java/gullspar/peers/net/Membership.java
@@ -57,7 +57,12 @@
     private long lastAt;
     private boolean left;
 
-    private Membership(Path file, Reader reader, Platform platform, Supplier<Load> load, Fleet fleet,
+    private Membership(
+            Path file,
+            Reader reader,
+            Platform platform,
+            Supplier<Load> load,
+            Fleet fleet,
             Envelope envelope,
             String config) {
         this.file = file;
@@ -70,8 +75,7 @@
     }
 
     /** Starts it, as {@link Companion.Factory} says; null if the file says nothing of a fleet. */
-    public static Membership start(Path file, Reader reader, String name, Platform platform,
-            Supplier<Load> load)
+    public static Membership start(Path file, Reader reader, String name, Platform platform, Supplier<Load> load)
             throws IOException {
         Fleet fleet = fleet(file, reader);
         if (fleet == null) {
@@ -79,20 +83,23 @@
         }
         String called = fleet.name() != null ? fleet.name() : name;
         if (called == null || !Identity.named(called)) {
-            throw new IOException(file
-                    + ": [fleet] has no name, and the platform gives none that could be one: "
-                    + called);
+            throw new IOException(
+                    file + ": [fleet] has no name, and the platform gives none that could be one: " + called);
         }
         Membership m = new Membership(file, reader, platform, load, fleet, envelope(fleet), digest(file));
         try {
-            ChannelFuture bound = platform.loop().submit(() -> m.carrier.bind(fleet.bind())).get();
+            ChannelFuture bound =
+                    platform.loop().submit(() -> m.carrier.bind(fleet.bind())).get();
             if (!bound.awaitUninterruptibly().isSuccess()) {
-                throw new IOException("cannot hear the fleet at "
-                        + NetUtil.toSocketAddressString(fleet.bind())
-                        + ": " + bound.cause().getMessage(), bound.cause());
+                throw new IOException(
+                        "cannot hear the fleet at "
+                                + NetUtil.toSocketAddressString(fleet.bind())
+                                + ": " + bound.cause().getMessage(),
+                        bound.cause());
             }
-            platform.loop().submit(() -> m.begin(called, new SecureRandom().nextLong(),
-                    settings(fleet))).get();
+            platform.loop()
+                    .submit(() -> m.begin(called, new SecureRandom().nextLong(), settings(fleet)))
+                    .get();
             return m;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -107,8 +114,8 @@
      *
      * @param life a number that no other process has, nor had
      */
-    public static Membership join(Fleet fleet, Settings settings, Envelope keys, long life, Platform platform,
-            Supplier<Load> load) {
+    public static Membership join(
+            Fleet fleet, Settings settings, Envelope keys, long life, Platform platform, Supplier<Load> load) {
         Membership m = new Membership(null, null, platform, load, fleet, keys, "");
         m.carrier.bind(fleet.bind()).addListener(f -> {
             if (f.isSuccess()) {
@@ -150,15 +157,30 @@
     private void begin(String name, long life, Settings settings) {
         InetSocketAddress at = fleet.advertise() != null ? fleet.advertise() : carrier.address();
         String version = Membership.class.getPackage().getImplementationVersion();
-        carrier.begin(settings,
-                new Statement(new Identity(name, life), 1, NetUtil.toSocketAddressString(at), fleet.zone(),
-                        version == null ? "dev" : version, config, phase, 0, 0, 0, Figures.NONE, Facts.NONE),
-                texts(fleet.seeds()), new SplittableRandom(life));
+        carrier.begin(
+                settings,
+                new Statement(
+                        new Identity(name, life),
+                        1,
+                        NetUtil.toSocketAddressString(at),
+                        fleet.zone(),
+                        version == null ? "dev" : version,
+                        config,
+                        phase,
+                        0,
+                        0,
+                        0,
+                        Figures.NONE,
+                        Facts.NONE),
+                texts(fleet.seeds()),
+                new SplittableRandom(life));
         lastAt = platform.clock().now();
-        platform.log().say("fleet: " + name + ", life " + HexFormat.of().toHexDigits(life) + ", at "
-                + NetUtil.toSocketAddressString(at) + ", " + fleet.seeds().size() + " seeds");
-        platform.loop().scheduleWithFixedDelay(this::tell, fleet.intervalNs(), fleet.intervalNs(),
-                TimeUnit.NANOSECONDS);
+        platform.log()
+                .say("fleet: " + name + ", life " + HexFormat.of().toHexDigits(life) + ", at "
+                        + NetUtil.toSocketAddressString(at) + ", "
+                        + fleet.seeds().size() + " seeds");
+        platform.loop()
+                .scheduleWithFixedDelay(this::tell, fleet.intervalNs(), fleet.intervalNs(), TimeUnit.NANOSECONDS);
     }
 
     /** Once an interval: what the proxy did since the last time. */
@@ -169,14 +191,17 @@
         long now = platform.clock().now();
         Load l = load.get();
         double seconds = Math.max(1e-3, (now - lastAt) / 1e9);
-        Figures f = new Figures((float) ((l.ended() - last.ended()) / seconds),
-                (float) ((l.refused() - last.refused()) / seconds), l.pending());
+        Figures f = new Figures(
+                (float) ((l.ended() - last.ended()) / seconds),
+                (float) ((l.refused() - last.refused()) / seconds),
+                l.pending());
         last = l;
         lastAt = now;
         carrier.with(p -> {
             // Alone for good is a fleet as well: a proxy that serves is not joining.
-            phase = stage == Stage.SERVING ? Phase.SERVING : stage == Stage.DRAINING ? Phase.DRAINING
-                    : p.size() == 1 ? Phase.JOINING : Phase.WARMING;
+            phase = stage == Stage.SERVING
+                    ? Phase.SERVING
+                    : stage == Stage.DRAINING ? Phase.DRAINING : p.size() == 1 ? Phase.JOINING : Phase.WARMING;
             p.say(now, phase, config, f, Facts.NONE);
             return null;
         });
@@ -184,21 +209,24 @@
 
     private void say(Change c) {
         String who = c.about().name();
-        String what = switch (c.kind()) {
-            case JOINED -> who + " joined, " + c.why();
-            case SUSPECTED -> who + " is suspected, " + c.why();
-            case CLEARED -> who + " is there after all";
-            case GONE -> who + " is gone" + (c.why().isEmpty() ? "" : Identity.named(c.why())
-                    ? ", accused by " + c.why() : ": " + c.why());
-            case BACK -> who + " is back";
-            case LEFT -> who + " left";
-            case TWIN -> who + ": " + c.why();
-            case CUT_OFF -> "cut off: " + c.why();
-            case REJOINED -> "not cut off any more: " + c.why();
-            case OBJECTED -> "objected to being called gone" + (c.why().isEmpty() ? "" : " by " + c.why());
-            case STOOD_STILL -> "stood still for " + c.why();
-            default -> "settled";
-        };
+        String what =
+                switch (c.kind()) {
+                    case JOINED -> who + " joined, " + c.why();
+                    case SUSPECTED -> who + " is suspected, " + c.why();
+                    case CLEARED -> who + " is there after all";
+                    case GONE -> who + " is gone"
+                            + (c.why().isEmpty()
+                                    ? ""
+                                    : Identity.named(c.why()) ? ", accused by " + c.why() : ": " + c.why());
+                    case BACK -> who + " is back";
+                    case LEFT -> who + " left";
+                    case TWIN -> who + ": " + c.why();
+                    case CUT_OFF -> "cut off: " + c.why();
+                    case REJOINED -> "not cut off any more: " + c.why();
+                    case OBJECTED -> "objected to being called gone" + (c.why().isEmpty() ? "" : " by " + c.why());
+                    case STOOD_STILL -> "stood still for " + c.why();
+                    default -> "settled";
+                };
         platform.log().say("fleet: " + what + String.format(Locale.ROOT, " (%d present)", c.present()));
     }
 
@@ -212,8 +240,9 @@
 
     @Override
     public String answer(String path) {
-        return path.equals("/_fleet") && carrier.begun() ? carrier.with(p ->
-                FleetPage.of(p.view(platform.clock().now()), p.counters(), carrier)) : null;
+        return path.equals("/_fleet") && carrier.begun()
+                ? carrier.with(p -> FleetPage.of(p.view(platform.clock().now()), p.counters(), carrier))
+                : null;
     }
 
     @Override
@@ -232,8 +261,7 @@
                 tell();
             });
         } catch (IOException e) {
-            e.getMessage().lines().forEach(line -> platform.log().say("fleet: nothing is read again: "
-                    + line));
+            e.getMessage().lines().forEach(line -> platform.log().say("fleet: nothing is read again: " + line));
         }
     }
 
@@ -266,10 +294,12 @@
                 return null;
             });
         }
-        platform.loop().execute(() -> { // what was written goes out first
-            carrier.close();
-            gone.complete(null);
-        });
+        platform.loop()
+                .execute(
+                        () -> { // what was written goes out first
+                            carrier.close();
+                            gone.complete(null);
+                        });
         return gone;
     }
 }
--- a/src/main/java/gullspar/peers/wire/Codec.java
+++ b/src/main/java/gullspar/peers/wire/Codec.java
@@ -27,11 +27,10 @@
  * table.
  */
 public final class Codec {
-    private static final int PING = 1, ACK = 2, PING_REQ = 3, NACK = 4, NEWS = 5, DIGEST = 6, LISTING = 7,
-            WANT = 8;
+    private static final int PING = 1, ACK = 2, PING_REQ = 3, NACK = 4, NEWS = 5, DIGEST = 6, LISTING = 7, WANT = 8;
     private static final CBORFactory CBOR = new CBORFactory();
 
-    private Codec() { }
+    private Codec() {}
 
     // ---- writing ----
 
@@ -191,8 +190,7 @@
         Message.Header h = header(p);
         return switch (kind) {
             case PING -> new Message.Ping(h, number(p), number(p), flag(p), rumours(p));
-            case ACK -> new Message.Ack(h, number(p), identity(p), number(p, 0, Integer.MAX_VALUE),
-                    rumours(p));
+            case ACK -> new Message.Ack(h, number(p), identity(p), number(p, 0, Integer.MAX_VALUE), rumours(p));
             case PING_REQ -> new Message.PingReq(h, number(p), identity(p), address(p), rumours(p));
             case NACK -> new Message.Nack(h, number(p), rumours(p));
             case NEWS -> new Message.News(h, rumours(p));
@@ -273,8 +271,7 @@
 
     private static Message.Header header(JsonParser p) throws IOException {
         array(p.nextToken());
-        Message.Header h = new Message.Header(identity(p), number(p, 0, Integer.MAX_VALUE), address(p),
-                number(p));
+        Message.Header h = new Message.Header(identity(p), number(p, 0, Integer.MAX_VALUE), address(p), number(p));
         end(p);
         return h;
     }
@@ -300,8 +297,8 @@
         array(p.nextToken());
         for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
             array(t);
-            all.add(new Message.Known(number(p), number(p, 0, Integer.MAX_VALUE), standing(p),
-                    number(p, 0, Integer.MAX_VALUE)));
+            all.add(new Message.Known(
+                    number(p), number(p, 0, Integer.MAX_VALUE), standing(p), number(p, 0, Integer.MAX_VALUE)));
             end(p);
         }
         return all;
@@ -342,8 +339,7 @@
         Figures figures = new Figures(figure(p), figure(p), number(p, 0, Integer.MAX_VALUE));
         Facts facts = facts(p);
         end(p);
-        return new Statement(id, revision, address, zone, version, config, phase, up, twin, view, figures,
-                facts);
+        return new Statement(id, revision, address, zone, version, config, phase, up, twin, view, figures, facts);
     }
 
     private static Facts facts(JsonParser p) throws IOException {
--- a/src/main/java/gullspar/peers/wire/Envelope.java
+++ b/src/main/java/gullspar/peers/wire/Envelope.java
@@ -18,6 +18,7 @@
 public final class Envelope {
     /** Only this version is read. */
     public static final byte VERSION = 1;
+
     private static final String HMAC = "HmacSHA256";
     private static final int KEY_BYTES = 4, MAC_BYTES = 16, HEAD = 1 + KEY_BYTES, FRONT = HEAD + MAC_BYTES;
     /** Shorter keys are no protection (RFC 2104, section 3, asks for the length of the hash). */
@@ -37,7 +38,7 @@
         CODE
     }
 
-    private record Key(byte[] id, Mac mac) { }
+    private record Key(byte[] id, Mac mac) {}
 
     private final List<Key> keys = new ArrayList<>();
 
@@ -48,8 +49,7 @@
         }
         for (byte[] secret : secrets) {
             if (secret.length < LEAST_KEY_BYTES) {
-                throw new IllegalArgumentException("a key of " + secret.length + " bytes, not "
-                        + LEAST_KEY_BYTES);
+                throw new IllegalArgumentException("a key of " + secret.length + " bytes, not " + LEAST_KEY_BYTES);
             }
             keys.add(key(secret));
         }
@@ -61,8 +61,7 @@
             mac.init(new SecretKeySpec(secret, HMAC));
             byte[] id = new byte[KEY_BYTES];
             // Which key it is may be known to all: a digest under another use of the key tells nothing of it.
-            System.arraycopy(mac.doFinal("which key".getBytes(StandardCharsets.US_ASCII)), 0, id, 0,
-                    KEY_BYTES);
+            System.arraycopy(mac.doFinal("which key".getBytes(StandardCharsets.US_ASCII)), 0, id, 0, KEY_BYTES);
             return new Key(id, mac);
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("this runtime has no " + HMAC, e);
--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -3,9 +3,9 @@
 import gullspar.decide.Balancer;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.io.ClassArchive;
 import gullspar.proxy.io.FileChanges;
 import gullspar.proxy.io.Inherited;
-import gullspar.proxy.io.ClassArchive;
 import gullspar.proxy.io.LibraryLog;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
@@ -29,21 +29,22 @@
      * fewer than some 100 requests played, up to a fifth of the first 5 s is late or refused.
      */
     private static final int WARM_REQUESTS = 300;
+
     private static final long WARM_MS = 2000;
     /** The same where classes are loaded one by one: more of it is loading, and less is left for the code. */
     private static final long WARM_UNARCHIVED_MS = 3500;
 
     private static final Log LOG = Log.standardError();
 
-    private Daemon() { }
+    private Daemon() {}
 
     /**
      * Serves until the process is told to end. At each SIGHUP the configuration is read anew; one that cannot
      * be read changes nothing. companions: makes what runs beside the proxy, where the configuration names an
      * operators' file; it may make nothing, null.
      */
-    public static void run(Map<String, String> environment, Balancer.Factory factory,
-            Companion.Factory companions) throws ConfigException, IOException {
+    public static void run(Map<String, String> environment, Balancer.Factory factory, Companion.Factory companions)
+            throws ConfigException, IOException {
         // The default would end the process, so this comes first: an early signal waits for the proxy.
         CompletableFuture<Proxy> started = new CompletableFuture<>();
         ServingLoop serving = ServingLoop.start();
@@ -62,9 +63,15 @@
         }
     }
 
-    private static void serve(Map<String, String> environment, Balancer.Factory factory,
-            Companion.Factory companions, ServingLoop serving, Reloads reloads,
-            CompletableFuture<Proxy> started, Ending ending) throws ConfigException, IOException {
+    private static void serve(
+            Map<String, String> environment,
+            Balancer.Factory factory,
+            Companion.Factory companions,
+            ServingLoop serving,
+            Reloads reloads,
+            CompletableFuture<Proxy> started,
+            Ending ending)
+            throws ConfigException, IOException {
         EventLoop loop = serving.loop();
         LibraryLog.install();
         LOG.say("starting");
@@ -74,12 +81,13 @@
                     + "until then starts take longer");
         }
         Config config = reloads.first();
-        Platform platform = config.inherited()
-                ? Platform.of(serving, Inherited.transport(loop), LOG) : Platform.of(serving);
+        Platform platform =
+                config.inherited() ? Platform.of(serving, Inherited.transport(loop), LOG) : Platform.of(serving);
         OperatorPort port = operatorPort(config, platform);
         Proxy proxy = Proxy.on(platform, () -> Proxy.asking(config, platform, factory));
         started.complete(proxy); // what a new configuration changes counts during the warm-up too
-        Companion beside = config.operatorsFile() == null ? null
+        Companion beside = config.operatorsFile() == null
+                ? null
                 : companions.start(config.operatorsFile(), config.name(), platform, proxy::load);
         if (beside != null) {
             reloads.also(beside);
@@ -92,9 +100,10 @@
             loop.terminationFuture().awaitUninterruptibly(); // told to end: it does not open
         }
         Proxy.on(platform, () -> {
-            proxy.open();
-            return proxy;
-        }).bound();
+                    proxy.open();
+                    return proxy;
+                })
+                .bound();
         if (beside != null) {
             loop.execute(() -> beside.at(Companion.Stage.SERVING));
         }
@@ -110,7 +119,7 @@
      * process just ends; from then on all is answered first. One that is told to end does not open any more.
      */
     private static final class Ending implements Runnable {
-        private Runnable first = () -> { };
+        private Runnable first = () -> {};
         private boolean begun;
         private boolean failed;
 
--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -9,8 +9,8 @@
 import gullspar.proxy.backend.Attempt;
 import gullspar.proxy.client.Asked;
 import gullspar.proxy.client.Client;
-import gullspar.proxy.events.Events;
 import gullspar.proxy.config.Classes.Known;
+import gullspar.proxy.events.Events;
 import gullspar.proxy.http.Message;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -43,6 +43,7 @@
     private long deadline = Long.MAX_VALUE;
     /** By number; null where none went out. */
     private final List<Attempt> attempts = new ArrayList<>(2);
+
     private ScheduledFuture<?> backstop;
     private int out;
     private boolean over;
@@ -59,9 +60,17 @@
             came(at);
         }
         boolean whole = deadline != Long.MAX_VALUE;
-        tell((now, module) -> module.onRequest(now, new Request(ticket, of.place(), asked.tenant(),
-                asked.key(), Math.max(0, left(now)), asked.hintNs(), asked.repeat(),
-                whole ? Math.max(0, now - at) : 0)));
+        tell((now, module) -> module.onRequest(
+                now,
+                new Request(
+                        ticket,
+                        of.place(),
+                        asked.tenant(),
+                        asked.key(),
+                        Math.max(0, left(now)),
+                        asked.hintNs(),
+                        asked.repeat(),
+                        whole ? Math.max(0, now - at) : 0)));
     }
 
     /** Its last byte has come. */
@@ -70,8 +79,17 @@
             return;
         }
         deadline = owner.byThen(at + timeoutNs) - margin;
-        backstop = owner.platform.loop().schedule(this::overdue, Math.max(0, deadline + margin
-                - Math.min(BACKSTOP_NS, margin / 2) - owner.platform.clock().now()), TimeUnit.NANOSECONDS);
+        backstop = owner.platform
+                .loop()
+                .schedule(
+                        this::overdue,
+                        Math.max(
+                                0,
+                                deadline
+                                        + margin
+                                        - Math.min(BACKSTOP_NS, margin / 2)
+                                        - owner.platform.clock().now()),
+                        TimeUnit.NANOSECONDS);
     }
 
     /** How long an attempt may take, from now or, while the request is still coming, from its last byte. */
@@ -123,7 +141,9 @@
         } else if (status == Status.OK && !over) {
             answer(200, answer.head().headers(), answer.body());
         } else if (answer != null && !over) {
-            answer(answer.head().status().code(), null,
+            answer(
+                    answer.head().status().code(),
+                    null,
                     "the backend cannot use this request\n".getBytes(StandardCharsets.UTF_8));
         }
         long elapsed = owner.platform.clock().now() - startedAt;
@@ -145,8 +165,10 @@
         finish();
         owner.passing(true);
         // One that never ends is no answer: by the end of its client's time it has failed.
-        ScheduledFuture<?> end = owner.platform.loop().schedule(client::cutOff,
-                Math.max(0, left(owner.platform.clock().now()) + margin), TimeUnit.NANOSECONDS);
+        ScheduledFuture<?> end = owner.platform
+                .loop()
+                .schedule(
+                        client::cutOff, Math.max(0, left(owner.platform.clock().now()) + margin), TimeUnit.NANOSECONDS);
         client.answer(answer.head(), answer.body(), answer.rest(), whole -> {
             end.cancel(false);
             owner.passing(false);
@@ -175,8 +197,13 @@
             ended(number, server, now, Status.MOOT, null, null);
             return;
         }
-        attempts.add(owner.backends.send(server, message, timeoutNs == 0 ? left : Math.min(timeoutNs, left),
-                withinNs, of.profile().effect() == Effect.IDEMPOTENT, new Attempt.Listener() {
+        attempts.add(owner.backends.send(
+                server,
+                message,
+                timeoutNs == 0 ? left : Math.min(timeoutNs, left),
+                withinNs,
+                of.profile().effect() == Effect.IDEMPOTENT,
+                new Attempt.Listener() {
                     @Override
                     public void ended(Attempt a, Status status, Report report, Answer answer) {
                         Exchange.this.ended(number, server, a.began(), status, report, answer);
--- a/src/main/java/gullspar/proxy/Exchanges.java
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -23,6 +23,7 @@
     private final Map<Integer, Exchange> byTicket = new HashMap<>();
     /** Those that still want their answer; only looked up, never walked. */
     private final Map<Client, Exchange> byClient = new IdentityHashMap<>();
+
     private int tickets;
     private int passing;
     /** No request is answered later, whatever its client allows. */
@@ -102,8 +103,7 @@
             return;
         }
         platform.log().say("an attempt for ticket " + ticket + ", which is over");
-        events.tell((now, module) -> module.onOutcome(now,
-                new Outcome(ticket, 0, server, Status.MOOT, 0, true, null)));
+        events.tell((now, module) -> module.onOutcome(now, new Outcome(ticket, 0, server, Status.MOOT, 0, true, null)));
     }
 
     void refuse(int ticket, long retryInNs) {
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -31,8 +31,7 @@
  * One proxy: the decision module, the requests that it has taken and the sockets round it, all on one event
  * loop. Events become calls of the module, its actions become I/O; where, whether and when are its decisions.
  */
-public final class Proxy implements Balancer.Actions, Discovery.Listener,
-        OperatorPort.Subject {
+public final class Proxy implements Balancer.Actions, Discovery.Listener, OperatorPort.Subject {
     /** With the list that it was started with a proxy serves if discovery says nothing for so long. */
     private static final long LIST_WAIT_MS = 3000;
     /**
@@ -45,8 +44,12 @@
      * protocol). By so much before that no request is taken any more, all have their answers, and the process
      * ends though a client does not read its own.
      */
-    private static final long LONGEST_KEPT_MS = 3000, KILL_SLACK_MS = 700, CLOSE_MS = 500, ANSWER_MS = 150,
+    private static final long LONGEST_KEPT_MS = 3000,
+            KILL_SLACK_MS = 700,
+            CLOSE_MS = 500,
+            ANSWER_MS = 150,
             LEAVE_MS = 80;
+
     private static final long LOOK_MS = 10;
 
     private final Platform platform;
@@ -63,21 +66,26 @@
     private boolean listed;
     /** The list that it was started with, null if there is none; does the module know of it? */
     private News known;
+
     private boolean knownHeard;
     /** It may take clients; until then it only learns what backends there are. */
     private boolean open;
+
     private boolean draining;
     private ChannelFuture listening;
 
     /** To be called on the loop. */
     Proxy(Config config, Platform platform, Balancer.Factory factory) {
-        this(config, platform, factory, config.settings().askForList() ? Discovery.Patience.SERVICE
-                : Discovery.Patience.AGENT, Frontend.UNREAD_NS);
+        this(
+                config,
+                platform,
+                factory,
+                config.settings().askForList() ? Discovery.Patience.SERVICE : Discovery.Patience.AGENT,
+                Frontend.UNREAD_NS);
     }
 
     /** One that waits for discovery with that patience, and leaves bodies unread for so long. */
-    Proxy(Config config, Platform platform, Balancer.Factory factory, Discovery.Patience patience,
-            long unreadNs) {
+    Proxy(Config config, Platform platform, Balancer.Factory factory, Discovery.Patience patience, long unreadNs) {
         this.config = config;
         this.platform = platform;
         Sockets sockets = new Sockets(config.sockets());
@@ -85,10 +93,10 @@
         this.backends = new Backends(platform, sockets.backends, config);
         this.classes = new Classes(config);
         this.exchanges = new Exchanges(platform, events, backends, figures);
-        this.frontend = new Frontend(platform, config, classes, sockets.clients, exchanges, () -> listed,
-                unreadNs);
+        this.frontend = new Frontend(platform, config, classes, sockets.clients, exchanges, () -> listed, unreadNs);
         this.discovery = new Discovery(platform, Discovery.source(config), this, patience);
-        this.module = factory.create(config.settings(), config.seed(), platform.clock().now(), this);
+        this.module = factory.create(
+                config.settings(), config.seed(), platform.clock().now(), this);
         events.to(module);
     }
 
@@ -207,8 +215,9 @@
      * the loop.
      */
     public void reload(Config config) {
-        platform.log().say("a new configuration: discovery is at " + config.discovery() + ", classes "
-                + config.classes() + ", attempts " + config.settings().maxAttempts());
+        platform.log()
+                .say("a new configuration: discovery is at " + config.discovery() + ", classes " + config.classes()
+                        + ", attempts " + config.settings().maxAttempts());
         List<Profile> all = classes.take(config);
         events.news((now, m) -> m.onProfiles(all));
         discovery.move(config.discovery());
@@ -230,16 +239,22 @@
 
     @Override
     public String figures() {
-        return new Report(classes.names(), figures, backends.written(), exchanges.open(), backends.listed(),
-                module.avoided(), platform.figures()).json();
+        return new Report(
+                        classes.names(),
+                        figures,
+                        backends.written(),
+                        exchanges.open(),
+                        backends.listed(),
+                        module.avoided(),
+                        platform.figures())
+                .json();
     }
 
     /** What it has done so far, for whoever runs beside it. On the loop. */
     public Companion.Load load() {
         long refused = figures.sum(Figures::rejected);
-        return new Companion.Load(refused + figures.sum(Figures::completed) + figures.sum(Figures::failed),
-                refused,
-                exchanges.open());
+        return new Companion.Load(
+                refused + figures.sum(Figures::completed) + figures.sum(Figures::failed), refused, exchanges.open());
     }
 
     /** Answers what has been taken and what still comes; the future is done once all is answered. */
@@ -248,8 +263,8 @@
             platform.log().say("draining");
             draining = true;
             frontend.drain();
-            long lastMs = Math.min(LONGEST_KEPT_MS,
-                    TimeUnit.NANOSECONDS.toMillis(config.longestDeadlineNs())) + KILL_SLACK_MS;
+            long lastMs = Math.min(LONGEST_KEPT_MS, TimeUnit.NANOSECONDS.toMillis(config.longestDeadlineNs()))
+                    + KILL_SLACK_MS;
             exchanges.endBy(platform.clock().now() + TimeUnit.MILLISECONDS.toNanos(lastMs - ANSWER_MS));
             if (config.inherited()) {
                 handOver(lastMs);
@@ -348,7 +363,10 @@
     /** Takes in what is known of the backends. */
     void hear(News news) {
         backends.learn(news);
-        events.news((now, module) -> module.onMembers(now, news.kind(), news.version(),
+        events.news((now, module) -> module.onMembers(
+                now,
+                news.kind(),
+                news.version(),
                 news.list().stream().map(Listed::member).toList()));
     }
 
@@ -386,8 +404,11 @@
 
     @Override
     public void timer(long at, long token) {
-        platform.loop().schedule(() -> events.tell((now, module) -> module.onTimer(now, token)),
-                Math.max(0, at - platform.clock().now()), TimeUnit.NANOSECONDS);
+        platform.loop()
+                .schedule(
+                        () -> events.tell((now, module) -> module.onTimer(now, token)),
+                        Math.max(0, at - platform.clock().now()),
+                        TimeUnit.NANOSECONDS);
     }
 
     @Override
--- a/src/main/java/gullspar/proxy/Warmup.java
+++ b/src/main/java/gullspar/proxy/Warmup.java
@@ -83,17 +83,28 @@
     private int worked;
 
     /** What it goes over: door is where clients find the proxy, behind where it finds its backends. */
-    private record Means(IoHandlerFactory io, Class<? extends Channel> client,
-            Class<? extends ServerChannel> server, SocketAddress door, SocketAddress behind) {
+    private record Means(
+            IoHandlerFactory io,
+            Class<? extends Channel> client,
+            Class<? extends ServerChannel> server,
+            SocketAddress door,
+            SocketAddress behind) {
         static Means files(Path folder) {
-            return new Means(ServingLoop.handlers(), NioDomainSocketChannel.class,
-                    NioServerDomainSocketChannel.class, UnixDomainSocketAddress.of(folder.resolve("door")),
+            return new Means(
+                    ServingLoop.handlers(),
+                    NioDomainSocketChannel.class,
+                    NioServerDomainSocketChannel.class,
+                    UnixDomainSocketAddress.of(folder.resolve("door")),
                     UnixDomainSocketAddress.of(folder.resolve("behind")));
         }
 
         static Means within() {
-            return new Means(LocalIoHandler.newFactory(), LocalChannel.class, LocalServerChannel.class,
-                    new LocalAddress(Warmup.class), new LocalAddress(Warmup.class));
+            return new Means(
+                    LocalIoHandler.newFactory(),
+                    LocalChannel.class,
+                    LocalServerChannel.class,
+                    new LocalAddress(Warmup.class),
+                    new LocalAddress(Warmup.class));
         }
     }
 
@@ -136,10 +147,12 @@
         EventLoop loop = group.next();
         try {
             return loop.submit(() -> {
-                Warmup r = new Warmup(config, loop, factory, requests, means);
-                r.begin(mostMs);
-                return r.done;
-            }).get().get();
+                        Warmup r = new Warmup(config, loop, factory, requests, means);
+                        r.begin(mostMs);
+                        return r.done;
+                    })
+                    .get()
+                    .get();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -183,11 +196,13 @@
         loop.schedule(() -> done.complete(served), mostMs, TimeUnit.MILLISECONDS);
         List<Listed> list = new ArrayList<>();
         for (int i = 0; i < BACKENDS; i++) {
-            list.add(new Listed(new Member(i + 1, 0, State.READY, 0, 0, config.settings().zone(), 1),
-                    config.listen()));
+            list.add(new Listed(
+                    new Member(i + 1, 0, State.READY, 0, 0, config.settings().zone(), 1), config.listen()));
         }
         proxy.hear(new News(ListKind.FULL, 1, list));
-        open(means.behind, c -> c.pipeline().addLast(new Backend()),
+        open(
+                means.behind,
+                c -> c.pipeline().addLast(new Backend()),
                 () -> open(means.door, this::accept, this::connect));
         loop.schedule(() -> leadsNowhere(accepted == 0), PATIENCE_MS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> leadsNowhere(answered == 0), ANSWER_MS, TimeUnit.MILLISECONDS);
@@ -201,8 +216,12 @@
 
     /** Somebody is there at an address from then on. */
     private void open(SocketAddress address, Consumer<Channel> accept, Runnable then) {
-        new ServerBootstrap().group(loop).channel(means.server).childHandler(initially(accept))
-                .bind(address).addListener(f -> {
+        new ServerBootstrap()
+                .group(loop)
+                .channel(means.server)
+                .childHandler(initially(accept))
+                .bind(address)
+                .addListener(f -> {
                     if (f.isSuccess()) {
                         then.run();
                     } else {
@@ -227,7 +246,9 @@
 
     private void connect() {
         for (int i = 0; i < CLIENTS; i++) {
-            towards(means.door).handler(initially(c -> c.pipeline().addLast(new Asking()))).connect()
+            towards(means.door)
+                    .handler(initially(c -> c.pipeline().addLast(new Asking())))
+                    .connect()
                     .addListener(f -> {
                         if (!f.isSuccess()) {
                             done.completeExceptionally(f.cause());
@@ -241,9 +262,13 @@
         Profile p = config.settings().profiles().get(place);
         boolean safe = p.effect() == Effect.IDEMPOTENT;
         String id = "warm-" + asked;
-        StringBuilder request = new StringBuilder(512).append(safe ? "GET /" : "POST /")
-                .append(config.classes().get(place)).append("/1 HTTP/1.1\r\nHost: warm\r\nRequest-Id: ")
-                .append(id).append("\r\nRequest-Timeout: 1.000\r\nCookie: sid=").append(asked % 100);
+        StringBuilder request = new StringBuilder(512)
+                .append(safe ? "GET /" : "POST /")
+                .append(config.classes().get(place))
+                .append("/1 HTTP/1.1\r\nHost: warm\r\nRequest-Id: ")
+                .append(id)
+                .append("\r\nRequest-Timeout: 1.000\r\nCookie: sid=")
+                .append(asked % 100);
         if (p.effect() == Effect.DEDUPLICATED) {
             request.append("\r\nIdempotency-Key: ").append(id);
         }
@@ -317,10 +342,15 @@
         void whole(ChannelHandlerContext ctx, ByteBuf last) {
             worked++;
             boolean odd = worked % ODD_ANSWERS == 0;
-            StringBuilder answer = new StringBuilder(ANSWER_BYTES + 200).append("HTTP/1.1 ")
+            StringBuilder answer = new StringBuilder(ANSWER_BYTES + 200)
+                    .append("HTTP/1.1 ")
                     .append(!odd ? "200 OK" : worked % 2 == 0 ? "500 Error" : "503 Full\r\nNot-Started: 1")
-                    .append("\r\nServer-Load: util=0.").append(worked % 9).append(",inflight=")
-                    .append(worked % 3).append(",eps=0\r\nContent-Length: ").append(odd ? 0 : ANSWER_BYTES);
+                    .append("\r\nServer-Load: util=0.")
+                    .append(worked % 9)
+                    .append(",inflight=")
+                    .append(worked % 3)
+                    .append(",eps=0\r\nContent-Length: ")
+                    .append(odd ? 0 : ANSWER_BYTES);
             write(ctx, answer.append("\r\n\r\n").append(odd ? "" : body));
         }
     }
--- a/src/main/java/gullspar/proxy/backend/AnswerDecoder.java
+++ b/src/main/java/gullspar/proxy/backend/AnswerDecoder.java
@@ -26,7 +26,12 @@
 
     private static final byte[] BEGINNING = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
-    private enum Due { NOTHING, BEGINNING, REST, END }
+    private enum Due {
+        NOTHING,
+        BEGINNING,
+        REST,
+        END
+    }
 
     private final Listener listener;
     private Due due = Due.NOTHING;
@@ -34,7 +39,9 @@
 
     /** The longest first line and the longest head that it reads, in bytes. */
     public AnswerDecoder(Listener listener, int longestLine, int longestHead) {
-        super(new HttpDecoderConfig().setMaxInitialLineLength(longestLine).setMaxHeaderSize(longestHead)
+        super(new HttpDecoderConfig()
+                .setMaxInitialLineLength(longestLine)
+                .setMaxHeaderSize(longestHead)
                 .setMaxChunkSize(64 << 10));
         this.listener = listener;
     }
--- a/src/main/java/gullspar/proxy/backend/Answers.java
+++ b/src/main/java/gullspar/proxy/backend/Answers.java
@@ -8,7 +8,7 @@
 
 /** What the head of an answer means. */
 final class Answers {
-    private Answers() { }
+    private Answers() {}
 
     /**
      * Does the head tell where its answer ends, within what an answer may hold? One that only the end of the
@@ -19,7 +19,9 @@
                 && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             return false;
         }
-        return HttpUtil.isTransferEncodingChunked(r) || r.status().code() == 204 || r.status().code() == 304
+        return HttpUtil.isTransferEncodingChunked(r)
+                || r.status().code() == 204
+                || r.status().code() == 304
                 || HttpUtil.isContentLengthSet(r) && HttpUtil.getContentLength(r, -1L) <= Message.MOST_BYTES;
     }
 
@@ -33,7 +35,6 @@
             return Status.MOOT;
         }
         // Only the backend's own word proves that the request never ran.
-        return (code == 503 || code == 504) && "1".equals(r.headers().get("Not-Started")) ? Status.FULL
-                : Status.ERROR;
+        return (code == 503 || code == 504) && "1".equals(r.headers().get("Not-Started")) ? Status.FULL : Status.ERROR;
     }
 }
--- a/src/main/java/gullspar/proxy/backend/Attempt.java
+++ b/src/main/java/gullspar/proxy/backend/Attempt.java
@@ -39,17 +39,26 @@
     private ScheduledFuture<?> timer;
     /** Its last byte is written: from now on it may have run. */
     private boolean written;
+
     private final long timeoutNs;
     /** When the time began that it has. */
     private long began;
     /** It must have gone out by then. */
     private final long latest;
+
     private boolean sent;
     private boolean calledOff;
     private boolean ended;
 
-    Attempt(Backend backend, Message request, EventLoop loop, Clock clock, long timeoutNs, long withinNs,
-            Listener listener, Runnable whenWritten) {
+    Attempt(
+            Backend backend,
+            Message request,
+            EventLoop loop,
+            Clock clock,
+            long timeoutNs,
+            long withinNs,
+            Listener listener,
+            Runnable whenWritten) {
         this.backend = backend;
         this.request = request;
         this.loop = loop;
@@ -174,8 +183,12 @@
     /** The head, and the body as far as it is there. */
     HttpRequest toWrite() {
         boolean whole = request.rest() == null;
-        HttpRequest r = whole ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                request.uri(), request.body().bytes())
+        HttpRequest r = whole
+                ? new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        request.method(),
+                        request.uri(),
+                        request.body().bytes())
                 : new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
         Message.copyRequest(request.headers(), r.headers());
         r.headers().set(HttpHeaderNames.HOST, request.headers().get(HttpHeaderNames.HOST, ""));
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -27,6 +27,7 @@
 public final class Backends {
     /** An idle connection is closed so long before the backend does it: no request may cross that. */
     private static final long KEEP_ALIVE_MARGIN_NS = 1_500_000_000L;
+
     private static final long SWEEP_MS = 500;
     /**
      * A second answer to a request may come some milliseconds late (the operators' page): on a connection
@@ -35,6 +36,7 @@
      * rate a connection for each 20 ms would be more than backends hold.
      */
     private static final long SETTLE_NS = 20_000_000L;
+
     private static final int MOST_RESTING = 8;
 
     private final EventLoop loop;
@@ -111,8 +113,10 @@
     private boolean closeOneIdle() {
         Backend oldest = null;
         for (Backend b : backends.values()) {
-            if (!b.idle.isEmpty() && (oldest == null
-                    || b.idle.peekFirst().idleSince() < oldest.idle.peekFirst().idleSince())) {
+            if (!b.idle.isEmpty()
+                    && (oldest == null
+                            || b.idle.peekFirst().idleSince()
+                                    < oldest.idle.peekFirst().idleSince())) {
                 oldest = b;
             }
         }
@@ -142,7 +146,8 @@
      */
     private Connection reuse(Backend b, boolean repeatable) {
         // Not left to the sweep: one that stands still would write to what the backend is about to close.
-        while (!b.idle.isEmpty() && !(fresh(b.idle.peekFirst()) && b.idle.peekFirst().active())) {
+        while (!b.idle.isEmpty()
+                && !(fresh(b.idle.peekFirst()) && b.idle.peekFirst().active())) {
             b.idle.pollFirst().close();
         }
         Connection found = b.idle.size() < MOST_RESTING ? null : b.idle.peekFirst();
@@ -164,10 +169,10 @@
      * Starts an attempt; it ends later, never within this call. It goes out within so long or not at all;
      * repeatable: may it run twice?
      */
-    public Attempt send(int server, Message request, long timeoutNs, long withinNs, boolean repeatable,
-            Attempt.Listener listener) {
-        Attempt a = new Attempt(backends.get(server), request, loop, clock, timeoutNs, withinNs, listener,
-                () -> written++);
+    public Attempt send(
+            int server, Message request, long timeoutNs, long withinNs, boolean repeatable, Attempt.Listener listener) {
+        Attempt a =
+                new Attempt(backends.get(server), request, loop, clock, timeoutNs, withinNs, listener, () -> written++);
         if (a.backend() == null || !a.wanted()) {
             loop.execute(() -> a.end(Status.MOOT, null, null)); // it, or who asked, is gone since
             return a;
@@ -188,14 +193,16 @@
 
     private void connect(Attempt a) {
         Connection c = new Connection(a.backend(), loop, clock, drainGraceNs);
-        ChannelFuture connect = transport.to(a.backend().address)
+        ChannelFuture connect = transport
+                .to(a.backend().address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNs / 1_000_000))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         c.openOn(channel);
                     }
-                }).connect();
+                })
+                .connect();
         c.opening(connect.channel());
         a.over(c);
         connect.channel().closeFuture().addListener(f -> sockets.release());
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -26,10 +26,10 @@
 import java.util.concurrent.TimeUnit;
 
 /** A connection: carries one attempt at a time. */
-final class Connection extends SimpleChannelInboundHandler<HttpObject>
-        implements AnswerDecoder.Listener {
+final class Connection extends SimpleChannelInboundHandler<HttpObject> implements AnswerDecoder.Listener {
     /** Interim (1xx) answers ahead of one final answer. */
     private static final int MOST_INTERIM = 8;
+
     private static final int LONGEST_LINE = 1024, LONGEST_HEAD = 8 << 10;
     /** A backend that reads nothing of a request for so long is given up. */
     private static final long UPLOAD_STALL_NS = 2_000_000_000L;
@@ -37,6 +37,7 @@
     private final Backend backend;
     /** The process that it leads to: where that was and when it had started. */
     private final InetSocketAddress address;
+
     private final long bootNs;
     private final EventLoop loop;
     private final Clock clock;
@@ -50,9 +51,11 @@
     private int interim;
     /** The answer has ended, but what came with it is still to be seen. */
     private boolean whole;
+
     private boolean trailed;
     /** The answer is passed on while it comes; null if it is held, or none comes. */
     private Pieces rest;
+
     private long passed;
     private ScheduledFuture<?> watch;
     private final PieceWriter writer = new PieceWriter();
@@ -121,11 +124,15 @@
             channel.write(a.toWrite());
             channel.writeAndFlush(new DefaultHttpContent(a.request().body().bytes()));
         });
-        watch = loop.scheduleWithFixedDelay(() -> {
-            if ((a.isSent() || !channel.isWritable()) && clock.now() - sentAt > UPLOAD_STALL_NS) {
-                a.stuck();
-            }
-        }, UPLOAD_STALL_NS / 4, UPLOAD_STALL_NS / 4, TimeUnit.NANOSECONDS);
+        watch = loop.scheduleWithFixedDelay(
+                () -> {
+                    if ((a.isSent() || !channel.isWritable()) && clock.now() - sentAt > UPLOAD_STALL_NS) {
+                        a.stuck();
+                    }
+                },
+                UPLOAD_STALL_NS / 4,
+                UPLOAD_STALL_NS / 4,
+                TimeUnit.NANOSECONDS);
         upload.to(this::upload);
         upload();
     }
@@ -152,7 +159,8 @@
     private void upload() {
         Attempt a = attempt;
         Pieces upload = a == null ? null : a.request().rest();
-        if (upload == null || a.isSent()
+        if (upload == null
+                || a.isSent()
                 || !writer.write(channel, upload, () -> attempt == a, () -> sentAt = clock.now())) {
             return;
         }
@@ -229,8 +237,7 @@
         passed = body.readableBytes();
         byte[] bytes = new byte[body.readableBytes()];
         body.readBytes(bytes);
-        a.end(Status.OK, LoadReport.last(head.headers().getAll("Server-Load")),
-                new Answer(head, bytes, rest));
+        a.end(Status.OK, LoadReport.last(head.headers().getAll("Server-Load")), new Answer(head, bytes, rest));
         return true;
     }
 
@@ -282,8 +289,12 @@
     }
 
     private void keepOrClose(boolean written) {
-        if (written && !trailed && HttpUtil.isKeepAlive(head) && backend.leftAt == 0
-                && backend.bootNs == bootNs && Objects.equals(backend.address, address)) {
+        if (written
+                && !trailed
+                && HttpUtil.isKeepAlive(head)
+                && backend.leftAt == 0
+                && backend.bootNs == bootNs
+                && Objects.equals(backend.address, address)) {
             idleSince = clock.now();
             backend.idle.addLast(this);
         } else {
@@ -303,7 +314,9 @@
         attempt = null;
         decoder.quiet();
         keepOrClose(a.isWritten());
-        a.end(status, LoadReport.last(head.headers().getAll("Server-Load")),
+        a.end(
+                status,
+                LoadReport.last(head.headers().getAll("Server-Load")),
                 status == Status.OK || status == Status.MOOT ? new Answer(head, bytes, null) : null);
     }
 
--- a/src/main/java/gullspar/proxy/backend/LoadReport.java
+++ b/src/main/java/gullspar/proxy/backend/LoadReport.java
@@ -9,7 +9,7 @@
     /** Figures beyond these are no load: a busy share of one is all, and nothing counts a million. */
     private static final double MOST_UTIL = 100, MOST_COUNT = 1e6;
 
-    private LoadReport() { }
+    private LoadReport() {}
 
     /** The last load report that can be read; null if none can. */
     public static Report last(List<String> texts) {
@@ -30,15 +30,16 @@
         Arrays.fill(values, Double.NaN);
         for (String field : text.split(",")) {
             String[] pair = field.trim().split("=", 2);
-            int i = switch (pair[0]) {
-                case "inflight", "outstanding" -> 0;
-                case "queue", "backlog" -> 1;
-                case "util", "utilization" -> 2;
-                case "latency_ms", "recent_ms" -> 3;
-                case "qps", "throughput" -> 4;
-                case "eps", "errors_per_s" -> 5;
-                default -> -1;
-            };
+            int i =
+                    switch (pair[0]) {
+                        case "inflight", "outstanding" -> 0;
+                        case "queue", "backlog" -> 1;
+                        case "util", "utilization" -> 2;
+                        case "latency_ms", "recent_ms" -> 3;
+                        case "qps", "throughput" -> 4;
+                        case "eps", "errors_per_s" -> 5;
+                        default -> -1;
+                    };
             if (i >= 0) {
                 try {
                     values[i] = Double.parseDouble(pair.length < 2 ? "" : pair[1]);
--- a/src/main/java/gullspar/proxy/client/Asked.java
+++ b/src/main/java/gullspar/proxy/client/Asked.java
@@ -18,6 +18,7 @@
     private static final double LONGEST_TIMEOUT_S = 3600;
     /** Ids and keys: what any backend can read, and no longer than makes sense. */
     private static final Pattern NAME = Pattern.compile("[!-~]{1,128}");
+
     private static final Pattern TARGET = Pattern.compile("/[!-~]*");
     private static final Pattern SECONDS = Pattern.compile("[0-9]{1,6}(\\.[0-9]{0,12})?");
 
@@ -57,15 +58,20 @@
     }
 
     static Asked of(Message m, Known of, Config config) {
-        return new Asked(of, Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
-                key(m.headers().get(HttpHeaderNames.COOKIE)), timeout(m), hint(m),
+        return new Asked(
+                of,
+                Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
+                key(m.headers().get(HttpHeaderNames.COOKIE)),
+                timeout(m),
+                hint(m),
                 "1".equals(m.headers().get("Client-Retry")));
     }
 
     /** A hint is advice: one that cannot be read is none. */
     private static long hint(Message m) {
         return one(m, "Work-Hint", SECONDS)
-                ? (long) (Double.parseDouble(m.headers().get("Work-Hint")) * 1000) : 0;
+                ? (long) (Double.parseDouble(m.headers().get("Work-Hint")) * 1000)
+                : 0;
     }
 
     /** What a request is about, as a number; 0 is none and no key's. */
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -75,13 +75,14 @@
     static final long HEAD_NS = 2_500_000_000L;
     /** A body that comes may pause so long, and needs so many bytes a second after a first while. */
     private static final long PAUSE_NS = 2_200_000_000L, SLOW_START_NS = 1_500_000_000L;
+
     private static final long LEAST_RATE = 24 << 10;
     /** One who takes nothing of an answer, or gives nothing of one, for so long has gone. */
     private static final long ANSWER_STALL_NS = 10_000_000_000L;
 
     /** A request, or the error that one ended in; after an error nothing is read. */
-    private record Waiting(Message message, int status, String error, long at, boolean keepAlive,
-            HttpVersion version) { }
+    private record Waiting(
+            Message message, int status, String error, long at, boolean keepAlive, HttpVersion version) {}
 
     final long connectedAt;
     private final Channel channel;
@@ -92,6 +93,7 @@
     private Body body;
     /** What comes of a request that has been handed over; null if none does. */
     private Pieces upload;
+
     private long received;
     private long total;
     private long bodySince;
@@ -100,6 +102,7 @@
     private long unreadSince;
     /** The answer that is being passed on; null if none is. */
     private Pieces rest;
+
     private Consumer<Boolean> passed;
     private long lastMoved;
     private final PieceWriter writer = new PieceWriter();
@@ -111,11 +114,13 @@
     private boolean awaitsContinue;
     /** The connection ends while more may still come of a request. */
     private boolean cutShort;
+
     private boolean used;
     /** Answers that the system has not taken yet. */
     private int unwritten;
     /** No more is read: an error or the end is on its way, since then. */
     private boolean ending;
+
     private long partSince;
     private long idleSince;
     private long endingSince;
@@ -237,8 +242,7 @@
             received = 0;
             return false;
         }
-        return now - lastCame > PAUSE_NS
-                || received < (now - bodySince - SLOW_START_NS) / 1e9 * LEAST_RATE;
+        return now - lastCame > PAUSE_NS || received < (now - bodySince - SLOW_START_NS) / 1e9 * LEAST_RATE;
     }
 
     @Override
@@ -259,8 +263,12 @@
         }
         if (message instanceof LastHttpContent) {
             if (upload == null) {
-                add(new Waiting(Message.whole(head.method(), head.uri(), head.headers(), body), 0, null,
-                        owner.cameAt(), HttpUtil.isKeepAlive(head),
+                add(new Waiting(
+                        Message.whole(head.method(), head.uri(), head.headers(), body),
+                        0,
+                        null,
+                        owner.cameAt(),
+                        HttpUtil.isKeepAlive(head),
                         head.protocolVersion()));
             } else {
                 Pieces all = upload;
@@ -286,10 +294,20 @@
             return false;
         }
         if (upload == null && body.add(bytes) != Body.Added.TAKEN) {
-            upload = new Pieces(() -> channel.config().setAutoRead(true), () -> { });
-            add(new Waiting(new Message(head.method(), head.uri(), head.headers(), body, upload,
-                    HttpUtil.getContentLength(head, -1L)), 0, null, owner.cameAt(),
-                        HttpUtil.isKeepAlive(head), head.protocolVersion()));
+            upload = new Pieces(() -> channel.config().setAutoRead(true), () -> {});
+            add(new Waiting(
+                    new Message(
+                            head.method(),
+                            head.uri(),
+                            head.headers(),
+                            body,
+                            upload,
+                            HttpUtil.getContentLength(head, -1L)),
+                    0,
+                    null,
+                    owner.cameAt(),
+                    HttpUtil.isKeepAlive(head),
+                    head.protocolVersion()));
             if (ending) {
                 return false;
             }
@@ -305,11 +323,15 @@
             channel.config().setAutoRead(false);
             unreadSince = owner.now();
             if (full.untouched()) {
-                channel.eventLoop().schedule(() -> {
-                    if (upload == full) {
-                        unreadTooLong(); // not by the clock as well: the two may differ by a little
-                    }
-                }, owner.unreadNs(), TimeUnit.NANOSECONDS);
+                channel.eventLoop()
+                        .schedule(
+                                () -> {
+                                    if (upload == full) {
+                                        unreadTooLong(); // not by the clock as well: the two may differ by a little
+                                    }
+                                },
+                                owner.unreadNs(),
+                                TimeUnit.NANOSECONDS);
             }
         }
     }
@@ -353,8 +375,8 @@
         if (awaitsContinue && head != null && !busy && line.isEmpty()) {
             awaitsContinue = false;
             lastCame = owner.now();
-            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
@@ -365,8 +387,9 @@
             // Whoever sends so many at once is no usual client. None of those in line has been sent on, and
             // their deadlines would run out in it: each is turned away.
             String why = "too many requests at once on a connection";
-            List<Waiting> turnedAway = line.stream().map(o -> new Waiting(null, 429, why, o.at(), true,
-                    o.version())).toList();
+            List<Waiting> turnedAway = line.stream()
+                    .map(o -> new Waiting(null, 429, why, o.at(), true, o.version()))
+                    .toList();
             forgetLine();
             line.addAll(turnedAway);
             end(429, why);
@@ -446,8 +469,8 @@
 
     /** The final answer to the request in hand; of a client that has gone nothing is written. */
     public void answer(int status, HttpHeaders headers, byte[] bytes) {
-        DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+        DefaultFullHttpResponse r = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
         if (headers != null) {
             Message.copyAnswer(headers, r.headers());
         }
@@ -530,7 +553,8 @@
     /** Passes on what has come of the answer, as far as the client takes it. */
     private void pass() {
         Pieces from = rest;
-        if (from == null || !writer.write(channel, from, () -> rest != null, () -> lastMoved = owner.now())
+        if (from == null
+                || !writer.write(channel, from, () -> rest != null, () -> lastMoved = owner.now())
                 || rest == null) {
             return; // there is none, it is being written, or the flush found the connection closed
         }
--- a/src/main/java/gullspar/proxy/client/Crowding.java
+++ b/src/main/java/gullspar/proxy/client/Crowding.java
@@ -11,6 +11,7 @@
     int accepted;
     /** Closed as they came: all places were busy. */
     int refused;
+
     int requests;
     private int unused;
     private int used;
@@ -29,8 +30,8 @@
     /** One line, if places ran out since the last, and all begins anew. */
     void say(Log log) {
         if (refused + unused + used > 0) {
-            String youngest = unused == 0 ? ""
-                    : ", the youngest after " + TimeUnit.NANOSECONDS.toMillis(youngestNs) + " ms";
+            String youngest =
+                    unused == 0 ? "" : ", the youngest after " + TimeUnit.NANOSECONDS.toMillis(youngestNs) + " ms";
             log.say("too few places for clients: of " + accepted + " accepted " + refused
                     + " closed at once; closed to make room: " + unused + " with nothing asked" + youngest
                     + ", " + used + " idle; requests taken: " + requests);
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -2,8 +2,8 @@
 
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Profile;
-import gullspar.proxy.config.Classes.Known;
 import gullspar.proxy.config.Classes;
+import gullspar.proxy.config.Classes.Known;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.http.Message;
@@ -53,6 +53,7 @@
     private static final long FRESH_NS = 250_000_000L;
     /** One that was used may stand idle for so long: usual clients come again sooner. */
     private static final long IDLE_NS = 5_000_000_000L;
+
     private static final int LONGEST_LINE = 4096, LONGEST_HEAD = 8 << 10;
     /** Of the heap bodies may take one part in so many. */
     private static final int HEAP_SHARE = 4;
@@ -66,6 +67,7 @@
      * byte by byte.
      */
     private static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(1024, 2048, 64 << 10);
+
     private static final long SWEEP_MS = 200, AGE_MS = 4000, COUNT_MS = 10_000;
 
     private final Config config;
@@ -83,6 +85,7 @@
     private final Set<Client> used = new LinkedHashSet<>();
     /** Answers to what made no sense, by status: a line of the log for each would be one for the asking. */
     private final Map<Integer, Integer> rejected = new TreeMap<>();
+
     private final Crowding crowding = new Crowding();
     private final BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE);
     private Channel listener;
@@ -90,14 +93,25 @@
     private boolean draining;
 
     /** ready: are there backends to serve with? */
-    public Frontend(Platform platform, Config config, Classes classes, Sockets.Share sockets, Taker taker,
+    public Frontend(
+            Platform platform,
+            Config config,
+            Classes classes,
+            Sockets.Share sockets,
+            Taker taker,
             BooleanSupplier ready) {
         this(platform, config, classes, sockets, taker, ready, UNREAD_NS);
     }
 
     /** One that leaves bodies unread for so long before their requests are turned away. */
-    public Frontend(Platform platform, Config config, Classes classes, Sockets.Share sockets, Taker taker,
-            BooleanSupplier ready, long unreadNs) {
+    public Frontend(
+            Platform platform,
+            Config config,
+            Classes classes,
+            Sockets.Share sockets,
+            Taker taker,
+            BooleanSupplier ready,
+            long unreadNs) {
         this.platform = platform;
         this.config = config;
         this.classes = classes;
@@ -110,13 +124,12 @@
     }
 
     public ChannelFuture listen() {
-        ChannelFuture bound = platform.transport().listen(config.listen(),
-                new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel c) {
-                        accept(c);
-                    }
-                });
+        ChannelFuture bound = platform.transport().listen(config.listen(), new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel c) {
+                accept(c);
+            }
+        });
         listener = bound.channel();
         EventLoop loop = platform.loop();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -181,8 +194,7 @@
     /** Takes no more connections, and ends those between requests, but for those that have just come. */
     public void close() {
         refuseNew();
-        all().filter(c -> !c.owed() && !c.ending() && !fresh(c)).toList()
-                .forEach(Client::closeBetweenRequests);
+        all().filter(c -> !c.owed() && !c.ending() && !fresh(c)).toList().forEach(Client::closeBetweenRequests);
     }
 
     /** Has it come so lately that its request may be on the way? */
@@ -214,7 +226,7 @@
     }
 
     private boolean closeFirst(Set<Client> clients, boolean idle) {
-        for (Iterator<Client> i = clients.iterator(); i.hasNext();) {
+        for (Iterator<Client> i = clients.iterator(); i.hasNext(); ) {
             Client c = i.next();
             if (idle ? c.idle() : !c.busy()) {
                 // Not left to channelInactive, which comes later: a burst of new connections would all be
@@ -341,5 +353,4 @@
             taker.gone(client);
         }
     }
-
 }
--- a/src/main/java/gullspar/proxy/client/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/client/RequestDecoder.java
@@ -19,7 +19,9 @@
 
     /** The longest first line and the longest head that it reads, in bytes. */
     public RequestDecoder(int longestLine, int longestHead) {
-        super(new HttpDecoderConfig().setMaxInitialLineLength(longestLine).setMaxHeaderSize(longestHead)
+        super(new HttpDecoderConfig()
+                .setMaxInitialLineLength(longestLine)
+                .setMaxHeaderSize(longestHead)
                 .setMaxChunkSize(64 << 10));
     }
 
--- a/src/main/java/gullspar/proxy/config/Classes.java
+++ b/src/main/java/gullspar/proxy/config/Classes.java
@@ -13,7 +13,7 @@
  */
 public final class Classes {
     /** A class: its number, and what the module is told of it. attempts: so many at the most. */
-    public record Known(int place, String name, Profile profile, int attempts) { }
+    public record Known(int place, String name, Profile profile, int attempts) {}
 
     private final List<String> names = new ArrayList<>();
     private final List<Profile> profiles = new ArrayList<>();
--- a/src/main/java/gullspar/proxy/config/Config.java
+++ b/src/main/java/gullspar/proxy/config/Config.java
@@ -1,8 +1,8 @@
 package gullspar.proxy.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import gullspar.decide.Balancer.Settings;
 import gullspar.decide.Balancer.Profile;
+import gullspar.decide.Balancer.Settings;
 import gullspar.settings.SettingsException;
 import gullspar.settings.SettingsParser;
 import io.netty.util.NetUtil;
@@ -27,10 +27,25 @@
  * nothing; name: what the platform calls it, null if it does not; keys: the paths of all keys, but for
  * those in lists.
  */
-public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        JsonNode known, Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-        List<String> kinds, long connectTimeoutNs, long keepAliveNs, long drainGraceNs,
-        InetSocketAddress operator, boolean inherited, Path operatorsFile, String name, Set<String> keys) {
+public record Config(
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        JsonNode known,
+        Settings settings,
+        List<String> classes,
+        List<String> tenants,
+        List<String> zones,
+        List<String> kinds,
+        long connectTimeoutNs,
+        long keepAliveNs,
+        long drainGraceNs,
+        InetSocketAddress operator,
+        boolean inherited,
+        Path operatorsFile,
+        String name,
+        Set<String> keys) {
 
     public static Config read(Map<String, String> environment) throws ConfigException {
         Path path = file(environment).orElseThrow(() -> new ConfigException("NODE_CONFIG is not set"));
@@ -47,7 +62,8 @@
 
     /** Where the configuration is, if the environment says so. */
     public static Optional<Path> file(Map<String, String> environment) {
-        return Optional.of(environment.getOrDefault("NODE_CONFIG", "")).filter(p -> !p.isEmpty())
+        return Optional.of(environment.getOrDefault("NODE_CONFIG", ""))
+                .filter(p -> !p.isEmpty())
                 .map(Path::of);
     }
 
@@ -88,27 +104,36 @@
         }
         String descriptor = environment.getOrDefault("NODE_SOCKET_FD", "");
         if (!descriptor.isEmpty() && !descriptor.equals("0")) {
-            throw new ConfigException("NODE_SOCKET_FD is '" + descriptor
-                    + "': only descriptor 0 can be taken over");
+            throw new ConfigException("NODE_SOCKET_FD is '" + descriptor + "': only descriptor 0 can be taken over");
         }
         Set<String> keys = new TreeSet<>();
         keys("", root, keys);
         try {
-            return new Config(address("NODE_LISTEN", environment, root.path("listen")),
+            return new Config(
+                    address("NODE_LISTEN", environment, root.path("listen")),
                     address("NODE_DISCOVERY", environment, root.path("discovery")),
                     Long.parseUnsignedLong(root.path("seed").asText("0"), 16),
                     // Two processes share the limit while one takes over from the other.
                     (int) positive(root, "/limits/sockets") / (descriptor.isEmpty() ? 1 : 2),
                     root.path("known"),
-                    SettingsParser.parse(flat).settings(), classes,
-                    names(settings.path("tenants")), names(settings.path("zones")),
-                    names(settings.path("skus")), positive(settings, "/limits/connect_timeout_ns"),
-                    positive(settings, "/limits/keepalive_ns"), positive(settings, "/rules/drain_grace_ns"),
-                    operator(environment, root), !descriptor.isEmpty(),
-                    root.hasNonNull("operators_file") ? Path.of(root.path("operators_file").asText()) : null,
-                    environment.getOrDefault("NODE_NAME", root.path("name").asText(null)), keys);
+                    SettingsParser.parse(flat).settings(),
+                    classes,
+                    names(settings.path("tenants")),
+                    names(settings.path("zones")),
+                    names(settings.path("skus")),
+                    positive(settings, "/limits/connect_timeout_ns"),
+                    positive(settings, "/limits/keepalive_ns"),
+                    positive(settings, "/rules/drain_grace_ns"),
+                    operator(environment, root),
+                    !descriptor.isEmpty(),
+                    root.hasNonNull("operators_file")
+                            ? Path.of(root.path("operators_file").asText())
+                            : null,
+                    environment.getOrDefault("NODE_NAME", root.path("name").asText(null)),
+                    keys);
         } catch (NumberFormatException e) {
-            throw new ConfigException("seed is not a hexadecimal number: " + root.path("seed").asText());
+            throw new ConfigException(
+                    "seed is not a hexadecimal number: " + root.path("seed").asText());
         } catch (SettingsException e) {
             throw new ConfigException(e.getMessage());
         }
@@ -142,8 +167,7 @@
         });
     }
 
-    private static InetSocketAddress operator(Map<String, String> environment, JsonNode root)
-            throws ConfigException {
+    private static InetSocketAddress operator(Map<String, String> environment, JsonNode root) throws ConfigException {
         boolean named = root.has("operator") || environment.containsKey("NODE_OPERATOR");
         return named ? address("NODE_OPERATOR", environment, root.path("operator")) : null;
     }
--- a/src/main/java/gullspar/proxy/config/Fnv.java
+++ b/src/main/java/gullspar/proxy/config/Fnv.java
@@ -2,7 +2,7 @@
 
 /** A hash of names that is the same in every process. */
 public final class Fnv {
-    private Fnv() { }
+    private Fnv() {}
 
     /** FNV-1a, its bits mixed well. */
     public static long hash(String text) {
--- a/src/main/java/gullspar/proxy/config/Json.java
+++ b/src/main/java/gullspar/proxy/config/Json.java
@@ -28,6 +28,7 @@
     private final Deque<JsonNode> open = new ArrayDeque<>();
     /** The names of the fields that wait for their values, the innermost first. */
     private final Deque<String> names = new ArrayDeque<>();
+
     private int pending;
 
     /** For what comes in pieces. */
--- a/src/main/java/gullspar/proxy/discovery/Catalog.java
+++ b/src/main/java/gullspar/proxy/discovery/Catalog.java
@@ -21,6 +21,7 @@
     private final List<String> zones;
     /** The number of each listed backend and whose it is: no two share one. */
     private final Map<String, Integer> numbers = new HashMap<>();
+
     private final Map<Integer, String> owners = new HashMap<>();
 
     Catalog(List<String> kinds, List<String> zones) {
@@ -60,11 +61,17 @@
         }
         for (int i = 0; i < entries.size(); i++) {
             JsonNode e = entries.get(i);
-            list.add(new Listed(new Member(number(e.path("instanceId").asText()),
-                    place(kinds, e.path("machineType")), state(e),
-                    TimeUnit.MILLISECONDS.toNanos(Math.max(0, e.path("startedAtMs").asLong())),
-                    e.path("cell").asInt(), place(zones, e.path("zone")),
-                    e.path("weight").asDouble(1)), addresses.get(i)));
+            list.add(new Listed(
+                    new Member(
+                            number(e.path("instanceId").asText()),
+                            place(kinds, e.path("machineType")),
+                            state(e),
+                            TimeUnit.MILLISECONDS.toNanos(
+                                    Math.max(0, e.path("startedAtMs").asLong())),
+                            e.path("cell").asInt(),
+                            place(zones, e.path("zone")),
+                            e.path("weight").asDouble(1)),
+                    addresses.get(i)));
         }
         // Whoever is gone needs no number: where ids are ever new, those kept would grow without end.
         for (Listed l : list) {
--- a/src/main/java/gullspar/proxy/discovery/Discovery.java
+++ b/src/main/java/gullspar/proxy/discovery/Discovery.java
@@ -51,8 +51,8 @@
      * Where discovery is, whether each call is asked for by the module, the list known beforehand, and the
      * names whose places are the numbers that the module knows.
      */
-    public record Source(InetSocketAddress address, boolean askForList, JsonNode known, List<String> kinds,
-            List<String> zones) {
+    public record Source(
+            InetSocketAddress address, boolean askForList, JsonNode known, List<String> kinds, List<String> zones) {
         /** A source that pushes its list to whoever watches, with nothing known beforehand. */
         public static Source pushed(InetSocketAddress address) {
             return new Source(address, false, MissingNode.getInstance(), List.of(), List.of());
@@ -88,6 +88,7 @@
     private static final long FIRST_PAUSE_MS = 10, LONGEST_PAUSE_MS = 80;
     /** An agent that says nothing has fewer open before the first is given up: a bound on descriptors. */
     private static final int MOST_WATCHES = 16;
+
     private static final int LONGEST_VALUE = 4 << 20;
 
     private final Platform platform;
@@ -135,8 +136,8 @@
 
     /** What a configuration of the platform says of it. */
     public static Source source(Config config) {
-        return new Source(config.discovery(), config.settings().askForList(), config.known(),
-                config.kinds(), config.zones());
+        return new Source(
+                config.discovery(), config.settings().askForList(), config.known(), config.kinds(), config.zones());
     }
 
     /** The list that the proxy was started with; null if there is none that can be read. */
@@ -243,8 +244,8 @@
     }
 
     private boolean behindForLong() {
-        return behindSince != 0 && platform.clock().now() - behindSince
-                >= TimeUnit.MILLISECONDS.toNanos(patience.behindMs());
+        return behindSince != 0
+                && platform.clock().now() - behindSince >= TimeUnit.MILLISECONDS.toNanos(patience.behindMs());
     }
 
     /** One watch: objects in a chunked answer, with blank lines between them while nothing changes. */
@@ -254,18 +255,21 @@
         private Channel channel;
         /** It has told a list: from then on blank lines are words too. */
         private boolean told;
+
         private ScheduledFuture<?> deadline;
 
         void open() {
             watches.add(this);
-            ChannelFuture connect = platform.transport().to(at)
+            ChannelFuture connect = platform.transport()
+                    .to(at)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) patience.connectMs())
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel c) {
                             c.pipeline().addLast(new HttpClientCodec(), Watch.this);
                         }
-                    }).connect();
+                    })
+                    .connect();
             channel = connect.channel();
             deadline(askForList ? patience.listMs() : patience.silenceMs());
             // Where there is no descriptor for it there is no channel either that could close.
@@ -288,19 +292,25 @@
             if (deadline != null) {
                 deadline.cancel(false);
             }
-            deadline = loop.schedule(() -> {
-                complain("discovery is silent: the watch is opened again");
-                close();
-            }, ms, TimeUnit.MILLISECONDS);
+            deadline = loop.schedule(
+                    () -> {
+                        complain("discovery is silent: the watch is opened again");
+                        close();
+                    },
+                    ms,
+                    TimeUnit.MILLISECONDS);
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             // A place that has begun to count anew knows nothing of the last version.
             String from = version < 0 || behindForLong() ? "" : "&index=" + version;
-            DefaultFullHttpRequest get = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/catalog/members?stream=1" + from);
-            get.headers().set(HttpHeaderNames.HOST, ctx.channel().remoteAddress().toString().substring(1));
+            DefaultFullHttpRequest get = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.GET, "/catalog/members?stream=1" + from);
+            get.headers()
+                    .set(
+                            HttpHeaderNames.HOST,
+                            ctx.channel().remoteAddress().toString().substring(1));
             ctx.writeAndFlush(get);
         }
 
@@ -379,8 +389,7 @@
                 }
                 if (!behindForLong() || !Catalog.whole(list)) {
                     behindSince = behindSince == 0 ? platform.clock().now() : behindSince;
-                    throw new IllegalArgumentException(
-                            "generation " + generation + " comes after " + version);
+                    throw new IllegalArgumentException("generation " + generation + " comes after " + version);
                 }
                 platform.log().say("discovery counts anew: " + generation + " after " + version);
             }
--- a/src/main/java/gullspar/proxy/events/Events.java
+++ b/src/main/java/gullspar/proxy/events/Events.java
@@ -34,11 +34,11 @@
 
     /** Tells what discovery said. */
     public void news(Event event) {
-        add(news, event, () -> { });
+        add(news, event, () -> {});
     }
 
     public void tell(Event event) {
-        tell(event, () -> { });
+        tell(event, () -> {});
     }
 
     /** Tells of one request; a slip of the module costs that request, not all that the proxy holds. */
--- a/src/main/java/gullspar/proxy/http/Body.java
+++ b/src/main/java/gullspar/proxy/http/Body.java
@@ -26,7 +26,11 @@
     }
 
     /** What became of adding: it is there, it was more than a body may have, or the budget is spent. */
-    public enum Added { TAKEN, TOO_LONG, NO_ROOM }
+    public enum Added {
+        TAKEN,
+        TOO_LONG,
+        NO_ROOM
+    }
 
     /** Adds all that can be read; the buffer stays its owner's. */
     public Added add(ByteBuf bytes) {
--- a/src/main/java/gullspar/proxy/http/HeadLines.java
+++ b/src/main/java/gullspar/proxy/http/HeadLines.java
@@ -2,7 +2,7 @@
 
 /** What the library's decoders let pass in the lines of a head, and the proxy does not. */
 public final class HeadLines {
-    private HeadLines() { }
+    private HeadLines() {}
 
     /** A line with no colon is no header: the library would take it for a name with no value. */
     public static void checkColon(byte[] line, int at) {
--- a/src/main/java/gullspar/proxy/http/Message.java
+++ b/src/main/java/gullspar/proxy/http/Message.java
@@ -9,8 +9,7 @@
  * A client's request as it came. rest: what is still to come of its body behind what is there; null if it is
  * whole. length: of all of it, -1 if its client did not say.
  */
-public record Message(HttpMethod method, String uri, HttpHeaders headers, Body body, Pieces rest,
-        long length) {
+public record Message(HttpMethod method, String uri, HttpHeaders headers, Body body, Pieces rest, long length) {
     /** The largest body that either side may send, in bytes. */
     public static final int MOST_BYTES = 32 << 20;
     /** An answer of up to so many bytes is served only if it is provably whole; a larger one is passed on. */
@@ -19,15 +18,35 @@
      * What goes on to a backend, besides what the proxy itself says. A list of what is known, not of what to
      * leave out: Connection may name any header as its own, and the backend needs these.
      */
-    private static final List<String> FOR_BACKENDS = List.of("Host", "Request-Id", "Idempotency-Key",
+    private static final List<String> FOR_BACKENDS = List.of(
+            "Host",
+            "Request-Id",
+            "Idempotency-Key",
             "Tenant",
-            "Cookie", "Client-Retry", "Work-Hint", "Request-Info", "Content-Type", "Content-Encoding",
-                    "Accept",
-            "Accept-Encoding", "Accept-Language", "Authorization", "User-Agent");
+            "Cookie",
+            "Client-Retry",
+            "Work-Hint",
+            "Request-Info",
+            "Content-Type",
+            "Content-Encoding",
+            "Accept",
+            "Accept-Encoding",
+            "Accept-Language",
+            "Authorization",
+            "User-Agent");
     /** What goes back to a client. */
-    private static final List<String> FOR_CLIENTS = List.of("Content-Type", "Content-Encoding",
-            "Content-Language", "Cache-Control", "Expires", "ETag", "Last-Modified", "Location", "Set-Cookie",
-            "Vary", "Retry-After");
+    private static final List<String> FOR_CLIENTS = List.of(
+            "Content-Type",
+            "Content-Encoding",
+            "Content-Language",
+            "Cache-Control",
+            "Expires",
+            "ETag",
+            "Last-Modified",
+            "Location",
+            "Set-Cookie",
+            "Vary",
+            "Retry-After");
 
     /** A request that has all its body. */
     public static Message whole(HttpMethod method, String uri, HttpHeaders headers, Body body) {
--- a/src/main/java/gullspar/proxy/http/Pieces.java
+++ b/src/main/java/gullspar/proxy/http/Pieces.java
@@ -20,7 +20,11 @@
     /** While nobody has begun to take it some more may: who brings it is seen to leave only by reading on. */
     static final int MOST_UNTOUCHED = 256 << 10;
 
-    private enum State { COMING, WHOLE, BROKEN }
+    private enum State {
+        COMING,
+        WHOLE,
+        BROKEN
+    }
 
     private final Deque<ByteBuf> pieces = new ArrayDeque<>();
     private final Runnable resume;
--- a/src/main/java/gullspar/proxy/io/ClassArchive.java
+++ b/src/main/java/gullspar/proxy/io/ClassArchive.java
@@ -29,7 +29,9 @@
     static ClassArchive of(Path commandLine, Path maps) {
         try {
             Optional<String> archive = Stream.of(Files.readString(commandLine, StandardCharsets.UTF_8)
-                    .split("\0")).filter(w -> w.startsWith(OPTION)).map(w -> w.substring(OPTION.length()))
+                            .split("\0"))
+                    .filter(w -> w.startsWith(OPTION))
+                    .map(w -> w.substring(OPTION.length()))
                     .reduce((earlier, later) -> later);
             if (archive.isEmpty()) {
                 return NONE;
--- a/src/main/java/gullspar/proxy/io/FileChanges.java
+++ b/src/main/java/gullspar/proxy/io/FileChanges.java
@@ -13,26 +13,28 @@
 public final class FileChanges {
     private static final long LOOK_MS = 500;
 
-    private FileChanges() { }
+    private FileChanges() {}
 
     /** Calls the action after each change from now on, on a thread of its own that ends with the process. */
     public static void on(Path file, Runnable action) {
         List<Object> first = stamp(file);
-        Thread thread = new Thread(() -> {
-            List<Object> last = first;
-            while (!Thread.currentThread().isInterrupted()) {
-                try {
-                    Thread.sleep(LOOK_MS);
-                } catch (InterruptedException e) {
-                    return;
-                }
-                List<Object> now = stamp(file);
-                if (!now.equals(last) && !now.isEmpty()) {
-                    last = now;
-                    action.run();
-                }
-            }
-        }, "file changes");
+        Thread thread = new Thread(
+                () -> {
+                    List<Object> last = first;
+                    while (!Thread.currentThread().isInterrupted()) {
+                        try {
+                            Thread.sleep(LOOK_MS);
+                        } catch (InterruptedException e) {
+                            return;
+                        }
+                        List<Object> now = stamp(file);
+                        if (!now.equals(last) && !now.isEmpty()) {
+                            last = now;
+                            action.run();
+                        }
+                    }
+                },
+                "file changes");
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/main/java/gullspar/proxy/io/Inherited.java
+++ b/src/main/java/gullspar/proxy/io/Inherited.java
@@ -54,7 +54,11 @@
     /** It is bound already, whatever the address: the platform says where clients come. */
     @Override
     public ChannelFuture listen(InetSocketAddress address, ChannelHandler children) {
-        return new ServerBootstrap().group(loop).channelFactory(() -> new NioServerSocketChannel(listener))
-                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(children).register();
+        return new ServerBootstrap()
+                .group(loop)
+                .channelFactory(() -> new NioServerSocketChannel(listener))
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(children)
+                .register();
     }
 }
--- a/src/main/java/gullspar/proxy/io/LibraryLog.java
+++ b/src/main/java/gullspar/proxy/io/LibraryLog.java
@@ -31,8 +31,8 @@
     }
 
     @Override
-    public void flush() { }
+    public void flush() {}
 
     @Override
-    public void close() { }
+    public void close() {}
 }
--- a/src/main/java/gullspar/proxy/io/OrderedNioHandler.java
+++ b/src/main/java/gullspar/proxy/io/OrderedNioHandler.java
@@ -35,6 +35,7 @@
     static final long READING_NS = 20_000_000L;
     /** Netty accepts so many connections in one turn; where it took fewer, none is left in the queue. */
     private static final int MOST_ACCEPTED = 16;
+
     private static final InternalLogger LOG = InternalLoggerFactory.getInstance(OrderedNioHandler.class);
 
     private final IoHandler nio;
@@ -47,6 +48,7 @@
     private final List<Source> others = new ArrayList<>();
     /** The source that is being served; null between them. */
     private Source serving;
+
     private long turn;
     private int registered;
 
@@ -183,9 +185,11 @@
         private final NioIoHandle handle;
         /** Where its events are noted: by who opened the connection. */
         private final List<Source> kind;
+
         private final long registeredIn = turn;
         /** What a connection brings first may have come with it, while it waited to be accepted. */
         private final long registeredSince = serving == null ? Long.MAX_VALUE : serving.readableSince;
+
         private IoRegistration registration;
         private IoEvent event;
         private long readableSince;
@@ -203,7 +207,8 @@
         void dated() {
             if (leftIn != turn - 1) {
                 readableSince = registeredIn == turn - 1
-                        ? Math.min(registeredSince, times.readableSince()) : times.readableSince();
+                        ? Math.min(registeredSince, times.readableSince())
+                        : times.readableSince();
             }
         }
 
--- a/src/main/java/gullspar/proxy/io/Platform.java
+++ b/src/main/java/gullspar/proxy/io/Platform.java
@@ -12,8 +12,8 @@
  * @param unread how long what the loop reads now may have waited
  * @param figures what the loop has done; null where nobody counts
  */
-public record Platform(EventLoop loop, Clock clock, Transport transport, Log log, UnreadAge unread,
-        LoopFigures figures) {
+public record Platform(
+        EventLoop loop, Clock clock, Transport transport, Log log, UnreadAge unread, LoopFigures figures) {
     /** One whose loop cannot tell how long what it reads has waited. */
     public Platform(EventLoop loop, Clock clock, Transport transport, Log log) {
         this(loop, clock, transport, log, UnreadAge.UNKNOWN, null);
@@ -26,8 +26,7 @@
 
     /** The same with another transport. */
     public static Platform of(ServingLoop serving, Transport transport, Log log) {
-        return new Platform(serving.loop(), Clock.system(), transport, log, serving.unread(),
-                serving.figures());
+        return new Platform(serving.loop(), Clock.system(), transport, log, serving.unread(), serving.figures());
     }
 
     /** This machine: its time, its sockets, standard error. */
--- a/src/main/java/gullspar/proxy/io/Signals.java
+++ b/src/main/java/gullspar/proxy/io/Signals.java
@@ -12,7 +12,7 @@
     public static final String NO_HUP = "SIGHUP is not heard: it is ignored where this was started (nohup?), "
             + "or the runtime cannot hear it; the configuration is read again when its file has changed";
 
-    private Signals() { }
+    private Signals() {}
 
     /**
      * Calls the action at each such signal, on a thread of its own; false if that is not to be had: the
@@ -32,9 +32,11 @@
                 case "hashCode" -> System.identityHashCode(self);
                 default -> "handler of SIG" + name;
             };
-            Object before = signal.getMethod("handle", signal, handler).invoke(null,
-                    signal.getConstructor(String.class).newInstance(name),
-                    Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler}, call));
+            Object before = signal.getMethod("handle", signal, handler)
+                    .invoke(
+                            null,
+                            signal.getConstructor(String.class).newInstance(name),
+                            Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler}, call));
             return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             return false;
--- a/src/main/java/gullspar/proxy/io/Sockets.java
+++ b/src/main/java/gullspar/proxy/io/Sockets.java
@@ -52,6 +52,7 @@
      * nothing.
      */
     public final Share clients;
+
     public final Share backends;
 
     public Sockets(int limit) {
--- a/src/main/java/gullspar/proxy/io/Transport.java
+++ b/src/main/java/gullspar/proxy/io/Transport.java
@@ -34,21 +34,30 @@
         return new Transport() {
             @Override
             public Bootstrap to(InetSocketAddress address) {
-                return new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true).remoteAddress(address);
+                return new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .remoteAddress(address);
             }
 
             @Override
             public ServerBootstrap at(InetSocketAddress address) {
-                return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                return new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, 1024)
                         .option(ChannelOption.SO_REUSEADDR, true)
-                        .childOption(ChannelOption.TCP_NODELAY, true).localAddress(address);
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .localAddress(address);
             }
 
             @Override
             public Bootstrap datagrams(InetSocketAddress address) {
-                return new Bootstrap().group(loop).channel(NioDatagramChannel.class).localAddress(address);
+                return new Bootstrap()
+                        .group(loop)
+                        .channel(NioDatagramChannel.class)
+                        .localAddress(address);
             }
         };
     }
--- a/src/main/java/gullspar/proxy/operator/Companion.java
+++ b/src/main/java/gullspar/proxy/operator/Companion.java
@@ -28,7 +28,11 @@
     }
 
     /** How far the proxy has come. */
-    enum Stage { WARMING, SERVING, DRAINING }
+    enum Stage {
+        WARMING,
+        SERVING,
+        DRAINING
+    }
 
     /** The proxy has come further. */
     void at(Stage stage);
--- a/src/main/java/gullspar/proxy/operator/OperatorCall.java
+++ b/src/main/java/gullspar/proxy/operator/OperatorCall.java
@@ -31,8 +31,7 @@
      * subject: null while there is nothing to ask about; other: what else is answered, by its path, null for
      * nothing; called: hears of the call.
      */
-    OperatorCall(Supplier<OperatorPort.Subject> subject, UnaryOperator<String> other,
-            Consumer<Channel> called) {
+    OperatorCall(Supplier<OperatorPort.Subject> subject, UnaryOperator<String> other, Consumer<Channel> called) {
         this.subject = subject;
         this.other = other;
         this.called = called;
@@ -60,8 +59,12 @@
         switch (new QueryStringDecoder(r.uri()).rawPath()) {
             case "/_ready" -> {
                 boolean ready = asked != null && asked.ready();
-                answer(ctx, ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                        "text/plain", ready ? "yes\n" : "not yet\n", body);
+                answer(
+                        ctx,
+                        ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        "text/plain",
+                        ready ? "yes\n" : "not yet\n",
+                        body);
             }
             case "/_vars" -> {
                 if (asked == null) {
@@ -77,20 +80,24 @@
     private void other(ChannelHandlerContext ctx, String path, boolean body) {
         String json = other.apply(path);
         if (json == null) {
-            answer(ctx, HttpResponseStatus.NOT_FOUND, "text/plain",
-                    "there are /_ready and /_vars, and /_fleet with [fleet]\n", body);
+            answer(
+                    ctx,
+                    HttpResponseStatus.NOT_FOUND,
+                    "text/plain",
+                    "there are /_ready and /_vars, and /_fleet with [fleet]\n",
+                    body);
         } else {
             answer(ctx, HttpResponseStatus.OK, "application/json", json, body);
         }
     }
 
-    private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String type, String text,
-            boolean withBody) {
+    private void answer(
+            ChannelHandlerContext ctx, HttpResponseStatus status, String type, String text, boolean withBody) {
         answered = true;
         called.accept(ctx.channel());
         ByteBuf bytes = Unpooled.copiedBuffer(text, StandardCharsets.UTF_8);
-        DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                withBody ? bytes : Unpooled.EMPTY_BUFFER);
+        DefaultFullHttpResponse r =
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, withBody ? bytes : Unpooled.EMPTY_BUFFER);
         HttpUtil.setContentLength(r, bytes.readableBytes());
         r.headers().set(HttpHeaderNames.CONTENT_TYPE, type).set(HttpHeaderNames.CONNECTION, "close");
         ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/gullspar/proxy/operator/OperatorPort.java
+++ b/src/main/java/gullspar/proxy/operator/OperatorPort.java
@@ -35,11 +35,13 @@
     static final int MOST_CALLERS = 12;
     /** So long a caller may take for its call, in ms; a person at a terminal takes less. */
     private static final long CALL_MS = 5000;
+
     private static final int LONGEST_LINE = 1024, LONGEST_HEAD = 4096;
 
     private final Platform platform;
     /** Those that have made no call yet, in the order in which they came. */
     private final Set<Channel> callers = new LinkedHashSet<>();
+
     private Subject subject;
     private Companion companion;
 
@@ -67,26 +69,28 @@
      * that answers it serves clients too.
      */
     public static void rehearse(Subject subject) {
-        EmbeddedChannel c = new EmbeddedChannel(codec(), new OperatorCall(() -> subject, path -> null,
-                called -> { }));
-        c.writeInbound(Unpooled.copiedBuffer("GET /_vars HTTP/1.1\r\nHost: rehearsal\r\n\r\n",
-                StandardCharsets.US_ASCII));
+        EmbeddedChannel c = new EmbeddedChannel(codec(), new OperatorCall(() -> subject, path -> null, called -> {}));
+        c.writeInbound(
+                Unpooled.copiedBuffer("GET /_vars HTTP/1.1\r\nHost: rehearsal\r\n\r\n", StandardCharsets.US_ASCII));
         c.finishAndReleaseAll();
     }
 
     private static HttpServerCodec codec() {
-        return new HttpServerCodec(new HttpDecoderConfig().setMaxInitialLineLength(LONGEST_LINE)
-                .setMaxHeaderSize(LONGEST_HEAD));
+        return new HttpServerCodec(
+                new HttpDecoderConfig().setMaxInitialLineLength(LONGEST_LINE).setMaxHeaderSize(LONGEST_HEAD));
     }
 
     /** Listens there. */
     public ChannelFuture listen(InetSocketAddress address) {
-        return platform.transport().at(address).childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel c) {
-                came(c);
-            }
-        }).bind();
+        return platform.transport()
+                .at(address)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        came(c);
+                    }
+                })
+                .bind();
     }
 
     private void came(Channel c) {
@@ -96,8 +100,12 @@
         callers.add(c);
         c.closeFuture().addListener(f -> callers.remove(c));
         c.pipeline().addLast(codec(), new OperatorCall(() -> subject, this::other, callers::remove));
-        platform.loop().schedule(() -> {
-            c.close();
-        }, CALL_MS, TimeUnit.MILLISECONDS);
+        platform.loop()
+                .schedule(
+                        () -> {
+                            c.close();
+                        },
+                        CALL_MS,
+                        TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/gullspar/proxy/operator/Report.java
+++ b/src/main/java/gullspar/proxy/operator/Report.java
@@ -16,8 +16,14 @@
  * not yet ended; members and unavailable: backends in the list, and those of them that get nothing new; loop:
  * what the event loop has done, null where nobody counts.
  */
-public record Report(List<String> classes, Figures figures, long written, int pending, int members,
-        int unavailable, LoopFigures loop) {
+public record Report(
+        List<String> classes,
+        Figures figures,
+        long written,
+        int pending,
+        int members,
+        int unavailable,
+        LoopFigures loop) {
     private static final JsonFactory JSON = new JsonFactory();
 
     /** As JSON, one object. Written field by field: a mapper costs a small proxy half a second to load. */
@@ -34,8 +40,8 @@
             to.writeNumberField("members_unavailable", unavailable);
             to.writeNumberField("config_reloads", figures.reloads());
             to.writeNumberField("config_reload_errors", figures.reloadErrors());
-            to.writeStringField("class_archive",
-                    ClassArchive.ofThisProcess().name().toLowerCase(Locale.ROOT));
+            to.writeStringField(
+                    "class_archive", ClassArchive.ofThisProcess().name().toLowerCase(Locale.ROOT));
             if (loop != null) {
                 loop(to);
             }
--- a/src/main/java/gullspar/rehearse/judge/FleetJudge.java
+++ b/src/main/java/gullspar/rehearse/judge/FleetJudge.java
@@ -28,6 +28,7 @@
     private final Map<Chronicle.Life, Long> heard = new HashMap<>();
     /** The last that an observer said of a life. */
     private final Map<String, Look.Seen> last = new HashMap<>();
+
     private final Set<String> told = new TreeSet<>();
 
     private FleetJudge(Script script, Chronicle chronicle, long slackNs) {
@@ -39,8 +40,10 @@
     static List<Broken> judge(Script script, Chronicle chronicle, long slackNs) {
         FleetJudge j = new FleetJudge(script, chronicle, slackNs);
         for (Look l : chronicle.looks()) {
-            chronicle.lives().stream().filter(x -> x.proxy().equals(l.proxy()) && x.from() <= l.at()
-                    && l.at() <= x.until()).findFirst().ifPresent(x -> {
+            chronicle.lives().stream()
+                    .filter(x -> x.proxy().equals(l.proxy()) && x.from() <= l.at() && l.at() <= x.until())
+                    .findFirst()
+                    .ifPresent(x -> {
                         j.lives.putIfAbsent(l.life(), x);
                         j.heard.putIfAbsent(x, l.at());
                     });
@@ -83,24 +86,34 @@
         for (Look.Seen s : l.seen()) {
             Chronicle.Life other = lives.get(s.life());
             String who = l.proxy() + " of " + s.name() + '/' + s.life();
-            if (other == null && s.present() && chronicle.lives().stream().noneMatch(x ->
-                    x.name().equals(s.name()))) {
-                wrong(Rule.FLEET_TRUE, l.at(), who, l.proxy() + " has " + s.name() + " as " + s.status()
-                        + ", which never was");
+            if (other == null
+                    && s.present()
+                    && chronicle.lives().stream().noneMatch(x -> x.name().equals(s.name()))) {
+                wrong(
+                        Rule.FLEET_TRUE,
+                        l.at(),
+                        who,
+                        l.proxy() + " has " + s.name() + " as " + s.status() + ", which never was");
             }
             if (other != null && livesAt(other, l.at())) {
-                if (s.status().equals("gone") && calmFor(l.proxy(), other.proxy(), l.at())
-                        > ns(asked.quietS())) {
-                    wrong(Rule.FLEET_TRUE, l.at(), who, l.proxy() + " calls " + s.name()
-                            + " gone, which lives and was not struck for " + asked.quietS() + " s");
+                if (s.status().equals("gone") && calmFor(l.proxy(), other.proxy(), l.at()) > ns(asked.quietS())) {
+                    wrong(
+                            Rule.FLEET_TRUE,
+                            l.at(),
+                            who,
+                            l.proxy() + " calls " + s.name() + " gone, which lives and was not struck for "
+                                    + asked.quietS() + " s");
                 }
             } else if (other != null && s.present()) {
-                long dead = Math.min(l.at() - other.until(), l.at() - chronicle.settledSince(l.proxy(),
-                        l.at()));
+                long dead = Math.min(l.at() - other.until(), l.at() - chronicle.settledSince(l.proxy(), l.at()));
                 if (Math.min(dead, l.at() - me.from()) > ns(asked.goneS())) {
-                    wrong(Rule.FLEET_TRUE, l.at(), who, l.proxy() + " still has " + s.name() + " (life "
-                            + s.life()
-                            + ") as " + s.status() + ", which ended more than " + asked.goneS() + " s ago");
+                    wrong(
+                            Rule.FLEET_TRUE,
+                            l.at(),
+                            who,
+                            l.proxy() + " still has " + s.name() + " (life "
+                                    + s.life()
+                                    + ") as " + s.status() + ", which ended more than " + asked.goneS() + " s ago");
                 }
             }
             deaf(l, s, who);
@@ -111,30 +124,43 @@
         twins(l, me);
         honest(l);
         if (l.upS() > LEAST_UP_S && l.sentBytes() / l.upS() > asked.bytesPerS()) {
-            wrong(Rule.FLEET_CHEAP, l.at(), l.life(), l.proxy() + " sent " + (long) (l.sentBytes() / l.upS())
-                    + " bytes a second, of " + asked.bytesPerS());
+            wrong(
+                    Rule.FLEET_CHEAP,
+                    l.at(),
+                    l.life(),
+                    l.proxy() + " sent " + (long) (l.sentBytes() / l.upS()) + " bytes a second, of "
+                            + asked.bytesPerS());
         }
     }
 
     /** Whoever hears none of the others cannot do its part, however well it is heard. */
     private void deaf(Look l, Look.Seen s, String who) {
         long span = ns(asked.goneS());
-        if (s.present() && chronicle.deafThrough(s.name(), l.at() - span, l.at())
-                && chronicle.lives().stream().anyMatch(x -> x.proxy().equals(l.proxy())
-                        && x.from() < l.at() - span
-                        && livesAt(x, l.at()))) {
-            wrong(Rule.FLEET_TRUE, l.at(), who + " deaf", l.proxy() + " has " + s.name() + " as " + s.status()
-                    + ", which has heard none of the others for " + asked.goneS() + " s");
+        if (s.present()
+                && chronicle.deafThrough(s.name(), l.at() - span, l.at())
+                && chronicle.lives().stream()
+                        .anyMatch(x -> x.proxy().equals(l.proxy()) && x.from() < l.at() - span && livesAt(x, l.at()))) {
+            wrong(
+                    Rule.FLEET_TRUE,
+                    l.at(),
+                    who + " deaf",
+                    l.proxy() + " has " + s.name() + " as " + s.status() + ", which has heard none of the others for "
+                            + asked.goneS() + " s");
         }
     }
 
     private void noWayBack(Look l, Look.Seen s, String who) {
         Look.Seen before = last.put(l.life() + who, s);
-        if (before != null && (s.incarnation() < before.incarnation()
-                || before.status().equals("left") && !s.status().equals("left"))) {
-            wrong(Rule.FLEET_FORWARD, l.at(), who, l.proxy() + " had " + s.name() + " as " + before.status()
-                    + " in incarnation " + before.incarnation() + ", and then as " + s.status() + " in "
-                    + s.incarnation());
+        if (before != null
+                && (s.incarnation() < before.incarnation()
+                        || before.status().equals("left") && !s.status().equals("left"))) {
+            wrong(
+                    Rule.FLEET_FORWARD,
+                    l.at(),
+                    who,
+                    l.proxy() + " had " + s.name() + " as " + before.status()
+                            + " in incarnation " + before.incarnation() + ", and then as " + s.status() + " in "
+                            + s.incarnation());
         }
     }
 
@@ -143,9 +169,13 @@
         boolean struck = chronicle.settledSince(l.proxy(), l.at()) != Long.MIN_VALUE
                 || chronicle.partings().stream().anyMatch(p -> p.from() <= l.at());
         if (!struck && l.objections() > asked.accusationsPerMin() * minutes) {
-            wrong(Rule.FLEET_TRUE, l.at(), l.life() + " accused", l.proxy()
-                    + ", which was never struck, had to object "
-                    + l.objections() + " times in " + (l.at() - me.from()) / 1_000_000_000
+            wrong(
+                    Rule.FLEET_TRUE,
+                    l.at(),
+                    l.life() + " accused",
+                    l.proxy()
+                            + ", which was never struck, had to object "
+                            + l.objections() + " times in " + (l.at() - me.from()) / 1_000_000_000
                             + " s to being called gone");
         }
     }
@@ -170,8 +200,12 @@
         sees.add(Chronicle.named(l.proxy()));
         l.seen().stream().filter(s -> s.status().equals("alive")).forEach(s -> sees.add(s.name()));
         if (!sees.equals(living)) {
-            wrong(Rule.FLEET_AGREES, l.at(), l.proxy(), l.proxy() + " sees " + sees + " alive, and there are "
-                    + living + ", " + asked.agreeS() + " s after the last fault");
+            wrong(
+                    Rule.FLEET_AGREES,
+                    l.at(),
+                    l.proxy(),
+                    l.proxy() + " sees " + sees + " alive, and there are " + living + ", " + asked.agreeS()
+                            + " s after the last fault");
         }
     }
 
@@ -182,17 +216,26 @@
             if (x.proxy().equals(name) || !livesAt(x, l.at())) {
                 continue;
             }
-            Chronicle.Life first = chronicle.lives().stream().filter(y -> y.proxy().equals(name)
-                    && livesAt(y, l.at())).findFirst().orElse(null);
-            if (first == null || Math.min(calmFor(l.proxy(), name, l.at()), calmFor(x.proxy(), x.proxy(),
-                    l.at())) <= ns(asked.agreeS())) {
+            Chronicle.Life first = chronicle.lives().stream()
+                    .filter(y -> y.proxy().equals(name) && livesAt(y, l.at()))
+                    .findFirst()
+                    .orElse(null);
+            if (first == null
+                    || Math.min(calmFor(l.proxy(), name, l.at()), calmFor(x.proxy(), x.proxy(), l.at()))
+                            <= ns(asked.agreeS())) {
                 continue;
             }
-            long seen = l.seen().stream().filter(s -> s.name().equals(name) && s.present()).count();
+            long seen = l.seen().stream()
+                    .filter(s -> s.name().equals(name) && s.present())
+                    .count();
             long owed = me.name().equals(name) ? 1 : 2;
             if (seen != owed || l.seen().stream().noneMatch(s -> s.name().equals(name) && s.twin())) {
-                wrong(Rule.FLEET_TWINS, l.at(), l.proxy() + name, l.proxy() + " sees " + seen + " of the "
-                        + owed + " others that live under the name " + name + ", and does not name them");
+                wrong(
+                        Rule.FLEET_TWINS,
+                        l.at(),
+                        l.proxy() + name,
+                        l.proxy() + " sees " + seen + " of the " + owed + " others that live under the name " + name
+                                + ", and does not name them");
             }
         }
     }
@@ -203,7 +246,8 @@
      */
     private void honest(Look l) {
         List<Chronicle.Parted> now = chronicle.partings().stream()
-                .filter(p -> p.from() <= l.at() && l.at() < p.until()).toList();
+                .filter(p -> p.from() <= l.at() && l.at() < p.until())
+                .toList();
         if (now.size() != 1) {
             return; // several at once: who hears whom is another question
         }
@@ -213,18 +257,23 @@
         }
         long since = l.at() - p.from();
         long living = chronicle.lives().stream().filter(x -> livesAt(x, l.at())).count();
-        boolean allAlong = chronicle.lives().stream().allMatch(x ->
-                x.until() <= p.from() - ns(asked.windowS())
-                || x.from() < p.from() - ns(asked.agreeS()) && x.until() > l.at());
+        boolean allAlong = chronicle.lives().stream()
+                .allMatch(x -> x.until() <= p.from() - ns(asked.windowS())
+                        || x.from() < p.from() - ns(asked.agreeS()) && x.until() > l.at());
         if (!allAlong || since < ns(asked.goneS()) || since > ns(asked.windowS() * 0.9)) {
             return;
         }
-        long side = p.one().contains(l.proxy()) ? p.one().size() : living - p.one().size();
+        long side =
+                p.one().contains(l.proxy()) ? p.one().size() : living - p.one().size();
         boolean minority = 2 * side < living;
         if (minority != l.cutOff()) {
-            wrong(Rule.FLEET_HONEST, l.at(), l.proxy(), l.proxy() + " hears " + (side - 1) + " of "
-                    + (living - 1)
-                    + " others and says that it is " + (l.cutOff() ? "" : "not ") + "cut off");
+            wrong(
+                    Rule.FLEET_HONEST,
+                    l.at(),
+                    l.proxy(),
+                    l.proxy() + " hears " + (side - 1) + " of "
+                            + (living - 1)
+                            + " others and says that it is " + (l.cutOff() ? "" : "not ") + "cut off");
         }
     }
 }
--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -23,6 +23,7 @@
     private static final int WORST_S = 10;
     /** A client that leaves is to be heard of within so long (the operators' page). */
     private static final long LEFT_NS = 100_000_000L;
+
     private static final long STEP_NS = 1_000_000_000L;
 
     private final Script script;
@@ -31,6 +32,7 @@
     private final List<Broken> broken = new ArrayList<>();
     /** Service of the ten seconds from each second on. */
     private final List<Double> windows = new ArrayList<>();
+
     private int twice;
 
     private Judge(Script script, Chronicle chronicle, long slackNs) {
@@ -52,16 +54,30 @@
             o.tries.forEach(this::drainsKept);
             effects(o);
         });
-        chronicle.fallen().forEach((node, at) -> broken.add(new Broken(Rule.COLD_SPARED, at,
-                node + " was sent more than " + script.rules().tipMultiple() + " times what it could do for "
-                + script.rules().fallS() + " s while it was cold, and fell over", null)));
+        chronicle
+                .fallen()
+                .forEach((node, at) -> broken.add(new Broken(
+                        Rule.COLD_SPARED,
+                        at,
+                        node + " was sent more than " + script.rules().tipMultiple() + " times what it could do for "
+                                + script.rules().fallS() + " s while it was cold, and fell over",
+                        null)));
         chronicle.crashes().forEach(c -> broken.add(new Broken(Rule.ONE_ANSWER, c.at(), c.what(), null)));
-        chronicle.rudeServed().forEach(text -> broken.add(new Broken(Rule.ONE_ANSWER, 0,
-                "a request that makes no sense was served: " + text.lines().findFirst().orElse(""), null)));
+        chronicle
+                .rudeServed()
+                .forEach(text -> broken.add(new Broken(
+                        Rule.ONE_ANSWER,
+                        0,
+                        "a request that makes no sense was served: "
+                                + text.lines().findFirst().orElse(""),
+                        null)));
         if (chronicle.rudeIgnored() > 0) {
-            broken.add(new Broken(Rule.ONE_ANSWER, 0, chronicle.rudeIgnored() + " of " + chronicle.rudeSent()
-                    + " clients that sent no sensible request got neither an error nor a close within 3 s",
-                            null));
+            broken.add(new Broken(
+                    Rule.ONE_ANSWER,
+                    0,
+                    chronicle.rudeIgnored() + " of " + chronicle.rudeSent()
+                            + " clients that sent no sensible request got neither an error nor a close within 3 s",
+                    null));
         }
         if (script.peers() != null) {
             broken.addAll(FleetJudge.judge(script, chronicle, slackNs));
@@ -72,7 +88,8 @@
         String worstClass = "";
         double worstShare = 2;
         for (Script.RequestClass c : script.classes()) {
-            double s = service(chronicle.orders().stream().filter(o -> o.kind == c).toList());
+            double s =
+                    service(chronicle.orders().stream().filter(o -> o.kind == c).toList());
             if (s < worstShare) {
                 worstShare = s;
                 worstClass = c.name();
@@ -82,8 +99,16 @@
         expected("worst_10s", worst);
         expected("worst_class", worstShare);
         broken.sort(Comparator.comparingLong(Broken::at));
-        return new Verdict(List.copyOf(broken), service, worst, Math.max(0, worstFrom) * STEP_NS, worstShare,
-                worstClass, counts(), chronicle.orders().size(), twice);
+        return new Verdict(
+                List.copyOf(broken),
+                service,
+                worst,
+                Math.max(0, worstFrom) * STEP_NS,
+                worstShare,
+                worstClass,
+                counts(),
+                chronicle.orders().size(),
+                twice);
     }
 
     /** The second from which service was worst for ten; -1 on a day that is shorter. */
@@ -109,7 +134,9 @@
     private void expected(String name, double share) {
         Double least = script.expect().get(name);
         if (least != null && share < least) {
-            broken.add(new Broken(Rule.EXPECTED, chronicle.start() + (long) (script.seconds() * 1e9),
+            broken.add(new Broken(
+                    Rule.EXPECTED,
+                    chronicle.start() + (long) (script.seconds() * 1e9),
                     String.format(Locale.ROOT, "%s is %.4f, the script expects %.4f", name, share, least),
                     null));
         }
@@ -127,8 +154,7 @@
 
     private Map<String, Integer> counts() {
         Map<String, Integer> counts = new LinkedHashMap<>();
-        for (String name : List.of("served", "late", "refused", "failed", "given up", "left", "closed",
-                "not taken")) {
+        for (String name : List.of("served", "late", "refused", "failed", "given up", "left", "closed", "not taken")) {
             counts.put(name, 0);
         }
         for (Order o : chronicle.orders()) {
@@ -182,8 +208,11 @@
         if (t.ending == Try.Ending.ANSWERED) {
             for (Attempt a : t.attempts) {
                 if (a.sentAt > t.answeredAt + slackNs) {
-                    broken(Rule.ONE_ANSWER, a.sentAt, t, "an attempt went out to " + a.node
-                            + " after its final answer");
+                    broken(
+                            Rule.ONE_ANSWER,
+                            a.sentAt,
+                            t,
+                            "an attempt went out to " + a.node + " after its final answer");
                 }
             }
         }
@@ -192,9 +221,15 @@
     private void leftAlone(Try t) {
         for (Attempt a : t.attempts) {
             if (t.ending == Try.Ending.LEFT && a.sentAt > t.endedAt + LEFT_NS + slackNs) {
-                broken(Rule.LEFT_ALONE, a.sentAt, t, String.format(Locale.ROOT,
-                        "an attempt went out to %s %.3f s after its client had left", a.node,
-                        (a.sentAt - t.endedAt) / 1e9));
+                broken(
+                        Rule.LEFT_ALONE,
+                        a.sentAt,
+                        t,
+                        String.format(
+                                Locale.ROOT,
+                                "an attempt went out to %s %.3f s after its client had left",
+                                a.node,
+                                (a.sentAt - t.endedAt) / 1e9));
             }
         }
     }
@@ -210,19 +245,29 @@
                 continue;
             }
             if (first != null && effect == Effect.AT_MOST_ONCE) {
-                broken(Rule.NOTHING_TWICE, a.wholeAt, t, "an attempt at " + a.node + ", though the one at "
-                        + first.node + " may have run");
+                broken(
+                        Rule.NOTHING_TWICE,
+                        a.wholeAt,
+                        t,
+                        "an attempt at " + a.node + ", though the one at " + first.node + " may have run");
             } else if (first != null && !repeatIsDropped(t, first, a)) {
-                broken(Rule.NOTHING_TWICE, a.wholeAt, t, "an attempt at " + a.node
-                        + ", which does not drop a repeat of the one at " + first.node
-                        + ", or not any more, and that may have run");
+                broken(
+                        Rule.NOTHING_TWICE,
+                        a.wholeAt,
+                        t,
+                        "an attempt at " + a.node
+                                + ", which does not drop a repeat of the one at " + first.node
+                                + ", or not any more, and that may have run");
             }
             first = first == null && a.mayHaveRun() ? a : first;
         }
         boolean harmless = effect == Effect.DEDUPLICATED && t.order.kind.scope() == Scope.ALL;
         if (first != null && refused(t) && t.ending == Try.Ending.ANSWERED && !harmless) {
-            broken(Rule.NOTHING_TWICE, t.endedAt, t, "it was refused, though the attempt at " + first.node
-                    + " may have run");
+            broken(
+                    Rule.NOTHING_TWICE,
+                    t.endedAt,
+                    t,
+                    "it was refused, though the attempt at " + first.node + " may have run");
         }
     }
 
@@ -249,15 +294,29 @@
         for (Attempt a : t.attempts) {
             long told = chronicle.toldLeaving(t.proxy, a.node, a.sentAt);
             if (told != 0 && a.sentAt > told + grace + slackNs) {
-                broken(Rule.DRAINS_KEPT, a.sentAt, t, String.format(Locale.ROOT,
-                        "an attempt went to %s %.3f s after %s was told that it leaves", a.node,
-                        (a.sentAt - told) / 1e9, t.proxy));
+                broken(
+                        Rule.DRAINS_KEPT,
+                        a.sentAt,
+                        t,
+                        String.format(
+                                Locale.ROOT,
+                                "an attempt went to %s %.3f s after %s was told that it leaves",
+                                a.node,
+                                (a.sentAt - told) / 1e9,
+                                t.proxy));
             }
             long due = chronicle.dueLeaving(t.proxy, a.node, a.sentAt);
             if (due != 0 && a.sentAt > due + grace + slackNs) {
-                broken(Rule.LISTS_HEARD, a.sentAt, t, String.format(Locale.ROOT,
-                        "an attempt went to %s %.3f s after %s had to know that it leaves", a.node,
-                        (a.sentAt - due) / 1e9, t.proxy));
+                broken(
+                        Rule.LISTS_HEARD,
+                        a.sentAt,
+                        t,
+                        String.format(
+                                Locale.ROOT,
+                                "an attempt went to %s %.3f s after %s had to know that it leaves",
+                                a.node,
+                                (a.sentAt - due) / 1e9,
+                                t.proxy));
             }
         }
     }
--- a/src/main/java/gullspar/rehearse/judge/Story.java
+++ b/src/main/java/gullspar/rehearse/judge/Story.java
@@ -10,19 +10,22 @@
 
 /** All that is known of one order, in the order in which it happened, for people to read. */
 public final class Story {
-    private record Line(long at, String what) { }
+    private record Line(long at, String what) {}
 
-    private Story() { }
+    private Story() {}
 
     /** The story of the order of a request, a line each, with seconds from the start of the day. */
     public static List<String> of(Try of, Chronicle chronicle) {
         List<Line> lines = new ArrayList<>();
-        lines.add(new Line(of.order.at, "order " + of.order.number + " (" + of.order.kind.name() + ", "
-                + of.order.site + ") comes up"));
+        lines.add(new Line(
+                of.order.at,
+                "order " + of.order.number + " (" + of.order.kind.name() + ", " + of.order.site + ") comes up"));
         for (Try t : of.order.tries) {
             if (t.sentAt != 0) {
-                lines.add(new Line(t.sentAt, t.id + " is sent to " + t.proxy + ", its client waits until "
-                        + seconds(t.deadline - chronicle.start())));
+                lines.add(new Line(
+                        t.sentAt,
+                        t.id + " is sent to " + t.proxy + ", its client waits until "
+                                + seconds(t.deadline - chronicle.start())));
             }
             for (Attempt a : t.attempts) {
                 attempt(lines, t, a);
@@ -32,19 +35,24 @@
                 }
             }
             if (t.endedAt != 0) {
-                lines.add(new Line(t.endedAt, t.id + " is " + Judge.ended(t)
-                        + (t.status == 0 ? "" : " (" + t.status + ", sent "
-                                + seconds(t.answeredAt - chronicle.start())
-                        + ")")));
+                lines.add(new Line(
+                        t.endedAt,
+                        t.id + " is " + Judge.ended(t)
+                                + (t.status == 0
+                                        ? ""
+                                        : " (" + t.status + ", sent "
+                                                + seconds(t.answeredAt - chronicle.start())
+                                                + ")")));
             }
         }
         long from = of.order.at;
         long to = of.endedAt;
-        chronicle.happenings().stream().filter(h -> h.at() >= from - 2_000_000_000L && h.at() <= to)
+        chronicle.happenings().stream()
+                .filter(h -> h.at() >= from - 2_000_000_000L && h.at() <= to)
                 .forEach(h -> lines.add(new Line(h.at(), "(" + h.what() + ")")));
-        return lines.stream().sorted(Comparator.comparingLong(Line::at))
-                .map(l -> String.format(Locale.ROOT, "%10.6f s  %s", (l.at - chronicle.start()) / 1e9,
-                        l.what))
+        return lines.stream()
+                .sorted(Comparator.comparingLong(Line::at))
+                .map(l -> String.format(Locale.ROOT, "%10.6f s  %s", (l.at - chronicle.start()) / 1e9, l.what))
                 .toList();
     }
 
@@ -61,8 +69,9 @@
             lines.add(new Line(a.startedAt, a.node + " begins to work on it"));
         }
         if (a.endedAt != 0) {
-            lines.add(new Line(a.endedAt, a.node + ": " + a.state.name().toLowerCase(Locale.ROOT)
-                    .replace('_', ' ')));
+            lines.add(new Line(
+                    a.endedAt,
+                    a.node + ": " + a.state.name().toLowerCase(Locale.ROOT).replace('_', ' ')));
         }
     }
 }
--- a/src/main/java/gullspar/rehearse/judge/Verdict.java
+++ b/src/main/java/gullspar/rehearse/judge/Verdict.java
@@ -8,9 +8,16 @@
  * Counts are of tries by how they ended; twice is the number of keyed orders that took effect more than once,
  * by their clients' own retries.
  */
-public record Verdict(List<Broken> broken, double service, double worst10s, long worstFromNs,
+public record Verdict(
+        List<Broken> broken,
+        double service,
+        double worst10s,
+        long worstFromNs,
         double worstClass,
-        String worstClassName, Map<String, Integer> counts, int orders, int twice) {
+        String worstClassName,
+        Map<String, Integer> counts,
+        int orders,
+        int twice) {
     public boolean kept() {
         return broken.isEmpty();
     }
--- a/src/main/java/gullspar/rehearse/live/DaemonProcess.java
+++ b/src/main/java/gullspar/rehearse/live/DaemonProcess.java
@@ -23,37 +23,44 @@
     }
 
     /** Starts one; its log lines go to the consumer, on a thread of their own. */
-    static DaemonProcess start(Path folder, String name, JsonNode settings, int memoryMb,
-            Consumer<String> log)
+    static DaemonProcess start(Path folder, String name, JsonNode settings, int memoryMb, Consumer<String> log)
             throws IOException {
         Path config = folder.resolve(name + ".json");
         write(config, settings);
         // Its own sizes, as deploy/serve.sh sets them: what the runtime needs beside the heap is some 56 MB.
         int heap = Math.max(16, Math.min(64, (memoryMb - 56) * 2 / 3));
         List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xms" + heap + "m", "-Xmx" + heap + "m", "-Xss512k",
-                "-cp", System.getProperty("java.class.path"), "gullspar.Main", "serve"));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xms" + heap + "m",
+                "-Xmx" + heap + "m",
+                "-Xss512k",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "gullspar.Main",
+                "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().putAll(Map.of("NODE_CONFIG", config.toString(), "NODE_NAME", name));
         builder.environment().keySet().removeAll(List.of("NODE_LISTEN", "NODE_DISCOVERY"));
         Process p = builder.start();
         p.getOutputStream().close();
-        Thread reader = new Thread(() -> {
-            try (BufferedReader in = p.inputReader()) {
-                in.lines().forEach(log);
-            } catch (IOException | UncheckedIOException e) {
-                log.accept("(its log ended: " + e.getMessage() + ")");
-            }
-        }, "log of " + name);
+        Thread reader = new Thread(
+                () -> {
+                    try (BufferedReader in = p.inputReader()) {
+                        in.lines().forEach(log);
+                    } catch (IOException | UncheckedIOException e) {
+                        log.accept("(its log ended: " + e.getMessage() + ")");
+                    }
+                },
+                "log of " + name);
         reader.setDaemon(true);
         reader.start();
         return new DaemonProcess(p, config);
     }
 
     private static void write(Path config, JsonNode settings) throws IOException {
-        Path next = Files.writeString(config.resolveSibling(config.getFileName() + ".next"), settings
-                .toString());
+        Path next = Files.writeString(config.resolveSibling(config.getFileName() + ".next"), settings.toString());
         Files.move(next, config, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     }
 
--- a/src/main/java/gullspar/rehearse/live/Lateness.java
+++ b/src/main/java/gullspar/rehearse/live/Lateness.java
@@ -12,6 +12,7 @@
     private static final long TICK_NS = 10_000_000L;
     /** Ticks so late are bad, and so many of them are too many. */
     private static final long BAD_NS = 20_000_000L;
+
     private static final double MOST_BAD = 0.01;
     /** One this late spoils the day by itself. */
     private static final long WORST_NS = 300_000_000L;
@@ -45,10 +46,13 @@
         ticking.cancel(false);
         List<String> notes = new ArrayList<>();
         if (worst > WORST_NS || bad > ticks * MOST_BAD) {
-            notes.add(String.format(Locale.ROOT,
+            notes.add(String.format(
+                    Locale.ROOT,
                     "the machine was too busy for this to count: %.1f of 100 looks at "
-                    + "the clock were over %d ms late, the worst %d ms", 100.0 * bad / Math.max(1, ticks),
-                    BAD_NS / 1_000_000, worst / 1_000_000));
+                            + "the clock were over %d ms late, the worst %d ms",
+                    100.0 * bad / Math.max(1, ticks),
+                    BAD_NS / 1_000_000,
+                    worst / 1_000_000));
         }
         return notes;
     }
--- a/src/main/java/gullspar/rehearse/live/LinkHandler.java
+++ b/src/main/java/gullspar/rehearse/live/LinkHandler.java
@@ -17,7 +17,7 @@
     private static final AttributeKey<Long> READ_AT = AttributeKey.valueOf(LinkHandler.class, "read at");
     private static final AttributeKey<String> PEER = AttributeKey.valueOf(LinkHandler.class, "peer");
 
-    private record Held(Object message, ChannelPromise promise, long readAt, long dueAt) { }
+    private record Held(Object message, ChannelPromise promise, long readAt, long dueAt) {}
 
     private final LiveWays ways;
     private final String machine;
@@ -138,5 +138,4 @@
         out.clear();
         c.fireChannelInactive();
     }
-
 }
--- a/src/main/java/gullspar/rehearse/live/LiveFleet.java
+++ b/src/main/java/gullspar/rehearse/live/LiveFleet.java
@@ -55,11 +55,14 @@
     private final Map<String, List<Integer>> keys = new HashMap<>();
     /** Those that have not answered yet. */
     private final Map<String, Boolean> asked = new ConcurrentHashMap<>();
-    private final HttpClient client = HttpClient.newBuilder().connectTimeout(PATIENCE).build();
+
+    private final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(PATIENCE).build();
 
     /** Not on the loop. heard: is told, on the loop, how each proxy sees the fleet. */
-    LiveFleet(Script script, Path folder, EventLoop loop, LongSupplier clock, List<String> proxies,
-            Consumer<Look> heard) throws IOException {
+    LiveFleet(
+            Script script, Path folder, EventLoop loop, LongSupplier clock, List<String> proxies, Consumer<Look> heard)
+            throws IOException {
         this.script = script;
         this.folder = folder;
         this.loop = loop;
@@ -70,7 +73,9 @@
         if (script.faults().stream().anyMatch(f -> f.kind() == FaultKind.TWIN)) {
             proxies.forEach(p -> all.add(p + Chronicle.TWIN));
         }
-        int moves = script.faults().stream().filter(f -> f.kind() == FaultKind.MOVE).mapToInt(Fault::count)
+        int moves = script.faults().stream()
+                .filter(f -> f.kind() == FaultKind.MOVE)
+                .mapToInt(Fault::count)
                 .sum();
         List<InetSocketAddress> udp = Ports.udp(2, all.size() + moves);
         List<InetSocketAddress> tcp = Ports.tcp(3, all.size());
@@ -86,7 +91,9 @@
 
     /** Where the first three proxies are found. */
     private String seeds() {
-        return proxies.stream().limit(SEEDS).map(p -> '"' + at(relay.placeOf(p).address()) + '"')
+        return proxies.stream()
+                .limit(SEEDS)
+                .map(p -> '"' + at(relay.placeOf(p).address()) + '"')
                 .collect(Collectors.joining(", "));
     }
 
@@ -99,17 +106,24 @@
         Path file = folder.resolve(process + ".toml");
         Relay.Place place = relay.placeOf(process);
         try {
-            Path keyFile = Files.writeString(folder.resolve(process + ".key"), keysOf(process).stream()
-                    .map(n -> HexFormat.of().formatHex(key(n)) + "\n").collect(Collectors.joining()));
-            Files.writeString(file, "[fleet]\nname = \"" + Chronicle.named(process) + "\"\nbind = \""
-                    + at(place.home) + "\"\nadvertise = \"" + at(place.address()) + "\"\nseeds = [" + seeds()
-                    + "]\nkey_file = \"" + keyFile + "\"\ninterval_ms = " + script.peers().intervalMs()
-                    + "\nwindow_s = " + script.peers().windowS() + "\n");
+            Path keyFile = Files.writeString(
+                    folder.resolve(process + ".key"),
+                    keysOf(process).stream()
+                            .map(n -> HexFormat.of().formatHex(key(n)) + "\n")
+                            .collect(Collectors.joining()));
+            Files.writeString(
+                    file,
+                    "[fleet]\nname = \"" + Chronicle.named(process) + "\"\nbind = \""
+                            + at(place.home) + "\"\nadvertise = \"" + at(place.address()) + "\"\nseeds = [" + seeds()
+                            + "]\nkey_file = \"" + keyFile + "\"\ninterval_ms = "
+                            + script.peers().intervalMs()
+                            + "\nwindow_s = " + script.peers().windowS() + "\n");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
-        return ((ObjectNode) settings).put("operators_file", file.toString()).put("operator",
-                at(operators.get(process)));
+        return ((ObjectNode) settings)
+                .put("operators_file", file.toString())
+                .put("operator", at(operators.get(process)));
     }
 
     private List<Integer> keysOf(String process) {
@@ -130,7 +144,8 @@
     /** As {@link gullspar.rehearse.play.Strikes#move} says; true if a seed is found elsewhere now. */
     boolean move(List<String> ring) {
         String before = seeds();
-        List<Relay.Place> places = ring.size() == 1 ? List.of(spare.remove())
+        List<Relay.Place> places = ring.size() == 1
+                ? List.of(spare.remove())
                 : ring.stream().map(relay::placeOf).toList();
         for (int i = 0; i < ring.size(); i++) {
             relay.move(ring.get(i), places.get((i + 1) % places.size()));
@@ -141,20 +156,23 @@
     /** As {@link gullspar.rehearse.play.Strikes#mad} says. */
     void mad(String process, int forEach) {
         liars.computeIfAbsent(process, p -> {
-            Liar liar = new Liar(() -> new Envelope(keysOf(p).stream().map(this::key).toList()),
-                    script.seed() * 31 + 14 + Integer.parseInt(p.substring(1)));
-            proxies.stream().filter(o -> !o.equals(p)).forEach(o -> relay.way(p, o).liar(liar));
-            return liar;
-        }).lies(forEach);
+                    Liar liar = new Liar(
+                            () -> new Envelope(keysOf(p).stream().map(this::key).toList()),
+                            script.seed() * 31 + 14 + Integer.parseInt(p.substring(1)));
+                    proxies.stream().filter(o -> !o.equals(p)).forEach(o -> relay.way(p, o)
+                            .liar(liar));
+                    return liar;
+                })
+                .lies(forEach);
     }
 
     /** Asks each proxy again and again, until the end; alive tells whether one can answer. On the loop. */
     void look(Predicate<String> alive) {
         for (String p : operators.keySet()) {
             if (alive.test(p) && asked.putIfAbsent(p, true) == null) {
-                HttpRequest r = HttpRequest.newBuilder(URI.create("http://" + at(operators.get(p))
-                        + "/_fleet"))
-                        .timeout(PATIENCE).build();
+                HttpRequest r = HttpRequest.newBuilder(URI.create("http://" + at(operators.get(p)) + "/_fleet"))
+                        .timeout(PATIENCE)
+                        .build();
                 client.sendAsync(r, HttpResponse.BodyHandlers.ofString()).whenComplete((answer, e) -> {
                     asked.remove(p);
                     if (e == null && answer.statusCode() == 200) {
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -52,10 +52,12 @@
     private static final long SLACK_NS = 50_000_000L;
     /** What is under way when a process is killed or stopped is seen up to so much later. */
     private static final long SIGNAL_NS = 300_000_000L;
+
     private static final long READY_S = 60;
     private static final long PROGRESS_MS = 200;
     /** What is told of a day without end is that of the last so long. */
     private static final long LOOK_BACK_NS = 10_000_000_000L;
+
     private static final int MOST_LOG_LINES = 10_000;
 
     private final Script script;
@@ -69,9 +71,11 @@
     private final Map<InetSocketAddress, String> names = new HashMap<>();
     /** Also looked at from outside the loop, when all must end. */
     private final Map<String, DaemonProcess> daemons = new ConcurrentHashMap<>();
+
     private final Map<String, Integer> lives = new HashMap<>();
     /** Proxies that are meant to end. */
     private final Set<String> ending = new HashSet<>();
+
     private final List<String> log = new ArrayList<>();
     private final CompletableFuture<Void> begun = new CompletableFuture<>();
     private final Thread atExit = new Thread(this::killAll, "end of the daemons");
@@ -85,9 +89,9 @@
         this.ways = new LiveWays(script.seed());
         Runtime.getRuntime().addShutdownHook(atExit);
         this.cast = new Cast(this, script, this);
-        this.fleet = script.peers() == null ? null : new LiveFleet(script, folder, loop, clock::now,
-                cast.proxies(),
-                cast.chronicle()::looked);
+        this.fleet = script.peers() == null
+                ? null
+                : new LiveFleet(script, folder, loop, clock::now, cast.proxies(), cast.chronicle()::looked);
     }
 
     /** Plays a day to its end; an IOException if it cannot be played here. */
@@ -116,9 +120,13 @@
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
         } catch (ExecutionException | TimeoutException e) {
-            throw new IOException((e instanceof ExecutionException ? e.getCause().getMessage()
-                    : "the proxies were not ready within " + READY_S + " s") + "; they said: "
-                    + String.join("; ", log.subList(Math.max(0, log.size() - 5), log.size())), e);
+            throw new IOException(
+                    (e instanceof ExecutionException
+                                    ? e.getCause().getMessage()
+                                    : "the proxies were not ready within " + READY_S + " s")
+                            + "; they said: "
+                            + String.join("; ", log.subList(Math.max(0, log.size() - 5), log.size())),
+                    e);
         }
     }
 
@@ -128,8 +136,8 @@
         try {
             CompletableFuture<Void> ended = new CompletableFuture<>();
             long start = now();
-            loop.schedule(() -> ended.complete(null), (long) (script.seconds() * 1e9) + cast.tailNs(),
-                    TimeUnit.NANOSECONDS);
+            loop.schedule(
+                    () -> ended.complete(null), (long) (script.seconds() * 1e9) + cast.tailNs(), TimeUnit.NANOSECONDS);
             while (!over(ended)) {
                 // Here and not on the loop: whoever shows it may be slow, and the stand-ins must not wait.
                 progress.at(Math.min(script.seconds(), (now() - start) / 1e9), script.seconds());
@@ -144,15 +152,14 @@
         onLoop(() -> {
             over = true;
             Verdict verdict = Judge.judge(script, cast.chronicle(), SLACK_NS);
-            played.add(new Played(script, cast.chronicle(), verdict, "", 0, log, lateness.notes(),
-                    System.nanoTime() - began));
+            played.add(new Played(
+                    script, cast.chronicle(), verdict, "", 0, log, lateness.notes(), System.nanoTime() - began));
         });
         return played.get(0);
     }
 
     /** Waits for the end of a day, but no longer than until its progress is to be shown. */
-    private static boolean over(CompletableFuture<Void> ended) throws InterruptedException,
-            ExecutionException {
+    private static boolean over(CompletableFuture<Void> ended) throws InterruptedException, ExecutionException {
         try {
             ended.get(PROGRESS_MS, TimeUnit.MILLISECONDS);
             return true;
@@ -162,7 +169,7 @@
     }
 
     /** What one looks at while a day without end goes on. */
-    public record Now(InetSocketAddress proxy, int nodes, double rate, double inTime, int strangers) { }
+    public record Now(InetSocketAddress proxy, int nodes, double rate, double inTime, int strangers) {}
 
     /** Plays on until it is told to end; the consumer is told how it goes, every second. */
     public static void playOn(Script script, Consumer<Now> now, CountDownLatch end) throws IOException {
@@ -189,11 +196,16 @@
         cast.chronicle().forget(now() - LOOK_BACK_NS);
         // The last of them are still under way.
         long before = now() - LOOK_BACK_NS / 5;
-        List<Order> ended = cast.chronicle().orders().stream().filter(o -> o.at < before).toList();
-        double inTime = ended.isEmpty() ? 1
-                : ended.stream().filter(Order::inTime).count() / (double) ended.size();
-        return new Now(address("p1"), cast.fleet().running().size(),
-                ended.size() / (LOOK_BACK_NS / 1e9 * 4 / 5), inTime, strangers.served());
+        List<Order> ended =
+                cast.chronicle().orders().stream().filter(o -> o.at < before).toList();
+        double inTime =
+                ended.isEmpty() ? 1 : ended.stream().filter(Order::inTime).count() / (double) ended.size();
+        return new Now(
+                address("p1"),
+                cast.fleet().running().size(),
+                ended.size() / (LOOK_BACK_NS / 1e9 * 4 / 5),
+                inTime,
+                strangers.served());
     }
 
     private void onLoop(Runnable what) throws IOException {
@@ -240,10 +252,9 @@
 
     @Override
     public Platform at(String machine) {
-        LiveTransport t = transports.computeIfAbsent(machine, m -> new LiveTransport(loop, ways, m,
-                clock::now,
-                a -> names.getOrDefault(a, "")));
-        return new Platform(loop, clock, t, line -> { });
+        LiveTransport t = transports.computeIfAbsent(
+                machine, m -> new LiveTransport(loop, ways, m, clock::now, a -> names.getOrDefault(a, "")));
+        return new Platform(loop, clock, t, line -> {});
     }
 
     @Override
@@ -286,10 +297,15 @@
     // ---- the proxies ----
 
     private JsonNode settings(String name) {
-        long seed = Agenda.mix(script.seed() * 31 + 9 + Cast.index(name) * 1000L + lives.getOrDefault(name,
-                1));
-        JsonNode settings = ProxySettings.of(script, Cast.index(name), name, address(name),
-                cast.fleet().discovery(name), seed, cast.fleet().known(name));
+        long seed = Agenda.mix(script.seed() * 31 + 9 + Cast.index(name) * 1000L + lives.getOrDefault(name, 1));
+        JsonNode settings = ProxySettings.of(
+                script,
+                Cast.index(name),
+                name,
+                address(name),
+                cast.fleet().discovery(name),
+                seed,
+                cast.fleet().known(name));
         return fleet == null ? settings : fleet.with(name, settings);
     }
 
@@ -302,7 +318,11 @@
         String who = life == 1 ? name : name + "." + life;
         try {
             cast.fleet().startsKnowing(name);
-            DaemonProcess d = DaemonProcess.start(folder, name, settings(name), script.proxies().memoryMb(),
+            DaemonProcess d = DaemonProcess.start(
+                    folder,
+                    name,
+                    settings(name),
+                    script.proxies().memoryMb(),
                     line -> loop.execute(() -> say(who, line)));
             daemons.put(name, d);
             cast.chronicle().began(name, now());
@@ -324,8 +344,7 @@
             if (cast.proxies().contains(name)) {
                 cast.front().ended(name);
             }
-            begun.completeExceptionally(new IOException(name + " ended by itself, exit code "
-                    + d.exitCode()));
+            begun.completeExceptionally(new IOException(name + " ended by itself, exit code " + d.exitCode()));
         }
     }
 
--- a/src/main/java/gullspar/rehearse/live/LiveTransport.java
+++ b/src/main/java/gullspar/rehearse/live/LiveTransport.java
@@ -25,7 +25,11 @@
     private final Set<Channel> open = new LinkedHashSet<>();
 
     /** names tells whose address one is, "" if nobody's. */
-    LiveTransport(EventLoop loop, LiveWays ways, String machine, LongSupplier clock,
+    LiveTransport(
+            EventLoop loop,
+            LiveWays ways,
+            String machine,
+            LongSupplier clock,
             Function<InetSocketAddress, String> names) {
         this.tcp = Transport.tcp(loop);
         this.ways = ways;
--- a/src/main/java/gullspar/rehearse/live/LiveWays.java
+++ b/src/main/java/gullspar/rehearse/live/LiveWays.java
@@ -61,9 +61,11 @@
     }
 
     void reset(String a, String b) {
-        List.copyOf(handlers.getOrDefault(a, Set.of())).stream().filter(h -> b.equals(h.peer()))
+        List.copyOf(handlers.getOrDefault(a, Set.of())).stream()
+                .filter(h -> b.equals(h.peer()))
                 .forEach(LinkHandler::reset);
-        List.copyOf(handlers.getOrDefault(b, Set.of())).stream().filter(h -> a.equals(h.peer()))
+        List.copyOf(handlers.getOrDefault(b, Set.of())).stream()
+                .filter(h -> a.equals(h.peer()))
                 .forEach(LinkHandler::reset);
     }
 
--- a/src/main/java/gullspar/rehearse/live/Ports.java
+++ b/src/main/java/gullspar/rehearse/live/Ports.java
@@ -18,7 +18,7 @@
 final class Ports {
     private static final String USUAL = "127.0.0.1";
 
-    private Ports() { }
+    private Ports() {}
 
     /** This process's address of that number if something can be bound there, else the usual one. */
     private static InetAddress at(int number) throws IOException {
--- a/src/main/java/gullspar/rehearse/live/Relay.java
+++ b/src/main/java/gullspar/rehearse/live/Relay.java
@@ -57,7 +57,9 @@
     /** Makes a place of which nobody is yet. Not on the loop. */
     Place open(InetSocketAddress home) {
         Place place = new Place(home);
-        place.front = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+        place.front = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
                 .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
@@ -71,8 +73,10 @@
                     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                         // nobody is there at the moment: that is what a datagram may meet
                     }
-                }).bind(new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                        0)).syncUninterruptibly().channel();
+                })
+                .bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly()
+                .channel();
         loop.submit(() -> byHome.put(home.getPort(), place)).syncUninterruptibly();
         return place;
     }
@@ -98,8 +102,7 @@
     }
 
     private void later(Place to, long ns, byte[] datagram) {
-        Runnable send = () -> to.front.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram),
-                to.home));
+        Runnable send = () -> to.front.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), to.home));
         if (ns <= 0) {
             send.run();
         } else {
--- a/src/main/java/gullspar/rehearse/net/Datagrams.java
+++ b/src/main/java/gullspar/rehearse/net/Datagrams.java
@@ -14,7 +14,13 @@
     private static final int MOST_HELD = 10_000;
 
     /** What may be wrong with a way, beside loss and delay. */
-    public enum Trouble { JITTER, TWICE, TORN, FLIPPED, STALLED }
+    public enum Trouble {
+        JITTER,
+        TWICE,
+        TORN,
+        FLIPPED,
+        STALLED
+    }
 
     /** Takes what comes out at the other end, so long from now. */
     public interface Arrival {
@@ -26,6 +32,7 @@
     private double loss;
     /** How many cuts lie over it: faults may overlap. */
     private int cuts;
+
     private double jitterNs;
     private double twice;
     private double torn;
--- a/src/main/java/gullspar/rehearse/net/Host.java
+++ b/src/main/java/gullspar/rehearse/net/Host.java
@@ -10,6 +10,7 @@
     VirtualLoop loop;
     /** False while the machine has vanished: it neither sends nor receives, and says nothing of it. */
     boolean reachable = true;
+
     final Set<MemoryChannel> open = new LinkedHashSet<>();
     final Set<MemoryServerChannel> listeners = new LinkedHashSet<>();
 
--- a/src/main/java/gullspar/rehearse/net/Liar.java
+++ b/src/main/java/gullspar/rehearse/net/Liar.java
@@ -27,6 +27,7 @@
 public final class Liar {
     /** Numbers between two true datagrams: within the window that a receiver keeps of repeated ones. */
     private static final int ROOM = 32;
+
     private static final int MOST_RUMOUR_BYTES = 160;
     private static final int IN_ONE = (Message.MOST_BYTES - Message.ENVELOPE - 100) / MOST_RUMOUR_BYTES;
 
@@ -85,8 +86,19 @@
     private Rumour invented() {
         Identity id = new Identity("ghost" + ++invented, random.nextLong());
         // Nobody is there, but on a live day it must be an address of this machine.
-        Statement s = new Statement(id, 1, "127.0.0.9:" + (1024 + random.nextInt(60_000)), "", "", "",
-                Phase.SERVING, 1000, 0, 0, Figures.NONE, Facts.NONE);
+        Statement s = new Statement(
+                id,
+                1,
+                "127.0.0.9:" + (1024 + random.nextInt(60_000)),
+                "",
+                "",
+                "",
+                Phase.SERVING,
+                1000,
+                0,
+                0,
+                Figures.NONE,
+                Facts.NONE);
         return new Rumour(id, 0, Standing.ALIVE, "", 0, s, 0);
     }
 }
--- a/src/main/java/gullspar/rehearse/net/MemoryChannel.java
+++ b/src/main/java/gullspar/rehearse/net/MemoryChannel.java
@@ -21,7 +21,7 @@
 public final class MemoryChannel extends AbstractChannel {
     private static final ChannelMetadata METADATA = new ChannelMetadata(false, 16);
 
-    private record Read(ByteBuf bytes, long sentAt) { }
+    private record Read(ByteBuf bytes, long sentAt) {}
 
     private final Network network;
     private final Host host;
@@ -73,15 +73,17 @@
         int source = network.agenda.source();
         int timeout = config.getConnectTimeoutMillis();
         if (timeout > 0) {
-            eventLoop().schedule(() -> failConnect(promise,
-                    new ConnectTimeoutException("connection timed out: " + address)), timeout,
+            eventLoop()
+                    .schedule(
+                            () -> failConnect(promise, new ConnectTimeoutException("connection timed out: " + address)),
+                            timeout,
                             TimeUnit.MILLISECONDS);
         }
         if (peerHost == null) {
             return; // no such machine: nothing ever comes back
         }
-        network.agenda.at(network.agenda.now() + network.travel(host, peerHost), source,
-                () -> syn(address, promise, source));
+        network.agenda.at(
+                network.agenda.now() + network.travel(host, peerHost), source, () -> syn(address, promise, source));
     }
 
     private void syn(InetSocketAddress address, ChannelPromise promise, int source) {
@@ -93,8 +95,7 @@
         }
         MemoryServerChannel listener = network.listener(address);
         if (listener == null) {
-            back(source, promise, () -> failConnect(promise, new ConnectException("connection refused: "
-                    + address)));
+            back(source, promise, () -> failConnect(promise, new ConnectException("connection refused: " + address)));
             return;
         }
         // A process that is paused still has a kernel: it completes the connection, and reads it later.
--- a/src/main/java/gullspar/rehearse/net/MemoryDatagramChannel.java
+++ b/src/main/java/gullspar/rehearse/net/MemoryDatagramChannel.java
@@ -39,8 +39,7 @@
         if (host.loop != null) {
             host.loop.input(() -> {
                 if (open) {
-                    pipeline().fireChannelRead(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address,
-                            from));
+                    pipeline().fireChannelRead(new DatagramPacket(Unpooled.wrappedBuffer(bytes), address, from));
                     pipeline().fireChannelReadComplete();
                 }
             });
--- a/src/main/java/gullspar/rehearse/net/MemoryId.java
+++ b/src/main/java/gullspar/rehearse/net/MemoryId.java
@@ -18,7 +18,8 @@
 
     @Override
     public int compareTo(ChannelId o) {
-        return o instanceof MemoryId m ? Integer.compare(number, m.number) : asLongText().compareTo(o
-                .asLongText());
+        return o instanceof MemoryId m
+                ? Integer.compare(number, m.number)
+                : asLongText().compareTo(o.asLongText());
     }
 }
--- a/src/main/java/gullspar/rehearse/net/Network.java
+++ b/src/main/java/gullspar/rehearse/net/Network.java
@@ -46,6 +46,7 @@
     private final Map<String, Datagrams> datagrams = new HashMap<>();
     /** Apart from that of connections, whose draws must not depend on who else talks. */
     private final SplittableRandom datagramRandom;
+
     private int channels;
     private int ports = 30_000;
     private Forger forger;
@@ -79,8 +80,9 @@
     /** A trouble of datagrams begins or ends on the way from one machine to another. */
     public void trouble(String from, String to, Datagrams.Trouble t, double figure) {
         datagrams(from, to).trouble(t, figure, (ns, d) -> sockets.values().stream()
-                .filter(s -> s.host().name.equals(to)).findFirst().ifPresent(s -> arrive(host(from), null, s,
-                        ns, d)));
+                .filter(s -> s.host().name.equals(to))
+                .findFirst()
+                .ifPresent(s -> arrive(host(from), null, s, ns, d)));
     }
 
     void bind(InetSocketAddress address, MemoryDatagramChannel socket) throws BindException {
@@ -100,8 +102,10 @@
 
     /** A datagram that no machine of the day has sent comes to one. */
     public void inject(String to, byte[] datagram) {
-        sockets.values().stream().filter(s -> s.host().name.equals(to)).findFirst().ifPresent(s ->
-                agenda.at(agenda.now(), 0, () -> {
+        sockets.values().stream()
+                .filter(s -> s.host().name.equals(to))
+                .findFirst()
+                .ifPresent(s -> agenda.at(agenda.now(), 0, () -> {
                     if (s.host().reachable && s.isOpen()) {
                         s.arrived(OUTSIDE, datagram);
                     }
@@ -115,13 +119,12 @@
         }
         MemoryDatagramChannel there = sockets.get(to);
         if (there != null) {
-            datagrams(from.host().name, there.host().name).carry(bytes, datagramRandom,
-                    (ns, d) -> arrive(from.host(), source, there, ns, d));
+            datagrams(from.host().name, there.host().name)
+                    .carry(bytes, datagramRandom, (ns, d) -> arrive(from.host(), source, there, ns, d));
         }
     }
 
-    private void arrive(Host from, InetSocketAddress source, MemoryDatagramChannel to, long ns,
-            byte[] bytes) {
+    private void arrive(Host from, InetSocketAddress source, MemoryDatagramChannel to, long ns, byte[] bytes) {
         agenda.at(agenda.now() + link(from.name, to.host().name).delayNs + ns, 0, () -> {
             if (from.reachable && to.host().reachable && to.isOpen()) {
                 to.arrived(source, bytes);
@@ -149,8 +152,7 @@
     /** The process of a machine has ended: its connections are reset, nothing listens there any more. */
     public void ended(Host host) {
         host.listeners.clear();
-        List.copyOf(sockets.values()).stream().filter(s ->
-                s.host() == host).forEach(MemoryDatagramChannel::doClose);
+        List.copyOf(sockets.values()).stream().filter(s -> s.host() == host).forEach(MemoryDatagramChannel::doClose);
         List<MemoryChannel> open = List.copyOf(host.open);
         host.open.clear();
         open.forEach(MemoryChannel::abandoned);
@@ -181,8 +183,7 @@
         Link l = link(from.name, to.name);
         long ns = l.delayNs + l.extraNs + (l.jitterNs > 0 ? random.nextLong(l.jitterNs) : 0);
         if (l.loss > 0) {
-            for (long wait = RETRANSMIT_NS; random.nextDouble() < l.loss
-                    && wait <= 16 * RETRANSMIT_NS; wait *= 2) {
+            for (long wait = RETRANSMIT_NS; random.nextDouble() < l.loss && wait <= 16 * RETRANSMIT_NS; wait *= 2) {
                 ns += wait; // the time-out doubles each time (RFC 6298, section 5.5)
             }
         }
@@ -221,15 +222,18 @@
             @Override
             public Bootstrap to(InetSocketAddress address) {
                 // The library keeps a resolver of names for each loop for good, and with it each day played.
-                return new Bootstrap().group(host.loop).disableResolver()
+                return new Bootstrap()
+                        .group(host.loop)
+                        .disableResolver()
                         .channelFactory(() -> new MemoryChannel(Network.this, host))
                         .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-                                .remoteAddress(address);
+                        .remoteAddress(address);
             }
 
             @Override
             public ServerBootstrap at(InetSocketAddress address) {
-                return new ServerBootstrap().group(host.loop)
+                return new ServerBootstrap()
+                        .group(host.loop)
                         .channelFactory(() -> new MemoryServerChannel(Network.this, host))
                         .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
                         .localAddress(address);
@@ -237,10 +241,11 @@
 
             @Override
             public Bootstrap datagrams(InetSocketAddress address) {
-                return new Bootstrap().group(host.loop)
+                return new Bootstrap()
+                        .group(host.loop)
                         .channelFactory(() -> new MemoryDatagramChannel(Network.this, host))
-                        .option(ChannelOption.ALLOCATOR,
-                                UnpooledByteBufAllocator.DEFAULT).localAddress(address);
+                        .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                        .localAddress(address);
             }
         };
     }
--- a/src/main/java/gullspar/rehearse/net/Retold.java
+++ b/src/main/java/gullspar/rehearse/net/Retold.java
@@ -6,7 +6,7 @@
 
 /** Messages as they were, but for one thing: what whoever holds the key can make of them. */
 public final class Retold {
-    private Retold() { }
+    private Retold() {}
 
     /** With other rumours, where its kind carries any; a listing is empty then. */
     public static Message with(Message m, List<Rumour> rumours) {
--- a/src/main/java/gullspar/rehearse/net/Way.java
+++ b/src/main/java/gullspar/rehearse/net/Way.java
@@ -6,9 +6,13 @@
 
 /** One way of a connection: what is on it, in order. */
 final class Way {
-    private enum Kind { BYTES, FIN, RST }
+    private enum Kind {
+        BYTES,
+        FIN,
+        RST
+    }
 
-    private record Segment(Kind kind, ByteBuf bytes, long sentAt, long arrivesAt) { }
+    private record Segment(Kind kind, ByteBuf bytes, long sentAt, long arrivesAt) {}
 
     private final Network network;
     private final Host from;
@@ -82,8 +86,7 @@
 
     private void deliver(MemoryChannel r) {
         boolean any = false;
-        for (Segment s = segments.peek(); s != null && s.arrivesAt <= network.agenda.now(); s = segments
-                .peek()) {
+        for (Segment s = segments.peek(); s != null && s.arrivesAt <= network.agenda.now(); s = segments.peek()) {
             segments.remove();
             if (s.kind == Kind.BYTES) {
                 bytes -= s.bytes.readableBytes();
--- a/src/main/java/gullspar/rehearse/play/Cast.java
+++ b/src/main/java/gullspar/rehearse/play/Cast.java
@@ -33,7 +33,8 @@
         this.fleet = new Fleet(stage, script, chronicle);
         this.front = new Front(stage, script, proxies);
         this.crowd = new Crowd(stage, script, chronicle, front);
-        RudeClients rude = new RudeClients(stage, chronicle, script.classes().get(0).name(), script.seed());
+        RudeClients rude =
+                new RudeClients(stage, chronicle, script.classes().get(0).name(), script.seed());
         this.timeline = new Timeline(stage, script, chronicle, fleet, front, crowd, rude, strikes, proxies);
     }
 
@@ -58,7 +59,10 @@
 
     /** How long after the day's end everything that is still open has ended, in ns. */
     public long tailNs() {
-        double longest = script.classes().stream().mapToDouble(Script.RequestClass::giveUpMs).max().orElse(0);
+        double longest = script.classes().stream()
+                .mapToDouble(Script.RequestClass::giveUpMs)
+                .max()
+                .orElse(0);
         return (long) ((longest * 2 + 4000) * 1e6);
     }
 
