--- a/src/main/java/gullspar/rehearse/play/Timeline.java
+++ b/src/main/java/gullspar/rehearse/play/Timeline.java
@@ -26,8 +26,8 @@
     /** What still fails on a way right after it is whole again: a retransmission. */
     private static final long AFTER_NS = 1_000_000_000L;
     /** What must not make anybody's view wrong, however long it goes on. */
-    private static final Set<FaultKind> HARMLESS = EnumSet.of(FaultKind.TWIN, FaultKind.FORGED_DATAGRAMS,
-            FaultKind.MAD_MEMBER);
+    private static final Set<FaultKind> HARMLESS =
+            EnumSet.of(FaultKind.TWIN, FaultKind.FORGED_DATAGRAMS, FaultKind.MAD_MEMBER);
 
     private final Stage stage;
     private final Script script;
@@ -42,10 +42,19 @@
     private final Set<String> twins = new HashSet<>();
     /** The number of the key that all proxies use, and until when the one before it is being replaced. */
     private int key;
+
     private long keyUntil;
 
-    Timeline(Stage stage, Script script, Chronicle chronicle, Fleet fleet, Front front, Crowd crowd,
-            RudeClients rude, Strikes strikes, List<String> proxies) {
+    Timeline(
+            Stage stage,
+            Script script,
+            Chronicle chronicle,
+            Fleet fleet,
+            Front front,
+            Crowd crowd,
+            RudeClients rude,
+            Strikes strikes,
+            List<String> proxies) {
         this.stage = stage;
         this.script = script;
         this.chronicle = chronicle;
@@ -65,8 +74,8 @@
             Fault f = faults.get(i);
             // Who is struck is drawn for each fault by itself: one that is taken out must not change the
             // rest.
-            SplittableRandom random = new SplittableRandom(script.seed() * 31 + 6 + Double.hashCode(f.at())
-                    + f.kind().ordinal() * 1_000_003L);
+            SplittableRandom random = new SplittableRandom(
+                    script.seed() * 31 + 6 + Double.hashCode(f.at()) + f.kind().ordinal() * 1_000_003L);
             after(f.at(), () -> strike(f, random));
         }
     }
@@ -157,10 +166,12 @@
         other.removeAll(one);
         chronicle.parted(stage.now(), stage.now() + (long) (f.lasts() * 1e9), one);
         unsettled(f, proxies);
-        during(f, on -> one.forEach(a -> other.forEach(b -> {
-            strikes.cut(a, b, on);
-            strikes.cut(b, a, on);
-        })));
+        during(
+                f,
+                on -> one.forEach(a -> other.forEach(b -> {
+                    strikes.cut(a, b, on);
+                    strikes.cut(b, a, on);
+                })));
     }
 
     /** What these see of others, and others of them, may be wrong until it is over, and a while longer. */
@@ -291,10 +302,11 @@
         excuse(from, to, now, now + (long) (f.lasts() * 1e9) + AFTER_NS);
         excuse(to, from, now, now + (long) (f.lasts() * 1e9) + AFTER_NS);
         switch (f.kind()) {
-            case SLOW_LINK -> during(f, on -> each(from, to,
-                    (a, b) -> strikes.slower(a, b, on ? (long) (f.figure("adds_ms") * 1e6) : 0)));
-            case LOSSY_LINK -> during(f, on -> each(from, to,
-                    (a, b) -> strikes.lossy(a, b, on ? f.figure("share") : 0)));
+            case SLOW_LINK -> during(
+                    f,
+                    on -> each(from, to, (a, b) -> strikes.slower(a, b, on ? (long) (f.figure("adds_ms") * 1e6) : 0)));
+            case LOSSY_LINK -> during(
+                    f, on -> each(from, to, (a, b) -> strikes.lossy(a, b, on ? f.figure("share") : 0)));
             case CUT_LINK -> during(f, on -> each(from, to, (a, b) -> strikes.cut(a, b, on)));
             case RESET_LINK -> each(from, to, strikes::reset);
             default -> throw new IllegalStateException(f.kind().named());
@@ -306,20 +318,24 @@
         String to = f.names().get(1);
         unsettled(f, machines(from));
         unsettled(f, machines(to));
-        Datagrams.Trouble t = switch (f.kind()) {
-            case JITTERY_LINK -> Datagrams.Trouble.JITTER;
-            case DOUBLED_LINK -> Datagrams.Trouble.TWICE;
-            case TORN_LINK -> Datagrams.Trouble.TORN;
-            case FLIPPED_LINK -> Datagrams.Trouble.FLIPPED;
-            default -> Datagrams.Trouble.STALLED;
-        };
-        double figure = f.kind() == FaultKind.JITTERY_LINK ? f.figure("adds_ms") * 1e6
+        Datagrams.Trouble t =
+                switch (f.kind()) {
+                    case JITTERY_LINK -> Datagrams.Trouble.JITTER;
+                    case DOUBLED_LINK -> Datagrams.Trouble.TWICE;
+                    case TORN_LINK -> Datagrams.Trouble.TORN;
+                    case FLIPPED_LINK -> Datagrams.Trouble.FLIPPED;
+                    default -> Datagrams.Trouble.STALLED;
+                };
+        double figure = f.kind() == FaultKind.JITTERY_LINK
+                ? f.figure("adds_ms") * 1e6
                 : f.kind() == FaultKind.STALLED_LINK ? 1 : f.figure("share");
-        during(f, on -> each(from, to, (a, b) -> {
-            if (!a.equals(b)) {
-                strikes.trouble(a, b, t, on ? figure : 0);
-            }
-        }));
+        during(
+                f,
+                on -> each(from, to, (a, b) -> {
+                    if (!a.equals(b)) {
+                        strikes.trouble(a, b, t, on ? figure : 0);
+                    }
+                }));
     }
 
     /** What a client does not get over a way that is not sound is not the proxy's fault. */
--- a/src/main/java/gullspar/rehearse/play/VirtualFleet.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualFleet.java
@@ -40,7 +40,11 @@
     private int moves;
 
     /** machines: their addresses; each proxy is found at a port of its own machine at first. */
-    VirtualFleet(Script script, Cast cast, Network network, Function<String, InetSocketAddress> machines,
+    VirtualFleet(
+            Script script,
+            Cast cast,
+            Network network,
+            Function<String, InetSocketAddress> machines,
             VirtualPlay.Peering peering) {
         this.script = script;
         this.cast = cast;
@@ -54,15 +58,28 @@
     /** A process begins to take part; who: its name, and which process of that name it is. On its loop. */
     Membership join(String process, String who, Platform platform, Supplier<Companion.Load> load) {
         Fleet fleet = fleet(process);
-        return Membership.join(fleet, peering.settings().apply(Membership.settings(fleet)), keysOf(process),
-                Agenda.mix(script.seed() * 31 + 12 + peering.lives().applyAsLong(who)), platform, load);
+        return Membership.join(
+                fleet,
+                peering.settings().apply(Membership.settings(fleet)),
+                keysOf(process),
+                Agenda.mix(script.seed() * 31 + 12 + peering.lives().applyAsLong(who)),
+                platform,
+                load);
     }
 
     private Fleet fleet(String process) {
         Script.Peers p = script.peers();
         String name = Chronicle.named(process);
-        return new Fleet(name, home(process), null, seeds(), null,
-                cast.front().site(name), (long) (p.intervalMs() * 1e6), (long) (p.windowS() * 1e9), 0);
+        return new Fleet(
+                name,
+                home(process),
+                null,
+                seeds(),
+                null,
+                cast.front().site(name),
+                (long) (p.intervalMs() * 1e6),
+                (long) (p.windowS() * 1e9),
+                0);
     }
 
     /** Where the first three proxies are found. */
@@ -81,11 +98,13 @@
     /** As {@link Strikes#move} says. */
     void move(List<String> ring) {
         if (ring.size() == 1) {
-            homes.put(ring.get(0), new InetSocketAddress(machines.apply(ring.get(0)).getAddress(),
-                    PORT + ++moves));
+            homes.put(
+                    ring.get(0),
+                    new InetSocketAddress(machines.apply(ring.get(0)).getAddress(), PORT + ++moves));
             return;
         }
-        List<InetSocketAddress> were = new ArrayList<>(ring.stream().map(this::home).toList());
+        List<InetSocketAddress> were =
+                new ArrayList<>(ring.stream().map(this::home).toList());
         for (int i = 0; i < ring.size(); i++) {
             homes.put(ring.get(i), were.get((i + 1) % were.size()));
         }
@@ -103,21 +122,24 @@
     }
 
     private static Envelope envelope(List<Integer> numbers) {
-        return new Envelope(numbers.stream().map(n -> {
-            byte[] key = new byte[Envelope.LEAST_KEY_BYTES];
-            Arrays.fill(key, n.byteValue());
-            return key;
-        }).toList());
+        return new Envelope(numbers.stream()
+                .map(n -> {
+                    byte[] key = new byte[Envelope.LEAST_KEY_BYTES];
+                    Arrays.fill(key, n.byteValue());
+                    return key;
+                })
+                .toList());
     }
 
     /** As {@link Strikes#mad} says. */
     void mad(String process, int forEach) {
         liars.computeIfAbsent(process, p -> {
-            Liar liar = new Liar(() -> keysOf(p), script.seed() * 31 + 14 + Cast.index(p));
-            cast.proxies().stream().filter(o -> !o.equals(p))
-                    .forEach(o -> network.datagrams(p, o).liar(liar));
-            return liar;
-        }).lies(forEach);
+                    Liar liar = new Liar(() -> keysOf(p), script.seed() * 31 + 14 + Cast.index(p));
+                    cast.proxies().stream().filter(o -> !o.equals(p)).forEach(o -> network.datagrams(p, o)
+                            .liar(liar));
+                    return liar;
+                })
+                .lies(forEach);
     }
 
     void forge(String process) {
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -50,6 +50,7 @@
     private static final long READY_NS = 60_000_000_000L;
     /** The share of a start after which the daemon asks for the list: 0.7 of 2.5 s as seen on half a core. */
     private static final double ASKS_AFTER = 0.3;
+
     private static final int MOST_LOG_LINES = 10_000;
 
     /**
@@ -57,10 +58,17 @@
      * between a proxy and its decision module, and between it and its machine: the identity, but where a test
      * plants a fault.
      */
-    public record Options(Writer decisions, UnaryOperator<Balancer.Factory> module,
-            UnaryOperator<Platform> platform, Progress progress, Peering peering) {
-        public Options(Writer decisions, UnaryOperator<Balancer.Factory> module,
-                UnaryOperator<Platform> platform, Progress progress) {
+    public record Options(
+            Writer decisions,
+            UnaryOperator<Balancer.Factory> module,
+            UnaryOperator<Platform> platform,
+            Progress progress,
+            Peering peering) {
+        public Options(
+                Writer decisions,
+                UnaryOperator<Balancer.Factory> module,
+                UnaryOperator<Platform> platform,
+                Progress progress) {
             this(decisions, module, platform, progress, new Peering(Fnv::hash, UnaryOperator.identity()));
         }
 
@@ -78,7 +86,7 @@
     /**
      * How a process of that name draws its life, and how it watches the fleet; for tests that plant faults.
      */
-    public record Peering(ToLongFunction<String> lives, UnaryOperator<Settings> settings) { }
+    public record Peering(ToLongFunction<String> lives, UnaryOperator<Settings> settings) {}
 
     private final Script script;
     private final Options options;
@@ -104,7 +112,8 @@
         this.decisions = new DecisionLog(() -> agenda.now() - EPOCH_NS, this::nodeName, options.decisions());
         this.cast = new Cast(this, script, this);
         this.chronicle = cast.chronicle();
-        this.fleet = script.peers() == null ? null
+        this.fleet = script.peers() == null
+                ? null
                 : new VirtualFleet(script, cast, network, this::address, options.peering());
     }
 
@@ -124,14 +133,21 @@
         cast.begin(() -> end[0] = agenda.now() + (long) (script.seconds() * 1e9));
         run(end);
         if (chronicle.start() == 0) {
-            throw new IllegalStateException("the proxies were not ready within " + READY_NS / 1_000_000_000L
-                    + " s: " + log);
+            throw new IllegalStateException(
+                    "the proxies were not ready within " + READY_NS / 1_000_000_000L + " s: " + log);
         }
         end[0] = agenda.now() + cast.tailNs();
         run(end);
         options.progress().at(script.seconds(), script.seconds());
-        return new Played(script, chronicle, Judge.judge(script, chronicle, 0), decisions.hash(),
-                decisions.lines(), log, List.of(), System.nanoTime() - began);
+        return new Played(
+                script,
+                chronicle,
+                Judge.judge(script, chronicle, 0),
+                decisions.hash(),
+                decisions.lines(),
+                log,
+                List.of(),
+                System.nanoTime() - began);
     }
 
     /** Up to a time that may be moved meanwhile. */
@@ -140,12 +156,12 @@
         while (agenda.due(end[0])) {
             agenda.step();
             if (slip != null) {
-                throw new IllegalStateException("the rehearsal itself failed at "
-                        + (agenda.now() - chronicle.start()) / 1e9 + " s", slip);
+                throw new IllegalStateException(
+                        "the rehearsal itself failed at " + (agenda.now() - chronicle.start()) / 1e9 + " s", slip);
             }
             if (agenda.now() >= next && chronicle.start() != 0) {
-                options.progress().at(Math.min(script.seconds(), (agenda.now() - chronicle.start()) / 1e9),
-                        script.seconds());
+                options.progress()
+                        .at(Math.min(script.seconds(), (agenda.now() - chronicle.start()) / 1e9), script.seconds());
                 next = agenda.now() + 1_000_000_000L;
             }
         }
@@ -173,14 +189,15 @@
         String pair = a.compareTo(b) < 0 ? a + ' ' + b : b + ' ' + a;
         double at = (Agenda.mix(script.seed() + Fnv.hash(pair)) >>> 11) * 0x1p-53;
         return (long) ((script.siteDelayMs().from()
-                + at * (script.siteDelayMs().to() - script.siteDelayMs().from())) * 1e6);
+                        + at * (script.siteDelayMs().to() - script.siteDelayMs().from()))
+                * 1e6);
     }
 
     @Override
     public Platform at(String machine) {
         Host host = network.host(machine);
         host.runs(loop);
-        return new Platform(loop, agenda::now, network.transport(host), line -> { });
+        return new Platform(loop, agenda::now, network.transport(host), line -> {});
     }
 
     @Override
@@ -240,9 +257,16 @@
     private Config config(String name, int life) {
         long seed = Agenda.mix(script.seed() * 31 + 9 + Cast.index(name) * 1000L + life);
         try {
-            return Config.parse(ProxySettings.of(script, Cast.index(name), name, address(name),
-                    cast.fleet().discovery(name),
-                    seed, cast.fleet().known(name)), Map.of());
+            return Config.parse(
+                    ProxySettings.of(
+                            script,
+                            Cast.index(name),
+                            name,
+                            address(name),
+                            cast.fleet().discovery(name),
+                            seed,
+                            cast.fleet().known(name)),
+                    Map.of());
         } catch (ConfigException e) {
             throw new IllegalStateException(e);
         }
@@ -255,37 +279,45 @@
         lives.put(name, life);
         Host host = network.host(name);
         host.runs(life.loop);
-        Platform platform = options.platform().apply(
-                new Platform(life.loop, agenda::now, network.transport(host), line -> say(who, line)));
+        Platform platform = options.platform()
+                .apply(new Platform(life.loop, agenda::now, network.transport(host), line -> say(who, line)));
         long warm = (long) (script.proxies().startS() * 1e9);
         if (fleet != null) {
             chronicle.began(name, agenda.now());
-            life.loop.execute(() -> life.member = fleet.join(name, who, platform,
-                    () -> life.proxy == null ? Companion.Load.NONE : life.proxy.load()));
+            life.loop.execute(() -> life.member = fleet.join(
+                    name, who, platform, () -> life.proxy == null ? Companion.Load.NONE : life.proxy.load()));
         }
-        life.loop.schedule(() -> {
-            cast.fleet().startsKnowing(name);
-            Proxy asking = Proxy.asking(config(name, number), platform,
-                    decisions.tap(who, options.module().apply(Policy::new)));
-            life.loop.schedule(() -> {
-                life.proxy = asking;
-                asking.open();
-                if (life.member != null) {
-                    life.member.at(Companion.Stage.SERVING);
-                }
-                if (cast.proxies().contains(name)) {
-                    // The front looks at it from now on; at a twin nobody does.
-                    loop.execute(() -> cast.front().started(name));
-                }
-            }, warm - (long) (warm * ASKS_AFTER), TimeUnit.NANOSECONDS);
-        }, (long) (warm * ASKS_AFTER), TimeUnit.NANOSECONDS);
+        life.loop.schedule(
+                () -> {
+                    cast.fleet().startsKnowing(name);
+                    Proxy asking = Proxy.asking(
+                            config(name, number),
+                            platform,
+                            decisions.tap(who, options.module().apply(Policy::new)));
+                    life.loop.schedule(
+                            () -> {
+                                life.proxy = asking;
+                                asking.open();
+                                if (life.member != null) {
+                                    life.member.at(Companion.Stage.SERVING);
+                                }
+                                if (cast.proxies().contains(name)) {
+                                    // The front looks at it from now on; at a twin nobody does.
+                                    loop.execute(() -> cast.front().started(name));
+                                }
+                            },
+                            warm - (long) (warm * ASKS_AFTER),
+                            TimeUnit.NANOSECONDS);
+                },
+                (long) (warm * ASKS_AFTER),
+                TimeUnit.NANOSECONDS);
     }
 
     /** Asks each that runs how it sees the fleet, again and again. */
     private void look() {
         lives.forEach((name, life) -> {
-            String answer = life.member == null || life.loop.ended() || life.paused ? null
-                    : life.member.answer("/_fleet");
+            String answer =
+                    life.member == null || life.loop.ended() || life.paused ? null : life.member.answer("/_fleet");
             if (answer != null) {
                 try {
                     chronicle.looked(Look.of(agenda.now(), name, answer));
@@ -336,16 +368,18 @@
         if (life.member != null) {
             life.loop.execute(() -> life.member.at(Companion.Stage.DRAINING));
         }
-        life.proxy.drain().thenCompose(v -> life.member == null ? CompletableFuture.completedFuture(null)
-                : life.member.leave()).thenRun(() -> {
-            if (!life.loop.ended()) {
-                // Not from inside its own wake-up.
-                loop.execute(() -> {
-                    endNow(name, life);
-                    startLater(name, downS);
+        life.proxy
+                .drain()
+                .thenCompose(v -> life.member == null ? CompletableFuture.completedFuture(null) : life.member.leave())
+                .thenRun(() -> {
+                    if (!life.loop.ended()) {
+                        // Not from inside its own wake-up.
+                        loop.execute(() -> {
+                            endNow(name, life);
+                            startLater(name, downS);
+                        });
+                    }
                 });
-            }
-        });
     }
 
     @Override
--- a/src/main/java/gullspar/rehearse/record/DecisionLog.java
+++ b/src/main/java/gullspar/rehearse/record/DecisionLog.java
@@ -69,8 +69,7 @@
 
     /** A factory whose modules write here what they hear and do. */
     public Balancer.Factory tap(String who, Balancer.Factory factory) {
-        return (settings, seed, now, out) -> new Heard(who, factory.create(settings, seed, now, new Done(who,
-                out)));
+        return (settings, seed, now, out) -> new Heard(who, factory.create(settings, seed, now, new Done(who, out)));
     }
 
     private static String figure(double d) {
@@ -89,13 +88,18 @@
 
         @Override
         public void onMembers(long now, ListKind kind, long version, List<Member> members) {
-            StringBuilder s = new StringBuilder("list ").append(kind.name().toLowerCase(Locale.ROOT))
+            StringBuilder s = new StringBuilder("list ")
+                    .append(kind.name().toLowerCase(Locale.ROOT))
                     .append(" v=")
                     .append(version);
             for (Member m : members) {
-                s.append(' ').append(nodes.apply(m.id())).append(':')
-                        .append(m.state().name().toLowerCase(Locale.ROOT)).append(':').append(m.units())
-                                .append(':')
+                s.append(' ')
+                        .append(nodes.apply(m.id()))
+                        .append(':')
+                        .append(m.state().name().toLowerCase(Locale.ROOT))
+                        .append(':')
+                        .append(m.units())
+                        .append(':')
                         .append(m.bootNs());
             }
             line(who, s.toString());
@@ -104,9 +108,10 @@
 
         @Override
         public void onRequest(long now, Request r) {
-            line(who, "request t=" + r.ticket() + " class=" + r.profile() + " key=" + Long.toHexString(r
-                    .key())
-                    + " left=" + r.leftNs() + (r.repeat() ? " repeat" : ""));
+            line(
+                    who,
+                    "request t=" + r.ticket() + " class=" + r.profile() + " key=" + Long.toHexString(r.key()) + " left="
+                            + r.leftNs() + (r.repeat() ? " repeat" : ""));
             module.onRequest(now, r);
         }
 
@@ -119,12 +124,16 @@
         @Override
         public void onOutcome(long now, Outcome o) {
             Report r = o.report();
-            line(who, "outcome t=" + o.ticket() + " a=" + o.attempt() + " n=" + nodes.apply(o.server()) + " "
-                    + o.status().name().toLowerCase(Locale.ROOT) + " ns=" + o.elapsedNs() + (o.over()
-                            ? " over" : "")
-                    + (r == null ? "" : " inflight=" + figure(r.inflight()) + " util=" + figure(r.util())
-                            + " eps="
-                    + figure(r.errorsPerSecond())));
+            line(
+                    who,
+                    "outcome t=" + o.ticket() + " a=" + o.attempt() + " n=" + nodes.apply(o.server()) + " "
+                            + o.status().name().toLowerCase(Locale.ROOT) + " ns=" + o.elapsedNs()
+                            + (o.over() ? " over" : "")
+                            + (r == null
+                                    ? ""
+                                    : " inflight=" + figure(r.inflight()) + " util=" + figure(r.util())
+                                            + " eps="
+                                            + figure(r.errorsPerSecond())));
             module.onOutcome(now, o);
         }
 
@@ -165,8 +174,10 @@
 
         private void sends(int ticket, int server, long timeoutNs, String more) {
             int attempt = attempts.merge(ticket, 1, Integer::sum) - 1;
-            line(who, "Send t=" + ticket + " a=" + attempt + " n=" + nodes.apply(server) + " timeout="
-                    + timeoutNs + more);
+            line(
+                    who,
+                    "Send t=" + ticket + " a=" + attempt + " n=" + nodes.apply(server) + " timeout=" + timeoutNs
+                            + more);
         }
 
         @Override
--- a/src/main/java/gullspar/rehearse/record/Knowledge.java
+++ b/src/main/java/gullspar/rehearse/record/Knowledge.java
@@ -35,7 +35,7 @@
                 nodes.computeIfAbsent(e.field("n"), n -> new Node()).out++;
             }
             case "outcome" -> outcome(nodes, e);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -61,8 +61,7 @@
         n.last = e.text().split(" ")[4] + " after " + ms;
         n.lastAt = e.at();
         if (!e.field("inflight").isEmpty()) {
-            n.report = "inflight " + e.field("inflight") + ", util " + e.field("util") + ", eps "
-                    + e.field("eps");
+            n.report = "inflight " + e.field("inflight") + ", util " + e.field("util") + ", eps " + e.field("eps");
             n.reportAt = e.at();
         }
     }
@@ -70,10 +69,19 @@
     /** What a proxy knows now, a line for each node. */
     List<String> of(String who, long now) {
         List<String> lines = new ArrayList<>();
-        byProxy.getOrDefault(who, Map.of()).forEach((name, n) -> lines.add(String.format(Locale.ROOT,
-                "%-8s %-10s weight %-6s out %-3d last %-24s %-9s %s %s", name, n.state, n.weight, n.out,
-                        n.last,
-                age(n.lastAt, now), n.report, age(n.reportAt, now)).stripTrailing()));
+        byProxy.getOrDefault(who, Map.of())
+                .forEach((name, n) -> lines.add(String.format(
+                                Locale.ROOT,
+                                "%-8s %-10s weight %-6s out %-3d last %-24s %-9s %s %s",
+                                name,
+                                n.state,
+                                n.weight,
+                                n.out,
+                                n.last,
+                                age(n.lastAt, now),
+                                n.report,
+                                age(n.reportAt, now))
+                        .stripTrailing()));
         return lines;
     }
 
--- a/src/main/java/gullspar/rehearse/record/LogDiff.java
+++ b/src/main/java/gullspar/rehearse/record/LogDiff.java
@@ -59,13 +59,14 @@
         }
     }
 
-    private LogDiff() { }
+    private LogDiff() {}
 
     /** What to print; empty if the two are the same. */
     public static List<String> of(Path a, Path b) throws IOException, NoLogException {
         Side left = new Side(a);
         Side right = new Side(b);
-        try (left.in; right.in) {
+        try (left.in;
+                right.in) {
             Entry l = left.next();
             Entry r = right.next();
             while (l != null && l.equals(r)) {
@@ -87,8 +88,7 @@
     }
 
     private static String shown(Entry e) {
-        return e == null ? "(ends)" : String.format(Locale.ROOT, "%.6f s  %s", e.at() / 1e9, e.who() + " "
-                + e.text());
+        return e == null ? "(ends)" : String.format(Locale.ROOT, "%.6f s  %s", e.at() / 1e9, e.who() + " " + e.text());
     }
 
     private static void decisions(Side left, Entry fromLeft, Side right, Entry fromRight, List<String> out)
--- a/src/main/java/gullspar/rehearse/report/FleetChart.java
+++ b/src/main/java/gullspar/rehearse/report/FleetChart.java
@@ -27,11 +27,11 @@
     }
 
     /** One second of one process; bytes that it sent in it. */
-    record Cell(Sight sight, int present, int living, long bytes) { }
+    record Cell(Sight sight, int present, int living, long bytes) {}
 
     private final Chronicle chronicle;
-    private final Map<String, TreeMap<Integer, Cell>> cells = new TreeMap<>(
-            (a, b) -> a.length() != b.length() ? a.length() - b.length() : a.compareTo(b));
+    private final Map<String, TreeMap<Integer, Cell>> cells =
+            new TreeMap<>((a, b) -> a.length() != b.length() ? a.length() - b.length() : a.compareTo(b));
 
     FleetChart(Chronicle chronicle, double seconds) {
         this.chronicle = chronicle;
@@ -41,8 +41,7 @@
             long sent = before == null ? 0 : l.sentBytes() - before.sentBytes();
             int second = (int) Math.floorDiv(l.at() - chronicle.start(), 1_000_000_000L);
             if (second >= 0 && second < seconds) {
-                cells.computeIfAbsent(l.proxy(), p -> new TreeMap<>()).merge(second, cell(l, sent),
-                        FleetChart::worse);
+                cells.computeIfAbsent(l.proxy(), p -> new TreeMap<>()).merge(second, cell(l, sent), FleetChart::worse);
             }
         }
     }
@@ -67,8 +66,11 @@
                 suspects |= s.status().equals("suspected");
             }
         }
-        Sight sight = l.cutOff() ? Sight.CUT_OFF : !present.containsAll(living) ? Sight.LACKS
-                : suspects || !living.containsAll(present) ? Sight.BEHIND : Sight.RIGHT;
+        Sight sight = l.cutOff()
+                ? Sight.CUT_OFF
+                : !present.containsAll(living)
+                        ? Sight.LACKS
+                        : suspects || !living.containsAll(present) ? Sight.BEHIND : Sight.RIGHT;
         return new Cell(sight, present.size(), living.size(), sent);
     }
 
--- a/src/main/java/gullspar/rehearse/report/HtmlReport.java
+++ b/src/main/java/gullspar/rehearse/report/HtmlReport.java
@@ -69,7 +69,10 @@
     }
 
     private static String escaped(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return text.replace("&", "&amp;")
+                .replace("<", "&lt;")
+                .replace(">", "&gt;")
+                .replace("\"", "&quot;");
     }
 
     private void add(String format, Object... values) {
@@ -81,10 +84,13 @@
     private void head(String title) {
         Verdict v = day.verdict();
         add("<h1>%s</h1>", title);
-        add("<p><span class=\"verdict %s\">%s</span> <span class=\"soft\">seed %d, %.0f s, %s%s</span></p>",
-                v.kept() ? "kept" : "broken", v.kept() ? "all rules kept" : "broken: " + v.broken().size(),
-                day.script().seed(), day.script().seconds(), day.hash().isEmpty() ? "played live"
-                        : "in virtual time",
+        add(
+                "<p><span class=\"verdict %s\">%s</span> <span class=\"soft\">seed %d, %.0f s, %s%s</span></p>",
+                v.kept() ? "kept" : "broken",
+                v.kept() ? "all rules kept" : "broken: " + v.broken().size(),
+                day.script().seed(),
+                day.script().seconds(),
+                day.hash().isEmpty() ? "played live" : "in virtual time",
                 day.hash().isEmpty() ? "" : ", decisions " + day.hash().substring(0, 12));
         day.notes().forEach(n -> add("<p><strong>Note:</strong> %s</p>", escaped(n)));
         add("<dl class=\"figures\">");
@@ -112,8 +118,9 @@
                 + "<li><i style=\"background:var(--failed)\"></i>failed or unanswered</li></ul>");
         int most = seconds.most();
         add("<div class=\"plot\"><span class=\"top\">%d/s</span><span class=\"bottom\">0</span>", most);
-        add("<svg viewBox=\"0 0 %d %d\" preserveAspectRatio=\"none\" role=\"img\" aria-label=\"orders by "
-                + "second\">",
+        add(
+                "<svg viewBox=\"0 0 %d %d\" preserveAspectRatio=\"none\" role=\"img\" aria-label=\"orders by "
+                        + "second\">",
                 seconds.length(), most);
         for (int s = 0; s < seconds.length(); s++) {
             int y = most;
@@ -121,9 +128,11 @@
                 int n = seconds.count(s, k);
                 if (n > 0) {
                     y -= n;
-                    add("<rect x=\"%d\" y=\"%d\" width=\"0.92\" height=\"%d\" "
-                            + "fill=\"var(--%s)\"><title>%d s: %d %s"
-                            + "</title></rect>", s, y, n, name(k), s, n, name(k));
+                    add(
+                            "<rect x=\"%d\" y=\"%d\" width=\"0.92\" height=\"%d\" "
+                                    + "fill=\"var(--%s)\"><title>%d s: %d %s"
+                                    + "</title></rect>",
+                            s, y, n, name(k), s, n, name(k));
                 }
             }
         }
@@ -152,10 +161,15 @@
         for (Fault f : day.script().faults()) {
             double left = 100 * f.at() / day.script().seconds();
             double width = 100 * f.lasts() / day.script().seconds();
-            String text = String.format(Locale.ROOT, "%.1f s%s: %s", f.at(),
-                    f.lasts() > 0 ? String.format(Locale.ROOT, " to %.1f s", f.at() + f.lasts()) : "", f);
-            add("<div class=\"fault\" title=\"%s\"><span>%s</span><b "
-                    + "style=\"left:%.2f%%;width:%.2f%%\"></b></div>",
+            String text = String.format(
+                    Locale.ROOT,
+                    "%.1f s%s: %s",
+                    f.at(),
+                    f.lasts() > 0 ? String.format(Locale.ROOT, " to %.1f s", f.at() + f.lasts()) : "",
+                    f);
+            add(
+                    "<div class=\"fault\" title=\"%s\"><span>%s</span><b "
+                            + "style=\"left:%.2f%%;width:%.2f%%\"></b></div>",
                     escaped(text), escaped(text), left, width);
         }
         add("</div>");
@@ -173,8 +187,9 @@
                 + "<li><i style=\"background:var(--full)\"></i>over 95 %%</li>"
                 + "<li><i style=\"background:var(--down)\"></i>down</li></ul>");
         Map<String, List<Chronicle.Sample>> byNode = new LinkedHashMap<>();
-        chronicle.samples().stream().filter(s -> s.at() >= chronicle.start())
-                .forEach(s -> byNode.computeIfAbsent(s.node(), n -> new ArrayList<>()).add(s));
+        chronicle.samples().stream().filter(s -> s.at() >= chronicle.start()).forEach(s -> byNode.computeIfAbsent(
+                        s.node(), n -> new ArrayList<>())
+                .add(s));
         add("<svg width=\"0\" height=\"0\" style=\"position:absolute\"><defs><pattern id=\"hatch\" "
                 + "width=\"0.3\""
                 + " height=\"0.3\" patternUnits=\"userSpaceOnUse\"><rect width=\"0.15\" height=\"0.3\""
@@ -186,21 +201,25 @@
 
     private void node(String name, List<Chronicle.Sample> samples) {
         add("<span>%s</span>", escaped(name));
-        add("<svg viewBox=\"0 0 %.2f 1\" preserveAspectRatio=\"none\" role=\"img\" aria-label=\"%s\">",
+        add(
+                "<svg viewBox=\"0 0 %.2f 1\" preserveAspectRatio=\"none\" role=\"img\" aria-label=\"%s\">",
                 day.script().seconds(), escaped(name));
         double share = 0;
         for (int i = 0; i < samples.size(); i += 4) {
             List<Chronicle.Sample> four = samples.subList(i, Math.min(samples.size(), i + 4));
             double at = (four.get(0).at() - chronicle.start()) / 1e9;
-            double util = four.stream().mapToDouble(Chronicle.Sample::util).average().orElse(Double.NaN);
-            double held = four.stream().mapToInt(Chronicle.Sample::held).average().orElse(0);
+            double util =
+                    four.stream().mapToDouble(Chronicle.Sample::util).average().orElse(Double.NaN);
+            double held =
+                    four.stream().mapToInt(Chronicle.Sample::held).average().orElse(0);
             share += four.stream().mapToDouble(Chronicle.Sample::share).sum();
             boolean listed = four.stream().allMatch(Chronicle.Sample::listed);
             if (at < day.script().seconds() && !Double.isNaN(util)) {
-                add("<rect x=\"%.2f\" y=\"0\" width=\"1.02\" height=\"1\" fill=\"var(--%s)\"><title>%s at "
-                        + "%.0f s: %.0f %%"
-                        + " busy, holds %.0f</title></rect>", at, shade(util), escaped(name), at, 100 * util,
-                                held);
+                add(
+                        "<rect x=\"%.2f\" y=\"0\" width=\"1.02\" height=\"1\" fill=\"var(--%s)\"><title>%s at "
+                                + "%.0f s: %.0f %%"
+                                + " busy, holds %.0f</title></rect>",
+                        at, shade(util), escaped(name), at, 100 * util, held);
                 if (!listed) {
                     add("<rect x=\"%.2f\" y=\"0\" width=\"1.02\" height=\"1\" fill=\"url(#hatch)\"/>", at);
                 }
@@ -220,18 +239,21 @@
         add("<p class=\"soft\">How each proxy saw the others, the worst answer of each second, and at the "
                 + "end of its line the bytes a second that it sent.</p>");
         add("<ul class=\"legend\"><li><i style=\"background:var(--low)\"></i>as it was</li>"
-            + "<li><i style=\"background:var(--mid)\"></i>somebody suspected, or dead and still there</li>"
+                + "<li><i style=\"background:var(--mid)\"></i>somebody suspected, or dead and still there</li>"
                 + "<li><i style=\"background:var(--late)\"></i>somebody who lives is missing</li>"
                 + "<li><i style=\"background:var(--refused)\"></i>says that it is cut off</li>"
                 + "<li><i style=\"background:var(--down)\"></i>no answer</li></ul>");
         add("<div class=\"nodes\">");
         for (String p : chart.processes()) {
             add("<span>%s</span>", escaped(p));
-            add("<svg viewBox=\"0 0 %.2f 1\" preserveAspectRatio=\"none\" role=\"img\" "
-                    + "aria-label=\"%s\">", day.script().seconds(), escaped(p));
-            chart.of(p).forEach((second, c) -> add("<rect x=\"%d\" y=\"0\" width=\"1.02\" height=\"1\" "
-                    + "fill=\"var(--%s)\"><title>%s at %d s: has %d, of %d that live</title></rect>", second,
-                    shade(c.sight()), escaped(p), second, c.present(), c.living()));
+            add(
+                    "<svg viewBox=\"0 0 %.2f 1\" preserveAspectRatio=\"none\" role=\"img\" " + "aria-label=\"%s\">",
+                    day.script().seconds(), escaped(p));
+            chart.of(p)
+                    .forEach((second, c) -> add(
+                            "<rect x=\"%d\" y=\"0\" width=\"1.02\" height=\"1\" "
+                                    + "fill=\"var(--%s)\"><title>%s at %d s: has %d, of %d that live</title></rect>",
+                            second, shade(c.sight()), escaped(p), second, c.present(), c.living()));
             add("</svg><span class=\"num\">%.0f</span>", chart.bytesPerSecond(p));
         }
         add("</div>");
@@ -250,7 +272,8 @@
         Verdict v = day.verdict();
         long from = chronicle.start() + v.worstFromNs();
         List<Order> lost = chronicle.orders().stream()
-                .filter(o -> o.at >= from && o.at < from + WORST_NS && !o.inTime()).toList();
+                .filter(o -> o.at >= from && o.at < from + WORST_NS && !o.inTime())
+                .toList();
         add("<h2>The worst ten seconds, from %.0f s</h2>", v.worstFromNs() / 1e9);
         if (lost.isEmpty()) {
             add("<p>Every order was served in time.</p>");
@@ -259,18 +282,20 @@
         Map<String, Integer> how = new LinkedHashMap<>();
         for (Order o : lost) {
             String last = Judge.ended(o.tries.get(o.tries.size() - 1));
-            how.merge(o.kind.name() + ", " + last + ", by " + o.tries.get(o.tries.size() - 1).proxy, 1,
-                    Integer::sum);
+            how.merge(o.kind.name() + ", " + last + ", by " + o.tries.get(o.tries.size() - 1).proxy, 1, Integer::sum);
         }
-        add("<p>%.2f %% of the worth asked for was served in time; %d orders were not.</p>", 100 * v
-                .worst10s(),
-                lost.size());
+        add(
+                "<p>%.2f %% of the worth asked for was served in time; %d orders were not.</p>",
+                100 * v.worst10s(), lost.size());
         add("<div class=\"scroll\"><table><tr><th>class, how it ended, proxy</th><th>orders</th></tr>");
-        how.entrySet().stream().sorted((a, b) -> b.getValue() - a.getValue()).limit(12)
+        how.entrySet().stream()
+                .sorted((a, b) -> b.getValue() - a.getValue())
+                .limit(12)
                 .forEach(e -> add("<tr><td>%s</td><td>%d</td></tr>", escaped(e.getKey()), e.getValue()));
         add("</table></div>");
         add("<details><summary>What happened around then</summary><pre>");
-        chronicle.happenings().stream().filter(h -> h.at() >= from - WORST_NS / 5 && h.at() < from + WORST_NS)
+        chronicle.happenings().stream()
+                .filter(h -> h.at() >= from - WORST_NS / 5 && h.at() < from + WORST_NS)
                 .forEach(h -> add("%8.3f s  %s", (h.at() - chronicle.start()) / 1e9, escaped(h.what())));
         add("</pre></details>");
         add("<details><summary>The first order that was not served in time</summary><pre>");
@@ -289,8 +314,9 @@
             add("<p>The first %d of %d.</p>", MOST_STORIES, all.size());
         }
         for (Broken b : all.subList(0, Math.min(MOST_STORIES, all.size()))) {
-            add("<p><strong>%s.</strong> At %.6f s: %s</p>", escaped(b.rule().words()),
-                    (b.at() - chronicle.start()) / 1e9, escaped(b.what()));
+            add(
+                    "<p><strong>%s.</strong> At %.6f s: %s</p>",
+                    escaped(b.rule().words()), (b.at() - chronicle.start()) / 1e9, escaped(b.what()));
             Try t = b.request();
             if (t != null) {
                 add("<pre>%s</pre>", escaped(String.join("\n", Story.of(t, chronicle))));
@@ -304,10 +330,14 @@
                 + "class=\"scroll\"><table><tr><th>second</th>"
                 + "<th>orders</th><th>served</th><th>late</th><th>refused</th><th>failed</th></tr>");
         for (int s = 0; s < seconds.length(); s++) {
-            add("<tr><td>%d</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td></tr>", s, seconds
-                    .total(s),
-                    seconds.count(s, Seconds.Kind.SERVED), seconds.count(s, Seconds.Kind.LATE),
-                    seconds.count(s, Seconds.Kind.REFUSED), seconds.count(s, Seconds.Kind.FAILED));
+            add(
+                    "<tr><td>%d</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td><td>%d</td></tr>",
+                    s,
+                    seconds.total(s),
+                    seconds.count(s, Seconds.Kind.SERVED),
+                    seconds.count(s, Seconds.Kind.LATE),
+                    seconds.count(s, Seconds.Kind.REFUSED),
+                    seconds.count(s, Seconds.Kind.FAILED));
         }
         add("</table></div></details>");
     }
--- a/src/main/java/gullspar/rehearse/report/JsonReport.java
+++ b/src/main/java/gullspar/rehearse/report/JsonReport.java
@@ -16,27 +16,36 @@
     /** Broken rules that are told in full; the rest are counted. */
     private static final int MOST_STORIES = 20;
 
-    private JsonReport() { }
+    private JsonReport() {}
 
     /** One line of JSON. */
     public static String of(Played p) {
         ObjectMapper mapper = new ObjectMapper();
         Verdict v = p.verdict();
         ObjectNode root = mapper.createObjectNode();
-        root.put("title", p.script().title()).put("seed", p.script().seed()).put("seconds", p.script()
-                .seconds())
-                .put("sha256", p.hash()).put("decisions", p.decisions()).put("played_s", p.tookNs() / 1e9)
-                .put("orders", v.orders()).put("service", v.service()).put("worst_10s", v.worst10s())
-                .put("worst_10s_from", v.worstFromNs() / 1e9).put("worst_class", v.worstClass())
-                .put("worst_class_name", v.worstClassName()).put("ran_twice", v.twice())
+        root.put("title", p.script().title())
+                .put("seed", p.script().seed())
+                .put("seconds", p.script().seconds())
+                .put("sha256", p.hash())
+                .put("decisions", p.decisions())
+                .put("played_s", p.tookNs() / 1e9)
+                .put("orders", v.orders())
+                .put("service", v.service())
+                .put("worst_10s", v.worst10s())
+                .put("worst_10s_from", v.worstFromNs() / 1e9)
+                .put("worst_class", v.worstClass())
+                .put("worst_class_name", v.worstClassName())
+                .put("ran_twice", v.twice())
                 .put("kept", v.kept());
         ObjectNode tries = root.putObject("tries");
         v.counts().forEach((name, n) -> tries.put(name.replace(' ', '_'), n));
         root.put("broken_rules", v.broken().size());
         ArrayNode broken = root.putArray("broken");
         for (Broken b : v.broken().subList(0, Math.min(MOST_STORIES, v.broken().size()))) {
-            ObjectNode o = broken.addObject().put("rule", b.rule().name().toLowerCase(Locale.ROOT))
-                    .put("at", (b.at() - p.chronicle().start()) / 1e9).put("what", b.what());
+            ObjectNode o = broken.addObject()
+                    .put("rule", b.rule().name().toLowerCase(Locale.ROOT))
+                    .put("at", (b.at() - p.chronicle().start()) / 1e9)
+                    .put("what", b.what());
             List<String> story = b.request() == null ? List.of() : Story.of(b.request(), p.chronicle());
             ArrayNode lines = o.putArray("story");
             story.forEach(lines::add);
--- a/src/main/java/gullspar/rehearse/report/Seconds.java
+++ b/src/main/java/gullspar/rehearse/report/Seconds.java
@@ -8,7 +8,12 @@
 /** How the orders of each second of a day ended. */
 final class Seconds {
     /** How an order ended: served in time, served late, refused at the last, or anything else. */
-    enum Kind { SERVED, LATE, REFUSED, FAILED }
+    enum Kind {
+        SERVED,
+        LATE,
+        REFUSED,
+        FAILED
+    }
 
     private final int[][] counts;
 
--- a/src/main/java/gullspar/rehearse/script/Fault.java
+++ b/src/main/java/gullspar/rehearse/script/Fault.java
@@ -8,8 +8,8 @@
  * One fault of a script. Times in s from the start of the day; names are those of what it strikes (for a way:
  * from and to), or empty where count are to be drawn.
  */
-public record Fault(FaultKind kind, double at, double lasts, int count, List<String> names,
-        Map<String, Double> figures) {
+public record Fault(
+        FaultKind kind, double at, double lasts, int count, List<String> names, Map<String, Double> figures) {
     public double figure(String name) {
         return figures.get(name);
     }
@@ -19,9 +19,9 @@
     public String toString() {
         StringBuilder s = new StringBuilder(kind.named());
         String some = count + (kind.strikes() == FaultKind.Strikes.NODES ? " node" : " proxy");
-        boolean way = kind.strikes() == FaultKind.Strikes.LINK
-                || kind.strikes() == FaultKind.Strikes.DATAGRAMS;
-        String what = names.isEmpty() ? count == 1 ? some : some.replace("proxy", "proxie") + "s"
+        boolean way = kind.strikes() == FaultKind.Strikes.LINK || kind.strikes() == FaultKind.Strikes.DATAGRAMS;
+        String what = names.isEmpty()
+                ? count == 1 ? some : some.replace("proxy", "proxie") + "s"
                 : String.join(way ? " to " : ", ", names);
         s.append(kind.strikes() == FaultKind.Strikes.FLEET ? "" : " " + what);
         figures.forEach((k, v) -> s.append(' ').append(k).append('=').append(Fields.plain(v)));
--- a/src/main/java/gullspar/rehearse/script/FaultKind.java
+++ b/src/main/java/gullspar/rehearse/script/FaultKind.java
@@ -6,8 +6,7 @@
 /** What can go wrong in a rehearsal, what it strikes and the figures that it takes. */
 public enum FaultKind {
     /** Another program takes a share of a node's machine, on and off. */
-    NEIGHBOUR(Strikes.NODES, figure("takes", 0.5, 0.05, 0.95), figure("on_s", 3, 0.1, 600),
-            figure("off_s", 1, 0, 600)),
+    NEIGHBOUR(Strikes.NODES, figure("takes", 0.5, 0.05, 0.95), figure("on_s", 3, 0.1, 600), figure("off_s", 1, 0, 600)),
     /** A proxy suddenly draws a share of all traffic on top of its own. */
     RUSH(Strikes.PROXIES, figure("share", 0.15, 0.01, 0.9)),
     /** A share of a class's requests costs many times the usual work. */
@@ -91,10 +90,17 @@
      * What a fault strikes: nodes or proxies by number or name, a way from one machine to another, the
      * datagrams on a way between proxies...
      */
-    public enum Strikes { NODES, PROXIES, CLASS, LINK, DATAGRAMS, FLEET }
+    public enum Strikes {
+        NODES,
+        PROXIES,
+        CLASS,
+        LINK,
+        DATAGRAMS,
+        FLEET
+    }
 
     /** A figure of a fault: its name, the value where none is given, and its bounds. */
-    public record Figure(String name, double usual, double least, double most) { }
+    public record Figure(String name, double usual, double least, double most) {}
 
     private final Strikes strikes;
     private final List<Figure> figures;
@@ -131,10 +137,11 @@
 
     /** Is it one of those that only proxies with a view of the fleet feel? */
     public boolean betweenProxies() {
-        return strikes == Strikes.DATAGRAMS || switch (this) {
-            case PARTITION, MOVE, TAKE_OVER, TWIN, NEW_KEY, FORGED_DATAGRAMS, MAD_MEMBER -> true;
-            default -> false;
-        };
+        return strikes == Strikes.DATAGRAMS
+                || switch (this) {
+                    case PARTITION, MOVE, TAKE_OVER, TWIN, NEW_KEY, FORGED_DATAGRAMS, MAD_MEMBER -> true;
+                    default -> false;
+                };
     }
 
     /** The name in scripts. */
--- a/src/main/java/gullspar/rehearse/script/ScriptReader.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -27,11 +27,12 @@
 public final class ScriptReader {
     /** What [expect] may state, each as the least share that satisfies it. */
     static final List<String> EXPECTATIONS = List.of("service", "worst_10s", "worst_class");
+
     private static final double LONGEST_S = 24 * 3600;
 
     private final List<Problem> problems = new ArrayList<>();
 
-    private ScriptReader() { }
+    private ScriptReader() {}
 
     /** Reads a file; an IOException if that is not possible at all. */
     public static Script read(Path file) throws IOException, ProblemsException {
@@ -42,10 +43,13 @@
     public static Script parse(String text, String name) throws ProblemsException {
         TomlParseResult toml = Toml.parse(text);
         ScriptReader r = new ScriptReader();
-        toml.errors().forEach(e -> r.problems.add(new Problem(e.position().line(), e.position().column(),
-                e.getMessage().lines().findFirst().orElse("not TOML"))));
-        Script s = r.problems.isEmpty()
-                ? r.script(new Fields(toml, "", TomlPosition.positionAt(1, 1), r.problems)) : null;
+        toml.errors()
+                .forEach(e -> r.problems.add(new Problem(
+                        e.position().line(),
+                        e.position().column(),
+                        e.getMessage().lines().findFirst().orElse("not TOML"))));
+        Script s =
+                r.problems.isEmpty() ? r.script(new Fields(toml, "", TomlPosition.positionAt(1, 1), r.problems)) : null;
         if (!r.problems.isEmpty()) {
             throw new ProblemsException(name, r.problems);
         }
@@ -63,8 +67,10 @@
         Range siteDelay = f.range("site_delay_ms", new Range(0.6, 0.6), 0, 10_000);
         Range localDelay = f.range("local_delay_ms", new Range(0.1, 0.1), 0, 10_000);
         Script.Proxies proxies = proxies(f.table("proxies"));
-        List<Script.NodeKind> nodes = f.tables("nodes").stream().map(this::nodes).toList();
-        List<Script.RequestClass> classes = f.tables("class").stream().map(this::requestClass).toList();
+        List<Script.NodeKind> nodes =
+                f.tables("nodes").stream().map(this::nodes).toList();
+        List<Script.RequestClass> classes =
+                f.tables("class").stream().map(this::requestClass).toList();
         if (nodes.isEmpty()) {
             f.wrong("there are no [[nodes]]");
         }
@@ -78,16 +84,34 @@
         Script.Rules rules = rules(f.table("rules"));
         Script.Peers peers = f.has("peers") ? peers(f.table("peers")) : null;
         int fleet = nodes.stream().mapToInt(Script.NodeKind::count).sum();
-        Names names = new Names(numbered("n", fleet), numbered("p", proxies.count()),
-                new LinkedHashSet<>(classes.stream().map(Script.RequestClass::name).toList()));
-        List<Fault> faults = f.tables("fault").stream().map(t -> fault(t, seconds, names,
-                peers != null)).toList();
+        Names names = new Names(
+                numbered("n", fleet),
+                numbered("p", proxies.count()),
+                new LinkedHashSet<>(
+                        classes.stream().map(Script.RequestClass::name).toList()));
+        List<Fault> faults = f.tables("fault").stream()
+                .map(t -> fault(t, seconds, names, peers != null))
+                .toList();
         Map<String, Double> expect = expect(f.table("expect"));
         Script.Search search = search(f.table("search"), peers != null);
         f.noOthers();
-        return new Script(title, seconds, seed, sites, siteDelay, localDelay, proxies, nodes, classes,
+        return new Script(
+                title,
+                seconds,
+                seed,
+                sites,
+                siteDelay,
+                localDelay,
+                proxies,
+                nodes,
+                classes,
                 clients,
-                discovery, rules, faults, expect, search, peers);
+                discovery,
+                rules,
+                faults,
+                expect,
+                search,
+                peers);
     }
 
     private static void distinct(Fields f, String key, List<String> names) {
@@ -105,10 +129,15 @@
     }
 
     private Script.Proxies proxies(Fields f) {
-        Script.Proxies p = new Script.Proxies(f.whole("count", 2, 1, 100), f.number("cores", 1, 0.05, 64),
-                f.whole("memory_mb", 128, 96, 65_536), f.whole("sockets", 1024, 64, 1 << 20),
-                f.whole("attempts", 5, 1, 100), f.flag("cancelling", true),
-                f.number("retry_after_ms", 1000, 0, 60_000), f.number("connect_timeout_ms", 200, 1, 60_000),
+        Script.Proxies p = new Script.Proxies(
+                f.whole("count", 2, 1, 100),
+                f.number("cores", 1, 0.05, 64),
+                f.whole("memory_mb", 128, 96, 65_536),
+                f.whole("sockets", 1024, 64, 1 << 20),
+                f.whole("attempts", 5, 1, 100),
+                f.flag("cancelling", true),
+                f.number("retry_after_ms", 1000, 0, 60_000),
+                f.number("connect_timeout_ms", 200, 1, 60_000),
                 f.number("start_s", 2, 0, 60));
         f.noOthers();
         return p;
@@ -136,9 +165,23 @@
         report.noOthers();
         int bytes = f.whole("answer_bytes", 200, 0, 65_000);
         f.noOthers();
-        return new Script.NodeKind(kind, count, cores, speed, slots, queue, cancelled, connections, connect,
+        return new Script.NodeKind(
+                kind,
+                count,
+                cores,
+                speed,
+                slots,
+                queue,
+                cancelled,
+                connections,
+                connect,
                 memory,
-                saves, most, period, delay, noise, bytes);
+                saves,
+                most,
+                period,
+                delay,
+                noise,
+                bytes);
     }
 
     private Script.RequestClass requestClass(Fields f) {
@@ -165,31 +208,39 @@
             f.wrong("body_bytes", "is for classes that are sent by POST");
         }
         f.noOthers();
-        return new Script.RequestClass(name, effect, scope, window, share, work, promise, giveUp, worth,
-                body);
+        return new Script.RequestClass(name, effect, scope, window, share, work, promise, giveUp, worth, body);
     }
 
     private Script.Clients clients(Fields f) {
-        Script.Clients c = new Script.Clients(f.number("rate", 0.01, 100_000),
-                f.range("patience", new Range(0.7, 1), 0.05, 1), f.whole("retries", 0, 0, 10),
-                f.range("retry_wait_ms", new Range(50, 500), 0, 60_000), f.whole("keys", 1000, 0, 10_000_000),
-                f.number("key_skew", 0.8, 0, 5), f.range("notice_s", new Range(1, 3), 0.05, 60));
+        Script.Clients c = new Script.Clients(
+                f.number("rate", 0.01, 100_000),
+                f.range("patience", new Range(0.7, 1), 0.05, 1),
+                f.whole("retries", 0, 0, 10),
+                f.range("retry_wait_ms", new Range(50, 500), 0, 60_000),
+                f.whole("keys", 1000, 0, 10_000_000),
+                f.number("key_skew", 0.8, 0, 5),
+                f.range("notice_s", new Range(1, 3), 0.05, 60));
         f.noOthers();
         return c;
     }
 
     private Script.Discovery discovery(Fields f) {
-        Script.Discovery d = new Script.Discovery(f.range("delay_ms", new Range(100, 1000), 0, 60_000),
+        Script.Discovery d = new Script.Discovery(
+                f.range("delay_ms", new Range(100, 1000), 0, 60_000),
                 f.range("weight_period_ms", new Range(1000, 1000), 10, 600_000),
-                f.range("notice_s", new Range(0.5, 2), 0, 60), f.number("answer_ms", 0, 0, 60_000));
+                f.range("notice_s", new Range(0.5, 2), 0, 60),
+                f.number("answer_ms", 0, 0, 60_000));
         f.noOthers();
         return d;
     }
 
     private Script.Rules rules(Fields f) {
-        Script.Rules r = new Script.Rules(f.number("drain_grace_ms", 500, 1, 60_000),
-                f.number("start_capacity", 0.3, 0.01, 1), f.number("cold_s", 9, 0.1, 600),
-                f.number("tip_multiple", 3, 1, 100), f.number("fall_s", 1.5, 0.1, 60));
+        Script.Rules r = new Script.Rules(
+                f.number("drain_grace_ms", 500, 1, 60_000),
+                f.number("start_capacity", 0.3, 0.01, 1),
+                f.number("cold_s", 9, 0.1, 600),
+                f.number("tip_multiple", 3, 1, 100),
+                f.number("fall_s", 1.5, 0.1, 60));
         f.noOthers();
         return r;
     }
@@ -206,10 +257,13 @@
     }
 
     private static Script.Peers peers(Fields f) {
-        Script.Peers p = new Script.Peers(f.number("interval_ms", 1000, 50, 60_000),
-                f.number("window_s", 60, 1, 3600), f.number("quiet_s", 5, 0, 600), f.number("gone_s", 90,
-                        0.1, 3600),
-                f.number("agree_s", 60, 0.1, 3600), f.whole("bytes_per_s", 20_000, 100, 1 << 24),
+        Script.Peers p = new Script.Peers(
+                f.number("interval_ms", 1000, 50, 60_000),
+                f.number("window_s", 60, 1, 3600),
+                f.number("quiet_s", 5, 0, 600),
+                f.number("gone_s", 90, 0.1, 3600),
+                f.number("agree_s", 60, 0.1, 3600),
+                f.whole("bytes_per_s", 20_000, 100, 1 << 24),
                 f.number("accusations_per_min", 6, 0, 1e6));
         f.noOthers();
         return p;
@@ -217,16 +271,24 @@
 
     private Script.Search search(Fields f, boolean peers) {
         List<FaultKind> kinds = new ArrayList<>();
-        for (String name : f.texts("kinds", Stream.of(FaultKind.values())
-                .filter(k -> peers || !k.betweenProxies()).map(FaultKind::named).toList())) {
-            Stream.of(FaultKind.values()).filter(k -> k.named().equals(name)).findFirst()
-                    .ifPresentOrElse(kinds::add,
-                    () -> f.wrong("kinds", "names '" + name + "', which is no kind of fault"));
+        for (String name : f.texts(
+                "kinds",
+                Stream.of(FaultKind.values())
+                        .filter(k -> peers || !k.betweenProxies())
+                        .map(FaultKind::named)
+                        .toList())) {
+            Stream.of(FaultKind.values())
+                    .filter(k -> k.named().equals(name))
+                    .findFirst()
+                    .ifPresentOrElse(
+                            kinds::add, () -> f.wrong("kinds", "names '" + name + "', which is no kind of fault"));
         }
         if (kinds.isEmpty()) {
             f.wrong("kinds", "names nothing that could be searched");
         }
-        Script.Search s = new Script.Search(List.copyOf(kinds), f.whole("most", 5, 1, 50),
+        Script.Search s = new Script.Search(
+                List.copyOf(kinds),
+                f.whole("most", 5, 1, 50),
                 f.number("calm_s", 0, 0, LONGEST_S),
                 f.number("below", 0, 0, 1));
         f.noOthers();
@@ -236,7 +298,7 @@
     // ---- faults ----
 
     /** Who can be struck by name. */
-    private record Names(Set<String> nodes, Set<String> proxies, Set<String> classes) { }
+    private record Names(Set<String> nodes, Set<String> proxies, Set<String> classes) {}
 
     private Fault fault(Fields f, double seconds, Names names, boolean peers) {
         FaultKind kind = f.choice("kind", FaultKind.class, null);
@@ -251,31 +313,39 @@
         if (!kind.momentary()) {
             lasts = f.number("for", 0.001, LONGEST_S);
             if (at < seconds && at + lasts > seconds) {
-                f.wrong("for", "runs to " + Fields.plain(at + lasts) + ", but the day ends at "
-                        + Fields.plain(seconds));
+                f.wrong(
+                        "for",
+                        "runs to " + Fields.plain(at + lasts) + ", but the day ends at " + Fields.plain(seconds));
             }
         }
         Map<String, Double> figures = new LinkedHashMap<>();
         for (FaultKind.Figure g : kind.figures()) {
             figures.put(g.name(), f.number(g.name(), g.usual(), g.least(), g.most()));
         }
-        Fault fault = switch (kind.strikes()) {
-            case NODES -> struck(f, "nodes", names.nodes(), kind, at, lasts, figures);
-            case PROXIES -> struck(f, "proxies", names.proxies(), kind, at, lasts, figures);
-            case CLASS -> new Fault(kind, at, lasts, 1, known(f, "class", f.text("class"), names.classes()),
-                    figures);
-            case LINK -> new Fault(kind, at, lasts, 1, List.of(end(f, "from", names), end(f, "to", names)),
-                    figures);
-            case DATAGRAMS -> new Fault(kind, at, lasts, 1,
-                    List.of(proxyEnd(f, "from", names), proxyEnd(f, "to", names)), figures);
-            case FLEET -> new Fault(kind, at, lasts, 0, List.of(), figures);
-        };
+        Fault fault =
+                switch (kind.strikes()) {
+                    case NODES -> struck(f, "nodes", names.nodes(), kind, at, lasts, figures);
+                    case PROXIES -> struck(f, "proxies", names.proxies(), kind, at, lasts, figures);
+                    case CLASS -> new Fault(
+                            kind, at, lasts, 1, known(f, "class", f.text("class"), names.classes()), figures);
+                    case LINK -> new Fault(
+                            kind, at, lasts, 1, List.of(end(f, "from", names), end(f, "to", names)), figures);
+                    case DATAGRAMS -> new Fault(
+                            kind, at, lasts, 1, List.of(proxyEnd(f, "from", names), proxyEnd(f, "to", names)), figures);
+                    case FLEET -> new Fault(kind, at, lasts, 0, List.of(), figures);
+                };
         f.noOthers();
         return fault;
     }
 
     /** A number to be drawn, or names. */
-    private Fault struck(Fields f, String key, Set<String> known, FaultKind kind, double at, double lasts,
+    private Fault struck(
+            Fields f,
+            String key,
+            Set<String> known,
+            FaultKind kind,
+            double at,
+            double lasts,
             Map<String, Double> figures) {
         if (f.isNumber(key) || !f.has(key)) {
             int count = f.whole(key, kind.least(), kind.least(), Math.max(kind.least(), known.size()));
@@ -315,8 +385,10 @@
     /** One end of a way: a machine, or all of a sort. */
     private static String end(Fields f, String key, Names names) {
         String end = f.text(key);
-        if (!end.isEmpty() && !List.of("nodes", "proxies", "clients", "discovery").contains(end)
-                && !names.nodes().contains(end) && !names.proxies().contains(end)) {
+        if (!end.isEmpty()
+                && !List.of("nodes", "proxies", "clients", "discovery").contains(end)
+                && !names.nodes().contains(end)
+                && !names.proxies().contains(end)) {
             f.wrong(key, "is '" + end + "', not a node, a proxy, nodes, proxies, clients or discovery");
         }
         return end;
--- a/src/main/java/gullspar/rehearse/script/ScriptWriter.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptWriter.java
@@ -10,7 +10,7 @@
 public final class ScriptWriter {
     private final StringBuilder out = new StringBuilder(4096);
 
-    private ScriptWriter() { }
+    private ScriptWriter() {}
 
     /** The whole text. */
     public static String write(Script s) {
@@ -49,23 +49,34 @@
     }
 
     private void script(Script s) {
-        line("title", text(s.title())).line("seconds", plain(s.seconds())).line("seed", s.seed())
-                .line("sites", texts(s.sites())).line("site_delay_ms", range(s.siteDelayMs()))
+        line("title", text(s.title()))
+                .line("seconds", plain(s.seconds()))
+                .line("seed", s.seed())
+                .line("sites", texts(s.sites()))
+                .line("site_delay_ms", range(s.siteDelayMs()))
                 .line("local_delay_ms", range(s.localDelayMs()));
         Script.Proxies x = s.proxies();
         table("[proxies]");
-        line("count", x.count()).line("cores", plain(x.cores())).line("memory_mb", x.memoryMb())
-                .line("sockets", x.sockets()).line("attempts", x.attempts()).line("cancelling",
-                        x.cancelling())
+        line("count", x.count())
+                .line("cores", plain(x.cores()))
+                .line("memory_mb", x.memoryMb())
+                .line("sockets", x.sockets())
+                .line("attempts", x.attempts())
+                .line("cancelling", x.cancelling())
                 .line("retry_after_ms", plain(x.retryAfterMs()))
-                .line("connect_timeout_ms", plain(x.connectTimeoutMs())).line("start_s", plain(x.startS()));
+                .line("connect_timeout_ms", plain(x.connectTimeoutMs()))
+                .line("start_s", plain(x.startS()));
         s.nodes().forEach(this::nodes);
         s.classes().forEach(this::requestClass);
         Script.Clients c = s.clients();
         table("[clients]");
-        line("rate", plain(c.rate())).line("patience", range(c.patience())).line("retries", c.retries())
-                .line("retry_wait_ms", range(c.retryWaitMs())).line("keys", c.keys())
-                .line("key_skew", plain(c.keySkew())).line("notice_s", range(c.noticeS()));
+        line("rate", plain(c.rate()))
+                .line("patience", range(c.patience()))
+                .line("retries", c.retries())
+                .line("retry_wait_ms", range(c.retryWaitMs()))
+                .line("keys", c.keys())
+                .line("key_skew", plain(c.keySkew()))
+                .line("notice_s", range(c.noticeS()));
         table("[discovery]");
         line("delay_ms", range(s.discovery().delayMs()))
                 .line("weight_period_ms", range(s.discovery().weightPeriodMs()))
@@ -73,15 +84,20 @@
                 .line("answer_ms", plain(s.discovery().answerMs()));
         Script.Rules r = s.rules();
         table("[rules]");
-        line("drain_grace_ms", plain(r.drainGraceMs())).line("start_capacity", plain(r.startCapacity()))
-                .line("cold_s", plain(r.coldS())).line("tip_multiple", plain(r.tipMultiple()))
+        line("drain_grace_ms", plain(r.drainGraceMs()))
+                .line("start_capacity", plain(r.startCapacity()))
+                .line("cold_s", plain(r.coldS()))
+                .line("tip_multiple", plain(r.tipMultiple()))
                 .line("fall_s", plain(r.fallS()));
         if (s.peers() != null) {
             Script.Peers p = s.peers();
             table("[peers]");
-            line("interval_ms", plain(p.intervalMs())).line("window_s", plain(p.windowS()))
-                    .line("quiet_s", plain(p.quietS())).line("gone_s", plain(p.goneS()))
-                    .line("agree_s", plain(p.agreeS())).line("bytes_per_s", p.bytesPerS())
+            line("interval_ms", plain(p.intervalMs()))
+                    .line("window_s", plain(p.windowS()))
+                    .line("quiet_s", plain(p.quietS()))
+                    .line("gone_s", plain(p.goneS()))
+                    .line("agree_s", plain(p.agreeS()))
+                    .line("bytes_per_s", p.bytesPerS())
                     .line("accusations_per_min", plain(p.accusationsPerMin()));
         }
         if (!s.expect().isEmpty()) {
@@ -90,31 +106,46 @@
         }
         table("[search]");
         line("kinds", texts(s.search().kinds().stream().map(FaultKind::named).toList()))
-                .line("most", s.search().most()).line("calm_s", plain(s.search().calmS()))
+                .line("most", s.search().most())
+                .line("calm_s", plain(s.search().calmS()))
                 .line("below", plain(s.search().below()));
         s.faults().forEach(this::fault);
     }
 
     private void nodes(Script.NodeKind n) {
         table("[[nodes]]");
-        line("kind", text(n.kind())).line("count", n.count()).line("cores", n.cores())
-                .line("speed", range(n.speed())).line("slots", n.slots()).line("queue", n.queue())
-                .line("cancelled", text(Fields.named(n.cancelled()))).line("connections", n.connections())
+        line("kind", text(n.kind()))
+                .line("count", n.count())
+                .line("cores", n.cores())
+                .line("speed", range(n.speed()))
+                .line("slots", n.slots())
+                .line("queue", n.queue())
+                .line("cancelled", text(Fields.named(n.cancelled())))
+                .line("connections", n.connections())
                 .line("connect_ms", range(n.connectMs()))
-                .line("keys", "{ memory_s = " + range(n.keyMemoryS()) + ", saves = " + range(n.keySaves())
-                        + ", most = " + n.keysMost() + " }")
-                .line("report", "{ period_ms = " + range(n.reportPeriodMs()) + ", delay_ms = "
-                        + range(n.reportDelayMs()) + ", noise = " + plain(n.reportNoise()) + " }")
+                .line(
+                        "keys",
+                        "{ memory_s = " + range(n.keyMemoryS()) + ", saves = " + range(n.keySaves()) + ", most = "
+                                + n.keysMost() + " }")
+                .line(
+                        "report",
+                        "{ period_ms = " + range(n.reportPeriodMs()) + ", delay_ms = " + range(n.reportDelayMs())
+                                + ", noise = " + plain(n.reportNoise()) + " }")
                 .line("answer_bytes", n.answerBytes());
     }
 
     private void requestClass(Script.RequestClass c) {
         table("[[class]]");
-        line("name", text(c.name())).line("effect", text(Fields.named(c.effect())))
-                .line("scope", text(Fields.named(c.scope()))).line("window_ms", plain(c.windowMs()))
-                .line("share", plain(c.share())).line("work_ms", range(c.workMs()))
-                .line("promise_ms", plain(c.promiseMs())).line("give_up_ms", plain(c.giveUpMs()))
-                .line("worth", plain(c.worth())).line("body_bytes", c.bodyBytes());
+        line("name", text(c.name()))
+                .line("effect", text(Fields.named(c.effect())))
+                .line("scope", text(Fields.named(c.scope())))
+                .line("window_ms", plain(c.windowMs()))
+                .line("share", plain(c.share()))
+                .line("work_ms", range(c.workMs()))
+                .line("promise_ms", plain(c.promiseMs()))
+                .line("give_up_ms", plain(c.giveUpMs()))
+                .line("worth", plain(c.worth()))
+                .line("body_bytes", c.bodyBytes());
     }
 
     private void fault(Fault f) {
@@ -125,8 +156,7 @@
         }
         Strikes strikes = f.kind().strikes();
         if (strikes == Strikes.NODES || strikes == Strikes.PROXIES) {
-            line(strikes == Strikes.NODES ? "nodes" : "proxies", f.names().isEmpty() ? f.count()
-                    : texts(f.names()));
+            line(strikes == Strikes.NODES ? "nodes" : "proxies", f.names().isEmpty() ? f.count() : texts(f.names()));
         } else if (strikes == Strikes.CLASS) {
             line("class", text(f.names().get(0)));
         } else if (strikes == Strikes.LINK || strikes == Strikes.DATAGRAMS) {
--- a/src/main/java/gullspar/rehearse/search/Draw.java
+++ b/src/main/java/gullspar/rehearse/search/Draw.java
@@ -19,7 +19,7 @@
     /** The longest that a fault lasts, in s, and the part of the day in which faults begin. */
     private static final double LONGEST_S = 8, BEGIN_IN = 0.8;
 
-    private Draw() { }
+    private Draw() {}
 
     /** The script's day of that number: its seed and its faults are drawn anew, all else stays. */
     static Script day(Script s, int number) {
@@ -27,7 +27,8 @@
         List<Fault> faults = new ArrayList<>();
         int count = 1 + r.nextInt(s.search().most());
         for (int i = 0; i < count; i++) {
-            faults.add(fault(s, s.search().kinds().get(r.nextInt(s.search().kinds().size())), r));
+            faults.add(
+                    fault(s, s.search().kinds().get(r.nextInt(s.search().kinds().size())), r));
         }
         faults.sort(Comparator.comparingDouble(Fault::at));
         return s.with((long) number).with(faults);
@@ -42,8 +43,8 @@
         double end = s.seconds() > s.search().calmS() ? s.seconds() - s.search().calmS() : s.seconds();
         double at = tenth(r.nextDouble() * end * BEGIN_IN);
         double left = Math.min(LONGEST_S, end - at);
-        double lasts = kind.momentary() ? 0 : Math.max(0.1, Math.floor(10 * left * (0.05 + 0.95 * r
-                .nextDouble())) / 10);
+        double lasts =
+                kind.momentary() ? 0 : Math.max(0.1, Math.floor(10 * left * (0.05 + 0.95 * r.nextDouble())) / 10);
         Map<String, Double> figures = new LinkedHashMap<>();
         for (Figure f : kind.figures()) {
             double spread = StrictMath.pow(SPREAD, 2 * r.nextDouble() - 1);
@@ -51,12 +52,21 @@
             figures.put(f.name(), Math.max(f.least(), Math.min(f.most(), Math.rint(value * 1000) / 1000)));
         }
         return switch (kind.strikes()) {
-            case NODES -> new Fault(kind, at, lasts, 1 + r.nextInt(Math.max(1, s.fleet() / 2)), List.of(),
+            case NODES -> new Fault(kind, at, lasts, 1 + r.nextInt(Math.max(1, s.fleet() / 2)), List.of(), figures);
+            case PROXIES -> new Fault(
+                    kind,
+                    at,
+                    lasts,
+                    Math.max(kind.least(), 1 + r.nextInt(s.proxies().count())),
+                    List.of(),
+                    figures);
+            case CLASS -> new Fault(
+                    kind,
+                    at,
+                    lasts,
+                    1,
+                    List.of(s.classes().get(r.nextInt(s.classes().size())).name()),
                     figures);
-            case PROXIES -> new Fault(kind, at, lasts, Math.max(kind.least(), 1 + r.nextInt(s.proxies()
-                    .count())), List.of(), figures);
-            case CLASS -> new Fault(kind, at, lasts, 1,
-                    List.of(s.classes().get(r.nextInt(s.classes().size())).name()), figures);
             case LINK -> new Fault(kind, at, lasts, 1, ends(s, r), figures);
             case DATAGRAMS -> new Fault(kind, at, lasts, 1, List.of(proxies(s, r), proxies(s, r)), figures);
             default -> new Fault(kind, at, lasts, 0, List.of(), figures);
@@ -69,16 +79,18 @@
 
     /** Proxies to nodes or back, or one of them to one, or the clients' way to the proxies. */
     private static List<String> ends(Script s, SplittableRandom r) {
-        String proxy = r.nextBoolean() ? "proxies" : "p" + (1 + r.nextInt(s.proxies().count()));
+        String proxy =
+                r.nextBoolean() ? "proxies" : "p" + (1 + r.nextInt(s.proxies().count()));
         if (s.peers() != null && r.nextBoolean()) {
             return List.of(proxy, proxies(s, r));
         }
-        String other = switch (r.nextInt(4)) {
-            case 0 -> "clients";
-            case 1 -> "discovery";
-            case 2 -> "nodes";
-            default -> "n" + (1 + r.nextInt(s.fleet()));
-        };
+        String other =
+                switch (r.nextInt(4)) {
+                    case 0 -> "clients";
+                    case 1 -> "discovery";
+                    case 2 -> "nodes";
+                    default -> "n" + (1 + r.nextInt(s.fleet()));
+                };
         return r.nextBoolean() ? List.of(proxy, other) : List.of(other, proxy);
     }
 }
--- a/src/main/java/gullspar/rehearse/search/Finding.java
+++ b/src/main/java/gullspar/rehearse/search/Finding.java
@@ -20,8 +20,11 @@
             }
         }
         return v.service() < script.search().below()
-                ? new Finding(script, null, "service " + v.service() + ", under " + script.search().below())
-                        : null;
+                ? new Finding(
+                        script,
+                        null,
+                        "service " + v.service() + ", under " + script.search().below())
+                : null;
     }
 
     /** A short name of what is wrong. */
--- a/src/main/java/gullspar/rehearse/search/Search.java
+++ b/src/main/java/gullspar/rehearse/search/Search.java
@@ -107,14 +107,19 @@
             if (f != null) {
                 found++;
                 Path file = folder.resolve("found-" + f.name() + "-" + n + ".toml");
-                Files.writeString(file, "# Day " + n + " of a search. " + f.what().replace('\n', ' ') + "\n"
-                        + "# Play it again: ./gullspar rehearse " + file.getFileName() + "\n" + ScriptWriter
-                                .write(f.script()));
+                Files.writeString(
+                        file,
+                        "# Day " + n + " of a search. " + f.what().replace('\n', ' ') + "\n"
+                                + "# Play it again: ./gullspar rehearse " + file.getFileName() + "\n"
+                                + ScriptWriter.write(f.script()));
                 listener.found(f, file);
             }
             done.add(n);
-            Files.writeString(folder.resolve(STATE), n + (f == null ? " kept" : " " + f.name()) + "\n",
-                    StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+            Files.writeString(
+                    folder.resolve(STATE),
+                    n + (f == null ? " kept" : " " + f.name()) + "\n",
+                    StandardOpenOption.CREATE,
+                    StandardOpenOption.APPEND);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -124,7 +129,8 @@
     /** The first line tells of which script it is the state: another one begins anew. */
     private void readState() throws IOException {
         Path file = folder.resolve(STATE);
-        String of = "search of " + Integer.toHexString(ScriptWriter.write(script).hashCode());
+        String of =
+                "search of " + Integer.toHexString(ScriptWriter.write(script).hashCode());
         String text = Files.exists(file) ? Files.readString(file) : "";
         // What the end of the process cut short is no line, and the next one must not be written behind it.
         text = text.substring(0, text.lastIndexOf('\n') + 1);
--- a/src/main/java/gullspar/rehearse/search/Shrink.java
+++ b/src/main/java/gullspar/rehearse/search/Shrink.java
@@ -75,13 +75,19 @@
     }
 
     private void less(int i) {
-        while (change(i, f -> f.lasts() < 0.2 ? null : new Fault(f.kind(), f.at(),
-                Math.rint(f.lasts() * 5) / 10,
-                f.count(), f.names(), f.figures()))) {
+        while (change(
+                i,
+                f -> f.lasts() < 0.2
+                        ? null
+                        : new Fault(
+                                f.kind(), f.at(), Math.rint(f.lasts() * 5) / 10, f.count(), f.names(), f.figures()))) {
             continue; // half as long, while that does
         }
-        while (change(i, f -> !f.names().isEmpty() || f.count() / 2 < f.kind().least() ? null
-                : new Fault(f.kind(), f.at(), f.lasts(), f.count() / 2, f.names(), f.figures()))) {
+        while (change(
+                i,
+                f -> !f.names().isEmpty() || f.count() / 2 < f.kind().least()
+                        ? null
+                        : new Fault(f.kind(), f.at(), f.lasts(), f.count() / 2, f.names(), f.figures()))) {
             continue; // half as many
         }
     }
@@ -97,7 +103,9 @@
     }
 
     private void shorter() {
-        double last = smallest.script().faults().stream().mapToDouble(f -> f.at() + f.lasts()).max()
+        double last = smallest.script().faults().stream()
+                .mapToDouble(f -> f.at() + f.lasts())
+                .max()
                 .orElse(0);
         for (double seconds = last + LEAST_S; seconds < smallest.script().seconds(); seconds += 4) {
             if (still(smallest.script().with(Math.ceil(seconds)))) {
--- a/src/main/java/gullspar/rehearse/stage/Agent.java
+++ b/src/main/java/gullspar/rehearse/stage/Agent.java
@@ -32,7 +32,13 @@
     private static final long DUE_MS = 6000;
 
     /** An instance as listed. */
-    record Entry(String id, String hostPort, String site, String kind, int cell, String lifecycle,
+    record Entry(
+            String id,
+            String hostPort,
+            String site,
+            String kind,
+            int cell,
+            String lifecycle,
             double weight,
             long startedAtMs) {
         boolean leaving() {
@@ -40,13 +46,20 @@
         }
 
         private ObjectNode json() {
-            return JsonNodeFactory.instance.objectNode().put("instanceId", id).put("hostPort", hostPort)
-                    .put("zone", site).put("machineType", kind).put("cell", cell).put("lifecycle", lifecycle)
-                    .put("weight", weight).put("startedAtMs", startedAtMs);
+            return JsonNodeFactory.instance
+                    .objectNode()
+                    .put("instanceId", id)
+                    .put("hostPort", hostPort)
+                    .put("zone", site)
+                    .put("machineType", kind)
+                    .put("cell", cell)
+                    .put("lifecycle", lifecycle)
+                    .put("weight", weight)
+                    .put("startedAtMs", startedAtMs);
         }
     }
 
-    private record Versioned(Entry entry, long version) { }
+    private record Versioned(Entry entry, long version) {}
 
     private final String proxy;
     private final Stage stage;
@@ -56,6 +69,7 @@
     private final Turns turns;
     /** By instance; those that are gone stay, so that an old watch can be told. */
     private Map<String, Versioned> entries = new LinkedHashMap<>();
+
     private Map<String, Versioned> old;
     private long version = 1;
     private long oldVersion;
@@ -89,12 +103,16 @@
     }
 
     private void listen() {
-        listener = platform.transport().at(address).childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel c) {
-                c.pipeline().addLast(new HttpRequestDecoder(), new Watch());
-            }
-        }).bind().channel();
+        listener = platform.transport()
+                .at(address)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(new HttpRequestDecoder(), new Watch());
+                    }
+                })
+                .bind()
+                .channel();
     }
 
     InetSocketAddress address() {
@@ -133,14 +151,18 @@
 
     private void dueInTime(List<Entry> list) {
         int since = turned;
-        list.stream().filter(e -> !e.leaving())
-                .forEach(e -> chronicle.due(proxy, e.id(), false, stage.now()));
-        platform.loop().schedule(() -> {
-            if (since == turned && !silent && !down && old == null) {
-                list.stream().filter(e -> e.leaving() && entries.get(e.id()).entry == e)
-                        .forEach(e -> chronicle.due(proxy, e.id(), true, stage.now()));
-            }
-        }, DUE_MS, TimeUnit.MILLISECONDS);
+        list.stream().filter(e -> !e.leaving()).forEach(e -> chronicle.due(proxy, e.id(), false, stage.now()));
+        platform.loop()
+                .schedule(
+                        () -> {
+                            if (since == turned && !silent && !down && old == null) {
+                                list.stream()
+                                        .filter(e -> e.leaving() && entries.get(e.id()).entry == e)
+                                        .forEach(e -> chronicle.due(proxy, e.id(), true, stage.now()));
+                            }
+                        },
+                        DUE_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
     void silent(boolean on) {
@@ -179,8 +201,13 @@
 
     /** The whole list, without what is gone. */
     ObjectNode json() {
-        return line(version, true, entries.values().stream().map(Versioned::entry)
-                .filter(e -> !e.lifecycle().equals("terminated")).toList());
+        return line(
+                version,
+                true,
+                entries.values().stream()
+                        .map(Versioned::entry)
+                        .filter(e -> !e.lifecycle().equals("terminated"))
+                        .toList());
     }
 
     /** A proxy starts with what is known here. */
@@ -189,8 +216,8 @@
     }
 
     private static ObjectNode line(long version, boolean whole, List<Entry> list) {
-        ObjectNode line = JsonNodeFactory.instance.objectNode().put("generation", version).put("reset",
-                whole);
+        ObjectNode line =
+                JsonNodeFactory.instance.objectNode().put("generation", version).put("reset", whole);
         ArrayNode instances = line.putArray("instances");
         list.forEach(e -> instances.add(e.json()));
         return line;
@@ -221,7 +248,8 @@
             stage.peer(c.channel(), proxy);
             write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             watches.add(this);
-            long index = Long.parseLong(q.parameters().getOrDefault("index", List.of("-1")).get(0));
+            long index = Long.parseLong(
+                    q.parameters().getOrDefault("index", List.of("-1")).get(0));
             platform.loop().schedule(() -> begin(index), turns.next(stage.now()), TimeUnit.NANOSECONDS);
         }
 
@@ -238,9 +266,11 @@
             Map<String, Versioned> from = old != null ? old : entries;
             long of = old != null ? oldVersion : version;
             boolean whole = index < 0 || index > of;
-            List<Entry> list = from.values().stream().filter(v -> whole || v.version > index)
-                    .map(Versioned::entry).filter(e -> !whole || !e.lifecycle().equals("terminated"))
-                            .toList();
+            List<Entry> list = from.values().stream()
+                    .filter(v -> whole || v.version > index)
+                    .map(Versioned::entry)
+                    .filter(e -> !whole || !e.lifecycle().equals("terminated"))
+                    .toList();
             if (!silent) {
                 say(line(of, whole, list).toString(), list);
             }
@@ -252,14 +282,18 @@
         }
 
         private void beat() {
-            platform.loop().schedule(() -> {
-                if (watches.contains(this)) {
-                    if (!silent) {
-                        write(chunk("\n"));
-                    }
-                    beat();
-                }
-            }, BEAT_MS, TimeUnit.MILLISECONDS);
+            platform.loop()
+                    .schedule(
+                            () -> {
+                                if (watches.contains(this)) {
+                                    if (!silent) {
+                                        write(chunk("\n"));
+                                    }
+                                    beat();
+                                }
+                            },
+                            BEAT_MS,
+                            TimeUnit.MILLISECONDS);
         }
 
         private static String chunk(String text) {
--- a/src/main/java/gullspar/rehearse/stage/Chronicle.java
+++ b/src/main/java/gullspar/rehearse/stage/Chronicle.java
@@ -10,10 +10,10 @@
 /** All that happened on a day, as seen from outside the proxies: what the judge and the report go by. */
 public final class Chronicle {
     /** A proxy was told by then that a node is in service, drains or is gone. */
-    public record Told(long at, boolean leaving) { }
+    public record Told(long at, boolean leaving) {}
 
     /** Something that happened, in words. */
-    public record Happening(long at, String what) { }
+    public record Happening(long at, String what) {}
 
     /** A stretch of time in which something was so; until MAX_VALUE while it lasts. */
     public record Stretch(long from, long until) {
@@ -23,7 +23,7 @@
     }
 
     /** A node at one moment: held in requests, util 0 to 1 or NaN while it is down. */
-    public record Sample(long at, String node, int held, double util, double share, boolean listed) { }
+    public record Sample(long at, String node, int held, double util, double share, boolean listed) {}
 
     private long start;
     private BiFunction<String, String, Try> strangers;
@@ -32,11 +32,13 @@
     private final Map<String, List<Told>> told = new HashMap<>();
     /** The same by what discovery has had for long enough, whether or not any watch heard it. */
     private final Map<String, List<Told>> due = new HashMap<>();
+
     private final List<Happening> happenings = new ArrayList<>();
     private final List<Happening> crashes = new ArrayList<>();
     private final Map<String, Long> fallen = new LinkedHashMap<>();
     /** Stretches in which a proxy was not itself, or the way to it was not sound: by proxy. */
     private final Map<String, List<Stretch>> excused = new HashMap<>();
+
     private final List<Sample> samples = new ArrayList<>();
     private final List<String> rudeServed = new ArrayList<>();
     private int rudeSent;
@@ -63,7 +65,7 @@
     }
 
     /** Some proxies heard nothing of the others. */
-    public record Parted(long from, long until, List<String> one) { }
+    public record Parted(long from, long until, List<String> one) {}
 
     /** The day begins now: times in reports count from here. */
     public void begins(long now) {
@@ -113,8 +115,7 @@
         note(due, proxy, node, leaving, at);
     }
 
-    private static void note(Map<String, List<Told>> in, String proxy, String node, boolean leaving,
-            long at) {
+    private static void note(Map<String, List<Told>> in, String proxy, String node, boolean leaving, long at) {
         List<Told> list = in.computeIfAbsent(proxy + '>' + node, k -> new ArrayList<>());
         if (list.isEmpty() || list.get(list.size() - 1).leaving != leaving) {
             list.add(new Told(at, leaving));
--- a/src/main/java/gullspar/rehearse/stage/Crowd.java
+++ b/src/main/java/gullspar/rehearse/stage/Crowd.java
@@ -107,13 +107,18 @@
 
     /** The next arrival comes on a schedule of its own: a late wake-up does not delay those after it. */
     private void next(long from) {
-        double wait = -StrictMath.log(1 - arrivals.nextDouble()) / script.clients().rate();
+        double wait =
+                -StrictMath.log(1 - arrivals.nextDouble()) / script.clients().rate();
         long at = from + (long) (wait * 1e9 / Math.max(1e-6, traffic));
         if (at < until) {
-            platform.loop().schedule(() -> {
-                arrive();
-                next(at);
-            }, Math.max(0, at - stage.now()), TimeUnit.NANOSECONDS);
+            platform.loop()
+                    .schedule(
+                            () -> {
+                                arrive();
+                                next(at);
+                            },
+                            Math.max(0, at - stage.now()),
+                            TimeUnit.NANOSECONDS);
         }
     }
 
@@ -157,8 +162,7 @@
     private void attempt(Order o, SplittableRandom draw) {
         double patience = script.clients().patience().draw(draw);
         long now = stage.now();
-        Try t = new Try(o, "r" + ++requests + "-" + o.number, now
-                + (long) (o.kind.giveUpMs() * 1e6 * patience));
+        Try t = new Try(o, "r" + ++requests + "-" + o.number, now + (long) (o.kind.giveUpMs() * 1e6 * patience));
         o.tries.add(t);
         open++;
         chronicle.request(t);
@@ -166,8 +170,7 @@
     }
 
     private void deal(Try t, SplittableRandom draw, String not, int deals) {
-        String proxy = deals < DEALS ? front.deal(t.order.site, draw.nextDouble(), draw.nextDouble(), not)
-                : "";
+        String proxy = deals < DEALS ? front.deal(t.order.site, draw.nextDouble(), draw.nextDouble(), not) : "";
         if (proxy.isEmpty()) {
             ended(t, draw, Try.Ending.NOT_TAKEN, 0);
             return;
@@ -180,15 +183,16 @@
             return;
         }
         Connection fresh = new Connection(proxy);
-        ChannelFuture connect = platform.transport().to(stage.address(proxy))
+        ChannelFuture connect = platform.transport()
+                .to(stage.address(proxy))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 20),
-                                fresh);
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 20), fresh);
                     }
-                }).connect();
+                })
+                .connect();
         fresh.channel = connect.channel();
         connect.addListener(f -> {
             if (f.isSuccess()) {
@@ -245,25 +249,32 @@
                 ended(t, draw, Try.Ending.NOT_TAKEN, 0);
                 return;
             }
-            patience = platform.loop().schedule(() -> leave(t, Try.Ending.GIVEN_UP), t.deadline - now,
-                    TimeUnit.NANOSECONDS);
+            patience = platform.loop()
+                    .schedule(() -> leave(t, Try.Ending.GIVEN_UP), t.deadline - now, TimeUnit.NANOSECONDS);
             double[] l = leaving.getOrDefault(t.order.kind.name(), new double[] {0, 0});
             if (l[0] > 0 && draw.nextDouble() < l[0]) {
-                platform.loop().schedule(() -> leave(t, Try.Ending.LEFT),
-                        (long) (draw.nextDouble() * l[1] * 1e6), TimeUnit.NANOSECONDS);
+                platform.loop()
+                        .schedule(
+                                () -> leave(t, Try.Ending.LEFT),
+                                (long) (draw.nextDouble() * l[1] * 1e6),
+                                TimeUnit.NANOSECONDS);
             }
-            channel.pipeline().context(HttpClientCodec.class)
+            channel.pipeline()
+                    .context(HttpClientCodec.class)
                     .writeAndFlush(Unpooled.copiedBuffer(text(t, now), StandardCharsets.US_ASCII));
         }
 
         private String text(Try t, long now) {
             RequestClass c = t.order.kind;
             boolean safe = c.effect() == Effect.IDEMPOTENT;
-            StringBuilder s = new StringBuilder(256).append(safe ? "GET /" : "POST /").append(c.name())
-                    .append("/").append(t.order.number % 100)
-                            .append(" HTTP/1.1\r\nHost: shop\r\nRequest-Id: ")
-                    .append(t.id).append(String.format(Locale.ROOT, "\r\nRequest-Timeout: %.6f",
-                            (t.deadline - now) / 1e9));
+            StringBuilder s = new StringBuilder(256)
+                    .append(safe ? "GET /" : "POST /")
+                    .append(c.name())
+                    .append("/")
+                    .append(t.order.number % 100)
+                    .append(" HTTP/1.1\r\nHost: shop\r\nRequest-Id: ")
+                    .append(t.id)
+                    .append(String.format(Locale.ROOT, "\r\nRequest-Timeout: %.6f", (t.deadline - now) / 1e9));
             if (t.order.key != 0) {
                 s.append("\r\nCookie: sid=k").append(t.order.key);
             }
@@ -276,7 +287,9 @@
             if (!safe) {
                 s.append("\r\nContent-Length: ").append(c.bodyBytes());
             }
-            return s.append("\r\n\r\n").append(safe ? "" : "x".repeat(c.bodyBytes())).toString();
+            return s.append("\r\n\r\n")
+                    .append(safe ? "" : "x".repeat(c.bodyBytes()))
+                    .toString();
         }
 
         private void leave(Try t, Try.Ending how) {
--- a/src/main/java/gullspar/rehearse/stage/Fitness.java
+++ b/src/main/java/gullspar/rehearse/stage/Fitness.java
@@ -6,7 +6,7 @@
 /** What a node could do over the last while, as that changed: no clock of its own. */
 final class Fitness {
     /** From a time on it could do so much, in ns of work in a ns. */
-    private record Since(long at, double couldDo) { }
+    private record Since(long at, double couldDo) {}
 
     private final Deque<Since> changes = new ArrayDeque<>();
 
@@ -32,7 +32,7 @@
         }
         double work = 0;
         long until = now;
-        for (var i = changes.descendingIterator(); i.hasNext();) {
+        for (var i = changes.descendingIterator(); i.hasNext(); ) {
             Since s = i.next();
             long since = i.hasNext() ? Math.max(from, s.at) : from;
             work += s.couldDo * Math.max(0, until - since);
--- a/src/main/java/gullspar/rehearse/stage/Fleet.java
+++ b/src/main/java/gullspar/rehearse/stage/Fleet.java
@@ -25,6 +25,7 @@
     private final SplittableRandom random;
     /** The machines with the process that runs on each, by the machine's name; null where none runs. */
     private final Map<String, Node> byMachine = new LinkedHashMap<>();
+
     private final Map<String, Script.NodeKind> kinds = new LinkedHashMap<>();
     private final Map<String, Double> speeds = new HashMap<>();
     private final Map<String, String> sites = new HashMap<>();
@@ -61,7 +62,9 @@
 
     /** Those whose node runs. */
     public List<String> running() {
-        return byMachine.entrySet().stream().filter(e -> e.getValue() != null).map(Map.Entry::getKey)
+        return byMachine.entrySet().stream()
+                .filter(e -> e.getValue() != null)
+                .map(Map.Entry::getKey)
                 .toList();
     }
 
@@ -107,9 +110,16 @@
     }
 
     private Node run(String machine, String id, long bootNs) {
-        Node node = new Node(this, id, machine, sites.get(machine), 0, kinds.get(machine),
+        Node node = new Node(
+                this,
+                id,
+                machine,
+                sites.get(machine),
+                0,
+                kinds.get(machine),
                 speeds.get(machine),
-                bootNs, random.split());
+                bootNs,
+                random.split());
         byMachine.put(machine, node);
         node.start();
         return node;
@@ -144,12 +154,11 @@
         byMachine.put(node.machine, null);
         after(noticedAfterS, () -> {
             Agent.Entry e = listed.get(node.id);
-            boolean back = byMachine.get(node.machine) != null && byMachine.get(node.machine).id
-                    .equals(node.id);
+            boolean back = byMachine.get(node.machine) != null
+                    && byMachine.get(node.machine).id.equals(node.id);
             if (e != null && !back) {
-                list(new Agent.Entry(e.id(), e.hostPort(), e.site(), e.kind(), e.cell(), "terminated",
-                        e.weight(),
-                        e.startedAtMs()));
+                list(new Agent.Entry(
+                        e.id(), e.hostPort(), e.site(), e.kind(), e.cell(), "terminated", e.weight(), e.startedAtMs()));
             }
         });
     }
@@ -246,8 +255,7 @@
 
     private static Agent.Entry entry(Node n, String lifecycle) {
         String at = n.address.getAddress().getHostAddress() + ":" + n.address.getPort();
-        return new Agent.Entry(n.id, at, n.site, n.kind.kind(), n.cell, lifecycle, n.weight(),
-                n.bootNs / 1_000_000);
+        return new Agent.Entry(n.id, at, n.site, n.kind.kind(), n.cell, lifecycle, n.weight(), n.bootNs / 1_000_000);
     }
 
     private void list(Agent.Entry e) {
@@ -286,8 +294,7 @@
 
     @Override
     public Repeats repeats(Script.RequestClass c, Node node) {
-        String scope = c.scope() == Scope.ALL ? "" : c.scope() == Scope.ZONE ? node.site : node.site
-                + node.cell;
+        String scope = c.scope() == Scope.ALL ? "" : c.scope() == Scope.ZONE ? node.site : node.site + node.cell;
         return repeats.computeIfAbsent(c.name() + ">" + scope, k -> new Repeats((long) (c.windowMs() * 1e6)));
     }
 
@@ -313,9 +320,15 @@
                     util = (busy - busyBefore.getOrDefault(n.id + n.bootNs, 0.0)) / SAMPLE_NS / n.cores();
                     busyBefore.put(n.id + n.bootNs, busy);
                 }
-                chronicle.sample(new Chronicle.Sample(stage.now(), e.getKey(), n == null ? 0 : n.held(), util,
+                chronicle.sample(new Chronicle.Sample(
+                        stage.now(),
+                        e.getKey(),
+                        n == null ? 0 : n.held(),
+                        util,
                         all == 0 ? 0 : share.getOrDefault(e.getKey(), 0) / (double) all,
-                        n != null && listed.containsKey(n.id) && !listed.get(n.id).leaving()));
+                        n != null
+                                && listed.containsKey(n.id)
+                                && !listed.get(n.id).leaving()));
             }
             sample();
         });
--- a/src/main/java/gullspar/rehearse/stage/Front.java
+++ b/src/main/java/gullspar/rehearse/stage/Front.java
@@ -34,9 +34,10 @@
     private final Map<String, Boolean> in = new LinkedHashMap<>();
     /** Counts the lives of each proxy: what is known of an earlier one says nothing of the next. */
     private final Map<String, Integer> lives = new LinkedHashMap<>();
+
     private String rushTo;
     private double rush;
-    private Runnable whenAllIn = () -> { };
+    private Runnable whenAllIn = () -> {};
 
     public Front(Stage stage, Script script, List<String> proxies) {
         this.stage = stage;
@@ -67,24 +68,34 @@
     /** A proxy has died, or is about to: that is noticed later. */
     public void ended(String proxy) {
         int life = lives.merge(proxy, 1, Integer::sum);
-        platform.loop().schedule(() -> {
-            if (lives.get(proxy) == life) {
-                in.put(proxy, false);
-            }
-        }, (long) (script.clients().noticeS().draw(random) * 1e9), TimeUnit.NANOSECONDS);
+        platform.loop()
+                .schedule(
+                        () -> {
+                            if (lives.get(proxy) == life) {
+                                in.put(proxy, false);
+                            }
+                        },
+                        (long) (script.clients().noticeS().draw(random) * 1e9),
+                        TimeUnit.NANOSECONDS);
     }
 
     private void check(String proxy, int life) {
         if (lives.get(proxy) != life) {
             return;
         }
-        platform.transport().to(stage.address(proxy)).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
+        platform.transport()
+                .to(stage.address(proxy))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1000)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new HttpClientCodec(), new Check(proxy, life));
                     }
-                }).connect().channel().closeFuture().addListener(f -> {
+                })
+                .connect()
+                .channel()
+                .closeFuture()
+                .addListener(f -> {
                     if (lives.get(proxy) == life && !in.get(proxy)) {
                         platform.loop().schedule(() -> check(proxy, life), CHECK_MS, TimeUnit.MILLISECONDS);
                     }
@@ -103,8 +114,10 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            ctx.pipeline().context(HttpClientCodec.class).writeAndFlush(Unpooled.copiedBuffer(
-                    "GET /_health HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n",
+            ctx.pipeline()
+                    .context(HttpClientCodec.class)
+                    .writeAndFlush(Unpooled.copiedBuffer(
+                            "GET /_health HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n",
                             StandardCharsets.US_ASCII));
             platform.loop().schedule(() -> ctx.close(), 1, TimeUnit.SECONDS);
         }
@@ -116,7 +129,7 @@
                     in.put(proxy, true);
                     if (!in.containsValue(false)) {
                         Runnable then = whenAllIn;
-                        whenAllIn = () -> { };
+                        whenAllIn = () -> {};
                         then.run();
                     }
                 }
--- a/src/main/java/gullspar/rehearse/stage/Look.java
+++ b/src/main/java/gullspar/rehearse/stage/Look.java
@@ -13,7 +13,13 @@
  * @param sentBytes what it has sent since its start
  * @param objections how often it had to say that it lives
  */
-public record Look(long at, String proxy, String life, boolean cutOff, double upS, long sentBytes,
+public record Look(
+        long at,
+        String proxy,
+        String life,
+        boolean cutOff,
+        double upS,
+        long sentBytes,
         long objections,
         List<Seen> seen) {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -43,13 +49,22 @@
             if (m.path("self").asBoolean()) {
                 up = m.path("up_s").asDouble();
             } else {
-                seen.add(new Seen(m.path("name").asText(), m.path("life").asText(), m.path("status").asText(),
-                        m.path("incarnation").asInt(), m.path("twin").asBoolean()));
+                seen.add(new Seen(
+                        m.path("name").asText(),
+                        m.path("life").asText(),
+                        m.path("status").asText(),
+                        m.path("incarnation").asInt(),
+                        m.path("twin").asBoolean()));
             }
         }
-        return new Look(at, process, n.path("life").asText(), n.path("cut_off").asBoolean(),
+        return new Look(
+                at,
+                process,
+                n.path("life").asText(),
+                n.path("cut_off").asBoolean(),
                 up,
-                n.path("datagrams").path("sent_bytes").asLong(), n.path("objections").asLong(),
-                        List.copyOf(seen));
+                n.path("datagrams").path("sent_bytes").asLong(),
+                n.path("objections").asLong(),
+                List.copyOf(seen));
     }
 }
--- a/src/main/java/gullspar/rehearse/stage/Machine.java
+++ b/src/main/java/gullspar/rehearse/stage/Machine.java
@@ -42,6 +42,7 @@
     private double power = 1;
     /** Work that each running job has got since the beginning, had it run all along. */
     private double attained;
+
     private double busyNs;
     private long at;
     private long numbers;
--- a/src/main/java/gullspar/rehearse/stage/Node.java
+++ b/src/main/java/gullspar/rehearse/stage/Node.java
@@ -45,6 +45,7 @@
     final Script.NodeKind kind;
     /** When it started, Unix time in ns; 0 for long ago: it is warm. */
     final long bootNs;
+
     final InetSocketAddress address;
     private final Fleet fleet;
     private final Platform platform;
@@ -59,6 +60,7 @@
     private final long reportDelayNs;
     /** Work that was sent in the last time in which it could fall, oldest first: when, and how much. */
     private final Deque<double[]> sent = new ArrayDeque<>();
+
     private double sentNs;
     private ScheduledFuture<?> wake;
     private long wakeAt = Long.MAX_VALUE;
@@ -74,8 +76,16 @@
     private int errors;
     private int served;
 
-    Node(Fleet fleet, String id, String machine, String site, int cell, Script.NodeKind kind, double speed,
-            long bootNs, SplittableRandom random) {
+    Node(
+            Fleet fleet,
+            String id,
+            String machine,
+            String site,
+            int cell,
+            Script.NodeKind kind,
+            double speed,
+            long bootNs,
+            SplittableRandom random) {
         this.fleet = fleet;
         this.id = id;
         this.machine = machine;
@@ -99,12 +109,15 @@
     }
 
     void start() {
-        platform.transport().at(address).childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel c) {
-                c.pipeline().addLast(new HttpRequestDecoder(), new NodeConnection(Node.this));
-            }
-        }).bind();
+        platform.transport()
+                .at(address)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        c.pipeline().addLast(new HttpRequestDecoder(), new NodeConnection(Node.this));
+                    }
+                })
+                .bind();
         power();
         // Nodes that started together do not report together.
         after(random.nextLong(Math.max(1, reportPeriodNs)), this::makeReport);
@@ -114,11 +127,15 @@
     }
 
     private void after(long ns, Runnable what) {
-        platform.loop().schedule(() -> {
-            if (up) {
-                what.run();
-            }
-        }, ns, TimeUnit.NANOSECONDS);
+        platform.loop()
+                .schedule(
+                        () -> {
+                            if (up) {
+                                what.run();
+                            }
+                        },
+                        ns,
+                        TimeUnit.NANOSECONDS);
     }
 
     /** The process ends: nothing of it goes on. */
@@ -189,10 +206,16 @@
                 wake.cancel(false);
             }
             wakeAt = next;
-            wake = next == Long.MAX_VALUE ? null : platform.loop().schedule(() -> {
-                wakeAt = Long.MAX_VALUE;
-                work();
-            }, Math.max(0, next - now), TimeUnit.NANOSECONDS);
+            wake = next == Long.MAX_VALUE
+                    ? null
+                    : platform.loop()
+                            .schedule(
+                                    () -> {
+                                        wakeAt = Long.MAX_VALUE;
+                                        work();
+                                    },
+                                    Math.max(0, next - now),
+                                    TimeUnit.NANOSECONDS);
         }
     }
 
@@ -246,8 +269,8 @@
         lastReportAt = now;
         double noise = kind.reportNoise();
         util = Math.max(0, Math.min(1, util * (1 + noise * (2 * random.nextDouble() - 1))));
-        String next = String.format(Locale.ROOT, "util=%.2f,inflight=%d,eps=%.1f", util, cpu.held(),
-                errors / (span / 1e9));
+        String next =
+                String.format(Locale.ROOT, "util=%.2f,inflight=%d,eps=%.1f", util, cpu.held(), errors / (span / 1e9));
         errors = 0;
         after(reportDelayNs, () -> report = next);
         after(reportPeriodNs, this::makeReport);
--- a/src/main/java/gullspar/rehearse/stage/NodeConnection.java
+++ b/src/main/java/gullspar/rehearse/stage/NodeConnection.java
@@ -97,7 +97,8 @@
 
     private byte[] message(int status, String headers, String body) {
         return ("HTTP/1.1 " + status + " Status\r\nServer-Load: " + node.report() + "\r\n" + headers
-                + "Content-Length: " + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII);
+                        + "Content-Length: " + body.length() + "\r\n\r\n" + body)
+                .getBytes(StandardCharsets.US_ASCII);
     }
 
     /** Turns the request in hand away; returns when. */
--- a/src/main/java/gullspar/rehearse/stage/NodeRequest.java
+++ b/src/main/java/gullspar/rehearse/stage/NodeRequest.java
@@ -9,6 +9,7 @@
     private final Attempt attempt;
     /** When its sender stops waiting. */
     private final long until;
+
     private Machine.Job job;
     private boolean repeat;
 
--- a/src/main/java/gullspar/rehearse/stage/Order.java
+++ b/src/main/java/gullspar/rehearse/stage/Order.java
@@ -12,6 +12,7 @@
     public final int key;
     /** What it costs on one core of speed 1. */
     public final double workNs;
+
     public final String site;
     public final long at;
     public final List<Try> tries = new ArrayList<>(1);
--- a/src/main/java/gullspar/rehearse/stage/Repeats.java
+++ b/src/main/java/gullspar/rehearse/stage/Repeats.java
@@ -16,7 +16,7 @@
 
     /** Is it a repeat? If it is not, it is remembered from now on. */
     boolean repeat(String key, long now) {
-        for (Iterator<Long> i = met.values().iterator(); i.hasNext() && now - i.next() >= windowNs;) {
+        for (Iterator<Long> i = met.values().iterator(); i.hasNext() && now - i.next() >= windowNs; ) {
             i.remove();
         }
         return met.putIfAbsent(key, now) != null;
--- a/src/main/java/gullspar/rehearse/stage/RudeClients.java
+++ b/src/main/java/gullspar/rehearse/stage/RudeClients.java
@@ -20,6 +20,7 @@
 public final class RudeClients {
     /** What such a client is owed comes within so long. */
     private static final long OWED_MS = 3000;
+
     private static final String[] NONSENSE = {
         "\u0000\u0001\u0002 nothing that can be read\r\n\r\n",
         "GET /%s/1 HTTP/1.1\r\nHost: x\r\nRequest-Timeout: 1\r\n\r\n",
@@ -28,7 +29,7 @@
         "POST /%s/1 HTTP/1.1\r\nRequest-Id: rude%d\r\nContent-Length: -7\r\n\r\n",
         "POST /%s/1 HTTP/1.1\r\nRequest-Id: rude%d\r\nContent-Length: 9999999999\r\n\r\n",
         "POST /%s/1 HTTP/1.1\r\nRequest-Id: rude%d\r\nRequest-Timeout: 1\r\nContent-Length: 4\r\n"
-            + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         "GET /%s/1 HTTP/1.1\r\nHost: x\r\nRequest-Id: rude%d\r\nX: begun and never",
         "GET /%s/1",
     };
@@ -72,16 +73,17 @@
         if (active.contains(proxy)) {
             int n = ++sent;
             String pattern = NONSENSE[random.nextInt(NONSENSE.length)];
-            String text = !speaks ? null
-                    : pattern.replace("%s", someClass).replace("%d", Integer.toString(n));
-            platform.transport().to(stage.address(proxy)).handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    c.pipeline().addLast(new Rude(proxy, text));
-                }
-            }).connect();
-            platform.loop().schedule(() -> step(active, proxy, everyNs, speaks), everyNs,
-                    TimeUnit.NANOSECONDS);
+            String text = !speaks ? null : pattern.replace("%s", someClass).replace("%d", Integer.toString(n));
+            platform.transport()
+                    .to(stage.address(proxy))
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline().addLast(new Rude(proxy, text));
+                        }
+                    })
+                    .connect();
+            platform.loop().schedule(() -> step(active, proxy, everyNs, speaks), everyNs, TimeUnit.NANOSECONDS);
         }
     }
 
@@ -104,12 +106,17 @@
             if (text != null) {
                 ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
             }
-            platform.loop().schedule(() -> {
-                boolean owed = !answered && ctx.channel().isActive()
-                        && !chronicle.excused(proxy, since, stage.now());
-                chronicle.rude(owed, served);
-                ctx.close();
-            }, OWED_MS, TimeUnit.MILLISECONDS);
+            platform.loop()
+                    .schedule(
+                            () -> {
+                                boolean owed = !answered
+                                        && ctx.channel().isActive()
+                                        && !chronicle.excused(proxy, since, stage.now());
+                                chronicle.rude(owed, served);
+                                ctx.close();
+                            },
+                            OWED_MS,
+                            TimeUnit.MILLISECONDS);
         }
 
         @Override
--- a/src/main/java/gullspar/rehearse/stage/Spoils.java
+++ b/src/main/java/gullspar/rehearse/stage/Spoils.java
@@ -9,7 +9,14 @@
 /** Answers as no proxy wants them. */
 final class Spoils {
     /** In which way. */
-    enum How { NOISE, NEGATIVE_LENGTH, HEAD_WITHOUT_END, HALF, MORE, ENDLESS }
+    enum How {
+        NOISE,
+        NEGATIVE_LENGTH,
+        HEAD_WITHOUT_END,
+        HALF,
+        MORE,
+        ENDLESS
+    }
 
     private static final int CHUNK_BYTES = 16 << 10;
     private static final int LONG_HEAD_BYTES = 20_000;
--- a/src/main/java/gullspar/rehearse/stage/Stage.java
+++ b/src/main/java/gullspar/rehearse/stage/Stage.java
@@ -19,7 +19,7 @@
     long sentAt(Channel channel);
 
     /** It has turned out whose connection a channel is. */
-    default void peer(Channel channel, String machine) { }
+    default void peer(Channel channel, String machine) {}
 
     /** The process of a stand-in's machine ends: its connections are reset and its listeners are gone. */
     void ended(String machine);
--- a/src/main/java/gullspar/rehearse/stage/Strangers.java
+++ b/src/main/java/gullspar/rehearse/stage/Strangers.java
@@ -17,10 +17,17 @@
     @Override
     public Try apply(String id, String path) {
         for (Script.RequestClass c : script.classes()) {
-            if (path.equals("/" + c.name()) || path.startsWith("/" + c.name() + "/")
+            if (path.equals("/" + c.name())
+                    || path.startsWith("/" + c.name() + "/")
                     || path.startsWith("/" + c.name() + "?")) {
                 long now = stage.now();
-                Order o = new Order(--served, c, 0, c.workMs().middle() * 1e6, script.sites().get(0), now);
+                Order o = new Order(
+                        --served,
+                        c,
+                        0,
+                        c.workMs().middle() * 1e6,
+                        script.sites().get(0),
+                        now);
                 Try t = new Try(o, id, now + (long) (c.giveUpMs() * 1e6));
                 o.tries.add(t);
                 return t;
--- a/src/main/java/gullspar/rehearse/stage/Try.java
+++ b/src/main/java/gullspar/rehearse/stage/Try.java
@@ -8,7 +8,14 @@
  */
 public final class Try {
     /** How it ended for its client. */
-    public enum Ending { OPEN, ANSWERED, GIVEN_UP, LEFT, CLOSED, NOT_TAKEN }
+    public enum Ending {
+        OPEN,
+        ANSWERED,
+        GIVEN_UP,
+        LEFT,
+        CLOSED,
+        NOT_TAKEN
+    }
 
     public final Order order;
     public final String id;
@@ -17,6 +24,7 @@
     public long sentAt;
     /** When the proxy sent its answer, and when that was whole at the client. */
     public long answeredAt;
+
     public long endedAt;
     public int status;
     public Ending ending = Ending.OPEN;
@@ -26,6 +34,7 @@
     public boolean again;
     /** An answer that is not what a node made for it, or one too many; null if there was none. */
     public String wrong;
+
     public final List<Attempt> attempts = new ArrayList<>(1);
 
     Try(Order order, String id, long deadline) {
@@ -37,7 +46,16 @@
     /** One attempt of a proxy for it, as its node saw it. */
     public static final class Attempt {
         /** What became of it at the node. */
-        public enum State { PART, WAITS, RUNS, SERVED, TURNED_AWAY, DROPPED, FAILED, REPEAT }
+        public enum State {
+            PART,
+            WAITS,
+            RUNS,
+            SERVED,
+            TURNED_AWAY,
+            DROPPED,
+            FAILED,
+            REPEAT
+        }
 
         public final String node;
         public final String site;
--- a/src/main/java/gullspar/rehearse/time/Agenda.java
+++ b/src/main/java/gullspar/rehearse/time/Agenda.java
@@ -9,7 +9,7 @@
  * with the seed, and for one seed always the same way.
  */
 public final class Agenda {
-    private record Entry(long at, long lot, long number, Runnable what) { }
+    private record Entry(long at, long lot, long number, Runnable what) {}
 
     private final PriorityQueue<Entry> entries = new PriorityQueue<>(1024, (a, b) -> {
         int order = Long.compare(a.at, b.at);
--- a/src/main/java/gullspar/rehearse/time/VirtualLoop.java
+++ b/src/main/java/gullspar/rehearse/time/VirtualLoop.java
@@ -169,32 +169,31 @@
 
     @Override
     public <V> ScheduledFuture<V> schedule(Callable<V> command, long delay, TimeUnit unit) {
-        ScheduledFuture<V> f = super.schedule(() -> {
-            try {
-                return command.call();
-            } catch (Exception | Error e) {
-                slips.accept(e);
-                throw e;
-            }
-        }, delay, unit);
+        ScheduledFuture<V> f = super.schedule(
+                () -> {
+                    try {
+                        return command.call();
+                    } catch (Exception | Error e) {
+                        slips.accept(e);
+                        throw e;
+                    }
+                },
+                delay,
+                unit);
         armIfIdle();
         return f;
     }
 
     @Override
-    public ScheduledFuture<?> scheduleAtFixedRate(Runnable command, long first,
-            long period, TimeUnit unit) {
-        ScheduledFuture<?> f = super.scheduleAtFixedRate(heard(command), first, period,
-                unit);
+    public ScheduledFuture<?> scheduleAtFixedRate(Runnable command, long first, long period, TimeUnit unit) {
+        ScheduledFuture<?> f = super.scheduleAtFixedRate(heard(command), first, period, unit);
         armIfIdle();
         return f;
     }
 
     @Override
-    public ScheduledFuture<?> scheduleWithFixedDelay(Runnable command, long first,
-            long delay, TimeUnit unit) {
-        ScheduledFuture<?> f = super.scheduleWithFixedDelay(heard(command), first, delay,
-                unit);
+    public ScheduledFuture<?> scheduleWithFixedDelay(Runnable command, long first, long delay, TimeUnit unit) {
+        ScheduledFuture<?> f = super.scheduleWithFixedDelay(heard(command), first, delay, unit);
         armIfIdle();
         return f;
     }
--- a/src/main/java/gullspar/route/Condition.java
+++ b/src/main/java/gullspar/route/Condition.java
@@ -19,7 +19,8 @@
         @Override
         public List<String> fits(Request r) {
             List<String> values = r.headers().all(name);
-            boolean fits = pattern != null ? values.stream().anyMatch(v -> pattern.matcher(v).find())
+            boolean fits = pattern != null
+                    ? values.stream().anyMatch(v -> pattern.matcher(v).find())
                     : value == null ? !values.isEmpty() : values.contains(value);
             return fits ? List.of() : null;
         }
@@ -91,7 +92,9 @@
             int h = data.length;
             int i = 0;
             for (; data.length - i >= 4; i += 4) {
-                int k = data[i] & 255 | (data[i + 1] & 255) << 8 | (data[i + 2] & 255) << 16
+                int k = data[i] & 255
+                        | (data[i + 1] & 255) << 8
+                        | (data[i + 2] & 255) << 16
                         | (data[i + 3] & 255) << 24;
                 k *= m;
                 k ^= k >>> 24;
--- a/src/main/java/gullspar/route/HeaderChanges.java
+++ b/src/main/java/gullspar/route/HeaderChanges.java
@@ -11,11 +11,11 @@
  * those
  * in addOk too, but only with the statuses 200, 201, 204, 206, 301 to 304, 307 and 308.
  */
-public record HeaderChanges(Map<String, Template> set, Map<String, Template> add,
-        Map<String, Template> addOk, List<String> remove) {
+public record HeaderChanges(
+        Map<String, Template> set, Map<String, Template> add, Map<String, Template> addOk, List<String> remove) {
     /** Leaves all as it is. */
-    public static final HeaderChanges NONE = new HeaderChanges(Map.of(), Map.of(), Map.of(),
-            List.of());
+    public static final HeaderChanges NONE = new HeaderChanges(Map.of(), Map.of(), Map.of(), List.of());
+
     private static final Set<Integer> OK = Set.of(200, 201, 204, 206, 301, 302, 303, 304, 307, 308);
 
     public HeaderChanges {
--- a/src/main/java/gullspar/route/Hosts.java
+++ b/src/main/java/gullspar/route/Hosts.java
@@ -14,7 +14,13 @@
  */
 public final class Hosts<T> {
     /** By what a host was found. */
-    public enum By { NAME, LEADING, TRAILING, REGEX, DEFAULT }
+    public enum By {
+        NAME,
+        LEADING,
+        TRAILING,
+        REGEX,
+        DEFAULT
+    }
 
     /** What was found, by what, and the text that did it. */
     public record Found<T>(T host, By by, String text) {
@@ -30,7 +36,7 @@
         }
     }
 
-    private record Regex<T>(Pattern pattern, T host) { }
+    private record Regex<T>(Pattern pattern, T host) {}
 
     private final Map<String, T> exact = new HashMap<>();
     private final Map<String, T> leading = new HashMap<>();
@@ -99,8 +105,7 @@
                 return new Found<>(found, By.LEADING, name.substring(dot + 1));
             }
         }
-        for (int dot = name.lastIndexOf('.'); dot > 0 && !trailing.isEmpty(); dot = name.lastIndexOf('.',
-                dot - 1)) {
+        for (int dot = name.lastIndexOf('.'); dot > 0 && !trailing.isEmpty(); dot = name.lastIndexOf('.', dot - 1)) {
             found = trailing.get(name.substring(0, dot));
             if (found != null) {
                 return new Found<>(found, By.TRAILING, name.substring(0, dot));
--- a/src/main/java/gullspar/route/Members.java
+++ b/src/main/java/gullspar/route/Members.java
@@ -17,21 +17,22 @@
      * put it out for failNs, 0 for never; slowStartNs: its weight rises over that time after it was out, 0
      * for at once.
      */
-    public record Declared(String name, double weight, boolean backup, boolean down, int maxFailures,
-            long failNs, long slowStartNs) {
+    public record Declared(
+            String name, double weight, boolean backup, boolean down, int maxFailures, long failNs, long slowStartNs) {
         public Declared {
             if (!(weight > 0) || maxFailures < 0 || failNs < 0 || slowStartNs < 0) {
-                throw new IllegalArgumentException("a server's figures cannot be negative, its weight not "
-                        + "0: " + name);
+                throw new IllegalArgumentException(
+                        "a server's figures cannot be negative, its weight not " + "0: " + name);
             }
         }
     }
 
     /** A server that is listed now, with the weight that it has now. */
-    public record Listed(Declared server, double weight) { }
+    public record Listed(Declared server, double weight) {}
 
     /** A weight that rises is told in so many steps. */
     private static final int SLOW_STEPS = 50;
+
     private static final long SHORTEST_STEP_NS = 50_000_000L;
 
     private static final class Server {
@@ -122,8 +123,7 @@
             if (s.out) {
                 next = Math.min(next, s.outUntil);
             } else if (rising(s, now)) {
-                next = Math.min(next, now + Math.max(SHORTEST_STEP_NS, s.declared.slowStartNs()
-                        / SLOW_STEPS));
+                next = Math.min(next, now + Math.max(SHORTEST_STEP_NS, s.declared.slowStartNs() / SLOW_STEPS));
             }
         }
         return Math.max(next, now);
@@ -149,8 +149,7 @@
     private List<Listed> of(long now, boolean backup, boolean alsoOut) {
         List<Listed> list = new ArrayList<>();
         for (Server s : servers) {
-            if (s.declared.backup() == backup && !s.declared.down() && !s.full
-                    && (alsoOut || !s.out)) {
+            if (s.declared.backup() == backup && !s.declared.down() && !s.full && (alsoOut || !s.out)) {
                 list.add(new Listed(s.declared, weight(s, now)));
             }
         }
@@ -163,7 +162,8 @@
 
     /** From a hundredth of the declared weight up to all of it, in a line. */
     private static double weight(Server s, long now) {
-        return !rising(s, now) ? s.declared.weight() : s.declared.weight()
-                * Math.max(0.01, (now - s.backAt) / (double) s.declared.slowStartNs());
+        return !rising(s, now)
+                ? s.declared.weight()
+                : s.declared.weight() * Math.max(0.01, (now - s.backAt) / (double) s.declared.slowStartNs());
     }
 }
--- a/src/main/java/gullspar/route/Paths.java
+++ b/src/main/java/gullspar/route/Paths.java
@@ -16,13 +16,18 @@
  */
 public final class Paths<T> {
     /** How a place is written down. */
-    public enum Kind { EXACT, PREFIX, PREFIX_ENDS, REGEX }
+    public enum Kind {
+        EXACT,
+        PREFIX,
+        PREFIX_ENDS,
+        REGEX
+    }
 
     /**
      * What was found, by which text, and what a regular expression caught: group 0 first, none for the
      * others.
      */
-    public record Found<T>(T target, Kind kind, String text, List<String> groups) { }
+    public record Found<T>(T target, Kind kind, String text, List<String> groups) {}
 
     private static final class Place<T> {
         private final Kind kind;
@@ -84,7 +89,8 @@
                 Found<T> below = r.nested == null ? here : r.nested.find(path, here);
                 // Within a regular expression the search is over, whatever kind is nested.
                 return below.kind == Kind.PREFIX || below.kind == Kind.PREFIX_ENDS
-                        ? new Found<>(below.target, Kind.REGEX, below.text, here.groups) : below;
+                        ? new Found<>(below.target, Kind.REGEX, below.text, here.groups)
+                        : below;
             }
         }
         return best;
--- a/src/main/java/gullspar/route/Request.java
+++ b/src/main/java/gullspar/route/Request.java
@@ -7,8 +7,17 @@
  * query is as it came, without ?, null where there is none; raw is the target as it came; client is the
  * address that it came from and port the one that it came to; id is its Request-Id.
  */
-public record Request(String method, String host, String path, String query, String raw, String client,
-        int port, String id, Headers headers) implements Template.Values {
+public record Request(
+        String method,
+        String host,
+        String path,
+        String query,
+        String raw,
+        String client,
+        int port,
+        String id,
+        Headers headers)
+        implements Template.Values {
     /** The values of a header, none if it is not there; names are compared without regard to case. */
     public interface Headers {
         List<String> all(String name);
--- a/src/main/java/gullspar/route/Router.java
+++ b/src/main/java/gullspar/route/Router.java
@@ -16,13 +16,13 @@
      * A virtual host: its name for people; routes that are looked at first, whatever the path; its places,
      * and of each place the routes in order.
      */
-    public record Host(String name, List<Route> first, Paths<List<Route>> paths) { }
+    public record Host(String name, List<Route> first, Paths<List<Route>> paths) {}
 
     /**
      * What was found: the route, or null and the status that says why there is none (404 or 405); what the
      * place's regular expression caught, group 0 first; and with 405 the methods that are allowed.
      */
-    public record Found(Route route, int status, List<String> groups, Set<String> allowed) { }
+    public record Found(Route route, int status, List<String> groups, Set<String> allowed) {}
 
     private final Hosts<Host> hosts;
 
@@ -64,8 +64,7 @@
             say(why, () -> "no place fits " + r.path());
             return new Found(null, 404, List.of(), Set.of());
         }
-        say(why, () -> "place " + place.kind().name().toLowerCase(Locale.ROOT).replace('_', '-') + " "
-                + place.text());
+        say(why, () -> "place " + place.kind().name().toLowerCase(Locale.ROOT).replace('_', '-') + " " + place.text());
         boolean method = false;
         for (Route route : place.target()) {
             String unfit = route.unfit(r);
--- a/src/main/java/gullspar/route/Template.java
+++ b/src/main/java/gullspar/route/Template.java
@@ -16,10 +16,23 @@
         String value(String name);
     }
 
-    private record Part(String text, boolean named) { }
+    private record Part(String text, boolean named) {}
 
-    private static final Set<String> NAMES = Set.of("client", "host", "host_header", "scheme", "port", "path",
-            "uri", "query", "args", "method", "request_id", "route", "pool", "forwarded_for");
+    private static final Set<String> NAMES = Set.of(
+            "client",
+            "host",
+            "host_header",
+            "scheme",
+            "port",
+            "path",
+            "uri",
+            "query",
+            "args",
+            "method",
+            "request_id",
+            "route",
+            "pool",
+            "forwarded_for");
     private static final Pattern OF_REQUEST = Pattern.compile("(header|cookie|arg)\\.[!-~&&[^{}]]+|[0-9]");
 
     private final String written;
@@ -68,8 +81,7 @@
 
     /** A text that is as it stands, whatever it holds. */
     public static Template plain(String text) {
-        return new Template(text.replace("${", "$${"), text.isEmpty() ? List.of()
-                : List.of(new Part(text, false)));
+        return new Template(text.replace("${", "$${"), text.isEmpty() ? List.of() : List.of(new Part(text, false)));
     }
 
     /** The text with all places filled. */
@@ -119,8 +131,7 @@
         if (query != null) {
             for (String pair : query.split("&")) {
                 int eq = pair.indexOf('=');
-                if (eq > 0 && pair.substring(0, eq).toLowerCase(Locale.ROOT)
-                        .equals(name.toLowerCase(Locale.ROOT))) {
+                if (eq > 0 && pair.substring(0, eq).toLowerCase(Locale.ROOT).equals(name.toLowerCase(Locale.ROOT))) {
                     return pair.substring(eq + 1);
                 }
             }
--- a/src/main/java/gullspar/settings/SettingsParser.java
+++ b/src/main/java/gullspar/settings/SettingsParser.java
@@ -19,7 +19,7 @@
     }
 
     /** The settings, with the names of the report columns beside them. */
-    public record Parsed(Settings settings, String[] columns) { }
+    public record Parsed(Settings settings, String[] columns) {}
 
     /** Parses path=value lines. */
     public static Parsed parse(String text) {
@@ -49,20 +49,37 @@
 
     private Profile profile(String p) {
         Effect effect = choice(p + "effect", Effect.class, null);
-        return new Profile(effect, choice(p + "dedup_scope", Scope.class, Scope.ALL),
-                effect == Effect.DEDUPLICATED ? integer(p + "window_ns") : 0, integer(p + "promise_ns"),
-                integer(p + "give_up_ns"), number(p + "worth"), number(p + "late_share", 0),
-                flag(p + "streamed"), flag(p + "sequential"));
+        return new Profile(
+                effect,
+                choice(p + "dedup_scope", Scope.class, Scope.ALL),
+                effect == Effect.DEDUPLICATED ? integer(p + "window_ns") : 0,
+                integer(p + "promise_ns"),
+                integer(p + "give_up_ns"),
+                number(p + "worth"),
+                number(p + "late_share", 0),
+                flag(p + "streamed"),
+                flag(p + "sequential"));
     }
 
     private Settings settings(List<Profile> profiles) {
         boolean ask = "on_request".equals(values.get("discovery"));
-        return new Settings((int) integer("me"), (int) integer("balancers"), (int) integer("zone"), profiles,
-                ask, flag("limits.cancelling"), (int) integer("limits.max_attempts"),
+        return new Settings(
+                (int) integer("me"),
+                (int) integer("balancers"),
+                (int) integer("zone"),
+                profiles,
+                ask,
+                flag("limits.cancelling"),
+                (int) integer("limits.max_attempts"),
                 flag("limits.retry_after") ? (long) number("limits.max_retry_after_ns", 0) : 0,
-                number("rules.start_capacity"), integer("rules.cold_ns"), number("rules.tip_multiple"),
-                integer("rules.fall_ns"), ask ? integer("rules.ask_within_ns") : 0, integer("step_ns"),
-                number("prices.cross_zone", 0), flag("rules.busy_is_no_proof"),
+                number("rules.start_capacity"),
+                integer("rules.cold_ns"),
+                number("rules.tip_multiple"),
+                integer("rules.fall_ns"),
+                ask ? integer("rules.ask_within_ns") : 0,
+                integer("step_ns"),
+                number("prices.cross_zone", 0),
+                flag("rules.busy_is_no_proof"),
                 integer("rules.turn_gap_ns", 0));
     }
 
--- a/src/main/java/gullspar/site/Call.java
+++ b/src/main/java/gullspar/site/Call.java
@@ -36,7 +36,7 @@
     /** An answer must begin within the deadline: of that so much is kept, and so much before the backstop. */
     private static final long MARGIN_NS = 10_000_000L, BACKSTOP_NS = 5_000_000L;
 
-    private record Try(PlainAttempt attempt, int server, long startedAt) { }
+    private record Try(PlainAttempt attempt, int server, long startedAt) {}
 
     private final Pool pool;
     private final PlainClient client;
@@ -50,15 +50,22 @@
     private final ScheduledFuture<?> backstop;
     /** By number; null where none went out. */
     private final List<Try> tries = new ArrayList<>(2);
+
     private int out;
     private boolean over;
     /** The attempt whose answer is being passed on. */
     private PlainAttempt answering;
+
     private boolean chunked;
     private long movedAt;
 
     /** ended: told once nothing more goes to the client. */
-    Call(Pool pool, PlainClient client, PlainRequest request, Router.Found found, Site.Forwarded forwarded,
+    Call(
+            Pool pool,
+            PlainClient client,
+            PlainRequest request,
+            Router.Found found,
+            Site.Forwarded forwarded,
             Consumer<Call> ended) {
         this.pool = pool;
         this.client = client;
@@ -72,12 +79,15 @@
         long margin = Math.min(MARGIN_NS, time / 4);
         this.deadline = now + time - margin;
         this.ticket = pool.take(this);
-        this.backstop = pool.platform.loop().schedule(this::overdue,
-                time - Math.min(BACKSTOP_NS, margin / 2), TimeUnit.NANOSECONDS);
-        int profile = pool.profile(Classes.profile(Route.kind(to.kind(), request.method().name()),
-                request.headers().contains("Idempotency-Key"), to.limits()));
-        tell((at, module) -> module.onRequest(at, new Request(ticket, profile, 0, 0,
-                Math.max(0, deadline - at), 0, false)));
+        this.backstop = pool.platform
+                .loop()
+                .schedule(this::overdue, time - Math.min(BACKSTOP_NS, margin / 2), TimeUnit.NANOSECONDS);
+        int profile = pool.profile(Classes.profile(
+                Route.kind(to.kind(), request.method().name()),
+                request.headers().contains("Idempotency-Key"),
+                to.limits()));
+        tell((at, module) ->
+                module.onRequest(at, new Request(ticket, profile, 0, 0, Math.max(0, deadline - at), 0, false)));
     }
 
     private void tell(Events.Event event) {
@@ -198,7 +208,8 @@
         int code = head.status().code();
         if (to.limits().retryOn().contains(code)) {
             return (code == 503 || code == 504) && "1".equals(head.headers().get("Not-Started"))
-                    ? Status.FULL : Status.ERROR;
+                    ? Status.FULL
+                    : Status.ERROR;
         }
         return code < 400 ? Status.OK : Status.MOOT;
     }
@@ -256,10 +267,14 @@
             return;
         }
         PlainAttempt.Sending sending = new PlainAttempt.Sending(
-                leftNs -> Heads.request(request, to, values, forwarded, leftNs), request.body().bytes(),
-                request.trailers(), request.head());
-        tries.add(new Try(pool.backends.send(server, sending,
-                timeoutNs == 0 ? left : Math.min(timeoutNs, left), this), server, now));
+                leftNs -> Heads.request(request, to, values, forwarded, leftNs),
+                request.body().bytes(),
+                request.trailers(),
+                request.head());
+        tries.add(new Try(
+                pool.backends.send(server, sending, timeoutNs == 0 ? left : Math.min(timeoutNs, left), this),
+                server,
+                now));
     }
 
     void refuse(long retryInNs) {
--- a/src/main/java/gullspar/site/Classes.java
+++ b/src/main/java/gullspar/site/Classes.java
@@ -16,8 +16,7 @@
     private final List<Profile> all = new ArrayList<>();
 
     Classes() {
-        place(profile(Route.Kind.SAFE, false, new Route.Limits(60_000_000_000L, 3, 0, 0, Set.of(),
-                0)));
+        place(profile(Route.Kind.SAFE, false, new Route.Limits(60_000_000_000L, 3, 0, 0, Set.of(), 0)));
     }
 
     List<Profile> all() {
@@ -41,10 +40,20 @@
      * request of a keyed route may not run twice.
      */
     static Profile profile(Route.Kind kind, boolean keyed, Route.Limits limits) {
-        Effect effect = kind == Route.Kind.SAFE ? Effect.IDEMPOTENT
+        Effect effect = kind == Route.Kind.SAFE
+                ? Effect.IDEMPOTENT
                 : kind == Route.Kind.KEYED && keyed ? Effect.DEDUPLICATED : Effect.AT_MOST_ONCE;
-        return new Profile(effect, Scope.ALL, effect == Effect.DEDUPLICATED ? limits.rememberedNs() : 0,
-                limits.deadlineNs(), limits.deadlineNs(), 1, 1, true, false, limits.attempts(),
+        return new Profile(
+                effect,
+                Scope.ALL,
+                effect == Effect.DEDUPLICATED ? limits.rememberedNs() : 0,
+                limits.deadlineNs(),
+                limits.deadlineNs(),
+                1,
+                1,
+                true,
+                false,
+                limits.attempts(),
                 limits.attemptNs());
     }
 }
--- a/src/main/java/gullspar/site/Pool.java
+++ b/src/main/java/gullspar/site/Pool.java
@@ -32,6 +32,7 @@
     private static final long MS = 1_000_000L;
     /** The figures of the module that only servers which start cold or several proxies need. */
     private static final double START_CAPACITY = 0.3, TIP_MULTIPLE = 3;
+
     private static final long COLD_NS = 10_000 * MS, FALL_NS = 2000 * MS, STEP_NS = 5 * MS;
     private static final int MOST_ATTEMPTS = 100;
     private static final long LAST_MS = 300;
@@ -52,7 +53,12 @@
     private boolean closed;
     private long changesAt = Long.MAX_VALUE;
 
-    Pool(Platform platform, Sockets.Share sockets, Balancer.Factory factory, long seed, Site.Pool declared,
+    Pool(
+            Platform platform,
+            Sockets.Share sockets,
+            Balancer.Factory factory,
+            long seed,
+            Site.Pool declared,
             long retryAfterNs) {
         this.platform = platform;
         this.events = new Events(platform);
@@ -60,11 +66,32 @@
         this.retryAfterNs = retryAfterNs;
         this.declared = declared;
         this.told = classes.size();
-        this.discovery = declared.discovery() == null ? null : new Discovery(platform,
-                Discovery.Source.pushed(declared.discovery()), this);
-        events.to(factory.create(new Settings(0, 1, 0, classes.all(), false, true, MOST_ATTEMPTS,
-                Math.max(1, retryAfterNs), START_CAPACITY, COLD_NS, TIP_MULTIPLE, FALL_NS, 0, STEP_NS, 0,
-                false, 0, declared.balance() == Site.Balance.WEIGHTS), seed, platform.clock().now(), this));
+        this.discovery = declared.discovery() == null
+                ? null
+                : new Discovery(platform, Discovery.Source.pushed(declared.discovery()), this);
+        events.to(factory.create(
+                new Settings(
+                        0,
+                        1,
+                        0,
+                        classes.all(),
+                        false,
+                        true,
+                        MOST_ATTEMPTS,
+                        Math.max(1, retryAfterNs),
+                        START_CAPACITY,
+                        COLD_NS,
+                        TIP_MULTIPLE,
+                        FALL_NS,
+                        0,
+                        STEP_NS,
+                        0,
+                        false,
+                        0,
+                        declared.balance() == Site.Balance.WEIGHTS),
+                seed,
+                platform.clock().now(),
+                this));
         if (discovery == null) {
             serve();
         } else {
@@ -80,7 +107,8 @@
         if (declared.balance() != next.balance() || !Objects.equals(declared.discovery(), next.discovery())) {
             return false;
         }
-        boolean same = declared.servers().equals(next.servers()) && declared.places().equals(next.places());
+        boolean same =
+                declared.servers().equals(next.servers()) && declared.places().equals(next.places());
         retryAfterNs = retryNs;
         declared = next;
         backends.limit(next.connections());
@@ -104,8 +132,7 @@
 
     /** By which the module knows a server: another address is another server. */
     private int number(String name) {
-        return numbers.computeIfAbsent(name + " " + declared.places().get(name).address(),
-                n -> numbers.size() + 1);
+        return numbers.computeIfAbsent(name + " " + declared.places().get(name).address(), n -> numbers.size() + 1);
     }
 
     private void forget(int id) {
@@ -122,10 +149,14 @@
         if (discovery != null) {
             discovery.watch(false);
         }
-        platform.loop().schedule(() -> {
-            events.news((now, module) -> module.onMembers(now, ListKind.FULL, 0, List.of()));
-            backends.leaveAll();
-        }, LAST_MS, TimeUnit.MILLISECONDS);
+        platform.loop()
+                .schedule(
+                        () -> {
+                            events.news((now, module) -> module.onMembers(now, ListKind.FULL, 0, List.of()));
+                            backends.leaveAll();
+                        },
+                        LAST_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
     void sweep() {
@@ -148,8 +179,9 @@
             return;
         }
         long now = platform.clock().now();
-        List<Member> list = members.listed(now).stream().map(l -> new Member(number(l.server().name()),
-                0, State.READY, 0, 0, 0, l.weight())).toList();
+        List<Member> list = members.listed(now).stream()
+                .map(l -> new Member(number(l.server().name()), 0, State.READY, 0, 0, 0, l.weight()))
+                .toList();
         events.news((at, module) -> module.onMembers(at, ListKind.FULL, 0, list));
         long next = members.changesAt(now);
         if (next < changesAt || changesAt <= now) {
@@ -182,7 +214,7 @@
         }
         switch (status) {
             case OK, MOOT -> members.answered(name);
-            case FULL, CANCELLED -> { }
+            case FULL, CANCELLED -> {}
             default -> {
                 if (members.failed(name, platform.clock().now())) {
                     platform.log().say("pool " + declared.name() + ": " + name + " is out for its failures");
@@ -195,7 +227,8 @@
     @Override
     public void news(News news) {
         if (news.kind() != ListKind.DELTA) {
-            List<Integer> listed = news.list().stream().map(l -> l.member().id()).toList();
+            List<Integer> listed =
+                    news.list().stream().map(l -> l.member().id()).toList();
             names.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::forget);
         }
         for (Listed l : news.list()) {
@@ -206,7 +239,10 @@
                 forget(l.member().id());
             }
         }
-        events.news((now, module) -> module.onMembers(now, news.kind(), news.version(),
+        events.news((now, module) -> module.onMembers(
+                now,
+                news.kind(),
+                news.version(),
                 news.list().stream().map(Listed::member).toList()));
     }
 
@@ -282,11 +318,15 @@
 
     @Override
     public void timer(long at, long token) {
-        platform.loop().schedule(() -> {
-            if (!done()) {
-                events.tell((now, module) -> module.onTimer(now, token));
-            }
-        }, Math.max(0, at - platform.clock().now()), TimeUnit.NANOSECONDS);
+        platform.loop()
+                .schedule(
+                        () -> {
+                            if (!done()) {
+                                events.tell((now, module) -> module.onTimer(now, token));
+                            }
+                        },
+                        Math.max(0, at - platform.clock().now()),
+                        TimeUnit.NANOSECONDS);
     }
 
     @Override
--- a/src/main/java/gullspar/site/SiteDaemon.java
+++ b/src/main/java/gullspar/site/SiteDaemon.java
@@ -25,7 +25,7 @@
 public final class SiteDaemon {
     private static final Log LOG = Log.standardError();
 
-    private SiteDaemon() { }
+    private SiteDaemon() {}
 
     /**
      * Serves until the process is told to end. At each SIGHUP the file is read anew; one that has errors
@@ -33,27 +33,31 @@
      * what is wrong with it: then it is null, and this returns false. An IOException if nobody can listen.
      * companions: makes what takes part in the fleet, where the file says so.
      */
-    public static boolean run(Path file, Supplier<Site> first, Balancer.Factory factory,
-            Companion.Factory companions) throws IOException {
-        return run(file, new Source() {
-            @Override
-            public Site first() {
-                return first.get();
-            }
+    public static boolean run(Path file, Supplier<Site> first, Balancer.Factory factory, Companion.Factory companions)
+            throws IOException {
+        return run(
+                file,
+                new Source() {
+                    @Override
+                    public Site first() {
+                        return first.get();
+                    }
 
-            @Override
-            public void serve(Taker to) { }
+                    @Override
+                    public void serve(Taker to) {}
 
-            @Override
-            public void reload(Taker to) {
-                read(file, to);
-            }
-        }, factory, companions);
+                    @Override
+                    public void reload(Taker to) {
+                        read(file, to);
+                    }
+                },
+                factory,
+                companions);
     }
 
     /** The same by another source; file: what companions read. */
-    public static boolean run(Path file, Source source, Balancer.Factory factory,
-            Companion.Factory companions) throws IOException {
+    public static boolean run(Path file, Source source, Balancer.Factory factory, Companion.Factory companions)
+            throws IOException {
         CompletableFuture<Runnable> started = new CompletableFuture<>();
         ServingLoop serving = ServingLoop.start();
         EventLoop loop = serving.loop();
@@ -68,10 +72,12 @@
             return false;
         }
         Platform platform = Platform.of(serving);
-        OperatorPort port = site.operators().operator() == null ? null
+        OperatorPort port = site.operators().operator() == null
+                ? null
                 : listen(site.operators().operator(), platform);
         SiteProxy proxy = SiteProxy.start(site, platform, factory, System.nanoTime());
-        Companion beside = site.operators().fleet() == null ? null
+        Companion beside = site.operators().fleet() == null
+                ? null
                 : companions.start(file, System.getenv("NODE_NAME"), platform, proxy::load);
         loop.execute(() -> {
             if (port != null) {
@@ -82,19 +88,25 @@
                 beside.at(Companion.Stage.SERVING);
             }
         });
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            if (beside != null) {
-                loop.execute(() -> beside.at(Companion.Stage.DRAINING));
-            }
-            proxy.drain().join();
-            if (beside != null) {
-                loop.submit(beside::leave).syncUninterruptibly().getNow().join();
-            }
-            // A process that a signal ends reports the signal; this one has ended well.
-            Runtime.getRuntime().halt(0);
-        }, "drain"));
-        site.listeners().forEach(l -> LOG.say("listening on "
-                + NetUtil.toSocketAddressString(proxy.address(l.address()))));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            if (beside != null) {
+                                loop.execute(() -> beside.at(Companion.Stage.DRAINING));
+                            }
+                            proxy.drain().join();
+                            if (beside != null) {
+                                loop.submit(beside::leave)
+                                        .syncUninterruptibly()
+                                        .getNow()
+                                        .join();
+                            }
+                            // A process that a signal ends reports the signal; this one has ended well.
+                            Runtime.getRuntime().halt(0);
+                        },
+                        "drain"));
+        site.listeners()
+                .forEach(l -> LOG.say("listening on " + NetUtil.toSocketAddressString(proxy.address(l.address()))));
         Source.Taker taker = (s, done) -> loop.execute(() -> proxy.reload(s, done));
         source.serve(taker);
         started.complete(() -> {
@@ -121,7 +133,7 @@
     /** Reads the file again, off the loop, and hands it over. */
     private static void read(Path file, Source.Taker to) {
         try {
-            to.take(SiteReader.read(file), why -> { });
+            to.take(SiteReader.read(file), why -> {});
         } catch (ProblemsException e) {
             e.getMessage().lines().forEach(line -> LOG.say("the new configuration is not used: " + line));
         } catch (IOException e) {
--- a/src/main/java/gullspar/site/SiteProxy.java
+++ b/src/main/java/gullspar/site/SiteProxy.java
@@ -2,6 +2,7 @@
 
 import gullspar.config.Site;
 import gullspar.decide.Balancer;
+import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
 import gullspar.proxy.operator.Companion;
@@ -9,7 +10,6 @@
 import gullspar.route.Router;
 import gullspar.site.client.Clients;
 import gullspar.site.client.PlainClient;
-import gullspar.proxy.http.BodyBudget;
 import gullspar.site.http.PlainRequest;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -47,15 +47,18 @@
     private final Map<String, Pool> pools = new HashMap<>();
     /** Pools that no configuration names any more, until nothing of theirs is in hand. */
     private final List<Pool> leaving = new ArrayList<>();
+
     private final Set<Call> calls = new LinkedHashSet<>();
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private long seed;
     private Site site;
     /** A new one is being taken over; the newest that came meanwhile follows. */
     private boolean replacing;
+
     private boolean draining;
     /** Requests that have ended. */
     private long done;
+
     private Site next;
     private Consumer<String> nextDone;
 
@@ -64,8 +67,13 @@
         this.factory = factory;
         this.seed = seed;
         this.sockets = new Sockets(site.limits().sockets());
-        this.clients = new Clients(platform, sockets.clients, site.limits(),
-                new BodyBudget(site.limits().bodyBytes()), seed, this);
+        this.clients = new Clients(
+                platform,
+                sockets.clients,
+                site.limits(),
+                new BodyBudget(site.limits().bodyBytes()),
+                seed,
+                this);
         sockets.backends.whenFull(() -> pools.values().stream().anyMatch(Pool::closeOneIdle)
                 || leaving.stream().anyMatch(Pool::closeOneIdle));
     }
@@ -116,11 +124,12 @@
             then.done(null);
             return;
         }
-        binding.values().forEach(f -> f.addListener(done -> {
-            if (--left[0] == 0) {
-                bound(binding, then);
-            }
-        }));
+        binding.values()
+                .forEach(f -> f.addListener(done -> {
+                    if (--left[0] == 0) {
+                        bound(binding, then);
+                    }
+                }));
     }
 
     private void bound(Map<InetSocketAddress, ChannelFuture> binding, Listening then) {
@@ -138,12 +147,15 @@
     }
 
     private ChannelFuture bind(InetSocketAddress address) {
-        return platform.transport().at(address).childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel c) {
-                clients.accept(c, address);
-            }
-        }).bind();
+        return platform.transport()
+                .at(address)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        clients.accept(c, address);
+                    }
+                })
+                .bind();
     }
 
     /** Where the listener that was declared with that address listens; null if there is none. */
@@ -156,7 +168,7 @@
 
     /** Replaces what there is; if a listener cannot be had, nothing changes. To be called on the loop. */
     public void reload(Site s) {
-        reload(s, why -> { });
+        reload(s, why -> {});
     }
 
     /** The same; done is told, on the loop, why nothing has changed, or null once the new one holds. */
@@ -173,8 +185,9 @@
         listen(s, cause -> {
             if (cause == null) {
                 apply(s);
-                platform.log().say("a new configuration: " + s.listeners().size() + " listeners, "
-                        + s.pools().size() + " pools");
+                platform.log()
+                        .say("a new configuration: " + s.listeners().size() + " listeners, "
+                                + s.pools().size() + " pools");
             } else {
                 platform.log().say("the new configuration is not used: " + cause.getMessage());
             }
@@ -215,8 +228,15 @@
                 if (p != null) {
                     leave(p);
                 }
-                pools.put(name, new Pool(platform, sockets.backends, factory, seed++, declared,
-                        s.limits().retryAfterNs()));
+                pools.put(
+                        name,
+                        new Pool(
+                                platform,
+                                sockets.backends,
+                                factory,
+                                seed++,
+                                declared,
+                                s.limits().retryAfterNs()));
             }
         });
     }
@@ -293,8 +313,11 @@
 
     private void whenEmpty(long until) {
         if (clients.open() == 0 || platform.clock().now() >= until) {
-            platform.log().say(clients.open() == 0 ? "drained" : "drained, but for " + clients.open()
-                    + " connections that are cut off");
+            platform.log()
+                    .say(
+                            clients.open() == 0
+                                    ? "drained"
+                                    : "drained, but for " + clients.open() + " connections that are cut off");
             clients.closeAll();
             ended.complete(null);
         } else {
--- a/src/main/java/gullspar/site/backend/PlainAttempt.java
+++ b/src/main/java/gullspar/site/backend/PlainAttempt.java
@@ -37,8 +37,7 @@
     }
 
     /** What is written. head: of the request, for what is left of its time in ns. */
-    public record Sending(LongFunction<HttpRequest> head, ByteBuf body, HttpHeaders trailers,
-            boolean headOnly) { }
+    public record Sending(LongFunction<HttpRequest> head, ByteBuf body, HttpHeaders trailers, boolean headOnly) {}
 
     final PlainBackend backend;
     final Sending sending;
--- a/src/main/java/gullspar/site/backend/PlainBackends.java
+++ b/src/main/java/gullspar/site/backend/PlainBackends.java
@@ -31,8 +31,7 @@
     private final Map<Integer, PlainBackend> backends = new HashMap<>();
     private Site.Connections connections;
 
-    public PlainBackends(Platform platform, Sockets.Share sockets, Site.Connections connections,
-            Places places) {
+    public PlainBackends(Platform platform, Sockets.Share sockets, Site.Connections connections, Places places) {
         this.platform = platform;
         this.sockets = sockets;
         this.connections = connections;
@@ -80,8 +79,10 @@
     public boolean closeOneIdle() {
         PlainBackend oldest = null;
         for (PlainBackend b : backends.values()) {
-            if (!b.idle.isEmpty() && (oldest == null
-                    || b.idle.peekFirst().idleSince() < oldest.idle.peekFirst().idleSince())) {
+            if (!b.idle.isEmpty()
+                    && (oldest == null
+                            || b.idle.peekFirst().idleSince()
+                                    < oldest.idle.peekFirst().idleSince())) {
                 oldest = b;
             }
         }
@@ -108,8 +109,7 @@
     // ---- attempts ----
 
     /** Starts an attempt; it ends later, never within this call. */
-    public PlainAttempt send(int server, PlainAttempt.Sending sending, long timeoutNs,
-            PlainAttempt.Listener listener) {
+    public PlainAttempt send(int server, PlainAttempt.Sending sending, long timeoutNs, PlainAttempt.Listener listener) {
         PlainBackend b = backends.get(server);
         PlainAttempt a = new PlainAttempt(b, sending, listener, platform.loop());
         if (b == null || b.full()) {
@@ -151,17 +151,17 @@
 
     private void connect(PlainAttempt a, long deadline) {
         PlainConnection c = new PlainConnection(a.backend, platform.clock(), this);
-        ChannelFuture connect = platform.transport().to(a.backend.address)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, connections.connectNs() / 1_000_000))
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 4096,
-                        MOST_READ))
+        ChannelFuture connect = platform.transport()
+                .to(a.backend.address)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connections.connectNs() / 1_000_000))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 4096, MOST_READ))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         c.openOn(channel);
                     }
-                }).connect();
+                })
+                .connect();
         c.opening(connect.channel());
         a.over(c);
         connect.channel().closeFuture().addListener(f -> sockets.release());
--- a/src/main/java/gullspar/site/backend/PlainConnection.java
+++ b/src/main/java/gullspar/site/backend/PlainConnection.java
@@ -163,7 +163,8 @@
     /** False if this is not the head of an answer that is taken on. */
     private boolean begins(HttpResponse r) {
         if (!r.protocolVersion().equals(HttpVersion.HTTP_1_1)
-                && !r.protocolVersion().equals(HttpVersion.HTTP_1_0) || r.status().code() == 101) {
+                        && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)
+                || r.status().code() == 101) {
             broken();
             return false;
         }
@@ -237,8 +238,7 @@
         attempt = null;
         decoder.quiet();
         // An answer before the whole request was written: the rest of that is still to go out on this one.
-        boolean again = written && !trailed && HttpUtil.isKeepAlive(head) && backend.leftAt == 0
-                && channel.isActive();
+        boolean again = written && !trailed && HttpUtil.isKeepAlive(head) && backend.leftAt == 0 && channel.isActive();
         idleSince = clock.now();
         keeper.done(a);
         if (again && keeper.keep(this)) {
--- a/src/main/java/gullspar/site/client/AnswerEncoder.java
+++ b/src/main/java/gullspar/site/client/AnswerEncoder.java
@@ -15,7 +15,6 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpResponse r) {
-        return super.isContentAlwaysEmpty(r)
-                || headOnly && r.status().codeClass() != HttpStatusClass.INFORMATIONAL;
+        return super.isContentAlwaysEmpty(r) || headOnly && r.status().codeClass() != HttpStatusClass.INFORMATIONAL;
     }
 }
--- a/src/main/java/gullspar/site/client/Clients.java
+++ b/src/main/java/gullspar/site/client/Clients.java
@@ -1,11 +1,11 @@
 package gullspar.site.client;
 
 import gullspar.config.Site;
+import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
 import gullspar.route.Request;
 import gullspar.route.Router;
-import gullspar.proxy.http.BodyBudget;
 import gullspar.site.http.PlainRequest;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -42,11 +42,12 @@
     }
 
     /** A name or address, and a port (RFC 9110, section 7.2); empty for what has none. */
-    static final Pattern HOST = Pattern.compile(
-            "([A-Za-z0-9._~!$&'()*+,;=%-]*|\\[[0-9A-Fa-f:.]+\\])(:[0-9]{0,5})?");
+    static final Pattern HOST = Pattern.compile("([A-Za-z0-9._~!$&'()*+,;=%-]*|\\[[0-9A-Fa-f:.]+\\])(:[0-9]{0,5})?");
+
     private static final Pattern ID = Pattern.compile("[!-~]{1,128}");
     /** A slow client holds so much of its answer at the most, and what is read in one go. */
     private static final WriteBufferWaterMark HELD = new WriteBufferWaterMark(16 << 10, 64 << 10);
+
     private static final int MOST_READ = 32 << 10;
 
     private final Platform platform;
@@ -57,11 +58,12 @@
     private final Random ids;
     /** The one that was used longest ago first. */
     private final Set<PlainClient> open = new LinkedHashSet<>();
+
     private Site.Limits limits;
     private boolean draining;
 
-    public Clients(Platform platform, Sockets.Share sockets, Site.Limits limits, BodyBudget budget, long seed,
-            Taker taker) {
+    public Clients(
+            Platform platform, Sockets.Share sockets, Site.Limits limits, BodyBudget budget, long seed, Taker taker) {
         this.platform = platform;
         this.sockets = sockets;
         this.limits = limits;
@@ -86,8 +88,7 @@
         c.closeFuture().addListener(f -> sockets.release());
         c.config().setAutoRead(false);
         c.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, HELD);
-        c.config().setOption(ChannelOption.RECVBUF_ALLOCATOR,
-                new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ));
+        c.config().setOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 2048, MOST_READ));
         PlainDecoder decoder = new PlainDecoder();
         AnswerEncoder encoder = new AnswerEncoder();
         PlainClient client = new PlainClient(c, decoder, encoder, listener, this);
@@ -97,7 +98,7 @@
     }
 
     private boolean closeOneIdle() {
-        for (Iterator<PlainClient> i = open.iterator(); i.hasNext();) {
+        for (Iterator<PlainClient> i = open.iterator(); i.hasNext(); ) {
             PlainClient c = i.next();
             if (c.idle()) {
                 i.remove();
--- a/src/main/java/gullspar/site/client/PlainClient.java
+++ b/src/main/java/gullspar/site/client/PlainClient.java
@@ -1,9 +1,9 @@
 package gullspar.site.client;
 
+import gullspar.proxy.http.Body;
 import gullspar.route.Request;
 import gullspar.route.Route;
 import gullspar.route.Router;
-import gullspar.proxy.http.Body;
 import gullspar.site.http.Hops;
 import gullspar.site.http.PlainRequest;
 import gullspar.site.http.Target;
@@ -47,6 +47,7 @@
 public final class PlainClient extends ChannelInboundHandlerAdapter {
     /** So many bytes of later requests are read while one is in hand: enough to hear the client leave. */
     private static final int MOST_AHEAD = 64 << 10;
+
     private static final int MOST_OBJECTS_AHEAD = 1024;
     private static final long LINGER_NS = 2_000_000_000L;
 
@@ -65,12 +66,14 @@
     private Body body;
     /** The request in hand; null while none is. */
     private PlainRequest request;
+
     private Clients.Taken taken;
     private ChannelFuture lastWritten;
     private boolean busy;
     private boolean keepAlive;
     /** Its listener takes no more requests than the one in hand. */
     private boolean unwanted;
+
     private boolean ending;
     private boolean answering;
     private boolean reading;
@@ -80,10 +83,11 @@
     private long endingSince;
     /** The connection ends while more may still come of a request; until when that is dropped. */
     private boolean cutShort;
+
     private long lingerUntil;
 
-    PlainClient(Channel channel, PlainDecoder decoder, AnswerEncoder encoder, InetSocketAddress listener,
-            Clients owner) {
+    PlainClient(
+            Channel channel, PlainDecoder decoder, AnswerEncoder encoder, InetSocketAddress listener, Clients owner) {
         this.channel = channel;
         this.decoder = decoder;
         this.encoder = encoder;
@@ -189,8 +193,9 @@
             Throwable cause = o.decoderResult().cause();
             boolean line = cause instanceof TooLongHttpLineException;
             boolean tooLong = cause instanceof TooLongFrameException;
-            end(line ? 414 : tooLong ? 431 : 400, line ? "the target is too long"
-                    : tooLong ? "the head is too long" : "malformed request");
+            end(
+                    line ? 414 : tooLong ? 431 : 400,
+                    line ? "the target is too long" : tooLong ? "the head is too long" : "malformed request");
             return;
         }
         if (o instanceof HttpRequest r) {
@@ -230,18 +235,23 @@
         target = Target.of(r.uri(), r.method().name());
         if (!v.equals(HttpVersion.HTTP_1_1) && !v.equals(HttpVersion.HTTP_1_0)) {
             end(505, "this is HTTP/1.1");
-        } else if (hosts.size() > 1 || hosts.isEmpty() && v.equals(HttpVersion.HTTP_1_1)
+        } else if (hosts.size() > 1
+                || hosts.isEmpty() && v.equals(HttpVersion.HTTP_1_1)
                 || !hosts.isEmpty() && !Clients.HOST.matcher(hosts.get(0)).matches()) {
             end(400, "no Host, or an odd one, or several");
-        } else if (!coding.isEmpty() && (v.equals(HttpVersion.HTTP_1_0) || coding.size() > 1
-                || !coding.get(0).equalsIgnoreCase("chunked"))) {
+        } else if (!coding.isEmpty()
+                && (v.equals(HttpVersion.HTTP_1_0)
+                        || coding.size() > 1
+                        || !coding.get(0).equalsIgnoreCase("chunked"))) {
             end(v.equals(HttpVersion.HTTP_1_0) ? 400 : 501, "a transfer coding other than chunked");
         } else if (r.method().equals(HttpMethod.CONNECT)) {
             end(501, "this is no tunnel");
-        } else if (target == null || target.authority() != null
-                && !Clients.HOST.matcher(target.authority()).matches()) {
+        } else if (target == null
+                || target.authority() != null
+                        && !Clients.HOST.matcher(target.authority()).matches()) {
             end(400, "an odd target");
-        } else if (r.headers().contains(HttpHeaderNames.EXPECT) && !HttpUtil.is100ContinueExpected(r)
+        } else if (r.headers().contains(HttpHeaderNames.EXPECT)
+                && !HttpUtil.is100ContinueExpected(r)
                 && v.equals(HttpVersion.HTTP_1_1)) {
             end(417, "nothing to be expected but 100-continue");
         } else {
@@ -253,9 +263,16 @@
     /** The route is known by the head: what has none needs no body. */
     private void route(HttpRequest r) {
         InetSocketAddress from = (InetSocketAddress) channel.remoteAddress();
-        routed = new Request(r.method().name(), host, target.path(), target.query(), target.raw(),
-                from.getAddress().getHostAddress(), local().getPort(),
-                owner.id(r.headers().getAll("Request-Id")), r.headers()::getAll);
+        routed = new Request(
+                r.method().name(),
+                host,
+                target.path(),
+                target.query(),
+                target.raw(),
+                from.getAddress().getHostAddress(),
+                local().getPort(),
+                owner.id(r.headers().getAll("Request-Id")),
+                r.headers()::getAll);
         found = owner.find(listener, routed);
         Route.ToPool to = found.route() == null ? null : found.route().pool();
         long most = to == null ? 0 : to.limits().bodyBytes();
@@ -272,8 +289,8 @@
             cutShort = comes;
             whole(new DefaultHttpHeaders());
         } else if (comes && HttpUtil.is100ContinueExpected(r) && ahead.isEmpty()) {
-            channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            channel.writeAndFlush(new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
         }
     }
 
@@ -282,8 +299,8 @@
     }
 
     private void whole(HttpHeaders trailers) {
-        request = new PlainRequest(head.method(), head.protocolVersion(), target, routed, head.headers(),
-                body, trailers);
+        request =
+                new PlainRequest(head.method(), head.protocolVersion(), target, routed, head.headers(), body, trailers);
         head = null;
         body = null;
         partSince = 0;
@@ -295,8 +312,7 @@
             if (!found.allowed().isEmpty()) {
                 h.set(HttpHeaderNames.ALLOW, String.join(", ", found.allowed()));
             }
-            answer(found.status(), h, found.status() == 405 ? "this method is not allowed here"
-                    : "nothing is here");
+            answer(found.status(), h, found.status() == 405 ? "this method is not allowed here" : "nothing is here");
         } else if (route.answer() != null) {
             fixed(route);
         } else {
@@ -349,8 +365,8 @@
     }
 
     private void answer(int status, HttpHeaders headers, byte[] bytes) {
-        DefaultFullHttpResponse r = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+        DefaultFullHttpResponse r = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
         r.headers().add(headers);
         if (status != 204 && status != 304) {
             HttpUtil.setContentLength(r, bytes.length);
@@ -362,8 +378,11 @@
     /** An answer begins that comes piece by piece. */
     public void begin(HttpResponse r) {
         answering = true;
-        boolean framed = HttpUtil.isContentLengthSet(r) || HttpUtil.isTransferEncodingChunked(r)
-                || request.head() || r.status().code() == 204 || r.status().code() == 304;
+        boolean framed = HttpUtil.isContentLengthSet(r)
+                || HttpUtil.isTransferEncodingChunked(r)
+                || request.head()
+                || r.status().code() == 204
+                || r.status().code() == 304;
         keepAlive &= framed;
         connection(r);
         channel.write(r);
--- a/src/main/java/gullspar/site/client/PlainDecoder.java
+++ b/src/main/java/gullspar/site/client/PlainDecoder.java
@@ -34,8 +34,7 @@
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         if (inHead && folded(in)) {
             in.skipBytes(in.readableBytes());
-            DefaultFullHttpRequest odd = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/");
+            DefaultFullHttpRequest odd = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
             odd.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("a folded line")));
             out.add(odd);
             return;
--- a/src/main/java/gullspar/site/http/Heads.java
+++ b/src/main/java/gullspar/site/http/Heads.java
@@ -17,15 +17,16 @@
 
 /** The heads that a proxy writes: of a request to a server, and of its answer to the client. */
 public final class Heads {
-    private static final List<String> SAID_BY_PROXIES = List.of("X-Forwarded-For", "X-Forwarded-Proto",
-            "X-Forwarded-Host", "X-Forwarded-Port", "X-Real-IP", "Forwarded");
+    private static final List<String> SAID_BY_PROXIES = List.of(
+            "X-Forwarded-For", "X-Forwarded-Proto", "X-Forwarded-Host", "X-Forwarded-Port", "X-Real-IP", "Forwarded");
 
-    private Heads() { }
+    private Heads() {}
 
     /** The head of an attempt; leftNs is what is left of the request's time. */
-    public static HttpRequest request(PlainRequest r, Route.ToPool to, Values values, Forwarded forwarded,
-            long leftNs) {
-        String uri = to.rewrite() == Rewrite.NONE ? r.target().raw()
+    public static HttpRequest request(
+            PlainRequest r, Route.ToPool to, Values values, Forwarded forwarded, long leftNs) {
+        String uri = to.rewrite() == Rewrite.NONE
+                ? r.target().raw()
                 : r.target().with(to.rewrite().of(r.target().path()));
         HttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, r.method(), uri);
         HttpHeaders h = head.headers();
@@ -83,7 +84,9 @@
      * reads those, and else up to the end of the connection.
      */
     public static HttpResponse answer(HttpResponse from, PlainRequest r, Route.ToPool to, Values values) {
-        HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, from.status(),
+        HttpResponse head = new DefaultHttpResponse(
+                HttpVersion.HTTP_1_1,
+                from.status(),
                 DefaultHttpHeadersFactory.headersFactory().withValidation(false));
         int code = from.status().code();
         Hops.copy(from.headers(), from.protocolVersion(), head.headers());
--- a/src/main/java/gullspar/site/http/Hops.java
+++ b/src/main/java/gullspar/site/http/Hops.java
@@ -12,15 +12,26 @@
 
 /** What of a head is meant for the next hop alone, and does not go on (RFC 9110, section 7.6.1). */
 public final class Hops {
-    private static final Set<String> ALWAYS = Set.of("connection", "keep-alive", "proxy-connection",
-            "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade",
-            "content-length", "expect", "http2-settings");
+    private static final Set<String> ALWAYS = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect",
+            "http2-settings");
     /** Connection cannot take these away: without them a request means something else. */
-    private static final Set<String> NEVER_NAMED = Set.of("host", "cookie", "authorization",
-            "idempotency-key", "content-type", "content-encoding", "cache-control");
+    private static final Set<String> NEVER_NAMED = Set.of(
+            "host", "cookie", "authorization", "idempotency-key", "content-type", "content-encoding", "cache-control");
+
     private static final AsciiString VIA = AsciiString.cached("Via");
 
-    private Hops() { }
+    private Hops() {}
 
     /** Copies what goes on from one head to another, and says in Via that it came through here. */
     public static void copy(HttpHeaders from, HttpVersion received, HttpHeaders to) {
--- a/src/main/java/gullspar/site/http/PlainRequest.java
+++ b/src/main/java/gullspar/site/http/PlainRequest.java
@@ -7,8 +7,14 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /** A client's request, whole; routed is what routing looks at of it. */
-public record PlainRequest(HttpMethod method, HttpVersion version, Target target, Request routed,
-        HttpHeaders headers, Body body, HttpHeaders trailers) {
+public record PlainRequest(
+        HttpMethod method,
+        HttpVersion version,
+        Target target,
+        Request routed,
+        HttpHeaders headers,
+        Body body,
+        HttpHeaders trailers) {
     /** The address that it came from. */
     public String client() {
         return routed.client();
--- a/src/main/java/gullspar/site/http/Target.java
+++ b/src/main/java/gullspar/site/http/Target.java
@@ -46,8 +46,9 @@
         }
         Charset charset = charset(decoded);
         String path = normal(new String(decoded, charset));
-        return path == null ? null : new Target(origin, authority, path,
-                question < 0 ? null : origin.substring(question + 1), charset);
+        return path == null
+                ? null
+                : new Target(origin, authority, path, question < 0 ? null : origin.substring(question + 1), charset);
     }
 
     /** The bytes of a path with its %XX resolved; null if one is odd, or stands for 0. */
--- a/src/main/java/gullspar/toml/Fields.java
+++ b/src/main/java/gullspar/toml/Fields.java
@@ -21,12 +21,13 @@
     private static final double NOTHING = Double.NaN;
 
     /** A table as it was parsed, and how many lines stand ahead of the text that it was parsed from. */
-    record Part(TomlTable table, int below) { }
+    record Part(TomlTable table, int below) {}
 
     private static final TomlTable NONE = Toml.parse("");
 
     /** One, but for a text that was parsed in blocks: each key but arrays of tables is in one of them. */
     private final List<Part> parts;
+
     private final String name;
     private final TomlPosition place;
     private final List<Problem> problems;
@@ -116,8 +117,7 @@
         if (v >= least && v <= most) {
             return true;
         }
-        wrong(key, "is " + plain(v) + ", not " + plain(least) + (most < 1e300 ? " to " + plain(most)
-                : " or more"));
+        wrong(key, "is " + plain(v) + ", not " + plain(least) + (most < 1e300 ? " to " + plain(most) : " or more"));
         return false;
     }
 
@@ -236,10 +236,13 @@
             double n = number(key, least, most);
             return new Range(n, n);
         }
-        if (!(v instanceof TomlArray a) || a.size() != 2 || !(a.get(0) instanceof Number)
+        if (!(v instanceof TomlArray a)
+                || a.size() != 2
+                || !(a.get(0) instanceof Number)
                 || !(a.get(1) instanceof Number)) {
-            wrong(key, "must be a number or an array of two, not "
-                    + (v instanceof TomlArray ? "another array" : kind(v)));
+            wrong(
+                    key,
+                    "must be a number or an array of two, not " + (v instanceof TomlArray ? "another array" : kind(v)));
             return absent;
         }
         Range r = new Range(((Number) a.get(0)).doubleValue(), ((Number) a.get(1)).doubleValue());
@@ -265,8 +268,9 @@
         if (v instanceof TomlArray a) {
             for (int i = 0; i < a.size(); i++) {
                 if (!(a.get(i) instanceof String s)) {
-                    problem(moved(a.inputPositionOf(i), part(key).below), key + " must hold strings, not "
-                            + kind(a.get(i)));
+                    problem(
+                            moved(a.inputPositionOf(i), part(key).below),
+                            key + " must hold strings, not " + kind(a.get(i)));
                 } else if (texts.contains(s)) {
                     problem(moved(a.inputPositionOf(i), part(key).below), key + " holds '" + s + "' twice");
                 } else {
@@ -294,8 +298,8 @@
             wrong(key, "must be a table, not " + kind(v));
         }
         TomlTable t = v instanceof TomlTable there ? there : NONE;
-        return new Fields(List.of(new Part(t, part(key).below)), name.isEmpty() ? key : name + "." + key,
-                at(key), problems);
+        return new Fields(
+                List.of(new Part(t, part(key).below)), name.isEmpty() ? key : name + "." + key, at(key), problems);
     }
 
     /** The tables of an array of tables. */
--- a/src/main/java/gullspar/toml/ProblemsException.java
+++ b/src/main/java/gullspar/toml/ProblemsException.java
@@ -16,10 +16,16 @@
 
     private static String lines(String file, List<Problem> problems) {
         StringBuilder text = new StringBuilder();
-        problems.stream().sorted(Comparator.comparingInt(Problem::line).thenComparingInt(Problem::column))
-                .forEach(p -> text.append(text.isEmpty() ? "" : "\n").append(file).append(':')
+        problems.stream()
+                .sorted(Comparator.comparingInt(Problem::line).thenComparingInt(Problem::column))
+                .forEach(p -> text.append(text.isEmpty() ? "" : "\n")
+                        .append(file)
+                        .append(':')
                         .append(p.line())
-                        .append(':').append(p.column()).append(": ").append(p.what()));
+                        .append(':')
+                        .append(p.column())
+                        .append(": ")
+                        .append(p.what()));
         return text.toString();
     }
 
--- a/src/main/java/gullspar/versions/Checksum.java
+++ b/src/main/java/gullspar/versions/Checksum.java
@@ -12,6 +12,7 @@
     public static final int LENGTH = 32;
     /** Of nothing: the predecessor of a first version. */
     public static final Checksum NONE = new Checksum(new byte[LENGTH]);
+
     private static final int SHOWN = 4;
 
     private final byte[] bytes;
--- a/src/main/java/gullspar/versions/Delta.java
+++ b/src/main/java/gullspar/versions/Delta.java
@@ -22,10 +22,11 @@
      * @param removed how many go
      * @param lines what stands there instead
      */
-    public record Hunk(int at, int removed, List<String> lines) { }
+    public record Hunk(int at, int removed, List<String> lines) {}
 
     /** Middles of more lines than that are replaced as one: comparing them could take seconds. */
     private static final int MOST_COMPARED = 4000;
+
     private static final int HUNK_BYTES = 12;
 
     /** The change from one text to the version whose text is the other. */
@@ -38,12 +39,10 @@
             head++;
         }
         int tail = 0;
-        while (tail < shorter - head
-                && a.get(a.size() - 1 - tail).equals(b.get(b.size() - 1 - tail))) {
+        while (tail < shorter - head && a.get(a.size() - 1 - tail).equals(b.get(b.size() - 1 - tail))) {
             tail++;
         }
-        return new Delta(to.version(), hunks(a.subList(head, a.size() - tail),
-                b.subList(head, b.size() - tail), head));
+        return new Delta(to.version(), hunks(a.subList(head, a.size() - tail), b.subList(head, b.size() - tail), head));
     }
 
     private static List<Hunk> hunks(List<String> a, List<String> b, int at) {
@@ -54,10 +53,14 @@
             return List.of(new Hunk(at, a.size(), List.copyOf(b)));
         }
         List<Hunk> hunks = new ArrayList<>();
-        for (AbstractDelta<String> d : DiffUtils.diff(a, b, new MyersDiffWithLinearSpace<>(), null)
-                .getDeltas()) {
-            join(hunks, new Hunk(at + d.getSource().getPosition(), d.getSource().size(),
-                    List.copyOf(d.getTarget().getLines())));
+        for (AbstractDelta<String> d :
+                DiffUtils.diff(a, b, new MyersDiffWithLinearSpace<>(), null).getDeltas()) {
+            join(
+                    hunks,
+                    new Hunk(
+                            at + d.getSource().getPosition(),
+                            d.getSource().size(),
+                            List.copyOf(d.getTarget().getLines())));
         }
         return List.copyOf(hunks);
     }
--- a/src/main/java/gullspar/versions/Follower.java
+++ b/src/main/java/gullspar/versions/Follower.java
@@ -44,16 +44,20 @@
     public record Settings(long waitNs, long silenceNs, long leastNs, long mostNs, long retryNs) {
         private static final long MS = 1_000_000L;
         /** As in service. */
-        public static final Settings USUAL = new Settings(3000 * MS, 3500 * MS, 500 * MS, 8000 * MS,
-                10_000 * MS);
+        public static final Settings USUAL = new Settings(3000 * MS, 3500 * MS, 500 * MS, 8000 * MS, 10_000 * MS);
     }
 
-    private enum Connection { NONE, CONNECTING, OPEN }
+    private enum Connection {
+        NONE,
+        CONNECTING,
+        OPEN
+    }
 
     private static final long NEVER = Long.MAX_VALUE;
     private static final long BEAT_NS = 2_000_000_000L;
     /** A control process in doubt is not gone back to for so long, if there is another. */
     private static final long DOUBT_NS = 300_000_000_000L;
+
     private static final int MOST_DOUBLINGS = 10;
 
     private final String name;
@@ -73,6 +77,7 @@
     private boolean wanted;
     /** On this connection control has said what it has, and this one had it, or has it by now. */
     private boolean caughtUp;
+
     private Version told;
     private long startedAt;
     /** Since when the control process is not in step with the primary, or has less than this one. */
@@ -81,10 +86,12 @@
     private Document held;
     /** Changes that led from what was last taken to what is held; null where it came whole. */
     private List<Delta> led = List.of();
+
     private boolean kept;
     private boolean mayBeOlder;
     /** The highest that any control process has told of. */
     private Version highest;
+
     private boolean decided;
     private boolean taking;
     private Version inForce;
@@ -92,8 +99,8 @@
     private long retryAt;
 
     /** addresses: how many control processes there are, in this follower's order; 1 or more. */
-    public Follower(String name, Message.Role role, Settings settings, int addresses, RandomGenerator random,
-            Host host) {
+    public Follower(
+            String name, Message.Role role, Settings settings, int addresses, RandomGenerator random, Host host) {
         this.name = name;
         this.role = role;
         this.settings = settings;
@@ -184,9 +191,11 @@
         }
         String doubt = h.inStep() ? "" : h.control() + " is out of step with the primary";
         if (held != null && (h.head() == null || h.head().order(held.version()) < 0)) {
-            doubt = h.control() + " has only " + (h.head() == null ? "nothing" : h.head())
-                    + ", this one has " + held.version();
-        } else if (held != null && h.head().order(held.version()) == 0 && !h.head().equals(held.version())) {
+            doubt = h.control() + " has only " + (h.head() == null ? "nothing" : h.head()) + ", this one has "
+                    + held.version();
+        } else if (held != null
+                && h.head().order(held.version()) == 0
+                && !h.head().equals(held.version())) {
             doubt = forked(h.control(), h.head());
             if (!doubt.equals(trouble)) {
                 trouble = doubt;
@@ -215,8 +224,8 @@
     }
 
     private String forked(String who, Version other) {
-        return who + " has another version of the same place: " + other + ", this one has "
-                + held.version() + "; see 'forked' in docs/versions.md";
+        return who + " has another version of the same place: " + other + ", this one has " + held.version()
+                + "; see 'forked' in docs/versions.md";
     }
 
     private void update(long now, Message.Update u) {
@@ -334,8 +343,10 @@
             connect();
         } else if (connection == Connection.OPEN && now - lastHeard > settings.silenceNs) {
             leave(now, "silent for " + (now - lastHeard) / 1_000_000 + " ms");
-        } else if (connection == Connection.OPEN && doubtSince != NEVER
-                && now - doubtSince > settings.waitNs && another(now)) {
+        } else if (connection == Connection.OPEN
+                && doubtSince != NEVER
+                && now - doubtSince > settings.waitNs
+                && another(now)) {
             leave(now, "it is in doubt");
         } else if (connection == Connection.OPEN && now - lastAck >= BEAT_NS) {
             ack(now);
@@ -385,7 +396,9 @@
 
     /** Has it all that its control process had, which is itself in step with the primary? */
     public boolean inStep(long now) {
-        return connection == Connection.OPEN && caughtUp && doubtSince == NEVER
+        return connection == Connection.OPEN
+                && caughtUp
+                && doubtSince == NEVER
                 && now - lastHeard <= settings.silenceNs;
     }
 
--- a/src/main/java/gullspar/versions/History.java
+++ b/src/main/java/gullspar/versions/History.java
@@ -42,6 +42,7 @@
     private int bytes;
     /** What the oldest change is applied to, or the head where there are none; null for nothing yet. */
     private Version oldest;
+
     private Document head;
     /** Of the head; -1 while nobody has asked. */
     private int packed = -1;
@@ -75,7 +76,9 @@
         if (head != null && next.version().order(head.version()) <= 0) {
             throw new IllegalArgumentException(next.version() + " is not newer than " + head.version());
         }
-        boolean joined = head != null && !led.isEmpty() && led.get(0).to().follows(head.version())
+        boolean joined = head != null
+                && !led.isEmpty()
+                && led.get(0).to().follows(head.version())
                 && led.get(led.size() - 1).to().equals(next.version());
         if (joined) {
             led.forEach(this::keep);
