--- a/src/main/java/gullspar/versions/Message.java
+++ b/src/main/java/gullspar/versions/Message.java
@@ -10,44 +10,55 @@
     int LONGEST_WHY = 300;
 
     /** As what somebody follows. The primary does after a start, to be told what the others have. */
-    enum Role { PROXY, CONTROL, PRIMARY }
+    enum Role {
+        PROXY,
+        CONTROL,
+        PRIMARY
+    }
 
     /** A follower begins: who it is, and what it has, null for nothing. */
-    record Hello(String name, Role role, Version has) implements Message { }
+    record Hello(String name, Role role, Version has) implements Message {}
 
     /**
      * A control process says what it has, null for nothing; each second, so it is its beat as well. inStep:
      * it has heard within moments that there is nothing newer.
      */
-    record Head(String control, Version head, boolean inStep) implements Message { }
+    record Head(String control, Version head, boolean inStep) implements Message {}
 
     /**
      * A newer version: by the changes that lead there, or, where these are empty, by its text. ancestor: what
      * the control process had at the follower's place, null if it does not know.
      */
-    record Update(Version to, Version ancestor, List<Delta> deltas, String text) implements Message { }
+    record Update(Version to, Version ancestor, List<Delta> deltas, String text) implements Message {}
 
     /** The follower could not use an update, and asks for a snapshot. */
-    record Want() implements Message { }
+    record Want() implements Message {}
 
     /** What a follower runs, null for nothing; why it does not run a newer one, empty for no trouble. */
-    record Ack(Version inForce, String trouble) implements Message { }
+    record Ack(Version inForce, String trouble) implements Message {}
 
     /** What a control process knows of its followers, to the primary: those that have changed. */
-    record Report(List<Running> all) implements Message { }
+    record Report(List<Running> all) implements Message {}
 
     /** An operator's change. after: the number that it was written against; 0 for the first. */
-    record Publish(long after, String file, String text) implements Message { }
+    record Publish(long after, String file, String text) implements Message {}
 
     /** What became of it; head: the newest version, null for none. */
-    record Published(Publisher.Outcome outcome, Version head, List<String> lines) implements Message { }
+    record Published(Publisher.Outcome outcome, Version head, List<String> lines) implements Message {}
 
     /** An operator asks who runs what; with whole also those in order. */
-    record Look(boolean whole) implements Message { }
+    record Look(boolean whole) implements Message {}
 
     /** control: who answers; primary: is it the primary; all: who runs what. */
-    record Looked(String control, boolean primary, boolean inStep, Version head, int followers, int inForce,
-            List<Running> all) implements Message { }
+    record Looked(
+            String control,
+            boolean primary,
+            boolean inStep,
+            Version head,
+            int followers,
+            int inForce,
+            List<Running> all)
+            implements Message {}
 
     /**
      * What somebody runs.
@@ -56,6 +67,5 @@
      * @param awayMs for so long it has not been connected; 0 if it is
      * @param via the control process that it is, or was last, connected to
      */
-    record Running(String name, boolean control, long epoch, long number, String trouble, long awayMs,
-            String via) { }
+    record Running(String name, boolean control, long epoch, long number, String trouble, long awayMs, String via) {}
 }
--- a/src/main/java/gullspar/versions/Publisher.java
+++ b/src/main/java/gullspar/versions/Publisher.java
@@ -12,7 +12,15 @@
  */
 public final class Publisher {
     /** What became of a change. */
-    public enum Outcome { ACCEPTED, SAME, OLDER, WRONG, NOT_READY, NOT_PRIMARY, FAILED }
+    public enum Outcome {
+        ACCEPTED,
+        SAME,
+        OLDER,
+        WRONG,
+        NOT_READY,
+        NOT_PRIMARY,
+        FAILED
+    }
 
     /** Finds all that is wrong with a text: a line each, file:line:column: what. */
     public interface Check {
@@ -64,13 +72,11 @@
         for (Map.Entry<String, Version> o : others.entrySet()) {
             Version v = o.getValue();
             if (v.epoch() >= epoch && (head == null || v.order(head) > 0)) {
-                return o.getKey() + " has version " + v + ", this primary only "
-                        + (head == null ? "nothing" : head);
+                return o.getKey() + " has version " + v + ", this primary only " + (head == null ? "nothing" : head);
             }
             Version mine = history.at(v);
             if (v.epoch() >= epoch && mine != null && !mine.equals(v)) {
-                return o.getKey() + " has another version of the same place: " + v + ", this primary "
-                        + mine;
+                return o.getKey() + " has another version of the same place: " + v + ", this primary " + mine;
             }
         }
         return null;
@@ -93,12 +99,13 @@
         Document head = history.head();
         long number = head == null ? 0 : head.version().number();
         if (after != number) {
-            return Decision.no(Outcome.OLDER, "written against version " + after + ", but "
-                    + (head == null ? "there is none yet" : head.version() + " came first"));
+            return Decision.no(
+                    Outcome.OLDER,
+                    "written against version " + after + ", but "
+                            + (head == null ? "there is none yet" : head.version() + " came first"));
         }
         if (text.length() > Document.LONGEST) {
-            return Decision.no(Outcome.WRONG, file + ":1:1: is longer than " + Document.LONGEST
-                    + " characters");
+            return Decision.no(Outcome.WRONG, file + ":1:1: is longer than " + Document.LONGEST + " characters");
         }
         if (head != null && head.text().equals(text)) {
             return Decision.no(Outcome.SAME, "that is version " + head.version() + " already");
@@ -107,7 +114,15 @@
         for (Version v : others.values()) {
             highest = Math.max(highest, v.number()); // of a former epoch: numbers are not given twice
         }
-        return new Decision(Outcome.ACCEPTED, List.of(), new Document(new Version(epoch, highest + 1,
-                Checksum.of(text), head == null ? Checksum.NONE : head.version().id()), text));
+        return new Decision(
+                Outcome.ACCEPTED,
+                List.of(),
+                new Document(
+                        new Version(
+                                epoch,
+                                highest + 1,
+                                Checksum.of(text),
+                                head == null ? Checksum.NONE : head.version().id()),
+                        text));
     }
 }
--- a/src/main/java/gullspar/versions/Registry.java
+++ b/src/main/java/gullspar/versions/Registry.java
@@ -20,7 +20,7 @@
     }
 
     /** How far a version has come: who there is, those that run it or a newer one, and the others. */
-    public record Standing(int followers, int inForce, List<Message.Running> missing) { }
+    public record Standing(int followers, int inForce, List<Message.Running> missing) {}
 
     private static final long CONNECTED = -1;
     private static final long MS = 1_000_000L;
@@ -62,16 +62,14 @@
         Entry e = entries.get(r.name());
         if (r.awayMs() > 0) {
             if (e == null || e.via.equals(r.via())) {
-                set(r.name(), r.control(), r.epoch(), r.number(), r.trouble(), r.via(),
-                        now - r.awayMs() * MS);
+                set(r.name(), r.control(), r.epoch(), r.number(), r.trouble(), r.via(), now - r.awayMs() * MS);
             }
         } else {
             set(r.name(), r.control(), r.epoch(), r.number(), r.trouble(), r.via(), CONNECTED);
         }
     }
 
-    private void set(String name, boolean control, long epoch, long number, String trouble, String via,
-            long goneAt) {
+    private void set(String name, boolean control, long epoch, long number, String trouble, String via, long goneAt) {
         Entry e = entries.get(name);
         if (e == null) {
             if (entries.size() >= most) {
@@ -79,7 +77,10 @@
             }
             e = new Entry();
             entries.put(name, e);
-        } else if (e.epoch == epoch && e.number == number && e.trouble.equals(trouble) && e.via.equals(via)
+        } else if (e.epoch == epoch
+                && e.number == number
+                && e.trouble.equals(trouble)
+                && e.via.equals(via)
                 && e.goneAt == goneAt) {
             return;
         }
@@ -98,8 +99,14 @@
     }
 
     private static Message.Running running(long now, String name, Entry e) {
-        return new Message.Running(name, e.control, e.epoch, e.number, e.trouble,
-                e.goneAt == CONNECTED ? 0 : Math.max(1, (now - e.goneAt) / MS), e.via);
+        return new Message.Running(
+                name,
+                e.control,
+                e.epoch,
+                e.number,
+                e.trouble,
+                e.goneAt == CONNECTED ? 0 : Math.max(1, (now - e.goneAt) / MS),
+                e.via);
     }
 
     /** Everybody, by name. */
@@ -131,8 +138,7 @@
     public Standing standing(long now, Version v) {
         List<Message.Running> missing = new ArrayList<>();
         entries.forEach((name, e) -> {
-            boolean behind = v != null && (e.epoch < v.epoch() || e.epoch == v.epoch()
-                    && e.number < v.number());
+            boolean behind = v != null && (e.epoch < v.epoch() || e.epoch == v.epoch() && e.number < v.number());
             if (behind) {
                 missing.add(running(now, name, e));
             }
--- a/src/main/java/gullspar/versions/Version.java
+++ b/src/main/java/gullspar/versions/Version.java
@@ -21,8 +21,12 @@
 
     /** What its successors name it by: a checksum of all four. */
     public Checksum id() {
-        return Checksum.of(ByteBuffer.allocate(2 * Long.BYTES + 2 * Checksum.LENGTH).putLong(epoch)
-                .putLong(number).put(text.bytes()).put(parent.bytes()).array());
+        return Checksum.of(ByteBuffer.allocate(2 * Long.BYTES + 2 * Checksum.LENGTH)
+                .putLong(epoch)
+                .putLong(number)
+                .put(text.bytes())
+                .put(parent.bytes())
+                .array());
     }
 
     /** Below 0 for a lower place than the other's, 0 for the same one, which may be a fork. */
--- a/src/main/java/gullspar/versions/file/DiskFolder.java
+++ b/src/main/java/gullspar/versions/file/DiskFolder.java
@@ -25,8 +25,7 @@
     /** Takes a folder, which is made if need be; an IOException if another process has it. */
     public static DiskFolder hold(Path folder) throws IOException {
         Files.createDirectories(folder);
-        FileChannel c = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE);
+        FileChannel c = FileChannel.open(folder.resolve("lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
         FileLock lock = null;
         try {
             lock = c.tryLock();
@@ -54,8 +53,11 @@
 
     @Override
     public void write(String name, byte[] content) throws IOException {
-        try (FileChannel c = FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE,
-                StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel c = FileChannel.open(
+                folder.resolve(name),
+                StandardOpenOption.CREATE,
+                StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
             ByteBuffer b = ByteBuffer.wrap(content);
             while (b.hasRemaining()) {
                 c.write(b);
--- a/src/main/java/gullspar/versions/file/Store.java
+++ b/src/main/java/gullspar/versions/file/Store.java
@@ -18,6 +18,7 @@
 public final class Store {
     /** What is in force, the one before, and one that is being written. */
     public static final String CURRENT = "current";
+
     public static final String PREVIOUS = "previous";
     public static final String NEXT = "next";
     private static final byte[] MAGIC = "gullspar versions 1\n".getBytes(StandardCharsets.US_ASCII);
@@ -29,11 +30,12 @@
      * @param mayBeOlder a newer one was there, and cannot be read
      * @param damage a line for each file that is damaged
      */
-    public record Found(Codec.Kept kept, boolean mayBeOlder, List<String> damage) { }
+    public record Found(Codec.Kept kept, boolean mayBeOlder, List<String> damage) {}
 
     private final Folder folder;
     /** Is the file of that name there and whole, as far as is known? */
     private boolean current;
+
     private boolean next;
 
     public Store(Folder folder) {
@@ -95,8 +97,13 @@
             promote(); // the newest that is whole must not be written over
         }
         byte[] body = Packing.pack(Codec.encode(k), LEVEL);
-        folder.write(NEXT, ByteBuffer.allocate(MAGIC.length + Checksum.LENGTH + body.length).put(MAGIC)
-                .put(Checksum.of(body).bytes()).put(body).array());
+        folder.write(
+                NEXT,
+                ByteBuffer.allocate(MAGIC.length + Checksum.LENGTH + body.length)
+                        .put(MAGIC)
+                        .put(Checksum.of(body).bytes())
+                        .put(body)
+                        .array());
         promote();
         folder.sync();
     }
--- a/src/main/java/gullspar/versions/net/Audience.java
+++ b/src/main/java/gullspar/versions/net/Audience.java
@@ -20,7 +20,7 @@
 /** The followers that are connected to a control process, and what is on its way to each, at its pace. */
 final class Audience {
     /** Bytes a second: to a proxy; to one that has nothing yet, so serves nothing; to a control process. */
-    record Paces(int proxy, int first, int control) { }
+    record Paces(int proxy, int first, int control) {}
 
     /** One of them. */
     private final class Seat {
@@ -36,7 +36,8 @@
         Seat(Link link, Message.Hello hello) {
             this.link = link;
             this.hello = hello;
-            int bytes = hello.role() != Message.Role.PROXY ? paces.control
+            int bytes = hello.role() != Message.Role.PROXY
+                    ? paces.control
                     : hello.has() == null ? paces.first : paces.proxy;
             this.pace = new Pace(bytes, clock.getAsLong());
         }
@@ -158,10 +159,13 @@
             long at = s.pace.readyAt(now);
             if (at > now) { // an update is put together when it may go, so that it tells all since
                 s.scheduled = true;
-                loop.schedule(() -> {
-                    s.scheduled = false;
-                    pump(s);
-                }, at - now, TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        () -> {
+                            s.scheduled = false;
+                            pump(s);
+                        },
+                        at - now,
+                        TimeUnit.NANOSECONDS);
                 break;
             }
             if (s.frames.isEmpty() && !fill(s)) {
@@ -202,7 +206,8 @@
     }
 
     private List<byte[]> pack(Message.Update u) {
-        boolean same = packed != null && u.to().equals(packedTo)
+        boolean same = packed != null
+                && u.to().equals(packedTo)
                 && (u.ancestor() == null ? packedAncestor == null : u.ancestor().equals(packedAncestor));
         if (!same) {
             packed = Frames.of(u);
--- a/src/main/java/gullspar/versions/net/ControlDaemon.java
+++ b/src/main/java/gullspar/versions/net/ControlDaemon.java
@@ -19,7 +19,7 @@
 public final class ControlDaemon {
     private static final Log LOG = Log.standardError();
 
-    private ControlDaemon() { }
+    private ControlDaemon() {}
 
     /** Runs until the process ends; an IOException if it cannot listen, or has no use of its folder. */
     public static void run(ControlFile file) throws IOException {
@@ -30,8 +30,13 @@
             ServingLoop serving = ServingLoop.start();
             EventLoop loop = serving.loop();
             ExecutorService worker = Executors.newSingleThreadExecutor();
-            ControlNode node = new ControlNode(file, Platform.of(serving), store, worker,
-                    new SplittableRandom(System.nanoTime()), new SharedDocument()::problems);
+            ControlNode node = new ControlNode(
+                    file,
+                    Platform.of(serving),
+                    store,
+                    worker,
+                    new SplittableRandom(System.nanoTime()),
+                    new SharedDocument()::problems);
             CompletableFuture<String> bound = new CompletableFuture<>();
             loop.execute(() -> node.start(found, bound::complete));
             String why = bound.join();
@@ -41,12 +46,16 @@
                         + NetUtil.toSocketAddressString(file.controls().get(file.name())) + ": " + why);
             }
             // SIGTERM is the usual end: all that was acknowledged is kept, so nothing is left to do.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                LOG.say("ends");
-                Runtime.getRuntime().halt(0);
-            }, "end"));
-            LOG.say("control " + file.name() + (file.name().equals(file.primary()) ? ", the primary,"
-                    : ", after " + file.primary() + ",") + " listens on "
+            Runtime.getRuntime()
+                    .addShutdownHook(new Thread(
+                            () -> {
+                                LOG.say("ends");
+                                Runtime.getRuntime().halt(0);
+                            },
+                            "end"));
+            LOG.say("control " + file.name()
+                    + (file.name().equals(file.primary()) ? ", the primary," : ", after " + file.primary() + ",")
+                    + " listens on "
                     + NetUtil.toSocketAddressString(node.address()));
             loop.terminationFuture().awaitUninterruptibly();
             throw new IOException("the event loop has ended");
--- a/src/main/java/gullspar/versions/net/ControlNode.java
+++ b/src/main/java/gullspar/versions/net/ControlNode.java
@@ -47,13 +47,16 @@
     private static final int MOST_MISSING = 200;
     private static final int CONTROL_PACE = 2_000_000;
     private static final Follower.Settings UPSTREAM = new Follower.Settings(
-            Follower.Settings.USUAL.waitNs(), Follower.Settings.USUAL.silenceNs(), 200_000_000L,
-            2_000_000_000L, 2_000_000_000L);
+            Follower.Settings.USUAL.waitNs(),
+            Follower.Settings.USUAL.silenceNs(),
+            200_000_000L,
+            2_000_000_000L,
+            2_000_000_000L);
     /** A follower that catches up is not to wait: it asks one that has something, or not. */
-    private static final Follower.Settings CATCH_UP = new Follower.Settings(0,
-            Follower.Settings.USUAL.silenceNs(), 200_000_000L, 1_000_000_000L, 1_000_000_000L);
+    private static final Follower.Settings CATCH_UP =
+            new Follower.Settings(0, Follower.Settings.USUAL.silenceNs(), 200_000_000L, 1_000_000_000L, 1_000_000_000L);
 
-    private record Change(Link from, Message.Publish publish) { }
+    private record Change(Link from, Message.Publish publish) {}
 
     private final ControlFile file;
     private final Platform platform;
@@ -69,6 +72,7 @@
     private FollowerNode upstream;
     /** At the primary after a start: those that ask the others what they have. */
     private final Map<String, FollowerNode> asking = new LinkedHashMap<>();
+
     private final Queue<Change> changes = new ArrayDeque<>();
     private final Set<Link> links = new HashSet<>();
     private boolean busy;
@@ -78,17 +82,25 @@
     private Channel listener;
 
     /** store: read and written on the worker only. */
-    public ControlNode(ControlFile file, Platform platform, Store store, ExecutorService worker,
-            RandomGenerator random, Publisher.Check check) {
+    public ControlNode(
+            ControlFile file,
+            Platform platform,
+            Store store,
+            ExecutorService worker,
+            RandomGenerator random,
+            Publisher.Check check) {
         this.file = file;
         this.platform = platform;
         this.store = store;
         this.worker = worker;
         this.random = random;
         this.check = check;
-        this.audience = new Audience(platform.loop(), platform.clock()::now,
+        this.audience = new Audience(
+                platform.loop(),
+                platform.clock()::now,
                 new Audience.Paces(file.bytesPerSecond(), file.firstBytesPerSecond(), CONTROL_PACE),
-                file.snapshots(), history);
+                file.snapshots(),
+                history);
         this.registry = new Registry(file.forgetNs(), MOST_FOLLOWERS);
         Set<String> others = new HashSet<>(file.controls().keySet());
         others.remove(file.name());
@@ -107,14 +119,16 @@
         if (found.kept() != null) {
             Codec.Kept k = found.kept();
             history.restore(k.document(), k.oldest(), k.deltas());
-            platform.log().say("has version " + history.version() + " and " + history.deltas().size()
-                    + " changes before it"
-                    + (found.mayBeOlder() ? "; it had a newer one, which is damaged" : ""));
+            platform.log()
+                    .say("has version " + history.version() + " and "
+                            + history.deltas().size()
+                            + " changes before it"
+                            + (found.mayBeOlder() ? "; it had a newer one, which is damaged" : ""));
         } else {
             platform.log().say("has no version yet");
         }
-        ChannelFuture f = platform.transport().listen(file.controls().get(file.name()),
-                new ChannelInitializer<Channel>() {
+        ChannelFuture f = platform.transport()
+                .listen(file.controls().get(file.name()), new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new Link(ControlNode.this, FollowerNode.MOST));
@@ -134,7 +148,7 @@
 
     private void begin(Store.Found found) {
         if (publisher == null) {
-            upstream = follower(file.primary(), Message.Role.CONTROL, UPSTREAM, m -> { });
+            upstream = follower(file.primary(), Message.Role.CONTROL, UPSTREAM, m -> {});
             upstream.start(history.head(), found.mayBeOlder());
             return;
         }
@@ -149,10 +163,17 @@
         ready();
     }
 
-    private FollowerNode follower(String of, Message.Role role, Follower.Settings settings,
-            Consumer<Message> heard) {
-        return new FollowerNode(file.name(), role, settings, List.of(file.controls().get(of)), platform,
-                random, this::take, heard, of + ": ");
+    private FollowerNode follower(String of, Message.Role role, Follower.Settings settings, Consumer<Message> heard) {
+        return new FollowerNode(
+                file.name(),
+                role,
+                settings,
+                List.of(file.controls().get(of)),
+                platform,
+                random,
+                this::take,
+                heard,
+                of + ": ");
     }
 
     /** What another control process tells the primary after its start. */
@@ -168,8 +189,9 @@
             List<FollowerNode> done = new ArrayList<>(asking.values());
             asking.clear();
             platform.loop().execute(() -> done.forEach(FollowerNode::end));
-            platform.log().say("all control processes are heard: takes changes after "
-                    + (history.head() == null ? "nothing" : history.version()));
+            platform.log()
+                    .say("all control processes are heard: takes changes after "
+                            + (history.head() == null ? "nothing" : history.version()));
             audience.beat(head(), SILENT_NS);
         }
     }
@@ -260,8 +282,11 @@
 
     private void publish(Link from, Message.Publish p) {
         if (publisher == null) {
-            answer(from, Publisher.Outcome.NOT_PRIMARY, List.of("the primary is " + file.primary() + " at "
-                    + NetUtil.toSocketAddressString(file.controls().get(file.primary()))));
+            answer(
+                    from,
+                    Publisher.Outcome.NOT_PRIMARY,
+                    List.of("the primary is " + file.primary() + " at "
+                            + NetUtil.toSocketAddressString(file.controls().get(file.primary()))));
         } else if (changes.size() >= MOST_CHANGES) {
             answer(from, Publisher.Outcome.NOT_READY, List.of("too many changes wait"));
         } else {
@@ -289,8 +314,11 @@
             try {
                 problems.addAll(check.problems(p.file(), p.text()));
                 if (problems.isEmpty()) {
-                    next.append(d.document(), next.head() == null ? List.of()
-                            : List.of(Delta.between(next.head().text(), d.document())));
+                    next.append(
+                            d.document(),
+                            next.head() == null
+                                    ? List.of()
+                                    : List.of(Delta.between(next.head().text(), d.document())));
                 }
             } catch (RuntimeException e) { // a slip of the reader's costs this change, not all that follow
                 problems.add(p.file() + ":1:1: this program failed on it: " + e);
@@ -308,7 +336,8 @@
     private void kept(Change c, History next, String why) {
         if (why == null) {
             adopt(next);
-            platform.log().say("version " + history.version() + " from " + c.from().peer());
+            platform.log()
+                    .say("version " + history.version() + " from " + c.from().peer());
             over(c, Publisher.Outcome.ACCEPTED, List.of());
         } else {
             platform.log().say("a change is refused: " + why);
@@ -363,8 +392,13 @@
         } else if (m instanceof Message.Look k) {
             Registry.Standing s = registry.standing(now(), history.version());
             List<Message.Running> all = k.whole() ? registry.all(now()) : s.missing();
-            l.send(new Message.Looked(file.name(), publisher != null, inStep(), history.version(),
-                    s.followers(), s.inForce(),
+            l.send(new Message.Looked(
+                    file.name(),
+                    publisher != null,
+                    inStep(),
+                    history.version(),
+                    s.followers(),
+                    s.inForce(),
                     k.whole() || all.size() <= MOST_MISSING ? all : all.subList(0, MOST_MISSING)));
         }
     }
@@ -374,8 +408,7 @@
         if (who == null || who.role() == Message.Role.PRIMARY) {
             return;
         }
-        registry.running(who.name(), who.role() == Message.Role.CONTROL, a.inForce(), a.trouble(),
-                file.name());
+        registry.running(who.name(), who.role() == Message.Role.CONTROL, a.inForce(), a.trouble(), file.name());
         if (publisher != null && a.inForce() != null) {
             beyond(who, a);
         }
@@ -399,8 +432,7 @@
         links.remove(l);
         Message.Hello who = audience.who(l);
         if (!why.equals(Link.CLOSED)) {
-            platform.log().say("closed the connection of " + (who == null ? l.peer() : who.name()) + ": "
-                    + why);
+            platform.log().say("closed the connection of " + (who == null ? l.peer() : who.name()) + ": " + why);
         }
         audience.leave(l);
         if (who == null || who.role() == Message.Role.PRIMARY) {
@@ -420,10 +452,14 @@
     private void soon() {
         if (upstream != null && !reporting) {
             reporting = true;
-            platform.loop().schedule(() -> {
-                reporting = false;
-                report();
-            }, REPORT_MS, TimeUnit.MILLISECONDS);
+            platform.loop()
+                    .schedule(
+                            () -> {
+                                reporting = false;
+                                report();
+                            },
+                            REPORT_MS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/gullspar/versions/net/FollowerNode.java
+++ b/src/main/java/gullspar/versions/net/FollowerNode.java
@@ -24,6 +24,7 @@
 
     /** Bytes of the largest update, packed. */
     static final int MOST = 32 << 20;
+
     private static final int CONNECT_MS = 2000;
     private static final long TICK_MS = 100;
 
@@ -44,9 +45,16 @@
      * addresses: the control processes in this follower's order; heard: is told of what comes, after the
      * follower; says: what its lines of the log begin with.
      */
-    public FollowerNode(String name, Message.Role role, Follower.Settings settings,
-            List<InetSocketAddress> addresses, Platform platform, RandomGenerator random, Taker taker,
-            Consumer<Message> heard, String says) {
+    public FollowerNode(
+            String name,
+            Message.Role role,
+            Follower.Settings settings,
+            List<InetSocketAddress> addresses,
+            Platform platform,
+            RandomGenerator random,
+            Taker taker,
+            Consumer<Message> heard,
+            String says) {
         this.platform = platform;
         this.addresses = addresses;
         this.taker = taker;
@@ -58,8 +66,8 @@
     /** Begins, as {@link Follower#start} says. */
     public void start(Document stored, boolean mayBeOlder) {
         follower.start(now(), stored, mayBeOlder);
-        ticks = platform.loop().scheduleWithFixedDelay(() -> follower.tick(now()), TICK_MS, TICK_MS,
-                TimeUnit.MILLISECONDS);
+        ticks = platform.loop()
+                .scheduleWithFixedDelay(() -> follower.tick(now()), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     private long now() {
@@ -108,8 +116,11 @@
         }
         Link mine = new Link(this, MOST);
         link = mine;
-        ChannelFuture f = platform.transport().to(addresses.get(which))
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(mine).connect();
+        ChannelFuture f = platform.transport()
+                .to(addresses.get(which))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(mine)
+                .connect();
         f.addListener(done -> {
             if (!done.isSuccess() && link == mine) {
                 link = null;
--- a/src/main/java/gullspar/versions/net/Following.java
+++ b/src/main/java/gullspar/versions/net/Following.java
@@ -42,6 +42,7 @@
     private final Store store;
     /** Read on the worker only. */
     private final Blocks blocks = new Blocks();
+
     private final ExecutorService worker;
     private final FollowerNode node;
     private final EventLoop loop;
@@ -62,10 +63,17 @@
         ServingLoop serving = ServingLoop.start();
         this.loop = serving.loop();
         Follower.Settings usual = Follower.Settings.USUAL;
-        this.node = new FollowerNode(file.name(), Message.Role.PROXY, new Follower.Settings(file.waitNs(),
-                usual.silenceNs(), usual.leastNs(), usual.mostNs(), usual.retryNs()),
-                inOrder(file.name(), file.addresses()), Platform.of(serving),
-                new SplittableRandom(System.nanoTime()), this::take, m -> { }, "versions: ");
+        this.node = new FollowerNode(
+                file.name(),
+                Message.Role.PROXY,
+                new Follower.Settings(
+                        file.waitNs(), usual.silenceNs(), usual.leastNs(), usual.mostNs(), usual.retryNs()),
+                inOrder(file.name(), file.addresses()),
+                Platform.of(serving),
+                new SplittableRandom(System.nanoTime()),
+                this::take,
+                m -> {},
+                "versions: ");
     }
 
     /** Takes the folder and looks what is there; an IOException if that cannot be. */
@@ -77,15 +85,17 @@
     public static List<InetSocketAddress> inOrder(String name, List<InetSocketAddress> addresses) {
         Map<String, InetSocketAddress> byText = new HashMap<>();
         addresses.forEach(a -> byText.put(NetUtil.toSocketAddressString(a), a));
-        return Preference.order(name, List.copyOf(byText.keySet())).stream().map(byText::get).toList();
+        return Preference.order(name, List.copyOf(byText.keySet())).stream()
+                .map(byText::get)
+                .toList();
     }
 
     @Override
     public Site first() {
         found.damage().forEach(line -> LOG.say("versions: " + line));
         Document stored = found.kept() == null ? null : found.kept().document();
-        LOG.say("versions: " + (stored == null ? "nothing on the disk" : "has " + stored.version()
-                + " on the disk") + "; asks " + file.addresses().size() + " control processes");
+        LOG.say("versions: " + (stored == null ? "nothing on the disk" : "has " + stored.version() + " on the disk")
+                + "; asks " + file.addresses().size() + " control processes");
         loop.execute(() -> node.start(stored, found.mayBeOlder()));
         return first.join();
     }
@@ -95,14 +105,15 @@
         worker.execute(() -> {
             Site site;
             try {
-                Site shared = SiteReader.parse(d.text(), "version " + d.version().number(), blocks);
-                site = new Site(shared.listeners(), shared.pools(), shared.limits(), shared.forwarded(),
-                        file.own());
+                Site shared =
+                        SiteReader.parse(d.text(), "version " + d.version().number(), blocks);
+                site = new Site(shared.listeners(), shared.pools(), shared.limits(), shared.forwarded(), file.own());
                 if (!kept) {
                     store.keep(new Codec.Kept(d, null, List.of()));
                 }
             } catch (ProblemsException e) {
-                done.accept("this program cannot use it: " + e.getMessage().lines().findFirst().orElse(""));
+                done.accept("this program cannot use it: "
+                        + e.getMessage().lines().findFirst().orElse(""));
                 return;
             } catch (IOException e) {
                 done.accept("it cannot be kept: " + (e.getMessage() == null ? e : e.getMessage()));
--- a/src/main/java/gullspar/versions/net/Link.java
+++ b/src/main/java/gullspar/versions/net/Link.java
@@ -25,7 +25,7 @@
         void closed(Link link, String why);
 
         /** More may be written again. */
-        default void writable(Link link) { }
+        default void writable(Link link) {}
     }
 
     /** What the listener is told where the other end has closed it, in whatever way. */
--- a/src/main/java/gullspar/versions/wire/Codec.java
+++ b/src/main/java/gullspar/versions/wire/Codec.java
@@ -21,7 +21,7 @@
  */
 public final class Codec {
     /** What a disk keeps. oldest: what the first of the changes is applied to. */
-    public record Kept(Document document, Version oldest, List<Delta> deltas) { }
+    public record Kept(Document document, Version oldest, List<Delta> deltas) {}
 
     private static final CBORFactory CBOR = new CBORFactory();
     private static final int HELLO = 1;
@@ -36,7 +36,7 @@
     private static final int LOOKED = 10;
     private static final int KEPT = 20;
 
-    private Codec() { }
+    private Codec() {}
 
     private interface Writer {
         void write(JsonGenerator g) throws IOException;
@@ -233,7 +233,8 @@
             return new Kept(d, version(p), deltas(p));
         });
         if (!Checksum.of(k.document().text()).equals(k.document().version().text())) {
-            throw new IOException("the text does not have the checksum of version " + k.document().version());
+            throw new IOException("the text does not have the checksum of version "
+                    + k.document().version());
         }
         return k;
     }
@@ -242,17 +243,21 @@
         return switch (kind) {
             case HELLO -> new Message.Hello(name(p), one(p, Message.Role.values()), version(p));
             case HEAD -> new Message.Head(name(p), version(p), flag(p));
-            case UPDATE -> new Message.Update(must(version(p)), version(p), deltas(p),
-                    text(p, Document.LONGEST));
+            case UPDATE -> new Message.Update(must(version(p)), version(p), deltas(p), text(p, Document.LONGEST));
             case WANT -> new Message.Want();
             case ACK -> new Message.Ack(version(p), text(p, Message.LONGEST_WHY));
             case REPORT -> new Message.Report(running(p));
-            case PUBLISH -> new Message.Publish(number(p, 0, Long.MAX_VALUE), text(p, 4096),
-                    text(p, Document.LONGEST));
+            case PUBLISH -> new Message.Publish(number(p, 0, Long.MAX_VALUE), text(p, 4096), text(p, Document.LONGEST));
             case PUBLISHED -> new Message.Published(one(p, Publisher.Outcome.values()), version(p), texts(p));
             case LOOK -> new Message.Look(flag(p));
-            case LOOKED -> new Message.Looked(name(p), flag(p), flag(p), version(p),
-                    (int) number(p, 0, Integer.MAX_VALUE), (int) number(p, 0, Integer.MAX_VALUE), running(p));
+            case LOOKED -> new Message.Looked(
+                    name(p),
+                    flag(p),
+                    flag(p),
+                    version(p),
+                    (int) number(p, 0, Integer.MAX_VALUE),
+                    (int) number(p, 0, Integer.MAX_VALUE),
+                    running(p));
             default -> null;
         };
     }
@@ -366,7 +371,9 @@
         array(p.nextToken());
         for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
             array(t);
-            all.add(new Delta(must(version(p, all.isEmpty() ? null : all.get(all.size() - 1).to())),
+            all.add(new Delta(
+                    must(version(
+                            p, all.isEmpty() ? null : all.get(all.size() - 1).to())),
                     hunks(p)));
             end(p);
         }
@@ -378,8 +385,8 @@
         array(p.nextToken());
         for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
             array(t);
-            all.add(new Delta.Hunk((int) number(p, 0, Integer.MAX_VALUE),
-                    (int) number(p, 0, Integer.MAX_VALUE), texts(p)));
+            all.add(new Delta.Hunk(
+                    (int) number(p, 0, Integer.MAX_VALUE), (int) number(p, 0, Integer.MAX_VALUE), texts(p)));
             end(p);
         }
         return all;
@@ -390,9 +397,14 @@
         array(p.nextToken());
         for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
             array(t);
-            all.add(new Message.Running(name(p), flag(p), number(p, 0, Long.MAX_VALUE),
-                    number(p, 0, Long.MAX_VALUE), text(p, Message.LONGEST_WHY),
-                    number(p, 0, Long.MAX_VALUE / 4_000_000), name(p)));
+            all.add(new Message.Running(
+                    name(p),
+                    flag(p),
+                    number(p, 0, Long.MAX_VALUE),
+                    number(p, 0, Long.MAX_VALUE),
+                    text(p, Message.LONGEST_WHY),
+                    number(p, 0, Long.MAX_VALUE / 4_000_000),
+                    name(p)));
             end(p);
         }
         return all;
--- a/src/main/java/gullspar/versions/wire/Frames.java
+++ b/src/main/java/gullspar/versions/wire/Frames.java
@@ -14,9 +14,10 @@
 public final class Frames {
     /** Bytes of a frame, its length not counted, at the most. */
     public static final int MOST = 2048;
+
     private static final int LEVEL = 6;
 
-    private Frames() { }
+    private Frames() {}
 
     /** The frames of a message, each as it goes out. */
     public static List<byte[]> of(Message m) {
@@ -26,8 +27,11 @@
         do {
             int n = Math.min(MOST - 1, packed.length - at);
             boolean last = at + n == packed.length;
-            frames.add(ByteBuffer.allocate(Integer.BYTES + 1 + n).putInt(1 + n).put((byte) (last ? 1 : 0))
-                    .put(packed, at, n).array());
+            frames.add(ByteBuffer.allocate(Integer.BYTES + 1 + n)
+                    .putInt(1 + n)
+                    .put((byte) (last ? 1 : 0))
+                    .put(packed, at, n)
+                    .array());
             at += n;
         } while (at < packed.length);
         return frames;
--- a/src/main/java/gullspar/versions/wire/Packing.java
+++ b/src/main/java/gullspar/versions/wire/Packing.java
@@ -13,9 +13,10 @@
     public static final int MOST = 64 << 20;
     /** Fewer are not worth it. */
     private static final int LEAST = 200;
+
     private static final int HEAD = 1 + Integer.BYTES;
 
-    private Packing() { }
+    private Packing() {}
 
     /** Packed as well as the level says, 1 to 9. */
     public static byte[] pack(byte[] plain, int level) {
--- a/src/test/java/gullspar/KnownRedTest.java
+++ b/src/test/java/gullspar/KnownRedTest.java
@@ -22,8 +22,10 @@
     @BeforeEach
     void oneTest() throws IOException {
         Path folder = Files.createDirectories(root.resolve("src/test/java/gullspar"));
-        Files.writeString(folder.resolve("SomeTest.java"), "class SomeTest {\n    @Test\n    void fails() {\n"
-                + "        helper();\n    }\n\n    private void helper() {\n    }\n}\n");
+        Files.writeString(
+                folder.resolve("SomeTest.java"),
+                "class SomeTest {\n    @Test\n    void fails() {\n"
+                        + "        helper();\n    }\n\n    private void helper() {\n    }\n}\n");
     }
 
     @Test
@@ -35,7 +37,8 @@
     @Test
     void thoseNamedArePassedOverAndPrinted() throws Exception {
         Files.writeString(root.resolve("KNOWN-RED.txt"), "\n" + GOOD);
-        assertEquals("0 KNOWN RED, passed over: gullspar.SomeTest#fails, it waits, for ever, issue 40\n",
+        assertEquals(
+                "0 KNOWN RED, passed over: gullspar.SomeTest#fails, it waits, for ever, issue 40\n",
                 run() + " " + said());
         assertEquals("gullspar/SomeTest.java#fails\n", Files.readString(root.resolve("passed-over")));
     }
@@ -48,15 +51,17 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "gullspar.SomeTest#gone, a cause, 40  | no test: 'gullspar.SomeTest#gone'",
-        "gullspar.SomeTest#helper, a cause, 40| no test: 'gullspar.SomeTest#helper'",
-        "gullspar.Gone#fails, a cause, 40     | no test: 'gullspar.Gone#fails'",
-        "gullspar.SomeTest, a cause, 40       | no test: 'gullspar.SomeTest'; wants package.Class#method",
-        "gullspar.SomeTest#fails, a cause     | wants test, cause, issue",
-        "gullspar.SomeTest#fails, , 40        | no cause",
-        "gullspar.SomeTest#fails, a cause, x  | no issue: 'x'",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "gullspar.SomeTest#gone, a cause, 40  | no test: 'gullspar.SomeTest#gone'",
+                "gullspar.SomeTest#helper, a cause, 40| no test: 'gullspar.SomeTest#helper'",
+                "gullspar.Gone#fails, a cause, 40     | no test: 'gullspar.Gone#fails'",
+                "gullspar.SomeTest, a cause, 40       | no test: 'gullspar.SomeTest'; wants package.Class#method",
+                "gullspar.SomeTest#fails, a cause     | wants test, cause, issue",
+                "gullspar.SomeTest#fails, , 40        | no cause",
+                "gullspar.SomeTest#fails, a cause, x  | no issue: 'x'",
+            })
     void aLineThatNamesNoTestCauseOrIssueIsRefused(String line, String why) throws Exception {
         Files.writeString(root.resolve("KNOWN-RED.txt"), line + "\n");
         assertEquals(1, run());
@@ -65,7 +70,10 @@
 
     private int run() throws IOException, InterruptedException {
         return new ProcessBuilder(".ci/known-red", root.resolve("passed-over").toString(), root.toString())
-                .redirectErrorStream(true).redirectOutput(root.resolve("said").toFile()).start().waitFor();
+                .redirectErrorStream(true)
+                .redirectOutput(root.resolve("said").toFile())
+                .start()
+                .waitFor();
     }
 
     private String said() throws IOException {
--- a/src/test/java/gullspar/MainTest.java
+++ b/src/test/java/gullspar/MainTest.java
@@ -57,10 +57,16 @@
     @Test
     void whatAPlatformStartsDoesNotLoadTheCommandLine() throws Exception {
         for (String command : new String[] {"serve", "drill", "warm"}) {
-            Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                    .toString(), "-Xlog:class+load", "-cp", System.getProperty("java.class.path"),
-                    "gullspar.Main", command)
-                    .redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            Process p = new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-Xlog:class+load",
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            "gullspar.Main",
+                            command)
+                    .redirectError(ProcessBuilder.Redirect.DISCARD)
+                    .start();
             p.getOutputStream().close();
             String loaded = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             assertTrue(loaded.contains("gullspar.cli.Direct "), command);
--- a/src/test/java/gullspar/capacity/CapacityPage.java
+++ b/src/test/java/gullspar/capacity/CapacityPage.java
@@ -153,7 +153,8 @@
 
     private String figure(String asked) {
         String[] a = asked.split(" ");
-        Row row = a.length == 2 ? rows.stream().filter(r -> r.id().equals(a[1])).findFirst().orElse(null)
+        Row row = a.length == 2
+                ? rows.stream().filter(r -> r.id().equals(a[1])).findFirst().orElse(null)
                 : null;
         Fit fit = a.length > 1 ? fits.get(a[1]) : null;
         if (row != null) {
@@ -172,9 +173,12 @@
         if (fit != null && a[0].equals("slope")) {
             return Show.with(fit.slope(), fit.series().unit());
         }
-        if (fit != null && a[0].equals("seen") && a.length == 3
+        if (fit != null
+                && a[0].equals("seen")
+                && a.length == 3
                 && fit.series().sizes().contains(Double.valueOf(a[2]))) {
-            return Show.with(fit.series().at(Double.parseDouble(a[2])), fit.series().unit());
+            return Show.with(
+                    fit.series().at(Double.parseDouble(a[2])), fit.series().unit());
         }
         throw new CapacityException("answers.md asks for '" + asked + "', which is no figure");
     }
@@ -182,44 +186,60 @@
     // ---- tables ----
 
     private static String table(String head, List<List<String>> lines) {
-        StringBuilder b = new StringBuilder("| " + head + " |\n|" + " --- |".repeat(head.split("\\|").length)
-                + "\n");
+        StringBuilder b = new StringBuilder("| " + head + " |\n|" + " --- |".repeat(head.split("\\|").length) + "\n");
         lines.forEach(l -> b.append("| ").append(String.join(" | ", l)).append(" |\n"));
         return b.toString();
     }
 
     private String sizes() {
-        return table("name | value | what", letter.all().entrySet().stream().map(e -> List.of(
-                "`" + e.getKey() + "`", Show.with(e.getValue().value(), e.getValue().unit()),
-                e.getValue().what())).toList());
+        return table(
+                "name | value | what",
+                letter.all().entrySet().stream()
+                        .map(e -> List.of(
+                                "`" + e.getKey() + "`",
+                                Show.with(e.getValue().value(), e.getValue().unit()),
+                                e.getValue().what()))
+                        .toList());
     }
 
-    private record Broken(Row row, double at, double part) { }
+    private record Broken(Row row, double at, double part) {}
 
     private List<Broken> broken() {
-        return rows.stream().map(r -> new Broken(r, r.breaksAt(fits, letter), r.part(fits, letter)))
-                .sorted(Comparator.comparingDouble(Broken::part).thenComparing(b -> b.row().id())).toList();
+        return rows.stream()
+                .map(r -> new Broken(r, r.breaksAt(fits, letter), r.part(fits, letter)))
+                .sorted(Comparator.comparingDouble(Broken::part)
+                        .thenComparing(b -> b.row().id()))
+                .toList();
     }
 
     /** By mechanism: the smallest breaking size first, ties (to two digits) by how many rows lean on it. */
     private String choice() {
-        Map<String, List<Broken>> by = broken().stream().filter(b -> !b.row().missing().isEmpty()
-                && b.part() < 1).collect(Collectors.groupingBy(b -> b.row().missing(), TreeMap::new,
-                        Collectors.toList()));
+        Map<String, List<Broken>> by = broken().stream()
+                .filter(b -> !b.row().missing().isEmpty() && b.part() < 1)
+                .collect(Collectors.groupingBy(b -> b.row().missing(), TreeMap::new, Collectors.toList()));
         List<Map.Entry<String, List<Broken>>> order = new ArrayList<>(by.entrySet());
         order.sort(Comparator.comparingDouble((Map.Entry<String, List<Broken>> e) ->
-                digits(e.getValue().get(0).part())).thenComparing(e -> -e.getValue().size()));
+                        digits(e.getValue().get(0).part()))
+                .thenComparing(e -> -e.getValue().size()));
         List<List<String>> lines = new ArrayList<>();
         int place = 0;
         for (Map.Entry<String, List<Broken>> e : order) {
             Broken first = e.getValue().get(0);
-            lines.add(List.of(String.valueOf(++place), "**" + e.getKey() + "**", at(first), part(first),
-                    first.row().what(), limit(first.row()), String.valueOf(e.getValue().size()),
+            lines.add(List.of(
+                    String.valueOf(++place),
+                    "**" + e.getKey() + "**",
+                    at(first),
+                    part(first),
+                    first.row().what(),
+                    limit(first.row()),
+                    String.valueOf(e.getValue().size()),
                     e.getValue().stream().map(b -> b.row().id()).collect(Collectors.joining(", "))));
         }
-        return table("place | mechanism that is missing | breaks at | part of the letter's | by this "
-                + "figure | "
-                + "its limit | rows that lean on it | which", lines);
+        return table(
+                "place | mechanism that is missing | breaks at | part of the letter's | by this "
+                        + "figure | "
+                        + "its limit | rows that lean on it | which",
+                lines);
     }
 
     private static double digits(double part) {
@@ -227,17 +247,30 @@
     }
 
     private String limits() {
-        return table("row | breaks at | part of the letter's | figure at the letter's size | limit | "
-                + "carried by",
-                broken().stream().filter(b -> b.part() < 1).map(b -> List.of(b.row().id(), at(b), part(b),
-                        Show.with(b.row().value(fits, letter), b.row().unit()), limit(b.row()),
-                        mechanism(b.row()))).toList());
+        return table(
+                "row | breaks at | part of the letter's | figure at the letter's size | limit | " + "carried by",
+                broken().stream()
+                        .filter(b -> b.part() < 1)
+                        .map(b -> List.of(
+                                b.row().id(),
+                                at(b),
+                                part(b),
+                                Show.with(b.row().value(fits, letter), b.row().unit()),
+                                limit(b.row()),
+                                mechanism(b.row())))
+                        .toList());
     }
 
     private String at(Broken b) {
-        return b.at() < 1e-9 ? "any size" : Double.isInfinite(b.at()) ? "no size"
-                : Show.number(b.at()) + " " + (Show.number(b.at()).equals("1") ? singular(b.row().along())
-                        : b.row().along()).replace('_', ' ');
+        return b.at() < 1e-9
+                ? "any size"
+                : Double.isInfinite(b.at())
+                        ? "no size"
+                        : Show.number(b.at()) + " "
+                                + (Show.number(b.at()).equals("1")
+                                                ? singular(b.row().along())
+                                                : b.row().along())
+                                        .replace('_', ' ');
     }
 
     private static String part(Broken b) {
@@ -250,7 +283,8 @@
     }
 
     private static String mechanism(Row r) {
-        return r.missing().isEmpty() ? r.mechanism()
+        return r.missing().isEmpty()
+                ? r.mechanism()
                 : (r.mechanism().isEmpty() ? "" : r.mechanism() + "; ") + "*missing*: " + r.missing();
     }
 
@@ -267,52 +301,86 @@
     }
 
     private String role(String role) {
-        List<Row> mine = rows.stream().filter(r -> r.role().equals(role)).sorted(Comparator.comparingInt(
-                (Row r) -> Rows.EVENTS.indexOf(r.events().get(0)))).toList();
-        return table("row | when | quantity | figure | slope × size | at the letter's size | limit | "
-                + "breaks at | "
-                + "part | carried by | source", mine.stream().map(r -> {
-                    Broken b = new Broken(r, r.breaksAt(fits, letter), r.part(fits, letter));
-                    return List.of(r.id(), r.events().stream().map(EVENTS::get).collect(
-                            Collectors.joining(", ")), r.quantity(), r.what(), r.shown(fits, letter),
-                            Show.with(r.value(fits, letter), r.unit()), limit(r), at(b), part(b),
-                            mechanism(r), source(r));
-                }).toList());
+        List<Row> mine = rows.stream()
+                .filter(r -> r.role().equals(role))
+                .sorted(Comparator.comparingInt(
+                        (Row r) -> Rows.EVENTS.indexOf(r.events().get(0))))
+                .toList();
+        return table(
+                "row | when | quantity | figure | slope × size | at the letter's size | limit | "
+                        + "breaks at | "
+                        + "part | carried by | source",
+                mine.stream()
+                        .map(r -> {
+                            Broken b = new Broken(r, r.breaksAt(fits, letter), r.part(fits, letter));
+                            return List.of(
+                                    r.id(),
+                                    r.events().stream().map(EVENTS::get).collect(Collectors.joining(", ")),
+                                    r.quantity(),
+                                    r.what(),
+                                    r.shown(fits, letter),
+                                    Show.with(r.value(fits, letter), r.unit()),
+                                    limit(r),
+                                    at(b),
+                                    part(b),
+                                    mechanism(r),
+                                    source(r));
+                        })
+                        .toList());
     }
 
     /** Series that a row or an answer stands on; others are not on the page. */
     private List<Fit> used() {
         Set<String> ids = new TreeSet<>();
         rows.forEach(r -> ids.addAll(r.series()));
-        FIGURE.matcher(answers).results().map(m -> m.group(1).split(" ")).filter(a -> a.length > 1)
+        FIGURE.matcher(answers)
+                .results()
+                .map(m -> m.group(1).split(" "))
+                .filter(a -> a.length > 1)
                 .forEach(a -> ids.add(a[1]));
         return fits.values().stream().filter(f -> ids.contains(f.series().id())).toList();
     }
 
     private String series() {
-        return table("series | what | slope ± standard error | at 0 | sizes measured | runs a size, spread | "
-                + "held out: foretold, seen | run", used().stream().map(f -> {
-                    Series s = f.series();
-                    return List.of("`" + s.id() + "`", s.what() + fixed(s),
-                            f.constant() ? Show.with(f.intercept(), s.unit())
-                                    : Show.with(f.slope(), s.unit()) + " a " + singular(s.axis())
-                                            + (Double.isNaN(f.slopeError()) ? ""
-                                                    : " ± " + Show.number(f.slopeError())),
-                            f.constant() ? "" : Show.with(f.intercept(), s.unit()),
-                            s.sizes().stream().map(Show::number).collect(Collectors.joining("; ")) + " "
-                                    + s.axis(),
-                            s.points().size() / s.sizes().size() + ", " + percent(s.spread()),
-                            heldOut(f), s.source().file());
-                }).toList());
+        return table(
+                "series | what | slope ± standard error | at 0 | sizes measured | runs a size, spread | "
+                        + "held out: foretold, seen | run",
+                used().stream()
+                        .map(f -> {
+                            Series s = f.series();
+                            return List.of(
+                                    "`" + s.id() + "`",
+                                    s.what() + fixed(s),
+                                    f.constant()
+                                            ? Show.with(f.intercept(), s.unit())
+                                            : Show.with(f.slope(), s.unit()) + " a " + singular(s.axis())
+                                                    + (Double.isNaN(f.slopeError())
+                                                            ? ""
+                                                            : " ± " + Show.number(f.slopeError())),
+                                    f.constant() ? "" : Show.with(f.intercept(), s.unit()),
+                                    s.sizes().stream().map(Show::number).collect(Collectors.joining("; ")) + " "
+                                            + s.axis(),
+                                    s.points().size() / s.sizes().size() + ", " + percent(s.spread()),
+                                    heldOut(f),
+                                    s.source().file());
+                        })
+                        .toList());
     }
 
     private static String fixed(Series s) {
-        return s.fixed().isEmpty() ? "" : " (" + new TreeMap<>(s.fixed()).entrySet().stream()
-                .map(e -> e.getKey() + " " + e.getValue()).collect(Collectors.joining(", ")) + ")";
+        return s.fixed().isEmpty()
+                ? ""
+                : " ("
+                        + new TreeMap<>(s.fixed())
+                                .entrySet().stream()
+                                        .map(e -> e.getKey() + " " + e.getValue())
+                                        .collect(Collectors.joining(", "))
+                        + ")";
     }
 
     private static String singular(String axis) {
-        return axis.endsWith("proxies") ? axis.replace("proxies", "proxy")
+        return axis.endsWith("proxies")
+                ? axis.replace("proxies", "proxy")
                 : axis.endsWith("s") ? axis.substring(0, axis.length() - 1) : axis;
     }
 
@@ -320,8 +388,8 @@
         if (Double.isNaN(f.foretold())) {
             return f.constant() || f.series().heldOut() == 0 ? "none" : "two sizes foretell nothing";
         }
-        return Show.number(f.foretold()) + ", " + Show.number(f.series().at(f.series().heldOut()))
-                + (f.linear() ? "" : ": **not linear**");
+        return Show.number(f.foretold()) + ", "
+                + Show.number(f.series().at(f.series().heldOut())) + (f.linear() ? "" : ": **not linear**");
     }
 
     private static String percent(double part) {
@@ -329,9 +397,13 @@
     }
 
     private String runs() {
-        return table("run | script | date | commit | machine | seeds", used().stream()
-                .map(f -> f.series().source()).distinct().map(s -> List.of(s.file(), "`" + s.script() + "`",
-                s.date(), s.commit(), s.machine(),
-                        s.seeds())).toList());
+        return table(
+                "run | script | date | commit | machine | seeds",
+                used().stream()
+                        .map(f -> f.series().source())
+                        .distinct()
+                        .map(s ->
+                                List.of(s.file(), "`" + s.script() + "`", s.date(), s.commit(), s.machine(), s.seeds()))
+                        .toList());
     }
 }
--- a/src/test/java/gullspar/capacity/CapacityTest.java
+++ b/src/test/java/gullspar/capacity/CapacityTest.java
@@ -21,7 +21,8 @@
 class CapacityTest {
     private static final Path SCALE = Path.of("bench/scale");
     private static final Path PAGE = Path.of("docs/CAPACITY.md"), ROADMAP = Path.of("docs/ROADMAP.md");
-    private static final String RESULTS = """
+    private static final String RESULTS =
+            """
         {"script":"bench/scale/x.sh","date":"2026-12-02","commit":"abc1234",
          "machine":{"cores":8,"memory_gib":24,"java":"17","kernel":"6"},"seeds":[1],
          "series":[{"id":"list.bytes","what":"bytes of a list","unit":"B","axis":"backends",
@@ -29,12 +30,14 @@
            "points":[{"size":100,"value":1100},{"size":1000,"value":10100},{"size":6600,"value":66100}],
            "held_out":6600}]}
         """;
-    private static final String LETTER = """
+    private static final String LETTER =
+            """
         [letter]
         backends = { value = 6600, what = "backends" }
         bytes = { value = 10000, unit = "B", what = "bytes" }
         """;
-    private static final String ROW = """
+    private static final String ROW =
+            """
         [[row]]
         id = "list"
         role = "control"
@@ -64,7 +67,8 @@
     }
 
     private String refused() {
-        return assertThrows(CapacityException.class, () -> new CapacityPage(folder)).getMessage();
+        return assertThrows(CapacityException.class, () -> new CapacityPage(folder))
+                .getMessage();
     }
 
     // ---- the page that is shipped ----
@@ -72,8 +76,12 @@
     @Test
     void thePageIsWhatTheResultsSay() throws IOException {
         CapacityPage page = new CapacityPage(SCALE);
-        assertEquals(List.of(), page.drift(Files.readString(PAGE), "CAPACITY.md",
-                List.copyOf(page.tables().keySet())));
+        assertEquals(
+                List.of(),
+                page.drift(
+                        Files.readString(PAGE),
+                        "CAPACITY.md",
+                        List.copyOf(page.tables().keySet())));
         assertEquals(List.of(), page.drift(Files.readString(ROADMAP), "ROADMAP.md", List.of("choice")));
     }
 
@@ -98,40 +106,50 @@
         String empty = "<!-- written by bench/scale/page.sh: limits -->\n<!-- end -->\n";
         String filled = page.filled(empty, "page");
         assertEquals(List.of(), page.drift(filled, "page", List.of("limits")));
-        assertEquals(List.of("page: the table 'limits' is not what the results say; bench/scale/page.sh "
-                + "writes it"), page.drift(filled.replace("990 backends", "980 backends"), "page",
-                        List.of("limits")));
+        assertEquals(
+                List.of("page: the table 'limits' is not what the results say; bench/scale/page.sh " + "writes it"),
+                page.drift(filled.replace("990 backends", "980 backends"), "page", List.of("limits")));
         assertEquals(List.of("page lacks the table 'choice'"), page.drift(filled, "page", List.of("choice")));
         write("results/x.json", RESULTS.replace("10100", "20100"));
-        assertEquals(1, new CapacityPage(folder).drift(filled, "page", List.of("limits")).size());
+        assertEquals(
+                1,
+                new CapacityPage(folder)
+                        .drift(filled, "page", List.of("limits"))
+                        .size());
     }
 
     @Test
     void aPageIsWrittenTheSameTwice() {
         CapacityPage page = new CapacityPage(folder);
-        String once = page.filled("a\n<!-- written by bench/scale/page.sh: series -->\n<!-- end -->\nb\n",
-                "p");
+        String once = page.filled("a\n<!-- written by bench/scale/page.sh: series -->\n<!-- end -->\nb\n", "p");
         assertEquals(once, page.filled(once, "p"));
         assertTrue(once.startsWith("a\n") && once.endsWith("\nb\n"), once);
-        assertEquals("p: the table 'series' has no end", assertThrows(CapacityException.class, () ->
-                page.filled("<!-- written by bench/scale/page.sh: series -->\n", "p")).getMessage());
+        assertEquals(
+                "p: the table 'series' has no end",
+                assertThrows(
+                                CapacityException.class,
+                                () -> page.filled("<!-- written by bench/scale/page.sh: series -->\n", "p"))
+                        .getMessage());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "limit = \"bytes\"|row list has no limit|",
-        "limit = \"bytes\"|row list has no limit: the letter has no hope|limit = \"hope\"",
-        "mechanism = \"the watch\"|row list has no mechanism, nor says that it is missing|",
-        "terms = [{ series = \"list.bytes\", at = \"backends\" }]|row list has no source|",
-        "series = \"list.bytes\"|row list has no source: no results hold list.words|series = \"list.words\"",
-        "series = \"list.bytes\", at = \"backends\"|row list has no source: a number that is neither "
-                + "measured, nor said to be assumed, nor exact|value = 3",
-        "role = \"control\"|row list has no role: ''|",
-        "events = [\"rest\"]|row list has no event: []|",
-        "events = [\"rest\"]|row list has no event: [storm]|events = [\"storm\"]",
-        "quantity = \"messages\"|row list has no quantity: ''|",
-        "along = \"backends\"|row list has no size to grow along: |",
-        "id = \"list\"|row '' (a whole list) has no name of its own|"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "limit = \"bytes\"|row list has no limit|",
+                "limit = \"bytes\"|row list has no limit: the letter has no hope|limit = \"hope\"",
+                "mechanism = \"the watch\"|row list has no mechanism, nor says that it is missing|",
+                "terms = [{ series = \"list.bytes\", at = \"backends\" }]|row list has no source|",
+                "series = \"list.bytes\"|row list has no source: no results hold list.words|series = \"list.words\"",
+                "series = \"list.bytes\", at = \"backends\"|row list has no source: a number that is neither "
+                        + "measured, nor said to be assumed, nor exact|value = 3",
+                "role = \"control\"|row list has no role: ''|",
+                "events = [\"rest\"]|row list has no event: []|",
+                "events = [\"rest\"]|row list has no event: [storm]|events = [\"storm\"]",
+                "quantity = \"messages\"|row list has no quantity: ''|",
+                "along = \"backends\"|row list has no size to grow along: |",
+                "id = \"list\"|row '' (a whole list) has no name of its own|"
+            })
     void aRowThatLacksSomethingIsNamed(String part, String says, String instead) throws IOException {
         write("rows.toml", ROW.replace(part, instead == null ? "" : instead));
         String refused = refused();
@@ -140,9 +158,14 @@
 
     @Test
     void aMissingMechanismWillDoAndSoWillAnAssumption() throws IOException {
-        write("rows.toml", ROW.replace("mechanism = \"the watch\"", "missing = \"changes\"")
-                + ROW.replace("\"list\"", "\"guess\"").replace("series = \"list.bytes\", at = \"backends\"",
-                        "value = 3, times = [\"backends\"]") + "assumed = \"a look\"\n");
+        write(
+                "rows.toml",
+                ROW.replace("mechanism = \"the watch\"", "missing = \"changes\"")
+                        + ROW.replace("\"list\"", "\"guess\"")
+                                .replace(
+                                        "series = \"list.bytes\", at = \"backends\"",
+                                        "value = 3, times = [\"backends\"]")
+                        + "assumed = \"a look\"\n");
         String choice = new CapacityPage(folder).tables().get("choice");
         assertTrue(choice.contains("| 1 | **changes** | 990 backends | 0.15 | a whole list |"), choice);
         String role = new CapacityPage(folder).tables().get("role control");
@@ -150,16 +173,19 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "\"seeds\":[1],|x.json: no seeds|",
-        "\"commit\":\"abc1234\",|x.json: no commit|",
-        "\"cores\":8,|x.json: machine: no cores|",
-        "\"id\":\"list.bytes\",|x.json: series[0]: no id|",
-        "\"axis\":\"backends\",|x.json: series[0] (list.bytes): no axis|",
-        "{\"size\":6600,\"value\":66100}|x.json: series[0] (list.bytes): points[2]: size is no number|{}",
-        "\"value\":10100|x.json: series[0] (list.bytes): points[1]: value is no number|\"value\":\"many\"",
-        "\"held_out\":6600|x.json: series[0] (list.bytes): the held-out size 640 was not measured"
-                + "|\"held_out\":640"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "\"seeds\":[1],|x.json: no seeds|",
+                "\"commit\":\"abc1234\",|x.json: no commit|",
+                "\"cores\":8,|x.json: machine: no cores|",
+                "\"id\":\"list.bytes\",|x.json: series[0]: no id|",
+                "\"axis\":\"backends\",|x.json: series[0] (list.bytes): no axis|",
+                "{\"size\":6600,\"value\":66100}|x.json: series[0] (list.bytes): points[2]: size is no number|{}",
+                "\"value\":10100|x.json: series[0] (list.bytes): points[1]: value is no number|\"value\":\"many\"",
+                "\"held_out\":6600|x.json: series[0] (list.bytes): the held-out size 640 was not measured"
+                        + "|\"held_out\":640"
+            })
     void resultsThatAreMalformedAreNamed(String part, String says, String instead) throws IOException {
         write("results/x.json", RESULTS.replace(part, instead == null ? "" : instead));
         assertEquals(says, refused());
@@ -197,11 +223,15 @@
         double[] y = {8.04, 6.95, 7.58, 8.81, 8.33, 9.96, 7.24, 4.26, 10.84, 4.82, 5.68};
         StringBuilder points = new StringBuilder("[");
         for (int i = 0; i < x.length; i++) {
-            points.append(i == 0 ? "" : ",").append("{\"size\":").append(x[i]).append(",\"value\":")
-                    .append(y[i]).append('}');
+            points.append(i == 0 ? "" : ",")
+                    .append("{\"size\":")
+                    .append(x[i])
+                    .append(",\"value\":")
+                    .append(y[i])
+                    .append('}');
         }
-        Fit f = Fit.of(series(r -> r.replaceFirst("\\[\\{\"size\"[^]]*]", points + "]")
-                .replaceFirst(",\\s*\"held_out\":6600", "")));
+        Fit f = Fit.of(series(
+                r -> r.replaceFirst("\\[\\{\"size\"[^]]*]", points + "]").replaceFirst(",\\s*\"held_out\":6600", "")));
         assertEquals(0.50009, f.slope(), 1e-5);
         assertEquals(0.11791, f.slopeError(), 1e-5);
         assertEquals(3.00009, f.intercept(), 1e-5);
@@ -233,8 +263,9 @@
 
     @Test
     void oneSizeIsAConstant() throws IOException {
-        Fit f = Fit.of(series(r -> r.replaceFirst("\\[\\{\"size\"[^]]*]", "[{\"size\":3,\"value\":7},"
-                + "{\"size\":3,\"value\":9},{\"size\":3,\"value\":8}]")
+        Fit f = Fit.of(series(r -> r.replaceFirst(
+                        "\\[\\{\"size\"[^]]*]",
+                        "[{\"size\":3,\"value\":7}," + "{\"size\":3,\"value\":9},{\"size\":3,\"value\":8}]")
                 .replaceFirst(",\\s*\"held_out\":6600", "")));
         assertEquals(8, f.at(1e6));
         assertFalse(f.beyond(1e6));
@@ -253,14 +284,22 @@
         write("rows.toml", ROW.replace("at = \"backends\"", "at = \"backends\", times = [\"backends\"]"));
         assertEquals(27.02, Rows.read(folder.resolve("rows.toml")).get(0).breaksAt(fits, letter), 0.01);
         write("rows.toml", ROW.replace("series = \"list.bytes\", at = \"backends\"", "value = 3"));
-        assertEquals(Double.POSITIVE_INFINITY, Rows.read(folder.resolve("rows.toml")).get(0)
-                .breaksAt(fits, letter));
+        assertEquals(
+                Double.POSITIVE_INFINITY,
+                Rows.read(folder.resolve("rows.toml")).get(0).breaksAt(fits, letter));
     }
 
     @Test
     void numbersAreShownToThreeDigits() {
-        assertEquals(List.of("0", "0.0123", "1.23", "12.3", "123", "1,230", "1,170,000"), List.of(
-                Show.number(0), Show.number(0.012345), Show.number(1.2345), Show.number(12.345),
-                Show.number(123.45), Show.number(1234.5), Show.number(1_166_630)));
+        assertEquals(
+                List.of("0", "0.0123", "1.23", "12.3", "123", "1,230", "1,170,000"),
+                List.of(
+                        Show.number(0),
+                        Show.number(0.012345),
+                        Show.number(1.2345),
+                        Show.number(12.345),
+                        Show.number(123.45),
+                        Show.number(1234.5),
+                        Show.number(1_166_630)));
     }
 }
--- a/src/test/java/gullspar/capacity/ColdCount.java
+++ b/src/test/java/gullspar/capacity/ColdCount.java
@@ -35,7 +35,7 @@
     private static final int QUEUE = 24, SECONDS = 45;
     private static final long CRASH_NS = 25 * S;
 
-    private record Event(long at, long number, Runnable what) { }
+    private record Event(long at, long number, Runnable what) {}
 
     private final class Server {
         private final int id;
@@ -47,6 +47,7 @@
         private int served;
         /** When it was sent something since it started, within the time in which it could fall. */
         private final Deque<Long> sent = new ArrayDeque<>();
+
         private double worst;
 
         Server(int id) {
@@ -54,8 +55,9 @@
         }
 
         double warmth(long t) {
-            return bootNs == 0 ? 1 : Math.min(1, START_CAPACITY + (1 - START_CAPACITY)
-                    * Math.max(0, t - bootNs) / COLD_NS);
+            return bootNs == 0
+                    ? 1
+                    : Math.min(1, START_CAPACITY + (1 - START_CAPACITY) * Math.max(0, t - bootNs) / COLD_NS);
         }
 
         /** Counts a send against what may come in any span of that length. */
@@ -67,8 +69,7 @@
             while (sent.peek() < now - FALL_NS) {
                 sent.remove();
             }
-            double could = CAPACITY * (warmth(now) + warmth(Math.max(bootNs,
-                    now - FALL_NS))) / 2 * FALL_NS / S;
+            double could = CAPACITY * (warmth(now) + warmth(Math.max(bootNs, now - FALL_NS))) / 2 * FALL_NS / S;
             double n = MULTIPLE * could;
             worst = Math.max(worst, sent.size() / (n + 2 * Math.sqrt(n) + 2));
         }
@@ -80,8 +81,23 @@
         private int ticket;
 
         Proxy(int me, Settings all, int proxies, List<Member> list) {
-            Settings s = new Settings(me, proxies, 0, all.profiles(), false, true, 5, all.maxRetryAfterNs(),
-                    START_CAPACITY, COLD_NS, MULTIPLE, FALL_NS, 0, all.stepNs(), all.crossZonePrice(), false,
+            Settings s = new Settings(
+                    me,
+                    proxies,
+                    0,
+                    all.profiles(),
+                    false,
+                    true,
+                    5,
+                    all.maxRetryAfterNs(),
+                    START_CAPACITY,
+                    COLD_NS,
+                    MULTIPLE,
+                    FALL_NS,
+                    0,
+                    all.stepNs(),
+                    all.crossZonePrice(),
+                    false,
                     0);
             module = new Policy(s, random.nextLong(), now, this);
             module.onMembers(now, ListKind.FULL, 1, list);
@@ -122,16 +138,28 @@
             });
             at(late ? now + most : done, () -> {
                 boolean crashed = s.bootNs != boot || !s.up;
-                ended(t, attempt, s, crashed ? Status.RESET : late ? Status.TIMEOUT : Status.OK, sentAt,
+                ended(
+                        t,
+                        attempt,
+                        s,
+                        crashed ? Status.RESET : late ? Status.TIMEOUT : Status.OK,
+                        sentAt,
                         !crashed && !late);
             });
         }
 
         private void ended(int t, int attempt, Server s, Status status, long sentAt, boolean report) {
             good += status == Status.OK ? 1 : 0;
-            module.onOutcome(now, new Outcome(t, attempt, s.id, status, now - sentAt, status == Status.OK,
-                    report ? new Report(s.held, Double.NaN, s.util, Double.NaN, CAPACITY * s.util, 0)
-                            : null));
+            module.onOutcome(
+                    now,
+                    new Outcome(
+                            t,
+                            attempt,
+                            s.id,
+                            status,
+                            now - sentAt,
+                            status == Status.OK,
+                            report ? new Report(s.held, Double.NaN, s.util, Double.NaN, CAPACITY * s.util, 0) : null));
             if (status == Status.OK) {
                 attempts.remove(t);
             }
@@ -143,36 +171,36 @@
         }
 
         @Override
-        public void refuse(int t, long retryInNs) { }
+        public void refuse(int t, long retryInNs) {}
 
         @Override
-        public void fail(int t) { }
+        public void fail(int t) {}
 
         @Override
-        public void cancel(int t, int attempt) { }
+        public void cancel(int t, int attempt) {}
 
         @Override
-        public void probe(int server) { }
+        public void probe(int server) {}
 
         @Override
-        public void closeIdle(int server) { }
+        public void closeIdle(int server) {}
 
         @Override
-        public void tell(int peer, byte[] message) { }
+        public void tell(int peer, byte[] message) {}
 
         @Override
-        public void log(String line) { }
+        public void log(String line) {}
 
         @Override
-        public void subscribe(boolean on) { }
+        public void subscribe(boolean on) {}
 
         @Override
-        public void reload() { }
+        public void reload() {}
     }
 
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at)
-            .thenComparingLong(Event::number));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private final Map<Integer, Server> servers = new HashMap<>();
     private final List<Proxy> proxies = new ArrayList<>();
     private long now = 1_800_000_000L * S;
@@ -194,10 +222,18 @@
                     ColdCount c = new ColdCount(seed);
                     double worst = c.play(n, 20, use);
                     int percent = (int) Math.round(100 * use);
-                    results.point("cold.sum." + percent, "calls to the worst cold backend in 1.5 s, as a "
-                            + "part of "
-                            + "what it may get, N + 2 x root of N + 2; " + percent + "% in use before half "
-                            + "crash", "", "proxies", Map.of("backends", 20), 1280, n, worst);
+                    results.point(
+                            "cold.sum." + percent,
+                            "calls to the worst cold backend in 1.5 s, as a "
+                                    + "part of "
+                                    + "what it may get, N + 2 x root of N + 2; " + percent + "% in use before half "
+                                    + "crash",
+                            "",
+                            "proxies",
+                            Map.of("backends", 20),
+                            1280,
+                            n,
+                            worst);
                     System.err.printf("  %d asked, %d sent, %d served%n", c.asked, c.sends, c.good);
                 }
             }
@@ -230,7 +266,9 @@
         long end = now + SECONDS * S;
         servers.values().forEach(this::reports);
         next(backends * CAPACITY * use, end);
-        at(begin + CRASH_NS, () -> servers.values().stream().filter(s -> s.id % 2 == 0).forEach(this::crash));
+        at(
+                begin + CRASH_NS,
+                () -> servers.values().stream().filter(s -> s.id % 2 == 0).forEach(this::crash));
         while (!events.isEmpty() && events.peek().at() <= end) {
             Event e = events.remove();
             now = e.at();
@@ -262,7 +300,8 @@
             s.bootNs = now;
             s.freeAt = now;
             s.sent.clear();
-            proxies.forEach(p -> after(500 * MS + random.nextLong(2 * S),
+            proxies.forEach(p -> after(
+                    500 * MS + random.nextLong(2 * S),
                     () -> p.module.onMembers(now, ListKind.DELTA, 2, List.of(member(s)))));
         });
     }
--- a/src/test/java/gullspar/capacity/ConnectionCount.java
+++ b/src/test/java/gullspar/capacity/ConnectionCount.java
@@ -31,6 +31,7 @@
     private static final long S = 1_000_000_000L, PULSE_NS = 50_000_000L, PULSE_TOKEN = (1L << 32) + 1;
     /** What the proxy keeps of the settings' 15 s; how long a handshake and an answer take. */
     private static final long IDLE_NS = 13_500_000_000L, ANSWER_NS = 12_000_000L;
+
     private static final double RATE = 150_000.0 / PROXIES;
 
     private final ResultsWriter results;
@@ -55,7 +56,7 @@
         results.write(Path.of(args[0]));
     }
 
-    private record Answer(long at, int instance, int ticket, int server, long took) { }
+    private record Answer(long at, int instance, int ticket, int server, long took) {}
 
     /** One proxy with so many instances of the module, each with so many servers in eight zones. */
     private final class Proxy {
@@ -65,6 +66,7 @@
         private final PriorityQueue<Answer> answers = new PriorityQueue<>((a, b) -> Long.compare(a.at, b.at));
         /** Idle connections, the one idle longest first: which backend, since when. */
         private final Map<Long, long[]> idle = new LinkedHashMap<>();
+
         private final Map<Integer, List<Long>> byServer = new HashMap<>();
         private final Map<Integer, Long> used = new HashMap<>();
         private final SplittableRandom random = new SplittableRandom(seed);
@@ -74,17 +76,30 @@
         Proxy(int instances, int servers, int most) {
             this.most = most;
             Settings all = Inputs.config(Inputs.settings(PROXIES, 0, "{}")).settings();
-            Settings s = new Settings(seed * 37, PROXIES, 0, all.profiles(), false, true, 5,
+            Settings s = new Settings(
+                    seed * 37,
+                    PROXIES,
+                    0,
+                    all.profiles(),
+                    false,
+                    true,
+                    5,
                     all.maxRetryAfterNs(),
-                    all.startCapacity(), all.coldNs(), all.tipMultiple(), all.fallNs(), 0, all.stepNs(),
-                    all.crossZonePrice(), false, 0);
+                    all.startCapacity(),
+                    all.coldNs(),
+                    all.tipMultiple(),
+                    all.fallNs(),
+                    0,
+                    all.stepNs(),
+                    all.crossZonePrice(),
+                    false,
+                    0);
             for (int i = 0; i < instances; i++) {
                 NoActions a = new NoActions();
                 Policy p = new Policy(s, seed + i, now, a);
                 List<Member> list = new ArrayList<>();
                 for (int k = 0; k < servers; k++) {
-                    list.add(new Member((i * servers + k) * 0x9e3779b1, k % 3, State.READY, 0, k / 5, k % 8,
-                            1));
+                    list.add(new Member((i * servers + k) * 0x9e3779b1, k % 3, State.READY, 0, k / 5, k % 8, 1));
                 }
                 p.onMembers(now, ListKind.FULL, 1, list);
                 modules.add(p);
@@ -166,9 +181,23 @@
             long connection = ++connections;
             idle.put(connection, new long[] {a.server, now});
             byServer.get(a.server).add(connection);
-            modules.get(a.instance).onOutcome(now, new Outcome(a.ticket, 0, a.server, Status.OK, a.took, true,
-                    new Report(random.nextInt(4), Double.NaN, 0.4 + 0.4 * random.nextDouble(), Double.NaN, 23,
-                            0)));
+            modules.get(a.instance)
+                    .onOutcome(
+                            now,
+                            new Outcome(
+                                    a.ticket,
+                                    0,
+                                    a.server,
+                                    Status.OK,
+                                    a.took,
+                                    true,
+                                    new Report(
+                                            random.nextInt(4),
+                                            Double.NaN,
+                                            0.4 + 0.4 * random.nextDouble(),
+                                            Double.NaN,
+                                            23,
+                                            0)));
         }
 
         /** Backends that got a request in the last so many seconds. */
@@ -180,22 +209,48 @@
     private void count(String axis, int size, int instances, int servers) {
         Proxy free = new Proxy(instances, servers, Integer.MAX_VALUE);
         free.run();
-        Map<String, Integer> fixed = axis.equals("backends") ? Map.of("services", 1, "proxies", PROXIES)
+        Map<String, Integer> fixed = axis.equals("backends")
+                ? Map.of("services", 1, "proxies", PROXIES)
                 : Map.of("servers_a_service", MEAN_SERVICE, "proxies", PROXIES);
         String of = axis.equals("backends") ? ", one list for all" : ", each its own list";
         int heldOut = axis.equals("backends") ? 6600 : 310;
-        results.point("connections." + axis + ".open",
-                "connections of one proxy open at the most, with no limit"
-                + of, "", axis, fixed, heldOut, size, free.mostOpen);
-        results.point("connections." + axis + ".used", "backends that one proxy sends to within 28 s" + of,
+        results.point(
+                "connections." + axis + ".open",
+                "connections of one proxy open at the most, with no limit" + of,
+                "",
+                axis,
+                fixed,
+                heldOut,
+                size,
+                free.mostOpen);
+        results.point(
+                "connections." + axis + ".used",
+                "backends that one proxy sends to within 28 s" + of,
                 "",
-                axis, fixed, heldOut, size, free.usedWithin(28 * S));
-        results.point("connections." + axis + ".handshakes", "handshakes a second of one proxy, with no limit"
-                + of, "1/s", axis, fixed, heldOut, size, free.handshakes / (double) (SECONDS - WARM_SECONDS));
+                axis,
+                fixed,
+                heldOut,
+                size,
+                free.usedWithin(28 * S));
+        results.point(
+                "connections." + axis + ".handshakes",
+                "handshakes a second of one proxy, with no limit" + of,
+                "1/s",
+                axis,
+                fixed,
+                heldOut,
+                size,
+                free.handshakes / (double) (SECONDS - WARM_SECONDS));
         Proxy held = new Proxy(instances, servers, new Sockets(1024).backends.most());
         held.run();
-        results.point("connections." + axis + ".handshakes.held", "handshakes a second of one proxy, 1,024 "
-                + "descriptors" + of, "1/s", axis, fixed, heldOut, size,
+        results.point(
+                "connections." + axis + ".handshakes.held",
+                "handshakes a second of one proxy, 1,024 " + "descriptors" + of,
+                "1/s",
+                axis,
+                fixed,
+                heldOut,
+                size,
                 held.handshakes / (double) (SECONDS - WARM_SECONDS));
         if (free.refused > 0) {
             System.err.println(axis + " " + size + ": " + free.refused + " not sent at once");
--- a/src/test/java/gullspar/capacity/ControlCost.java
+++ b/src/test/java/gullspar/capacity/ControlCost.java
@@ -36,13 +36,14 @@
  * heap. Run by {@code bench/scale/control.sh}; not a test.
  */
 public final class ControlCost {
-    private static final int[] BACKENDS = {100, 1000, 3000, 6600}, TENANTS = {430, 4400, 44_000},
+    private static final int[] BACKENDS = {100, 1000, 3000, 6600},
+            TENANTS = {430, 4400, 44_000},
             ROUTES = {60, 240, 800, 2400};
     private static final int PROXIES = 640;
 
     private final ResultsWriter results;
     private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-    private final Platform platform = new Platform(loop, Clock.system(), Transport.tcp(loop), line -> { });
+    private final Platform platform = new Platform(loop, Clock.system(), Transport.tcp(loop), line -> {});
 
     private ControlCost(ResultsWriter results) {
         this.results = results;
@@ -93,11 +94,25 @@
             list(n);
         }
         for (int changes : new int[] {1, 10, 100, 825, 6600}) {
-            results.point("list.change.bytes", "bytes of one line with so many changed backends", "B",
-                    "changes", Map.of(), 6600, changes, Inputs.list(changes, false, 42, changes).length);
+            results.point(
+                    "list.change.bytes",
+                    "bytes of one line with so many changed backends",
+                    "B",
+                    "changes",
+                    Map.of(),
+                    6600,
+                    changes,
+                    Inputs.list(changes, false, 42, changes).length);
         }
-        results.point("limit.backend.descriptors", "descriptors for backends, of 1,024", "", "descriptors",
-                Map.of(), 0, 1024, new Sockets(1024).backends.most());
+        results.point(
+                "limit.backend.descriptors",
+                "descriptors for backends, of 1,024",
+                "",
+                "descriptors",
+                Map.of(),
+                0,
+                1024,
+                new Sockets(1024).backends.most());
     }
 
     private void list(int n) {
@@ -108,27 +123,45 @@
         News all = known.discovery.known();
         known.take(all, ListKind.FULL);
         cpu("list.whole.read.cpu", "processor time to read a whole list", n, () -> read(known, whole));
-        cpu("list.whole.apply.cpu", "processor time of the module and the connections' side for a whole list",
-                n, () -> known.take(all, ListKind.FULL));
+        cpu(
+                "list.whole.apply.cpu",
+                "processor time of the module and the connections' side for a whole list",
+                n,
+                () -> known.take(all, ListKind.FULL));
         Json json = new Json();
         cpu("list.change.read.cpu", "processor time to read one change", n, () -> parse(json, change));
         News one = new News(ListKind.DELTA, 42, all.list().subList(0, 1));
-        cpu("list.change.apply.cpu", "processor time of the module and the connections' side for one change",
-                n, () -> known.take(one, ListKind.DELTA));
-        point("list.whole.allocated", "bytes allocated to read and apply a whole list", "B", "backends", n,
+        cpu(
+                "list.change.apply.cpu",
+                "processor time of the module and the connections' side for one change",
+                n,
+                () -> known.take(one, ListKind.DELTA));
+        point(
+                "list.whole.allocated",
+                "bytes allocated to read and apply a whole list",
+                "B",
+                "backends",
+                n,
                 Cost.step(() -> {
-                    News news = read(known, whole);
-                    return known.take(news, ListKind.FULL);
-                }).allocated());
+                            News news = read(known, whole);
+                            return known.take(news, ListKind.FULL);
+                        })
+                        .allocated());
         long kept = Cost.kept(() -> {
-            Known k = new Known(Inputs.list(0, true, 1, 1));
-            k.discovery = discovery(k.config, parse(new Json(), whole));
-            News news = k.discovery.known();
-            return k.take(news, ListKind.FULL);
-        }) - Cost.kept(() -> new Known(Inputs.list(0, true, 1, 1)));
-        point("list.heap", "heap kept of the list of the start: its tree and names, the module's "
-                + "servers, the connections' side", "B",
-                "backends", n, kept);
+                    Known k = new Known(Inputs.list(0, true, 1, 1));
+                    k.discovery = discovery(k.config, parse(new Json(), whole));
+                    News news = k.discovery.known();
+                    return k.take(news, ListKind.FULL);
+                })
+                - Cost.kept(() -> new Known(Inputs.list(0, true, 1, 1)));
+        point(
+                "list.heap",
+                "heap kept of the list of the start: its tree and names, the module's "
+                        + "servers, the connections' side",
+                "B",
+                "backends",
+                n,
+                kept);
     }
 
     private News read(Known known, byte[] whole) {
@@ -136,8 +169,8 @@
     }
 
     private Discovery discovery(Config config, JsonNode list) {
-        return new Discovery(platform, new Discovery.Source(config.discovery(), false, list, config.kinds(),
-                config.zones()), null);
+        return new Discovery(
+                platform, new Discovery.Source(config.discovery(), false, list, config.kinds(), config.zones()), null);
     }
 
     private static JsonNode parse(Json json, byte[] bytes) {
@@ -156,16 +189,29 @@
     private void tenants() {
         for (int n : TENANTS) {
             byte[] file = Inputs.settings(PROXIES, n, "{}");
-            point("tenants.file.bytes", "bytes of a configuration with so many tenants", "B", "tenants", n,
+            point(
+                    "tenants.file.bytes",
+                    "bytes of a configuration with so many tenants",
+                    "B",
+                    "tenants",
+                    n,
                     file.length);
-            cpu("tenants.read.cpu", "processor time to read a configuration", "tenants", n,
-                    () -> Inputs.config(file));
-            point("tenants.heap", "heap kept of a configuration", "B", "tenants", n,
+            cpu("tenants.read.cpu", "processor time to read a configuration", "tenants", n, () -> Inputs.config(file));
+            point(
+                    "tenants.heap",
+                    "heap kept of a configuration",
+                    "B",
+                    "tenants",
+                    n,
                     Cost.kept(() -> Inputs.config(Inputs.settings(PROXIES, n, "{}"))));
             TenantLookup lookup = new TenantLookup(Inputs.config(file));
             SplittableRandom random = new SplittableRandom(1);
-            cpu("tenants.lookup.cpu", "processor time to find what a request asks, its tenant among them",
-                    "tenants", n, () -> lookup.place(Inputs.tenant(random.nextInt(n))));
+            cpu(
+                    "tenants.lookup.cpu",
+                    "processor time to find what a request asks, its tenant among them",
+                    "tenants",
+                    n,
+                    () -> lookup.place(Inputs.tenant(random.nextInt(n))));
         }
     }
 
@@ -174,22 +220,41 @@
     private void routes() {
         for (int n : ROUTES) {
             String file = Inputs.routes(n, 0, "127.0.0.1:8080", "x");
-            point("routes.file.bytes", "bytes of an operators' file, servers from discovery", "B", "routes",
-                    n, file.length());
-            point("routes.file.servers.bytes", "bytes of an operators' file with 21 servers a pool", "B",
-                    "routes", n, Inputs.routes(n, 21, "127.0.0.1:8080", "x").length());
-            cpu("routes.read.cpu", "processor time to read an operators' file", "routes", n,
-                    () -> site(file));
-            point("routes.read.allocated", "bytes allocated to read an operators' file", "B", "routes", n,
+            point(
+                    "routes.file.bytes",
+                    "bytes of an operators' file, servers from discovery",
+                    "B",
+                    "routes",
+                    n,
+                    file.length());
+            point(
+                    "routes.file.servers.bytes",
+                    "bytes of an operators' file with 21 servers a pool",
+                    "B",
+                    "routes",
+                    n,
+                    Inputs.routes(n, 21, "127.0.0.1:8080", "x").length());
+            cpu("routes.read.cpu", "processor time to read an operators' file", "routes", n, () -> site(file));
+            point(
+                    "routes.read.allocated",
+                    "bytes allocated to read an operators' file",
+                    "B",
+                    "routes",
+                    n,
                     Cost.step(() -> site(file)).allocated());
-            point("routes.heap", "heap kept of an operators' file", "B", "routes", n,
+            point(
+                    "routes.heap",
+                    "heap kept of an operators' file",
+                    "B",
+                    "routes",
+                    n,
                     Cost.kept(() -> site(Inputs.routes(n, 0, "127.0.0.1:8080", "x"))));
             Router router = site(file).router(8080);
             SplittableRandom random = new SplittableRandom(1);
             cpu("routes.lookup.cpu", "processor time to find a request's route", "routes", n, () -> {
                 int r = random.nextInt(n);
-                return router.find(new Request("GET", "shop" + r / 10 + ".example.org", "/r" + r + "/item",
-                        null, name -> List.of()));
+                return router.find(new Request(
+                        "GET", "shop" + r / 10 + ".example.org", "/r" + r + "/item", null, name -> List.of()));
             });
         }
     }
@@ -215,12 +280,20 @@
     }
 
     private void point(String id, String what, String unit, String axis, int n, double value) {
-        int heldOut = switch (axis) {
-            case "backends" -> BACKENDS[BACKENDS.length - 1];
-            case "tenants" -> TENANTS[TENANTS.length - 1];
-            default -> ROUTES[ROUTES.length - 1];
-        };
-        results.point(id, what, unit, axis, axis.equals("backends") ? Map.of("proxies", PROXIES) : Map.of(),
-                heldOut, n, value);
+        int heldOut =
+                switch (axis) {
+                    case "backends" -> BACKENDS[BACKENDS.length - 1];
+                    case "tenants" -> TENANTS[TENANTS.length - 1];
+                    default -> ROUTES[ROUTES.length - 1];
+                };
+        results.point(
+                id,
+                what,
+                unit,
+                axis,
+                axis.equals("backends") ? Map.of("proxies", PROXIES) : Map.of(),
+                heldOut,
+                n,
+                value);
     }
 }
--- a/src/test/java/gullspar/capacity/Cost.java
+++ b/src/test/java/gullspar/capacity/Cost.java
@@ -14,9 +14,9 @@
     static volatile Object sink;
 
     /** Of one step: processor time of each round in ns, bytes allocated. */
-    record Of(double[] cpuNs, double allocated) { }
+    record Of(double[] cpuNs, double allocated) {}
 
-    private Cost() { }
+    private Cost() {}
 
     private static long cpu() {
         return THREADS.getCurrentThreadCpuTime();
@@ -43,7 +43,9 @@
                 took = cpu() - begin;
             } while (took < ROUND_NS);
             each[round] = (double) took / steps;
-            allocated = (double) (THREADS.getThreadAllocatedBytes(Thread.currentThread().getId()) - bytes)
+            allocated = (double) (THREADS.getThreadAllocatedBytes(
+                                    Thread.currentThread().getId())
+                            - bytes)
                     / steps;
         }
         sink = null;
--- a/src/test/java/gullspar/capacity/Fit.java
+++ b/src/test/java/gullspar/capacity/Fit.java
@@ -10,8 +10,7 @@
  * @param slopeError the standard error of the slope; NaN where two sizes or fewer leave nothing to tell it by
  * @param foretold what the line says of the held-out size; NaN if none is held out
  */
-record Fit(Series series, double intercept, double slope, double slopeError, double foretold,
-        boolean constant) {
+record Fit(Series series, double intercept, double slope, double slopeError, double foretold, boolean constant) {
     /** A held-out size has to be foretold so well. */
     static final double WITHIN = 0.25;
 
@@ -20,19 +19,29 @@
             return new Fit(s, s.at(s.sizes().get(0)), 0, Double.NaN, Double.NaN, true);
         }
         boolean foretells = s.heldOut() > 0 && s.sizes().size() > 2;
-        List<Series.Point> used = s.points().stream().filter(p -> !foretells || p.size() != s.heldOut())
+        List<Series.Point> used = s.points().stream()
+                .filter(p -> !foretells || p.size() != s.heldOut())
                 .toList();
         double n = used.size();
         double x = used.stream().collect(Collectors.averagingDouble(Series.Point::size));
         double y = used.stream().collect(Collectors.averagingDouble(Series.Point::value));
-        double xx = used.stream().mapToDouble(p -> (p.size() - x) * (p.size() - x)).sum();
-        double xy = used.stream().mapToDouble(p -> (p.size() - x) * (p.value() - y)).sum();
+        double xx =
+                used.stream().mapToDouble(p -> (p.size() - x) * (p.size() - x)).sum();
+        double xy =
+                used.stream().mapToDouble(p -> (p.size() - x) * (p.value() - y)).sum();
         double slope = xy / xx;
         double intercept = y - slope * x;
-        double rest = used.stream().mapToDouble(p -> p.value() - intercept - slope * p.size())
-                .map(d -> d * d).sum();
-        return new Fit(s, intercept, slope, n > 2 ? Math.sqrt(rest / (n - 2) / xx) : Double.NaN,
-                foretells ? intercept + slope * s.heldOut() : Double.NaN, false);
+        double rest = used.stream()
+                .mapToDouble(p -> p.value() - intercept - slope * p.size())
+                .map(d -> d * d)
+                .sum();
+        return new Fit(
+                s,
+                intercept,
+                slope,
+                n > 2 ? Math.sqrt(rest / (n - 2) / xx) : Double.NaN,
+                foretells ? intercept + slope * s.heldOut() : Double.NaN,
+                false);
     }
 
     /** How far the line is from what was measured at the held-out size, as a part of that; NaN for none. */
--- a/src/test/java/gullspar/capacity/Inputs.java
+++ b/src/test/java/gullspar/capacity/Inputs.java
@@ -15,26 +15,38 @@
 /** Lists, settings and operators' files of any size, in the forms that a proxy reads. */
 final class Inputs {
     static final List<String> KINDS = List.of("fast-1c", "mid-1c", "slow-2c");
-    static final List<String> ZONES = List.of("north-a", "north-b", "north-c", "south-a", "south-b",
-            "south-c", "east-a", "east-b");
+    static final List<String> ZONES =
+            List.of("north-a", "north-b", "north-c", "south-a", "south-b", "south-c", "east-a", "east-b");
 
-    private Inputs() { }
+    private Inputs() {}
 
     /** The entry of one backend, with a weight as live ones are. */
     static String entry(int backend, double weight, String lifecycle) {
-        return String.format(Locale.ROOT, "{\"instanceId\":\"s-%08x\",\"hostPort\":\"10.%d.%d.%d:9000\","
-                + "\"zone\":\"%s\",\"machineType\":\"%s\",\"cell\":%d,\"lifecycle\":\"%s\",\"weight\":%.3f,"
-                + "\"startedAtMs\":%d}", backend * 0x9e3779b1, backend / 60000, backend / 250 % 250,
-                1 + backend % 250, ZONES.get(backend % ZONES.size()), KINDS.get(backend % KINDS.size()),
-                backend / 5, lifecycle, weight, 1764646553000L + backend);
+        return String.format(
+                Locale.ROOT,
+                "{\"instanceId\":\"s-%08x\",\"hostPort\":\"10.%d.%d.%d:9000\","
+                        + "\"zone\":\"%s\",\"machineType\":\"%s\",\"cell\":%d,\"lifecycle\":\"%s\",\"weight\":%.3f,"
+                        + "\"startedAtMs\":%d}",
+                backend * 0x9e3779b1,
+                backend / 60000,
+                backend / 250 % 250,
+                1 + backend % 250,
+                ZONES.get(backend % ZONES.size()),
+                KINDS.get(backend % KINDS.size()),
+                backend / 5,
+                lifecycle,
+                weight,
+                1764646553000L + backend);
     }
 
     /** A whole list, or the changes of some backends. */
     static byte[] list(int backends, boolean whole, long generation, long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         return ("{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":["
-                + IntStream.range(0, backends).mapToObj(i -> entry(i, random.nextDouble(0.3, 2),
-                        "in_service")).collect(Collectors.joining(",")) + "]}\n")
+                        + IntStream.range(0, backends)
+                                .mapToObj(i -> entry(i, random.nextDouble(0.3, 2), "in_service"))
+                                .collect(Collectors.joining(","))
+                        + "]}\n")
                 .getBytes(StandardCharsets.UTF_8);
     }
 
@@ -54,8 +66,15 @@
                "connect_timeout_ns":120000000,"keepalive_ns":15000000000},
               "rules":{"start_capacity":0.31,"cold_ns":8800000000,"tip_multiple":3.0,"fall_ns":1500000000,
                "drain_grace_ns":500000000}}}
-            """).formatted(known, proxies, quoted(ZONES), quoted(KINDS), IntStream.range(0, tenants)
-                .mapToObj(i -> '"' + tenant(i) + '"').collect(Collectors.joining(",")))
+            """)
+                .formatted(
+                        known,
+                        proxies,
+                        quoted(ZONES),
+                        quoted(KINDS),
+                        IntStream.range(0, tenants)
+                                .mapToObj(i -> '"' + tenant(i) + '"')
+                                .collect(Collectors.joining(",")))
                 .getBytes(StandardCharsets.UTF_8);
     }
 
@@ -86,13 +105,20 @@
             b.append("[[pool]]\nname = \"service-").append(p).append("\"\n");
             b.append(servers == 0 ? "discovery = \"127.0.0.1:9\"\n" : "");
             for (int s = 0; s < servers; s++) {
-                b.append("[[pool.server]]\naddress = \"10.").append(p % 250).append('.').append(s)
-                        .append(".1:9000\"\nweight = ").append(1 + s % 3).append('\n');
+                b.append("[[pool.server]]\naddress = \"10.")
+                        .append(p % 250)
+                        .append('.')
+                        .append(s)
+                        .append(".1:9000\"\nweight = ")
+                        .append(1 + s % 3)
+                        .append('\n');
             }
         }
         for (int r = 0; r < routes; r++) {
             if (r % 10 == 0) {
-                b.append("\n[[host]]\nnames = [\"shop").append(r / 10).append(".example.org\"]\n")
+                b.append("\n[[host]]\nnames = [\"shop")
+                        .append(r / 10)
+                        .append(".example.org\"]\n")
                         .append(r == 0 ? "default = true\n" : "");
             }
             b.append("[[host.route]]\nname = \"route-").append(r).append("\"\n");
@@ -105,6 +131,9 @@
             b.append(r % 4 == 0 ? "rewrite = { to = \"/v2/\" }\n" : "");
         }
         return b.append("\n[[host]]\nnames = [\"mark.example.org\"]\n[[host.route]]\npath = \"/mark\"\n"
-                + "answer = { status = 200, body = \"").append(mark).append("\" }\n").toString();
+                        + "answer = { status = 200, body = \"")
+                .append(mark)
+                .append("\" }\n")
+                .toString();
     }
 }
--- a/src/test/java/gullspar/capacity/Letter.java
+++ b/src/test/java/gullspar/capacity/Letter.java
@@ -11,7 +11,7 @@
 /** The sizes and limits that the design is held to, by name. */
 final class Letter {
     /** One size or limit. */
-    record Given(double value, String unit, String what) { }
+    record Given(double value, String unit, String what) {}
 
     private final Map<String, Given> all;
 
@@ -41,7 +41,8 @@
         try {
             TomlParseResult toml = Toml.parse(file);
             if (toml.hasErrors()) {
-                throw new CapacityException(file.getFileName() + ":" + toml.errors().get(0));
+                throw new CapacityException(
+                        file.getFileName() + ":" + toml.errors().get(0));
             }
             return toml;
         } catch (IOException e) {
--- a/src/test/java/gullspar/capacity/ModuleCost.java
+++ b/src/test/java/gullspar/capacity/ModuleCost.java
@@ -24,11 +24,12 @@
     private static final int PROXIES = 640, MEAN_SERVICE = 21;
     /** A request each so often at one proxy of 640, of 150,000 a second; how long an answer takes. */
     private static final long GAP_NS = 4_270_000, PULSE_NS = 50_000_000, ANSWER_NS = 10_000_000;
+
     private static final long PULSE_TOKEN = (1L << 32) + 1;
 
     private final ResultsWriter results = new ResultsWriter("bench/scale/module.sh", List.of(7));
 
-    private ModuleCost() { }
+    private ModuleCost() {}
 
     public static void main(String[] args) throws IOException {
         ModuleCost m = new ModuleCost();
@@ -67,8 +68,16 @@
             module.onRequest(now, new Request(++ticket, 0, 0, 0, 600_000_000L, 0, false));
             int sends = actions.sends;
             now += 1000;
-            module.onOutcome(now, new Outcome(ticket, 0, actions.server, Status.OK, ANSWER_NS, true,
-                    new Report(1 + ticket % 3, Double.NaN, 0.3 + ticket % 7 * 0.05, Double.NaN, 200, 0)));
+            module.onOutcome(
+                    now,
+                    new Outcome(
+                            ticket,
+                            0,
+                            actions.server,
+                            Status.OK,
+                            ANSWER_NS,
+                            true,
+                            new Report(1 + ticket % 3, Double.NaN, 0.3 + ticket % 7 * 0.05, Double.NaN, 200, 0)));
             return sends;
         }
 
@@ -95,36 +104,75 @@
         String in = zones == 1 ? "one zone" : zones + " zones";
         String id = zones == 1 ? "module.request" : "module.request.zones";
         for (double ns : cost.cpuNs()) {
-            results.point(id + ".cpu", "processor time of the module for one request and its answer, " + in,
-                    "ns", "servers", Map.of("proxies", PROXIES, "zones", zones), 6600, n, ns);
+            results.point(
+                    id + ".cpu",
+                    "processor time of the module for one request and its answer, " + in,
+                    "ns",
+                    "servers",
+                    Map.of("proxies", PROXIES, "zones", zones),
+                    6600,
+                    n,
+                    ns);
         }
-        results.point(id + ".allocated", "bytes that the module allocates for one request, " + in, "B",
-                "servers", Map.of("proxies", PROXIES, "zones", zones), 0, n, cost.allocated());
+        results.point(
+                id + ".allocated",
+                "bytes that the module allocates for one request, " + in,
+                "B",
+                "servers",
+                Map.of("proxies", PROXIES, "zones", zones),
+                0,
+                n,
+                cost.allocated());
         if (zones == 1) {
-            results.point("module.heap", "heap of one instance of the module", "B", "servers",
-                    Map.of("proxies", PROXIES), 6600, n, Cost.kept(() -> new One(n, 1)));
+            results.point(
+                    "module.heap",
+                    "heap of one instance of the module",
+                    "B",
+                    "servers",
+                    Map.of("proxies", PROXIES),
+                    6600,
+                    n,
+                    Cost.kept(() -> new One(n, 1)));
         }
     }
 
     private void instances(int n) {
-        results.point("module.instances.heap", "heap of so many instances of the module, 21 servers each",
+        results.point(
+                "module.instances.heap",
+                "heap of so many instances of the module, 21 servers each",
                 "B",
-                "services", Map.of("servers", MEAN_SERVICE), 310, n, Cost.kept(() -> make(n)));
+                "services",
+                Map.of("servers", MEAN_SERVICE),
+                310,
+                n,
+                Cost.kept(() -> make(n)));
         List<One> all = make(n);
         all.forEach(One::request);
         for (double ns : Cost.step(() -> {
-            all.forEach(One::idle);
-            return all;
-        }).cpuNs()) {
-            results.point("module.instances.cpu", "processor time of so many instances' pulses, of one "
-                    + "second",
-                    "ns", "services", Map.of("servers", MEAN_SERVICE), 310, n, ns * 20);
+                    all.forEach(One::idle);
+                    return all;
+                })
+                .cpuNs()) {
+            results.point(
+                    "module.instances.cpu",
+                    "processor time of so many instances' pulses, of one " + "second",
+                    "ns",
+                    "services",
+                    Map.of("servers", MEAN_SERVICE),
+                    310,
+                    n,
+                    ns * 20);
         }
         int[] next = {0};
         for (double ns : Cost.step(() -> all.get(next[0]++ % n).request()).cpuNs()) {
-            results.point("module.instances.request.cpu",
-                    "processor time of a request that goes to one of so "
-                    + "many instances in turn", "ns", "services", Map.of("servers", MEAN_SERVICE), 310, n,
+            results.point(
+                    "module.instances.request.cpu",
+                    "processor time of a request that goes to one of so " + "many instances in turn",
+                    "ns",
+                    "services",
+                    Map.of("servers", MEAN_SERVICE),
+                    310,
+                    n,
                     ns);
         }
     }
--- a/src/test/java/gullspar/capacity/NoActions.java
+++ b/src/test/java/gullspar/capacity/NoActions.java
@@ -25,26 +25,26 @@
     }
 
     @Override
-    public void cancel(int ticket, int attempt) { }
+    public void cancel(int ticket, int attempt) {}
 
     @Override
-    public void timer(long at, long token) { }
+    public void timer(long at, long token) {}
 
     @Override
-    public void probe(int to) { }
+    public void probe(int to) {}
 
     @Override
-    public void closeIdle(int to) { }
+    public void closeIdle(int to) {}
 
     @Override
-    public void tell(int peer, byte[] message) { }
+    public void tell(int peer, byte[] message) {}
 
     @Override
-    public void log(String line) { }
+    public void log(String line) {}
 
     @Override
-    public void subscribe(boolean on) { }
+    public void subscribe(boolean on) {}
 
     @Override
-    public void reload() { }
+    public void reload() {}
 }
--- a/src/test/java/gullspar/capacity/ReloadTime.java
+++ b/src/test/java/gullspar/capacity/ReloadTime.java
@@ -51,17 +51,21 @@
     private void file(int routes, String mark) throws IOException {
         Path other = folder.resolve("next.toml");
         Files.writeString(other, Inputs.routes(routes, SERVERS, "127.0.0.1:" + port, mark));
-        Files.move(other, folder.resolve("site.toml"), StandardCopyOption.REPLACE_EXISTING,
+        Files.move(
+                other,
+                folder.resolve("site.toml"),
+                StandardCopyOption.REPLACE_EXISTING,
                 StandardCopyOption.ATOMIC_MOVE);
     }
 
     private ProcessBuilder java(String flags, String... arguments) {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString()));
+        List<String> command = new ArrayList<>(
+                List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(List.of(flags.split(" ")));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "gullspar.Main"));
         command.addAll(List.of(arguments));
-        return new ProcessBuilder(command).redirectErrorStream(true)
+        return new ProcessBuilder(command)
+                .redirectErrorStream(true)
                 .redirectOutput(folder.resolve("log").toFile());
     }
 
@@ -72,28 +76,39 @@
         int little = 8 / STEP_MB;
         while (enough - little > 1) {
             int middle = (enough + little) / 2;
-            Process p = java(flags + " -Xmx" + middle * STEP_MB + "m", "check",
-                    folder.resolve("site.toml").toString()).start();
+            Process p = java(
+                            flags + " -Xmx" + middle * STEP_MB + "m",
+                            "check",
+                            folder.resolve("site.toml").toString())
+                    .start();
             if (p.waitFor() == 0) {
                 enough = middle;
             } else {
                 little = middle;
             }
         }
-        point("reload.least.heap", "the smallest heap with which the file can be read", "B", routes,
+        point(
+                "reload.least.heap",
+                "the smallest heap with which the file can be read",
+                "B",
+                routes,
                 enough * STEP_MB * 1024.0 * 1024);
     }
 
     private void process(int routes, String flags) throws Exception {
         file(routes, "mark-0");
-        Process p = java(flags, "serve", "--config", folder.resolve("site.toml").toString()).start();
+        Process p = java(flags, "serve", "--config", folder.resolve("site.toml").toString())
+                .start();
         try {
             until("mark-0");
             for (int change = 1; change <= CHANGES; change++) {
                 TimeUnit.MILLISECONDS.sleep(300);
                 change(p, routes, change);
             }
-            point("reload.resident", "resident memory of the process after " + CHANGES + " changes", "B",
+            point(
+                    "reload.resident",
+                    "resident memory of the process after " + CHANGES + " changes",
+                    "B",
                     routes,
                     resident(p.pid()));
         } finally {
@@ -116,7 +131,10 @@
         String when = change == 1 ? "reload.first" : "reload";
         String which = change == 1 ? "the first change of a process" : "a change";
         point(when + ".time", "from SIGHUP until the new file is in force, " + which, "s", routes, took);
-        point(when + ".cpu", "processor time of the process for it, questions included, " + which, "ns",
+        point(
+                when + ".cpu",
+                "processor time of the process for it, questions included, " + which,
+                "ns",
                 routes,
                 cpu(p.pid()) - cpu);
         point(when + ".longest", "the longest answer meanwhile, " + which, "ns", routes, longest);
@@ -139,16 +157,16 @@
             longest = got.isEmpty() ? longest : Math.max(longest, System.nanoTime() - asked);
             TimeUnit.MILLISECONDS.sleep(2);
         }
-        throw new IOException("no '" + mark + "' within " + PATIENCE_MS + " ms: "
-                + Files.readString(folder.resolve("log")));
+        throw new IOException(
+                "no '" + mark + "' within " + PATIENCE_MS + " ms: " + Files.readString(folder.resolve("log")));
     }
 
     private String ask() {
         try (Socket s = new Socket()) {
             s.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 1000);
-            s.getOutputStream().write(("GET /mark HTTP/1.1\r\nHost: mark.example.org\r\nConnection: "
-                    + "close\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            s.getOutputStream()
+                    .write(("GET /mark HTTP/1.1\r\nHost: mark.example.org\r\nConnection: " + "close\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
             try (InputStream in = s.getInputStream()) {
                 return new String(in.readAllBytes(), StandardCharsets.US_ASCII);
             }
@@ -166,7 +184,9 @@
 
     private static double resident(long pid) throws IOException {
         return Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream()
-                .filter(l -> l.startsWith("VmRSS")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
-                .sum() * 1024.0;
+                        .filter(l -> l.startsWith("VmRSS"))
+                        .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                        .sum()
+                * 1024.0;
     }
 }
--- a/src/test/java/gullspar/capacity/Results.java
+++ b/src/test/java/gullspar/capacity/Results.java
@@ -20,7 +20,7 @@
 
     private final Map<String, Series> series = new TreeMap<>();
 
-    private Results() { }
+    private Results() {}
 
     static Results read(Path folder) {
         Results r = new Results();
@@ -46,8 +46,8 @@
             JsonNode root = JSON.readTree(Files.readString(file));
             take(name, root);
         } catch (JsonProcessingException e) {
-            throw new CapacityException(name + ":" + e.getLocation().getLineNr() + ": no JSON: "
-                    + e.getOriginalMessage());
+            throw new CapacityException(
+                    name + ":" + e.getLocation().getLineNr() + ": no JSON: " + e.getOriginalMessage());
         } catch (IOException e) {
             throw new CapacityException(name + " cannot be read: " + e.getMessage());
         }
@@ -63,8 +63,13 @@
         if (!root.path("seeds").isArray()) {
             throw new CapacityException(name + ": no seeds");
         }
-        Series.Source source = new Series.Source(name, text(name, root, "script"), text(name, root, "date"),
-                text(name, root, "commit"), machine(name, machine), String.join(", ", seeds));
+        Series.Source source = new Series.Source(
+                name,
+                text(name, root, "script"),
+                text(name, root, "date"),
+                text(name, root, "commit"),
+                machine(name, machine),
+                String.join(", ", seeds));
         if (!root.path("series").isArray()) {
             throw new CapacityException(name + ": no series");
         }
@@ -73,8 +78,8 @@
             Series read = series(name + ": series[" + i++ + "]", s, source);
             Series other = series.putIfAbsent(read.id(), read);
             if (other != null) {
-                throw new CapacityException(name + ": " + read.id() + " is in " + other.source().file()
-                        + " too");
+                throw new CapacityException(
+                        name + ": " + read.id() + " is in " + other.source().file() + " too");
             }
         }
     }
@@ -93,18 +98,27 @@
             throw new CapacityException(at + ": no points");
         }
         for (JsonNode p : s.path("points")) {
-            points.add(new Series.Point(number(at + ": points[" + points.size() + "]", p, "size"),
+            points.add(new Series.Point(
+                    number(at + ": points[" + points.size() + "]", p, "size"),
                     number(at + ": points[" + points.size() + "]", p, "value")));
         }
         Map<String, String> fixed = new LinkedHashMap<>();
-        s.path("fixed").properties().forEach(e -> fixed.put(e.getKey(), e.getValue().asText()));
+        s.path("fixed")
+                .properties()
+                .forEach(e -> fixed.put(e.getKey(), e.getValue().asText()));
         double heldOut = s.hasNonNull("held_out") ? number(at, s, "held_out") : 0;
         if (heldOut != 0 && points.stream().noneMatch(p -> p.size() == heldOut)) {
-            throw new CapacityException(at + ": the held-out size " + Show.number(heldOut)
-                    + " was not measured");
+            throw new CapacityException(at + ": the held-out size " + Show.number(heldOut) + " was not measured");
         }
-        return new Series(id, text(at, s, "what"), s.path("unit").asText(""), text(at, s, "axis"), fixed,
-                points, heldOut, source);
+        return new Series(
+                id,
+                text(at, s, "what"),
+                s.path("unit").asText(""),
+                text(at, s, "axis"),
+                fixed,
+                points,
+                heldOut,
+                source);
     }
 
     private static String text(String where, JsonNode n, String key) {
@@ -124,7 +138,8 @@
 
     /** The files, in order, with what each one is. */
     Map<String, Series.Source> sources() {
-        return series.values().stream().map(Series::source).collect(Collectors.toMap(Series.Source::file,
-                s -> s, (a, b) -> a, TreeMap::new));
+        return series.values().stream()
+                .map(Series::source)
+                .collect(Collectors.toMap(Series.Source::file, s -> s, (a, b) -> a, TreeMap::new));
     }
 }
--- a/src/test/java/gullspar/capacity/ResultsWriter.java
+++ b/src/test/java/gullspar/capacity/ResultsWriter.java
@@ -47,7 +47,9 @@
                 throw new IOException(file + " is of another " + same);
             }
         }
-        root.put("script", before.path("script").asText() + "; " + root.path("script").asText());
+        root.put(
+                "script",
+                before.path("script").asText() + "; " + root.path("script").asText());
         Set<Integer> seeds = new TreeSet<>();
         before.path("seeds").forEach(x -> seeds.add(x.asInt()));
         root.path("seeds").forEach(x -> seeds.add(x.asInt()));
@@ -58,16 +60,25 @@
 
     private static long memoryGib() {
         try {
-            return Files.readAllLines(Path.of("/proc/meminfo")).stream().filter(l -> l.startsWith("MemTotal"))
-                    .mapToLong(l -> Math.round(Long.parseLong(l.replaceAll("\\D", "")) / 1048576.0)).sum();
+            return Files.readAllLines(Path.of("/proc/meminfo")).stream()
+                    .filter(l -> l.startsWith("MemTotal"))
+                    .mapToLong(l -> Math.round(Long.parseLong(l.replaceAll("\\D", "")) / 1048576.0))
+                    .sum();
         } catch (IOException e) {
             return 0;
         }
     }
 
     /** One point of a series; the first names the series. heldOut: the size to foretell, 0 for none. */
-    public ResultsWriter point(String id, String what, String unit, String axis, Map<String, Integer> fixed,
-            double heldOut, double size, double value) {
+    public ResultsWriter point(
+            String id,
+            String what,
+            String unit,
+            String axis,
+            Map<String, Integer> fixed,
+            double heldOut,
+            double size,
+            double value) {
         ObjectNode s = series.computeIfAbsent(id, i -> {
             ObjectNode n = JSON.createObjectNode();
             n.put("id", i).put("what", what).put("unit", unit).put("axis", axis);
--- a/src/test/java/gullspar/capacity/Row.java
+++ b/src/test/java/gullspar/capacity/Row.java
@@ -13,8 +13,19 @@
  * @param assumed what would measure what is not measured; empty if all is
  * @param exact why a number that is not measured is known all the same; empty if there is none
  */
-record Row(String id, String role, List<String> events, String quantity, String what, List<Term> terms,
-        String unit, String limit, String along, String mechanism, String missing, String assumed,
+record Row(
+        String id,
+        String role,
+        List<String> events,
+        String quantity,
+        String what,
+        List<Term> terms,
+        String unit,
+        String limit,
+        String along,
+        String mechanism,
+        String missing,
+        String assumed,
         String exact) {
     /**
      * A slope by a size: a series at a size of the letter, or a number, times and over other sizes.
@@ -69,9 +80,11 @@
                 return Show.with(f.at(size), unit) + " at " + named(at, letter) + " (not linear"
                         + (f.beyond(size) ? ", beyond what was measured)" : ")");
             }
-            return Show.with(f.slope(), unit) + (Double.isNaN(f.slopeError()) ? "" : " ± "
-                    + Show.number(f.slopeError())) + " × " + named(at, letter)
-                    + (Math.abs(f.intercept()) < Math.abs(f.slope() * size) / 100 ? ""
+            return Show.with(f.slope(), unit)
+                    + (Double.isNaN(f.slopeError()) ? "" : " ± " + Show.number(f.slopeError())) + " × "
+                    + named(at, letter)
+                    + (Math.abs(f.intercept()) < Math.abs(f.slope() * size) / 100
+                            ? ""
                             : (f.intercept() < 0 ? " - " : " + ") + Show.with(Math.abs(f.intercept()), unit))
                     + (f.beyond(size) ? " (beyond what was measured)" : "");
         }
@@ -152,6 +165,10 @@
 
     /** The series that it stands on. */
     List<String> series() {
-        return terms.stream().map(Term::series).filter(s -> !s.isEmpty()).distinct().toList();
+        return terms.stream()
+                .map(Term::series)
+                .filter(s -> !s.isEmpty())
+                .distinct()
+                .toList();
     }
 }
--- a/src/test/java/gullspar/capacity/Rows.java
+++ b/src/test/java/gullspar/capacity/Rows.java
@@ -12,13 +12,21 @@
 /** Reads the rows of the page and says what is wrong with them, each by its name. */
 final class Rows {
     /** Who bears a figure, and when: in the page's order, with the page's words. */
-    static final List<String> ROLES = List.of("serving", "control", "client", "machine", "backend",
-            "operator"),
-            EVENTS = List.of("rest", "peak", "machine-dies", "rolling-restart", "rack", "zone", "regions",
-                    "outage", "burst"),
+    static final List<String> ROLES = List.of("serving", "control", "client", "machine", "backend", "operator"),
+            EVENTS =
+                    List.of(
+                            "rest",
+                            "peak",
+                            "machine-dies",
+                            "rolling-restart",
+                            "rack",
+                            "zone",
+                            "regions",
+                            "outage",
+                            "burst"),
             QUANTITIES = List.of("state", "messages", "processor time", "memory");
 
-    private Rows() { }
+    private Rows() {}
 
     static List<Row> read(Path file) {
         List<Row> rows = new ArrayList<>();
@@ -34,12 +42,28 @@
         TomlArray given = t.getArrayOrEmpty("terms");
         for (int i = 0; i < given.size(); i++) {
             TomlTable g = given.getTable(i);
-            terms.add(new Row.Term(text(g, "series"), text(g, "at"), number(g, "value", 1),
-                    number(g, "by", 1), texts(g, "times"), texts(g, "over")));
+            terms.add(new Row.Term(
+                    text(g, "series"),
+                    text(g, "at"),
+                    number(g, "value", 1),
+                    number(g, "by", 1),
+                    texts(g, "times"),
+                    texts(g, "over")));
         }
-        return new Row(text(t, "id"), text(t, "role"), texts(t, "events"), text(t, "quantity"),
-                text(t, "what"), terms, text(t, "unit"), text(t, "limit"), text(t, "along"),
-                text(t, "mechanism"), text(t, "missing"), text(t, "assumed"), text(t, "exact"));
+        return new Row(
+                text(t, "id"),
+                text(t, "role"),
+                texts(t, "events"),
+                text(t, "quantity"),
+                text(t, "what"),
+                terms,
+                text(t, "unit"),
+                text(t, "limit"),
+                text(t, "along"),
+                text(t, "mechanism"),
+                text(t, "missing"),
+                text(t, "assumed"),
+                text(t, "exact"));
     }
 
     private static String text(TomlTable t, String key) {
@@ -81,12 +105,14 @@
         List<String> gaps = new ArrayList<>();
         for (String role : ROLES) {
             for (String event : EVENTS) {
-                if (rows.stream().noneMatch(r -> r.role().equals(role) && r.events().contains(event))) {
+                if (rows.stream()
+                        .noneMatch(r -> r.role().equals(role) && r.events().contains(event))) {
                     gaps.add(role + " has no row for " + event);
                 }
             }
             for (String q : QUANTITIES) {
-                if (rows.stream().noneMatch(r -> r.role().equals(role) && r.quantity().equals(q))) {
+                if (rows.stream()
+                        .noneMatch(r -> r.role().equals(role) && r.quantity().equals(q))) {
                     gaps.add(role + " has no row for " + q);
                 }
             }
--- a/src/test/java/gullspar/capacity/Series.java
+++ b/src/test/java/gullspar/capacity/Series.java
@@ -8,13 +8,20 @@
  *
  * @param heldOut the size that is left out of the fit, which the slope has to foretell; 0 for none
  */
-record Series(String id, String what, String unit, String axis, Map<String, String> fixed, List<Point> points,
-        double heldOut, Source source) {
+record Series(
+        String id,
+        String what,
+        String unit,
+        String axis,
+        Map<String, String> fixed,
+        List<Point> points,
+        double heldOut,
+        Source source) {
     /** One run at one size. */
-    record Point(double size, double value) { }
+    record Point(double size, double value) {}
 
     /** Where it comes from. */
-    record Source(String file, String script, String date, String commit, String machine, String seeds) { }
+    record Source(String file, String script, String date, String commit, String machine, String seeds) {}
 
     Series {
         fixed = Map.copyOf(fixed);
@@ -28,14 +35,20 @@
 
     /** The median of what was measured at a size. */
     double at(double size) {
-        double[] v = points.stream().filter(p -> p.size() == size).mapToDouble(Point::value).sorted()
+        double[] v = points.stream()
+                .filter(p -> p.size() == size)
+                .mapToDouble(Point::value)
+                .sorted()
                 .toArray();
         return v.length % 2 == 1 ? v[v.length / 2] : (v[v.length / 2 - 1] + v[v.length / 2]) / 2;
     }
 
     /** The largest distance of a run from the median of its size, as a part of that; 0 for a single run. */
     double spread() {
-        return points.stream().mapToDouble(p -> Math.abs(p.value() - at(p.size()))
-                / Math.max(Double.MIN_NORMAL, Math.abs(at(p.size())))).max().orElse(0);
+        return points.stream()
+                .mapToDouble(
+                        p -> Math.abs(p.value() - at(p.size())) / Math.max(Double.MIN_NORMAL, Math.abs(at(p.size()))))
+                .max()
+                .orElse(0);
     }
 }
--- a/src/test/java/gullspar/capacity/Show.java
+++ b/src/test/java/gullspar/capacity/Show.java
@@ -6,7 +6,7 @@
 final class Show {
     private static final String[] TIMES = {"ns", "µs", "ms", "s"}, BYTES = {"B", "kB", "MB", "GB"};
 
-    private Show() { }
+    private Show() {}
 
     static String number(double v) {
         if (Double.isNaN(v)) {
@@ -41,8 +41,7 @@
         int step = a >= 1e9 ? 3 : a >= 1e6 ? 2 : a >= 1e3 ? 1 : 0;
         String[] units = base.equals("ns") ? TIMES : base.equals("B") ? BYTES : new String[] {base};
         step = Math.min(step, units.length - (rate && units == TIMES ? 2 : 1));
-        return number(v / Math.pow(1000, step)) + (unit.isEmpty() ? "" : " " + units[step] + (rate ? "/s"
-                : ""));
+        return number(v / Math.pow(1000, step)) + (unit.isEmpty() ? "" : " " + units[step] + (rate ? "/s" : ""));
     }
 
     /** As a part of something: 0.0012, 0.31, 3.2. */
--- a/src/test/java/gullspar/cli/ImportTest.java
+++ b/src/test/java/gullspar/cli/ImportTest.java
@@ -22,13 +22,13 @@
 @Isolated("what others print would come in between")
 class ImportTest {
     private static final String GOOD = "server { listen 80; location / { proxy_pass http://10.0.0.1; } }\n";
-    private static final String LOST = "server {\n  listen 80;\n  location / { proxy_pass http://10.0.0.1;\n"
-            + "    deny all; }\n}\n";
+    private static final String LOST =
+            "server {\n  listen 80;\n  location / { proxy_pass http://10.0.0.1;\n" + "    deny all; }\n}\n";
 
     @TempDir
     private Path folder;
 
-    private record Ran(int code, String out, String err) { }
+    private record Ran(int code, String out, String err) {}
 
     private Ran run(String conf, String... more) throws IOException {
         Path file = Files.writeString(folder.resolve("nginx.conf"), conf);
@@ -101,6 +101,8 @@
 
     @Test
     void aFileThatIsNotThereIsAnError() {
-        assertEquals(2, Tool.run(new String[] {"import", "nginx", folder.resolve("no.conf").toString()}));
+        assertEquals(2, Tool.run(new String[] {
+            "import", "nginx", folder.resolve("no.conf").toString()
+        }));
     }
 }
--- a/src/test/java/gullspar/cli/KitCommandsTest.java
+++ b/src/test/java/gullspar/cli/KitCommandsTest.java
@@ -69,8 +69,7 @@
 
     @Test
     void aBrokenRuleIsToldWithTheCommandThatPlaysItAgain() throws Exception {
-        String day = day("day.toml", Days.fault("hang", 0.5, "for = 2\nnodes = 6")
-                + "[expect]\nservice = 1\n");
+        String day = day("day.toml", Days.fault("hang", 0.5, "for = 2\nnodes = 6") + "[expect]\nservice = 1\n");
         assertEquals(1, run("rehearse", day, "--seed", "5"));
         assertTrue(err.startsWith("BROKEN: the script expects it"), err);
         assertTrue(err.contains("play it again: ./gullspar rehearse " + day + " --seed 5"), err);
@@ -84,11 +83,20 @@
         assertEquals(2, run("rehearse", folder.resolve("none.toml").toString()));
         assertTrue(err.contains("there is no such file"), err);
         assertEquals(2, run("rehearse"));
-        assertEquals(2, run("rehearse", Files.write(folder.resolve("bytes"), new byte[] {(byte) 0xff})
-                .toString()));
+        assertEquals(
+                2,
+                run(
+                        "rehearse",
+                        Files.write(folder.resolve("bytes"), new byte[] {(byte) 0xff})
+                                .toString()));
         assertTrue(err.contains("is not UTF-8 text"), err);
-        assertEquals(2, run("rehearse", day("day.toml", ""), "--report", folder.resolve("none/x")
-                .toString()));
+        assertEquals(
+                2,
+                run(
+                        "rehearse",
+                        day("day.toml", ""),
+                        "--report",
+                        folder.resolve("none/x").toString()));
         assertTrue(err.contains("cannot be written"), err);
         assertEquals(2, run("rehearse", "search", day("day.toml", ""), "--seeds", "0"));
         assertEquals(2, run("rehearse", day("day.toml", ""), "--live", "--log", "x"));
@@ -120,25 +128,37 @@
         String found = folder.resolve("found").toString();
         assertEquals(0, run("rehearse", "search", day("day.toml", ""), "--seeds", "2", "--out", found));
         assertEquals("0 found in 2 days\n", out);
-        assertEquals(1, run("rehearse", "search", day("day.toml",
-                "[search]\nkinds = [\"hang\"]\nbelow = 1\n"),
-                "--seeds", "2", "--out", found));
+        assertEquals(
+                1,
+                run(
+                        "rehearse",
+                        "search",
+                        day("day.toml", "[search]\nkinds = [\"hang\"]\nbelow = 1\n"),
+                        "--seeds",
+                        "2",
+                        "--out",
+                        found));
         assertTrue(out.contains("found-service-"), out);
     }
 
     /** The first command of the README, as a process that is ended as by Ctrl-C. */
     @Test
     void tryStartsAllAndLeavesNothingBehind() throws Exception {
-        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp",
-                System.getProperty("java.class.path"), "gullspar.Main", "try").redirectErrorStream(true)
-                        .start();
+        Process p = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "gullspar.Main",
+                        "try")
+                .redirectErrorStream(true)
+                .start();
         try (var in = p.inputReader()) {
             List<String> lines = new ArrayList<>();
             for (String l = in.readLine(); l != null && !l.startsWith("Ctrl-C"); l = in.readLine()) {
                 lines.add(l);
             }
-            String curl = lines.stream().filter(l -> l.contains("curl ")).findFirst().orElseThrow();
+            String curl =
+                    lines.stream().filter(l -> l.contains("curl ")).findFirst().orElseThrow();
             String at = curl.substring(curl.indexOf("http://"));
             var connection = (HttpURLConnection) new URL(at).openConnection();
             connection.setRequestProperty("Request-Id", "by-hand");
--- a/src/test/java/gullspar/cli/RoutesTest.java
+++ b/src/test/java/gullspar/cli/RoutesTest.java
@@ -28,19 +28,20 @@
 
     @Test
     void whichRouteWhyAndWhatIsSentWhere() {
-        assertEquals("""
+        assertEquals(
+                """
                 host shop.example.org: its name is shop.example.org
                 place prefix /api/
                 route beta
                 pool beta, class safe, within 60000 ms, at most 3 attempts
                 sends GET /v2/stock?x=1
                   server 127.0.0.1:9101 weight 1.0
-                """, out(0, "route", FILE, "get", "http://SHOP.example.org:8080/api/stock?x=1", "-H",
-                "x-beta: on"));
-        assertTrue(out(0, "route", FILE, "GET", "http://shop.example.org/api/stock").contains(
-                "sends GET /v1/stock\n  X-Client: \n  without X-Debug\n"));
-        assertTrue(out(1, "route", FILE, "DELETE", "http://shop.example.org/api/orders").endsWith(
-                "not route orders: its method is not POST\nanswer 405\n"));
+                """,
+                out(0, "route", FILE, "get", "http://SHOP.example.org:8080/api/stock?x=1", "-H", "x-beta: on"));
+        assertTrue(out(0, "route", FILE, "GET", "http://shop.example.org/api/stock")
+                .contains("sends GET /v1/stock\n  X-Client: \n  without X-Debug\n"));
+        assertTrue(out(1, "route", FILE, "DELETE", "http://shop.example.org/api/orders")
+                .endsWith("not route orders: its method is not POST\nanswer 405\n"));
         assertTrue(out(0, "route", FILE, "GET", "http://x/")
                 .endsWith("answer 301, Location: https://shop.example.org/\n"));
     }
--- a/src/test/java/gullspar/config/BlocksTest.java
+++ b/src/test/java/gullspar/config/BlocksTest.java
@@ -19,19 +19,42 @@
 /** A text that is read in blocks says what it says as a whole. */
 @Execution(ExecutionMode.CONCURRENT)
 class BlocksTest {
-    private static final List<String> ODD = List.of("[[host]]", " [[host]]", "[[host]] # one more", "[host]",
-            "[[host.route]]", "[limits]", "[limits.x]", "[[listener]]", "[[pool]]", "[[pool.server]]",
-            "odd = 1", "x = \"\"\"", "y = '''", "\"\"\"", "# [[host]]",
-            "host = 3", "pool = []", "a.b = 1", "[a]",
-            "= 3", "forwarded = \"append\"", "[\"host\"]", "x = [", "]",
-            "names = [\"a\", \"a\", 3]", "path = 7",
+    private static final List<String> ODD = List.of(
+            "[[host]]",
+            " [[host]]",
+            "[[host]] # one more",
+            "[host]",
+            "[[host.route]]",
+            "[limits]",
+            "[limits.x]",
+            "[[listener]]",
+            "[[pool]]",
+            "[[pool.server]]",
+            "odd = 1",
+            "x = \"\"\"",
+            "y = '''",
+            "\"\"\"",
+            "# [[host]]",
+            "host = 3",
+            "pool = []",
+            "a.b = 1",
+            "[a]",
+            "= 3",
+            "forwarded = \"append\"",
+            "[\"host\"]",
+            "x = [",
+            "]",
+            "names = [\"a\", \"a\", 3]",
+            "path = 7",
             "\r");
 
     private static String of(Site s) {
-        StringBuilder all = new StringBuilder().append(s.limits()).append(s.forwarded())
-                .append(s.operators());
+        StringBuilder all =
+                new StringBuilder().append(s.limits()).append(s.forwarded()).append(s.operators());
         s.pools().keySet().stream().sorted().forEach(p -> all.append(s.pools().get(p).servers().stream()
-                .map(d -> d.name() + d.weight()).toList()).append(s.pools().get(p).places()));
+                        .map(d -> d.name() + d.weight())
+                        .toList())
+                .append(s.pools().get(p).places()));
         for (Site.Listener l : s.listeners()) {
             all.append(l.address());
             for (String host : List.of("shop.example.org", "a.shop.example.org", "elsewhere")) {
--- a/src/test/java/gullspar/config/OperatorsFileTest.java
+++ b/src/test/java/gullspar/config/OperatorsFileTest.java
@@ -20,12 +20,14 @@
     Path folder;
 
     private static String wrong(String text) {
-        return assertThrows(ProblemsException.class, () -> OperatorsFile.parse(text, "o.toml")).getMessage();
+        return assertThrows(ProblemsException.class, () -> OperatorsFile.parse(text, "o.toml"))
+                .getMessage();
     }
 
     @Test
     void aFileWithAllOfItIsRead() throws Exception {
-        OperatorsFile f = OperatorsFile.parse("""
+        OperatorsFile f = OperatorsFile.parse(
+                """
                 [operator]
                 address = "127.0.0.1:9901"
                 [fleet]
@@ -38,7 +40,8 @@
                 interval_ms = 200
                 window_s = 20
                 bytes_per_second = 9000
-                """, "o.toml");
+                """,
+                "o.toml");
         assertEquals(9901, f.operator().getPort());
         assertEquals("p7", f.fleet().name());
         assertEquals(2, f.fleet().seeds().size());
@@ -49,25 +52,33 @@
 
     @Test
     void allThatIsWrongIsSaidAtOnceAndWhere() {
-        assertEquals("""
+        assertEquals(
+                """
                 o.toml:2:1: name must be 1 to 32 of letters, digits and . _ + -
                 o.toml:3:1: bind is every address of this machine: the others need one, by advertise
                 o.toml:4:1: seeds holds 'there:1', not an IP address and a port
                 o.toml:5:1: interval_ms is 3, not 50 to 86400000
                 o.toml:6:1: fleet: unknown key 'intervall'
-                o.toml:1:1: fleet: key_file is missing""".lines().sorted().toList(),
-                wrong("""
+                o.toml:1:1: fleet: key_file is missing"""
+                        .lines()
+                        .sorted()
+                        .toList(),
+                wrong(
+                                """
                 [fleet]
                 name = "p 7"
                 bind = "0.0.0.0:7946"
                 seeds = ["there:1"]
                 interval_ms = 3
                 intervall = 3
-                """).lines().sorted().toList());
+                """)
+                        .lines()
+                        .sorted()
+                        .toList());
         assertTrue(wrong("[fleet]\nbind = \"127.0.0.1:1\"\nadvertise = \"127.0.0.1:0\"\nkey_file = \"k\"")
                 .contains("advertise is no address that others could reach"));
-        assertTrue(wrong("[operatr]").contains("o.toml:1:2: unknown key 'operatr'") || wrong("[operatr]")
-                .contains("unknown key 'operatr'"));
+        assertTrue(wrong("[operatr]").contains("o.toml:1:2: unknown key 'operatr'")
+                || wrong("[operatr]").contains("unknown key 'operatr'"));
     }
 
     @Test
@@ -79,21 +90,23 @@
 
     private String key(String text) throws IOException {
         Path f = Files.writeString(folder.resolve("k"), text);
-        return assertThrows(IOException.class, () -> KeyFile.read(f)).getMessage().replace(f.toString(), "k");
+        return assertThrows(IOException.class, () -> KeyFile.read(f))
+                .getMessage()
+                .replace(f.toString(), "k");
     }
 
     @Test
     void keysAreReadAndWhatIsNoneIsSaid() throws IOException {
         String good = "ab".repeat(32);
-        Path f = Files.writeString(folder.resolve("good"), "# new\n" + good + "\n\n  " + "cd".repeat(40)
-                + "\n");
+        Path f = Files.writeString(folder.resolve("good"), "# new\n" + good + "\n\n  " + "cd".repeat(40) + "\n");
         assertEquals(2, KeyFile.read(f).size());
         assertEquals("k: holds no key", key("# nothing\n"));
         assertEquals("k:2:3: is no hexadecimal digit", key("# a\nabx"));
         assertEquals("k:1:1: a key of 10 digits, not 64 or more, in pairs", key("abababababab".substring(2)));
-        assertEquals("k:3:1: a third key: two at one time are enough to replace one",
-                key(good + "\n" + good + "\n" + good));
-        assertTrue(assertThrows(IOException.class, () -> KeyFile.read(folder.resolve("none"))).getMessage()
+        assertEquals(
+                "k:3:1: a third key: two at one time are enough to replace one", key(good + "\n" + good + "\n" + good));
+        assertTrue(assertThrows(IOException.class, () -> KeyFile.read(folder.resolve("none")))
+                .getMessage()
                 .endsWith("there is no such file"));
     }
 }
--- a/src/test/java/gullspar/config/SiteReaderTest.java
+++ b/src/test/java/gullspar/config/SiteReaderTest.java
@@ -28,22 +28,25 @@
     }
 
     private static Request request(String method, String host, String path, String header) {
-        return new Request(method, host, path, null, name -> name.equalsIgnoreCase(header) ? List.of("1")
-                : List.of());
+        return new Request(method, host, path, null, name -> name.equalsIgnoreCase(header) ? List.of("1") : List.of());
     }
 
     @ParameterizedTest
-    @CsvSource({"GET, shop.example.org, /api/stock, '', api",
-            "GET, shop.example.org, /api/stock, X-Beta, beta",
+    @CsvSource({
+        "GET, shop.example.org, /api/stock, '', api",
+        "GET, shop.example.org, /api/stock, X-Beta, beta",
         "POST, shop.example.org, /api/orders, X-Beta, orders",
-                "GET, www.shop.example.org, /a.PNG, '', pictures",
-        "GET, shop.example.org, /static/a.png, '', static", "GET, other.org, /a.png, '', elsewhere"})
+        "GET, www.shop.example.org, /a.PNG, '', pictures",
+        "GET, shop.example.org, /static/a.png, '', static",
+        "GET, other.org, /a.png, '', elsewhere"
+    })
     void theExample(String method, String host, String path, String header, String route) {
         Request r = request(method, host, path, header);
         Router.Found found = example.router(0).find(r);
         assertEquals(route, found.route().name(), example.router(0).explain(r).toString());
-        assertEquals("route " + route, example.router(0).explain(r).get(example.router(0).explain(r)
-                .size() - 1));
+        assertEquals(
+                "route " + route,
+                example.router(0).explain(r).get(example.router(0).explain(r).size() - 1));
     }
 
     @Test
@@ -51,8 +54,11 @@
         Router.Found method = example.router(0).find(request("GET", "shop.example.org", "/api/orders", ""));
         assertNull(method.route());
         assertEquals(405, method.status());
-        assertEquals(404, example.router(0).find(request("GET", "shop.example.org", "/nothing",
-                "")).status());
+        assertEquals(
+                404,
+                example.router(0)
+                        .find(request("GET", "shop.example.org", "/nothing", ""))
+                        .status());
         List<String> why = example.router(0).explain(request("GET", "shop.example.org", "/api/orders", ""));
         assertEquals("not route orders: its method is not POST", why.get(why.size() - 1));
     }
@@ -62,7 +68,9 @@
         assertEquals(3, example.pools().get("api").servers().size());
         assertEquals(5, example.pools().get("api").servers().get(0).weight());
         assertTrue(example.pools().get("api").servers().get(2).backup());
-        Route api = example.router(0).find(request("GET", "shop.example.org", "/api/stock", "")).route();
+        Route api = example.router(0)
+                .find(request("GET", "shop.example.org", "/api/stock", ""))
+                .route();
         assertEquals("/v1/stock", api.pool().rewrite().of("/api/stock"));
         assertEquals(600_000_000L, api.pool().limits().deadlineNs());
         assertEquals(Route.Kind.SAFE, Route.kind(api.pool().kind(), "HEAD"));
@@ -72,15 +80,21 @@
 
     @Test
     void rewritingByAPattern() throws Exception {
-        Site s = SiteReader.parse(SMALL + "[[host.route]]\npath = \"/\"\npool = \"a\"\n"
-                + "rewrite = { pattern = \"^/u/([^/]+)/(.*)$\", to = \"/users/$2$9?u=$1\" }\n", "f.toml");
+        Site s = SiteReader.parse(
+                SMALL + "[[host.route]]\npath = \"/\"\npool = \"a\"\n"
+                        + "rewrite = { pattern = \"^/u/([^/]+)/(.*)$\", to = \"/users/$2$9?u=$1\" }\n",
+                "f.toml");
         Route r = s.router(0).find(request("GET", "x", "/u/anna/x", "")).route();
         assertEquals("/users/x?u=anna", r.pool().rewrite().of("/u/anna/x"));
         assertEquals("/else", r.pool().rewrite().of("/else"));
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '~', quoteCharacter = '`', textBlock = """
+    @CsvSource(
+            delimiter = '~',
+            quoteCharacter = '`',
+            textBlock =
+                    """
         path = "/"                                       ~ 9:1: a route needs a pool to go to, or an answer
         path = "/"|pool = "b"                            ~ 11:1: pool is 'b', and there is no such pool
         path = "x"|pool = "a"                            ~ 10:1: path does not begin with /
@@ -91,14 +105,19 @@
         path = "/"|pool = "a"|class = "idempotent"       ~ 12:1: class is 'idempotent', not one of by-method
         """)
     void whatIsWrongIsSaidWithItsPlace(String lines, String expected) {
-        String message = assertThrows(ProblemsException.class, () -> SiteReader.parse(
-                SMALL + "[[host.route]]\n" + lines.replace('|', '\n') + "\n", "f.toml")).getMessage();
+        String message = assertThrows(
+                        ProblemsException.class,
+                        () -> SiteReader.parse(SMALL + "[[host.route]]\n" + lines.replace('|', '\n') + "\n", "f.toml"))
+                .getMessage();
         assertTrue(message.contains("f.toml:" + expected), message);
     }
 
     @Test
     void allComesAtOnce() {
-        String message = assertThrows(ProblemsException.class, () -> SiteReader.parse("""
+        String message = assertThrows(
+                        ProblemsException.class,
+                        () -> SiteReader.parse(
+                                """
                 [[listener]]
                 address = "localhost:80"
                 [[pool]]
@@ -114,13 +133,18 @@
                 [[host]]
                 names = ["X"]
                 [[host]]
-                """, "f.toml")).getMessage();
-        for (String part : List.of(":2:1: address is 'localhost:80', not an IP",
+                """,
+                                "f.toml"))
+                .getMessage();
+        for (String part : List.of(
+                ":2:1: address is 'localhost:80', not an IP",
                 ":3:1: a pool with no [[pool.server]]",
-                ":6:1: name is that of another pool: 'a'", ":9:1: a second server '127.0.0.1:1' in this pool",
+                ":6:1: name is that of another pool: 'a'",
+                ":9:1: a second server '127.0.0.1:1' in this pool",
                 ":12:1: names holds a name that cannot be: 'a.*.b'",
-                        ":12:1: names holds no regular expression",
-                ":14:1: names holds 'X', which another host has", ":15:1: a host with no names")) {
+                ":12:1: names holds no regular expression",
+                ":14:1: names holds 'X', which another host has",
+                ":15:1: a host with no names")) {
             assertTrue(message.contains("f.toml" + part), part + " in\n" + message);
         }
         assertEquals(8, message.lines().count(), message);
--- a/src/test/java/gullspar/decide/EmbeddingTest.java
+++ b/src/test/java/gullspar/decide/EmbeddingTest.java
@@ -13,8 +13,8 @@
     void aProxyEmbedsTheModule() {
         List<String> done = new ArrayList<>();
         // A real proxy implements the interface; this one notes what it is told.
-        Balancer.Actions actions = (Balancer.Actions) Proxy.newProxyInstance(getClass().getClassLoader(),
-                new Class<?>[] {Balancer.Actions.class}, (p, method, args) -> {
+        Balancer.Actions actions = (Balancer.Actions) Proxy.newProxyInstance(
+                getClass().getClassLoader(), new Class<?>[] {Balancer.Actions.class}, (p, method, args) -> {
                     done.add(method.getName());
                     return null;
                 });
@@ -23,8 +23,7 @@
         balancer.onMembers(now, Balancer.ListKind.FULL, 1, List.of(Rig.member(7, 0, Balancer.State.READY)));
         balancer.onRequest(now, new Balancer.Request(1, 0, 0, 0, 1_000_000_000L, 0, false));
         now += 20_000_000L;
-        balancer.onOutcome(now, new Balancer.Outcome(1, 0, 7, Balancer.Status.OK, 20_000_000L, true,
-                null));
+        balancer.onOutcome(now, new Balancer.Outcome(1, 0, 7, Balancer.Status.OK, 20_000_000L, true, null));
         assertEquals(List.of("timer", "send"), done);
     }
 }
--- a/src/test/java/gullspar/decide/ListWeightsTest.java
+++ b/src/test/java/gullspar/decide/ListWeightsTest.java
@@ -18,12 +18,29 @@
 
 /** Pools whose servers report no load, and classes of requests that are added later. */
 class ListWeightsTest {
-    private static final Profile MINUTE = new Profile(Effect.IDEMPOTENT, Scope.ALL, 0, 60_000 * Rig.MS,
-            60_000 * Rig.MS, 1, 1, false, false);
+    private static final Profile MINUTE =
+            new Profile(Effect.IDEMPOTENT, Scope.ALL, 0, 60_000 * Rig.MS, 60_000 * Rig.MS, 1, 1, false, false);
 
     private static Settings settings(boolean listWeights, Profile... profiles) {
-        return new Settings(0, 1, 0, List.of(profiles), false, false, 4, 1000 * Rig.MS, 0.3, 9000 * Rig.MS,
-                3, 2000 * Rig.MS, 0, 5 * Rig.MS, 0.1, false, 0, listWeights);
+        return new Settings(
+                0,
+                1,
+                0,
+                List.of(profiles),
+                false,
+                false,
+                4,
+                1000 * Rig.MS,
+                0.3,
+                9000 * Rig.MS,
+                3,
+                2000 * Rig.MS,
+                0,
+                5 * Rig.MS,
+                0.1,
+                false,
+                0,
+                listWeights);
     }
 
     private static Member weighing(int id, double units) {
@@ -31,8 +48,8 @@
     }
 
     private static Rig rig(boolean listWeights) {
-        return new Rig(settings(listWeights, MINUTE)).list(ListKind.FULL, weighing(0, 5), weighing(1, 2),
-                weighing(2, 1));
+        return new Rig(settings(listWeights, MINUTE))
+                .list(ListKind.FULL, weighing(0, 5), weighing(1, 2), weighing(2, 1));
     }
 
     private static int[] serve(Rig r, int n, long[] tookMs, Report report) {
@@ -131,8 +148,8 @@
 
     @Test
     void aClassMayHaveFewerAttemptsAndAShorterTimeForEach() {
-        Profile two = new Profile(Effect.IDEMPOTENT, Scope.ALL, 0, 60_000 * Rig.MS, 60_000 * Rig.MS, 1, 1,
-                false, false, 2, 300 * Rig.MS);
+        Profile two = new Profile(
+                Effect.IDEMPOTENT, Scope.ALL, 0, 60_000 * Rig.MS, 60_000 * Rig.MS, 1, 1, false, false, 2, 300 * Rig.MS);
         Rig r = new Rig(settings(true, two)).list(ListKind.FULL, Rig.ready(4));
         int t = r.request();
         assertEquals(300 * Rig.MS, r.lastTimeout);
@@ -146,8 +163,7 @@
     void classesCanBeAddedWhileRequestsAreOut() {
         Rig r = rig(true);
         int before = r.request();
-        Profile once = new Profile(Effect.AT_MOST_ONCE, Scope.ALL, 0, 1000 * Rig.MS, 1000 * Rig.MS, 1, 1,
-                false, false);
+        Profile once = new Profile(Effect.AT_MOST_ONCE, Scope.ALL, 0, 1000 * Rig.MS, 1000 * Rig.MS, 1, 1, false, false);
         r.rules.onProfiles(List.of(MINUTE, once));
         int after = r.request(1, 1000);
         r.done(after, 0, Status.RESET, 5, null);
--- a/src/test/java/gullspar/decide/ModuleSizeTest.java
+++ b/src/test/java/gullspar/decide/ModuleSizeTest.java
@@ -44,10 +44,19 @@
     /** Every class that decides is part of the module; what only holds state or is the interface is not. */
     @Test
     void theDeploymentNamesEachFileThatDecides() throws IOException {
-        Set<String> others = Set.of("Balancer.java", "IntMap.java", "KindPaces.java", "Server.java",
-                "Ticket.java", "TrafficRates.java", "ZoneFigures.java");
+        Set<String> others = Set.of(
+                "Balancer.java",
+                "IntMap.java",
+                "KindPaces.java",
+                "Server.java",
+                "Ticket.java",
+                "TrafficRates.java",
+                "ZoneFigures.java");
         try (Stream<Path> all = Files.list(Path.of("src/main/java/gullspar/decide"))) {
-            assertEquals(all.filter(f -> !others.contains(f.getFileName().toString())).sorted().toList(),
+            assertEquals(
+                    all.filter(f -> !others.contains(f.getFileName().toString()))
+                            .sorted()
+                            .toList(),
                     files().stream().sorted().toList());
         }
     }
@@ -55,8 +64,11 @@
     @Test
     void noLineOfTheModuleIsTooLong() throws IOException {
         for (Path file : files()) {
-            assertEquals(List.of(), Files.readAllLines(file).stream().filter(l -> l.length() > MOST_COLUMNS)
-                    .toList());
+            assertEquals(
+                    List.of(),
+                    Files.readAllLines(file).stream()
+                            .filter(l -> l.length() > MOST_COLUMNS)
+                            .toList());
         }
     }
 
--- a/src/test/java/gullspar/decide/OrderTest.java
+++ b/src/test/java/gullspar/decide/OrderTest.java
@@ -28,8 +28,12 @@
 
     @Test
     void whereFullIsNoProofAKeyedRequestStaysInItsGroupAfterIt() {
-        Rig r = new Rig(Rig.strict(Rig.KEYED_ZONE)).list(ListKind.FULL, Rig.member(1, 0, State.READY),
-                Rig.member(2, 1, State.READY), Rig.member(3, 1, State.READY));
+        Rig r = new Rig(Rig.strict(Rig.KEYED_ZONE))
+                .list(
+                        ListKind.FULL,
+                        Rig.member(1, 0, State.READY),
+                        Rig.member(2, 1, State.READY),
+                        Rig.member(3, 1, State.READY));
         int t = r.request();
         assertEquals(1, r.server(t, 0));
         r.pass(5).done(t, 0, Status.FULL, 5, null);
--- a/src/test/java/gullspar/decide/PolicyTest.java
+++ b/src/test/java/gullspar/decide/PolicyTest.java
@@ -257,8 +257,13 @@
 
     @Test
     void operatorsAreToldHowManyListedServersGetNothing() {
-        Rig r = rig(Rig.SAFE).list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(1, 0, READY),
-                Rig.member(2, 0, READY), Rig.member(3, 0, State.DRAINING));
+        Rig r = rig(Rig.SAFE)
+                .list(
+                        ListKind.FULL,
+                        Rig.member(0, 0, READY),
+                        Rig.member(1, 0, READY),
+                        Rig.member(2, 0, READY),
+                        Rig.member(3, 0, State.DRAINING));
         assertEquals(1, r.rules.avoided());
         int t = r.request();
         r.done(t, 0, Status.CONNECT_FAILED, 5, null);
@@ -495,7 +500,9 @@
         List<Rig> bank = bank(200, 20);
         run(bank, 100, 20);
         for (Rig r : bank) {
-            for (int s = 0; s < 20; s++) { r.list(ListKind.DELTA, Rig.member(s, 0, State.DRAINING)); }
+            for (int s = 0; s < 20; s++) {
+                r.list(ListKind.DELTA, Rig.member(s, 0, State.DRAINING));
+            }
             r.list(ListKind.DELTA, new Member(20, 0, READY, r.now, 0, 0, 1));
         }
         int sent = 0;
@@ -554,7 +561,9 @@
     void aHotProxyUsesAllServersAndASubsetThatIsGoneIsWidened() {
         Balancer.Settings settings = Rig.settings(3, 200, false, Rig.SAFE);
         Rig hot = new Rig(settings).list(ListKind.FULL, Rig.ready(20));
-        assertEquals(20, Arrays.stream(serve(hot, 1000, 20, 5, null)).filter(n -> n > 0).count());
+        assertEquals(
+                20,
+                Arrays.stream(serve(hot, 1000, 20, 5, null)).filter(n -> n > 0).count());
         Rig r = new Rig(settings).list(ListKind.FULL, Rig.ready(20));
         r.list(ListKind.DELTA, Rig.member(r.server(r.request(), 0), 0, State.DRAINING));
         r.list(ListKind.DELTA, Rig.member(r.server(r.request(), 0), 0, State.DRAINING));
@@ -846,8 +855,17 @@
     @Test
     void aServersCapacityIsItsThroughputOverItsBusyShare() {
         // All take a second whatever they do; the one that is as busy with a third of the work gets less.
-        Rig r = rig(new Balancer.Profile(Balancer.Effect.IDEMPOTENT, Balancer.Scope.ALL, 0, 3000 * Rig.MS,
-                6000 * Rig.MS, 1, 0, false, false)).list(ListKind.FULL, Rig.ready(2));
+        Rig r = rig(new Balancer.Profile(
+                        Balancer.Effect.IDEMPOTENT,
+                        Balancer.Scope.ALL,
+                        0,
+                        3000 * Rig.MS,
+                        6000 * Rig.MS,
+                        1,
+                        0,
+                        false,
+                        false))
+                .list(ListKind.FULL, Rig.ready(2));
         int[] got = new int[2];
         for (int i = 0; i < 600; i++) {
             int newest = r.request(0, 6000);
@@ -856,8 +874,12 @@
             if (t > 0 && r.attempts(t) > 0) {
                 int s = r.server(t, 0);
                 got[s]++;
-                r.done(t, 0, Status.OK, 1000, new Report(Double.NaN, 0, 0.6 + i * 1e-5, 1000,
-                        (s == 0 ? 30 : 10) + i * 1e-5, Double.NaN));
+                r.done(
+                        t,
+                        0,
+                        Status.OK,
+                        1000,
+                        new Report(Double.NaN, 0, 0.6 + i * 1e-5, 1000, (s == 0 ? 30 : 10) + i * 1e-5, Double.NaN));
             }
         }
         assertTrue(got[0] > 1.5 * got[1], Arrays.toString(got));
@@ -927,8 +949,16 @@
     private static final Balancer.Profile PATIENT = lasting(1500, 4000, 1);
 
     private static Balancer.Profile lasting(long promiseMs, long giveUpMs, double worth) {
-        return new Balancer.Profile(Balancer.Effect.IDEMPOTENT, Balancer.Scope.ALL, 0, promiseMs * Rig.MS,
-                giveUpMs * Rig.MS, worth, 0, false, false);
+        return new Balancer.Profile(
+                Balancer.Effect.IDEMPOTENT,
+                Balancer.Scope.ALL,
+                0,
+                promiseMs * Rig.MS,
+                giveUpMs * Rig.MS,
+                worth,
+                0,
+                false,
+                false);
     }
 
     /**
@@ -965,7 +995,11 @@
                 if (o[0] <= 0 || late) {
                     out.remove(e.getKey());
                     served[classes.get(e.getKey())] += late ? 0 : 1;
-                    r.done(e.getKey(), 0, late ? Status.TIMEOUT : Status.OK, Math.max(1, took),
+                    r.done(
+                            e.getKey(),
+                            0,
+                            late ? Status.TIMEOUT : Status.OK,
+                            Math.max(1, took),
                             late ? null : Rig.util(Double.NaN, holds[(int) o[2]] - 1));
                 }
             }
@@ -995,8 +1029,8 @@
 
     @Test
     void whatGivesWayGoesWhereThereIsRoom() {
-        Rig r = rig(DEAR, PATIENT).list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(1, 1, READY),
-                Rig.member(2, 1, READY));
+        Rig r = rig(DEAR, PATIENT)
+                .list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(1, 1, READY), Rig.member(2, 1, READY));
         double[] got = mixed(r, 3, 40, 40, 200);
         assertTrue(got[3] + got[4] > 40 && got[0] > 0.9 && got[1] > 0.6, Arrays.toString(got));
     }
@@ -1072,8 +1106,7 @@
     @Test
     void contradictoryListsAreTakenInOrder() {
         Rig r = rig(Rig.SAFE);
-        r.list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(0, 0, State.DRAINING), Rig.member(1, 0,
-                READY));
+        r.list(ListKind.FULL, Rig.member(0, 0, READY), Rig.member(0, 0, State.DRAINING), Rig.member(1, 0, READY));
         assertEquals(10, serve(r, 10, 2, 20, null)[1]);
     }
 }
--- a/src/test/java/gullspar/decide/Rig.java
+++ b/src/test/java/gullspar/decide/Rig.java
@@ -49,8 +49,16 @@
     }
 
     private static Profile inTurn(Profile p) {
-        return new Profile(p.effect(), p.scope(), p.windowNs(), p.promiseNs(), p.giveUpNs(), p.worth(),
-                p.lateShare(), p.streamed(), true);
+        return new Profile(
+                p.effect(),
+                p.scope(),
+                p.windowNs(),
+                p.promiseNs(),
+                p.giveUpNs(),
+                p.worth(),
+                p.lateShare(),
+                p.streamed(),
+                true);
     }
 
     static Settings settings(boolean ask, Profile... profiles) {
@@ -66,10 +74,25 @@
         return settings(0, 3, false, true, profiles);
     }
 
-    private static Settings settings(int me, int balancers, boolean ask, boolean strict,
-            Profile... profiles) {
-        return new Settings(me, balancers, 0, List.of(profiles), ask, true, 4, 1000 * MS, 0.3, 9000 * MS, 3,
-                2000 * MS, ask ? 10_000 * MS : 0, 5 * MS, 0.1, strict, strict ? 300 * MS : 0);
+    private static Settings settings(int me, int balancers, boolean ask, boolean strict, Profile... profiles) {
+        return new Settings(
+                me,
+                balancers,
+                0,
+                List.of(profiles),
+                ask,
+                true,
+                4,
+                1000 * MS,
+                0.3,
+                9000 * MS,
+                3,
+                2000 * MS,
+                ask ? 10_000 * MS : 0,
+                5 * MS,
+                0.1,
+                strict,
+                strict ? 300 * MS : 0);
     }
 
     static Member member(int id, int zone, State state) {
@@ -124,8 +147,7 @@
 
     void done(int ticket, int attempt, Status status, long tookMs, Report report) {
         boolean over = status == Status.OK || answers.containsKey(ticket);
-        rules.onOutcome(now, new Outcome(ticket, attempt, server(ticket, attempt), status, tookMs * MS,
-                over, report));
+        rules.onOutcome(now, new Outcome(ticket, attempt, server(ticket, attempt), status, tookMs * MS, over, report));
         if (status == Status.OK) {
             answers.putIfAbsent(ticket, "served");
         }
@@ -137,7 +159,7 @@
 
     /** Lets time pass, delivering timers as they fall due, in steps of 5 ms. */
     Rig pass(long ms) {
-        for (long end = now + ms * MS; now < end;) {
+        for (long end = now + ms * MS; now < end; ) {
             now += 5 * MS;
             while (!timers.isEmpty() && timers.peek()[0] <= now) {
                 rules.onTimer(now, timers.poll()[1]);
--- a/src/test/java/gullspar/drill/HostTest.java
+++ b/src/test/java/gullspar/drill/HostTest.java
@@ -17,7 +17,8 @@
 
 /** Frames in both directions; the bytes of the records are those of the wire document. */
 class HostTest {
-    private static final String CONFIG = """
+    private static final String CONFIG =
+            """
             balancers=3
             discovery=pushed
             limits.max_attempts=4
@@ -46,8 +47,8 @@
             zone=0
             """;
     private static final String CLOCK = "90bf68f501000000";
-    private static final String INGRESS = "0303000000c4913a5d000000640ad2557c3bf091001c4e0e00000000"
-            + "001bb70000000000" + "0100" + "00".repeat(10);
+    private static final String INGRESS =
+            "0303000000c4913a5d000000640ad2557c3bf091001c4e0e00000000" + "001bb70000000000" + "0100" + "00".repeat(10);
     private static final String ELAPSED = "07030000004d00000000000000" + "00".repeat(35);
     private static final String DONE = "0503000000c4913a5d0000074a12030100a0491a0100000000010200004040"
             + "52b81e3f0000000000000000" + "00".repeat(5);
@@ -121,23 +122,23 @@
     }
 
     private static String start(String config) {
-        return frame(hex(config), "0103000000" + "2a00000000000000" + u32(0) + u32(config.length())
-                + "00".repeat(27));
+        return frame(hex(config), "0103000000" + "2a00000000000000" + u32(0) + u32(config.length()) + "00".repeat(27));
     }
 
     private String run(Runnable onRequest, String... frames) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         new Host((s, seed, now, actions) -> {
-            settings = s;
-            sink = actions;
-            heard.add("start " + seed);
-            return new Recorder(onRequest);
-        }).serve(new ByteArrayInputStream(HexFormat.of().parseHex(String.join("", frames))), out);
+                    settings = s;
+                    sink = actions;
+                    heard.add("start " + seed);
+                    return new Recorder(onRequest);
+                })
+                .serve(new ByteArrayInputStream(HexFormat.of().parseHex(String.join("", frames))), out);
         return HexFormat.of().formatHex(out.toByteArray());
     }
 
     private String run(String... frames) throws IOException {
-        return run(() -> { }, frames);
+        return run(() -> {}, frames);
     }
 
     @Test
@@ -147,71 +148,90 @@
 
     @Test
     void theDocumentsReplyIsWrittenToTheByte() throws IOException {
-        String reply = run(() -> {
-            sink.send(0x5d3a91c4, 0x03124a07, 80_000_000L);
-            sink.timer(0x213362490L, 0x4d);
-            sink.log("two servers known");
-        }, start(CONFIG), frame("", INGRESS));
-        assertEquals("0000000000000000" + "0300000059000000"
-                + "4103000000c4913a5d074a120300b4c40400000000000000"
-                + "45030000009024361302000000" + "4d00000000000000000000"
-                + "49030000000000000011000000" + "00".repeat(11)
-                + "74776f2073657276657273206b6e6f776e", reply);
+        String reply = run(
+                () -> {
+                    sink.send(0x5d3a91c4, 0x03124a07, 80_000_000L);
+                    sink.timer(0x213362490L, 0x4d);
+                    sink.log("two servers known");
+                },
+                start(CONFIG),
+                frame("", INGRESS));
+        assertEquals(
+                "0000000000000000" + "0300000059000000"
+                        + "4103000000c4913a5d074a120300b4c40400000000000000"
+                        + "45030000009024361302000000" + "4d00000000000000000000"
+                        + "49030000000000000011000000" + "00".repeat(11)
+                        + "74776f2073657276657273206b6e6f776e",
+                reply);
     }
 
     @Test
     void everyOtherActionHasItsCodeAndFields() throws IOException {
-        String reply = run(() -> {
-            sink.refuse(0x0e6f2b19, 0x0ee6b280L);
-            sink.fail(0x0e6f2b19);
-            sink.cancel(0x5d3a91c4, 2);
-            sink.probe(0x2c9011f2);
-            sink.closeIdle(0x2c9011f2);
-            sink.tell(-1, "hi 7".getBytes(StandardCharsets.UTF_8));
-            sink.subscribe(true);
-            sink.subscribe(false);
-            sink.reload();
-        }, start(CONFIG), frame("", INGRESS));
-        assertEquals("0000000000000000" + "09000000" + u32(9 * 24 + 4)
-                + "4203000000192b6f0e80b2e60e00000000" + "00".repeat(7)
-                + "4303000000192b6f0e" + "00".repeat(15)
-                + "4403000000c4913a5d0200" + "00".repeat(13)
-                + "4603000000f211902c" + "00".repeat(15)
-                + "4703000000f211902c" + "00".repeat(15)
-                + "4803000000ffffffff0000000004000000" + "00".repeat(7)
-                + "4b0300000001" + "00".repeat(18)
-                + "4b0300000000" + "00".repeat(18)
-                + "4c03000000" + "00".repeat(19)
-                + "68692037", reply);
+        String reply = run(
+                () -> {
+                    sink.refuse(0x0e6f2b19, 0x0ee6b280L);
+                    sink.fail(0x0e6f2b19);
+                    sink.cancel(0x5d3a91c4, 2);
+                    sink.probe(0x2c9011f2);
+                    sink.closeIdle(0x2c9011f2);
+                    sink.tell(-1, "hi 7".getBytes(StandardCharsets.UTF_8));
+                    sink.subscribe(true);
+                    sink.subscribe(false);
+                    sink.reload();
+                },
+                start(CONFIG),
+                frame("", INGRESS));
+        assertEquals(
+                "0000000000000000" + "09000000" + u32(9 * 24 + 4)
+                        + "4203000000192b6f0e80b2e60e00000000" + "00".repeat(7)
+                        + "4303000000192b6f0e" + "00".repeat(15)
+                        + "4403000000c4913a5d0200" + "00".repeat(13)
+                        + "4603000000f211902c" + "00".repeat(15)
+                        + "4703000000f211902c" + "00".repeat(15)
+                        + "4803000000ffffffff0000000004000000" + "00".repeat(7)
+                        + "4b0300000001" + "00".repeat(18)
+                        + "4b0300000000" + "00".repeat(18)
+                        + "4c03000000" + "00".repeat(19)
+                        + "68692037",
+                reply);
     }
 
     @Test
     void eventsAreReadFromTheDocumentsBytes() throws IOException {
-        String entries = "074a1203" + "0000" + "01" + "0000000000000000" + "0000" + "00" + "0000803f"
-                + "f211902c" + "0000" + "01" + "009d966b01000000" + "0000" + "01" + "0000c03f";
-        run(start(CONFIG),
-                frame(entries, "0b00000000000002000000" + "00".repeat(37),
+        String entries = "074a1203" + "0000" + "01" + "0000000000000000" + "0000" + "00" + "0000803f" + "f211902c"
+                + "0000" + "01" + "009d966b01000000" + "0000" + "01" + "0000c03f";
+        run(
+                start(CONFIG),
+                frame(
+                        entries,
+                        "0b00000000000002000000" + "00".repeat(37),
                         "02030000000229000000000000000000" + "00".repeat(32)),
                 frame("", INGRESS, ELAPSED, DONE, "0603000000192b6f0e" + "00".repeat(39)),
-                frame("68692037", "0403000000c4913a5d0000074a1203d0248d0000000000" + "00".repeat(25),
+                frame(
+                        "68692037",
+                        "0403000000c4913a5d0000074a1203d0248d0000000000" + "00".repeat(25),
                         "0803000000f211902c0100c05c1500000000000200004040" + "52b81e3f0000000000000000"
                                 + "00".repeat(12),
                         "0903000000020000000000000004000000" + "00".repeat(31)));
-        assertEquals(List.of("start 42",
-                "members CACHED 41 [Member[id=51530247, kind=0, state=READY, bootNs=0, cell=0, zone=0, "
-                        + "units=1.0], "
-                + "Member[id=747639282, kind=0, state=READY, bootNs=6100000000, cell=0, zone=1, units=1.5]]",
-                "request Request[ticket=1564119492, profile=0, tenant=0, key=-7930773538597631388, "
-                        + "leftNs=240000000, "
-                + "hintNs=12000000, repeat=false]",
-                "timer 8412250000 77",
-                "outcome Outcome[ticket=1564119492, attempt=0, server=51530247, status=OK, "
-                        + "elapsedNs=18500000, "
-                + "over=true, report=Report[inflight=NaN, queue=3.0, util=0.6200000047683716, recentMs=NaN, "
-                + "perSecond=NaN, errorsPerSecond=NaN]]",
-                "withdrawn 242166553", "begun 0 51530247 9250000",
+        assertEquals(
+                List.of(
+                        "start 42",
+                        "members CACHED 41 [Member[id=51530247, kind=0, state=READY, bootNs=0, cell=0, zone=0, "
+                                + "units=1.0], "
+                                + "Member[id=747639282, kind=0, state=READY, bootNs=6100000000, cell=0, zone=1, units=1.5]]",
+                        "request Request[ticket=1564119492, profile=0, tenant=0, key=-7930773538597631388, "
+                                + "leftNs=240000000, "
+                                + "hintNs=12000000, repeat=false]",
+                        "timer 8412250000 77",
+                        "outcome Outcome[ticket=1564119492, attempt=0, server=51530247, status=OK, "
+                                + "elapsedNs=18500000, "
+                                + "over=true, report=Report[inflight=NaN, queue=3.0, util=0.6200000047683716, recentMs=NaN, "
+                                + "perSecond=NaN, errorsPerSecond=NaN]]",
+                        "withdrawn 242166553",
+                        "begun 0 51530247 9250000",
                         "probe 747639282 OK 1400000 0.6200000047683716",
-                "peer 2 hi 7"), heard);
+                        "peer 2 hi 7"),
+                heard);
     }
 
     @Test
@@ -251,32 +271,38 @@
         refused("event 7 for instance 3, which is not running", frame("", ELAPSED));
         refused("event 10 for instance 3, which is not running", frame("", "0a03000000" + "00".repeat(43)));
         refused("a request of class 1 of 1", start(CONFIG), frame("", INGRESS.replace("5d00", "5d01")));
-        refused("list number 5 was never given", start(CONFIG),
+        refused(
+                "list number 5 was never given",
+                start(CONFIG),
                 frame("", "0203000000022900000000000000" + "0500" + "00".repeat(32)));
-        refused("a reference of 44 bytes at 0 leaves the tail of 4 bytes",
+        refused(
+                "a reference of 44 bytes at 0 leaves the tail of 4 bytes",
                 frame("00000000", "0b00000000000002000000" + "00".repeat(37)));
         refused("unknown outcome 9", start(CONFIG), frame("", DONE.replace("074a12030100", "074a12030900")));
-        refused("a load report of 7 values", start(CONFIG), frame("", DONE.replace("000102000040",
-                "000107000040")));
+        refused("a load report of 7 values", start(CONFIG), frame("", DONE.replace("000102000040", "000107000040")));
     }
 
     @Test
     void settingsThatAreNeededAreMissedByName() {
         refused("setting rules.cold_ns is missing", start(CONFIG.replace("rules.cold_ns=9000000000\n", "")));
         refused("setting me is not a whole number: first", start(CONFIG.replace("me=0", "me=first")));
-        refused("setting rules.tip_multiple is not a number: NaN",
+        refused(
+                "setting rules.tip_multiple is not a number: NaN",
                 start(CONFIG.replace("tip_multiple=4.0", "tip_multiple=NaN")));
-        refused("setting profiles.0.effect has an unknown value: twice",
+        refused(
+                "setting profiles.0.effect has an unknown value: twice",
                 start(CONFIG.replace("effect=deduplicated", "effect=twice")));
     }
 
     @Test
     void aModuleThatThrowsBecomesTheExceptionAction() throws IOException {
-        String reply = run(() -> {
-            throw new IllegalStateException("index out of range");
-        }, start(CONFIG), frame("", INGRESS));
-        String text = new String(HexFormat.of().parseHex(reply.substring(16 + 16 + 48)),
-                StandardCharsets.UTF_8);
+        String reply = run(
+                () -> {
+                    throw new IllegalStateException("index out of range");
+                },
+                start(CONFIG),
+                frame("", INGRESS));
+        String text = new String(HexFormat.of().parseHex(reply.substring(16 + 16 + 48)), StandardCharsets.UTF_8);
         assertEquals("4a", reply.substring(32, 34));
         assertTrue(text.contains("index out of range"), text);
     }
@@ -285,15 +311,24 @@
     void aListNumberIsTakenOverWithinABatch() throws IOException {
         String one = "074a1203" + "0000" + "01" + "0000000000000000" + "0000" + "00" + "0000803f";
         String topology = "0203000000002900000000000000" + "0000" + "00".repeat(32);
-        run(start(CONFIG), frame(one, "0b00000000000001000000" + "00".repeat(37), topology,
-                "0b00000000000000000000" + "00".repeat(37), topology));
+        run(
+                start(CONFIG),
+                frame(
+                        one,
+                        "0b00000000000001000000" + "00".repeat(37),
+                        topology,
+                        "0b00000000000000000000" + "00".repeat(37),
+                        topology));
         assertTrue(heard.get(1).contains("51530247"), heard.get(1));
         assertTrue(heard.get(2).endsWith("[]"), heard.get(2));
     }
 
     @Test
     void anInstanceThatWasKilledHearsNothing() {
-        refused("event 7 for instance 3, which is not running", start(CONFIG),
-                frame("", "0a03000000" + "00".repeat(43)), frame("", ELAPSED));
+        refused(
+                "event 7 for instance 3, which is not running",
+                start(CONFIG),
+                frame("", "0a03000000" + "00".repeat(43)),
+                frame("", ELAPSED));
     }
 }
--- a/src/test/java/gullspar/importer/ImporterTest.java
+++ b/src/test/java/gullspar/importer/ImporterTest.java
@@ -30,7 +30,9 @@
 
     private static Report.Entry entry(Importer.Imported made, String directive) {
         return made.report().entries(made.directives()).stream()
-                .filter(e -> e.directive().is(directive)).findFirst().orElseThrow();
+                .filter(e -> e.directive().is(directive))
+                .findFirst()
+                .orElseThrow();
     }
 
     static Stream<Path> cases() throws IOException {
@@ -42,7 +44,8 @@
     void asManyDirectivesAreReportedAsWereRead(Path folder) {
         List<Problem> problems = new ArrayList<>();
         Importer.Imported made = Importer.read(List.of(folder.resolve("nginx.conf")), Map.of(), problems);
-        assertEquals(made.directives().stream().mapToInt(Directive::count).sum(),
+        assertEquals(
+                made.directives().stream().mapToInt(Directive::count).sum(),
                 made.report().entries(made.directives()).size());
     }
 
@@ -51,19 +54,28 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"ip_hash|upstream u { ip_hash; server 10.0.0.1; }",
-        "hash|upstream u { hash $request_uri consistent; server 10.0.0.1; }",
-        "server|upstream u { server backend.example.org; }", "server|upstream u { server unix:/run/x; }",
-        "server|upstream u { server 10.0.0.1 resolve; }", "listen|server { listen 443 ssl; }",
-        "listen|server { listen unix:/x; }", "listen|server { listen 80 proxy_protocol; }",
-        "stream|stream { server { listen 1; } }", "location|server { location / { root /var/www; } }",
-        "location|server { location / { try_files $uri /index.html; } }",
-        "location|server { location / { fastcgi_pass 127.0.0.1:9000; } }",
-        "location|server { location @x { proxy_pass http://10.0.0.1; } }",
-        "proxy_pass|server { location / { proxy_pass https://10.0.0.1; } }",
-        "proxy_pass|server { location / { proxy_pass http://$unknown; } }",
-        "return|server { return 444; }", "server_name|server { server_name $hostname; }",
-        "server_name|server { server_name ~^(?<who>.*)$; }"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "ip_hash|upstream u { ip_hash; server 10.0.0.1; }",
+                "hash|upstream u { hash $request_uri consistent; server 10.0.0.1; }",
+                "server|upstream u { server backend.example.org; }",
+                "server|upstream u { server unix:/run/x; }",
+                "server|upstream u { server 10.0.0.1 resolve; }",
+                "listen|server { listen 443 ssl; }",
+                "listen|server { listen unix:/x; }",
+                "listen|server { listen 80 proxy_protocol; }",
+                "stream|stream { server { listen 1; } }",
+                "location|server { location / { root /var/www; } }",
+                "location|server { location / { try_files $uri /index.html; } }",
+                "location|server { location / { fastcgi_pass 127.0.0.1:9000; } }",
+                "location|server { location @x { proxy_pass http://10.0.0.1; } }",
+                "proxy_pass|server { location / { proxy_pass https://10.0.0.1; } }",
+                "proxy_pass|server { location / { proxy_pass http://$unknown; } }",
+                "return|server { return 444; }",
+                "server_name|server { server_name $hostname; }",
+                "server_name|server { server_name ~^(?<who>.*)$; }"
+            })
     void whatHasNoCounterpartIsSaid(String directive, String text) {
         Importer.Imported made = made(text);
         assertEquals(Verdict.NOT_TRANSLATABLE, entry(made, directive).verdict());
@@ -72,23 +84,46 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"auth_request|auth_request /auth;", "if|if ($x) { return 403; }",
-        "rewrite|rewrite ^/a /b last;", "rewrite|rewrite ^/a /b;", "limit_req|limit_req zone=a;",
-        "proxy_set_header|proxy_set_header Upgrade $http_upgrade;", "proxy_cache|proxy_cache zone;",
-        "proxy_set_header|proxy_set_header X-Time $msec;", "error_page|error_page 500 /50x.html;",
-        "proxy_next_upstream|proxy_next_upstream error http_404;", "no_such_thing|no_such_thing on;",
-        "proxy_redirect|proxy_redirect http://a/ /b/;", "proxy_ssl_verify|proxy_ssl_verify on;",
-        "content_by_lua_block|content_by_lua_block { ngx.say('}') }", "deny|deny all;",
-        "client_max_body_size|client_max_body_size big;", "proxy_read_timeout|proxy_read_timeout soon;"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "auth_request|auth_request /auth;",
+                "if|if ($x) { return 403; }",
+                "rewrite|rewrite ^/a /b last;",
+                "rewrite|rewrite ^/a /b;",
+                "limit_req|limit_req zone=a;",
+                "proxy_set_header|proxy_set_header Upgrade $http_upgrade;",
+                "proxy_cache|proxy_cache zone;",
+                "proxy_set_header|proxy_set_header X-Time $msec;",
+                "error_page|error_page 500 /50x.html;",
+                "proxy_next_upstream|proxy_next_upstream error http_404;",
+                "no_such_thing|no_such_thing on;",
+                "proxy_redirect|proxy_redirect http://a/ /b/;",
+                "proxy_ssl_verify|proxy_ssl_verify on;",
+                "content_by_lua_block|content_by_lua_block { ngx.say('}') }",
+                "deny|deny all;",
+                "client_max_body_size|client_max_body_size big;",
+                "proxy_read_timeout|proxy_read_timeout soon;"
+            })
     void norWithinALocation(String directive, String inner) {
-        assertEquals(Verdict.NOT_TRANSLATABLE, entry(made(location(inner)), directive).verdict());
+        assertEquals(
+                Verdict.NOT_TRANSLATABLE,
+                entry(made(location(inner)), directive).verdict());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"proxy_buffering|proxy_buffering off;", "gzip|gzip on;",
-        "access_log|access_log off;", "proxy_http_version|proxy_http_version 1.1;",
-        "proxy_set_header|proxy_set_header Connection '';", "proxy_redirect|proxy_redirect off;",
-        "proxy_cache|proxy_cache off;", "auth_basic|auth_basic off;"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "proxy_buffering|proxy_buffering off;",
+                "gzip|gzip on;",
+                "access_log|access_log off;",
+                "proxy_http_version|proxy_http_version 1.1;",
+                "proxy_set_header|proxy_set_header Connection '';",
+                "proxy_redirect|proxy_redirect off;",
+                "proxy_cache|proxy_cache off;",
+                "auth_basic|auth_basic off;"
+            })
     void whatIsWithoutEffectIsSaidWithTheReason(String directive, String inner) {
         Importer.Imported made = made(location(inner));
         assertEquals(Verdict.NO_EFFECT, entry(made, directive).verdict());
@@ -122,9 +157,13 @@
 
     @Test
     void commentsNameTheOrigin() throws IOException {
-        String toml = Importer.read(List.of(Path.of("src/test/resources/nginx/07-multi-file/nginx.conf")),
-                Map.of(), new ArrayList<>()).toml();
-        assertTrue(toml.contains("# src/test/resources/nginx/07-multi-file/conf.d/upstreams.conf:1:1\n"
-                + "[[pool]]"), toml);
+        String toml = Importer.read(
+                        List.of(Path.of("src/test/resources/nginx/07-multi-file/nginx.conf")),
+                        Map.of(),
+                        new ArrayList<>())
+                .toml();
+        assertTrue(
+                toml.contains("# src/test/resources/nginx/07-multi-file/conf.d/upstreams.conf:1:1\n" + "[[pool]]"),
+                toml);
     }
 }
