--- a/src/test/java/gullspar/importer/NginxModel.java
+++ b/src/test/java/gullspar/importer/NginxModel.java
@@ -44,10 +44,10 @@
     }
 
     /** A request: port is that of the listener; uri as it came. */
-    record Asked(String method, String host, int port, String uri, Map<String, String> headers) { }
+    record Asked(String method, String host, int port, String uri, Map<String, String> headers) {}
 
     /** An answer of its own (upstream null), or what goes to an upstream. */
-    record Done(int status, String location, String upstream, String uri, String host) { }
+    record Done(int status, String location, String upstream, String uri, String host) {}
 
     /** A server of an upstream, and what the smooth weighted rotation keeps of it. */
     static final class Peer {
@@ -67,7 +67,8 @@
             server.args.forEach(a -> p.put(a.split("=")[0], a.contains("=") ? a.split("=")[1] : ""));
             this.weight = Integer.parseInt(p.getOrDefault("weight", "1"));
             this.maxFails = Integer.parseInt(p.getOrDefault("max_fails", "1"));
-            this.failS = Double.parseDouble(p.getOrDefault("fail_timeout", "10s").replace("s", ""));
+            this.failS =
+                    Double.parseDouble(p.getOrDefault("fail_timeout", "10s").replace("s", ""));
             this.backup = p.containsKey("backup");
             this.down = p.containsKey("down");
         }
@@ -119,8 +120,8 @@
                 at++;
             } else if (c == ';' || c == '{') {
                 at++;
-                Node n = new Node(words.get(0), List.copyOf(words.subList(1, words.size())),
-                        c == '{' ? block() : List.of());
+                Node n = new Node(
+                        words.get(0), List.copyOf(words.subList(1, words.size())), c == '{' ? block() : List.of());
                 words.clear();
                 if (n.name.equals("include")) {
                     nodes.addAll(included(n.arg(0)));
@@ -174,7 +175,11 @@
 
     /** The ports that anybody listens at. */
     List<Integer> ports() {
-        return servers().stream().flatMap(s -> ports(s).stream()).distinct().sorted().toList();
+        return servers().stream()
+                .flatMap(s -> ports(s).stream())
+                .distinct()
+                .sorted()
+                .toList();
     }
 
     List<Node> servers() {
@@ -182,8 +187,10 @@
     }
 
     private static List<Integer> ports(Node server) {
-        List<Integer> ports = server.all("listen").stream().map(l -> Integer.parseInt(l.arg(0)
-                .replaceAll("^.*[:\\]]", ""))).distinct().toList();
+        List<Integer> ports = server.all("listen").stream()
+                .map(l -> Integer.parseInt(l.arg(0).replaceAll("^.*[:\\]]", "")))
+                .distinct()
+                .toList();
         return ports.isEmpty() ? List.of(80) : ports;
     }
 
@@ -193,7 +200,8 @@
 
     private Node server(Asked r) {
         String host = r.host.replaceFirst(":\\d+$", "").toLowerCase(Locale.ROOT);
-        List<Node> here = servers().stream().filter(s -> ports(s).contains(r.port)).toList();
+        List<Node> here =
+                servers().stream().filter(s -> ports(s).contains(r.port)).toList();
         Map<Integer, Node> best = new TreeMap<>(); // the least rank wins
         for (Node s : here) {
             for (String name : names(s)) {
@@ -206,27 +214,31 @@
         if (!best.isEmpty()) {
             return best.values().iterator().next();
         }
-        return here.stream().filter(s -> s.all("listen").stream().anyMatch(l ->
-                l.args.contains("default_server"))).findFirst().orElse(here.get(0));
+        return here.stream()
+                .filter(s -> s.all("listen").stream().anyMatch(l -> l.args.contains("default_server")))
+                .findFirst()
+                .orElse(here.get(0));
     }
 
     /** Exact, then the longest wildcard in front, the longest at the end, the first regular expression. */
     private static int rank(String name, String host) {
         String n = name.toLowerCase(Locale.ROOT);
         if (n.startsWith("~")) {
-            return Pattern.compile(name.substring(1), Pattern.CASE_INSENSITIVE).matcher(host).find() ?
-                    3_000_000
+            return Pattern.compile(name.substring(1), Pattern.CASE_INSENSITIVE)
+                            .matcher(host)
+                            .find()
+                    ? 3_000_000
                     : Integer.MAX_VALUE;
         }
         if (n.equals(host) || n.startsWith(".") && host.equals(n.substring(1))) {
             return 0;
         }
-        if (n.startsWith("*.") && host.endsWith(n.substring(1))
-                || n.startsWith(".") && host.endsWith(n)) {
+        if (n.startsWith("*.") && host.endsWith(n.substring(1)) || n.startsWith(".") && host.endsWith(n)) {
             return 1_000_000 - n.replace("*", "").length();
         }
         return n.endsWith(".*") && host.startsWith(n.substring(0, n.length() - 1))
-                ? 2_000_000 - n.length() : Integer.MAX_VALUE;
+                ? 2_000_000 - n.length()
+                : Integer.MAX_VALUE;
     }
 
     // ---- what becomes of a request ----
@@ -249,7 +261,8 @@
         }
 
         boolean find(String regex, boolean anyCase, String in) {
-            Matcher m = Pattern.compile(regex, anyCase ? Pattern.CASE_INSENSITIVE : 0).matcher(in);
+            Matcher m = Pattern.compile(regex, anyCase ? Pattern.CASE_INSENSITIVE : 0)
+                    .matcher(in);
             boolean found = m.find();
             groups = found ? m : groups;
             return found;
@@ -259,8 +272,7 @@
             Matcher m = Pattern.compile("\\$(?:\\{(\\w+)\\}|(\\w+))").matcher(template);
             StringBuilder s = new StringBuilder();
             while (m.find()) {
-                m.appendReplacement(s, Matcher.quoteReplacement(value(m.group(1) != null ? m.group(1)
-                        : m.group(2))));
+                m.appendReplacement(s, Matcher.quoteReplacement(value(m.group(1) != null ? m.group(1) : m.group(2))));
             }
             return m.appendTail(s).toString();
         }
@@ -285,13 +297,19 @@
                 return name.equals("http_host") ? r.host : r.headers.getOrDefault(name.substring(5), "");
             }
             if (name.startsWith("cookie_")) {
-                return Stream.of(r.headers.getOrDefault("cookie", "").split(";")).map(String::trim)
-                        .filter(c -> c.startsWith(name.substring(7) + "=")).findFirst()
-                        .map(c -> c.substring(c.indexOf('=') + 1)).orElse("");
+                return Stream.of(r.headers.getOrDefault("cookie", "").split(";"))
+                        .map(String::trim)
+                        .filter(c -> c.startsWith(name.substring(7) + "="))
+                        .findFirst()
+                        .map(c -> c.substring(c.indexOf('=') + 1))
+                        .orElse("");
             }
             if (name.startsWith("arg_")) {
-                return Stream.of(args.split("&")).filter(a -> a.startsWith(name.substring(4) + "="))
-                        .findFirst().map(a -> a.substring(a.indexOf('=') + 1)).orElse("");
+                return Stream.of(args.split("&"))
+                        .filter(a -> a.startsWith(name.substring(4) + "="))
+                        .findFirst()
+                        .map(a -> a.substring(a.indexOf('=') + 1))
+                        .orElse("");
             }
             switch (name) {
                 case "host":
@@ -332,8 +350,10 @@
             }
             for (Node e : map.block) {
                 boolean anyCase = e.name.startsWith("~*");
-                if (e.name.startsWith("~") && Pattern.compile(e.name.substring(anyCase ? 2 : 1),
-                        anyCase ? Pattern.CASE_INSENSITIVE : 0).matcher(v).find()) {
+                if (e.name.startsWith("~")
+                        && Pattern.compile(e.name.substring(anyCase ? 2 : 1), anyCase ? Pattern.CASE_INSENSITIVE : 0)
+                                .matcher(v)
+                                .find()) {
                     return fill(e.arg(0));
                 }
             }
@@ -363,8 +383,7 @@
         long h = d.length;
         int i = 0;
         while (d.length - i >= 4) {
-            long k = (d[i] & 0xffL) | (d[i + 1] & 0xffL) << 8 | (d[i + 2] & 0xffL) << 16
-                    | (d[i + 3] & 0xffL) << 24;
+            long k = (d[i] & 0xffL) | (d[i + 1] & 0xffL) << 8 | (d[i + 2] & 0xffL) << 16 | (d[i + 3] & 0xffL) << 24;
             k = k * m & mask;
             k ^= k >> 24;
             k = k * m & mask;
@@ -387,7 +406,8 @@
     }
 
     private static String normal(String raw) {
-        String p = URLDecoder.decode(raw.replace("+", "%2B"), StandardCharsets.UTF_8).replaceAll("/+", "/");
+        String p = URLDecoder.decode(raw.replace("+", "%2B"), StandardCharsets.UTF_8)
+                .replaceAll("/+", "/");
         String before = "";
         while (!before.equals(p)) {
             before = p;
@@ -436,14 +456,16 @@
                 boolean code = n.arg(0).matches("\\d{3}");
                 int status = code ? Integer.parseInt(n.arg(0)) : 302;
                 boolean goes = !code || List.of(301, 302, 303, 307, 308).contains(status);
-                return new Done(status, goes ? full(run.fill(n.arg(code ? 1 : 0)), run) : null, null, null,
-                        null);
+                return new Done(status, goes ? full(run.fill(n.arg(code ? 1 : 0)), run) : null, null, null, null);
             } else if (n.name.equals("rewrite") && run.find(n.arg(0), false, run.path)) {
                 String to = run.fill(n.arg(1));
                 if (n.arg(2).equals("permanent") || n.arg(2).equals("redirect")) {
-                    return new Done(n.arg(2).equals("permanent") ? 301 : 302, full(to + (run.args.isEmpty()
-                            ? ""
-                            : "?" + run.args), run), null, null, null);
+                    return new Done(
+                            n.arg(2).equals("permanent") ? 301 : 302,
+                            full(to + (run.args.isEmpty() ? "" : "?" + run.args), run),
+                            null,
+                            null,
+                            null);
                 }
                 run.path = to;
                 return null; // break
@@ -490,8 +512,12 @@
         }
         if (slash != null && !plain) {
             run.ended = true;
-            return new Done(301, "http://" + run.r.host + run.path + "/" + (run.args.isEmpty() ? ""
-                    : "?" + run.args), null, null, null);
+            return new Done(
+                    301,
+                    "http://" + run.r.host + run.path + "/" + (run.args.isEmpty() ? "" : "?" + run.args),
+                    null,
+                    null,
+                    null);
         }
         Object found = best;
         if (best != null) {
@@ -510,7 +536,8 @@
             }
         }
         for (Node n : block) {
-            if (n.name.equals("location") && n.arg(0).startsWith("~")
+            if (n.name.equals("location")
+                    && n.arg(0).startsWith("~")
                     && run.find(n.arg(1), n.arg(0).equals("~*"), run.path)) {
                 way.clear();
                 way.add(n);
@@ -560,8 +587,10 @@
     private static String escaped(String path) {
         StringBuilder s = new StringBuilder();
         for (byte b : path.getBytes(StandardCharsets.UTF_8)) {
-            s.append(b > ' ' && b < 127 && "%?#\"<>\\^`{|}".indexOf(b) < 0 ? String.valueOf((char) b)
-                    : String.format("%%%02X", b & 255));
+            s.append(
+                    b > ' ' && b < 127 && "%?#\"<>\\^`{|}".indexOf(b) < 0
+                            ? String.valueOf((char) b)
+                            : String.format("%%%02X", b & 255));
         }
         return s.toString();
     }
--- a/src/test/java/gullspar/importer/PropertiesTest.java
+++ b/src/test/java/gullspar/importer/PropertiesTest.java
@@ -29,17 +29,21 @@
 /** Places and texts that nobody thought of. Seeds are fixed: the verdict is the same every time. */
 class PropertiesTest {
     /** A location: what stands before its block, and those in it. */
-    record Place(String head, List<Place> nested) { }
+    record Place(String head, List<Place> nested) {}
 
     private static final List<String> PATHS = List.of("/", "/a", "/a/", "/a/b", "/ab", "/b/", "/a/b/", "/b");
     private static final List<String> REGEXES = List.of("^/a", "b$", "/b/", "^/(a|b)/b", "a", "^/$", "\\.x$");
 
     private static Arbitrary<String> heads(boolean regexes) {
         Arbitrary<String> paths = Arbitraries.of(PATHS);
-        Arbitrary<String> plain = Combinators.combine(Arbitraries.of("", "= ", "^~ ", ""), paths)
-                .as((kind, path) -> kind + path);
-        return regexes ? Arbitraries.oneOf(plain, Combinators.combine(Arbitraries.of("~ ", "~* "),
-                Arbitraries.of(REGEXES)).as((kind, regex) -> kind + regex)) : plain;
+        Arbitrary<String> plain =
+                Combinators.combine(Arbitraries.of("", "= ", "^~ ", ""), paths).as((kind, path) -> kind + path);
+        return regexes
+                ? Arbitraries.oneOf(
+                        plain,
+                        Combinators.combine(Arbitraries.of("~ ", "~* "), Arbitraries.of(REGEXES))
+                                .as((kind, regex) -> kind + regex))
+                : plain;
     }
 
     private static Arbitrary<List<Place>> places(int depth) {
@@ -54,8 +58,9 @@
 
     @Provide
     Arbitrary<String> asked() {
-        return Combinators.combine(Arbitraries.strings().withChars("/ab").ofMaxLength(7),
-                Arbitraries.of("", "", ".x", "/")).as((path, end) -> "/" + path + end);
+        return Combinators.combine(
+                        Arbitraries.strings().withChars("/ab").ofMaxLength(7), Arbitraries.of("", "", ".x", "/"))
+                .as((path, end) -> "/" + path + end);
     }
 
     /**
@@ -68,13 +73,16 @@
             String[] h = p.head().split(" ");
             String path = h[h.length - 1];
             boolean regex = p.head().startsWith("~");
-            if (!regex && !path.startsWith(within) || !seen.add(p.head().startsWith("^~ ")
-                    ? path : p.head())) {
+            if (!regex && !path.startsWith(within) || !seen.add(p.head().startsWith("^~ ") ? path : p.head())) {
                 continue;
             }
-            conf.append("location ").append(p.head()).append(" {\nproxy_pass http://10.0.").append(count[0]
-                    / 250)
-                    .append('.').append(count[0]++ % 250 + 1).append(":80;\n");
+            conf.append("location ")
+                    .append(p.head())
+                    .append(" {\nproxy_pass http://10.0.")
+                    .append(count[0] / 250)
+                    .append('.')
+                    .append(count[0]++ % 250 + 1)
+                    .append(":80;\n");
             if (!p.head().startsWith("=")) {
                 // A regular expression holds anything, a prefix what begins with it.
                 write(p.nested(), regex ? within : path, conf, count);
@@ -84,8 +92,7 @@
     }
 
     @Property(tries = 1500, seed = "4711")
-    void placesAreThoseOfTheModel(@ForAll("sets") List<Place> places, @ForAll("asked") String path)
-            throws Exception {
+    void placesAreThoseOfTheModel(@ForAll("sets") List<Place> places, @ForAll("asked") String path) throws Exception {
         StringBuilder conf = new StringBuilder("server {\nlisten 80;\n");
         write(places, "/", conf, new int[] {0});
         conf.append("location = /there { return 204; }\n}\n");
@@ -96,15 +103,21 @@
         Path file = Files.createTempFile("model", ".conf");
         try {
             Files.writeString(file, conf);
-            NginxModel.Done want = new NginxModel(file).done(new NginxModel.Asked("GET", "h", 80, path,
-                    Map.of()));
+            NginxModel.Done want = new NginxModel(file).done(new NginxModel.Asked("GET", "h", 80, path, Map.of()));
             String clean = path.replaceAll("/+", "/");
             Router.Found got = site.router(80).find(new Request("GET", "h", clean, null, n -> List.of()));
-            String pool = got.route() == null || got.route().pool() == null ? null
+            String pool = got.route() == null || got.route().pool() == null
+                    ? null
                     : got.route().pool().pool();
             assertEquals(want.upstream(), pool, path + " in\n" + conf);
-            assertEquals(want.status(), pool != null ? 200 : got.route() == null ? got.status()
-                    : got.route().answer().status(), path + " in\n" + conf);
+            assertEquals(
+                    want.status(),
+                    pool != null
+                            ? 200
+                            : got.route() == null
+                                    ? got.status()
+                                    : got.route().answer().status(),
+                    path + " in\n" + conf);
         } finally {
             Files.delete(file);
         }
@@ -113,17 +126,26 @@
     // ---- syntax ----
 
     private static Arbitrary<String> words() {
-        return Arbitraries.strings().withChars("ab \t;{}#'\"\\$/.~*=n\u00e9").ofMinLength(1).ofMaxLength(8);
+        return Arbitraries.strings()
+                .withChars("ab \t;{}#'\"\\$/.~*=n\u00e9")
+                .ofMinLength(1)
+                .ofMaxLength(8);
     }
 
     /** A directive as it is written; block null for one that has none. */
-    record Tree(String name, List<String> arguments, List<Tree> block) { }
+    record Tree(String name, List<String> arguments, List<Tree> block) {}
 
     private static Arbitrary<List<Tree>> trees(int depth) {
-        Arbitrary<List<Tree>> below = depth == 0 ? Arbitraries.just((List<Tree>) null)
+        Arbitrary<List<Tree>> below = depth == 0
+                ? Arbitraries.just((List<Tree>) null)
                 : trees(depth - 1).injectNull(0.5);
-        return Combinators.combine(Arbitraries.strings().alpha().ofMinLength(1).ofMaxLength(5),
-                words().list().ofMaxSize(3), below).as(Tree::new).list().ofMaxSize(4);
+        return Combinators.combine(
+                        Arbitraries.strings().alpha().ofMinLength(1).ofMaxLength(5),
+                        words().list().ofMaxSize(3),
+                        below)
+                .as(Tree::new)
+                .list()
+                .ofMaxSize(4);
     }
 
     @Provide
@@ -135,7 +157,9 @@
         for (Tree t : trees) {
             s.append(t.name());
             for (String a : t.arguments()) {
-                s.append(" \"").append(a.replace("\\", "\\\\").replace("\"", "\\\"")).append('"');
+                s.append(" \"")
+                        .append(a.replace("\\", "\\\\").replace("\"", "\\\""))
+                        .append('"');
             }
             if (t.block() == null) {
                 s.append("; # ;}\n");
@@ -148,8 +172,12 @@
     }
 
     private static List<Tree> trees(List<Directive> read) {
-        return read.stream().map(d -> new Tree(d.name().text(), d.arguments().stream().map(w -> w.text())
-                .toList(), d.block() == null ? null : trees(d.block()))).toList();
+        return read.stream()
+                .map(d -> new Tree(
+                        d.name().text(),
+                        d.arguments().stream().map(w -> w.text()).toList(),
+                        d.block() == null ? null : trees(d.block())))
+                .toList();
     }
 
     @Property(tries = 1000, seed = "4712")
@@ -175,14 +203,55 @@
 
     @Provide
     Arbitrary<String> odd() {
-        Arbitrary<String> known = Arbitraries.of("server", "location", "http", "upstream", "listen", "80",
-                "proxy_pass", "http://a", "map", "$x", "$y", "if", "return", "301", "rewrite", "^/(.*)",
-                        "/$1",
-                "break", "set", "{", "}", ";", "\"", "'", "\\", "#", "\n", "~", "=", "split_clients", "10%",
-                        "*",
-                "content_by_lua_block", "weight=0", "default_server", "server_name", "proxy_set_header",
-                "client_max_body_size", "\u0000", "[::]:80", "types", "(", "add_header", "a", "10.0.0.1");
-        Arbitrary<String> bytes = Arbitraries.bytes().array(byte[].class).ofMaxSize(200)
+        Arbitrary<String> known = Arbitraries.of(
+                "server",
+                "location",
+                "http",
+                "upstream",
+                "listen",
+                "80",
+                "proxy_pass",
+                "http://a",
+                "map",
+                "$x",
+                "$y",
+                "if",
+                "return",
+                "301",
+                "rewrite",
+                "^/(.*)",
+                "/$1",
+                "break",
+                "set",
+                "{",
+                "}",
+                ";",
+                "\"",
+                "'",
+                "\\",
+                "#",
+                "\n",
+                "~",
+                "=",
+                "split_clients",
+                "10%",
+                "*",
+                "content_by_lua_block",
+                "weight=0",
+                "default_server",
+                "server_name",
+                "proxy_set_header",
+                "client_max_body_size",
+                "\u0000",
+                "[::]:80",
+                "types",
+                "(",
+                "add_header",
+                "a",
+                "10.0.0.1");
+        Arbitrary<String> bytes = Arbitraries.bytes()
+                .array(byte[].class)
+                .ofMaxSize(200)
                 .map(b -> new String(b, StandardCharsets.ISO_8859_1));
         return Arbitraries.oneOf(known.list().ofMaxSize(60).map(l -> String.join(" ", l)), bytes);
     }
--- a/src/test/java/gullspar/importer/ReplayTest.java
+++ b/src/test/java/gullspar/importer/ReplayTest.java
@@ -51,18 +51,23 @@
             List<Problem> problems = new ArrayList<>();
             Importer.Imported made = Importer.read(List.of(conf), Map.of(), problems);
             assertEquals(List.of(), problems);
-            assertEquals(List.of(), made.report().entries(made.directives()).stream()
-                    .filter(e -> e.verdict() == Report.Verdict.NOT_TRANSLATABLE).toList());
+            assertEquals(
+                    List.of(),
+                    made.report().entries(made.directives()).stream()
+                            .filter(e -> e.verdict() == Report.Verdict.NOT_TRANSLATABLE)
+                            .toList());
             String toml = made.toml();
             int n = 0;
             for (int port : model.ports()) {
                 listeners.put(port, new InetSocketAddress("127.0.0." + ++n, 0));
                 toml = toml.replace("\"0.0.0.0:" + port + "\"", "\"127.0.0." + n + ":0\"");
             }
-            for (String address : toml.lines().filter(l -> l.matches("address = \"1[0-9.]+:[1-9]\\d*\""))
-                    .map(l -> l.split("\"")[1]).distinct().toList()) {
-                toml = toml.replace("address = \"" + address + "\"", "address = \"" + standIns.at(address) +
-                        "\"");
+            for (String address : toml.lines()
+                    .filter(l -> l.matches("address = \"1[0-9.]+:[1-9]\\d*\""))
+                    .map(l -> l.split("\"")[1])
+                    .distinct()
+                    .toList()) {
+                toml = toml.replace("address = \"" + address + "\"", "address = \"" + standIns.at(address) + "\"");
             }
             served = new Served(toml);
         }
@@ -84,12 +89,21 @@
 
     /** Requests round all that the configuration names: hosts, paths, and what the case adds to them. */
     private static List<NginxModel.Asked> requests(Path folder, NginxModel model) throws IOException {
-        List<String> hosts = new ArrayList<>(List.of("unknown.test", "127.0.0.1", "img7.cdn.net", "shop.eu",
-                "x.tenant.example.org", "alpha9", "Shop.Example.ORG:80", "two.net", "www.example.com"));
+        List<String> hosts = new ArrayList<>(List.of(
+                "unknown.test",
+                "127.0.0.1",
+                "img7.cdn.net",
+                "shop.eu",
+                "x.tenant.example.org",
+                "alpha9",
+                "Shop.Example.ORG:80",
+                "two.net",
+                "www.example.com"));
         List<String> paths = new ArrayList<>(List.of("/", "/a", "/a/b.php?x=1", "/x.JPG", "/a//b/./c/../d"));
         for (NginxModel.Node s : model.servers()) {
-            NginxModel.names(s).stream().filter(n -> n.matches("[\\w.*-]+")).forEach(n ->
-                    hosts.add(n.startsWith(".") ? "sub" + n : n.replace("*", "any")));
+            NginxModel.names(s).stream()
+                    .filter(n -> n.matches("[\\w.*-]+"))
+                    .forEach(n -> hosts.add(n.startsWith(".") ? "sub" + n : n.replace("*", "any")));
             paths(s, paths);
         }
         paths.addAll(lines(folder.resolve("paths")));
@@ -102,10 +116,12 @@
                 String[] h = headers.get(random.nextInt(headers.size())).split(": ", 2);
                 own.put(h[0].toLowerCase(Locale.ROOT).replace('-', '_'), h[1]);
             }
-            all.add(new NginxModel.Asked(random.nextInt(4) == 0 ? "HEAD" : "GET",
+            all.add(new NginxModel.Asked(
+                    random.nextInt(4) == 0 ? "HEAD" : "GET",
                     hosts.get(random.nextInt(hosts.size())),
                     model.ports().get(random.nextInt(model.ports().size())),
-                    paths.get(random.nextInt(paths.size())), own));
+                    paths.get(random.nextInt(paths.size())),
+                    own));
         }
         return all;
     }
@@ -121,19 +137,28 @@
     }
 
     /** What came of a request: who answered, and what the server was asked. */
-    private record Seen(int status, String location, String who, String uri, String host) { }
+    private record Seen(int status, String location, String who, String uri, String host) {}
 
     private static Seen ask(Wire w, NginxModel.Asked r) throws IOException {
-        StringBuilder s = new StringBuilder(r.method() + " " + r.uri() + " HTTP/1.1\r\nHost: " + r.host() +
-                "\r\n");
-        r.headers().forEach((n, v) -> s.append(n.replace('_', '-')).append(": ").append(v).append("\r\n"));
+        StringBuilder s = new StringBuilder(r.method() + " " + r.uri() + " HTTP/1.1\r\nHost: " + r.host() + "\r\n");
+        r.headers()
+                .forEach((n, v) ->
+                        s.append(n.replace('_', '-')).append(": ").append(v).append("\r\n"));
         w.write(s.append("\r\n").toString());
         String answer = r.method().equals("HEAD") ? w.until("\r\n\r\n") : w.read();
-        Map<String, String> h = answer.lines().skip(1).filter(l -> l.contains(": ")).collect(Collectors.toMap(
-                l -> l.substring(0, l.indexOf(':')).toLowerCase(Locale.ROOT),
-                l -> l.substring(l.indexOf(':') + 2), (a, b) -> a));
-        return new Seen(Integer.parseInt(answer.substring(9, 12)), h.get("location"), h.get("x-who"),
-                h.get("x-uri"), h.get("x-host"));
+        Map<String, String> h = answer.lines()
+                .skip(1)
+                .filter(l -> l.contains(": "))
+                .collect(Collectors.toMap(
+                        l -> l.substring(0, l.indexOf(':')).toLowerCase(Locale.ROOT),
+                        l -> l.substring(l.indexOf(':') + 2),
+                        (a, b) -> a));
+        return new Seen(
+                Integer.parseInt(answer.substring(9, 12)),
+                h.get("location"),
+                h.get("x-who"),
+                h.get("x-uri"),
+                h.get("x-host"));
     }
 
     /** All answers, in the order of the requests; several clients ask side by side. */
@@ -194,8 +219,7 @@
                     assertEquals(d.upstream(), o.who(), r.toString());
                     continue;
                 }
-                assertTrue(peers.stream().anyMatch(p -> p.address.equals(o.who())), r + " went to " +
-                        o.who());
+                assertTrue(peers.stream().anyMatch(p -> p.address.equals(o.who())), r + " went to " + o.who());
                 got.computeIfAbsent(d.upstream(), u -> new TreeMap<>()).merge(o.who(), 1, Integer::sum);
                 want.computeIfAbsent(d.upstream(), u -> new TreeMap<>())
                         .merge(s.model.pick(d.upstream(), i / 1e4).address, 1, Integer::sum);
@@ -209,8 +233,12 @@
     /** The same shares, within two in a hundred of all. */
     private static void near(Map<String, Integer> want, Map<String, Integer> got, String upstream) {
         double all = want.values().stream().mapToInt(n -> n).sum();
-        Stream.concat(want.keySet().stream(), got.keySet().stream()).distinct().forEach(who ->
-                assertEquals(want.getOrDefault(who, 0) / all, got.getOrDefault(who, 0) / all, 0.02,
+        Stream.concat(want.keySet().stream(), got.keySet().stream())
+                .distinct()
+                .forEach(who -> assertEquals(
+                        want.getOrDefault(who, 0) / all,
+                        got.getOrDefault(who, 0) / all,
+                        0.02,
                         who + " of " + upstream + ": " + want + " and " + got));
     }
 
--- a/src/test/java/gullspar/importer/StandIns.java
+++ b/src/test/java/gullspar/importer/StandIns.java
@@ -26,8 +26,7 @@
 
 /** Servers that say in their answers who they are and what they were asked. */
 final class StandIns implements AutoCloseable {
-    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final Map<String, Channel> listening = new LinkedHashMap<>();
     private final Map<String, Integer> ports = new LinkedHashMap<>();
     private final Map<String, ChannelGroup> open = new LinkedHashMap<>();
@@ -47,15 +46,21 @@
 
     private void start(String declared, int port) {
         ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-        Channel c = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
+        Channel c = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel child) {
                         channels.add(child);
-                        child.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
-                                new Answer(declared));
+                        child.pipeline()
+                                .addLast(
+                                        new HttpServerCodec(), new HttpObjectAggregator(1 << 16), new Answer(declared));
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", port)).syncUninterruptibly().channel();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", port))
+                .syncUninterruptibly()
+                .channel();
         listening.put(declared, c);
         open.put(declared, channels);
         ports.put(declared, ((InetSocketAddress) c.localAddress()).getPort());
@@ -81,10 +86,12 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
-            DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
-            answer.headers().set("X-Who", who).set("X-Uri", r.uri()).set("X-Host", r.headers().get("Host",
-                    ""));
+            DefaultFullHttpResponse answer =
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
+            answer.headers()
+                    .set("X-Who", who)
+                    .set("X-Uri", r.uri())
+                    .set("X-Host", r.headers().get("Host", ""));
             HttpUtil.setContentLength(answer, 0);
             ctx.writeAndFlush(answer);
         }
--- a/src/test/java/gullspar/journal/ScanTest.java
+++ b/src/test/java/gullspar/journal/ScanTest.java
@@ -47,11 +47,13 @@
     private static Read read(byte[] segment) {
         Read r = new Read();
         try {
-            r.end = Scan.records((at, into) -> {
-                int n = (int) Math.max(0, Math.min(into.length, segment.length - at));
-                System.arraycopy(segment, (int) Math.min(at, segment.length), into, 0, n);
-                return n;
-            }, r);
+            r.end = Scan.records(
+                    (at, into) -> {
+                        int n = (int) Math.max(0, Math.min(into.length, segment.length - at));
+                        System.arraycopy(segment, (int) Math.min(at, segment.length), into, 0, n);
+                        return n;
+                    },
+                    r);
         } catch (IOException e) {
             throw new AssertionError(e);
         }
@@ -72,8 +74,15 @@
         for (int i = 0; i < requests; i++) {
             Request r = new Request(7, i);
             List<Entry> life = new ArrayList<>();
-            life.add(new Entry.Taken(r, i, random.nextBoolean() ? Kind.KEYED : Kind.UNSAFE, "key-" + i
-                    + "\u00e9".repeat(random.nextInt(40)), random.nextBoolean(), "id" + i, "/pay", 1000));
+            life.add(new Entry.Taken(
+                    r,
+                    i,
+                    random.nextBoolean() ? Kind.KEYED : Kind.UNSAFE,
+                    "key-" + i + "\u00e9".repeat(random.nextInt(40)),
+                    random.nextBoolean(),
+                    "id" + i,
+                    "/pay",
+                    1000));
             boolean mayHaveRun = false;
             for (int a = 0; a < random.nextInt(3); a++) {
                 life.add(new Entry.Intent(r, i + a, a, "node-" + a, "z" + a));
@@ -86,8 +95,8 @@
                 }
             }
             if (random.nextInt(3) > 0) {
-                life.add(new Entry.Answered(r, i, mayHaveRun ? random.nextBoolean() ? Answer.SERVED
-                        : Answer.FAILED : Answer.REFUSED));
+                life.add(new Entry.Answered(
+                        r, i, mayHaveRun ? random.nextBoolean() ? Answer.SERVED : Answer.FAILED : Answer.REFUSED));
             }
             lives.add(life);
         }
@@ -122,9 +131,8 @@
     }
 
     @Property(tries = 3000, seed = "92")
-    void aFlippedBitIsFoundAndTheRestIsRead(@ForAll int seed, @ForAll @IntRange(min = 1, max = 12) int
-            requests,
-            @ForAll @IntRange(min = 0) int place) {
+    void aFlippedBitIsFoundAndTheRestIsRead(
+            @ForAll int seed, @ForAll @IntRange(min = 1, max = 12) int requests, @ForAll @IntRange(min = 0) int place) {
         List<Entry> entries = lives(seed, requests);
         byte[] segment = written(entries);
         byte[] flipped = segment.clone();
@@ -138,8 +146,11 @@
     }
 
     @Property(tries = 2000, seed = "93")
-    void aDamagedStretchIsFound(@ForAll int seed, @ForAll @IntRange(min = 1, max = 12) int requests,
-            @ForAll @IntRange(min = 0) int place, @ForAll @IntRange(min = 1, max = 300) int length) {
+    void aDamagedStretchIsFound(
+            @ForAll int seed,
+            @ForAll @IntRange(min = 1, max = 12) int requests,
+            @ForAll @IntRange(min = 0) int place,
+            @ForAll @IntRange(min = 1, max = 300) int length) {
         byte[] segment = written(lives(seed, requests));
         byte[] damaged = segment.clone();
         int from = Segment.HEAD + place % (segment.length - Segment.HEAD);
@@ -152,8 +163,8 @@
     }
 
     @Property(tries = 2000, seed = "94")
-    void aCutSegmentEndsWithItsLastWholeRecord(@ForAll int seed,
-            @ForAll @IntRange(min = 1, max = 12) int requests, @ForAll @IntRange(min = 0) int place) {
+    void aCutSegmentEndsWithItsLastWholeRecord(
+            @ForAll int seed, @ForAll @IntRange(min = 1, max = 12) int requests, @ForAll @IntRange(min = 0) int place) {
         List<Entry> entries = lives(seed, requests);
         byte[] segment = written(entries);
         int cut = Segment.HEAD + place % (segment.length - Segment.HEAD);
@@ -168,8 +179,8 @@
     @Test
     void aDamagedRecordDoesNotMakeOneOfWhatItHolds() {
         Request r = new Request(1, 1);
-        List<Entry> entries = List.of(new Entry.Taken(r, 1, Kind.UNSAFE, "", false, "", "", 0),
-                new Entry.Answered(r, 2, Answer.SERVED));
+        List<Entry> entries = List.of(
+                new Entry.Taken(r, 1, Kind.UNSAFE, "", false, "", "", 0), new Entry.Answered(r, 2, Answer.SERVED));
         byte[] segment = written(entries);
         segment[Segment.HEAD + 20] ^= 1;
         Read read = read(segment);
@@ -190,13 +201,17 @@
         byte[] head = Segment.head(3, 17, 99);
         assertEquals(new Segment.Head(1, 3, 17, 99), Segment.head(head));
         byte[] newer = Segment.head(2, 3, 17, 99);
-        assertTrue(assertThrows(Segment.NewerVersionException.class, () -> Segment.head(newer)).getMessage()
+        assertTrue(assertThrows(Segment.NewerVersionException.class, () -> Segment.head(newer))
+                .getMessage()
                 .contains("version 2, and this program reads up to 1"));
         for (int bit = 64; bit < Segment.HEAD * 8; bit++) {
             byte[] damaged = head.clone();
             damaged[bit / 8] ^= (byte) (1 << bit % 8);
-            assertEquals("the head of this segment is damaged", assertThrows(IllegalArgumentException.class,
-                    () -> Segment.head(damaged)).getMessage(), "also in the version");
+            assertEquals(
+                    "the head of this segment is damaged",
+                    assertThrows(IllegalArgumentException.class, () -> Segment.head(damaged))
+                            .getMessage(),
+                    "also in the version");
         }
         assertThrows(IllegalArgumentException.class, () -> Segment.head(new byte[10]));
         assertThrows(IllegalArgumentException.class, () -> Segment.head(new byte[Segment.HEAD]));
--- a/src/test/java/gullspar/journal/file/AppenderTest.java
+++ b/src/test/java/gullspar/journal/file/AppenderTest.java
@@ -29,6 +29,7 @@
 
     /** Which requests a node may have seen: their intent was said to be recorded. */
     private final Set<Request> sent = new HashSet<>();
+
     private final Set<Request> refused = new HashSet<>();
 
     /** Some requests, as the daemon would have them: nothing goes out before its intent is recorded. */
@@ -36,12 +37,12 @@
         Appender a = new Appender(disk, durability, segmentBytes, 1, 0, () -> 5);
         for (int i = 0; i < REQUESTS; i++) {
             Request r = new Request(9, i);
-            a.add(new Entry.Taken(r, i, Kind.UNSAFE, "k" + i, false, "", "/", 0), ok -> { });
+            a.add(new Entry.Taken(r, i, Kind.UNSAFE, "k" + i, false, "", "/", 0), ok -> {});
             a.add(new Entry.Intent(r, i, 0, "node", "z"), ok -> {
                 (ok ? sent : refused).add(r);
-                a.add(ok ? new Entry.Ended(r, 1, 0, Outcome.SERVED) : new Entry.Answered(r, 1,
-                        Answer.REFUSED),
-                        done -> { });
+                a.add(
+                        ok ? new Entry.Ended(r, 1, 0, Outcome.SERVED) : new Entry.Answered(r, 1, Answer.REFUSED),
+                        done -> {});
             });
             if (i % 2 == 1) {
                 a.step();
--- a/src/test/java/gullspar/journal/file/FaultyDisk.java
+++ b/src/test/java/gullspar/journal/file/FaultyDisk.java
@@ -29,9 +29,11 @@
     private final Map<Long, Content> files = new TreeMap<>();
     /** The operation that is the last one, and how many bytes of an append it lets through; -1 for none. */
     int diesAt = -1;
+
     int dyingBytes;
     /** Operations that fail, by number. */
     final List<Integer> failing = new ArrayList<>();
+
     int operations;
 
     private void operation(Content c, byte[] bytes, int length) throws IOException {
@@ -73,7 +75,7 @@
             }
 
             @Override
-            public void close() { }
+            public void close() {}
         };
     }
 
--- a/src/test/java/gullspar/journal/file/FolderTest.java
+++ b/src/test/java/gullspar/journal/file/FolderTest.java
@@ -23,10 +23,10 @@
 class FolderTest {
     private static final Scan.Visitor NOBODY = new Scan.Visitor() {
         @Override
-        public void entry(long at, Entry e) { }
+        public void entry(long at, Entry e) {}
 
         @Override
-        public void lost(long from, long to) { }
+        public void lost(long from, long to) {}
     };
 
     @TempDir
@@ -34,10 +34,9 @@
 
     private static void write(Disk disk, int from, int to, long segmentBytes) throws IOException {
         Recovery.Found found = Recovery.read(disk, NOBODY);
-        Appender a = new Appender(disk, Durability.MACHINE, segmentBytes, found.nextNumber(), found.records(),
-                () -> 5);
+        Appender a = new Appender(disk, Durability.MACHINE, segmentBytes, found.nextNumber(), found.records(), () -> 5);
         for (int i = from; i < to; i++) {
-            a.add(new Entry.Taken(new Request(1, i), i, Kind.KEYED, "k" + i, false, "", "/", 0), ok -> { });
+            a.add(new Entry.Taken(new Request(1, i), i, Kind.KEYED, "k" + i, false, "", "/", 0), ok -> {});
             a.add(new Entry.Intent(new Request(1, i), i, 0, "n", "z"), ok -> assertTrue(ok));
             a.step();
         }
@@ -62,7 +61,8 @@
     @Test
     void oneJournalHasOneDaemon() throws IOException {
         try (FolderDisk disk = FolderDisk.hold(folder)) {
-            assertTrue(assertThrows(IOException.class, () -> FolderDisk.hold(folder)).getMessage()
+            assertTrue(assertThrows(IOException.class, () -> FolderDisk.hold(folder))
+                    .getMessage()
                     .contains("in use by another daemon"));
             assertThrows(IOException.class, () -> FolderDisk.look(folder).create(1));
             assertThrows(IOException.class, () -> FolderDisk.look(folder).delete(1));
@@ -108,8 +108,10 @@
             sum.update(newer, 0, 36);
             ByteBuffer.wrap(newer).putInt(36, (int) sum.getValue());
             Files.write(file, newer);
-            assertEquals("segment 1: this segment is of version 7, and this program reads up to 1",
-                    assertThrows(IOException.class, () -> Recovery.read(disk, NOBODY)).getMessage());
+            assertEquals(
+                    "segment 1: this segment is of version 7, and this program reads up to 1",
+                    assertThrows(IOException.class, () -> Recovery.read(disk, NOBODY))
+                            .getMessage());
             bytes[9] = 7; // a flipped bit or two, and the sum says so
             Files.write(file, bytes);
             Recovery.Found found = Recovery.read(disk, NOBODY);
--- a/src/test/java/gullspar/nginx/LoaderTest.java
+++ b/src/test/java/gullspar/nginx/LoaderTest.java
@@ -30,8 +30,8 @@
     }
 
     private static String names(List<Directive> all) {
-        return all.stream().map(d -> d.name().text() + (d.block() == null ? "" : "{" + names(d.block())
-                + "}"))
+        return all.stream()
+                .map(d -> d.name().text() + (d.block() == null ? "" : "{" + names(d.block()) + "}"))
                 .collect(Collectors.joining(" "));
     }
 
@@ -63,12 +63,9 @@
         file("b", "include nginx.conf; b;");
         assertEquals("a include include b include include", load());
         assertEquals(3, problems.size(), problems.toString());
-        assertTrue(problems.get(0).toString().contains("b:1:1: a file that includes itself: "), problems
-                .toString());
-        assertTrue(problems.get(1).toString().contains("nginx.conf:3:1: there is no such file: "), problems
-                .toString());
-        assertTrue(problems.get(2).toString().endsWith("include takes one name\ninclude x y;\n^"), problems
-                .toString());
+        assertTrue(problems.get(0).toString().contains("b:1:1: a file that includes itself: "), problems.toString());
+        assertTrue(problems.get(1).toString().contains("nginx.conf:3:1: there is no such file: "), problems.toString());
+        assertTrue(problems.get(2).toString().endsWith("include takes one name\ninclude x y;\n^"), problems.toString());
     }
 
     @Test
@@ -84,7 +81,11 @@
         file("nginx.conf", "include b; c");
         file("b", "d }");
         load();
-        assertEquals(2, problems.stream().map(p -> p.place().file().getFileName().toString()).distinct()
-                .count());
+        assertEquals(
+                2,
+                problems.stream()
+                        .map(p -> p.place().file().getFileName().toString())
+                        .distinct()
+                        .count());
     }
 }
--- a/src/test/java/gullspar/nginx/ParserTest.java
+++ b/src/test/java/gullspar/nginx/ParserTest.java
@@ -27,10 +27,14 @@
 
     /** Directives as name(arguments){block}, quoted arguments in quotes. */
     private static String shown(List<Directive> all) {
-        return all.stream().map(d -> d.name().text() + d.arguments().stream().map(w -> w.quoted()
-                ? "\"" + w.text() + "\"" : w.text()).collect(Collectors.joining(",", "(", ")"))
-                + (d.raw() != null ? "<" + d.raw() + ">" : "")
-                + (d.block() == null ? "" : "{" + shown(d.block()) + "}")).collect(Collectors.joining(" "));
+        return all.stream()
+                .map(d -> d.name().text()
+                        + d.arguments().stream()
+                                .map(w -> w.quoted() ? "\"" + w.text() + "\"" : w.text())
+                                .collect(Collectors.joining(",", "(", ")"))
+                        + (d.raw() != null ? "<" + d.raw() + ">" : "")
+                        + (d.block() == null ? "" : "{" + shown(d.block()) + "}"))
+                .collect(Collectors.joining(" "));
     }
 
     private void reads(String text, String expected) {
@@ -40,7 +44,8 @@
 
     @Test
     void directivesBlocksAndComments() {
-        reads("""
+        reads(
+                """
                 user  www; # a comment; with } in it
                 # another
                 events {}
@@ -48,15 +53,15 @@
                     upstream shop { server 127.0.0.1:8001 weight=5; server 127.0.0.1:8002 backup; }
                     server{listen 80;location / {proxy_pass http://shop;}}
                 }
-                """, "user(www) events(){} http(){upstream(shop){server(127.0.0.1:8001,weight=5)"
-                + " server(127.0.0.1:8002,backup)} server(){listen(80) "
+                """,
+                "user(www) events(){} http(){upstream(shop){server(127.0.0.1:8001,weight=5)"
+                        + " server(127.0.0.1:8002,backup)} server(){listen(80) "
                         + "location(/){proxy_pass(http://shop)}}}");
     }
 
     @Test
     void quotesAndEscapes() {
-        reads("a \"two words; {}\" 'it\\'s' \"a\\tb\\\\c\\d\";",
-                "a(\"two words; {}\",\"it's\",\"a\tb\\c\\d\")");
+        reads("a \"two words; {}\" 'it\\'s' \"a\\tb\\\\c\\d\";", "a(\"two words; {}\",\"it's\",\"a\tb\\c\\d\")");
         reads("a x\"y'z;", "a(x\"y'z)");
         reads("a \"\";", "a(\"\")");
         reads("a b\\;c \\# d#e;", "a(b\\;c,\\#,d#e)");
@@ -72,7 +77,8 @@
 
     @Test
     void scriptsArePassedOverWhole() {
-        reads("""
+        reads(
+                """
                 content_by_lua_block {
                   local s = "}" -- } in a comment
                   local t = [[ } ]] .. [==[ ]] } ]==]
@@ -81,13 +87,14 @@
                 after;
                 """,
                 "content_by_lua_block()<\n  local s = \"}\" -- } in a comment\n  local t = [[ } ]]"
-                + " .. [==[ ]] }"
-                + " ]==]\n  if a[1] then return {1} end\n> after()");
+                        + " .. [==[ ]] }"
+                        + " ]==]\n  if a[1] then return {1} end\n> after()");
     }
 
     @Test
     void everyWordKnowsItsPlace() {
-        Directive server = parse("\ufeffhttp {\r\n\tserver  name;\r\n}").get(0).block().get(0);
+        Directive server =
+                parse("\ufeffhttp {\r\n\tserver  name;\r\n}").get(0).block().get(0);
         assertEquals("nginx.conf:2:2", server.place().toString());
         assertEquals("nginx.conf:2:10", server.arguments().get(0).place().toString());
         assertEquals("name", server.argument(0).orElseThrow());
@@ -96,7 +103,10 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '~', textBlock = """
+    @CsvSource(
+            delimiter = '~',
+            textBlock =
+                    """
         a b                  ~ 1:1: directive "a" is not terminated by ";"
         a { b; c }           ~ 1:8: directive "c" is not terminated by ";"
         a { b;               ~ 1:3: a block that is never closed
@@ -132,14 +142,16 @@
             StringBuilder text = new StringBuilder();
             for (int n = random.nextInt(40); n > 0; n--) {
                 int at = random.nextInt(letters.length());
-                text.append(at > 18 && random.nextInt(8) == 0 ? " x_by_lua_block {" : letters.substring(at,
-                        at + 1));
+                text.append(at > 18 && random.nextInt(8) == 0 ? " x_by_lua_block {" : letters.substring(at, at + 1));
             }
             List<Problem> odd = new ArrayList<>();
             assertNotNull(Parser.parse(text.toString(), FILE, odd));
             long lines = text.chars().filter(c -> c == '\n').count() + 1;
             for (Problem p : odd) {
-                assertTrue(p.place().line() >= 1 && p.place().line() <= lines && p.place().column() >= 1,
+                assertTrue(
+                        p.place().line() >= 1
+                                && p.place().line() <= lines
+                                && p.place().column() >= 1,
                         text.toString());
             }
         }
--- a/src/test/java/gullspar/peers/FleetFigures.java
+++ b/src/test/java/gullspar/peers/FleetFigures.java
@@ -19,7 +19,7 @@
     private static final int[] SIZES = {3, 10, 100, 1000};
     private static final double[] LOSSES = {0, 0.05, 0.15, 0.3};
 
-    private FleetFigures() { }
+    private FleetFigures() {}
 
     public static void main(String[] args) {
         Set<String> only = Set.of(args);
@@ -51,8 +51,12 @@
     }
 
     private static String spread(Histogram h) {
-        return String.format(Locale.ROOT, "%.2f | %.2f | %.2f", h.getValueAtPercentile(50) / 1e3,
-                h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3);
+        return String.format(
+                Locale.ROOT,
+                "%.2f | %.2f | %.2f",
+                h.getValueAtPercentile(50) / 1e3,
+                h.getValueAtPercentile(99) / 1e3,
+                h.getMaxValue() / 1e3);
     }
 
     /** One after the other dies; what it costs is counted while nobody does. */
@@ -85,8 +89,7 @@
                     Map<Life, Long> gone = new HashMap<>();
                     long[] first = {0};
                     t.heard = (l, c) -> {
-                        if (c.about().life() == victim.life && c.kind() == Change.Kind.SUSPECTED
-                                && first[0] == 0) {
+                        if (c.about().life() == victim.life && c.kind() == Change.Kind.SUSPECTED && first[0] == 0) {
                             first[0] = t.now;
                         } else if (c.about().life() == victim.life && c.kind() == Change.Kind.GONE) {
                             gone.putIfAbsent(l, t.now);
@@ -97,15 +100,13 @@
                         t.run(0.5);
                     }
                     noticed.recordValue((first[0] - began) / Town.MS);
-                    known.recordValue((gone.values().stream().mapToLong(x ->
-                            x).max().orElse(0) - began) / Town.MS);
-                    t.heard = (l, c) -> { };
+                    known.recordValue(
+                            (gone.values().stream().mapToLong(x -> x).max().orElse(0) - began) / Town.MS);
+                    t.heard = (l, c) -> {};
                     t.run(5);
                 }
             }
-            say("| %d | %s | %s | %d | %.1f | %.0f |", size, spread(noticed), spread(known), deaths,
-                    datagrams,
-                    bytes);
+            say("| %d | %s | %s | %d | %.1f | %.0f |", size, spread(noticed), spread(known), deaths, datagrams, bytes);
         }
     }
 
@@ -153,18 +154,31 @@
                 for (boolean lifeguard : new boolean[] {true, false}) {
                     Settings s = Settings.every(Town.S);
                     if (!lifeguard) {
-                        s = new Settings(s.intervalNs(), s.timeoutNs(), s.indirect(), s.suspicion(), 1, 0, 0,
-                                s.retell(), s.fanout(), s.syncNs(), s.figuresNs(), s.knockMost(),
-                                        s.forgetNs(),
-                                s.windowNs(), s.members(), s.bytesPerSecond());
+                        s = new Settings(
+                                s.intervalNs(),
+                                s.timeoutNs(),
+                                s.indirect(),
+                                s.suspicion(),
+                                1,
+                                0,
+                                0,
+                                s.retell(),
+                                s.fanout(),
+                                s.syncNs(),
+                                s.figuresNs(),
+                                s.knockMost(),
+                                s.forgetNs(),
+                                s.windowNs(),
+                                s.members(),
+                                s.bytesPerSecond());
                     }
                     Town t = settled(7, size, s);
                     double hours = size == 10 ? 2 : 0.25;
                     long[] counts = new long[2];
                     Set<String> told = new HashSet<>();
                     t.heard = (l, c) -> {
-                        if (c.kind() == Change.Kind.SUSPECTED && told.add(c.about().toString()
-                                + t.now / Town.S)) {
+                        if (c.kind() == Change.Kind.SUSPECTED
+                                && told.add(c.about().toString() + t.now / Town.S)) {
                             counts[0]++;
                         }
                         counts[1] += c.kind() == Change.Kind.GONE ? 1 : 0;
@@ -172,9 +186,13 @@
                     t.loss = loss;
                     t.jitterNs = 100 * Town.MS;
                     t.run(hours * 3600);
-                    say("| %d | %.0f %% | %s | %.2f | %.2f |", size, 100 * loss, lifeguard ? "with"
-                            : "without",
-                            counts[0] / hours / size, counts[1] / hours / size);
+                    say(
+                            "| %d | %.0f %% | %s | %.2f | %.2f |",
+                            size,
+                            100 * loss,
+                            lifeguard ? "with" : "without",
+                            counts[0] / hours / size,
+                            counts[1] / hours / size);
                 }
             }
         }
--- a/src/test/java/gullspar/peers/PeersPropertiesTest.java
+++ b/src/test/java/gullspar/peers/PeersPropertiesTest.java
@@ -35,8 +35,10 @@
     }
 
     @Property(tries = 2000, seed = "111")
-    void mergingViewsIsCommutativeAssociativeAndIdempotent(@ForAll("views") Map<Long, Heard> a,
-            @ForAll("views") Map<Long, Heard> b, @ForAll("views") Map<Long, Heard> c) {
+    void mergingViewsIsCommutativeAssociativeAndIdempotent(
+            @ForAll("views") Map<Long, Heard> a,
+            @ForAll("views") Map<Long, Heard> b,
+            @ForAll("views") Map<Long, Heard> c) {
         assertEquals(merge(a, b), merge(b, a));
         assertEquals(merge(merge(a, b), c), merge(a, merge(b, c)));
         assertEquals(a, merge(a, a));
@@ -64,12 +66,29 @@
 
     private static Rumour rumour(SplittableRandom r) {
         Identity id = id(r);
-        Statement s = r.nextBoolean() ? null : new Statement(id, 1 + Math.min(100, small(r)), "a"
-                + r.nextInt(9) + ":1",
-                "", "v", "", Phase.values()[r.nextInt(Phase.values().length)], r.nextLong(1L << 40),
-                r.nextInt(4), 0, Figures.NONE, Facts.NONE);
-        return new Rumour(id, small(r), Standing.values()[r.nextInt(4)], r.nextBoolean() ? "" : "p1",
-                r.nextLong(1L << 32), s, r.nextLong(1L << 32));
+        Statement s = r.nextBoolean()
+                ? null
+                : new Statement(
+                        id,
+                        1 + Math.min(100, small(r)),
+                        "a" + r.nextInt(9) + ":1",
+                        "",
+                        "v",
+                        "",
+                        Phase.values()[r.nextInt(Phase.values().length)],
+                        r.nextLong(1L << 40),
+                        r.nextInt(4),
+                        0,
+                        Figures.NONE,
+                        Facts.NONE);
+        return new Rumour(
+                id,
+                small(r),
+                Standing.values()[r.nextInt(4)],
+                r.nextBoolean() ? "" : "p1",
+                r.nextLong(1L << 32),
+                s,
+                r.nextLong(1L << 32));
     }
 
     private static List<Rumour> rumours(SplittableRandom r) {
@@ -88,12 +107,15 @@
             case 2 -> new Message.PingReq(h, r.nextLong(), id(r), "a" + r.nextInt(9) + ":1", rumours(r));
             case 3 -> new Message.Nack(h, r.nextLong(), rumours(r));
             case 4 -> new Message.News(h, rumours(r));
-            case 5 -> new Message.Digest(h, new ArrayList<>(java.util.Collections.nCopies(r.nextInt(3) == 0
-                    ? 3
-                    : Reconciler.RANGES, r.nextLong())));
-            case 6 -> new Message.Listing(h, r.nextLong(), r.nextLong(),
-                    List.of(new Message.Known(r.nextInt(6),
-                    small(r), Standing.values()[r.nextInt(4)], small(r))));
+            case 5 -> new Message.Digest(
+                    h,
+                    new ArrayList<>(
+                            java.util.Collections.nCopies(r.nextInt(3) == 0 ? 3 : Reconciler.RANGES, r.nextLong())));
+            case 6 -> new Message.Listing(
+                    h,
+                    r.nextLong(),
+                    r.nextLong(),
+                    List.of(new Message.Known(r.nextInt(6), small(r), Standing.values()[r.nextInt(4)], small(r))));
             default -> new Message.Want(h, List.of((long) r.nextInt(6), r.nextLong()));
         };
     }
@@ -118,7 +140,9 @@
             }
         }
         t.run(10);
-        assertTrue(t.get(1).view().members().size() <= 40, "kept " + t.get(1).view().members().size());
+        assertTrue(
+                t.get(1).view().members().size() <= 40,
+                "kept " + t.get(1).view().members().size());
         assertTrue(t.sent - sent < 10_000, "sent " + (t.sent - sent));
         t.get(1).peers.view(t.now);
     }
--- a/src/test/java/gullspar/peers/PeersTest.java
+++ b/src/test/java/gullspar/peers/PeersTest.java
@@ -36,8 +36,7 @@
     void aDeathIsNoticedByAllAndNobodyElseIsBlamed() {
         Town t = settled(1, 10);
         t.get(4).kill();
-        double noticed = t.until(30, () -> t.living().stream()
-                .anyMatch(l -> l.of(t.get(4)) == View.Status.SUSPECTED));
+        double noticed = t.until(30, () -> t.living().stream().anyMatch(l -> l.of(t.get(4)) == View.Status.SUSPECTED));
         assertTrue(noticed >= 0 && noticed < 5, "noticed after " + noticed);
         double took = t.until(60, t::agreed);
         assertTrue(took >= 0 && took < 20, "took " + took);
@@ -49,13 +48,13 @@
         Town t = settled(2, 10);
         Life l = t.get(7);
         l.input(() -> l.peers.leave(t.now));
-        assertTrue(t.until(5, () -> t.living().stream().filter(o -> o != l)
-                .allMatch(o -> o.of(l) == View.Status.LEFT)) >= 0);
+        assertTrue(t.until(5, () -> t.living().stream().filter(o -> o != l).allMatch(o -> o.of(l) == View.Status.LEFT))
+                >= 0);
         l.kill();
         t.run(60);
         t.living().forEach(o -> assertEquals(View.Status.LEFT, o.of(l)));
-        assertTrue(t.living().stream().flatMap(o -> o.changes.stream())
-                .noneMatch(c -> c.kind() == Change.Kind.SUSPECTED));
+        assertTrue(
+                t.living().stream().flatMap(o -> o.changes.stream()).noneMatch(c -> c.kind() == Change.Kind.SUSPECTED));
     }
 
     /** Its state is lost: life and revision begin anew, and no rumour of the former life holds it down. */
@@ -66,7 +65,8 @@
         old.kill();
         t.run(0.3);
         Life back = t.start("p5", old.address, "a1:1", "a2:1", "a3:1");
-        double took = t.until(10, () -> t.living().stream().filter(o -> o != back)
+        double took = t.until(10, () -> t.living().stream()
+                .filter(o -> o != back)
                 .allMatch(o -> o.of(back) == View.Status.ALIVE && o.of(old) == View.Status.GONE));
         assertTrue(took >= 0 && took < 5, "took " + took);
         t.run(60);
@@ -80,15 +80,22 @@
         Life old = t.get(5);
         old.kill();
         Life back = t.start("p5", "elsewhere:1", "a1:1", "a2:1", "a3:1");
-        double took = t.until(10, () -> t.living().stream().filter(o -> o != back)
+        double took = t.until(10, () -> t.living().stream()
+                .filter(o -> o != back)
                 .allMatch(o -> o.of(back) == View.Status.ALIVE
                         && o.view().named("p5").id().life() == back.life));
         assertTrue(took >= 0 && took < 5, "took " + took);
-        assertTrue(t.until(30, () -> t.living().stream().allMatch(o -> o.of(old) != View.Status.ALIVE
-                && o.of(old) != View.Status.SUSPECTED)) >= 0);
+        assertTrue(t.until(30, () -> t.living().stream()
+                        .allMatch(o -> o.of(old) != View.Status.ALIVE && o.of(old) != View.Status.SUSPECTED))
+                >= 0);
         assertEquals(0, t.wrong(Change.Kind.GONE));
-        t.living().forEach(o -> assertEquals(0, o.changes.stream()
-                .filter(c -> c.kind() == Change.Kind.TWIN).count(), o.name));
+        t.living()
+                .forEach(o -> assertEquals(
+                        0,
+                        o.changes.stream()
+                                .filter(c -> c.kind() == Change.Kind.TWIN)
+                                .count(),
+                        o.name));
     }
 
     @Test
@@ -154,8 +161,9 @@
         l.pause(false);
         assertTrue(t.until(30, t::agreed) >= 0);
         t.run(20);
-        assertTrue(l.changes.subList(before, l.changes.size()).stream()
-                .noneMatch(c -> c.kind() == Change.Kind.SUSPECTED || c.kind() == Change.Kind.GONE),
+        assertTrue(
+                l.changes.subList(before, l.changes.size()).stream()
+                        .noneMatch(c -> c.kind() == Change.Kind.SUSPECTED || c.kind() == Change.Kind.GONE),
                 l.changes.toString());
         assertTrue(l.changes.stream().anyMatch(c -> c.kind() == Change.Kind.OBJECTED));
     }
@@ -178,8 +186,10 @@
         Town t = settled(10, 10);
         Life deaf = t.get(3);
         t.living().forEach(l -> t.cut.add(l.name + ">p3"));
-        assertTrue(t.until(60, () -> t.living().stream().filter(l -> l != deaf)
-                .allMatch(l -> l.of(deaf) == View.Status.GONE)) >= 0);
+        assertTrue(t.until(
+                        60,
+                        () -> t.living().stream().filter(l -> l != deaf).allMatch(l -> l.of(deaf) == View.Status.GONE))
+                >= 0);
         assertTrue(t.until(30, deaf.peers::cutOff) >= 0);
         t.cut.clear();
         assertTrue(t.until(60, t::agreed) >= 0);
@@ -269,8 +279,11 @@
             t.start("p9", "a9:1", "a1:1", "a2:1");
             t.run(0.5);
         }
-        long wrong = t.living().stream().filter(l -> !l.name.equals("p9")).flatMap(l -> l.changes.stream())
-                .filter(c -> c.kind() == Change.Kind.GONE && !c.about().name().equals("p9")).count();
+        long wrong = t.living().stream()
+                .filter(l -> !l.name.equals("p9"))
+                .flatMap(l -> l.changes.stream())
+                .filter(c -> c.kind() == Change.Kind.GONE && !c.about().name().equals("p9"))
+                .count();
         assertEquals(0, wrong);
         assertTrue(t.until(60, t::agreed) >= 0);
     }
@@ -286,9 +299,15 @@
             List<Rumour> ghosts = new ArrayList<>();
             for (int g = 0; g < 5; g++) {
                 Identity id = new Identity("ghost" + (i * 5 + g), i * 5 + g + 1);
-                ghosts.add(new Rumour(id, 0, Standing.ALIVE, "", 0, new Statement(id, 1, "nowhere:" + g, "",
+                ghosts.add(new Rumour(
+                        id,
+                        0,
+                        Standing.ALIVE,
                         "",
-                        "", Phase.SERVING, 0, 0, 0, Figures.NONE, Facts.NONE), 0));
+                        0,
+                        new Statement(
+                                id, 1, "nowhere:" + g, "", "", "", Phase.SERVING, 0, 0, 0, Figures.NONE, Facts.NONE),
+                        0));
             }
             t.inject(l, new Message.News(new Message.Header(h.from(), 0, h.address(), 100_000 + i), ghosts));
             t.run(0.01);
@@ -327,9 +346,12 @@
         Facts f = Facts.NONE.with("share", 1, 77L).with("later", 9, new byte[] {1, 2, 3});
         l.input(() -> l.peers.say(t.now, Phase.DRAINING, "c2", new Figures(5, 1, 2), f));
         assertTrue(t.until(10, () -> t.living().stream().filter(o -> o != l).allMatch(o -> {
-            Statement s = o.view().named("p3").statement();
-            return s.phase() == Phase.DRAINING && s.facts().equals(f) && s.config().equals("c2");
-        })) >= 0);
+                    Statement s = o.view().named("p3").statement();
+                    return s.phase() == Phase.DRAINING
+                            && s.facts().equals(f)
+                            && s.config().equals("c2");
+                }))
+                >= 0);
         Statement seen = t.get(5).view().named("p3").statement();
         assertEquals(77, seen.facts().number("share", 1).getAsLong());
         assertTrue(seen.facts().number("later", 8).isEmpty());
--- a/src/test/java/gullspar/peers/Town.java
+++ b/src/test/java/gullspar/peers/Town.java
@@ -19,7 +19,7 @@
 final class Town {
     static final long MS = 1_000_000L, S = 1_000_000_000L;
 
-    private record Event(long at, long number, Runnable what) { }
+    private record Event(long at, long number, Runnable what) {}
 
     /** One life of a process. */
     final class Life implements Outbox {
@@ -30,6 +30,7 @@
         final List<Change> changes = new ArrayList<>();
         /** The last datagram from each life. */
         final Map<Long, Message> last = new LinkedHashMap<>();
+
         boolean dead;
         boolean paused;
         private final List<Runnable> missed = new ArrayList<>();
@@ -38,8 +39,25 @@
             this.name = name;
             this.address = address;
             this.life = life;
-            this.peers = new Peers(settings, new Statement(new Identity(name, life), 1, address, "z", "1", "",
-                    Phase.SERVING, 0, 0, 0, Figures.NONE, Facts.NONE), seeds, random.split(), this, now);
+            this.peers = new Peers(
+                    settings,
+                    new Statement(
+                            new Identity(name, life),
+                            1,
+                            address,
+                            "z",
+                            "1",
+                            "",
+                            Phase.SERVING,
+                            0,
+                            0,
+                            0,
+                            Figures.NONE,
+                            Facts.NONE),
+                    seeds,
+                    random.split(),
+                    this,
+                    now);
         }
 
         @Override
@@ -106,13 +124,18 @@
         }
 
         Set<String> names(View.Status... status) {
-            return view().members().stream().filter(m -> List.of(status).contains(m.status()))
-                    .map(m -> m.id().name()).collect(Collectors.toSet());
+            return view().members().stream()
+                    .filter(m -> List.of(status).contains(m.status()))
+                    .map(m -> m.id().name())
+                    .collect(Collectors.toSet());
         }
 
         View.Status of(Life other) {
-            return view().members().stream().filter(m -> m.id().life() == other.life).map(View.Member::status)
-                    .findFirst().orElse(null);
+            return view().members().stream()
+                    .filter(m -> m.id().life() == other.life)
+                    .map(View.Member::status)
+                    .findFirst()
+                    .orElse(null);
         }
     }
 
@@ -120,22 +143,23 @@
     final SplittableRandom random;
     final Map<String, Life> lives = new LinkedHashMap<>();
     final Map<String, Life> addresses = new LinkedHashMap<>();
-    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::at)
-            .thenComparingLong(Event::number));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private long numbers;
     long now = 1_000 * S;
     long sent;
     /** The network. */
     double loss;
+
     long delayNs = MS;
     long jitterNs = MS;
     double twice;
     /** Pairs "from>to" of names that hear nothing. */
     final Set<String> cut = new HashSet<>();
     /** What everybody's changes are told to. */
-    BiConsumer<Life, Change> heard = (l, c) -> { };
+    BiConsumer<Life, Change> heard = (l, c) -> {};
     /** What each datagram is told to as it is sent, and as it comes to somebody. */
-    BiConsumer<Life, Message> posted = (l, m) -> { }, taken = (l, m) -> { };
+    BiConsumer<Life, Message> posted = (l, m) -> {}, taken = (l, m) -> {};
     /** Is what came last kept, and what changed? Large towns that are only counted forget it. */
     boolean remembers = true;
 
@@ -257,7 +281,9 @@
     /** How often somebody who lives was accused or called gone. */
     long wrong(Change.Kind kind) {
         Set<Long> alive = living().stream().map(l -> l.life).collect(Collectors.toSet());
-        return lives.values().stream().flatMap(l -> l.changes.stream())
-                .filter(c -> c.kind() == kind && alive.contains(c.about().life())).count();
+        return lives.values().stream()
+                .flatMap(l -> l.changes.stream())
+                .filter(c -> c.kind() == kind && alive.contains(c.about().life()))
+                .count();
     }
 }
--- a/src/test/java/gullspar/peers/ViewCost.java
+++ b/src/test/java/gullspar/peers/ViewCost.java
@@ -25,8 +25,8 @@
 public final class ViewCost {
     private static final int ENVELOPE = 21;
     private static final int MINUTES = 13, FIRST_AT_REST = 8;
-    private static final List<String> KINDS = List.of("ping", "ack", "pingreq", "nack", "news", "digest",
-            "listing", "want", "statements told");
+    private static final List<String> KINDS =
+            List.of("ping", "ack", "pingreq", "nack", "news", "digest", "listing", "want", "statements told");
 
     /** What went through all members in some span of time. */
     private static final class Count {
@@ -59,7 +59,8 @@
             count.datagrams++;
             sentBy.merge(l, (long) bytes, Long::sum);
             count.bytes.merge(kind(m), (long) bytes, Long::sum);
-            long statements = m.rumours().stream().filter(r -> r.statement() != null).count();
+            long statements =
+                    m.rumours().stream().filter(r -> r.statement() != null).count();
             count.bytes.merge("statements told", statements, Long::sum);
         };
         town.taken = (l, m) -> count.received += encoded.getOrDefault(m, m.size());
@@ -70,7 +71,8 @@
     }
 
     public static void main(String[] args) throws IOException {
-        List<Integer> seeds = Stream.of(args[1].split(",")).map(Integer::valueOf).toList();
+        List<Integer> seeds =
+                Stream.of(args[1].split(",")).map(Integer::valueOf).toList();
         ResultsWriter results = new ResultsWriter("bench/scale/view.sh " + args[1] + " " + args[2], seeds);
         if (args.length > 3) {
             results.onto(Path.of(args[3]));
@@ -117,13 +119,20 @@
             long sent = count.sent;
             long begun = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
             double worst = run(60);
-            cpu += minute < FIRST_AT_REST ? 0 : ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime()
-                    - begun;
+            cpu += minute < FIRST_AT_REST
+                    ? 0
+                    : ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - begun;
             if (minute == 1) {
-                point("view.start.worst10s", "bytes sent a second and member in the worst 10 s of a start of "
-                        + "all", "B/s", worst);
-                point("view.start.busiest", "bytes sent a second by the busiest member in the first minute",
-                        "B/s", sentBy.values().stream().mapToLong(x -> x).max().orElse(0) / 60.0);
+                point(
+                        "view.start.worst10s",
+                        "bytes sent a second and member in the worst 10 s of a start of " + "all",
+                        "B/s",
+                        worst);
+                point(
+                        "view.start.busiest",
+                        "bytes sent a second by the busiest member in the first minute",
+                        "B/s",
+                        sentBy.values().stream().mapToLong(x -> x).max().orElse(0) / 60.0);
             }
             if (minute < FIRST_AT_REST) {
                 tell(count, 60, "minute" + minute, "minute " + minute + " from the start of all");
@@ -132,9 +141,13 @@
                 rest = count;
             }
         }
-        point("view.cpu.rest", "processor time a second and member at rest, encoding included; reading, "
-                + "codes and "
-                + "sockets are not", "ns/s", cpu / 60.0 / (MINUTES - FIRST_AT_REST + 1) / size);
+        point(
+                "view.cpu.rest",
+                "processor time a second and member at rest, encoding included; reading, "
+                        + "codes and "
+                        + "sockets are not",
+                "ns/s",
+                cpu / 60.0 / (MINUTES - FIRST_AT_REST + 1) / size);
         tell(rest, 60 * (MINUTES - FIRST_AT_REST + 1), "rest", "minutes 8 to 13");
         memory();
         die();
@@ -142,18 +155,25 @@
 
     private void tell(Count c, double seconds, String name, String when) {
         int members = town.living().size();
-        point("view.sent." + name, "bytes sent a second and member, " + when, "B/s",
-                c.sent / seconds / members);
-        point("view.received." + name, "bytes received a second and member, " + when, "B/s",
+        point("view.sent." + name, "bytes sent a second and member, " + when, "B/s", c.sent / seconds / members);
+        point(
+                "view.received." + name,
+                "bytes received a second and member, " + when,
+                "B/s",
                 c.received / seconds / members);
-        if (name.equals("rest") || name.equals("minute1") || name.equals("minute4")
-                || name.equals("minute7")) {
-            point("view.datagrams." + name, "datagrams sent a second and member, " + when, "1/s",
+        if (name.equals("rest") || name.equals("minute1") || name.equals("minute4") || name.equals("minute7")) {
+            point(
+                    "view.datagrams." + name,
+                    "datagrams sent a second and member, " + when,
+                    "1/s",
                     c.datagrams / seconds / members);
-            c.bytes.forEach((kind, bytes) -> point("view." + name + "." + kind.replace(' ', '-'),
-                    kind.equals("statements told") ? "statements told a second and member, " + when
+            c.bytes.forEach((kind, bytes) -> point(
+                    "view." + name + "." + kind.replace(' ', '-'),
+                    kind.equals("statements told")
+                            ? "statements told a second and member, " + when
                             : "bytes sent a second and member as " + kind + ", " + when,
-                    kind.equals("statements told") ? "1/s" : "B/s", bytes / seconds / members));
+                    kind.equals("statements told") ? "1/s" : "B/s",
+                    bytes / seconds / members));
         }
     }
 
@@ -194,11 +214,15 @@
         for (int s = 0; s < 120; s += 20) {
             long before = count.sent;
             worst = Math.max(worst, run(20));
-            System.err.printf("%d: an eighth dead, %d to %d s later: %.0f B/s%n", size, s, s + 20,
-                    (count.sent - before) / 20.0 / living.size());
+            System.err.printf(
+                    "%d: an eighth dead, %d to %d s later: %.0f B/s%n",
+                    size, s, s + 20, (count.sent - before) / 20.0 / living.size());
         }
         tell(count, 120, "eighth", "120 s from the death of an eighth on");
-        point("view.eighth.worst10s", "bytes sent a second and member in the worst 10 s after an eighth died",
-                "B/s", worst);
+        point(
+                "view.eighth.worst10s",
+                "bytes sent a second and member in the worst 10 s after an eighth died",
+                "B/s",
+                worst);
     }
 }
--- a/src/test/java/gullspar/peers/wire/WireTest.java
+++ b/src/test/java/gullspar/peers/wire/WireTest.java
@@ -38,7 +38,11 @@
     }
 
     private static Arbitrary<String> names() {
-        return Arbitraries.strings().withCharRange('a', 'z').withChars("._-0").ofMinLength(1).ofMaxLength(32);
+        return Arbitraries.strings()
+                .withCharRange('a', 'z')
+                .withChars("._-0")
+                .ofMinLength(1)
+                .ofMaxLength(32);
     }
 
     private static Arbitrary<Identity> identities() {
@@ -46,43 +50,62 @@
     }
 
     private static Arbitrary<Statement> statements(Identity id) {
-        Arbitrary<Figures> figures = Combinators.combine(Arbitraries.floats(), Arbitraries.floats(),
-                Arbitraries.integers().greaterOrEqual(0)).as(Figures::new);
-        Arbitrary<Facts> facts = Combinators.combine(names(), Arbitraries.integers().greaterOrEqual(0),
-                Arbitraries.bytes().array(byte[].class).ofMaxSize(200)).as((n, v, b) -> Facts.NONE.with(n, v,
-                        b));
-        return Combinators.combine(Arbitraries.integers().greaterOrEqual(1), names(), names(),
-                Arbitraries.of(Phase.class), Arbitraries.longs().between(0, 1L << 40), Arbitraries.longs(),
+        Arbitrary<Figures> figures = Combinators.combine(
+                        Arbitraries.floats(),
+                        Arbitraries.floats(),
+                        Arbitraries.integers().greaterOrEqual(0))
+                .as(Figures::new);
+        Arbitrary<Facts> facts = Combinators.combine(
+                        names(),
+                        Arbitraries.integers().greaterOrEqual(0),
+                        Arbitraries.bytes().array(byte[].class).ofMaxSize(200))
+                .as((n, v, b) -> Facts.NONE.with(n, v, b));
+        return Combinators.combine(
+                        Arbitraries.integers().greaterOrEqual(1),
+                        names(),
+                        names(),
+                        Arbitraries.of(Phase.class),
+                        Arbitraries.longs().between(0, 1L << 40),
+                        Arbitraries.longs(),
                         figures,
-                facts).as((r, a, z, p, up, twin, f, x) -> new Statement(id, r, a, z, z, a, p, up, twin, r, f,
-                        x));
+                        facts)
+                .as((r, a, z, p, up, twin, f, x) -> new Statement(id, r, a, z, z, a, p, up, twin, r, f, x));
     }
 
     private static Arbitrary<Rumour> rumours() {
-        return identities().flatMap(id -> Combinators.combine(Arbitraries.integers().between(0,
-                Heard.MOST_INCARNATION),
-                Arbitraries.of(Standing.class), names(), Arbitraries.longs().between(0, 1L << 40),
-                statements(id).injectNull(0.5)).as((i, s, by, ms, st) -> new Rumour(id, i, s, by, ms, st,
-                        ms / 2)));
+        return identities().flatMap(id -> Combinators.combine(
+                        Arbitraries.integers().between(0, Heard.MOST_INCARNATION),
+                        Arbitraries.of(Standing.class),
+                        names(),
+                        Arbitraries.longs().between(0, 1L << 40),
+                        statements(id).injectNull(0.5))
+                .as((i, s, by, ms, st) -> new Rumour(id, i, s, by, ms, st, ms / 2)));
     }
 
     @Provide
     Arbitrary<Message> messages() {
-        Arbitrary<Message.Header> headers = Combinators.combine(identities(),
-                Arbitraries.integers().between(0, Heard.MOST_INCARNATION), names(),
+        Arbitrary<Message.Header> headers = Combinators.combine(
+                        identities(),
+                        Arbitraries.integers().between(0, Heard.MOST_INCARNATION),
+                        names(),
                         Arbitraries.longs().greaterOrEqual(1))
                 .as(Message.Header::new);
         Arbitrary<List<Rumour>> some = rumours().list().ofMaxSize(3);
-        return Combinators.combine(headers, Arbitraries.longs(), identities(), names(), some,
-                Arbitraries.integers().between(0, 7)).as((h, n, id, a, r, kind) -> switch (kind) {
+        return Combinators.combine(
+                        headers,
+                        Arbitraries.longs(),
+                        identities(),
+                        names(),
+                        some,
+                        Arbitraries.integers().between(0, 7))
+                .as((h, n, id, a, r, kind) -> switch (kind) {
                     case 0 -> new Message.Ping(h, n, id.life(), n > 0, r);
                     case 1 -> new Message.Ack(h, n, id, 5, r);
                     case 2 -> new Message.PingReq(h, n, id, a, r);
                     case 3 -> new Message.Nack(h, n, r);
                     case 4 -> new Message.News(h, r);
                     case 5 -> new Message.Digest(h, List.of(n, id.life(), 0L));
-                    case 6 -> new Message.Listing(h, n, id.life(), List.of(
-                            new Message.Known(n, 4, Standing.GONE, 9)));
+                    case 6 -> new Message.Listing(h, n, id.life(), List.of(new Message.Known(n, 4, Standing.GONE, 9)));
                     default -> new Message.Want(h, List.of(n, -n));
                 });
     }
@@ -95,8 +118,7 @@
 
     /** Any bytes, and any message cut or flipped anywhere: an error or another message, nothing else. */
     @Property(tries = 1000, seed = "103")
-    void nothingThatComesDoesHarm(@ForAll("messages") Message m, @ForAll byte[] noise, @ForAll int at,
-            @ForAll byte b) {
+    void nothingThatComesDoesHarm(@ForAll("messages") Message m, @ForAll byte[] noise, @ForAll int at, @ForAll byte b) {
         byte[] bytes = Codec.encode(m);
         byte[] flipped = bytes.clone();
         flipped[Math.floorMod(at, bytes.length)] ^= b;
@@ -110,8 +132,7 @@
     }
 
     @Property(tries = 300, seed = "104")
-    void onlyTheUnchangedDatagramOfAKeyHolderIsTaken(@ForAll("messages") Message m, @ForAll int at,
-            @ForAll byte b) {
+    void onlyTheUnchangedDatagramOfAKeyHolderIsTaken(@ForAll("messages") Message m, @ForAll int at, @ForAll byte b) {
         Envelope e = new Envelope(List.of(ONE));
         byte[] message = Codec.encode(m);
         byte[] sealed = e.seal(message);
@@ -134,8 +155,8 @@
         Envelope knowsBoth = new Envelope(List.of(ONE, OTHER));
         Envelope makesNew = new Envelope(List.of(OTHER, ONE));
         Envelope onlyNew = new Envelope(List.of(OTHER));
-        List<List<Envelope>> steps = List.of(List.of(old, knowsBoth), List.of(knowsBoth, makesNew),
-                List.of(makesNew, onlyNew));
+        List<List<Envelope>> steps =
+                List.of(List.of(old, knowsBoth), List.of(knowsBoth, makesNew), List.of(makesNew, onlyNew));
         for (List<Envelope> together : steps) {
             for (Envelope from : together) {
                 for (Envelope to : together) {
@@ -171,7 +192,8 @@
             g.writeEndArray();
         }
         byte[] b = bytes.toByteArray();
-        assertEquals(new Message.Nack(new Message.Header(new Identity("p1", 5), 2, "a:1", 9), 77, List.of()),
+        assertEquals(
+                new Message.Nack(new Message.Header(new Identity("p1", 5), 2, "a:1", 9), 77, List.of()),
                 Codec.decode(b, 0, b.length));
         ByteArrayOutputStream unknown = new ByteArrayOutputStream();
         try (JsonGenerator g = new CBORFactory().createGenerator(unknown)) {
@@ -186,8 +208,8 @@
     @Property(tries = 500, seed = "105")
     void sizesAreNotUnderrated(@ForAll("messages") Message m) {
         int reckoned = Message.ENVELOPE + m.size();
-        assertTrue(new Envelope(List.of(ONE)).seal(Codec.encode(m)).length <= reckoned,
+        assertTrue(
+                new Envelope(List.of(ONE)).seal(Codec.encode(m)).length <= reckoned,
                 () -> m + " takes more than " + reckoned);
     }
-
 }
--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -58,11 +58,15 @@
 
     @ParameterizedTest
     @CsvSource({
-        "500 Oops, '', ERROR", "503 Busy, '', ERROR", "504 Late, '', ERROR", "429 Busy, '', ERROR",
-        "503 Busy, Not-Started: 1, FULL", "504 Late, Not-Started: 1, FULL",
-        "500 Oops, Not-Started: 1, ERROR"})
-    void onlyTheBackendsOwnWordProvesThatItNeverRan(String line, String header, Status status)
-            throws Exception {
+        "500 Oops, '', ERROR",
+        "503 Busy, '', ERROR",
+        "504 Late, '', ERROR",
+        "429 Busy, '', ERROR",
+        "503 Busy, Not-Started: 1, FULL",
+        "504 Late, Not-Started: 1, FULL",
+        "500 Oops, Not-Started: 1, ERROR"
+    })
+    void onlyTheBackendsOwnWordProvesThatItNeverRan(String line, String header, Status status) throws Exception {
         try (Peer.Wire client = setup.client()) {
             sent(client);
             Peer.Wire wire = backend.accept();
@@ -77,9 +81,13 @@
 
     @ParameterizedTest
     @CsvSource({
-        "HTTP/1.1 200 OK|Content-Length: 9||half", "HTTP/1.1 200 OK|Transfer-Encoding: chunked||4|half|",
-        "HTTP/1.1 200 OK||whole until the end?", "HTTP/1.1 200 OK|Content-Le", "rubbish|",
-        "HTTP/1.1 200 OK|Content-Length: x||"})
+        "HTTP/1.1 200 OK|Content-Length: 9||half",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||4|half|",
+        "HTTP/1.1 200 OK||whole until the end?",
+        "HTTP/1.1 200 OK|Content-Le",
+        "rubbish|",
+        "HTTP/1.1 200 OK|Content-Length: x||"
+    })
     void anAnswerThatIsNotWholeIsAResetAndIsNotServed(String answer) throws Exception {
         try (Peer.Wire client = setup.client()) {
             Request r = sent(client);
@@ -97,16 +105,22 @@
     /** The connection stays open: nothing but the bytes says that no answer will come of it. */
     @ParameterizedTest
     @CsvSource({
-        "xHTTP/1.1 200 OK|Content-Length: 4||body", "HTTP/1.1 OK 200|Content-Length: 4||body",
-        "HTTP/7.1 200 OK|Content-Length: 4||body", "HTTP/1.1 2x0 OK|Content-Length: 4||body",
+        "xHTTP/1.1 200 OK|Content-Length: 4||body",
+        "HTTP/1.1 OK 200|Content-Length: 4||body",
+        "HTTP/7.1 200 OK|Content-Length: 4||body",
+        "HTTP/1.1 2x0 OK|Content-Length: 4||body",
         "HTTP/1.1 200 OK|no colon here|Content-Length: 4||body",
         "HTTP/1.1 200 OK|Content-Length: 4|Content-Length: 9||body",
         "HTTP/1.1 200 OK|Content-Length: -4|Content-Length: 4||body",
         "HTTP/1.1 200 OK|Content-Length: 4|Transfer-Encoding: chunked||0||",
-        "HTTP/1.1 200 OK|Content-Length: 3000000000||body", "HTTP/1.1 200 OK|Content-Length: 33554433||body",
-        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||5|abcde|zz|abcde|0||", "HTTP/1.1 200 OK||body",
+        "HTTP/1.1 200 OK|Content-Length: 3000000000||body",
+        "HTTP/1.1 200 OK|Content-Length: 33554433||body",
+        "HTTP/1.1 200 OK|Transfer-Encoding: chunked||5|abcde|zz|abcde|0||",
+        "HTTP/1.1 200 OK||body",
         "HTTP/1.1 200 OK|Content-Length: 4||body and the rest of it",
-        "HTTP/1.1 101 Switching Protocols||", "noise"})
+        "HTTP/1.1 101 Switching Protocols||",
+        "noise"
+    })
     void aSpoiltAnswerIsAResetAtOnceAndItsConnectionIsOfNoUse(String answer) throws Exception {
         try (Peer.Wire client = setup.client()) {
             Request r = sent(client);
@@ -158,7 +172,8 @@
     /** A backend that closes right behind its answer must not be written to before that is seen. */
     @Test
     void theConnectionIdleLongestIsUsedFirst() throws Exception {
-        try (Peer.Wire one = setup.client(); Peer.Wire two = setup.client()) {
+        try (Peer.Wire one = setup.client();
+                Peer.Wire two = setup.client()) {
             sent(one);
             Peer.Wire first = backend.accept();
             first.read();
@@ -200,7 +215,8 @@
     /** The idle connection that its backend is the least likely to be closing just then. */
     @Test
     void whatMayNotRunTwiceGoesOverTheConnectionUsedLast() throws Exception {
-        try (Peer.Wire one = setup.client(); Peer.Wire two = setup.client()) {
+        try (Peer.Wire one = setup.client();
+                Peer.Wire two = setup.client()) {
             sent(one);
             Peer.Wire first = backend.accept();
             first.read();
@@ -212,8 +228,8 @@
             second.write(OK);
             two.read();
             setup.passes(20);
-            one.write(Setup.get().replace("GET /look", "POST /pay").replace("\r\n\r\n",
-                    "\r\nContent-Length: 0\r\n\r\n"));
+            one.write(
+                    Setup.get().replace("GET /look", "POST /pay").replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n"));
             Request r = setup.request();
             setup.act(() -> setup.actions.send(r.ticket(), server, 0));
             assertTrue(second.read().startsWith("POST /pay"));
@@ -395,10 +411,13 @@
     @Test
     void outOfDescriptorsAnAttemptFailsAndNeverRan() throws Exception {
         setup.close();
-        setup = new Setup().start(Config.parse(Setup.json(discovery.hostPort(), backend.hostPort(), 6, 5000),
-                Map.of())); // two of them for backends
+        setup = new Setup()
+                .start(Config.parse(
+                        Setup.json(discovery.hostPort(), backend.hostPort(), 6, 5000),
+                        Map.of())); // two of them for backends
         server = setup.backend();
-        try (Peer.Wire first = setup.client(); Peer.Wire second = setup.client();
+        try (Peer.Wire first = setup.client();
+                Peer.Wire second = setup.client();
                 Peer.Wire third = setup.client()) {
             sent(first);
             sent(second);
--- a/src/test/java/gullspar/proxy/ClientLeavesTest.java
+++ b/src/test/java/gullspar/proxy/ClientLeavesTest.java
@@ -29,7 +29,9 @@
      * no client that goes on reading.
      */
     enum Way implements Leaving {
-        CLOSES(Peer.Wire::close), RESETS(Peer.Wire::reset), ENDS_SENDING(Peer.Wire::endSending);
+        CLOSES(Peer.Wire::close),
+        RESETS(Peer.Wire::reset),
+        ENDS_SENDING(Peer.Wire::endSending);
 
         private final Leaving act;
 
@@ -94,8 +96,8 @@
     }
 
     private static String large(int bytes) {
-        return "POST /pay HTTP/1.1\r\nHost: api\r\nRequest-Id: large\r\nRequest-Timeout: 30\r\n"
-                + "Content-Length: " + (4 << 20) + "\r\n\r\n" + "x".repeat(bytes);
+        return "POST /pay HTTP/1.1\r\nHost: api\r\nRequest-Id: large\r\nRequest-Timeout: 30\r\n" + "Content-Length: "
+                + (4 << 20) + "\r\n\r\n" + "x".repeat(bytes);
     }
 
     /** Some more of a body is read than is passed on at once, to see the end of its client. */
@@ -164,7 +166,7 @@
     void whoStaysBehindMoreThanIsReadIsTurnedAway() throws Exception {
         asDeployed();
         Peer.Wire client = setup.client();
-        CompletableFuture<Void> written = writes(client, large(3 << 20), w -> { });
+        CompletableFuture<Void> written = writes(client, large(3 << 20), w -> {});
         Request r = setup.request();
         assertTrue(client.read().startsWith("HTTP/1.1 503 "));
         written.get(20, TimeUnit.SECONDS);
@@ -176,12 +178,15 @@
     /** Nothing has gone out so far: the first that the backend gets is the request of another client. */
     private void nothingWentOut() throws Exception {
         try (Peer.Wire other = setup.client()) {
-            setup.onRequest = r -> { };
+            setup.onRequest = r -> {};
             String get = Setup.get();
             other.write(get);
             Request r = setup.request();
             setup.act(() -> setup.actions.send(r.ticket(), server, 0));
-            String id = get.lines().filter(l -> l.startsWith("Request-Id")).findFirst().orElseThrow();
+            String id = get.lines()
+                    .filter(l -> l.startsWith("Request-Id"))
+                    .findFirst()
+                    .orElseThrow();
             Peer.Wire wire = backend.accept();
             String got = wire.read();
             assertTrue(got.contains(id), got);
@@ -276,7 +281,7 @@
         setup.onConnected = () -> leave(leaves, client);
         setup.act(() -> setup.actions.send(r.ticket(), server, 0));
         assertEquals("", backend.accept().read());
-        setup.onConnected = () -> { };
+        setup.onConnected = () -> {};
         assertEquals(r.ticket(), setup.next("withdrawn", Integer.class));
         assertTrue(setup.outcome().over());
         nothingWentOut();
@@ -290,11 +295,13 @@
         client.write("GET /_health HTTP/1.1\r\n\r\n");
         client.read();
         setup.onRequest = r -> setup.actions.send(r.ticket(), server, 0);
-        setup.loop.submit(() -> {
-            client.write(Setup.get());
-            leaves.by(client);
-            return null;
-        }).get(20, TimeUnit.SECONDS);
+        setup.loop
+                .submit(() -> {
+                    client.write(Setup.get());
+                    leaves.by(client);
+                    return null;
+                })
+                .get(20, TimeUnit.SECONDS);
         leftAlone(setup.request());
     }
 
--- a/src/test/java/gullspar/proxy/CrowdingTest.java
+++ b/src/test/java/gullspar/proxy/CrowdingTest.java
@@ -26,7 +26,9 @@
         PrintStream before = System.err;
         ByteArrayOutputStream log = new ByteArrayOutputStream();
         List<Peer.Wire> clients = new ArrayList<>();
-        try (Peer discovery = new Peer(); Peer backend = new Peer(); Setup setup = new Setup()) {
+        try (Peer discovery = new Peer();
+                Peer backend = new Peer();
+                Setup setup = new Setup()) {
             System.setErr(new PrintStream(log, true));
             setup.start(sevenPlaces(discovery, backend));
             for (int i = 0; i < 9; i++) {
@@ -40,14 +42,15 @@
                 w.close();
             }
         }
-        assertTrue(log.toString().contains("of 9 accepted 0 closed at once; closed to make room: 2 with"),
-                log.toString());
+        assertTrue(
+                log.toString().contains("of 9 accepted 0 closed at once; closed to make room: 2 with"), log.toString());
     }
 
     @Test
     void newClientsDoNotPushOutEachOtherWhileOthersStandIdle() throws Exception {
         List<Peer.Wire> clients = new ArrayList<>();
-        try (Peer discovery = new Peer(); Peer backend = new Peer();
+        try (Peer discovery = new Peer();
+                Peer backend = new Peer();
                 Setup setup = new Setup().start(sevenPlaces(discovery, backend))) {
             for (int i = 0; i < 7; i++) {
                 clients.add(setup.client().write(Setup.get()));
@@ -55,14 +58,15 @@
                 setup.act(() -> setup.actions.fail(r.ticket()));
                 assertTrue(clients.get(i).read().startsWith("HTTP/1.1 502 "));
             }
-            setup.act(() -> { // while the loop is held up both come, and are accepted in one go
-                try {
-                    clients.add(setup.client());
-                    clients.add(setup.client());
-                } catch (IOException e) {
-                    throw new UncheckedIOException(e);
-                }
-            });
+            setup.act(
+                    () -> { // while the loop is held up both come, and are accepted in one go
+                        try {
+                            clients.add(setup.client());
+                            clients.add(setup.client());
+                        } catch (IOException e) {
+                            throw new UncheckedIOException(e);
+                        }
+                    });
             assertTrue(clients.get(0).ended() && clients.get(1).ended());
             for (int i = 7; i < 9; i++) {
                 clients.get(i).write(Setup.get());
--- a/src/test/java/gullspar/proxy/DeployedRunTest.java
+++ b/src/test/java/gullspar/proxy/DeployedRunTest.java
@@ -44,13 +44,16 @@
     Path folder;
     /** Stands for the repository's folder, as the build leaves it. */
     private Path root;
+
     private Path tmp;
 
     @BeforeEach
     void build() throws IOException {
-        Assumptions.assumeTrue(new File("/usr/bin/perl").canExecute() && new File("/proc/self/fd").exists()
-                && System.getProperty("os.arch").equals("amd64"),
-                        "the restriction is for x86-64 Linux, by perl");
+        Assumptions.assumeTrue(
+                new File("/usr/bin/perl").canExecute()
+                        && new File("/proc/self/fd").exists()
+                        && System.getProperty("os.arch").equals("amd64"),
+                "the restriction is for x86-64 Linux, by perl");
         root = Files.createDirectories(folder.resolve("root"));
         tmp = Files.createDirectories(folder.resolve("tmp"));
         for (String name : List.of("balancer.toml", "serve.sh")) {
@@ -60,9 +63,15 @@
         Manifest m = new Manifest();
         m.getMainAttributes().put(Attributes.Name.MANIFEST_VERSION, "1.0");
         m.getMainAttributes().put(Attributes.Name.MAIN_CLASS, "gullspar.Main");
-        m.getMainAttributes().put(Attributes.Name.CLASS_PATH, String.join(" ",
-                Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-                        .map(p -> Path.of(p).toUri().toString()).toList()));
+        m.getMainAttributes()
+                .put(
+                        Attributes.Name.CLASS_PATH,
+                        String.join(
+                                " ",
+                                Arrays.stream(System.getProperty("java.class.path")
+                                                .split(File.pathSeparator))
+                                        .map(p -> Path.of(p).toUri().toString())
+                                        .toList()));
         Files.createDirectories(root.resolve("target"));
         try (OutputStream out = Files.newOutputStream(root.resolve("target/gullspar.jar"))) {
             new JarOutputStream(out, m).close();
@@ -108,12 +117,14 @@
     }
 
     /** One request through, and the end by SIGTERM. */
-    private static void servesAndEnds(Process p, BufferedReader log, Peer backend, InetSocketAddress at,
-            List<String> said) throws Exception {
+    private static void servesAndEnds(
+            Process p, BufferedReader log, Peer backend, InetSocketAddress at, List<String> said) throws Exception {
         assertNotEquals(null, until(log, " ready", said), () -> String.join("\n", said));
         assertEquals(0, p.descendants().count(), "other processes");
-        assertEquals("java", Path.of(p.info().command().orElseThrow()).getFileName().toString());
-        assertTrue(Files.readString(Path.of("/proc/" + p.pid() + "/maps")).contains("/libc.so"),
+        assertEquals(
+                "java", Path.of(p.info().command().orElseThrow()).getFileName().toString());
+        assertTrue(
+                Files.readString(Path.of("/proc/" + p.pid() + "/maps")).contains("/libc.so"),
                 "not linked dynamically against the C library");
         try (Peer.Wire client = Peer.Wire.to(at)) {
             client.write(Setup.get());
@@ -130,7 +141,8 @@
     private void assertWarm(boolean writes) throws Exception {
         List<String> said = new ArrayList<>();
         InetSocketAddress at = free();
-        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+        try (Peer discovery = new Peer();
+                Peer backend = new Peer()) {
             Process p = start(run(), writes, discovery, backend, at);
             try (BufferedReader log = p.inputReader()) {
                 servesAndEnds(p, log, backend, at, said);
@@ -138,7 +150,8 @@
                 p.destroyForcibly();
             }
         }
-        assertTrue(said.stream().anyMatch(l -> l.matches(".* served [1-9][0-9]* requests to warm up")),
+        assertTrue(
+                said.stream().anyMatch(l -> l.matches(".* served [1-9][0-9]* requests to warm up")),
                 () -> String.join("\n", said));
     }
 
@@ -156,10 +169,11 @@
     /** The restriction itself: what it is there to catch does not get through. */
     @Test
     void whatForksOrWritesElsewhereDoesNotStart() throws Exception {
-        for (String planted : List.of("mb=$(sed -n p deploy/balancer.toml); ", "echo x > deploy/written; ",
-                "sleep 1 & ")) {
+        for (String planted :
+                List.of("mb=$(sed -n p deploy/balancer.toml); ", "echo x > deploy/written; ", "sleep 1 & ")) {
             List<String> said = new ArrayList<>();
-            try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+            try (Peer discovery = new Peer();
+                    Peer backend = new Peer()) {
                 Process p = start("set -e; " + planted + run(), true, discovery, backend, free());
                 try (BufferedReader log = p.inputReader()) {
                     assertNull(until(log, " starting", said), planted);
--- a/src/test/java/gullspar/proxy/DiscoveryTest.java
+++ b/src/test/java/gullspar/proxy/DiscoveryTest.java
@@ -63,7 +63,8 @@
         return """
                 {"generation":%d,"reset":%b,"instances":[{"instanceId":"%s","hostPort":"%s","zone":"b",\
                 "machineType":"m2","cell":3,"lifecycle":"%s","weight":0.5,"startedAtMs":1700000000000}]}
-                """.formatted(generation, whole, id, backend.hostPort(), lifecycle);
+                """
+                .formatted(generation, whole, id, backend.hostPort(), lifecycle);
     }
 
     private Member member() throws Exception {
@@ -90,7 +91,11 @@
 
     @Test
     void aLineThatIsNotUnderstoodChangesNothingAndTheWatchIsOpenedAgain() throws Exception {
-        for (String bad : List.of("{x\n", "nonsense\n", "[]\n", "{}\n",
+        for (String bad : List.of(
+                "{x\n",
+                "nonsense\n",
+                "[]\n",
+                "{}\n",
                 "{\"generation\":42,\"instances\":[{}]}\n",
                 list(42, false, "s-1", "resting"))) {
             Peer.Wire watch = discovery.accept();
@@ -124,8 +129,8 @@
     }
 
     private String pretty(ObjectMapper mapper, int generation, String lifecycle) throws Exception {
-        return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(
-                mapper.readTree(list(generation, false, "s-1", lifecycle)));
+        return mapper.writerWithDefaultPrettyPrinter()
+                .writeValueAsString(mapper.readTree(list(generation, false, "s-1", lifecycle)));
     }
 
     @Test
@@ -185,8 +190,8 @@
 
     private Discovery another(Discovery.Patience patience) throws Exception {
         discovery.accept(); // that of the proxy
-        Discovery d = new Discovery(Platform.of(setup.loop),
-                Discovery.source(Setup.config(discovery, backend)), setup.proxy, patience);
+        Discovery d = new Discovery(
+                Platform.of(setup.loop), Discovery.source(Setup.config(discovery, backend)), setup.proxy, patience);
         setup.act(() -> d.watch(true));
         return d;
     }
@@ -245,7 +250,11 @@
     void aWatchThatBeginsAndTellsNoListIsNotWaitedFor() throws Exception {
         another(new Discovery.Patience(60_000, 20, 60_000));
         String list = list(42, false, "s-1", "terminating");
-        for (String begun : List.of("", HEAD, HEAD + chunk("\n\n"), HEAD + chunk(list.substring(0, 60)),
+        for (String begun : List.of(
+                "",
+                HEAD,
+                HEAD + chunk("\n\n"),
+                HEAD + chunk(list.substring(0, 60)),
                 HEAD + chunk(list.substring(0, 60)) + chunk("\n"))) {
             Peer.Wire watch = discovery.accept();
             watch.read();
@@ -264,7 +273,7 @@
         for (int i = 0; i < 16; i++) {
             mute.add(discovery.accept());
         }
-        setup.loop.schedule(() -> { }, 50, TimeUnit.MILLISECONDS).sync(); // many times over its patience
+        setup.loop.schedule(() -> {}, 50, TimeUnit.MILLISECONDS).sync(); // many times over its patience
         assertTrue(discovery.quiet(), "more are open than any use");
         mute.get(0).write(HEAD + chunk(list(42, false, "s-1", "terminating")));
         assertEquals(State.DRAINING, member().state());
@@ -286,10 +295,14 @@
                 queued.add(c);
             }
             Transport tcp = Transport.tcp(setup.loop);
-            Discovery d = new Discovery(on(to -> {
-                more.countDown();
-                return tcp.to(to);
-            }), Discovery.Source.pushed(address), setup.proxy, new Discovery.Patience(60_000, 20, 60_000));
+            Discovery d = new Discovery(
+                    on(to -> {
+                        more.countDown();
+                        return tcp.to(to);
+                    }),
+                    Discovery.Source.pushed(address),
+                    setup.proxy,
+                    new Discovery.Patience(60_000, 20, 60_000));
             setup.act(() -> d.watch(true));
             assertTrue(more.await(20, TimeUnit.SECONDS), "the first was waited for");
             setup.act(() -> d.watch(false));
@@ -305,10 +318,15 @@
         discovery.accept(); // that of the proxy
         Transport tcp = Transport.tcp(setup.loop);
         AtomicInteger without = new AtomicInteger(3);
-        Discovery d = new Discovery(on(to -> without.getAndDecrement() <= 0 ? tcp.to(to)
-                : new Bootstrap().group(setup.loop).remoteAddress(to).channelFactory(() -> {
-                    throw new ChannelException("Too many open files");
-                })), Discovery.source(Setup.config(discovery, backend)), setup.proxy, Setup.PATIENCE);
+        Discovery d = new Discovery(
+                on(to -> without.getAndDecrement() <= 0
+                        ? tcp.to(to)
+                        : new Bootstrap().group(setup.loop).remoteAddress(to).channelFactory(() -> {
+                            throw new ChannelException("Too many open files");
+                        })),
+                Discovery.source(Setup.config(discovery, backend)),
+                setup.proxy,
+                Setup.PATIENCE);
         setup.act(() -> d.watch(true));
         Peer.Wire watch = discovery.accept();
         watch.write(HEAD + chunk(list(42, false, "s-1", "terminating")));
@@ -316,17 +334,21 @@
     }
 
     private Platform on(Function<InetSocketAddress, Bootstrap> to) {
-        return new Platform(setup.loop, Clock.system(), new Transport() {
-            @Override
-            public Bootstrap to(InetSocketAddress address) {
-                return to.apply(address);
-            }
-
-            @Override
-            public ServerBootstrap at(InetSocketAddress address) {
-                throw new AssertionError("discovery listens nowhere");
-            }
-        }, Log.standardError());
+        return new Platform(
+                setup.loop,
+                Clock.system(),
+                new Transport() {
+                    @Override
+                    public Bootstrap to(InetSocketAddress address) {
+                        return to.apply(address);
+                    }
+
+                    @Override
+                    public ServerBootstrap at(InetSocketAddress address) {
+                        throw new AssertionError("discovery listens nowhere");
+                    }
+                },
+                Log.standardError());
     }
 
     /** A place that answers with lower versions has begun to count anew, if it goes on so. */
@@ -463,8 +485,12 @@
 
     private Discovery asked(Discovery.Patience patience) throws Exception {
         discovery.accept(); // that of the proxy
-        Discovery d = new Discovery(Platform.of(setup.loop), new Discovery.Source(discovery.address(), true,
-                MissingNode.getInstance(), List.of("m1", "m2"), List.of("a", "b")), setup.proxy, patience);
+        Discovery d = new Discovery(
+                Platform.of(setup.loop),
+                new Discovery.Source(
+                        discovery.address(), true, MissingNode.getInstance(), List.of("m1", "m2"), List.of("a", "b")),
+                setup.proxy,
+                patience);
         setup.act(() -> d.watch(true));
         return d;
     }
@@ -481,7 +507,11 @@
     void aCallThatTellsNoListFails() throws Exception {
         Discovery d = asked(new Discovery.Patience(60_000, 50, 60_000));
         String list = list(42, false, "s-1", "terminating");
-        for (String begun : List.of("", HEAD, HEAD + chunk("\n"), HEAD + chunk(list.substring(0, 60)),
+        for (String begun : List.of(
+                "",
+                HEAD,
+                HEAD + chunk("\n"),
+                HEAD + chunk(list.substring(0, 60)),
                 "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")) {
             Peer.Wire call = discovery.accept();
             call.read();
@@ -546,7 +576,10 @@
     void aSilentWatchIsGivenUp() throws Exception {
         Config config = Setup.config(discovery, backend);
         discovery.accept().read(); // that of the proxy
-        Discovery quick = new Discovery(Platform.of(setup.loop), Discovery.source(config), setup.proxy,
+        Discovery quick = new Discovery(
+                Platform.of(setup.loop),
+                Discovery.source(config),
+                setup.proxy,
                 new Discovery.Patience(60_000, 60_000, 200));
         setup.loop.submit(() -> quick.watch(true)).get(20, TimeUnit.SECONDS);
         Peer.Wire watch = discovery.accept();
@@ -628,8 +661,7 @@
     @Test
     void numbersOfBackendsThatAreGoneAreGivenUp() throws Exception {
         Config config = Setup.config(discovery, backend);
-        Discovery d = new Discovery(Platform.of(setup.loop), Discovery.source(config), setup.proxy,
-                Setup.PATIENCE);
+        Discovery d = new Discovery(Platform.of(setup.loop), Discovery.source(config), setup.proxy, Setup.PATIENCE);
         setup.act(() -> d.watch(true));
         discovery.accept(); // that of the proxy
         Peer.Wire watch = discovery.accept();
@@ -659,8 +691,7 @@
             Request r = setup.request();
             setup.act(() -> {
                 setup.actions.send(r.ticket(), drains.id(), 0);
-                setup.proxy.news(new News(ListKind.DELTA, 42,
-                        List.of(new Listed(drains, backend.address()))));
+                setup.proxy.news(new News(ListKind.DELTA, 42, List.of(new Listed(drains, backend.address()))));
             });
             assertEquals(Status.MOOT, setup.outcome().status());
             assertEquals("", backend.accept().read());
@@ -669,15 +700,13 @@
 
     @Test
     void aBadConfigurationIsSaidInOneLine() throws Exception {
-        for (String bad : List.of("/limits/sockets", "/settings/profiles", "/listen",
-                "/settings/limits/keepalive_ns")) {
-            JsonNode root =
-                    Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 100);
+        for (String bad :
+                List.of("/limits/sockets", "/settings/profiles", "/listen", "/settings/limits/keepalive_ns")) {
+            JsonNode root = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 100);
             int slash = bad.lastIndexOf('/');
-            ((ObjectNode) root.at(bad.substring(0, slash)))
-                    .remove(bad.substring(slash + 1));
-            String message = assertThrows(ConfigException.class,
-                    () -> Config.parse(root, Map.of())).getMessage();
+            ((ObjectNode) root.at(bad.substring(0, slash))).remove(bad.substring(slash + 1));
+            String message = assertThrows(ConfigException.class, () -> Config.parse(root, Map.of()))
+                    .getMessage();
             assertEquals(1, message.lines().count(), message);
         }
     }
--- a/src/test/java/gullspar/proxy/FrontendTest.java
+++ b/src/test/java/gullspar/proxy/FrontendTest.java
@@ -38,13 +38,14 @@
         "400, 'GET /look HTTP/1.1|Request-Id: r|Request-Timeout: 1|Request-Timeout: 1|'",
         "400, 'GET /look HTTP/1.1|Request-Id: r|Request-Id: s|Request-Timeout: 1|'",
         "400, 'POST /order HTTP/1.1|Request-Id: r|Request-Timeout: 1|Idempotency-Key: k|"
-            + "Idempotency-Key: k|Content-Length: 0|'",
+                + "Idempotency-Key: k|Content-Length: 0|'",
         "400, 'POST /order HTTP/1.1|Request-Id: r|Request-Timeout: 1|Content-Length: 0|'",
         "400, 'POST /pay HTTP/1.1|Request-Id: r|Request-Timeout: 1|Idempotency-Key: k|Content-Length: 0|'",
         "404, 'GET /lookout HTTP/1.1|Request-Id: r|Request-Timeout: 1|'",
         "405, 'POST /look HTTP/1.1|Request-Id: r|Request-Timeout: 1|Content-Length: 0|'",
         "405, 'GET /order HTTP/1.1|Request-Id: r|Request-Timeout: 1|'",
-        "413, 'POST /order HTTP/1.1|Request-Id: r|Request-Timeout: 1|Content-Length: 33554433|'"})
+        "413, 'POST /order HTTP/1.1|Request-Id: r|Request-Timeout: 1|Content-Length: 33554433|'"
+    })
     void whatMakesNoSenseIsTurnedAwayAndNotHandedOn(int status, String request) throws Exception {
         try (Peer.Wire client = setup.client()) {
             client.write(request.replace("|", "\r\n") + "\r\n");
@@ -64,9 +65,11 @@
         "400, 'POST /order HTTP/1.1|Request-Id: r|Content-Length: 0x4||'",
         "400, 'POST /order HTTP/1.1|Request-Id: r|Transfer-Encoding: gzip||'",
         "400, 'POST /order HTTP/1.1|Request-Id: r|Transfer-Encoding: chunked||zz||'",
-        "400, 'GET /look HTTP/1.1|no colon here|'", "505, 'GET /look HTTP/7.1|Request-Id: r|'",
+        "400, 'GET /look HTTP/1.1|no colon here|'",
+        "505, 'GET /look HTTP/7.1|Request-Id: r|'",
         "413, 'POST /order HTTP/1.1|Request-Id: r|Content-Length: 62914560|'",
-        "417, 'POST /order HTTP/1.1|Request-Id: r|Expect: miracles|Content-Length: 4|'"})
+        "417, 'POST /order HTTP/1.1|Request-Id: r|Expect: miracles|Content-Length: 4|'"
+    })
     void whatCannotBeReadEndsTheConnection(int status, String request) throws Exception {
         try (Peer.Wire client = setup.client()) {
             client.write(request.replace("|", "\r\n") + "\r\n" + Setup.get());
@@ -87,8 +90,12 @@
 
     /** The proxy's own limits end these; the test only waits for that. */
     @ParameterizedTest
-    @CsvSource({"''", "'GET /look'", "'GET /look HTTP/1.1|Request-Id: r|'",
-        "'POST /order HTTP/1.1|Request-Id: r|Content-Length: 9||half'"})
+    @CsvSource({
+        "''",
+        "'GET /look'",
+        "'GET /look HTTP/1.1|Request-Id: r|'",
+        "'POST /order HTTP/1.1|Request-Id: r|Content-Length: 9||half'"
+    })
     void aClientThatNeverSendsAWholeRequestIsNotWaitedFor(String part) throws Exception {
         try (Peer.Wire client = setup.client()) {
             client.write(part.replace("|", "\r\n"));
@@ -100,7 +107,8 @@
     @Test
     void anIdThatIsOpenOrWasLatelyIsRefusedAndNothingIsSent() throws Exception {
         String request = Setup.get();
-        try (Peer.Wire client = setup.client(); Peer.Wire other = setup.client()) {
+        try (Peer.Wire client = setup.client();
+                Peer.Wire other = setup.client()) {
             client.write(request);
             Request r = setup.request();
             other.write(request);
@@ -145,8 +153,8 @@
     @Test
     void whatTheBackendNeedsCannotBeTakenAway() throws Exception {
         try (Peer.Wire client = setup.client()) {
-            client.write(Setup.get("Request-Timeout: 30\r\nX-Odd: 1\r\n"
-                    + "Connection: request-id, cookie\r\nCookie: sid=1\r\n"));
+            client.write(Setup.get(
+                    "Request-Timeout: 30\r\nX-Odd: 1\r\n" + "Connection: request-id, cookie\r\nCookie: sid=1\r\n"));
             Request r = setup.request();
             setup.act(() -> setup.actions.send(r.ticket(), server, 0));
             String sent = backend.accept().read();
@@ -241,7 +249,7 @@
         try (Peer.Wire client = setup.client()) {
             client.write(Setup.get());
             assertTrue(client.read().startsWith("HTTP/1.1 502 "));
-            setup.onRequest = r -> { };
+            setup.onRequest = r -> {};
             client.write(Setup.get());
             Request r = setup.request();
             setup.act(() -> setup.actions.refuse(r.ticket(), 0));
@@ -263,8 +271,9 @@
     @Test
     void aBurstOfConnectionsTakesThePlacesOfIdleOnesAndNoMore() throws Exception {
         setup.close();
-        setup = new Setup().start(Config.parse(
-                Setup.json(discovery.hostPort(), backend.hostPort(), 9, 5000),
+        setup = new Setup()
+                .start(Config.parse(
+                        Setup.json(discovery.hostPort(), backend.hostPort(), 9, 5000),
                         Map.of())); // four of them for clients
         CountDownLatch connected = new CountDownLatch(1);
         setup.loop.execute(() -> {
@@ -292,13 +301,14 @@
     /** All that was sent on a connection that is open belongs to somebody: it is waited for and answered. */
     @Test
     void aRequestThatIsHalfThereWhenTheListenerClosesIsAwaitedAndAnswered() throws Exception {
-        try (Peer.Wire idle = setup.client(); Peer.Wire half = setup.client()) {
+        try (Peer.Wire idle = setup.client();
+                Peer.Wire half = setup.client()) {
             String request = Setup.get();
             half.write(request.substring(0, 20));
             CompletableFuture<Void> drained = setup.proxy.drain();
             assertTrue(idle.ended());
             // The loop's own timers: well after that, all that was due by then has been done.
-            setup.loop.schedule(() -> { }, 300, TimeUnit.MILLISECONDS).sync();
+            setup.loop.schedule(() -> {}, 300, TimeUnit.MILLISECONDS).sync();
             assertFalse(drained.isDone(), "it ended with a request half read");
             half.write(request.substring(20));
             Request r = setup.request();
@@ -311,7 +321,8 @@
     /** What does not come whole in time is told so, before the process is killed. */
     @Test
     void aRequestThatStaysHalfThereIsRefusedBeforeTheEnd() throws Exception {
-        try (Peer.Wire half = setup.client(); Peer.Wire fresh = setup.client()) {
+        try (Peer.Wire half = setup.client();
+                Peer.Wire fresh = setup.client()) {
             half.write("GET /look/1 HTTP/1.1\r\nRequest-Id: ");
             CompletableFuture<Void> drained = setup.proxy.drain();
             assertTrue(half.read().startsWith("HTTP/1.1 503 "));
@@ -335,8 +346,9 @@
             assertEquals(0, setup.request().profile());
         }
         try (Peer.Wire client = setup.client()) {
-            client.write(Setup.get().replace("GET /look", "POST /gr%C3%B6%C3%9Fe%201%2F2+%25").replace(
-                    "\r\n\r\n", "\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n"));
+            client.write(Setup.get()
+                    .replace("GET /look", "POST /gr%C3%B6%C3%9Fe%201%2F2+%25")
+                    .replace("\r\n\r\n", "\r\nIdempotency-Key: k\r\nContent-Length: 0\r\n\r\n"));
             assertEquals(1, setup.request().profile());
         }
         try (Peer.Wire client = setup.client()) {
@@ -347,7 +359,8 @@
 
     @Test
     void aDrainAnswersWhatCameBeforeAndAfterItAndEnds() throws Exception {
-        try (Peer.Wire idle = setup.client(); Peer.Wire before = setup.client()) {
+        try (Peer.Wire idle = setup.client();
+                Peer.Wire before = setup.client()) {
             before.write(Setup.get());
             Request first = setup.request();
             CompletableFuture<Void> drained = setup.proxy.drain();
--- a/src/test/java/gullspar/proxy/FullOfIdleClientsTest.java
+++ b/src/test/java/gullspar/proxy/FullOfIdleClientsTest.java
@@ -24,6 +24,7 @@
 @Timeout(120)
 class FullOfIdleClientsTest {
     private static final int DESCRIPTORS = 256;
+
     @TempDir
     Path folder;
 
@@ -46,8 +47,8 @@
                 + "{\"instanceId\":\"s-1\",\"hostPort\":\"" + backend.hostPort()
                 + "\",\"zone\":\"a\",\"machineType\":\"m1\",\"cell\":3,"
                 + "\"lifecycle\":\"" + lifecycle + "\",\"weight\":1.0,\"startedAtMs\":0}]}\n";
-        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(json.length())
-                + "\r\n" + json + "\r\n";
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(json.length()) + "\r\n"
+                + json + "\r\n";
     }
 
     /** All of them have been accepted: whoever comes last is answered. */
@@ -86,7 +87,8 @@
 
     private static void operatorsAreAnswered(InetSocketAddress at) throws IOException {
         try (Peer.Wire operator = Peer.Wire.to(at)) {
-            String answer = operator.write("GET /_ready HTTP/1.1\r\nHost: o\r\n\r\n").read();
+            String answer =
+                    operator.write("GET /_ready HTTP/1.1\r\nHost: o\r\n\r\n").read();
             assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
         }
     }
@@ -97,18 +99,22 @@
         InetSocketAddress operators = free();
         Peer discovery = new Peer();
         try (Peer backend = new Peer()) {
-            ObjectNode config = (ObjectNode) Setup.json(discovery.hostPort(), backend.hostPort(), DESCRIPTORS,
-                    5000);
+            ObjectNode config = (ObjectNode) Setup.json(discovery.hostPort(), backend.hostPort(), DESCRIPTORS, 5000);
             config.put("listen", "127.0.0.1:" + door.getPort());
             config.put("operator", "127.0.0.1:" + operators.getPort());
             Path file = Files.writeString(folder.resolve("config.json"), config.toString());
             // The process may open no more than its configuration says, as on the platform.
-            ProcessBuilder java = new ProcessBuilder("sh", "-c", "ulimit -n " + DESCRIPTORS
-                    + "; exec \"$0\" \"$@\"",
+            ProcessBuilder java = new ProcessBuilder(
+                    "sh",
+                    "-c",
+                    "ulimit -n " + DESCRIPTORS + "; exec \"$0\" \"$@\"",
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-Xlog:disable", "-cp", System.getProperty("java.class.path"), "gullspar.Main", "serve");
-            java.environment().putAll(Map.of("NODE_CONFIG", file.toString(), "NODE_DISCOVERY",
-                    discovery.hostPort()));
+                    "-Xlog:disable",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "gullspar.Main",
+                    "serve");
+            java.environment().putAll(Map.of("NODE_CONFIG", file.toString(), "NODE_DISCOVERY", discovery.hostPort()));
             Process p = java.start();
             List<Peer.Wire> crowd = new ArrayList<>();
             try (BufferedReader log = p.errorReader()) {
--- a/src/test/java/gullspar/proxy/HandOverTest.java
+++ b/src/test/java/gullspar/proxy/HandOverTest.java
@@ -30,8 +30,10 @@
     void start() throws Exception {
         discovery = new Peer();
         backend = new Peer();
-        setup = new Setup().start(Config.parse(Setup.json(discovery.hostPort(), backend.hostPort(), 1024,
-                5000), Map.of("NODE_SOCKET_FD", "0")));
+        setup = new Setup()
+                .start(Config.parse(
+                        Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000),
+                        Map.of("NODE_SOCKET_FD", "0")));
     }
 
     @AfterEach
@@ -58,18 +60,20 @@
     void servesTheConnectionsThatItHoldsEachOneOnceMoreAndTakesNoNewOnes() throws Exception {
         list();
         int server = setup.backend();
-        try (Peer.Wire kept = setup.client(); Peer.Wire busy = setup.client()) {
+        try (Peer.Wire kept = setup.client();
+                Peer.Wire busy = setup.client()) {
             busy.write(Setup.get());
             Request open = setup.request();
             kept.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
             kept.read();
             var address = setup.proxy.address();
             CompletableFuture<Void> ended = setup.proxy.drain();
-            setup.act(() -> { });
+            setup.act(() -> {});
             takesNoNewOnes(address);
             kept.write(Setup.get());
             Request late = setup.request();
-            assertTrue(late.leftNs() < TimeUnit.MILLISECONDS.toNanos(1900),
+            assertTrue(
+                    late.leftNs() < TimeUnit.MILLISECONDS.toNanos(1900),
                     "answered before the process is killed: " + late.leftNs());
             setup.act(() -> setup.actions.send(late.ticket(), server, 0));
             Peer.Wire b = backend.accept();
@@ -122,8 +126,13 @@
 
     @Test
     void onlyDescriptor0CanBeTakenOver() {
-        assertEquals("NODE_SOCKET_FD is '3': only descriptor 0 can be taken over",
-                assertThrows(ConfigException.class, () -> Config.parse(Setup.json(discovery.hostPort(),
-                        backend.hostPort(), 1024, 5000), Map.of("NODE_SOCKET_FD", "3"))).getMessage());
+        assertEquals(
+                "NODE_SOCKET_FD is '3': only descriptor 0 can be taken over",
+                assertThrows(
+                                ConfigException.class,
+                                () -> Config.parse(
+                                        Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000),
+                                        Map.of("NODE_SOCKET_FD", "3")))
+                        .getMessage());
     }
 }
--- a/src/test/java/gullspar/proxy/JsonTest.java
+++ b/src/test/java/gullspar/proxy/JsonTest.java
@@ -22,7 +22,9 @@
     void allKindsOfValuesAreRead() throws Exception {
         String text = "{\"a\":[1,-2.5,true,false,null,\"x\\u00e9\",[],{}],\"b\":{\"c\":12345678901},"
                 + "\"d\":123456789012345678901234567890,\"a2\":\"\"}";
-        assertEquals(new ObjectMapper().readTree(text).toString(), Json.read(bytes(text)).toString());
+        assertEquals(
+                new ObjectMapper().readTree(text).toString(),
+                Json.read(bytes(text)).toString());
         assertTrue(Json.read(bytes("{\"generation\":41}")).path("generation").canConvertToLong());
     }
 
--- a/src/test/java/gullspar/proxy/LargeBodiesTest.java
+++ b/src/test/java/gullspar/proxy/LargeBodiesTest.java
@@ -42,8 +42,9 @@
         backend = new ServerSocket();
         backend.setReceiveBufferSize(SMALL);
         backend.bind(new InetSocketAddress("127.0.0.1", 0));
-        setup = new Setup().start(Config.parse(Setup.json(discovery.hostPort(),
-                "127.0.0.1:" + backend.getLocalPort(), 1024, 5000), Map.of()));
+        setup = new Setup()
+                .start(Config.parse(
+                        Setup.json(discovery.hostPort(), "127.0.0.1:" + backend.getLocalPort(), 1024, 5000), Map.of()));
         server = setup.backend();
     }
 
@@ -109,7 +110,9 @@
             }
             int size = Integer.parseInt(line.toString().trim(), 16);
             all.write(in.readNBytes(size));
-            assertEquals("\r\n", new String(in.readNBytes(2), StandardCharsets.ISO_8859_1),
+            assertEquals(
+                    "\r\n",
+                    new String(in.readNBytes(2), StandardCharsets.ISO_8859_1),
                     "a chunk ends where its size says");
             if (size == 0) {
                 return all.toByteArray();
@@ -146,8 +149,7 @@
     void aLargeRequestGoesOnWhileItComesAndItsTimeRunsFromItsLastByte(boolean chunked) throws Exception {
         byte[] body = bytes(LARGE);
         try (Socket client = client()) {
-            write(client, order(chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + LARGE
-                    + "\r\n"));
+            write(client, order(chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + LARGE + "\r\n"));
             CompletableFuture<Void> half = new CompletableFuture<>();
             CompletableFuture<Void> sent = beside(() -> {
                 if (chunked) {
@@ -172,8 +174,9 @@
                     half.complete(null);
                     got = new byte[LARGE];
                     System.arraycopy(first, 0, got, 0, first.length);
-                    assertEquals(LARGE - first.length, b.getInputStream().readNBytes(got, first.length,
-                            LARGE - first.length));
+                    assertEquals(
+                            LARGE - first.length,
+                            b.getInputStream().readNBytes(got, first.length, LARGE - first.length));
                 }
                 assertArrayEquals(body, got);
                 sent.get(20, TimeUnit.SECONDS);
@@ -268,8 +271,11 @@
             try (Socket b = accept()) {
                 head(b.getInputStream());
                 CompletableFuture<Void> given = beside(() -> {
-                    write(b, "HTTP/1.1 200 OK\r\n" + (chunked ? "Transfer-Encoding: chunked"
-                            : "Content-Length: " + LARGE) + "\r\n\r\n");
+                    write(
+                            b,
+                            "HTTP/1.1 200 OK\r\n"
+                                    + (chunked ? "Transfer-Encoding: chunked" : "Content-Length: " + LARGE)
+                                    + "\r\n\r\n");
                     if (chunked) {
                         writeChunks(b, body, 50_001);
                     } else {
@@ -277,11 +283,18 @@
                     }
                 });
                 assertEquals(Status.OK, setup.outcome().status(), "served with its first bytes");
-                assertEquals(1, setup.loop.submit(() -> setup.proxy.figures().contains("\"pending\":1"))
-                        .get(20, TimeUnit.SECONDS) ? 1 : 0, "and still under way");
+                assertEquals(
+                        1,
+                        setup.loop
+                                        .submit(() -> setup.proxy.figures().contains("\"pending\":1"))
+                                        .get(20, TimeUnit.SECONDS)
+                                ? 1
+                                : 0,
+                        "and still under way");
                 String head = head(client.getInputStream());
                 assertTrue(head.startsWith("HTTP/1.1 200"), head);
-                byte[] got = chunked ? chunks(client.getInputStream())
+                byte[] got = chunked
+                        ? chunks(client.getInputStream())
                         : client.getInputStream().readNBytes(LARGE);
                 assertArrayEquals(body, got);
                 given.get(20, TimeUnit.SECONDS);
@@ -293,7 +306,9 @@
                 head(b.getInputStream());
                 write(b, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
                 assertTrue(head(client.getInputStream()).startsWith("HTTP/1.1 200"));
-                assertTrue(setup.loop.submit(setup.proxy::figures).get(20, TimeUnit.SECONDS)
+                assertTrue(setup.loop
+                        .submit(setup.proxy::figures)
+                        .get(20, TimeUnit.SECONDS)
                         .contains("\"completed\":{\"look\":2,"));
             }
         }
@@ -318,7 +333,9 @@
                 // a reset tells as well
             }
             assertTrue(got <= 100_000);
-            assertTrue(setup.loop.submit(setup.proxy::figures).get(20, TimeUnit.SECONDS)
+            assertTrue(setup.loop
+                    .submit(setup.proxy::figures)
+                    .get(20, TimeUnit.SECONDS)
                     .contains("\"failed\":{\"look\":1,"));
         }
     }
--- a/src/test/java/gullspar/proxy/OperatorTest.java
+++ b/src/test/java/gullspar/proxy/OperatorTest.java
@@ -33,6 +33,7 @@
 class OperatorTest {
     @TempDir
     Path folder;
+
     private Peer discovery;
     private Peer backend;
     private Setup setup;
@@ -44,10 +45,14 @@
         discovery = new Peer();
         backend = new Peer();
         setup = new Setup().start(Setup.config(discovery, backend));
-        setup.loop.submit(() -> setup.proxy.news(new gullspar.proxy.discovery.News(
-                gullspar.decide.Balancer.ListKind.DELTA, 42, List.of()))).get(20, TimeUnit.SECONDS);
+        setup.loop
+                .submit(() -> setup.proxy.news(
+                        new gullspar.proxy.discovery.News(gullspar.decide.Balancer.ListKind.DELTA, 42, List.of())))
+                .get(20, TimeUnit.SECONDS);
         port = new OperatorPort(Platform.of(setup.loop));
-        address = (InetSocketAddress) port.listen(new InetSocketAddress("127.0.0.1", 0)).sync().channel()
+        address = (InetSocketAddress) port.listen(new InetSocketAddress("127.0.0.1", 0))
+                .sync()
+                .channel()
                 .localAddress();
     }
 
@@ -158,7 +163,8 @@
         fresh.put("name", "gift");
         ((ObjectNode) next.at("/settings/limits")).put("max_attempts", 1);
         Config config = Config.parse(next, Map.of());
-        try (Peer.Wire client = setup.client(); Peer.Wire other = setup.client()) {
+        try (Peer.Wire client = setup.client();
+                Peer.Wire other = setup.client()) {
             client.write(Setup.get());
             Request under = setup.request();
             setup.act(() -> setup.proxy.reload(config));
@@ -175,7 +181,8 @@
             assertTrue(client.read().startsWith("HTTP/1.1 200"));
             other.write(Setup.get());
             assertTrue(other.read().startsWith("HTTP/1.1 404"), "the class is gone");
-            other.write(Setup.get().replace("GET /look", "POST /gift")
+            other.write(Setup.get()
+                    .replace("GET /look", "POST /gift")
                     .replace("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n"));
             setup.outcome();
             Request r = setup.request();
@@ -190,7 +197,8 @@
             setup.act(() -> setup.actions.fail(r.ticket()));
             other.read();
         }
-        assertEquals("{\"look\":1,\"order\":0,\"pay\":0,\"gift\":0}",
+        assertEquals(
+                "{\"look\":1,\"order\":0,\"pay\":0,\"gift\":0}",
                 figures().path("completed").toString());
         assertEquals(1, figures().path("config_reloads").asInt());
         setup.act(() -> setup.proxy.turnedDown("it is empty"));
@@ -206,14 +214,22 @@
         assertNull(first.operator());
         Config.reread(environment, first);
         List<String> broken = new ArrayList<>(List.of("", "{", json().toString().substring(0, 400)));
-        for (String key : List.of("/seed", "/discovery", "/limits/cores", "/settings/limits/retry_after",
-                "/settings/profiles", "/settings/profiles/0/name", "/settings/profiles/1/give_up_ns")) {
+        for (String key : List.of(
+                "/seed",
+                "/discovery",
+                "/limits/cores",
+                "/settings/limits/retry_after",
+                "/settings/profiles",
+                "/settings/profiles/0/name",
+                "/settings/profiles/1/give_up_ns")) {
             JsonNode root = json();
             int slash = key.lastIndexOf('/');
             ((ObjectNode) root.at(key.substring(0, slash))).remove(key.substring(slash + 1));
             broken.add(root.toString());
         }
-        for (String key : List.of("/settings/limits/max_attempts", "/settings/profiles/0/promise_ns",
+        for (String key : List.of(
+                "/settings/limits/max_attempts",
+                "/settings/profiles/0/promise_ns",
                 "/settings/profiles/2/give_up_ns")) {
             for (int value : new int[] {0, -5}) {
                 JsonNode root = json();
--- a/src/test/java/gullspar/proxy/Peer.java
+++ b/src/test/java/gullspar/proxy/Peer.java
@@ -105,8 +105,12 @@
                 head.write(b);
             }
             String text = head.toString(StandardCharsets.ISO_8859_1);
-            int length = text.toLowerCase().lines().filter(l -> l.startsWith("content-length:"))
-                    .mapToInt(l -> Integer.parseInt(l.substring(15).trim())).findFirst().orElse(0);
+            int length = text.toLowerCase()
+                    .lines()
+                    .filter(l -> l.startsWith("content-length:"))
+                    .mapToInt(l -> Integer.parseInt(l.substring(15).trim()))
+                    .findFirst()
+                    .orElse(0);
             return text + new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
         }
 
--- a/src/test/java/gullspar/proxy/RatioBenchmark.java
+++ b/src/test/java/gullspar/proxy/RatioBenchmark.java
@@ -40,7 +40,7 @@
     private static final long ROUND_NS = 2_000_000_000L;
     private static final AtomicLong IDS = new AtomicLong();
 
-    private RatioBenchmark() { }
+    private RatioBenchmark() {}
 
     private interface Text {
         String next();
@@ -50,8 +50,10 @@
         InetSocketAddress server = server();
         String at = "127.0.0.1:" + server.getPort();
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        Proxy platform = Proxy.start(Config.parse(Setup.json("127.0.0.1:1", at, 1024, 1000), Map.of()),
-                new Platform(loop, Clock.system(), Transport.tcp(loop), l -> { }), Policy::new);
+        Proxy platform = Proxy.start(
+                Config.parse(Setup.json("127.0.0.1:1", at, 1024, 1000), Map.of()),
+                new Platform(loop, Clock.system(), Transport.tcp(loop), l -> {}),
+                Policy::new);
         Served one = new Served(site(at, 1));
         Served many = new Served(site(at, 1000));
         Text look = () -> "GET /look/1?x=2 HTTP/1.1\r\nHost: api\r\nRequest-Id: r" + IDS.incrementAndGet()
@@ -76,21 +78,27 @@
         for (int k = 0; k < 3; k++) {
             Arrays.sort(rates[k]);
             Arrays.sort(middles[k]);
-            System.out.printf("%-12s %8.0f requests/s with %d clients (%.0f to %.0f, ratio %.2f), "
-                    + "median latency with one %.0f us (ratio %.2f)%n", names[k], rates[k][ROUNDS / 2],
-                            CLIENTS,
-                    rates[k][0], rates[k][ROUNDS - 1], rates[k][ROUNDS / 2] / rates[0][ROUNDS / 2],
-                    middles[k][ROUNDS / 2], middles[k][ROUNDS / 2] / middles[0][ROUNDS / 2]);
+            System.out.printf(
+                    "%-12s %8.0f requests/s with %d clients (%.0f to %.0f, ratio %.2f), "
+                            + "median latency with one %.0f us (ratio %.2f)%n",
+                    names[k],
+                    rates[k][ROUNDS / 2],
+                    CLIENTS,
+                    rates[k][0],
+                    rates[k][ROUNDS - 1],
+                    rates[k][ROUNDS / 2] / rates[0][ROUNDS / 2],
+                    middles[k][ROUNDS / 2],
+                    middles[k][ROUNDS / 2] / middles[0][ROUNDS / 2]);
         }
         System.exit(0);
     }
 
     private static String site(String at, int routes) {
-        StringBuilder s = new
-                StringBuilder("[[listener]]\naddress = \"127.0.0.1:0\"\n[[pool]]\nname = \"p\"\n"
+        StringBuilder s = new StringBuilder("[[listener]]\naddress = \"127.0.0.1:0\"\n[[pool]]\nname = \"p\"\n"
                 + "[[pool.server]]\naddress = \"" + at + "\"\n[[host]]\ndefault = true\n");
         for (int i = 0; i < routes; i++) {
-            s.append("[[host.route]]\npath = \"/").append(routes == 1 ? "" : "r" + i + "/")
+            s.append("[[host.route]]\npath = \"/")
+                    .append(routes == 1 ? "" : "r" + i + "/")
                     .append("\"\npool = \"p\"\n");
         }
         return s.toString();
@@ -129,10 +137,12 @@
 
     /** A server that answers with ready-made bytes. */
     private static InetSocketAddress server() {
-        ByteBuf answer = Unpooled.unreleasableBuffer(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\nContent-Type: "
-                + "text/plain\r\nContent-Length: 64\r\n\r\n" + "x".repeat(64), StandardCharsets.US_ASCII));
-        return (InetSocketAddress) new ServerBootstrap().group(new MultiThreadIoEventLoopGroup(1,
-                NioIoHandler.newFactory())).channel(NioServerSocketChannel.class)
+        ByteBuf answer = Unpooled.unreleasableBuffer(Unpooled.copiedBuffer(
+                "HTTP/1.1 200 OK\r\nContent-Type: " + "text/plain\r\nContent-Length: 64\r\n\r\n" + "x".repeat(64),
+                StandardCharsets.US_ASCII));
+        return (InetSocketAddress) new ServerBootstrap()
+                .group(new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()))
+                .channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
@@ -148,6 +158,10 @@
                             }
                         });
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel().localAddress();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly()
+                .channel()
+                .localAddress();
     }
 }
--- a/src/test/java/gullspar/proxy/ServeTest.java
+++ b/src/test/java/gullspar/proxy/ServeTest.java
@@ -36,15 +36,28 @@
 
     /** Starts the program. */
     private Process serve(Peer discovery, String option) throws Exception {
-        ProcessBuilder java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), option, "-cp", System.getProperty("java.class.path"), "gullspar.Main", "serve");
-        java.environment().putAll(Map.of("NODE_CONFIG", folder.resolve("config.json").toString(),
-                "NODE_DISCOVERY", discovery.hostPort()));
+        ProcessBuilder java = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                option,
+                "-cp",
+                System.getProperty("java.class.path"),
+                "gullspar.Main",
+                "serve");
+        java.environment()
+                .putAll(Map.of(
+                        "NODE_CONFIG",
+                        folder.resolve("config.json").toString(),
+                        "NODE_DISCOVERY",
+                        discovery.hostPort()));
         return java.start();
     }
 
     private static void signal(Process p, String name) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(p.pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + name, String.valueOf(p.pid()))
+                        .start()
+                        .waitFor());
     }
 
     /** Reads the log until a line holds the text. */
@@ -58,12 +71,17 @@
 
     @Test
     void whereDescriptor0IsNoListenerTheStartSaysSo() throws Exception {
-        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+        try (Peer discovery = new Peer();
+                Peer backend = new Peer()) {
             write(discovery, backend);
-            ProcessBuilder java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                    .toString(), "-cp", System.getProperty("java.class.path"), "gullspar.Main", "serve");
-            java.environment().putAll(Map.of("NODE_CONFIG", folder.resolve("config.json").toString(),
-                    "NODE_SOCKET_FD", "0"));
+            ProcessBuilder java = new ProcessBuilder(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "gullspar.Main",
+                    "serve");
+            java.environment()
+                    .putAll(Map.of("NODE_CONFIG", folder.resolve("config.json").toString(), "NODE_SOCKET_FD", "0"));
             Process p = java.start();
             try (BufferedReader log = p.errorReader()) {
                 said(log, "gullspar: descriptor 0 is no listening socket");
@@ -74,7 +92,9 @@
 
     @Test
     void newConfigurationsMoveTheWatchABadOneChangesNothingAndSigtermStillEndsWell() throws Exception {
-        try (Peer first = new Peer(); Peer second = new Peer(); Peer third = new Peer();
+        try (Peer first = new Peer();
+                Peer second = new Peer();
+                Peer third = new Peer();
                 Peer backend = new Peer()) {
             write(first, backend);
             Process p = serve(first, "-Xlog:disable");
@@ -108,11 +128,19 @@
      */
     @Test
     void whereSighupIsIgnoredTheStartSaysSoAndTheFileIsLookedAt() throws Exception {
-        try (Peer discovery = new Peer(); Peer elsewhere = new Peer(); Peer backend = new Peer()) {
+        try (Peer discovery = new Peer();
+                Peer elsewhere = new Peer();
+                Peer backend = new Peer()) {
             write(discovery, backend);
-            ProcessBuilder nohup = new ProcessBuilder("sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"",
+            ProcessBuilder nohup = new ProcessBuilder(
+                    "sh",
+                    "-c",
+                    "trap '' HUP; exec \"$0\" \"$@\"",
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-cp", System.getProperty("java.class.path"), "gullspar.Main", "serve");
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "gullspar.Main",
+                    "serve");
             nohup.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
             Process p = nohup.start();
             try (BufferedReader log = p.errorReader()) {
@@ -132,7 +160,8 @@
     /** Where many start at once discovery answers one after the other: its answer is not waited for twice. */
     @Test
     void theListIsAskedForBeforeTheWarmUp() throws Exception {
-        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+        try (Peer discovery = new Peer();
+                Peer backend = new Peer()) {
             write(discovery, backend);
             Process p = serve(discovery, "-Xlog:disable");
             try (BufferedReader log = p.errorReader()) {
@@ -148,7 +177,8 @@
     /** Before it takes clients a proxy holds nothing: told to end it ends at once, and well. */
     @Test
     void aSignalToEndDuringTheWarmUpEndsWell() throws Exception {
-        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+        try (Peer discovery = new Peer();
+                Peer backend = new Peer()) {
             write(discovery, backend);
             Process p = serve(discovery, "-Xlog:disable");
             try (BufferedReader log = p.errorReader()) {
@@ -166,7 +196,9 @@
     /** Lists of the new place count some seconds after the signal, and a start may take as long. */
     @Test
     void aNewConfigurationDuringTheWarmUpCountsAtOnce() throws Exception {
-        try (Peer discovery = new Peer(); Peer elsewhere = new Peer(); Peer backend = new Peer()) {
+        try (Peer discovery = new Peer();
+                Peer elsewhere = new Peer();
+                Peer backend = new Peer()) {
             write(discovery, backend);
             Process p = serve(discovery, "-Xlog:disable");
             try (BufferedReader log = p.errorReader()) {
@@ -189,7 +221,8 @@
     @Test
     void aStartLoadsNothingOfWhatItHasNoUseFor() throws Exception {
         Path loaded = folder.resolve("loaded.txt");
-        try (Peer discovery = new Peer(); Peer backend = new Peer()) {
+        try (Peer discovery = new Peer();
+                Peer backend = new Peer()) {
             write(discovery, backend);
             Process p = serve(discovery, "-Xlog:class+load:file=" + loaded);
             try (BufferedReader log = p.errorReader()) {
@@ -200,10 +233,19 @@
             }
             String classes = Files.readString(loaded);
             assertTrue(classes.contains(" gullspar.proxy.Warmup "), "it was not warmed up");
-            for (String name : List.of(".AllocateChunkEvent ", ".HttpServerCodec ",
-                    ".ObjectMapper ", ".SimpleDateFormat ", " gullspar.site.", " gullspar.route.",
-                    " gullspar.config.", " org.tomlj.", " picocli.", " gullspar.peers.",
-                    ".cbor.", ".DatagramPacket ")) {
+            for (String name : List.of(
+                    ".AllocateChunkEvent ",
+                    ".HttpServerCodec ",
+                    ".ObjectMapper ",
+                    ".SimpleDateFormat ",
+                    " gullspar.site.",
+                    " gullspar.route.",
+                    " gullspar.config.",
+                    " org.tomlj.",
+                    " picocli.",
+                    " gullspar.peers.",
+                    ".cbor.",
+                    ".DatagramPacket ")) {
                 assertFalse(classes.contains(name), name);
             }
         }
@@ -213,9 +255,13 @@
     @Test
     void whatALibraryLogsNeedsNoTimeZones() throws Exception {
         Path loaded = folder.resolve("loaded.txt");
-        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xlog:class+load:file=" + loaded, "-cp", System.getProperty("java.class.path"),
-                Warning.class.getName()).start();
+        Process p = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xlog:class+load:file=" + loaded,
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Warning.class.getName())
+                .start();
         try (BufferedReader log = p.errorReader()) {
             assertTrue(log.readLine().contains(" WARNING odd: java.lang.IllegalStateException: why at "));
             assertTrue(p.waitFor(20, TimeUnit.SECONDS));
@@ -227,7 +273,7 @@
 
     /** A program that logs a warning as a library does. */
     static final class Warning {
-        private Warning() { }
+        private Warning() {}
 
         public static void main(String[] args) {
             LibraryLog.install();
@@ -237,7 +283,9 @@
 
     @Test
     void theModuleKeepsItsListAndNothingIsToldTwiceWhenTheAddressIsTheSame() throws Exception {
-        try (Peer discovery = new Peer(); Peer elsewhere = new Peer(); Peer backend = new Peer();
+        try (Peer discovery = new Peer();
+                Peer elsewhere = new Peer();
+                Peer backend = new Peer();
                 Setup setup = new Setup().start(Setup.config(discovery, backend))) {
             setup.backend();
             discovery.accept().read();
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -2,11 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import gullspar.decide.Balancer;
 import gullspar.decide.Balancer.Member;
 import gullspar.decide.Balancer.Outcome;
 import gullspar.decide.Balancer.Profile;
 import gullspar.decide.Balancer.Request;
-import gullspar.decide.Balancer;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
 import gullspar.proxy.discovery.Discovery;
@@ -37,7 +37,8 @@
 
 /** A configuration, and a proxy whose module is the test: it sees each event and takes actions by hand. */
 final class Setup implements AutoCloseable {
-    private static final String CONFIG = """
+    private static final String CONFIG =
+            """
         {"listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
          "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},
          "known":{"generation":41,"reset":true,"instances":[
@@ -59,7 +60,7 @@
     private static final AtomicInteger IDS = new AtomicInteger();
 
     /** What the module was told. */
-    record Told(String what, Object event) { }
+    record Told(String what, Object event) {}
 
     final ServingLoop serving = ServingLoop.start();
     final EventLoop loop = serving.loop();
@@ -67,18 +68,19 @@
     Proxy proxy;
     Balancer.Actions actions;
     /** What the module does when it is told of a request, before the test hears of it. */
-    volatile Consumer<Request> onRequest = r -> { };
+    volatile Consumer<Request> onRequest = r -> {};
     /** What happens in the moment in which a connection has come up, ahead of all that follows from it. */
-    volatile Runnable onConnected = () -> { };
+    volatile Runnable onConnected = () -> {};
     /** Bodies are left unread for as long as a test may take, unless it is about that. */
     long unreadNs = TimeUnit.SECONDS.toNanos(60);
+
     private final AtomicLong ahead = new AtomicLong();
     private boolean nested;
 
     static JsonNode json(String discovery, String backend, int sockets, long connectTimeoutMs) {
         try {
-            return new ObjectMapper().readTree(CONFIG.formatted(discovery, sockets, backend,
-                    connectTimeoutMs * 1_000_000));
+            return new ObjectMapper()
+                    .readTree(CONFIG.formatted(discovery, sockets, backend, connectTimeoutMs * 1_000_000));
         } catch (IOException e) {
             throw new AssertionError(e);
         }
@@ -103,13 +105,25 @@
     /** One that discovery has told nothing yet. */
     Setup unheard(Config config, Discovery.Patience patience) throws IOException {
         Clock system = Clock.system();
-        Platform platform = new Platform(loop, () -> system.now() + ahead.get(), new Observed(),
-                Log.standardError(), serving.unread(), serving.figures());
-        proxy = Proxy.on(platform, () -> Proxy.begun(new Proxy(config, platform,
-                (settings, seed, now, out) -> {
-                    actions = out;
-                    return new Module();
-                }, patience, unreadNs))).bound();
+        Platform platform = new Platform(
+                loop,
+                () -> system.now() + ahead.get(),
+                new Observed(),
+                Log.standardError(),
+                serving.unread(),
+                serving.figures());
+        proxy = Proxy.on(
+                        platform,
+                        () -> Proxy.begun(new Proxy(
+                                config,
+                                platform,
+                                (settings, seed, now, out) -> {
+                                    actions = out;
+                                    return new Module();
+                                },
+                                patience,
+                                unreadNs)))
+                .bound();
         return this;
     }
 
@@ -152,8 +166,8 @@
 
     /** A request with an id of its own. */
     static String get(String headers) {
-        return "GET /look/1?x=2 HTTP/1.1\r\nHost: api\r\nRequest-Id: r" + IDS.incrementAndGet() + "\r\n"
-                + headers + "\r\n";
+        return "GET /look/1?x=2 HTTP/1.1\r\nHost: api\r\nRequest-Id: r" + IDS.incrementAndGet() + "\r\n" + headers
+                + "\r\n";
     }
 
     static String get() {
@@ -177,13 +191,16 @@
                     return bare.handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel c) {
-                            c.pipeline().addLast(new ChannelInboundHandlerAdapter() {
-                                @Override
-                                public void channelActive(ChannelHandlerContext ctx) {
-                                    onConnected.run();
-                                    ctx.fireChannelActive();
-                                }
-                            }, handler);
+                            c.pipeline()
+                                    .addLast(
+                                            new ChannelInboundHandlerAdapter() {
+                                                @Override
+                                                public void channelActive(ChannelHandlerContext ctx) {
+                                                    onConnected.run();
+                                                    ctx.fireChannelActive();
+                                                }
+                                            },
+                                            handler);
                         }
                     });
                 }
@@ -230,7 +247,7 @@
         }
 
         @Override
-        public void onStreamBegun(long now, int ticket, int attempt, int server, long elapsedNs) { }
+        public void onStreamBegun(long now, int ticket, int attempt, int server, long elapsedNs) {}
 
         @Override
         public void onOutcome(long now, Outcome outcome) {
--- a/src/test/java/gullspar/proxy/StandstillTest.java
+++ b/src/test/java/gullspar/proxy/StandstillTest.java
@@ -40,12 +40,14 @@
     private static final long SLACK_NS = 500_000_000L;
     /** An attempt may tell so much more than its client has left. */
     private static final long TOLD_SLACK_NS = 150_000_000L;
+
     private static final long BACK_NS = 1_000_000_000L;
     private static final long EVERY_MS = 10;
     private static final double SERVED = 0.9;
 
     @TempDir
     Path folder;
+
     private final Map<String, Sent> sent = new ConcurrentHashMap<>();
     private final AtomicInteger ids = new AtomicInteger();
     private final ExecutorService threads = Executors.newCachedThreadPool();
@@ -78,7 +80,7 @@
         }
     }
 
-    private record Attempt(long at, long toldNs) { }
+    private record Attempt(long at, long toldNs) {}
 
     /** Answers each request but those that are to hang, and notes them all. */
     private final class Backend implements AutoCloseable {
@@ -101,8 +103,8 @@
             try (wire) {
                 for (String r = wire.read(); !r.isEmpty(); r = wire.read()) {
                     Sent request = sent.get(header(r, "request-id"));
-                    request.attempt(new Attempt(System.nanoTime(),
-                            (long) (Double.parseDouble(header(r, "request-timeout")) * 1e9)));
+                    request.attempt(new Attempt(
+                            System.nanoTime(), (long) (Double.parseDouble(header(r, "request-timeout")) * 1e9)));
                     if (!r.contains("/hang")) {
                         wire.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
                     }
@@ -119,8 +121,11 @@
     }
 
     private static String header(String message, String name) {
-        return message.lines().filter(l -> l.toLowerCase(Locale.ROOT).startsWith(name + ":"))
-                .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse("");
+        return message.lines()
+                .filter(l -> l.toLowerCase(Locale.ROOT).startsWith(name + ":"))
+                .map(l -> l.substring(name.length() + 1).trim())
+                .findFirst()
+                .orElse("");
     }
 
     @BeforeEach
@@ -131,29 +136,35 @@
             door = (InetSocketAddress) s.getLocalSocketAddress();
         }
         String address = "127.0.0.1:" + backend.server.getLocalPort();
-        String config = Setup.json(discovery.hostPort(), address, 1024, 5000).toString()
+        String config = Setup.json(discovery.hostPort(), address, 1024, 5000)
+                .toString()
                 .replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + door.getPort() + "\"");
         Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder java = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-Xlog:disable", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp",
-                System.getProperty("java.class.path"), "gullspar.Main", "serve");
-        java.environment().putAll(Map.of("NODE_CONFIG", file.toString(), "NODE_DISCOVERY",
-                discovery.hostPort()));
+        ProcessBuilder java = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xlog:disable",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "gullspar.Main",
+                "serve");
+        java.environment().putAll(Map.of("NODE_CONFIG", file.toString(), "NODE_DISCOVERY", discovery.hostPort()));
         process = java.redirectErrorStream(true).start();
         Peer.Wire watch = discovery.accept();
         watch.read();
         String list = "{\"generation\":42,\"reset\":true,\"instances\":[{\"instanceId\":\"s-1\","
                 + "\"hostPort\":\"" + address + "\",\"zone\":\"a\",\"machineType\":\"m1\",\"cell\":3,"
                 + "\"lifecycle\":\"in_service\",\"weight\":1.0,\"startedAtMs\":0}]}\n";
-        watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(
-                list.length()) + "\r\n" + list + "\r\n");
+        watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
+                + "\r\n" + list + "\r\n");
         BufferedReader log = process.inputReader();
         String line = log.readLine();
         while (line != null && !line.endsWith("ready")) {
             line = log.readLine();
         }
         assertTrue(line != null, "the process ended before it was ready");
-        threads.execute(() -> log.lines().forEach(l -> { }));
+        threads.execute(() -> log.lines().forEach(l -> {}));
         clock.scheduleAtFixedRate(() -> watch(watch), 500, 500, TimeUnit.MILLISECONDS);
     }
 
@@ -176,8 +187,11 @@
     }
 
     private void signal(String name) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start()
-                .waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
+                        .start()
+                        .waitFor());
     }
 
     /** Sends a request now, on a connection of its own; safe ones and, each third, one that is not. */
@@ -190,8 +204,8 @@
         String length = unsafe ? "Content-Length: 0\r\n" : "";
         threads.execute(() -> {
             try (Peer.Wire wire = Peer.Wire.to(door)) {
-                wire.write(line + " HTTP/1.1\r\nHost: a\r\nRequest-Id: " + id
-                        + "\r\nRequest-Timeout: 0.9\r\n" + length + "\r\n");
+                wire.write(line + " HTTP/1.1\r\nHost: a\r\nRequest-Id: " + id + "\r\nRequest-Timeout: 0.9\r\n" + length
+                        + "\r\n");
                 String answer = wire.read();
                 request.status = answer.length() < 12 ? "closed" : answer.substring(9, 12);
             } catch (IOException e) {
@@ -236,15 +250,17 @@
 
     private static void toldTheTruth(Sent s, Attempt a, String what) {
         long left = s.at + TIMEOUT_NS - a.at();
-        assertTrue(a.toldNs() <= left + TOLD_SLACK_NS, what + "its attempt was given " + ms(a.toldNs())
-                + " ms, when " + ms(left) + " were left");
+        assertTrue(
+                a.toldNs() <= left + TOLD_SLACK_NS,
+                what + "its attempt was given " + ms(a.toldNs()) + " ms, when " + ms(left) + " were left");
     }
 
     private void servedFrom(long time) {
         List<Sent> later = sent.values().stream().filter(s -> s.at > time).toList();
         long served = later.stream().filter(s -> s.status.equals("200")).count();
-        assertTrue(served >= SERVED * later.size(), "a second behind the standstill " + served + " of "
-                + later.size() + " were served");
+        assertTrue(
+                served >= SERVED * later.size(),
+                "a second behind the standstill " + served + " of " + later.size() + " were served");
     }
 
     private static long ms(long ns) {
--- a/src/test/java/gullspar/proxy/UpgradeTest.java
+++ b/src/test/java/gullspar/proxy/UpgradeTest.java
@@ -33,6 +33,7 @@
 
     @TempDir
     Path folder;
+
     private final AtomicInteger asked = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
     private final AtomicBoolean over = new AtomicBoolean();
@@ -76,7 +77,7 @@
         try {
             while (!over.get()) {
                 try (Peer.Wire w = Peer.Wire.to(proxy)) {
-                    for (boolean open = true; open && !over.get();) {
+                    for (boolean open = true; open && !over.get(); ) {
                         asked.incrementAndGet();
                         String answer = w.write(Setup.get()).read();
                         assertTrue(answer.startsWith("HTTP/1.1 200"), "'" + answer + "'");
@@ -106,21 +107,29 @@
 
     @Test
     void upgradesUnderLoadLoseNoRequest() throws Exception {
-        Assumptions.assumeTrue(new File("/usr/bin/perl").canExecute() && new File("/proc/self/fd").exists(),
+        Assumptions.assumeTrue(
+                new File("/usr/bin/perl").canExecute() && new File("/proc/self/fd").exists(),
                 "the holder of the listener is a script for perl, on Linux");
         ServerSocket backend = serve("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
         String list = "{\"generation\":42,\"reset\":false,\"instances\":[]}\n";
         ServerSocket discovery = serve("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
-        ObjectNode config = (ObjectNode) Setup.json("127.0.0.1:" + discovery.getLocalPort(),
-                "127.0.0.1:" + backend.getLocalPort(), 1024, 5000);
+        ObjectNode config = (ObjectNode)
+                Setup.json("127.0.0.1:" + discovery.getLocalPort(), "127.0.0.1:" + backend.getLocalPort(), 1024, 5000);
         Files.writeString(folder.resolve("config.json"), config.toString());
-        Process holder = new ProcessBuilder("/usr/bin/perl", "src/test/resources/hold-listener.pl",
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "gullspar.Main", "serve")
-                .redirectError(folder.resolve("log").toFile()).start();
-        try (BufferedReader said = new BufferedReader(new InputStreamReader(holder.getInputStream(),
-                StandardCharsets.UTF_8)); Writer to = holder.outputWriter()) {
+        Process holder = new ProcessBuilder(
+                        "/usr/bin/perl",
+                        "src/test/resources/hold-listener.pl",
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "gullspar.Main",
+                        "serve")
+                .redirectError(folder.resolve("log").toFile())
+                .start();
+        try (BufferedReader said =
+                        new BufferedReader(new InputStreamReader(holder.getInputStream(), StandardCharsets.UTF_8));
+                Writer to = holder.outputWriter()) {
             int port = Integer.parseInt(said.readLine().substring("port ".length()));
             InetSocketAddress proxy = new InetSocketAddress("127.0.0.1", port);
             List<Thread> clients = new ArrayList<>();
@@ -130,8 +139,9 @@
                 to.write("NODE_SOCKET_FD=0 NODE_OPERATOR=127.0.0.1:" + operator.getPort() + " NODE_CONFIG="
                         + folder.resolve("config.json") + "\n");
                 to.flush();
-                ProcessHandle next = ProcessHandle.of(Long.parseLong(said.readLine()
-                        .substring("started ".length()))).orElseThrow();
+                ProcessHandle next = ProcessHandle.of(
+                                Long.parseLong(said.readLine().substring("started ".length())))
+                        .orElseThrow();
                 while (!ready(operator)) {
                     assertTrue(next.isAlive(), () -> "ended: " + log());
                     Thread.onSpinWait();
--- a/src/test/java/gullspar/proxy/WarmupTest.java
+++ b/src/test/java/gullspar/proxy/WarmupTest.java
@@ -14,8 +14,11 @@
 class WarmupTest {
     @Test
     void requestsAreServedAndNobodyOutsideIsInvolved() throws Exception {
-        try (Peer discovery = new Peer(); Peer backend = new Peer(); Peer listen = new Peer()) {
-            String json = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000).toString()
+        try (Peer discovery = new Peer();
+                Peer backend = new Peer();
+                Peer listen = new Peer()) {
+            String json = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000)
+                    .toString()
                     .replace("127.0.0.1:0", listen.hostPort()); // taken: it must not be needed yet
             Config config = Config.parse(new ObjectMapper().readTree(json), Map.of());
             int served = Warmup.run(config, Policy::new, 60, 30_000);
--- a/src/test/java/gullspar/proxy/backend/PassedOnTest.java
+++ b/src/test/java/gullspar/proxy/backend/PassedOnTest.java
@@ -29,9 +29,14 @@
     private final List<Answer> answers = new ArrayList<>();
 
     private void attempt() {
-        Message m = Message.whole(HttpMethod.GET, "/look", new DefaultHttpHeaders(),
-                new Body(new BodyBudget(1000), 1000));
-        connection.begin(new Attempt(backend, m, channel.eventLoop(), () -> 1, 1_000_000_000L,
+        Message m =
+                Message.whole(HttpMethod.GET, "/look", new DefaultHttpHeaders(), new Body(new BodyBudget(1000), 1000));
+        connection.begin(new Attempt(
+                backend,
+                m,
+                channel.eventLoop(),
+                () -> 1,
+                1_000_000_000L,
                 Long.MAX_VALUE,
                 new Attempt.Listener() {
                     @Override
@@ -43,14 +48,14 @@
                     public boolean wanted() {
                         return true;
                     }
-                }, () -> { }));
+                },
+                () -> {}));
         channel.releaseOutbound();
     }
 
     private void answer(int length) {
         ByteBuf bytes = Unpooled.buffer();
-        bytes.writeCharSequence("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n",
-                StandardCharsets.US_ASCII);
+        bytes.writeCharSequence("HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n", StandardCharsets.US_ASCII);
         channel.writeInbound(bytes.writeZero(length));
     }
 
@@ -80,8 +85,7 @@
         connection.openOn(channel);
         attempt();
         ByteBuf bytes = Unpooled.buffer();
-        bytes.writeCharSequence("HTTP/1.1 200 OK\r\nContent-Length: " + LENGTH + "\r\n\r\n",
-                StandardCharsets.US_ASCII);
+        bytes.writeCharSequence("HTTP/1.1 200 OK\r\nContent-Length: " + LENGTH + "\r\n\r\n", StandardCharsets.US_ASCII);
         channel.writeInbound(bytes.writeZero(LENGTH / 2));
         answers.get(0).rest().drop();
         channel.runPendingTasks();
--- a/src/test/java/gullspar/proxy/client/BodiesGivenBackTest.java
+++ b/src/test/java/gullspar/proxy/client/BodiesGivenBackTest.java
@@ -29,8 +29,8 @@
 
     @BeforeEach
     void start() throws Exception {
-        Config config = Config.parse(new ObjectMapper().readTree(Path.of("deploy/warm.json").toFile()),
-                Map.of());
+        Config config = Config.parse(
+                new ObjectMapper().readTree(Path.of("deploy/warm.json").toFile()), Map.of());
         Frontend.Taker taker = new Frontend.Taker() {
             @Override
             public void taken(Client client, Message message, Asked asked, long at) {
@@ -38,7 +38,7 @@
             }
 
             @Override
-            public void came(Client client, long at) { }
+            public void came(Client client, long at) {}
 
             @Override
             public void gone(Client client) {
@@ -46,8 +46,13 @@
                 client.taken().release(); // as an exchange does when it ends
             }
         };
-        frontend = new Frontend(new Platform(new EmbeddedChannel().eventLoop(), () -> 1, null, line -> { }),
-                config, new Classes(config), new Sockets(100).clients, taker, () -> true);
+        frontend = new Frontend(
+                new Platform(new EmbeddedChannel().eventLoop(), () -> 1, null, line -> {}),
+                config,
+                new Classes(config),
+                new Sockets(100).clients,
+                taker,
+                () -> true);
     }
 
     private EmbeddedChannel client(String... parts) {
--- a/src/test/java/gullspar/proxy/client/CrossingTest.java
+++ b/src/test/java/gullspar/proxy/client/CrossingTest.java
@@ -33,7 +33,8 @@
 
     @Test
     void isTakenAndItsConnectionCloseComesWithTheAnswer() throws Exception {
-        ObjectNode root = (ObjectNode) new ObjectMapper().readTree(Path.of("deploy/warm.json").toFile());
+        ObjectNode root = (ObjectNode)
+                new ObjectMapper().readTree(Path.of("deploy/warm.json").toFile());
         root.put("listen", "127.0.0.1:0");
         Config config = Config.parse(root, Map.of());
         Frontend.Taker taker = new Frontend.Taker() {
@@ -44,27 +45,33 @@
             }
 
             @Override
-            public void came(Client client, long at) { }
+            public void came(Client client, long at) {}
 
             @Override
-            public void gone(Client client) { }
+            public void gone(Client client) {}
         };
-        Frontend frontend = loop.submit(() -> new Frontend(Platform.of(loop), config, new Classes(config),
-                new Sockets(100).clients, taker, () -> true)).get(20, TimeUnit.SECONDS);
-        InetSocketAddress at = (InetSocketAddress) loop.submit(frontend::listen).get(20, TimeUnit.SECONDS)
-                .sync().channel().localAddress();
-        try (Peer.Wire client = Peer.Wire.to(at); Peer.Wire idle = Peer.Wire.to(at)) {
+        Frontend frontend = loop.submit(() -> new Frontend(
+                        Platform.of(loop), config, new Classes(config), new Sockets(100).clients, taker, () -> true))
+                .get(20, TimeUnit.SECONDS);
+        InetSocketAddress at = (InetSocketAddress) loop.submit(frontend::listen)
+                .get(20, TimeUnit.SECONDS)
+                .sync()
+                .channel()
+                .localAddress();
+        try (Peer.Wire client = Peer.Wire.to(at);
+                Peer.Wire idle = Peer.Wire.to(at)) {
             for (Peer.Wire w : new Peer.Wire[] {client, idle}) {
                 w.write("GET /_health HTTP/1.1\r\n\r\n");
                 assertTrue(w.read().startsWith("HTTP/1.1 200"));
             }
             loop.submit(() -> {
-                client.write("POST /order/1 HTTP/1.1\r\nHost: a\r\nRequest-Id: r\r\nRequest-Timeout: 1\r\n"
-                        + "Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n");
-                frontend.drain();
-                frontend.close();
-                return null;
-            }).get(20, TimeUnit.SECONDS);
+                        client.write("POST /order/1 HTTP/1.1\r\nHost: a\r\nRequest-Id: r\r\nRequest-Timeout: 1\r\n"
+                                + "Idempotency-Key: k\r\nContent-Length: 0\r\n\r\n");
+                        frontend.drain();
+                        frontend.close();
+                        return null;
+                    })
+                    .get(20, TimeUnit.SECONDS);
             String answer = client.read();
             assertTrue(answer.startsWith("HTTP/1.1 503 ") && answer.contains("connection: close"), answer);
             assertTrue(client.ended());
--- a/src/test/java/gullspar/proxy/client/PassingOnTest.java
+++ b/src/test/java/gullspar/proxy/client/PassingOnTest.java
@@ -28,7 +28,7 @@
 class PassingOnTest {
     private static final class Owner implements Client.Owner {
         @Override
-        public void whole(Client client, Message message, long at) { }
+        public void whole(Client client, Message message, long at) {}
 
         @Override
         public long cameAt() {
@@ -36,10 +36,10 @@
         }
 
         @Override
-        public void came(Client client, long at) { }
+        public void came(Client client, long at) {}
 
         @Override
-        public void cut(Client client) { }
+        public void cut(Client client) {}
 
         @Override
         public long unreadNs() {
@@ -57,7 +57,7 @@
         }
 
         @Override
-        public void closed(Client client) { }
+        public void closed(Client client) {}
 
         @Override
         public long now() {
@@ -80,7 +80,7 @@
         EmbeddedChannel c = new EmbeddedChannel(new HttpResponseEncoder());
         Client client = new Client(c, new RequestDecoder(1000, 1000), new Owner());
         c.pipeline().addLast(client);
-        Pieces rest = new Pieces(() -> { }, () -> { });
+        Pieces rest = new Pieces(() -> {}, () -> {});
         for (int at = 100_000; at < all.length; at += 100_000) {
             rest.add(Unpooled.copiedBuffer(all, at, 100_000));
         }
--- a/src/test/java/gullspar/proxy/client/UnreadBodyTest.java
+++ b/src/test/java/gullspar/proxy/client/UnreadBodyTest.java
@@ -28,8 +28,8 @@
 
     @Test
     void isTurnedAwayThoughItsTimerIsStillToCome() throws Exception {
-        Config config = Config.parse(new ObjectMapper().readTree(Path.of("deploy/warm.json").toFile()),
-                Map.of());
+        Config config = Config.parse(
+                new ObjectMapper().readTree(Path.of("deploy/warm.json").toFile()), Map.of());
         Frontend.Taker taker = new Frontend.Taker() {
             @Override
             public void taken(Client client, Message message, Asked asked, long at) {
@@ -37,7 +37,7 @@
             }
 
             @Override
-            public void came(Client client, long at) { }
+            public void came(Client client, long at) {}
 
             @Override
             public void gone(Client client) {
@@ -45,10 +45,17 @@
             }
         };
         EmbeddedChannel c = new EmbeddedChannel();
-        new Frontend(new Platform(c.eventLoop(), () -> now, null, line -> { }), config, new Classes(config),
-                new Sockets(100).clients, taker, () -> true).accept(c);
-        c.writeInbound(Unpooled.copiedBuffer("POST /order/1 HTTP/1.1\r\nHost: a\r\nRequest-Id: r\r\n"
-                + "Request-Timeout: 1\r\nIdempotency-Key: k\r\nContent-Length: 3000000\r\n\r\n",
+        new Frontend(
+                        new Platform(c.eventLoop(), () -> now, null, line -> {}),
+                        config,
+                        new Classes(config),
+                        new Sockets(100).clients,
+                        taker,
+                        () -> true)
+                .accept(c);
+        c.writeInbound(Unpooled.copiedBuffer(
+                "POST /order/1 HTTP/1.1\r\nHost: a\r\nRequest-Id: r\r\n"
+                        + "Request-Timeout: 1\r\nIdempotency-Key: k\r\nContent-Length: 3000000\r\n\r\n",
                 StandardCharsets.ISO_8859_1));
         while (c.config().isAutoRead()) {
             c.writeInbound(Unpooled.buffer().writeZero(10_000));
--- a/src/test/java/gullspar/proxy/io/ClassArchiveTest.java
+++ b/src/test/java/gullspar/proxy/io/ClassArchiveTest.java
@@ -13,7 +13,8 @@
     Path folder;
 
     private ClassArchive of(String commandLine, String maps) throws Exception {
-        return ClassArchive.of(Files.writeString(folder.resolve("cmdline"), commandLine),
+        return ClassArchive.of(
+                Files.writeString(folder.resolve("cmdline"), commandLine),
                 Files.writeString(folder.resolve("maps"), maps));
     }
 
@@ -25,8 +26,7 @@
     @Test
     void theLastThatIsNamedCountsAndIsUsedIfItIsMapped() throws Exception {
         Path archive = folder.resolve("b.jsa");
-        String line = "java\0-XX:SharedArchiveFile=a.jsa\0-XX:SharedArchiveFile=" + archive
-                + "\0-jar\0a.jar\0";
+        String line = "java\0-XX:SharedArchiveFile=a.jsa\0-XX:SharedArchiveFile=" + archive + "\0-jar\0a.jar\0";
         assertEquals(ClassArchive.USED, of(line, "7f00-7f01 r--p 0 08:01 1          " + archive + "\n"));
         assertEquals(ClassArchive.UNUSED, of(line, "7f00-7f01 r--p 0 08:01 1          /x/a.jsa\n"));
     }
--- a/src/test/java/gullspar/proxy/io/OrderedNioHandlerTest.java
+++ b/src/test/java/gullspar/proxy/io/OrderedNioHandlerTest.java
@@ -37,14 +37,15 @@
     private final ServingLoop serving = ServingLoop.start();
     /** What the loop did, in order, and how long what it read had waited. */
     private final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
+
     private final List<Socket> clients = new ArrayList<>();
     private final CountDownLatch go = new CountDownLatch(1);
-    private volatile LongConsumer whileReading = age -> { };
+    private volatile LongConsumer whileReading = age -> {};
     private ServerSocket backend;
     private Channel listener;
     private InetSocketAddress address;
 
-    private record Seen(String what, long ageNs) { }
+    private record Seen(String what, long ageNs) {}
 
     private final class Notes extends ChannelInboundHandlerAdapter {
         private final String what;
@@ -65,19 +66,25 @@
     @BeforeEach
     void listen() throws Exception {
         backend = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        listener = new ServerBootstrap().group(serving.loop()).channel(NioServerSocketChannel.class)
+        listener = new ServerBootstrap()
+                .group(serving.loop())
+                .channel(NioServerSocketChannel.class)
                 .handler(new ChannelInboundHandlerAdapter() {
                     @Override
                     public void channelRead(ChannelHandlerContext ctx, Object message) {
                         seen.add(new Seen("accept", serving.unread().ns()));
                         ctx.fireChannelRead(message);
                     }
-                }).childHandler(new ChannelInitializer<Channel>() {
+                })
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new Notes("client"));
                     }
-                }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
+                })
+                .bind(InetAddress.getLoopbackAddress(), 0)
+                .sync()
+                .channel();
         address = (InetSocketAddress) listener.localAddress();
     }
 
@@ -100,14 +107,18 @@
     private Socket accepted() throws Exception {
         Socket s = connect();
         assertEquals("accept", next().what());
-        serving.loop().submit(() -> { }).get(); // registered
+        serving.loop().submit(() -> {}).get(); // registered
         return s;
     }
 
     /** A connection that the loop opens; this is its other end. */
     private Socket opened() throws Exception {
-        new Bootstrap().group(serving.loop()).channel(NioSocketChannel.class).handler(new Notes("answer"))
-                .connect(backend.getLocalSocketAddress()).sync();
+        new Bootstrap()
+                .group(serving.loop())
+                .channel(NioSocketChannel.class)
+                .handler(new Notes("answer"))
+                .connect(backend.getLocalSocketAddress())
+                .sync();
         Socket s = backend.accept();
         clients.add(s);
         return s;
@@ -140,16 +151,19 @@
     void timersAreWaitedForAndNotPolled() throws Exception {
         CountDownLatch done = new CountDownLatch(TIMERS);
         long[] turns = new long[2];
-        serving.loop().submit(() -> {
-            turns[0] = serving.figures().turns();
-            again(done);
-        }).get();
+        serving.loop()
+                .submit(() -> {
+                    turns[0] = serving.figures().turns();
+                    again(done);
+                })
+                .get();
         assertTrue(done.await(50, TimeUnit.SECONDS));
-        serving.loop().submit(() -> {
-            turns[1] = serving.figures().turns();
-        }).get();
-        assertTrue(turns[1] - turns[0] <= 3 * TIMERS, (turns[1] - turns[0]) + " turns for " + TIMERS
-                + " timers");
+        serving.loop()
+                .submit(() -> {
+                    turns[1] = serving.figures().turns();
+                })
+                .get();
+        assertTrue(turns[1] - turns[0] <= 3 * TIMERS, (turns[1] - turns[0]) + " turns for " + TIMERS + " timers");
     }
 
     private void again(CountDownLatch done) {
@@ -273,9 +287,12 @@
         standStill();
         TimeUnit.MILLISECONDS.sleep(150);
         go.countDown();
-        serving.loop().schedule(() -> { }, 1, TimeUnit.MILLISECONDS).get(); // a turn later
-        long[] found = serving.loop().submit(() -> new long[] {serving.figures().standstills(),
-                serving.figures().longestStandstillNs()}).get();
+        serving.loop().schedule(() -> {}, 1, TimeUnit.MILLISECONDS).get(); // a turn later
+        long[] found = serving.loop()
+                .submit(() -> new long[] {
+                    serving.figures().standstills(), serving.figures().longestStandstillNs()
+                })
+                .get();
         assertTrue(found[0] >= 1);
         assertTrue(found[1] >= TimeUnit.MILLISECONDS.toNanos(150));
     }
--- a/src/test/java/gullspar/rehearse/Days.java
+++ b/src/test/java/gullspar/rehearse/Days.java
@@ -6,7 +6,8 @@
 
 /** Small days for tests. */
 public final class Days {
-    private static final String SMALL = """
+    private static final String SMALL =
+            """
         seconds = %s
         seed = 1
         sites = ["north", "south"]
@@ -62,7 +63,7 @@
         %s
         """;
 
-    private Days() { }
+    private Days() {}
 
     /** A small day with what follows the tables: faults, rules. */
     public static Script small(double seconds, String more) {
--- a/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
+++ b/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
@@ -31,7 +31,8 @@
 @ResourceLock("much of the machine")
 class LiveFleetTest {
     /** Bounds as of a machine that has other things to do. */
-    private static final String PEERS = """
+    private static final String PEERS =
+            """
         [peers]
         interval_ms = 200
         window_s = 20
@@ -50,34 +51,51 @@
                 + Days.fault("pause", 3, "for = 3\nproxies = [\"p2\"]")
                 + Days.fault("partition", 8, "for = 7\nproxies = [\"p1\", \"p4\"]")
                 + Days.fault("kill", 12, "proxies = [\"p5\"]\ndown_s = 0.5")
-                + Days.fault("jittery-link", 1,
-                        "for = 13\nfrom = \"proxies\"\nto = \"proxies\"\nadds_ms = 20")
+                + Days.fault("jittery-link", 1, "for = 13\nfrom = \"proxies\"\nto = \"proxies\"\nadds_ms = 20")
                 + Days.fault("doubled-link", 2, "for = 11\nfrom = \"proxies\"\nto = \"p1\"\nshare = 0.2")
                 + Days.fault("flipped-link", 1, "for = 14\nfrom = \"proxies\"\nto = \"p7\"\nshare = 0.2")
                 + Days.fault("torn-link", 1, "for = 14\nfrom = \"p7\"\nto = \"proxies\"\nshare = 0.1");
-        return Days.parse(Days.text(27, PEERS + faults).replace("count = 2\nstart_s", "count = 7\nstart_s")
+        return Days.parse(Days.text(27, PEERS + faults)
+                .replace("count = 2\nstart_s", "count = 7\nstart_s")
                 .replace("rate = 150", "rate = 20"));
     }
 
     @Test
     void sevenProcessesKeepAViewOfEachOther() throws Exception {
-        Played p = LivePlay.play(day(), (second, of) -> { });
+        Played p = LivePlay.play(day(), (second, of) -> {});
 
-        assertEquals(List.of(), p.verdict().broken().stream()
-                .filter(b -> b.rule().name().startsWith("FLEET") || b.rule() == Rule.NOTHING_TWICE)
-                .map(Broken::what).toList(), () -> String.join("\n", p.log()));
+        assertEquals(
+                List.of(),
+                p.verdict().broken().stream()
+                        .filter(b -> b.rule().name().startsWith("FLEET") || b.rule() == Rule.NOTHING_TWICE)
+                        .map(Broken::what)
+                        .toList(),
+                () -> String.join("\n", p.log()));
         // All of it was there to be seen.
-        Map<String, Set<String>> lives = p.chronicle().looks().stream().collect(Collectors.groupingBy(
-                Look::proxy, Collectors.mapping(Look::life, Collectors.toCollection(TreeSet::new))));
+        Map<String, Set<String>> lives = p.chronicle().looks().stream()
+                .collect(Collectors.groupingBy(
+                        Look::proxy, Collectors.mapping(Look::life, Collectors.toCollection(TreeSet::new))));
         assertEquals(7, lives.size());
-        assertEquals(List.of(1, 1, 2, 1, 2, 2, 1),
-                lives.entrySet().stream().sorted(Map.Entry.comparingByKey())
-                .map(e -> e.getValue().size()).toList(), "lives of each");
+        assertEquals(
+                List.of(1, 1, 2, 1, 2, 2, 1),
+                lives.entrySet().stream()
+                        .sorted(Map.Entry.comparingByKey())
+                        .map(e -> e.getValue().size())
+                        .toList(),
+                "lives of each");
         assertTrue(p.chronicle().looks().stream().anyMatch(Look::cutOff), "a minority said that it is one");
-        Look last = p.chronicle().looks().stream().max(Comparator.comparingLong(Look::at)).orElseThrow();
-        assertEquals(6, last.seen().stream().filter(s -> s.status().equals("alive")).count());
-        for (String said : List.of("p3 is gone, accused by p", "p2 is back", "stood still for ",
-                "objected to being called gone", "not cut off any more", "settled")) {
+        Look last = p.chronicle().looks().stream()
+                .max(Comparator.comparingLong(Look::at))
+                .orElseThrow();
+        assertEquals(
+                6, last.seen().stream().filter(s -> s.status().equals("alive")).count());
+        for (String said : List.of(
+                "p3 is gone, accused by p",
+                "p2 is back",
+                "stood still for ",
+                "objected to being called gone",
+                "not cut off any more",
+                "settled")) {
             assertTrue(p.log().stream().anyMatch(l -> l.contains("fleet: " + said)), said);
         }
     }
--- a/src/test/java/gullspar/rehearse/live/LivePlayTest.java
+++ b/src/test/java/gullspar/rehearse/live/LivePlayTest.java
@@ -27,7 +27,10 @@
 @ResourceLock("much of the machine")
 class LivePlayTest {
     private static List<Long> daemons() {
-        return ProcessHandle.current().children().filter(ProcessHandle::isAlive).map(ProcessHandle::pid)
+        return ProcessHandle.current()
+                .children()
+                .filter(ProcessHandle::isAlive)
+                .map(ProcessHandle::pid)
                 .toList();
     }
 
@@ -35,25 +38,33 @@
     void faultsHappenToRealProcessesAndNoneIsLeftBehind() throws Exception {
         List<Long> before = daemons();
         List<Double> heard = new ArrayList<>();
-        Played p = LivePlay.play(Days.small(6, Days.fault("kill", 1, "proxies = [\"p1\"]\ndown_s = 0.1")
-                + Days.fault("stop", 2, "proxies = [\"p2\"]\ndown_s = 0.1")
-                + Days.fault("reload", 4, "proxies = [\"p1\"]") + Days.fault("pause", 4.5,
-                "for = 0.2\nproxies = [\"p1\"]") + Days.fault("slow-link", 0.5,
-                "for = 1\nfrom = \"proxies\"\nto = \"nodes\"\nadds_ms = 5") + Days.fault("crash", 3,
-                "nodes = [\"n2\"]\ndown_s = 0.5")), (second, of) -> heard.add(second));
+        Played p = LivePlay.play(
+                Days.small(
+                        6,
+                        Days.fault("kill", 1, "proxies = [\"p1\"]\ndown_s = 0.1")
+                                + Days.fault("stop", 2, "proxies = [\"p2\"]\ndown_s = 0.1")
+                                + Days.fault("reload", 4, "proxies = [\"p1\"]")
+                                + Days.fault("pause", 4.5, "for = 0.2\nproxies = [\"p1\"]")
+                                + Days.fault(
+                                        "slow-link", 0.5, "for = 1\nfrom = \"proxies\"\nto = \"nodes\"\nadds_ms = 5")
+                                + Days.fault("crash", 3, "nodes = [\"n2\"]\ndown_s = 0.5")),
+                (second, of) -> heard.add(second));
         assertTrue(p.verdict().counts().get("served") > 100, p.verdict().counts() + " " + p.log());
         assertEquals(List.of(), p.chronicle().crashes());
-        assertTrue(p.log().stream().anyMatch(l -> l.startsWith("p1.2 ") && l.endsWith(" ready")),
-                "p1 is back");
-        assertTrue(p.log().stream().anyMatch(l -> l.startsWith("p2 ") && l.endsWith(" drained")),
-                "p2 drained");
+        assertTrue(p.log().stream().anyMatch(l -> l.startsWith("p1.2 ") && l.endsWith(" ready")), "p1 is back");
+        assertTrue(p.log().stream().anyMatch(l -> l.startsWith("p2 ") && l.endsWith(" drained")), "p2 drained");
         assertTrue(p.log().stream().anyMatch(l -> l.contains("a new configuration")), "p1 reloaded");
-        assertTrue(p.chronicle().happenings().stream().map(Chronicle.Happening::what)
+        assertTrue(p.chronicle().happenings().stream()
+                .map(Chronicle.Happening::what)
                 .anyMatch(w -> w.equals("n2 starts, cold")));
         assertFalse(heard.isEmpty());
         // Rules that no slow machine excuses.
-        assertEquals(List.of(), p.verdict().broken().stream().filter(b -> b.rule() == Rule.NOTHING_TWICE)
-                .map(Broken::what).toList());
+        assertEquals(
+                List.of(),
+                p.verdict().broken().stream()
+                        .filter(b -> b.rule() == Rule.NOTHING_TWICE)
+                        .map(Broken::what)
+                        .toList());
         assertEquals(before, daemons());
     }
 
@@ -75,8 +86,7 @@
             loop.schedule(held::countDown, 50, TimeUnit.MILLISECONDS);
             assertTrue(held.await(20, TimeUnit.SECONDS));
             List<String> notes = loop.submit(late::notes).get();
-            assertTrue(notes.get(0).startsWith("the machine was too busy for this to count"),
-                    notes.toString());
+            assertTrue(notes.get(0).startsWith("the machine was too busy for this to count"), notes.toString());
         } finally {
             loop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
         }
