--- a/src/test/java/gullspar/rehearse/net/NetworkTest.java
+++ b/src/test/java/gullspar/rehearse/net/NetworkTest.java
@@ -46,14 +46,17 @@
         client.runs(new VirtualLoop(agenda, slips::add));
         serverLoop = new VirtualLoop(agenda, slips::add);
         server.runs(serverLoop);
-        network.transport(server).at(SERVER).childHandler(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel c) {
-                End e = new End();
-                accepted.add(e);
-                c.pipeline().addLast(e);
-            }
-        }).bind();
+        network.transport(server)
+                .at(SERVER)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        End e = new End();
+                        accepted.add(e);
+                        c.pipeline().addLast(e);
+                    }
+                })
+                .bind();
         run(0);
     }
 
@@ -111,13 +114,16 @@
     }
 
     private ChannelFuture connect(End e, InetSocketAddress to) {
-        return network.transport(client).to(to).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 50)
+        return network.transport(client)
+                .to(to)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 50)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(e);
                     }
-                }).connect();
+                })
+                .connect();
     }
 
     private End connected() {
--- a/src/test/java/gullspar/rehearse/play/FleetDayTest.java
+++ b/src/test/java/gullspar/rehearse/play/FleetDayTest.java
@@ -51,7 +51,9 @@
 class FleetDayTest {
     /** Numbers between two datagrams, for those that a test makes up. */
     private static final long ROOM = 1000;
-    private static final String PEERS = """
+
+    private static final String PEERS =
+            """
         [peers]
         interval_ms = 200
         window_s = 20
@@ -63,41 +65,41 @@
 
     /** Five proxies, hardly any traffic. */
     private static Script day(double seconds, String faults) {
-        return Days.parse(Days.text(seconds, PEERS + faults).replace("count = 2\nstart_s",
-                "count = 5\nstart_s")
+        return Days.parse(Days.text(seconds, PEERS + faults)
+                .replace("count = 2\nstart_s", "count = 5\nstart_s")
                 .replace("rate = 150", "rate = 5"));
     }
 
-    private static final Script KILLED = day(24, Days.fault("kill", 1,
-            "proxies = [\"p2\", \"p4\"]\ndown_s = 1"));
-    private static final Script PARTED = day(40, Days.fault("partition", 1,
-            "for = 10\nproxies = [\"p1\", \"p2\"]"));
+    private static final Script KILLED = day(24, Days.fault("kill", 1, "proxies = [\"p2\", \"p4\"]\ndown_s = 1"));
+    private static final Script PARTED = day(40, Days.fault("partition", 1, "for = 10\nproxies = [\"p1\", \"p2\"]"));
     private static final Script STOPPED = day(26, Days.fault("pause", 1, "for = 5\nproxies = [\"p3\"]"));
     /** As good as no fault; p3 counts as struck by it, since others may well accuse it while it is slow. */
     private static final Script QUIET = day(30, Days.fault("pause", 0.1, "for = 0.001\nproxies = [\"p3\"]"));
     /** p5 is heard and hears nobody. */
-    private static final Script DEAF = day(20, Days.fault("cut-link", 1,
-            "for = 18\nfrom = \"proxies\"\nto = \"p5\""));
+    private static final Script DEAF = day(20, Days.fault("cut-link", 1, "for = 18\nfrom = \"proxies\"\nto = \"p5\""));
 
     private static final Script TWINS = day(24, Days.fault("twin", 1, "for = 22\nproxies = [\"p2\"]"));
-    private static final Script MAD = day(15, Days.fault("mad-member", 1,
-            "for = 13\nproxies = [\"p2\"]\nfor_each = 60"));
+    private static final Script MAD =
+            day(15, Days.fault("mad-member", 1, "for = 13\nproxies = [\"p2\"]\nfor_each = 60"));
 
     private static List<Broken> broken(Script s, VirtualPlay.Options options) {
         return VirtualPlay.play(s, options).verdict().broken().stream()
-                .filter(b -> b.rule().name().startsWith("FLEET")).toList();
+                .filter(b -> b.rule().name().startsWith("FLEET"))
+                .toList();
     }
 
     private static void caught(Rule rule, Script s, VirtualPlay.Options options) {
         List<Broken> broken = broken(s, options);
-        assertTrue(broken.stream().anyMatch(b -> b.rule() == rule), () -> rule + " was not caught, but "
-                + broken);
+        assertTrue(broken.stream().anyMatch(b -> b.rule() == rule), () -> rule + " was not caught, but " + broken);
     }
 
     @Test
     void unplantedTheSameDaysKeepAllRules() {
         for (Script s : List.of(QUIET, KILLED, PARTED, STOPPED, DEAF)) {
-            assertEquals(List.of(), broken(s, VirtualPlay.Options.plain()), s.faults().toString());
+            assertEquals(
+                    List.of(),
+                    broken(s, VirtualPlay.Options.plain()),
+                    s.faults().toString());
         }
     }
 
@@ -106,18 +108,27 @@
     @MethodSource("strange")
     void whateverTheOthersAreToldTheViewHolds(Script s) {
         Played p = VirtualPlay.play(s, VirtualPlay.Options.plain());
-        assertEquals(List.of(), p.verdict().broken().stream()
-                .filter(b -> b.rule().name().startsWith("FLEET")).toList());
+        assertEquals(
+                List.of(),
+                p.verdict().broken().stream()
+                        .filter(b -> b.rule().name().startsWith("FLEET"))
+                        .toList());
         assertTrue(p.log().stream().noneMatch(l -> l.contains("uncaught")), "nothing throws");
     }
 
     static List<Script> strange() {
-        return List.of(TWINS, MAD,
-                day(24, Days.fault("move", 1, "proxies = [\"p1\", \"p2\", \"p3\"]")
-                        + Days.fault("take-over", 2, "proxies = [\"p1\", \"p3\", \"p4\"]")),
+        return List.of(
+                TWINS,
+                MAD,
+                day(
+                        24,
+                        Days.fault("move", 1, "proxies = [\"p1\", \"p2\", \"p3\"]")
+                                + Days.fault("take-over", 2, "proxies = [\"p1\", \"p3\", \"p4\"]")),
                 day(24, Days.fault("new-key", 1, "for = 16") + Days.fault("kill", 8, "proxies = 1")),
-                day(24, Days.fault("forged-datagrams", 1, "for = 22\nproxies = 3")
-                        + Days.fault("kill", 4, "proxies = [\"p5\"]")),
+                day(
+                        24,
+                        Days.fault("forged-datagrams", 1, "for = 22\nproxies = 3")
+                                + Days.fault("kill", 4, "proxies = [\"p5\"]")),
                 day(24, Days.fault("starved", 1, "for = 8\nproxies = [\"p3\"]\nperiod_ms = 1500")));
     }
 
@@ -126,9 +137,10 @@
         Script s = ScriptReader.read(Path.of("examples/rehearsals/peers.toml"));
         Played p = VirtualPlay.play(s, VirtualPlay.Options.plain());
         assertEquals(List.of(), p.verdict().broken());
-        assertTrue(p.chronicle().looks().size() > 500, "looked " + p.chronicle().looks().size());
-        assertTrue(p.log().stream().anyMatch(l -> l.contains("fleet: cut off: sees ")),
-                "who is cut off says so");
+        assertTrue(
+                p.chronicle().looks().size() > 500,
+                "looked " + p.chronicle().looks().size());
+        assertTrue(p.log().stream().anyMatch(l -> l.contains("fleet: cut off: sees ")), "who is cut off says so");
         assertEquals(s, ScriptReader.parse(ScriptWriter.write(s), "again"));
         assertEquals(p.hash(), VirtualPlay.play(s, VirtualPlay.Options.plain()).hash());
     }
@@ -136,8 +148,11 @@
     // ---- planted ----
 
     private static VirtualPlay.Options datagrams(Supplier<Filter> filters) {
-        return new VirtualPlay.Options(null, UnaryOperator.identity(), p -> new Platform(p.loop(), p.clock(),
-                new Filtered(p.transport(), filters), p.log()), Progress.NONE);
+        return new VirtualPlay.Options(
+                null,
+                UnaryOperator.identity(),
+                p -> new Platform(p.loop(), p.clock(), new Filtered(p.transport(), filters), p.log()),
+                Progress.NONE);
     }
 
     /** p3 has so little of a processor that it reads each datagram late. */
@@ -160,8 +175,8 @@
                 }
             }
         });
-        return new VirtualPlay.Options(null, o.module(), o.platform(), Progress.NONE,
-                new VirtualPlay.Peering(String::hashCode, settings));
+        return new VirtualPlay.Options(
+                null, o.module(), o.platform(), Progress.NONE, new VirtualPlay.Peering(String::hashCode, settings));
     }
 
     /** Whoever is accused does not hear of it, so it does not object. */
@@ -172,7 +187,11 @@
 
             @Override
             Message in(Message m) {
-                return Retold.with(m, m.rumours().stream().filter(r -> !r.id().name().equals(self)).toList());
+                return Retold.with(
+                        m,
+                        m.rumours().stream()
+                                .filter(r -> !r.id().name().equals(self))
+                                .toList());
             }
 
             @Override
@@ -186,10 +205,15 @@
     /** What tells one life of a process from the next is kept in memory only, and begins anew. */
     @Test
     void withTheSameLifeAfterARestartWhoIsBackStaysGone() {
-        caught(Rule.FLEET_TRUE, KILLED, new VirtualPlay.Options(null, UnaryOperator.identity(),
-                UnaryOperator.identity(), Progress.NONE, new VirtualPlay.Peering(who ->
-                        who.split("\\.")[0].hashCode(),
-                        UnaryOperator.identity())));
+        caught(
+                Rule.FLEET_TRUE,
+                KILLED,
+                new VirtualPlay.Options(
+                        null,
+                        UnaryOperator.identity(),
+                        UnaryOperator.identity(),
+                        Progress.NONE,
+                        new VirtualPlay.Peering(who -> who.split("\\.")[0].hashCode(), UnaryOperator.identity())));
     }
 
     /** Nobody knocks at those that are gone, nor at seeds. */
@@ -198,8 +222,10 @@
         caught(Rule.FLEET_AGREES, PARTED, datagrams(() -> new Filter() {
             @Override
             Message out(Message m) {
-                boolean knock = m instanceof Message.Ping p && (p.target() == 0 || m.rumours().stream()
-                        .anyMatch(r -> r.id().life() == p.target() && r.standing() == Standing.GONE));
+                boolean knock = m instanceof Message.Ping p
+                        && (p.target() == 0
+                                || m.rumours().stream()
+                                        .anyMatch(r -> r.id().life() == p.target() && r.standing() == Standing.GONE));
                 return knock ? null : m;
             }
         }));
@@ -208,13 +234,29 @@
     /** Who has no processor trusts his own hearing all the same. */
     @Test
     void withoutOwnHealthWhoIsStarvedBlamesOthers() {
-        assertTrue(broken(QUIET, starved(UnaryOperator.identity())).stream()
-                .noneMatch(b -> b.rule() == Rule.FLEET_TRUE), "with it, it blames nobody");
-        caught(Rule.FLEET_TRUE, QUIET, starved(s -> new Settings(s.intervalNs(), s.timeoutNs(),
-                s.indirect(),
-                s.suspicion(), s.stretch(), s.confirmations(), 0, s.retell(), s.fanout(), s.syncNs(),
+        assertTrue(
+                broken(QUIET, starved(UnaryOperator.identity())).stream().noneMatch(b -> b.rule() == Rule.FLEET_TRUE),
+                "with it, it blames nobody");
+        caught(
+                Rule.FLEET_TRUE,
+                QUIET,
+                starved(s -> new Settings(
+                        s.intervalNs(),
+                        s.timeoutNs(),
+                        s.indirect(),
+                        s.suspicion(),
+                        s.stretch(),
+                        s.confirmations(),
+                        0,
+                        s.retell(),
+                        s.fanout(),
+                        s.syncNs(),
                         s.figuresNs(),
-                s.knockMost(), s.forgetNs(), s.windowNs(), s.members(), s.bytesPerSecond())));
+                        s.knockMost(),
+                        s.forgetNs(),
+                        s.windowNs(),
+                        s.members(),
+                        s.bytesPerSecond())));
     }
 
     /** Whoever is heard is taken for one that answers. */
@@ -241,11 +283,9 @@
                 if (h == null) {
                     return null;
                 }
-                Message.Header next = new Message.Header(h.from(), h.incarnation(), h.address(), h.number()
-                        + 1);
+                Message.Header next = new Message.Header(h.from(), h.incarnation(), h.address(), h.number() + 1);
                 heard.put(h.from().life(), next);
-                return new Message.Ack(next, ((Message.Ping) m).nonce(), h.from(), h.incarnation(),
-                        List.of());
+                return new Message.Ack(next, ((Message.Ping) m).nonce(), h.from(), h.incarnation(), List.of());
             }
         }));
     }
@@ -256,14 +296,36 @@
         caught(Rule.FLEET_TWINS, TWINS, datagrams(() -> new Filter() {
             @Override
             Message out(Message m) {
-                return Retold.with(m, m.rumours().stream().map(r -> r.statement() == null ? r
-                        : new Rumour(r.id(), r.incarnation(), r.standing(), r.by(), r.sinceMs(),
-                                unnamed(r.statement()), r.statedMs())).toList());
+                return Retold.with(
+                        m,
+                        m.rumours().stream()
+                                .map(r -> r.statement() == null
+                                        ? r
+                                        : new Rumour(
+                                                r.id(),
+                                                r.incarnation(),
+                                                r.standing(),
+                                                r.by(),
+                                                r.sinceMs(),
+                                                unnamed(r.statement()),
+                                                r.statedMs()))
+                                .toList());
             }
 
             private Statement unnamed(Statement s) {
-                return new Statement(s.id(), s.revision(), s.address(), s.zone(), s.version(), s.config(),
-                        s.phase(), s.upMs(), 0, s.view(), s.figures(), s.facts());
+                return new Statement(
+                        s.id(),
+                        s.revision(),
+                        s.address(),
+                        s.zone(),
+                        s.version(),
+                        s.config(),
+                        s.phase(),
+                        s.upMs(),
+                        0,
+                        s.view(),
+                        s.figures(),
+                        s.facts());
             }
         }));
     }
@@ -277,7 +339,8 @@
 
             @Override
             Message in(Message m) {
-                m.rumours().stream().filter(r -> r.id().name().startsWith("ghost"))
+                m.rumours().stream()
+                        .filter(r -> r.id().name().startsWith("ghost"))
                         .forEach(r -> spokenOf.put(r.id().life(), r));
                 return m;
             }
@@ -285,9 +348,14 @@
             @Override
             Message answerTo(Message m) {
                 Rumour r = m instanceof Message.Ping p ? spokenOf.get(p.target()) : null;
-                return r == null ? null : new Message.Ack(
-                        new Message.Header(r.id(), 0, r.statement().address(), ++made),
-                        ((Message.Ping) m).nonce(), r.id(), 0, List.of(r));
+                return r == null
+                        ? null
+                        : new Message.Ack(
+                                new Message.Header(r.id(), 0, r.statement().address(), ++made),
+                                ((Message.Ping) m).nonce(),
+                                r.id(),
+                                0,
+                                List.of(r));
             }
         }));
     }
@@ -295,8 +363,7 @@
     /** More is sent than the budget allows. */
     @Test
     void whoTalksTooMuchIsNamed() {
-        caught(Rule.FLEET_CHEAP, Days.parse(Days.text(24, PEERS.replace("60000", "300"))),
-                VirtualPlay.Options.plain());
+        caught(Rule.FLEET_CHEAP, Days.parse(Days.text(24, PEERS.replace("60000", "300"))), VirtualPlay.Options.plain());
     }
 
     /** Changes what goes through a proxy's socket. */
@@ -326,9 +393,8 @@
         }
 
         private DatagramPacket written(Message m, DatagramPacket like) {
-            return new DatagramPacket(Unpooled.wrappedBuffer(envelope.seal(Codec.encode(m))),
-                    like.recipient(),
-                    like.sender());
+            return new DatagramPacket(
+                    Unpooled.wrappedBuffer(envelope.seal(Codec.encode(m))), like.recipient(), like.sender());
         }
 
         @Override
@@ -348,8 +414,7 @@
                 ctx.write(written(m, p), promise);
                 Message answer = answerTo(m);
                 if (answer != null) {
-                    ctx.executor().schedule(() -> ctx.fireChannelRead(written(answer, p)), 2,
-                            TimeUnit.MILLISECONDS);
+                    ctx.executor().schedule(() -> ctx.fireChannelRead(written(answer, p)), 2, TimeUnit.MILLISECONDS);
                 }
             }
         }
--- a/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
+++ b/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gullspar.decide.Balancer;
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.ListKind;
 import gullspar.decide.Balancer.Member;
@@ -12,7 +13,6 @@
 import gullspar.decide.Balancer.Settings;
 import gullspar.decide.Balancer.State;
 import gullspar.decide.Balancer.Status;
-import gullspar.decide.Balancer;
 import gullspar.rehearse.Days;
 import gullspar.rehearse.judge.Broken;
 import gullspar.rehearse.judge.Rule;
@@ -44,13 +44,16 @@
 class JudgeSaysNoTest {
     private static final Script QUIET = Days.small(6, "");
     /** Nodes that crash and spoil answers: attempts that may have run come back with no answer. */
-    private static final Script HARMED = Days.small(6, Days.fault("spoil", 0.5,
-            "for = 5\nnodes = 8\nshare = 0.2")
-            + Days.fault("crash", 2, "nodes = 2"));
+    private static final Script HARMED = Days.small(
+            6, Days.fault("spoil", 0.5, "for = 5\nnodes = 8\nshare = 0.2") + Days.fault("crash", 2, "nodes = 2"));
+
     private static final Script LEAVING = Days.small(8, Days.fault("drain", 2, "nodes = 2\ngrace_s = 4"));
     /** What has just started can do a fiftieth. */
-    private static final Script COLD = Days.small(8, 230, "[rules]\nstart_capacity = 0.02\ncold_s = 20\n"
-            + Days.fault("restart", 1, "nodes = 1\ngrace_s = 0.2\ndown_s = 0.2"));
+    private static final Script COLD = Days.small(
+            8,
+            230,
+            "[rules]\nstart_capacity = 0.02\ncold_s = 20\n"
+                    + Days.fault("restart", 1, "nodes = 1\ngrace_s = 0.2\ndown_s = 0.2"));
 
     private static Verdict play(Script s, VirtualPlay.Options options) {
         return VirtualPlay.play(s, options).verdict();
@@ -60,7 +63,8 @@
     private static void caught(Rule rule, String words, Script s, VirtualPlay.Options options) {
         List<Broken> broken = play(s, options).broken();
         assertFalse(broken.isEmpty(), "nothing was caught");
-        assertTrue(broken.stream().anyMatch(b -> b.rule() == rule && b.what().contains(words)),
+        assertTrue(
+                broken.stream().anyMatch(b -> b.rule() == rule && b.what().contains(words)),
                 broken.get(0).what());
     }
 
@@ -73,27 +77,32 @@
 
     // ---- clients that leave ----
 
-    private static final Script IMPATIENT = Days.small(6, Days.fault("leaving", 0.5,
-            "for = 5\nclass = \"pay\"\nshare = 0.5\nwithin_ms = 20"));
+    private static final Script IMPATIENT =
+            Days.small(6, Days.fault("leaving", 0.5, "for = 5\nclass = \"pay\"\nshare = 0.5\nwithin_ms = 20"));
 
     /**
      * The proxy hears of the end of a client only long after, and some of what it sends on it sends late: not
      * by more than the clients leave early and the rule allows.
      */
     private static VirtualPlay.Options deaf(Predicate<String> late) {
-        return Planted.sockets(() -> new ChannelInboundHandlerAdapter() {
-            @Override
-            public void channelInactive(ChannelHandlerContext ctx) {
-                ctx.executor().schedule(ctx::fireChannelInactive, 5, TimeUnit.SECONDS);
-            }
-        }, address -> new ChannelOutboundHandlerAdapter() {
-            @Override
-            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-                String text = ((ByteBuf) message).toString(StandardCharsets.US_ASCII);
-                ctx.executor().schedule(() -> ctx.writeAndFlush(message, promise), late.test(text) ? 150 : 0,
-                        TimeUnit.MILLISECONDS);
-            }
-        });
+        return Planted.sockets(
+                () -> new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelInactive(ChannelHandlerContext ctx) {
+                        ctx.executor().schedule(ctx::fireChannelInactive, 5, TimeUnit.SECONDS);
+                    }
+                },
+                address -> new ChannelOutboundHandlerAdapter() {
+                    @Override
+                    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                        String text = ((ByteBuf) message).toString(StandardCharsets.US_ASCII);
+                        ctx.executor()
+                                .schedule(
+                                        () -> ctx.writeAndFlush(message, promise),
+                                        late.test(text) ? 150 : 0,
+                                        TimeUnit.MILLISECONDS);
+                    }
+                });
     }
 
     @Test
@@ -105,11 +114,18 @@
     @Test
     void aRequestWhoseClientHasLeftIsSentAgain() {
         Set<String> ids = new HashSet<>();
-        caught(Rule.LEFT_ALONE, "after its client had left", Days.small(6, Days.fault("leaving", 0.5,
-                "for = 5\nclass = \"look\"\nshare = 0.5\nwithin_ms = 20")
-                + Days.fault("spoil", 0.5, "for = 5\nnodes = 8\nshare = 0.5")),
-                deaf(t -> t.startsWith("GET /look") && !ids.add(t.lines()
-                        .filter(l -> l.startsWith("Request-Id")).findFirst().orElse(""))));
+        caught(
+                Rule.LEFT_ALONE,
+                "after its client had left",
+                Days.small(
+                        6,
+                        Days.fault("leaving", 0.5, "for = 5\nclass = \"look\"\nshare = 0.5\nwithin_ms = 20")
+                                + Days.fault("spoil", 0.5, "for = 5\nnodes = 8\nshare = 0.5")),
+                deaf(t -> t.startsWith("GET /look")
+                        && !ids.add(t.lines()
+                                .filter(l -> l.startsWith("Request-Id"))
+                                .findFirst()
+                                .orElse(""))));
     }
 
     // ---- one final answer ----
@@ -117,31 +133,33 @@
     /** Does something else with every so many answers that a proxy writes to its clients. */
     private static VirtualPlay.Options answers(int every, Answers what) {
         int[] count = {0};
-        return Planted.sockets(() -> new ChannelOutboundHandlerAdapter() {
-            private final ByteBuf whole = Unpooled.buffer();
+        return Planted.sockets(
+                () -> new ChannelOutboundHandlerAdapter() {
+                    private final ByteBuf whole = Unpooled.buffer();
 
-            @Override
-            public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-                ByteBuf b = (ByteBuf) message; // a head and a body are written apart
-                whole.writeBytes(b);
-                b.release();
-                promise.setSuccess();
-            }
+                    @Override
+                    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+                        ByteBuf b = (ByteBuf) message; // a head and a body are written apart
+                        whole.writeBytes(b);
+                        b.release();
+                        promise.setSuccess();
+                    }
 
-            @Override
-            public void flush(ChannelHandlerContext ctx) {
-                if (!whole.isReadable()) {
-                    return;
-                }
-                String text = whole.toString(StandardCharsets.US_ASCII);
-                whole.clear();
-                if (text.startsWith("HTTP/1.1 200") && !text.contains("ready") && ++count[0] % every == 0) {
-                    what.write(ctx, text);
-                } else {
-                    say(ctx, text);
-                }
-            }
-        }, null);
+                    @Override
+                    public void flush(ChannelHandlerContext ctx) {
+                        if (!whole.isReadable()) {
+                            return;
+                        }
+                        String text = whole.toString(StandardCharsets.US_ASCII);
+                        whole.clear();
+                        if (text.startsWith("HTTP/1.1 200") && !text.contains("ready") && ++count[0] % every == 0) {
+                            what.write(ctx, text);
+                        } else {
+                            say(ctx, text);
+                        }
+                    }
+                },
+                null);
     }
 
     private static void say(ChannelHandlerContext ctx, String text) {
@@ -154,8 +172,7 @@
 
     @Test
     void anAnswerThatIsNeverWritten() {
-        caught(Rule.ONE_ANSWER, "no final answer when its time was up", QUIET, answers(50, (ctx, text) ->
-                { }));
+        caught(Rule.ONE_ANSWER, "no final answer when its time was up", QUIET, answers(50, (ctx, text) -> {}));
     }
 
     @Test
@@ -168,14 +185,16 @@
 
     @Test
     void anAnswerThatIsAnotherRequests() {
-        caught(Rule.ONE_ANSWER, "what no node made for it", QUIET,
+        caught(
+                Rule.ONE_ANSWER,
+                "what no node made for it",
+                QUIET,
                 answers(50, (ctx, text) -> say(ctx, text.replaceFirst("\r\n\r\nr", "\r\n\r\nx"))));
     }
 
     @Test
     void aConnectionThatIsClosedInsteadOfAnAnswer() {
-        caught(Rule.ONE_ANSWER, "closed with no final answer", QUIET, answers(50, (ctx, text) ->
-                ctx.close()));
+        caught(Rule.ONE_ANSWER, "closed with no final answer", QUIET, answers(50, (ctx, text) -> ctx.close()));
     }
 
     /** Holds back every so many requests to nodes for longer than their clients wait. */
@@ -183,11 +202,15 @@
     void anAttemptThatGoesOutAfterTheAnswer() {
         int[] count = {0};
         // The module fails the request at once and the sockets send it all the same.
-        caught(Rule.ONE_ANSWER, "after its final answer", QUIET, Planted.sockets(null,
-                address -> new ChannelDuplexHandler() {
+        caught(
+                Rule.ONE_ANSWER,
+                "after its final answer",
+                QUIET,
+                Planted.sockets(null, address -> new ChannelDuplexHandler() {
                     @Override
                     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
-                        if (address.getPort() == 9000 && message instanceof ByteBuf b
+                        if (address.getPort() == 9000
+                                && message instanceof ByteBuf b
                                 && b.toString(StandardCharsets.US_ASCII).startsWith("GET /look")
                                 && ++count[0] % 40 == 0) {
                             promise.setSuccess();
@@ -208,12 +231,15 @@
 
     @Test
     void aRefusalOfWhatMayHaveRun() {
-        caught(Rule.NOTHING_TWICE, "it was refused", HARMED, Planted.module(real -> (settings, seed, now,
-                out) ->
-                real.create(settings, seed, now, Planted.instead(out, "fail", args -> {
-                    out.refuse((Integer) args[0], 0);
-                    return true;
-                }))));
+        caught(
+                Rule.NOTHING_TWICE,
+                "it was refused",
+                HARMED,
+                Planted.module(real -> (settings, seed, now, out) ->
+                        real.create(settings, seed, now, Planted.instead(out, "fail", args -> {
+                            out.refuse((Integer) args[0], 0);
+                            return true;
+                        }))));
     }
 
     /** Sends again, to another node, what the module gives up: it may have run. */
@@ -224,8 +250,7 @@
         private final List<Integer> nodes = new ArrayList<>();
         private final Effect effect;
 
-        SendsAgain(Balancer.Factory real, Settings settings, long seed, long now, Balancer.Actions out,
-                Effect effect) {
+        SendsAgain(Balancer.Factory real, Settings settings, long seed, long now, Balancer.Actions out, Effect effect) {
             super(real.create(settings, seed, now, out));
             this.settings = settings;
             this.out = out;
@@ -247,7 +272,9 @@
         @Override
         public void onOutcome(long now, Outcome o) {
             Integer c = classes.remove(o.ticket());
-            if (o.status() == Status.RESET && c != null && settings.profiles().get(c).effect() == effect) {
+            if (o.status() == Status.RESET
+                    && c != null
+                    && settings.profiles().get(c).effect() == effect) {
                 // Nodes are listed by turns of the sites: the next one is of another.
                 out.send(o.ticket(), nodes.get((nodes.indexOf(o.server()) + 1) % nodes.size()), 0);
             } else {
@@ -257,8 +284,8 @@
     }
 
     private static VirtualPlay.Options sendsAgain(Effect effect) {
-        return Planted.module(real -> (settings, seed, now, out) ->
-                new SendsAgain(real, settings, seed, now, out, effect));
+        return Planted.module(
+                real -> (settings, seed, now, out) -> new SendsAgain(real, settings, seed, now, out, effect));
     }
 
     @Test
@@ -285,17 +312,25 @@
                     return;
                 }
                 b.release();
-                ctx.executor().schedule(() -> {
-                    ctx.fireChannelRead(Unpooled.copiedBuffer(spoil.apply(text), StandardCharsets.US_ASCII));
-                    ctx.fireChannelReadComplete();
-                }, lateMs, TimeUnit.MILLISECONDS);
+                ctx.executor()
+                        .schedule(
+                                () -> {
+                                    ctx.fireChannelRead(
+                                            Unpooled.copiedBuffer(spoil.apply(text), StandardCharsets.US_ASCII));
+                                    ctx.fireChannelReadComplete();
+                                },
+                                lateMs,
+                                TimeUnit.MILLISECONDS);
             }
         });
     }
 
     @Test
     void newsOfADrainThatAreNotHeard() {
-        caught(Rule.DRAINS_KEPT, "was told that it leaves", LEAVING,
+        caught(
+                Rule.DRAINS_KEPT,
+                "was told that it leaves",
+                LEAVING,
                 news(text -> text.replace("\"terminating\"", "\"in_service\" "), 0));
     }
 
@@ -305,15 +340,18 @@
     }
 
     /** All watches end, and some drains come while there is none. */
-    private static final Script UNHEARD = Days.small(14, Days.fault("discovery-down", 1, "for = 1")
-            + Days.fault("drain", 3, "nodes = 2\ngrace_s = 11"));
+    private static final Script UNHEARD = Days.small(
+            14, Days.fault("discovery-down", 1, "for = 1") + Days.fault("drain", 3, "nodes = 2\ngrace_s = 11"));
 
     /** A proxy whose further calls are never written is told nothing, and has to know all the same. */
     @Test
     void noWatchWorksAgain() {
         Set<InetSocketAddress> asked = new HashSet<>();
-        caught(Rule.LISTS_HEARD, "had to know that it leaves", UNHEARD, Planted.sockets(null,
-                address -> new ChannelOutboundHandlerAdapter() {
+        caught(
+                Rule.LISTS_HEARD,
+                "had to know that it leaves",
+                UNHEARD,
+                Planted.sockets(null, address -> new ChannelOutboundHandlerAdapter() {
                     @Override
                     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
                         String text = ((ByteBuf) message).toString(StandardCharsets.US_ASCII);
@@ -345,7 +383,8 @@
             return new Planted.Module(real.create(settings, seed, now, redirected)) {
                 @Override
                 public void onMembers(long at, ListKind kind, long version, List<Member> members) {
-                    members.stream().filter(m -> m.bootNs() > 0 && m.state() == State.READY)
+                    members.stream()
+                            .filter(m -> m.bootNs() > 0 && m.state() == State.READY)
                             .forEach(m -> newest[0] = m.id());
                     super.onMembers(at, kind, version, members);
                 }
--- a/src/test/java/gullspar/rehearse/play/Planted.java
+++ b/src/test/java/gullspar/rehearse/play/Planted.java
@@ -22,7 +22,7 @@
 
 /** Stands between a proxy and its module, or its sockets, so that a test can plant a fault there. */
 final class Planted {
-    private Planted() { }
+    private Planted() {}
 
     /** Options with a wrapped module. */
     static VirtualPlay.Options module(UnaryOperator<Balancer.Factory> wrapper) {
@@ -30,10 +30,13 @@
     }
 
     /** Options with handlers ahead of what the proxy has on its connections; either may be null. */
-    static VirtualPlay.Options sockets(Supplier<ChannelHandler> accepted,
-            Function<InetSocketAddress, ChannelHandler> connected) {
-        return new VirtualPlay.Options(null, UnaryOperator.identity(), p -> new Platform(p.loop(), p.clock(),
-                new Sockets(p.transport(), accepted, connected), p.log()), Progress.NONE);
+    static VirtualPlay.Options sockets(
+            Supplier<ChannelHandler> accepted, Function<InetSocketAddress, ChannelHandler> connected) {
+        return new VirtualPlay.Options(
+                null,
+                UnaryOperator.identity(),
+                p -> new Platform(p.loop(), p.clock(), new Sockets(p.transport(), accepted, connected), p.log()),
+                Progress.NONE);
     }
 
     /** A module that passes all on; a test overrides what it spoils. */
@@ -76,10 +79,9 @@
     }
 
     /** Actions of which one is another's: what a test gives instead of the method of that name. */
-    static Balancer.Actions instead(Balancer.Actions out, String method, Function<Object[],
-            Boolean> instead) {
-        return (Balancer.Actions) Proxy.newProxyInstance(Planted.class.getClassLoader(),
-                new Class<?>[] {Balancer.Actions.class}, (self, m, args) -> {
+    static Balancer.Actions instead(Balancer.Actions out, String method, Function<Object[], Boolean> instead) {
+        return (Balancer.Actions) Proxy.newProxyInstance(
+                Planted.class.getClassLoader(), new Class<?>[] {Balancer.Actions.class}, (self, m, args) -> {
                     if (m.getName().equals(method) && instead.apply(args)) {
                         return null;
                     }
@@ -91,48 +93,55 @@
                 });
     }
 
-    private record Sockets(Transport real, Supplier<ChannelHandler> accepted,
-            Function<InetSocketAddress, ChannelHandler> connected) implements Transport {
+    private record Sockets(
+            Transport real, Supplier<ChannelHandler> accepted, Function<InetSocketAddress, ChannelHandler> connected)
+            implements Transport {
         @Override
         public Bootstrap to(InetSocketAddress address) {
             Bootstrap bare = real.to(address);
-            return connected == null ? bare : new Bootstrap() {
-                @Override
-                public Bootstrap handler(ChannelHandler handler) {
-                    return bare.handler(ahead(connected.apply(address), handler));
-                }
-
-                @Override
-                public <T> Bootstrap option(io.netty.channel.ChannelOption<T> option, T value) {
-                    bare.option(option, value);
-                    return this;
-                }
-            };
+            return connected == null
+                    ? bare
+                    : new Bootstrap() {
+                        @Override
+                        public Bootstrap handler(ChannelHandler handler) {
+                            return bare.handler(ahead(connected.apply(address), handler));
+                        }
+
+                        @Override
+                        public <T> Bootstrap option(io.netty.channel.ChannelOption<T> option, T value) {
+                            bare.option(option, value);
+                            return this;
+                        }
+                    };
         }
 
         @Override
         public ServerBootstrap at(InetSocketAddress address) {
             ServerBootstrap bare = real.at(address);
-            return accepted == null ? bare : new ServerBootstrap() {
-                @Override
-                public ServerBootstrap childHandler(ChannelHandler handler) {
-                    return bare.childHandler(new ChannelInitializer<Channel>() {
+            return accepted == null
+                    ? bare
+                    : new ServerBootstrap() {
                         @Override
-                        protected void initChannel(Channel c) {
-                            c.pipeline().addLast(accepted.get(), handler);
+                        public ServerBootstrap childHandler(ChannelHandler handler) {
+                            return bare.childHandler(new ChannelInitializer<Channel>() {
+                                @Override
+                                protected void initChannel(Channel c) {
+                                    c.pipeline().addLast(accepted.get(), handler);
+                                }
+                            });
                         }
-                    });
-                }
-            };
+                    };
         }
 
         private static ChannelHandler ahead(ChannelHandler first, ChannelHandler then) {
-            return first == null ? then : new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    c.pipeline().addLast(first, then);
-                }
-            };
+            return first == null
+                    ? then
+                    : new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline().addLast(first, then);
+                        }
+                    };
         }
     }
 }
--- a/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
+++ b/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
@@ -12,10 +12,10 @@
 import gullspar.rehearse.script.ScriptReader;
 import gullspar.rehearse.stage.Chronicle;
 import java.io.File;
-import java.io.Writer;
-import java.nio.charset.StandardCharsets;
 import java.io.StringWriter;
+import java.io.Writer;
 import java.lang.ref.WeakReference;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -33,14 +33,18 @@
 class SameEveryTimeTest {
     /** A little of everything that can go wrong, in 12 s. */
     static final String ALL = Days.fault("neighbour", 0.5, "for = 6\nnodes = 2")
-            + Days.fault("crash", 1, "nodes = 1\ndown_s = 1") + Days.fault("replace", 2, "nodes = 1")
-            + Days.fault("spoil", 3, "for = 3\nnodes = 3") + Days.fault("lossy-link", 4,
-            "for = 2\nfrom = \"nodes\"\nto = \"proxies\"\nshare = 0.02")
-            + Days.fault("rude-clients", 4, "for = 2\nproxies = 2") + Days.fault("pause", 5,
-            "for = 0.8\nproxies = 1") + Days.fault("kill", 7, "proxies = 1") + Days.fault("reload", 8,
-                    "proxies = 2")
-            + Days.fault("stop", 9, "proxies = 1") + Days.fault("vanish", 9.5, "for = 1\nnodes = 1")
-            + Days.fault("slow-answers", 10, "for = 1\nnodes = 2") + Days.fault("old-list", 7.5, "for = 2");
+            + Days.fault("crash", 1, "nodes = 1\ndown_s = 1")
+            + Days.fault("replace", 2, "nodes = 1")
+            + Days.fault("spoil", 3, "for = 3\nnodes = 3")
+            + Days.fault("lossy-link", 4, "for = 2\nfrom = \"nodes\"\nto = \"proxies\"\nshare = 0.02")
+            + Days.fault("rude-clients", 4, "for = 2\nproxies = 2")
+            + Days.fault("pause", 5, "for = 0.8\nproxies = 1")
+            + Days.fault("kill", 7, "proxies = 1")
+            + Days.fault("reload", 8, "proxies = 2")
+            + Days.fault("stop", 9, "proxies = 1")
+            + Days.fault("vanish", 9.5, "for = 1\nnodes = 1")
+            + Days.fault("slow-answers", 10, "for = 1\nnodes = 2")
+            + Days.fault("old-list", 7.5, "for = 2");
 
     @TempDir
     Path folder;
@@ -53,7 +57,8 @@
         Played once = VirtualPlay.play(s, VirtualPlay.Options.plain());
         assertEquals(List.of(), once.verdict().broken());
         assertTrue(once.decisions() > 10_000, "only " + once.decisions() + " decisions");
-        assertEquals(once.hash(), VirtualPlay.play(s, VirtualPlay.Options.plain()).hash());
+        assertEquals(
+                once.hash(), VirtualPlay.play(s, VirtualPlay.Options.plain()).hash());
     }
 
     private static String inAnotherProcess(Path script, String... options) throws Exception {
@@ -63,14 +68,15 @@
     private static String inAnotherProcess(Path script, List<String> options, Path log) throws Exception {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(options.contains("-cp") ? List.of()
-                : List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(options.contains("-cp") ? List.of() : List.of("-cp", System.getProperty("java.class.path")));
         command.addAll(options);
         command.addAll(List.of("gullspar.Main", "rehearse", script.toString()));
         if (log != null) {
             command.addAll(List.of("--log", log.toString()));
         }
-        Process p = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        Process p = new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         String out = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertEquals(0, p.waitFor(), out);
         return out.trim();
@@ -80,8 +86,9 @@
     /** A search plays thousands: none may stay in memory, held by what outlives it in this process. */
     @Test
     void aDayThatIsOverIsLetGo() {
-        WeakReference<Chronicle> day = new WeakReference<>(VirtualPlay.play(Days.small(1, "[peers]\n"),
-                VirtualPlay.Options.plain()).chronicle());
+        WeakReference<Chronicle> day =
+                new WeakReference<>(VirtualPlay.play(Days.small(1, "[peers]\n"), VirtualPlay.Options.plain())
+                        .chronicle());
         for (int i = 0; i < 100 && day.get() != null; i++) {
             System.gc();
         }
@@ -94,8 +101,15 @@
         Files.writeString(script, Days.text(12, ALL));
         String out = inAnotherProcess(script, "-Xmx48m", "-XX:+UseSerialGC");
         assertTrue(out.matches("decisions \\d+ sha256 [0-9a-f]{64}"), out);
-        assertEquals(out, inAnotherProcess(script, "-Xmx1g", "-XX:+UseParallelGC", "-Duser.language=tr",
-                "-Duser.country=TR", "-Duser.timezone=Asia/Kathmandu"));
+        assertEquals(
+                out,
+                inAnotherProcess(
+                        script,
+                        "-Xmx1g",
+                        "-XX:+UseParallelGC",
+                        "-Duser.language=tr",
+                        "-Duser.country=TR",
+                        "-Duser.timezone=Asia/Kathmandu"));
         assertEquals(out, inAnotherProcess(script, "-Xint"));
         Played here = VirtualPlay.play(ScriptReader.read(script), VirtualPlay.Options.plain());
         assertEquals(out, "decisions " + here.decisions() + " sha256 " + here.hash());
@@ -105,7 +119,8 @@
     @Test
     void anotherSeedIsAnotherDay() {
         Script s = Days.small(3, "");
-        assertNotEquals(VirtualPlay.play(s, VirtualPlay.Options.plain()).hash(),
+        assertNotEquals(
+                VirtualPlay.play(s, VirtualPlay.Options.plain()).hash(),
                 VirtualPlay.play(s.with(2), VirtualPlay.Options.plain()).hash());
     }
 
@@ -117,16 +132,26 @@
         assertTrue(policy.contains("ADMIT = 0.25;"));
         Files.writeString(source, policy.replace("ADMIT = 0.25;", "ADMIT = 0.24;"));
         Path classes = Files.createDirectories(folder.resolve("classes"));
-        assertEquals(0, ToolProvider.getSystemJavaCompiler().run(null, null, null, "-nowarn", "-cp",
-                System.getProperty("java.class.path"), "-d", classes.toString(), source.toString()));
+        assertEquals(
+                0,
+                ToolProvider.getSystemJavaCompiler()
+                        .run(
+                                null,
+                                null,
+                                null,
+                                "-nowarn",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                "-d",
+                                classes.toString(),
+                                source.toString()));
         Path script = folder.resolve("day.toml");
-        Files.writeString(script, Days.text(6, Days.fault("heavy", 1,
-                "for = 4\nclass = \"look\"\nshare = 0.2")));
+        Files.writeString(script, Days.text(6, Days.fault("heavy", 1, "for = 4\nclass = \"look\"\nshare = 0.2")));
         Path a = folder.resolve("as-it-is.log");
         Path b = folder.resolve("changed.log");
         String before = inAnotherProcess(script, List.of(), a);
-        String after = inAnotherProcess(script, List.of("-cp", classes + File.pathSeparator
-                + System.getProperty("java.class.path")), b);
+        String after = inAnotherProcess(
+                script, List.of("-cp", classes + File.pathSeparator + System.getProperty("java.class.path")), b);
         assertNotEquals(before, after);
         List<String> diff = LogDiff.of(a, b);
         assertTrue(diff.contains("The first decision that differs:"), diff.toString());
@@ -135,9 +160,10 @@
 
     private String logged(Path to, UnaryOperator<Balancer.Factory> module) throws Exception {
         try (Writer w = Files.newBufferedWriter(to)) {
-            return VirtualPlay.play(Days.small(4, ""), new VirtualPlay.Options(w, module, UnaryOperator
-                    .identity(),
-                    Progress.NONE)).hash();
+            return VirtualPlay.play(
+                            Days.small(4, ""),
+                            new VirtualPlay.Options(w, module, UnaryOperator.identity(), Progress.NONE))
+                    .hash();
         }
     }
 
@@ -148,14 +174,16 @@
         Path b = folder.resolve("b.log");
         int[] sends = {0};
         String before = logged(a, UnaryOperator.identity());
-        String after = logged(b, real -> (settings, seed, now, out) -> real.create(settings, seed, now,
-                Planted.instead(out, "send", args -> {
-                    boolean other = ++sends[0] > 200;
-                    if (other) {
-                        out.send((Integer) args[0], (Integer) args[1], (Long) args[2] + 1);
-                    }
-                    return other;
-                })));
+        String after = logged(
+                b,
+                real -> (settings, seed, now, out) ->
+                        real.create(settings, seed, now, Planted.instead(out, "send", args -> {
+                            boolean other = ++sends[0] > 200;
+                            if (other) {
+                                out.send((Integer) args[0], (Integer) args[1], (Long) args[2] + 1);
+                            }
+                            return other;
+                        })));
         assertNotEquals(before, after);
         List<String> diff = LogDiff.of(a, b);
         int at = diff.indexOf("The first decision that differs:");
@@ -166,8 +194,7 @@
         for (int n = 0; n <= 200; line++) {
             n += lines.get(line).contains(" Send ") ? 1 : 0;
         }
-        assertTrue(diff.get(at + 1).contains("line " + line + ":"), diff.get(at + 1) + ", expected line "
-                + line);
+        assertTrue(diff.get(at + 1).contains("line " + line + ":"), diff.get(at + 1) + ", expected line " + line);
         assertTrue(diff.stream().filter(l -> l.contains("inflight ")).count() > 8, "what each side knew");
         assertEquals(List.of(), LogDiff.of(a, a));
     }
@@ -175,14 +202,18 @@
     /** The call of the proxy that starts again still waits for its turn when discovery goes down. */
     @Test
     void aCallThatWaitsForItsTurnEndsWithDiscovery() throws Exception {
-        Script s = Days.small(5, "answer_ms = 1500\n"
-                + Days.fault("kill", 0.5, "proxies = [\"p1\"]\ndown_s = 0.1")
-                + Days.fault("discovery-down", 1, "for = 4"));
+        Script s = Days.small(
+                5,
+                "answer_ms = 1500\n"
+                        + Days.fault("kill", 0.5, "proxies = [\"p1\"]\ndown_s = 0.1")
+                        + Days.fault("discovery-down", 1, "for = 4"));
         StringWriter log = new StringWriter();
         VirtualPlay.play(s, VirtualPlay.Options.logged(log, Progress.NONE));
         long back = 8_000_000_000L; // the day begins after 3 s of starting; discovery is back 5 s later
-        List<String> lists = log.toString().lines().filter(l -> l.contains(" p1.2 list ")
-                && Long.parseLong(l.substring(0, l.indexOf(' '))) < back).toList();
+        List<String> lists = log.toString()
+                .lines()
+                .filter(l -> l.contains(" p1.2 list ") && Long.parseLong(l.substring(0, l.indexOf(' '))) < back)
+                .toList();
         assertEquals(1, lists.size(), lists.toString());
         assertTrue(lists.get(0).contains(" list cached "), lists.get(0));
     }
--- a/src/test/java/gullspar/rehearse/play/SameInstantTest.java
+++ b/src/test/java/gullspar/rehearse/play/SameInstantTest.java
@@ -79,24 +79,27 @@
             listen("discovery", DISCOVERY, ctx -> atDiscovery = ctx);
             runTo(1); // they listen before anybody asks
             JsonNode known = Json.read(list(1, "in_service").getBytes(StandardCharsets.US_ASCII));
-            Config config = Config.parse(ProxySettings.of(Days.small(1, ""), 0, "p1", PROXY, DISCOVERY, 1,
-                    known),
-                    Map.of());
-            loop.execute(() -> Proxy.begin(config, new Platform(loop, agenda::now, network.transport(proxy),
-                    line -> { }), (settings, s, now, out) -> {
+            Config config =
+                    Config.parse(ProxySettings.of(Days.small(1, ""), 0, "p1", PROXY, DISCOVERY, 1, known), Map.of());
+            loop.execute(() -> Proxy.begin(
+                    config,
+                    new Platform(loop, agenda::now, network.transport(proxy), line -> {}),
+                    (settings, s, now, out) -> {
                         actions = out;
                         return new Module();
                     }));
             runTo(10);
             // Until discovery has spoken nobody is sent to.
-            write(atDiscovery, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + chunk(list(1, "in_service")));
-            network.transport(network.host("client")).to(PROXY).handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    c.pipeline().addLast(new Peer("client", ctx -> atClient = ctx));
-                }
-            }).connect();
+            write(atDiscovery, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(list(1, "in_service")));
+            network.transport(network.host("client"))
+                    .to(PROXY)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline().addLast(new Peer("client", ctx -> atClient = ctx));
+                        }
+                    })
+                    .connect();
             runTo(20);
         }
 
@@ -111,12 +114,15 @@
         }
 
         private void listen(String name, InetSocketAddress at, Consumer<ChannelHandlerContext> to) {
-            network.transport(network.host(name)).at(at).childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    c.pipeline().addLast(new Peer(name, to));
-                }
-            }).bind();
+            network.transport(network.host(name))
+                    .at(at)
+                    .childHandler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline().addLast(new Peer(name, to));
+                        }
+                    })
+                    .bind();
         }
 
         /** Up to so many ms from the start. */
@@ -184,7 +190,7 @@
             }
 
             @Override
-            public void onStreamBegun(long now, int ticket, int attempt, int server, long elapsedNs) { }
+            public void onStreamBegun(long now, int ticket, int attempt, int server, long elapsedNs) {}
 
             @Override
             public void onOutcome(long now, Outcome o) {
@@ -200,7 +206,7 @@
             }
 
             @Override
-            public void onTimer(long now, long token) { }
+            public void onTimer(long now, long token) {}
         }
     }
 
@@ -221,48 +227,55 @@
 
     private static void bothOften(Map<String, Integer> met, String one, String other) {
         assertEquals(2, met.size(), met.toString());
-        assertTrue(met.getOrDefault(one, 0) > SEEDS / 4 && met.getOrDefault(other, 0) > SEEDS / 4,
-                met.toString());
+        assertTrue(met.getOrDefault(one, 0) > SEEDS / 4 && met.getOrDefault(other, 0) > SEEDS / 4, met.toString());
     }
 
     /** The node's answer comes at the very ns at which its time is up. */
     @Test
     void anAnswerAndATimeOut() throws Exception {
-        bothOften(courses(t -> {
-            t.timeoutNs = 50 * MS;
-            Table.write(t.atClient, GET);
-            t.runTo(40);
-            t.seen.clear();
-            t.at(t.sentAt + 49 * MS, () -> Table.write(t.atNode, OK));
-            t.runTo(2000);
-            return t.seen;
-        }), "OK, client reads HTTP/1.1 200", "TIMEOUT, client reads HTTP/1.1 502");
+        bothOften(
+                courses(t -> {
+                    t.timeoutNs = 50 * MS;
+                    Table.write(t.atClient, GET);
+                    t.runTo(40);
+                    t.seen.clear();
+                    t.at(t.sentAt + 49 * MS, () -> Table.write(t.atNode, OK));
+                    t.runTo(2000);
+                    return t.seen;
+                }),
+                "OK, client reads HTTP/1.1 200",
+                "TIMEOUT, client reads HTTP/1.1 502");
     }
 
     /** The news that the node drains and a request come at the same ns: once told, nothing goes there. */
     @Test
     void aDrainNoticeAndARequest() throws Exception {
-        bothOften(courses(t -> {
-            t.seen.clear();
-            t.at(START + 30 * MS, () -> Table.write(t.atClient, GET));
-            t.at(START + 30 * MS, () -> Table.write(t.atDiscovery,
-                    Table.chunk(Table.list(2, "terminating"))));
-            t.runTo(40);
-            return t.seen;
-        }), "drains, request, client reads HTTP/1.1 503", "request, drains, node reads GET /look/1");
+        bothOften(
+                courses(t -> {
+                    t.seen.clear();
+                    t.at(START + 30 * MS, () -> Table.write(t.atClient, GET));
+                    t.at(START + 30 * MS, () -> Table.write(t.atDiscovery, Table.chunk(Table.list(2, "terminating"))));
+                    t.runTo(40);
+                    return t.seen;
+                }),
+                "drains, request, client reads HTTP/1.1 503",
+                "request, drains, node reads GET /look/1");
     }
 
     /** The client goes away at the very ns at which the answer is there for it. */
     @Test
     void aClientsCloseAndAnAnswer() throws Exception {
-        bothOften(courses(t -> {
-            Table.write(t.atClient, GET);
-            t.runTo(40);
-            t.seen.clear();
-            t.at(START + 59 * MS, () -> Table.write(t.atNode, OK));
-            t.at(START + 59 * MS, () -> t.atClient.close());
-            t.runTo(2000);
-            return t.seen;
-        }), "OK", "withdrawn, CANCELLED");
+        bothOften(
+                courses(t -> {
+                    Table.write(t.atClient, GET);
+                    t.runTo(40);
+                    t.seen.clear();
+                    t.at(START + 59 * MS, () -> Table.write(t.atNode, OK));
+                    t.at(START + 59 * MS, () -> t.atClient.close());
+                    t.runTo(2000);
+                    return t.seen;
+                }),
+                "OK",
+                "withdrawn, CANCELLED");
     }
 }
--- a/src/test/java/gullspar/rehearse/report/ReportTest.java
+++ b/src/test/java/gullspar/rehearse/report/ReportTest.java
@@ -20,16 +20,19 @@
 
     @BeforeAll
     static void play() {
-        day = VirtualPlay.play(Days.parse("title = \"<b>odd & old</b>\"\n" + Days.text(4,
-                Days.fault("hang", 1, "for = 2\nnodes = 3") + Days.fault("drain", 1, "nodes = [\"n1\"]")
-                + "[expect]\nservice = 1\n")), VirtualPlay.Options.plain());
+        day = VirtualPlay.play(
+                Days.parse("title = \"<b>odd & old</b>\"\n"
+                        + Days.text(
+                                4,
+                                Days.fault("hang", 1, "for = 2\nnodes = 3") + Days.fault("drain", 1, "nodes = [\"n1\"]")
+                                        + "[expect]\nservice = 1\n")),
+                VirtualPlay.Options.plain());
     }
 
     @Test
     void thePageNeedsNoNetworkAndNoScriptAndEscapesWhatItIsGiven() {
         String html = HtmlReport.of(day);
-        assertFalse(html.matches("(?s).*(https?:|<script|<link|@import|url\\((?!#)).*"),
-                "it loads something");
+        assertFalse(html.matches("(?s).*(https?:|<script|<link|@import|url\\((?!#)).*"), "it loads something");
         assertTrue(html.contains("<h1>&lt;b&gt;odd &amp; old&lt;/b&gt;</h1>"));
         assertTrue(html.contains("prefers-color-scheme: dark"));
         assertTrue(html.contains("name=\"viewport\""));
@@ -50,15 +53,21 @@
     /** One that dies is missed, then known to be gone; whoever is alone says so; all is well in the end. */
     @Test
     void theViewOfTheFleetIsDrawnAsItWas() {
-        Played p = VirtualPlay.play(Days.parse(Days.text(30, "[peers]\ninterval_ms = 200\nwindow_s = 20\n"
-                + Days.fault("kill", 2, "proxies = [\"p2\"]\ndown_s = 12")
-                + Days.fault("partition", 18, "for = 5\nproxies = [\"p3\"]"))
-                .replace("count = 2\nstart_s", "count = 3\nstart_s")), VirtualPlay.Options.plain());
+        Played p = VirtualPlay.play(
+                Days.parse(Days.text(
+                                30,
+                                "[peers]\ninterval_ms = 200\nwindow_s = 20\n"
+                                        + Days.fault("kill", 2, "proxies = [\"p2\"]\ndown_s = 12")
+                                        + Days.fault("partition", 18, "for = 5\nproxies = [\"p3\"]"))
+                        .replace("count = 2\nstart_s", "count = 3\nstart_s")),
+                VirtualPlay.Options.plain());
         FleetChart chart = new FleetChart(p.chronicle(), 30);
         assertEquals(List.of("p1", "p2", "p3"), chart.processes());
         assertEquals(FleetChart.Sight.RIGHT, chart.of("p1").get(0).sight());
         assertEquals(FleetChart.Sight.BEHIND, chart.of("p1").get(2).sight(), "it is dead and still there");
-        assertEquals(new FleetChart.Cell(FleetChart.Sight.RIGHT, 2, 2, chart.of("p1").get(12).bytes()),
+        assertEquals(
+                new FleetChart.Cell(
+                        FleetChart.Sight.RIGHT, 2, 2, chart.of("p1").get(12).bytes()),
                 chart.of("p1").get(12));
         assertFalse(chart.of("p2").containsKey(8), "a dead process was asked");
         assertEquals(FleetChart.Sight.CUT_OFF, chart.of("p3").get(21).sight());
@@ -89,6 +98,8 @@
         assertEquals("expected", json.get("broken").get(0).get("rule").asText());
         assertEquals(Rule.EXPECTED, day.verdict().broken().get(0).rule());
         assertTrue(json.get("service").asDouble() < 1);
-        assertEquals(day.verdict().counts().get("served"), json.get("tries").get("served").asInt());
+        assertEquals(
+                day.verdict().counts().get("served"),
+                json.get("tries").get("served").asInt());
     }
 }
--- a/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
+++ b/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
@@ -20,11 +20,13 @@
 /** Scripts are read strictly, and all that is wrong comes at once. */
 class ScriptReaderTest {
     private static String errors(String text) {
-        return assertThrows(ProblemsException.class, () -> ScriptReader.parse(text, "day.toml")).getMessage();
+        return assertThrows(ProblemsException.class, () -> ScriptReader.parse(text, "day.toml"))
+                .getMessage();
     }
 
     static Stream<Path> examples() throws IOException {
-        return Files.list(Path.of("examples/rehearsals")).filter(p -> p.toString().endsWith(".toml"))
+        return Files.list(Path.of("examples/rehearsals"))
+                .filter(p -> p.toString().endsWith(".toml"))
                 .sorted();
     }
 
@@ -37,21 +39,29 @@
     @ParameterizedTest
     @EnumSource(FaultKind.class)
     void everyFaultIsReadWithItsUsualFigures(FaultKind kind) {
-        String struck = switch (kind.strikes()) {
-            case CLASS -> "class = \"look\"\n";
-            case LINK -> "from = \"p1\"\nto = \"nodes\"\n";
-            case DATAGRAMS -> "from = \"p1\"\nto = \"proxies\"\n";
-            default -> "";
-        };
-        Fault f = Days.small(5, (kind.betweenProxies() ? "[peers]\n" : "")
-                + Days.fault(kind.named(), 1, struck + (kind.momentary() ? "" : "for = 2\n")))
-                .faults().get(0);
+        String struck =
+                switch (kind.strikes()) {
+                    case CLASS -> "class = \"look\"\n";
+                    case LINK -> "from = \"p1\"\nto = \"nodes\"\n";
+                    case DATAGRAMS -> "from = \"p1\"\nto = \"proxies\"\n";
+                    default -> "";
+                };
+        Fault f = Days.small(
+                        5,
+                        (kind.betweenProxies() ? "[peers]\n" : "")
+                                + Days.fault(kind.named(), 1, struck + (kind.momentary() ? "" : "for = 2\n")))
+                .faults()
+                .get(0);
         assertEquals(kind, f.kind());
         kind.figures().forEach(g -> assertEquals(g.usual(), f.figure(g.name())));
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '~', quoteCharacter = '`', textBlock = """
+    @CsvSource(
+            delimiter = '~',
+            quoteCharacter = '`',
+            textBlock =
+                    """
         kind = "partition"|for = 1                      | and there is no [peers]
         kind = "crush"                                  | kind is 'crush', not one of neighbour, rush
         kind = "crash"|nodes = 1.5                      | nodes must be a whole number, not 1.5
@@ -74,22 +84,28 @@
     void faultsThatCannotBe(String row) {
         // one row: lines of a fault parted by |, the message last
         int cut = row.lastIndexOf('|');
-        String lines = (row.contains("at = ") ? "" : "at = 1\n") + row.substring(0, cut).replace('|', '\n');
+        String lines = (row.contains("at = ") ? "" : "at = 1\n")
+                + row.substring(0, cut).replace('|', '\n');
         String errors = errors(Days.text(5, "[[fault]]\n" + lines + "\n"));
         assertTrue(errors.contains(row.substring(cut + 1).trim()), errors);
     }
 
     @Test
     void allComesAtOnceEachWithItsPlace() {
-        assertEquals(List.of("day.toml:1:1: seconds must be a number, not a string",
-                "day.toml:1:1: there are no [[nodes]]", "day.toml:2:1: unknown key 'secnods'",
-                "day.toml:4:1: count is 0, not 1 to 100", "day.toml:6:1: class: effect is missing",
-                "day.toml:6:1: class: share is missing",
+        assertEquals(
+                List.of(
+                        "day.toml:1:1: seconds must be a number, not a string",
+                        "day.toml:1:1: there are no [[nodes]]",
+                        "day.toml:2:1: unknown key 'secnods'",
+                        "day.toml:4:1: count is 0, not 1 to 100",
+                        "day.toml:6:1: class: effect is missing",
+                        "day.toml:6:1: class: share is missing",
                         "day.toml:7:3: name must be 1 to 40 of a to z, 0 to 9 and -",
-                "day.toml:8:1: give_up_ms is under promise_ms"),
+                        "day.toml:8:1: give_up_ms is under promise_ms"),
                 errors("seconds = \"5\"\nsecnods = 5\n[proxies]\ncount = 0\n\n[[class]]\n  name = \"A b\"\n"
-                        + "give_up_ms = 1\npromise_ms = 2\nwork_ms = [1, 2]\n[clients]\nrate = 1\n").lines()
-                                .toList());
+                                + "give_up_ms = 1\npromise_ms = 2\nwork_ms = [1, 2]\n[clients]\nrate = 1\n")
+                        .lines()
+                        .toList());
     }
 
     @Test
--- a/src/test/java/gullspar/rehearse/script/ScriptWriterTest.java
+++ b/src/test/java/gullspar/rehearse/script/ScriptWriterTest.java
@@ -19,12 +19,15 @@
 
     @Test
     void faultsOfEverySortAndOddTitles() {
-        Script s = Days.parse("title = \"a \\\"quote\\\", a \\\\ and a \\u0007\"\n" + Days.text(9,
-                Days.fault("crash", 1, "nodes = [\"n1\", \"n3\"]\ndown_s = 0.25") + Days.fault("pause", 2.5,
-                "for = 0.125\nproxies = 2") + Days.fault("heavy", 3, "for = 1\nclass = \"pay\"") + Days.fault(
-                "cut-link", 4, "for = 1\nfrom = \"discovery\"\nto = \"p2\"") + Days.fault("old-list", 5,
-                        "for = 1")
-                + "[expect]\nservice = 0.5\n[search]\nkinds = [\"crash\"]\nbelow = 0.25\n"));
+        Script s = Days.parse("title = \"a \\\"quote\\\", a \\\\ and a \\u0007\"\n"
+                + Days.text(
+                        9,
+                        Days.fault("crash", 1, "nodes = [\"n1\", \"n3\"]\ndown_s = 0.25")
+                                + Days.fault("pause", 2.5, "for = 0.125\nproxies = 2")
+                                + Days.fault("heavy", 3, "for = 1\nclass = \"pay\"")
+                                + Days.fault("cut-link", 4, "for = 1\nfrom = \"discovery\"\nto = \"p2\"")
+                                + Days.fault("old-list", 5, "for = 1")
+                                + "[expect]\nservice = 0.5\n[search]\nkinds = [\"crash\"]\nbelow = 0.25\n"));
         assertEquals(s, Days.parse(ScriptWriter.write(s)));
     }
 }
--- a/src/test/java/gullspar/rehearse/search/SearchTest.java
+++ b/src/test/java/gullspar/rehearse/search/SearchTest.java
@@ -28,22 +28,26 @@
 /** A search finds what is wrong, cuts it down and can be interrupted. */
 @Timeout(300)
 class SearchTest {
-    private static final Script DRAWN_FROM = Days.small(8,
-            "[search]\nkinds = [\"spoil\", \"neighbour\", \"late-list\", \"restart\", "
-                    + "\"slow-link\"]\nmost = 4\n");
+    private static final Script DRAWN_FROM = Days.small(
+            8,
+            "[search]\nkinds = [\"spoil\", \"neighbour\", \"late-list\", \"restart\", " + "\"slow-link\"]\nmost = 4\n");
 
     /** A module that refuses what it should fail: wrong where a request is left in doubt. */
-    private static final VirtualPlay.Options REFUSES = new VirtualPlay.Options(null, real ->
-            (settings, seed, now, out) -> real.create(settings, seed, now, (Balancer.Actions) Proxy
-                    .newProxyInstance(
-                    SearchTest.class.getClassLoader(), new Class<?>[] {Balancer.Actions.class},
+    private static final VirtualPlay.Options REFUSES = new VirtualPlay.Options(
+            null,
+            real -> (settings, seed, now, out) ->
+                    real.create(settings, seed, now, (Balancer.Actions) Proxy.newProxyInstance(
+                            SearchTest.class.getClassLoader(),
+                            new Class<?>[] {Balancer.Actions.class},
                             (self, m, args) -> {
-                        if (m.getName().equals("fail")) {
-                            out.refuse((Integer) args[0], 0);
-                            return null;
-                        }
-                        return m.invoke(out, args);
-                    })), UnaryOperator.identity(), Progress.NONE);
+                                if (m.getName().equals("fail")) {
+                                    out.refuse((Integer) args[0], 0);
+                                    return null;
+                                }
+                                return m.invoke(out, args);
+                            })),
+            UnaryOperator.identity(),
+            Progress.NONE);
 
     @TempDir
     Path folder;
@@ -86,7 +90,9 @@
         for (int i = 0; i < h.scripts.size(); i++) {
             Script s = ScriptReader.read(h.scripts.get(i));
             assertEquals(h.findings.get(i).script(), s);
-            assertEquals(Rule.NOTHING_TWICE, Finding.in(s, VirtualPlay.play(s, REFUSES).verdict()).rule());
+            assertEquals(
+                    Rule.NOTHING_TWICE,
+                    Finding.in(s, VirtualPlay.play(s, REFUSES).verdict()).rule());
             spoilt += s.faults().stream().map(Fault::kind).anyMatch(FaultKind.SPOIL::equals) ? 1 : 0;
             for (Fault f : s.faults()) { // none of them can be left out
                 List<Fault> rest = new ArrayList<>(s.faults());
@@ -96,8 +102,7 @@
             assertTrue(s.seconds() <= DRAWN_FROM.seconds());
         }
         assertTrue(spoilt > 0, "spoilt answers are the most likely to leave a request in doubt");
-        assertTrue(h.scripts.stream().anyMatch(p -> p.getFileName().toString()
-                .startsWith("found-nothing-twice-")));
+        assertTrue(h.scripts.stream().anyMatch(p -> p.getFileName().toString().startsWith("found-nothing-twice-")));
     }
 
     @Test
@@ -115,7 +120,9 @@
         Files.writeString(state, Files.readString(state) + "10");
         Heard second = run(10, 2, VirtualPlay.Options.plain(), Integer.MAX_VALUE);
         assertEquals(10 - done, second.days.get());
-        assertEquals(0, run(10, 2, VirtualPlay.Options.plain(), Integer.MAX_VALUE).days.get());
+        assertEquals(
+                0,
+                run(10, 2, VirtualPlay.Options.plain(), Integer.MAX_VALUE).days.get());
         Heard other = new Heard();
         new Search(DRAWN_FROM.with(2), 3, folder, VirtualPlay.Options.plain(), other).run(1);
         assertEquals(3, other.days.get());
--- a/src/test/java/gullspar/rehearse/time/AgendaTest.java
+++ b/src/test/java/gullspar/rehearse/time/AgendaTest.java
@@ -41,7 +41,9 @@
     /** An answer and a time-out, or a notice and a send, that fall together: both orders are met. */
     @Test
     void twoThatFallTogetherGoEitherWayWithTheSeed() {
-        long first = IntStream.range(0, 1000).filter(seed -> order(seed).get(0).equals("s0 first")).count();
+        long first = IntStream.range(0, 1000)
+                .filter(seed -> order(seed).get(0).equals("s0 first"))
+                .count();
         assertTrue(first > 50 && first < 200, first + " of 1000 where 100 are due");
     }
 
@@ -67,17 +69,21 @@
         VirtualLoop loop = new VirtualLoop(a, slips::add);
         List<String> seen = new ArrayList<>();
         loop.schedule(() -> seen.add("late at " + a.now()), 20, TimeUnit.NANOSECONDS);
-        loop.schedule(() -> {
-            seen.add("early at " + a.now());
-            loop.execute(() -> seen.add("task at " + a.now()));
-            throw new IllegalStateException("slip");
-        }, 10, TimeUnit.NANOSECONDS);
+        loop.schedule(
+                () -> {
+                    seen.add("early at " + a.now());
+                    loop.execute(() -> seen.add("task at " + a.now()));
+                    throw new IllegalStateException("slip");
+                },
+                10,
+                TimeUnit.NANOSECONDS);
         loop.schedule(() -> seen.add("never"), 15, TimeUnit.NANOSECONDS).cancel(false);
         loop.scheduleAtFixedRate(() -> seen.add("again at " + a.now()), 8, 8, TimeUnit.NANOSECONDS);
         while (a.due(20)) {
             a.step();
         }
-        assertEquals("again at 8, early at 10, task at 10, again at 16, late at 20",
+        assertEquals(
+                "again at 8, early at 10, task at 10, again at 16, late at 20",
                 seen.stream().collect(Collectors.joining(", ")));
         assertEquals(1, slips.size());
         loop.end();
--- a/src/test/java/gullspar/route/HostsTest.java
+++ b/src/test/java/gullspar/route/HostsTest.java
@@ -19,9 +19,9 @@
 
     @BeforeEach
     void names() {
-        for (String name : new String[] {"shop.example.org", "*.example.org", "*.b.example.org", ".both.net",
-                "shop.*",
-            "shop.example.*", "localhost"}) {
+        for (String name : new String[] {
+            "shop.example.org", "*.example.org", "*.b.example.org", ".both.net", "shop.*", "shop.example.*", "localhost"
+        }) {
             assertTrue(hosts.add(name, name));
         }
         hosts.add(Pattern.compile("^node\\d+\\."), "numbered");
@@ -30,13 +30,27 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"shop.example.org, shop.example.org", "SHOP.Example.ORG, shop.example.org",
-        "shop.example.org:8080, shop.example.org", "shop.example.org., shop.example.org",
-                "x.example.org, *.example.org",
-        "x.y.example.org, *.example.org", "x.b.example.org, *.b.example.org", "b.example.org, *.example.org",
-        "example.org, default", ".example.org, default", "both.net, .both.net", "x.both.net, .both.net",
-        "shop.example.com, shop.example.*", "shop.other.com, shop.*", "node7.example.com, numbered",
-        "x.com, com", "[::1]:80, default", "localhost, localhost", "'', default"})
+    @CsvSource({
+        "shop.example.org, shop.example.org",
+        "SHOP.Example.ORG, shop.example.org",
+        "shop.example.org:8080, shop.example.org",
+        "shop.example.org., shop.example.org",
+        "x.example.org, *.example.org",
+        "x.y.example.org, *.example.org",
+        "x.b.example.org, *.b.example.org",
+        "b.example.org, *.example.org",
+        "example.org, default",
+        ".example.org, default",
+        "both.net, .both.net",
+        "x.both.net, .both.net",
+        "shop.example.com, shop.example.*",
+        "shop.other.com, shop.*",
+        "node7.example.com, numbered",
+        "x.com, com",
+        "[::1]:80, default",
+        "localhost, localhost",
+        "'', default"
+    })
     void thePlaceOfAName(String name, String expected) {
         assertEquals(expected, hosts.find(name).host(), hosts.find(name).why());
     }
--- a/src/test/java/gullspar/route/MembersTest.java
+++ b/src/test/java/gullspar/route/MembersTest.java
@@ -19,8 +19,11 @@
         return m.listed(now).stream().map(l -> l.server().name()).toList();
     }
 
-    private final Members pool = new Members(List.of(server("a", 3, false), server("b", 1, false),
-            server("spare", 1, true), new Declared("down", 1, false, true, 1, 1, 0)));
+    private final Members pool = new Members(List.of(
+            server("a", 3, false),
+            server("b", 1, false),
+            server("spare", 1, true),
+            new Declared("down", 1, false, true, 1, 1, 0)));
 
     @Test
     void primariesWithTheirWeightsAndNobodyThatIsDown() {
@@ -71,8 +74,7 @@
 
     @Test
     void noLimitNoFailures() {
-        Members m = new Members(List.of(new Declared("a", 1, false, false, 0, 100, 0), server("b", 1,
-                false)));
+        Members m = new Members(List.of(new Declared("a", 1, false, false, 0, 100, 0), server("b", 1, false)));
         assertFalse(m.failed("a", 0));
         assertFalse(m.failed("a", 0));
         assertFalse(m.failed("nobody", 0));
@@ -81,8 +83,7 @@
 
     @Test
     void theWeightRisesAfterAServerWasOut() {
-        Members m = new Members(List.of(new Declared("a", 10, false, false, 1, 100, 1000), server("b", 1,
-                false)));
+        Members m = new Members(List.of(new Declared("a", 10, false, false, 1, 100, 1000), server("b", 1, false)));
         assertEquals(10, m.listed(0).get(0).weight(), "it has not been out");
         m.failed("a", 0);
         assertEquals(0.1, m.listed(100).get(0).weight(), 1e-9);
@@ -92,8 +93,8 @@
 
     @Test
     void whileAWeightRisesTimeAloneChangesTheList() {
-        Members m = new Members(List.of(new Declared("a", 10, false, false, 1, 100, 10_000_000_000L),
-                server("b", 1, false)));
+        Members m = new Members(
+                List.of(new Declared("a", 10, false, false, 1, 100, 10_000_000_000L), server("b", 1, false)));
         m.failed("a", 0);
         m.listed(100);
         assertEquals(100 + 200_000_000L, m.changesAt(100));
--- a/src/test/java/gullspar/route/PathsTest.java
+++ b/src/test/java/gullspar/route/PathsTest.java
@@ -110,8 +110,10 @@
             }
             for (int i = 0; i < 200; i++) {
                 String path = word(random, 9);
-                String longest = all.keySet().stream().filter(path::startsWith)
-                        .max((a, b) -> Integer.compare(a.length(), b.length())).orElse(null);
+                String longest = all.keySet().stream()
+                        .filter(path::startsWith)
+                        .max((a, b) -> Integer.compare(a.length(), b.length()))
+                        .orElse(null);
                 assertEquals(longest, tree.longest(path), path);
             }
         }
--- a/src/test/java/gullspar/scale/Accounts.java
+++ b/src/test/java/gullspar/scale/Accounts.java
@@ -15,7 +15,7 @@
 
     static final Booked NONE = new Booked(Map.of(), 0);
 
-    private Accounts() { }
+    private Accounts() {}
 
     /** Processor time of a process so far: by thread that lives, in ns, and of all there were, in ticks. */
     record Booked(Map<String, Long> threads, long ticks) {
@@ -37,8 +37,10 @@
         try (DirectoryStream<Path> tasks = Files.newDirectoryStream(Path.of("/proc/" + pid + "/task"))) {
             for (Path t : tasks) {
                 try {
-                    threads.put(t.getFileName().toString(),
-                            Long.parseLong(Files.readString(t.resolve("schedstat")).split(" ")[0]));
+                    threads.put(
+                            t.getFileName().toString(),
+                            Long.parseLong(
+                                    Files.readString(t.resolve("schedstat")).split(" ")[0]));
                 } catch (NoSuchFileException e) {
                     continue; // it has just ended
                 }
@@ -60,7 +62,9 @@
 
     /** Resident memory, in bytes. */
     static long residentBytes(long pid) throws IOException {
-        return Long.parseLong(Files.readString(Path.of("/proc/" + pid + "/statm")).split(" ")[1]) * PAGE;
+        return Long.parseLong(
+                        Files.readString(Path.of("/proc/" + pid + "/statm")).split(" ")[1])
+                * PAGE;
     }
 
     /** What the machine can still give, in bytes. */
--- a/src/test/java/gullspar/scale/BackendList.java
+++ b/src/test/java/gullspar/scale/BackendList.java
@@ -12,7 +12,7 @@
 final class BackendList {
     static final int ZONES = 8;
 
-    private record Entry(String text, long version, boolean gone) { }
+    private record Entry(String text, long version, boolean gone) {}
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final IntFunction<String> addresses;
@@ -50,26 +50,44 @@
     /** The weights of the first so many are told anew; the line that says so. */
     byte[] weights(int count, double weight) {
         version++;
-        return line(version, false, java.util.stream.IntStream.range(0, count)
-                .mapToObj(i -> put(i, "in_service", weight)).toList());
+        return line(
+                version,
+                false,
+                java.util.stream.IntStream.range(0, count)
+                        .mapToObj(i -> put(i, "in_service", weight))
+                        .toList());
     }
 
     byte[] whole() {
         if (whole == null) {
-            whole = line(version, true, entries.values().stream().filter(e -> !e.gone).map(Entry::text)
-                    .toList());
+            whole = line(
+                    version,
+                    true,
+                    entries.values().stream()
+                            .filter(e -> !e.gone)
+                            .map(Entry::text)
+                            .toList());
         }
         return whole;
     }
 
     /** What changed after that version. */
     byte[] since(long index) {
-        return line(version, false, entries.values().stream().filter(e -> e.version > index).map(Entry::text)
-                .toList());
+        return line(
+                version,
+                false,
+                entries.values().stream()
+                        .filter(e -> e.version > index)
+                        .map(Entry::text)
+                        .toList());
     }
 
     private static byte[] line(long version, boolean reset, Collection<String> list) {
-        return (list.stream().collect(Collectors.joining(",", "{\"generation\":" + version + ",\"reset\":"
-                + reset + ",\"instances\":[", "]}\n"))).getBytes(StandardCharsets.US_ASCII);
+        return (list.stream()
+                        .collect(Collectors.joining(
+                                ",",
+                                "{\"generation\":" + version + ",\"reset\":" + reset + ",\"instances\":[",
+                                "]}\n")))
+                .getBytes(StandardCharsets.US_ASCII);
     }
 }
--- a/src/test/java/gullspar/scale/BackendStandIn.java
+++ b/src/test/java/gullspar/scale/BackendStandIn.java
@@ -29,26 +29,27 @@
     private static final int LISTENERS = 64;
     private static final byte[] BODY = "ok".getBytes(StandardCharsets.US_ASCII);
 
-    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<String> addresses = new ArrayList<>();
     private final AtomicLong connections = new AtomicLong();
     private final AtomicLong requests = new AtomicLong();
 
     BackendStandIn() {
-        ServerBootstrap b = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
+        ServerBootstrap b = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         connections.incrementAndGet();
-                        c.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16),
-                                new Answer());
+                        c.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 16), new Answer());
                     }
                 });
         for (int i = 0; i < LISTENERS; i++) {
-            InetSocketAddress at = (InetSocketAddress) b.bind("127.0.0.1", 0).syncUninterruptibly().channel()
-                    .localAddress();
+            InetSocketAddress at = (InetSocketAddress)
+                    b.bind("127.0.0.1", 0).syncUninterruptibly().channel().localAddress();
             addresses.add("127.0.0.1:" + at.getPort());
         }
     }
@@ -76,8 +77,8 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest r) {
             requests.incrementAndGet();
-            DefaultFullHttpResponse a = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.OK, Unpooled.wrappedBuffer(BODY));
+            DefaultFullHttpResponse a = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(BODY));
             HttpUtil.setContentLength(a, BODY.length);
             ctx.writeAndFlush(a);
         }
--- a/src/test/java/gullspar/scale/Both.java
+++ b/src/test/java/gullspar/scale/Both.java
@@ -14,14 +14,16 @@
     private final CompletableFuture<Void> done = new CompletableFuture<>();
 
     Both(Work work) {
-        Thread t = new Thread(() -> {
-            try {
-                work.run();
-                done.complete(null);
-            } catch (ScaleException | IOException | RuntimeException e) {
-                done.completeExceptionally(e);
-            }
-        }, "beside");
+        Thread t = new Thread(
+                () -> {
+                    try {
+                        work.run();
+                        done.complete(null);
+                    } catch (ScaleException | IOException | RuntimeException e) {
+                        done.completeExceptionally(e);
+                    }
+                },
+                "beside");
         t.setDaemon(true);
         t.start();
     }
--- a/src/test/java/gullspar/scale/Child.java
+++ b/src/test/java/gullspar/scale/Child.java
@@ -31,8 +31,7 @@
         reader.start();
     }
 
-    static Child start(String name, List<String> command, Map<String, String> environment)
-            throws ScaleException {
+    static Child start(String name, List<String> command, Map<String, String> environment) throws ScaleException {
         ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true);
         b.environment().keySet().removeAll(List.of("NODE_LISTEN", "NODE_DISCOVERY", "JDK_JAVA_OPTIONS"));
         b.environment().putAll(environment);
@@ -46,10 +45,16 @@
     /** This runtime with the flags that deploy/serve.sh sets, and a heap of its own, young in proportion. */
     static List<String> java(int heapMb, String... more) {
         List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-XX:CompileThresholdScaling=0.4", "-Xss512k",
-                "-Xms" + heapMb + "m", "-Xmx" + heapMb + "m", "-Xmn" + heapMb * 2 / 5
-                + "m", "-cp", System.getProperty("java.class.path")));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-XX:CompileThresholdScaling=0.4",
+                "-Xss512k",
+                "-Xms" + heapMb + "m",
+                "-Xmx" + heapMb + "m",
+                "-Xmn" + heapMb * 2 / 5 + "m",
+                "-cp",
+                System.getProperty("java.class.path")));
         command.addAll(List.of(more));
         return command;
     }
@@ -85,9 +90,11 @@
     }
 
     ScaleException death() {
-        return new ScaleException(ScaleException.CHILD, name + ", pid " + process.pid()
-                + ", has died, exit code " + (process.isAlive() ? "none yet" : process.exitValue()) + ": "
-                + (lines.isEmpty() ? "it said nothing" : lines.peekLast()));
+        return new ScaleException(
+                ScaleException.CHILD,
+                name + ", pid " + process.pid()
+                        + ", has died, exit code " + (process.isAlive() ? "none yet" : process.exitValue()) + ": "
+                        + (lines.isEmpty() ? "it said nothing" : lines.peekLast()));
     }
 
     /** Waits for a line of it that holds the text. */
@@ -102,8 +109,9 @@
                 throw death();
             }
         }
-        throw new ScaleException(ScaleException.TIME, name + ", pid " + process.pid()
-                + ", has not said '" + text + "' within " + seconds + " s");
+        throw new ScaleException(
+                ScaleException.TIME,
+                name + ", pid " + process.pid() + ", has not said '" + text + "' within " + seconds + " s");
     }
 
     private String poll() throws ScaleException {
@@ -136,8 +144,8 @@
                 throw death();
             }
         }
-        throw new ScaleException(ScaleException.TIME, name + ", pid " + process.pid()
-                + ", has not answered within " + seconds + " s");
+        throw new ScaleException(
+                ScaleException.TIME, name + ", pid " + process.pid() + ", has not answered within " + seconds + " s");
     }
 
     String ask(String command) throws ScaleException {
--- a/src/test/java/gullspar/scale/Children.java
+++ b/src/test/java/gullspar/scale/Children.java
@@ -39,8 +39,10 @@
         }
         long free = Math.min(mostBytes - residentBytes(), Accounts.availableBytes());
         if (free < (long) mayNeedMb << 20) {
-            throw new ScaleException(ScaleException.MEMORY, "too little memory for " + name + ": it may need "
-                    + mayNeedMb + " MB, " + (free >> 20) + " MB are left");
+            throw new ScaleException(
+                    ScaleException.MEMORY,
+                    "too little memory for " + name + ": it may need " + mayNeedMb + " MB, " + (free >> 20)
+                            + " MB are left");
         }
         Child c = Child.start(name, command, environment);
         all.add(c);
@@ -66,8 +68,8 @@
         }
         try {
             if (residentBytes() > mostBytes) {
-                throw new ScaleException(ScaleException.MEMORY, "the processes hold more than "
-                        + (mostBytes >> 20) + " MB");
+                throw new ScaleException(
+                        ScaleException.MEMORY, "the processes hold more than " + (mostBytes >> 20) + " MB");
             }
         } catch (IOException e) {
             return; // one has just ended: the next look tells
--- a/src/test/java/gullspar/scale/Control.java
+++ b/src/test/java/gullspar/scale/Control.java
@@ -10,10 +10,10 @@
     private static final int WITHIN_S = 120;
 
     /** What a number of equal events cost, each and at each proxy. */
-    record Cost(double hollowMs, double realMs, double bytes, Histogram known) { }
+    record Cost(double hollowMs, double realMs, double bytes, Histogram known) {}
 
     /** What a second at rest costs a proxy. */
-    record Rest(double hollowMs, double realMs, double bytes, double messages) { }
+    record Rest(double hollowMs, double realMs, double bytes, double messages) {}
 
     private interface Event {
         Told happen(int number);
@@ -38,8 +38,10 @@
         double realMs = Accounts.ms(real);
         Tally.Sum told = sum(Tally.since(before, trial.discovery.kinds()));
         double all = passed * all();
-        rest = new Rest(hollowMs / passed / Math.max(1, trial.shape.proxies()),
-                realMs / passed / Math.max(1, trial.shape.real()), told.bytes() / all,
+        rest = new Rest(
+                hollowMs / passed / Math.max(1, trial.shape.proxies()),
+                realMs / passed / Math.max(1, trial.shape.real()),
+                told.bytes() / all,
                 told.messages() / all);
         return rest;
     }
@@ -47,14 +49,13 @@
     /** So many backends come and go, one at a time. */
     Cost changes(int count, double perSecond) throws ScaleException, IOException {
         Map<String, Tally.Sum> before = trial.discovery.kinds();
-        Cost c = events(count, perSecond, i -> trial.discovery.change(trial.shape.backends() + i / 2 % 2,
-                i % 2 == 0));
+        Cost c = events(count, perSecond, i -> trial.discovery.change(trial.shape.backends() + i / 2 % 2, i % 2 == 0));
         Map<String, Tally.Sum> grown = Tally.since(before, trial.discovery.kinds());
         long told = grown.getOrDefault("change", Tally.NONE).messages();
         // A watch that was opened meanwhile was told of some in another way, or beside the one before it.
         if (grown.getOrDefault("call", Tally.NONE).messages() == 0 && told != (long) count * all()) {
-            throw new ScaleException(ScaleException.COUNT, told + " messages told " + count + " changes to "
-                    + all() + " proxies");
+            throw new ScaleException(
+                    ScaleException.COUNT, told + " messages told " + count + " changes to " + all() + " proxies");
         }
         return c;
     }
@@ -65,8 +66,7 @@
 
     /** All weights are told anew, so many times. */
     Cost weights(int count) throws ScaleException, IOException {
-        return events(count, 0, i -> trial.discovery.weights(trial.shape.backends(),
-                1 + i % 2 * 0.5));
+        return events(count, 0, i -> trial.discovery.weights(trial.shape.backends(), 1 + i % 2 * 0.5));
     }
 
     /** So many changes in one go; what they cost and tell, each. */
@@ -83,8 +83,10 @@
         long told = grown.getOrDefault("whole", Tally.NONE).messages();
         long calls = grown.getOrDefault("call", Tally.NONE).messages();
         if (told != calls || calls < (long) count * all()) {
-            throw new ScaleException(ScaleException.COUNT, told + " whole lists for " + calls + " calls of "
-                    + all() + " proxies, asked " + count + " times each");
+            throw new ScaleException(
+                    ScaleException.COUNT,
+                    told + " whole lists for " + calls + " calls of " + all() + " proxies, asked " + count
+                            + " times each");
         }
         return c;
     }
@@ -111,10 +113,8 @@
         }
         Pause.ms(200); // the real ones' last
         double passed = (System.nanoTime() - at) / 1e9;
-        double hollowMs = Accounts.ms(hollow) / trial.shape.proxies() - passed
-                * rest.hollowMs();
-        double realMs = Accounts.ms(real) / Math.max(1, trial.shape.real()) - passed
-                * rest.realMs();
+        double hollowMs = Accounts.ms(hollow) / trial.shape.proxies() - passed * rest.hollowMs();
+        double realMs = Accounts.ms(real) / Math.max(1, trial.shape.real()) - passed * rest.realMs();
         Tally.Sum sum = sum(Tally.since(before, trial.discovery.kinds()));
         for (int i = 0; perSecond > 0 && i < count; i++) {
             known.add(trial.known(told[i], WITHIN_S));
@@ -127,8 +127,10 @@
         long end = System.nanoTime() + WITHIN_S * 1_000_000_000L;
         while (trial.discovery.watching() < all()) {
             if (System.nanoTime() > end) {
-                throw new ScaleException(ScaleException.COUNT, trial.discovery.watching() + " of " + all()
-                        + " proxies watch discovery after " + WITHIN_S + " s");
+                throw new ScaleException(
+                        ScaleException.COUNT,
+                        trial.discovery.watching() + " of " + all() + " proxies watch discovery after " + WITHIN_S
+                                + " s");
             }
             Pause.ms(5);
         }
--- a/src/test/java/gullspar/scale/DiscoveryStandIn.java
+++ b/src/test/java/gullspar/scale/DiscoveryStandIn.java
@@ -47,23 +47,28 @@
             ChannelFuture f = bind(z, new InetSocketAddress("127.0.0.1", z == 0 ? port : 0));
             if (!f.awaitUninterruptibly().isSuccess()) {
                 close();
-                throw new ScaleException(ScaleException.PORT, "port " + port + " is taken: "
-                        + f.cause().getMessage());
+                throw new ScaleException(
+                        ScaleException.PORT,
+                        "port " + port + " is taken: " + f.cause().getMessage());
             }
             addresses[z] = (InetSocketAddress) f.channel().localAddress();
         }
     }
 
     private ChannelFuture bind(int zone, InetSocketAddress at) {
-        ChannelFuture f = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 4096).option(ChannelOption.SO_REUSEADDR, true)
+        ChannelFuture f = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 4096)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         c.pipeline().addLast(new Watch(zone));
                     }
-                }).bind(at);
+                })
+                .bind(at);
         listeners[zone] = f.channel();
         return f;
     }
@@ -81,7 +86,7 @@
     }
 
     /** A change, and what it is known by. */
-    record Told(long version, long atNs) { }
+    record Told(long version, long atNs) {}
 
     /** A backend comes or goes. */
     Told change(int number, boolean there) {
@@ -140,8 +145,7 @@
         }
         for (int z = 0; z < addresses.length; z++) {
             if (!bind(z, addresses[z]).awaitUninterruptibly().isSuccess()) {
-                throw new ScaleException(ScaleException.PORT, "discovery cannot come back at "
-                        + addresses[z]);
+                throw new ScaleException(ScaleException.PORT, "discovery cannot come back at " + addresses[z]);
             }
         }
     }
@@ -163,8 +167,9 @@
     }
 
     private static ByteBuf chunk(byte[] line) {
-        return Unpooled.wrappedBuffer(Unpooled.copiedBuffer(Integer.toHexString(line.length) + "\r\n",
-                StandardCharsets.US_ASCII), Unpooled.wrappedBuffer(line),
+        return Unpooled.wrappedBuffer(
+                Unpooled.copiedBuffer(Integer.toHexString(line.length) + "\r\n", StandardCharsets.US_ASCII),
+                Unpooled.wrappedBuffer(line),
                 Unpooled.copiedBuffer("\r\n", StandardCharsets.US_ASCII));
     }
 
@@ -195,7 +200,8 @@
             if (ctx == null && call.indexOf("\r\n\r\n") >= 0) {
                 ctx = c;
                 tally.add("call", call.length());
-                List<String> index = new QueryStringDecoder(call.toString().split(" ")[1]).parameters()
+                List<String> index = new QueryStringDecoder(call.toString().split(" ")[1])
+                        .parameters()
                         .getOrDefault("index", List.of("-1"));
                 told = Long.parseLong(index.get(0));
                 watches.add(this);
@@ -230,14 +236,17 @@
         }
 
         private void beat() {
-            loop.schedule(() -> {
-                if (watches.contains(this)) {
-                    if (!cut[zone]) {
-                        write(Unpooled.copiedBuffer("1\r\n\n\r\n", StandardCharsets.US_ASCII), "beat");
-                    }
-                    beat();
-                }
-            }, BEAT_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (watches.contains(this)) {
+                            if (!cut[zone]) {
+                                write(Unpooled.copiedBuffer("1\r\n\n\r\n", StandardCharsets.US_ASCII), "beat");
+                            }
+                            beat();
+                        }
+                    },
+                    BEAT_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         private void write(ByteBuf bytes, String kind) {
--- a/src/test/java/gullspar/scale/Hollow.java
+++ b/src/test/java/gullspar/scale/Hollow.java
@@ -17,7 +17,7 @@
     private static final int HEAP_LOOKS = 4, HEAP_PAUSE_MS = 30;
     static final String ANSWER = "= ";
 
-    private Hollow() { }
+    private Hollow() {}
 
     /** What is hollow here. */
     interface Part {
@@ -49,7 +49,9 @@
         long least = Long.MAX_VALUE;
         for (int i = 0; i < HEAP_LOOKS; i++) {
             System.gc(); // may be passed over, and what dies meanwhile is there still
-            least = Math.min(least, ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+            least = Math.min(
+                    least,
+                    ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
             Thread.sleep(HEAP_PAUSE_MS);
         }
         return least;
--- a/src/test/java/gullspar/scale/HollowMembers.java
+++ b/src/test/java/gullspar/scale/HollowMembers.java
@@ -30,7 +30,7 @@
 final class HollowMembers implements Hollow.Part {
     private static final byte[] KEY = new byte[Envelope.LEAST_KEY_BYTES];
 
-    private record Member(EventLoop loop, Membership membership) { }
+    private record Member(EventLoop loop, Membership membership) {}
 
     private final List<Member> members = new ArrayList<>();
     private final AtomicLong sent = new AtomicLong();
@@ -41,8 +41,11 @@
     @Override
     public String answer(String[] words) throws IOException {
         return switch (words[0]) {
-            case "start" -> start(Integer.parseInt(words[1]), Integer.parseInt(words[2]),
-                    Integer.parseInt(words[3]), Integer.parseInt(words[4]));
+            case "start" -> start(
+                    Integer.parseInt(words[1]),
+                    Integer.parseInt(words[2]),
+                    Integer.parseInt(words[3]),
+                    Integer.parseInt(words[4]));
             case "counts" -> sent + " " + sentBytes + " " + received + " " + receivedBytes;
             case "present" -> present();
             default -> null;
@@ -51,21 +54,36 @@
 
     /** Where the member of that number is, in a fleet whose number keeps it from others. */
     private static InetSocketAddress at(int fleet, int number) {
-        return new InetSocketAddress("127." + (100 + fleet % 100) + "." + fleet / 100 % 250 + "."
-                + (1 + number / 200), 20_000 + number % 200);
+        return new InetSocketAddress(
+                "127." + (100 + fleet % 100) + "." + fleet / 100 % 250 + "." + (1 + number / 200),
+                20_000 + number % 200);
     }
 
     private String start(int fleet, int first, int count, int intervalMs) {
         List<InetSocketAddress> seeds = List.of(at(fleet, 0), at(fleet, 1), at(fleet, 2));
         for (int i = first; i < first + count; i++) {
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-            Platform platform = new Platform(loop, Clock.system(), counting(loop), line -> { });
-            Fleet of = new Fleet("p" + i, at(fleet, i), null, seeds, null, "z" + i % BackendList.ZONES,
-                    intervalMs * 1_000_000L, 60_000_000_000L, 0);
+            Platform platform = new Platform(loop, Clock.system(), counting(loop), line -> {});
+            Fleet of = new Fleet(
+                    "p" + i,
+                    at(fleet, i),
+                    null,
+                    seeds,
+                    null,
+                    "z" + i % BackendList.ZONES,
+                    intervalMs * 1_000_000L,
+                    60_000_000_000L,
+                    0);
             long life = 0x9e3779b97f4a7c15L * (i + 1 + 1000L * fleet);
-            Membership m = loop.submit(() -> Membership.join(of, Membership.settings(of),
-                    new Envelope(List.of(KEY)), life, platform, () -> Companion.Load.NONE))
-                    .syncUninterruptibly().getNow();
+            Membership m = loop.submit(() -> Membership.join(
+                            of,
+                            Membership.settings(of),
+                            new Envelope(List.of(KEY)),
+                            life,
+                            platform,
+                            () -> Companion.Load.NONE))
+                    .syncUninterruptibly()
+                    .getNow();
             loop.execute(() -> m.at(Companion.Stage.SERVING));
             members.add(new Member(loop, m));
         }
@@ -76,7 +94,9 @@
     private String present() throws IOException {
         StringBuilder all = new StringBuilder();
         for (Member m : members) {
-            String page = m.loop.submit(() -> m.membership.answer("/_fleet")).syncUninterruptibly().getNow();
+            String page = m.loop.submit(() -> m.membership.answer("/_fleet"))
+                    .syncUninterruptibly()
+                    .getNow();
             JsonNode seen = Json.read((page == null ? "{}" : page).getBytes(StandardCharsets.UTF_8));
             all.append(seen.path("seen").asInt()).append(' ');
         }
@@ -98,7 +118,9 @@
 
             @Override
             public Bootstrap datagrams(InetSocketAddress address) {
-                return new Bootstrap().group(loop).channelFactory(HollowMembers.this::counted)
+                return new Bootstrap()
+                        .group(loop)
+                        .channelFactory(HollowMembers.this::counted)
                         .localAddress(address);
             }
         };
--- a/src/test/java/gullspar/scale/HollowProxies.java
+++ b/src/test/java/gullspar/scale/HollowProxies.java
@@ -43,7 +43,9 @@
     @Override
     public String answer(String[] words) throws IOException, ConfigException {
         return switch (words[0]) {
-            case "start" -> start(Integer.parseInt(words[1]), Integer.parseInt(words[2]),
+            case "start" -> start(
+                    Integer.parseInt(words[1]),
+                    Integer.parseInt(words[2]),
                     List.of(words).subList(3, words.length));
             case "heard" -> heard(Long.parseLong(words[1]));
             case "connects" -> Long.toString(connects.get());
--- a/src/test/java/gullspar/scale/Likeness.java
+++ b/src/test/java/gullspar/scale/Likeness.java
@@ -38,16 +38,21 @@
             Control.Cost whole = c.wholes(quick ? 1 : 10);
             Control.Cost change = c.changes(quick ? 4 : 300, quick ? 20 : 50);
             Control.Cost weights = c.weights(quick ? 1 : 20);
-            results.alike("processor time of a runtime with nothing to do", "ms/s", runtime, runtime,
+            results.alike(
+                    "processor time of a runtime with nothing to do",
+                    "ms/s",
+                    runtime,
+                    runtime,
                     "measured in an empty process");
-            results.alike("processor time at rest, less that of the runtime", "ms/s", rest.realMs() - runtime,
-                    rest.hollowMs() - runtime / each, "hollow ones share their runtime");
-            results.alike("processor time of a whole list", "ms", whole.realMs(), whole.hollowMs(),
-                    SHARED);
-            results.alike("processor time of a change", "ms", change.realMs(), change.hollowMs(),
-                    SHARED);
-            results.alike("processor time of all weights", "ms", weights.realMs(), weights.hollowMs(),
-                    SHARED);
+            results.alike(
+                    "processor time at rest, less that of the runtime",
+                    "ms/s",
+                    rest.realMs() - runtime,
+                    rest.hollowMs() - runtime / each,
+                    "hollow ones share their runtime");
+            results.alike("processor time of a whole list", "ms", whole.realMs(), whole.hollowMs(), SHARED);
+            results.alike("processor time of a change", "ms", change.realMs(), change.hollowMs(), SHARED);
+            results.alike("processor time of all weights", "ms", weights.realMs(), weights.hollowMs(), SHARED);
             double real = 0;
             double resident = 0;
             for (RealProxy r : t.real) {
@@ -55,17 +60,25 @@
                 resident += Accounts.residentBytes(r.child().pid()) / (double) each;
             }
             real -= empty.hollowHeap();
-            results.alike("heap after a collection, less that of an empty process", "KB", real / 1024,
-                    heap / each / 1024, "what a process holds once: the warm-up, the operators' port, "
-                            + "tables");
-            results.alike("resident memory", "KB", resident / 1024, t.hollowResident() / 1024.0 / each,
+            results.alike(
+                    "heap after a collection, less that of an empty process",
+                    "KB",
+                    real / 1024,
+                    heap / each / 1024,
+                    "what a process holds once: the warm-up, the operators' port, " + "tables");
+            results.alike(
+                    "resident memory",
+                    "KB",
+                    resident / 1024,
+                    t.hollowResident() / 1024.0 / each,
                     "a real one has a runtime and a heap of its own, touched at the start");
-            new Latency(results, "backends", backends, Map.of("proxies", 2 * each)).run(t, rest.realMs(),
-                    quick ? 40 : 200, quick ? 0.5 : 5, quick ? 1 : 10);
+            new Latency(results, "backends", backends, Map.of("proxies", 2 * each))
+                    .run(t, rest.realMs(), quick ? 40 : 200, quick ? 0.5 : 5, quick ? 1 : 10);
             t.sound();
             if (t.real.get(0).members() < backends) {
-                throw new ScaleException(ScaleException.COUNT, "a real proxy lists " + t.real.get(0).members()
-                        + " of " + backends);
+                throw new ScaleException(
+                        ScaleException.COUNT,
+                        "a real proxy lists " + t.real.get(0).members() + " of " + backends);
             }
         }
     }
--- a/src/test/java/gullspar/scale/Machine.java
+++ b/src/test/java/gullspar/scale/Machine.java
@@ -12,7 +12,7 @@
 
 /** Where and when results were taken. */
 final class Machine {
-    private Machine() { }
+    private Machine() {}
 
     static void describe(Results r, Options o) throws IOException {
         r.head("script", "bench/scale/run.sh " + (o.full() ? "full" : "small"));
@@ -34,15 +34,19 @@
     }
 
     private static String load() throws IOException {
-        return String.join(" ", List.of(Files.readString(Path.of("/proc/loadavg")).split(" ")).subList(0, 3));
+        return String.join(
+                " ",
+                List.of(Files.readString(Path.of("/proc/loadavg")).split(" ")).subList(0, 3));
     }
 
     private static long memoryKb() throws IOException {
-        return Long.parseLong(Files.readAllLines(Path.of("/proc/meminfo")).get(0).replaceAll("\\D", ""));
+        return Long.parseLong(
+                Files.readAllLines(Path.of("/proc/meminfo")).get(0).replaceAll("\\D", ""));
     }
 
     private static String commit() throws IOException {
-        Process p = new ProcessBuilder("git", "rev-parse", "--short", "HEAD").redirectErrorStream(true)
+        Process p = new ProcessBuilder("git", "rev-parse", "--short", "HEAD")
+                .redirectErrorStream(true)
                 .start();
         return new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
     }
--- a/src/test/java/gullspar/scale/NodeConfig.java
+++ b/src/test/java/gullspar/scale/NodeConfig.java
@@ -9,7 +9,7 @@
 
 /** A proxy's configuration as a platform writes it, of the sizes of a run. */
 final class NodeConfig {
-    private NodeConfig() { }
+    private NodeConfig() {}
 
     /** proxies: how many there are in all; known: the list of the start, null for none. */
     static ObjectNode of(int proxies, int tenants, byte[] known) throws IOException {
--- a/src/test/java/gullspar/scale/OpenLoop.java
+++ b/src/test/java/gullspar/scale/OpenLoop.java
@@ -33,8 +33,7 @@
  * while all are busy.
  */
 final class OpenLoop implements AutoCloseable {
-    private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final String[] urls;
     private int ids;
 
@@ -56,7 +55,8 @@
 
         Side(List<InetSocketAddress> places) {
             this.places = places;
-            this.idle = places.stream().<Deque<Channel>>map(p -> new ArrayDeque<>()).toList();
+            this.idle =
+                    places.stream().<Deque<Channel>>map(p -> new ArrayDeque<>()).toList();
         }
 
         private void send(int number, long intendedNs) {
@@ -73,13 +73,17 @@
         }
 
         private void connect(int place, long intendedNs) {
-            ChannelFuture f = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                    .option(ChannelOption.TCP_NODELAY, true).handler(new ChannelInitializer<Channel>() {
+            ChannelFuture f = new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel ch) {
                             ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(1 << 16));
                         }
-                    }).connect(places.get(place));
+                    })
+                    .connect(places.get(place));
             f.addListener(done -> {
                 if (done.isSuccess()) {
                     write(f.channel(), place, intendedNs, true);
@@ -93,10 +97,11 @@
             String url = urls[++ids % urls.length];
             int slash = url.indexOf('/');
             String path = url.substring(slash);
-            DefaultFullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    path);
-            r.headers().set("Host", slash == 0 ? "api" : url.substring(0, slash))
-                    .set("Request-Id", "s" + ids).set("Request-Timeout", "0.600");
+            DefaultFullHttpRequest r = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+            r.headers()
+                    .set("Host", slash == 0 ? "api" : url.substring(0, slash))
+                    .set("Request-Id", "s" + ids)
+                    .set("Request-Timeout", "0.600");
             c.pipeline().addLast("answer", new Answer(this, place, intendedNs, fresh));
             c.writeAndFlush(r);
         }
@@ -125,8 +130,8 @@
                 side.answered += ok ? 1 : 0;
                 side.statuses.merge(r.status().code(), 1, Integer::sum);
                 side.others += ok ? 0 : 1;
-                side.latency.recordValue(Math.min(side.latency.getHighestTrackableValue(),
-                        Math.max(0, (System.nanoTime() - intendedNs) / 1000)));
+                side.latency.recordValue(Math.min(
+                        side.latency.getHighestTrackableValue(), Math.max(0, (System.nanoTime() - intendedNs) / 1000)));
             }
             ctx.pipeline().remove(this);
             if (!"close".equalsIgnoreCase(r.headers().get("Connection"))) {
--- a/src/test/java/gullspar/scale/Options.java
+++ b/src/test/java/gullspar/scale/Options.java
@@ -6,8 +6,7 @@
 record Options(boolean full, int port, int memoryMb, String out) {
     private static final int LEAST_MB = 600, MOST_MB = 12_000, USUAL_MB = 6_000;
 
-    static final String USAGE = "usage: bench/scale/run.sh [small|full] [--port N] [--memory-mb N] "
-            + "[--out FILE]";
+    static final String USAGE = "usage: bench/scale/run.sh [small|full] [--port N] [--memory-mb N] " + "[--out FILE]";
 
     static Options of(List<String> args) throws ScaleException {
         boolean full = false;
@@ -25,11 +24,15 @@
             }
         }
         if (memoryMb < LEAST_MB) {
-            throw new ScaleException(ScaleException.MEMORY, "too little memory: " + memoryMb
-                    + " MB, a run needs " + LEAST_MB + " at the least");
+            throw new ScaleException(
+                    ScaleException.MEMORY,
+                    "too little memory: " + memoryMb + " MB, a run needs " + LEAST_MB + " at the least");
         }
-        return new Options(full, port, memoryMb, out != null ? out : full
-                ? "bench/scale/results/scale-full.json" : "target/scale-small.json");
+        return new Options(
+                full,
+                port,
+                memoryMb,
+                out != null ? out : full ? "bench/scale/results/scale-full.json" : "target/scale-small.json");
     }
 
     private static String text(List<String> args, int i) throws ScaleException {
--- a/src/test/java/gullspar/scale/Pause.java
+++ b/src/test/java/gullspar/scale/Pause.java
@@ -2,7 +2,7 @@
 
 /** Time that passes. */
 final class Pause {
-    private Pause() { }
+    private Pause() {}
 
     static void ms(long ms) throws ScaleException {
         try {
--- a/src/test/java/gullspar/scale/Plan.java
+++ b/src/test/java/gullspar/scale/Plan.java
@@ -63,13 +63,12 @@
                 views.add(View.start(children, results, size, 1000));
             }
         });
-        unlessLate("real beside hollow, with traffic", () ->
-                new Likeness(options, children, results).run(8, 1000, false));
+        unlessLate(
+                "real beside hollow, with traffic", () -> new Likeness(options, children, results).run(8, 1000, false));
         for (View v : views) {
             v.first();
         }
-        unlessLate("changes", () -> sweeps.changes(new int[] {1, 10, 30, 100, 300},
-                new Shape(40, 1, 0, 1000, 0, 300)));
+        unlessLate("changes", () -> sweeps.changes(new int[] {1, 10, 30, 100, 300}, new Shape(40, 1, 0, 1000, 0, 300)));
         unlessLate("tenants", () -> new Tenants(children, results).run(new int[] {440, 4400, 44_000}, 8, 1));
         Sites sites = new Sites(options, children, results);
         unlessLate("services", () -> sites.services(new int[] {10, 100, 310}, 21));
--- a/src/test/java/gullspar/scale/Ports.java
+++ b/src/test/java/gullspar/scale/Ports.java
@@ -8,7 +8,7 @@
 
 /** Free ports for processes still to start, at a loopback address that the kernel gives to nobody else. */
 final class Ports {
-    private Ports() { }
+    private Ports() {}
 
     static List<String> free(int count) throws IOException {
         long pid = ProcessHandle.current().pid();
--- a/src/test/java/gullspar/scale/RealProxy.java
+++ b/src/test/java/gullspar/scale/RealProxy.java
@@ -20,26 +20,30 @@
 
     static RealProxy start(Children children, int number, ObjectNode json, int mayNeedMb)
             throws ScaleException, IOException {
-        Path config = Files.writeString(children.folder().resolve("real" + number + ".json"),
-                json.toString());
-        List<String> command = DEPLOYED ? List.of("sh", "deploy/serve.sh")
-                : Child.java(64, "gullspar.Main", "serve");
-        Child c = children.start("real proxy " + number, mayNeedMb, command, Map.of("NODE_CONFIG",
-                config.toString(), "NODE_NAME", "p" + number));
-        return new RealProxy(c, Config.address(json.get("listen").asText()),
-                Config.address(json.get("operator").asText()), config);
+        Path config = Files.writeString(children.folder().resolve("real" + number + ".json"), json.toString());
+        List<String> command = DEPLOYED ? List.of("sh", "deploy/serve.sh") : Child.java(64, "gullspar.Main", "serve");
+        Child c = children.start(
+                "real proxy " + number,
+                mayNeedMb,
+                command,
+                Map.of("NODE_CONFIG", config.toString(), "NODE_NAME", "p" + number));
+        return new RealProxy(
+                c,
+                Config.address(json.get("listen").asText()),
+                Config.address(json.get("operator").asText()),
+                config);
     }
 
     /** How many backends it lists, as it tells operators. */
     int members() throws IOException {
         try (Socket s = new Socket(operator.getAddress(), operator.getPort())) {
             s.setSoTimeout(5000);
-            s.getOutputStream().write("GET /_vars HTTP/1.1\r\nHost: o\r\n\r\n".getBytes(
-                    StandardCharsets.US_ASCII));
+            s.getOutputStream().write("GET /_vars HTTP/1.1\r\nHost: o\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             byte[] all = s.getInputStream().readAllBytes();
             String text = new String(all, StandardCharsets.US_ASCII);
             return Json.read(text.substring(text.indexOf("\r\n\r\n") + 4).getBytes(StandardCharsets.US_ASCII))
-                    .path("members").asInt();
+                    .path("members")
+                    .asInt();
         }
     }
 
@@ -56,8 +60,12 @@
     }
 
     private List<String> jcmd(String command) throws IOException {
-        Process p = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
-                Long.toString(child.pid()), command).redirectErrorStream(true).start();
+        Process p = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                        Long.toString(child.pid()),
+                        command)
+                .redirectErrorStream(true)
+                .start();
         try (BufferedReader r = p.inputReader()) {
             return r.lines().toList();
         }
--- a/src/test/java/gullspar/scale/Results.java
+++ b/src/test/java/gullspar/scale/Results.java
@@ -13,10 +13,10 @@
 /** What was measured: series of points, each series along one axis with the others held. */
 final class Results {
     /** One measured value at one size. */
-    record Point(long size, double value) { }
+    record Point(long size, double value) {}
 
     /** What a series is about. */
-    record About(String id, String what, String unit, String axis, Map<String, Object> fixed) { }
+    record About(String id, String what, String unit, String axis, Map<String, Object> fixed) {}
 
     private final Map<String, List<Point>> points = new LinkedHashMap<>();
     private final Map<String, About> abouts = new LinkedHashMap<>();
@@ -30,8 +30,8 @@
     synchronized void add(About about, long size, double value) {
         abouts.putIfAbsent(about.id(), about);
         points.computeIfAbsent(about.id(), i -> new ArrayList<>()).add(new Point(size, round(value)));
-        System.out.println("  " + about.id() + "  " + about.axis() + "=" + size + "  " + round(value) + " "
-                + about.unit());
+        System.out.println(
+                "  " + about.id() + "  " + about.axis() + "=" + size + "  " + round(value) + " " + about.unit());
     }
 
     /** The same figure of a real and of a hollow proxy, and what explains a difference. */
@@ -50,13 +50,19 @@
 
     /** The one value of a series at a size; NaN if there is none. */
     synchronized double value(String id, long size) {
-        return points.getOrDefault(id, List.of()).stream().filter(p -> p.size() == size)
-                .mapToDouble(Point::value).findFirst().orElse(Double.NaN);
+        return points.getOrDefault(id, List.of()).stream()
+                .filter(p -> p.size() == size)
+                .mapToDouble(Point::value)
+                .findFirst()
+                .orElse(Double.NaN);
     }
 
     private static double round(double v) {
-        return v == 0 || !Double.isFinite(v) ? 0
-                : new java.math.BigDecimal(v).round(new java.math.MathContext(4)).doubleValue();
+        return v == 0 || !Double.isFinite(v)
+                ? 0
+                : new java.math.BigDecimal(v)
+                        .round(new java.math.MathContext(4))
+                        .doubleValue();
     }
 
     synchronized void write(Path file) throws IOException {
@@ -79,7 +85,8 @@
         root.put("series", all);
         root.put("hollow_and_real", alike);
         Files.createDirectories(file.toAbsolutePath().getParent());
-        String text = new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValueAsString(root);
+        String text =
+                new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValueAsString(root);
         Files.writeString(file, text + "\n");
     }
 }
--- a/src/test/java/gullspar/scale/ScaleRun.java
+++ b/src/test/java/gullspar/scale/ScaleRun.java
@@ -16,7 +16,7 @@
 public final class ScaleRun {
     private static final int SMALL_S = 120, FULL_S = 840;
 
-    private ScaleRun() { }
+    private ScaleRun() {}
 
     public static void main(String[] args) {
         System.setProperty("io.netty.jfr.enabled", "false");
@@ -42,22 +42,24 @@
 
     private static void bounded(Options o, Children children) throws ScaleException, IOException {
         CompletableFuture<Void> done = new CompletableFuture<>();
-        Thread work = new Thread(() -> {
-            try {
-                long began = System.nanoTime();
-                Results r = new Results();
-                Machine.describe(r, o);
-                new Plan(o, children, r).run();
-                Machine.describeEnd(r, children);
-                r.head("seconds", (System.nanoTime() - began) / 1_000_000_000L);
-                r.write(Path.of(o.out()));
-                System.out.println("written after " + (System.nanoTime() - began) / 1_000_000_000L + " s: "
-                        + o.out());
-                done.complete(null);
-            } catch (ScaleException | IOException | RuntimeException e) {
-                done.completeExceptionally(e);
-            }
-        }, "scale run");
+        Thread work = new Thread(
+                () -> {
+                    try {
+                        long began = System.nanoTime();
+                        Results r = new Results();
+                        Machine.describe(r, o);
+                        new Plan(o, children, r).run();
+                        Machine.describeEnd(r, children);
+                        r.head("seconds", (System.nanoTime() - began) / 1_000_000_000L);
+                        r.write(Path.of(o.out()));
+                        System.out.println(
+                                "written after " + (System.nanoTime() - began) / 1_000_000_000L + " s: " + o.out());
+                        done.complete(null);
+                    } catch (ScaleException | IOException | RuntimeException e) {
+                        done.completeExceptionally(e);
+                    }
+                },
+                "scale run");
         work.setDaemon(true);
         work.start();
         int seconds = o.full() ? FULL_S : SMALL_S;
--- a/src/test/java/gullspar/scale/ScaleTest.java
+++ b/src/test/java/gullspar/scale/ScaleTest.java
@@ -33,18 +33,23 @@
     /** What a run said and how it ended. */
     private record Ended(int code, List<String> said) {
         private List<Long> pids() {
-            return said.stream().filter(l -> l.startsWith("started ")).map(ScaleTest::pid).toList();
+            return said.stream()
+                    .filter(l -> l.startsWith("started "))
+                    .map(ScaleTest::pid)
+                    .toList();
         }
 
         private void leftNothing() {
             // Killed, it is gone as soon as the system comes round to it: waited for, and not long.
-            pids().forEach(p -> ProcessHandle.of(p).ifPresent(h -> assertDoesNotThrow(
-                    () -> h.onExit().get(5, TimeUnit.SECONDS), () -> "pid " + p + " is still there")));
+            pids().forEach(p -> ProcessHandle.of(p)
+                    .ifPresent(h -> assertDoesNotThrow(
+                            () -> h.onExit().get(5, TimeUnit.SECONDS), () -> "pid " + p + " is still there")));
         }
 
         /** One line says why. */
         private String complaint() {
-            List<String> lines = said.stream().filter(l -> l.startsWith("scale: ")).toList();
+            List<String> lines =
+                    said.stream().filter(l -> l.startsWith("scale: ")).toList();
             assertEquals(1, lines.size(), () -> String.join("\n", said));
             return lines.get(0);
         }
@@ -55,9 +60,14 @@
     }
 
     private Ended run(Consumer<String> heard, String... args) throws IOException, InterruptedException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-                .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx256m", "-cp",
-                System.getProperty("java.class.path"), "gullspar.scale.ScaleRun"));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx256m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "gullspar.scale.ScaleRun"));
         command.addAll(List.of(args));
         Process p = new ProcessBuilder(command).redirectErrorStream(true).start();
         List<String> said = new ArrayList<>();
@@ -74,7 +84,7 @@
     }
 
     private Ended run(String... args) throws IOException, InterruptedException {
-        return run(line -> { }, args);
+        return run(line -> {}, args);
     }
 
     @Test
@@ -87,23 +97,36 @@
         JsonNode root = new ObjectMapper().readTree(Files.readString(out));
         Set<String> ids = new TreeSet<>();
         root.path("series").forEach(s -> ids.add(s.path("id").asText()));
-        assertTrue(ids.containsAll(List.of("proxy.control.cpu.rest.backends", "known.change.all.backends",
-                "proxy.control.heap.backends", "proxy.added.p99.backends", "fault.tenth.back.known",
-                "fault.zone.back.known", "fault.discovery.back.reconnects")), ids.toString());
+        assertTrue(
+                ids.containsAll(List.of(
+                        "proxy.control.cpu.rest.backends",
+                        "known.change.all.backends",
+                        "proxy.control.heap.backends",
+                        "proxy.added.p99.backends",
+                        "fault.tenth.back.known",
+                        "fault.zone.back.known",
+                        "fault.discovery.back.reconnects")),
+                ids.toString());
         assertTrue(root.path("hollow_and_real").size() > 3);
         for (JsonNode s : root.path("series")) {
-            assertTrue(Set.of("proxies", "backends", "services", "routes", "tenants", "changes").contains(
-                    s.path("axis").asText()), s.toString());
+            assertTrue(
+                    Set.of("proxies", "backends", "services", "routes", "tenants", "changes")
+                            .contains(s.path("axis").asText()),
+                    s.toString());
         }
     }
 
     @Test
     void aChildThatDiesEndsTheRunByName() throws Exception {
-        Ended e = run(line -> {
-            if (line.startsWith("started hollow process 0")) {
-                ProcessHandle.of(pid(line)).orElseThrow().destroyForcibly();
-            }
-        }, "small", "--out", folder.resolve("none.json").toString());
+        Ended e = run(
+                line -> {
+                    if (line.startsWith("started hollow process 0")) {
+                        ProcessHandle.of(pid(line)).orElseThrow().destroyForcibly();
+                    }
+                },
+                "small",
+                "--out",
+                folder.resolve("none.json").toString());
         assertEquals(ScaleException.CHILD, e.code, () -> String.join("\n", e.said));
         assertTrue(e.complaint().contains("hollow process 0, pid"), e.complaint());
         assertTrue(e.complaint().contains("has died, exit code 137"), e.complaint());
--- a/src/test/java/gullspar/scale/Sites.java
+++ b/src/test/java/gullspar/scale/Sites.java
@@ -13,8 +13,7 @@
 
 /** Real proxies for plain HTTP by an operator's file of many services or routes: serve --config. */
 final class Sites {
-    private static final int HEAP_MB = 192, MAY_NEED_MB = 260, ROUTES_A_HOST = 100, RELOADS = 5,
-            START_S = 120;
+    private static final int HEAP_MB = 192, MAY_NEED_MB = 260, ROUTES_A_HOST = 100, RELOADS = 5, START_S = 120;
     private static final double REQUESTS = 100, WARM_S = 4, LOAD_S = 8;
 
     private final Options options;
@@ -36,8 +35,7 @@
 
     void routes(int[] sizes, int services, int servers) throws ScaleException, IOException {
         for (int size : sizes) {
-            run("routes", size, services, servers, size, Map.of("services", services, "servers_a_service",
-                    servers));
+            run("routes", size, services, servers, size, Map.of("services", services, "servers_a_service", servers));
         }
     }
 
@@ -45,22 +43,28 @@
         return "h" + route / ROUTES_A_HOST + ".example/r" + route + "/x";
     }
 
-    private static String file(String listen, BackendStandIn backends, int services, int servers,
-            int routes) {
+    private static String file(String listen, BackendStandIn backends, int services, int servers, int routes) {
         StringBuilder f = new StringBuilder("[[listener]]\naddress = \"" + listen + "\"\n");
         for (int s = 0; s < services; s++) {
             f.append("[[pool]]\nname = \"s").append(s).append("\"\n");
             for (int b = 0; b < servers; b++) {
-                f.append("[[pool.server]]\nname = "
-                        + "\"s").append(s).append('-').append(b).append("\"\naddress = \"")
-                        .append(backends.address(s * servers + b)).append("\"\n");
+                f.append("[[pool.server]]\nname = " + "\"s")
+                        .append(s)
+                        .append('-')
+                        .append(b)
+                        .append("\"\naddress = \"")
+                        .append(backends.address(s * servers + b))
+                        .append("\"\n");
             }
         }
         for (int r = 0; r < routes; r++) {
             if (r % ROUTES_A_HOST == 0) {
                 f.append("[[host]]\nnames = [\"h").append(r / ROUTES_A_HOST).append(".example\"]\n");
             }
-            f.append("[[host.route]]\npath = \"/r").append(r).append("/\"\npool = \"s").append(r % services)
+            f.append("[[host.route]]\npath = \"/r")
+                    .append(r)
+                    .append("/\"\npool = \"s")
+                    .append(r % services)
                     .append("\"\n");
         }
         return f.toString();
@@ -73,18 +77,20 @@
         InetSocketAddress at = Config.address(listen);
         List<Child> one = new ArrayList<>();
         try (BackendStandIn backends = new BackendStandIn()) {
-            Path config = Files.writeString(children.folder().resolve("site.toml"),
-                    file(listen, backends, services, servers, routes));
+            Path config = Files.writeString(
+                    children.folder().resolve("site.toml"), file(listen, backends, services, servers, routes));
             long began = System.nanoTime();
             Child c = children.start("real site proxy", MAY_NEED_MB, command(config), Map.of());
             one.add(c);
             c.await("listening on", START_S);
             Series s = new Series(axis, size, fixed);
             s.add("site.file.bytes", "B", Files.size(config), "an operator's file");
-            s.add("site.start.cpu", "ms", Accounts.ms(Map.of(c.pid(), Accounts.NONE)),
+            s.add(
+                    "site.start.cpu",
+                    "ms",
+                    Accounts.ms(Map.of(c.pid(), Accounts.NONE)),
                     "processor time of a start, the runtime's included");
-            s.add("site.start.known", "ms", (System.nanoTime() - began) / 1e6,
-                    "from a start until it listens");
+            s.add("site.start.known", "ms", (System.nanoTime() - began) / 1e6, "from a start until it listens");
             reloads(s, c);
             Map<Long, Accounts.Booked> before = Map.of(c.pid(), Accounts.booked(c.pid()));
             long from = System.nanoTime();
@@ -95,13 +101,20 @@
             for (int r = 0; r < routes; r++) {
                 urls[r] = url(r);
             }
-            new Latency(results, "site.", axis, size, fixed).run(List.of(new Latency.Place(c, at)),
-                    backends, urls,
-                    rest, options.full() ? REQUESTS : 20, options.full() ? WARM_S : 0.5,
-                    options.full() ? LOAD_S : 1);
-            s.add("site.resident", "KB", Accounts.residentBytes(c.pid()) / 1024.0,
-                    "resident memory, after load");
-            s.add("site.heap", "KB", new RealProxy(c, at, at, config).heap() / 1024.0,
+            new Latency(results, "site.", axis, size, fixed)
+                    .run(
+                            List.of(new Latency.Place(c, at)),
+                            backends,
+                            urls,
+                            rest,
+                            options.full() ? REQUESTS : 20,
+                            options.full() ? WARM_S : 0.5,
+                            options.full() ? LOAD_S : 1);
+            s.add("site.resident", "KB", Accounts.residentBytes(c.pid()) / 1024.0, "resident memory, after load");
+            s.add(
+                    "site.heap",
+                    "KB",
+                    new RealProxy(c, at, at, config).heap() / 1024.0,
                     "heap after a collection, after load");
         } finally {
             children.end(one);
@@ -109,8 +122,18 @@
     }
 
     private static List<String> command(Path config) {
-        return RealProxy.DEPLOYED ? List.of("java", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss512k",
-                "-Xmx" + HEAP_MB + "m", "-jar", "target/gullspar.jar", "serve", "--config", config.toString())
+        return RealProxy.DEPLOYED
+                ? List.of(
+                        "java",
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xss512k",
+                        "-Xmx" + HEAP_MB + "m",
+                        "-jar",
+                        "target/gullspar.jar",
+                        "serve",
+                        "--config",
+                        config.toString())
                 : Child.java(HEAP_MB, "gullspar.Main", "serve", "--config", config.toString());
     }
 
--- a/src/test/java/gullspar/scale/Sweeps.java
+++ b/src/test/java/gullspar/scale/Sweeps.java
@@ -24,16 +24,17 @@
     /** proxies: hollow ones; real: those beside them. */
     void backends(int[] sizes, int proxies, int real) throws ScaleException, IOException {
         for (int size : sizes) {
-            trial(new Series("backends", size, Map.of("proxies", proxies)),
+            trial(
+                    new Series("backends", size, Map.of("proxies", proxies)),
                     new Shape(proxies, 1 + proxies / PER_PROCESS, real, size, 0, heapMb(size)));
         }
     }
 
     void proxies(int[] sizes, int backends, int real) throws ScaleException, IOException {
         for (int size : sizes) {
-            trial(new Series("proxies", size, Map.of("backends", backends)),
-                    new Shape(size, Math.max(2, size / PER_PROCESS), real, backends, 0,
-                            heapMb(backends)));
+            trial(
+                    new Series("proxies", size, Map.of("backends", backends)),
+                    new Shape(size, Math.max(2, size / PER_PROCESS), real, backends, 0, heapMb(backends)));
         }
     }
 
@@ -46,8 +47,7 @@
             Pause.ms(2000);
             Control.Rest rest = new Control(t).rest(6);
             s.real(t, rest);
-            new Latency(results, s.axis, s.size, s.fixed).run(t, rest.realMs(), REQUESTS * real, WARM_S,
-                    LOAD_S);
+            new Latency(results, s.axis, s.size, s.fixed).run(t, rest.realMs(), REQUESTS * real, WARM_S, LOAD_S);
         }
     }
 
@@ -92,7 +92,8 @@
             s.change(c.changes(full ? 60 : 6, 20));
             s.weights(c.weights(full ? 4 : 2));
             s.bytes(Tally.since(before, t.discovery.kinds()));
-            s.memory((t.hollowHeap() - heap) / 1024.0 / shape.proxies(),
+            s.memory(
+                    (t.hollowHeap() - heap) / 1024.0 / shape.proxies(),
                     (t.hollowResident() - resident) / 1024.0 / shape.proxies());
             t.sound();
         }
@@ -116,16 +117,17 @@
         }
 
         private void add(String id, String unit, double value, String what) {
-            results.add(new About(id + "." + axis + suffix(), what, unit, axis, new TreeMap<>(fixed)),
-                    size, value);
+            results.add(new About(id + "." + axis + suffix(), what, unit, axis, new TreeMap<>(fixed)), size, value);
         }
 
         void rest(Control.Rest r) {
-            add("proxy.control.cpu.rest", "ms/s", r.hollowMs(), "processor time of a proxy's control part at "
-                    + "rest");
+            add(
+                    "proxy.control.cpu.rest",
+                    "ms/s",
+                    r.hollowMs(),
+                    "processor time of a proxy's control part at " + "rest");
             add("proxy.control.bytes.in.rest", "B/s", r.bytes(), "bytes from discovery to a proxy at rest");
-            add("proxy.control.messages.in.rest", "1/s", r.messages(),
-                    "messages from discovery to a proxy at rest");
+            add("proxy.control.messages.in.rest", "1/s", r.messages(), "messages from discovery to a proxy at rest");
         }
 
         /** The real ones beside them, before they have traffic. */
@@ -138,60 +140,102 @@
             }
             add("proxy.real.cpu.rest", "ms/s", r.realMs(), "processor time of a whole real process at rest");
             add("proxy.real.heap", "KB", heap, "heap of a real proxy after a collection");
-            add("proxy.real.resident", "KB", resident, "resident memory of a real proxy, its heap touched at "
-                    + "the start");
+            add(
+                    "proxy.real.resident",
+                    "KB",
+                    resident,
+                    "resident memory of a real proxy, its heap touched at " + "the start");
         }
 
         void whole(Control.Cost c) {
-            add("proxy.control.cpu.whole", "ms", c.hollowMs(),
+            add(
+                    "proxy.control.cpu.whole",
+                    "ms",
+                    c.hollowMs(),
                     "processor time of a proxy for a whole list, the watch opened anew included");
-            add("known.whole.all", "ms", c.known().getMaxValue() / 1e3,
+            add(
+                    "known.whole.all",
+                    "ms",
+                    c.known().getMaxValue() / 1e3,
                     "from the end of all watches until the "
-                    + "last proxy has the whole list again, the worst of some");
+                            + "last proxy has the whole list again, the worst of some");
         }
 
         void change(Control.Cost c) {
             Histogram known = c.known();
-            add("proxy.control.cpu.change", "ms", c.hollowMs(),
+            add(
+                    "proxy.control.cpu.change",
+                    "ms",
+                    c.hollowMs(),
                     "processor time of a proxy for one backend that comes or goes");
-            add("known.change.p50", "ms", known.getValueAtPercentile(50) / 1e3, "from a change at discovery "
-                    + "until a proxy knows it, median");
+            add(
+                    "known.change.p50",
+                    "ms",
+                    known.getValueAtPercentile(50) / 1e3,
+                    "from a change at discovery " + "until a proxy knows it, median");
             add("known.change.p99", "ms", known.getValueAtPercentile(99) / 1e3, "the same, 99 in 100");
-            add("known.change.all", "ms", known.getMaxValue() / 1e3,
+            add(
+                    "known.change.all",
+                    "ms",
+                    known.getMaxValue() / 1e3,
                     "from a change at discovery until the last proxy knows it, the worst of all changes");
         }
 
         void burst(Control.Cost c) {
-            add("proxy.control.cpu.burst", "ms", c.hollowMs() * size,
+            add(
+                    "proxy.control.cpu.burst",
+                    "ms",
+                    c.hollowMs() * size,
                     "processor time of a proxy for so many changes in one go");
-            add("proxy.control.bytes.burst", "B", c.bytes() * size,
+            add(
+                    "proxy.control.bytes.burst",
+                    "B",
+                    c.bytes() * size,
                     "bytes from discovery to a proxy for so many changes in one go");
-            add("known.burst.all", "ms", c.known().getMaxValue() / 1e3,
+            add(
+                    "known.burst.all",
+                    "ms",
+                    c.known().getMaxValue() / 1e3,
                     "from each of so many changes in one go until the last proxy knows it, the worst");
         }
 
         void weights(Control.Cost c) {
-            add("proxy.control.cpu.weights", "ms", c.hollowMs(),
+            add(
+                    "proxy.control.cpu.weights",
+                    "ms",
+                    c.hollowMs(),
                     "processor time of a proxy for all weights told anew at once");
-            add("known.weights.all", "ms", c.known().getMaxValue() / 1e3,
+            add(
+                    "known.weights.all",
+                    "ms",
+                    c.known().getMaxValue() / 1e3,
                     "from all weights told anew until the last proxy knows them, the worst of some");
         }
 
         void bytes(Map<String, Tally.Sum> kinds) {
             for (String kind : new String[] {"change", "whole", "weights"}) {
                 Tally.Sum sum = kinds.getOrDefault(kind, Tally.NONE);
-                add("proxy.control.bytes." + kind, "B", (double) sum.bytes() / sum.messages(),
+                add(
+                        "proxy.control.bytes." + kind,
+                        "B",
+                        (double) sum.bytes() / sum.messages(),
                         "bytes to a proxy of one message from discovery: " + kind);
             }
             Tally.Sum calls = kinds.getOrDefault("call", Tally.NONE);
-            add("proxy.control.bytes.out.call", "B", (double) calls.bytes() / calls.messages(),
+            add(
+                    "proxy.control.bytes.out.call",
+                    "B",
+                    (double) calls.bytes() / calls.messages(),
                     "bytes from a proxy to discovery for a watch");
         }
 
         void memory(double heapKb, double residentKb) {
             add("proxy.control.heap", "KB", heapKb, "heap of a proxy's control part after a collection");
-            add("proxy.control.resident", "KB", residentKb, "resident memory that a hollow proxy adds to its "
-                    + "process, garbage and its thread included");
+            add(
+                    "proxy.control.resident",
+                    "KB",
+                    residentKb,
+                    "resident memory that a hollow proxy adds to its " + "process, garbage and its thread included");
         }
     }
 }
--- a/src/test/java/gullspar/scale/Tally.java
+++ b/src/test/java/gullspar/scale/Tally.java
@@ -42,7 +42,9 @@
     long worstSecond(long fromNs) {
         long worst = 0;
         for (long t : tenths.tailMap(fromNs / TENTH_NS).keySet()) {
-            worst = Math.max(worst, tenths.subMap(t, t + 10).values().stream().mapToLong(b -> b).sum());
+            worst = Math.max(
+                    worst,
+                    tenths.subMap(t, t + 10).values().stream().mapToLong(b -> b).sum());
         }
         return worst;
     }
--- a/src/test/java/gullspar/scale/Tenants.java
+++ b/src/test/java/gullspar/scale/Tenants.java
@@ -28,7 +28,10 @@
                 t.processes();
                 long heap = t.hollowHeap();
                 t.proxies();
-                add("proxy.control.heap", "KB", (t.hollowHeap() - heap) / 1024.0 / hollow,
+                add(
+                        "proxy.control.heap",
+                        "KB",
+                        (t.hollowHeap() - heap) / 1024.0 / hollow,
                         "heap of a proxy's control part after a collection");
                 reloads(t, real);
                 t.sound();
@@ -44,10 +47,10 @@
         for (RealProxy r : t.real) {
             resident += Accounts.residentBytes(r.child().pid()) / 1024.0 / real;
             bytes = Files.size(r.config());
-            Map<Long, Accounts.Booked> before = Map.of(r.child().pid(), Accounts.booked(r.child().pid()));
+            Map<Long, Accounts.Booked> before =
+                    Map.of(r.child().pid(), Accounts.booked(r.child().pid()));
             for (int i = 0; i < RELOADS; i++) {
-                Files.copy(r.config(), r.config().resolveSibling("next"),
-                        StandardCopyOption.REPLACE_EXISTING);
+                Files.copy(r.config(), r.config().resolveSibling("next"), StandardCopyOption.REPLACE_EXISTING);
                 Files.move(r.config().resolveSibling("next"), r.config(), StandardCopyOption.ATOMIC_MOVE);
                 long at = System.nanoTime();
                 r.child().hangUp();
@@ -59,13 +62,17 @@
         add("proxy.config.bytes", "B", bytes, "a proxy's configuration file");
         add("proxy.resident", "KB", resident, "resident memory of a real proxy");
         add("proxy.config.reload.cpu", "ms", ms, "processor time of a real proxy for a SIGHUP");
-        add("proxy.config.reload.known", "ms", slowest, "from SIGHUP until the configuration is in force, "
-                + "the "
-                + "slowest");
+        add(
+                "proxy.config.reload.known",
+                "ms",
+                slowest,
+                "from SIGHUP until the configuration is in force, " + "the " + "slowest");
     }
 
     private void add(String id, String unit, double value, String what) {
-        results.add(new About(id + ".tenants", what, unit, "tenants", new TreeMap<>(Map.of("backends",
-                BACKENDS))), size, value);
+        results.add(
+                new About(id + ".tenants", what, unit, "tenants", new TreeMap<>(Map.of("backends", BACKENDS))),
+                size,
+                value);
     }
 }
--- a/src/test/java/gullspar/scale/Trial.java
+++ b/src/test/java/gullspar/scale/Trial.java
@@ -34,8 +34,7 @@
             backends.close();
             throw e;
         }
-        this.config = Files.writeString(Files.createTempFile(children.folder(), "hollow", ".json"),
-                json().toString());
+        this.config = Files.writeString(Files.createTempFile(children.folder(), "hollow", ".json"), json().toString());
     }
 
     private ObjectNode json() throws IOException {
@@ -55,8 +54,11 @@
     }
 
     private Child process(int number) throws ScaleException, IOException {
-        return children.start("hollow process " + number, Math.min(shape.heapMb(), 256) + RUNTIME_MB,
-                Child.java(shape.heapMb(), "gullspar.scale.Hollow", "proxies", config.toString()), Map.of());
+        return children.start(
+                "hollow process " + number,
+                Math.min(shape.heapMb(), 256) + RUNTIME_MB,
+                Child.java(shape.heapMb(), "gullspar.scale.Hollow", "proxies", config.toString()),
+                Map.of());
     }
 
     /** Starts the proxies and waits until all know the list. */
@@ -66,7 +68,8 @@
             int number = shape.proxies() + i;
             ObjectNode json = json();
             NodeConfig.number(json, number);
-            json.put("listen", ports.get(2 * i)).put("operator", ports.get(2 * i + 1))
+            json.put("listen", ports.get(2 * i))
+                    .put("operator", ports.get(2 * i + 1))
                     .put("discovery", place(number));
             real.add(RealProxy.start(children, number, json, REAL_MB));
         }
@@ -122,14 +125,17 @@
             String answer = c.ask("heard " + told.version());
             while ((" " + answer + " ").contains(" -1 ")) {
                 if (System.nanoTime() > end) {
-                    throw new ScaleException(ScaleException.COUNT, "not all of " + c.name() + " know version "
-                            + told.version() + " after " + withinS + " s: " + answer);
+                    throw new ScaleException(
+                            ScaleException.COUNT,
+                            "not all of " + c.name() + " know version " + told.version() + " after " + withinS + " s: "
+                                    + answer);
                 }
                 children.look();
                 Pause.ms(20);
                 answer = c.ask("heard " + told.version());
             }
-            Arrays.stream(answer.split(" ")).filter(a -> !a.isEmpty())
+            Arrays.stream(answer.split(" "))
+                    .filter(a -> !a.isEmpty())
                     .forEach(a -> h.recordValue(Math.max(0, (Long.parseLong(a) - told.atNs()) / 1000)));
         }
         return h;
--- a/src/test/java/gullspar/site/FailuresTest.java
+++ b/src/test/java/gullspar/site/FailuresTest.java
@@ -28,7 +28,10 @@
 
     @Test
     void aSafeRequestGoesToAnotherServerAfterAReset() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a, b); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = Served.by("", a, b);
+                Wire c = s.connect()) {
             c.write(GET);
             Wire w = first(a, b);
             w.read();
@@ -42,7 +45,10 @@
 
     @Test
     void anUnsafeOneThatMayHaveRunFailsAndGoesNowhereElse() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a, b); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = Served.by("", a, b);
+                Wire c = s.connect()) {
             c.write(POST);
             Wire w = first(a, b);
             w.read();
@@ -54,7 +60,9 @@
 
     @Test
     void aKeyedOneMayGoOnOnlyWithItsKey() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("class = \"keyed\"", a, b);
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = Served.by("class = \"keyed\"", a, b);
                 Wire c = s.connect()) {
             c.write(POST);
             Wire w = first(a, b);
@@ -77,9 +85,11 @@
         Peer dead = new Peer();
         String gone = dead.hostPort();
         dead.close();
-        try (Peer a = new Peer(); Served s = new Served(Served.LISTENER + Served.one("",
-                a).replace("[[host]]",
-                "[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]")); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = new Served(Served.LISTENER
+                        + Served.one("", a)
+                                .replace("[[host]]", "[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]"));
+                Wire c = s.connect()) {
             for (int i = 0; i < 4; i++) {
                 c.write(POST);
                 if (i == 0) {
@@ -110,7 +120,9 @@
 
     @Test
     void aStatusOfTheRoutesListCountsAsAFailure() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("retry_on = [\"500\"]", a, b);
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = Served.by("retry_on = [\"500\"]", a, b);
                 Wire c = s.connect()) {
             c.write(GET);
             Wire w = first(a, b);
@@ -125,7 +137,10 @@
 
     @Test
     void onceTheFirstByteIsOutThereIsNoFurtherAttempt() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a, b); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = Served.by("", a, b);
+                Wire c = s.connect()) {
             c.write(GET);
             Wire w = first(a, b);
             w.read();
@@ -139,7 +154,8 @@
 
     @Test
     void aServerThatSaysNothingCostsNoMoreThanTheDeadline() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("deadline_ms = 200\nclass = \"unsafe\"", a);
+        try (Peer a = new Peer();
+                Served s = Served.by("deadline_ms = 200\nclass = \"unsafe\"", a);
                 Wire c = s.connect()) {
             c.write(GET);
             Wire w = a.accept();
@@ -152,8 +168,10 @@
 
     @Test
     void anAttemptThatTakesTooLongMakesRoomForAnother() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer();
-                Served s = Served.by("deadline_ms = 20000\nattempt_ms = 100", a, b); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = Served.by("deadline_ms = 20000\nattempt_ms = 100", a, b);
+                Wire c = s.connect()) {
             c.write(GET);
             Wire w = first(a, b);
             w.read();
@@ -170,8 +188,9 @@
         String gone = dead.hostPort();
         dead.close();
         try (Served s = new Served(Served.LISTENER + "[limits]\nretry_after_s = 2.5\n[[pool]]\nname = \"p\"\n"
-                + "[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]\ndefault = true\n[[host.route]]\n"
-                + "path = \"/\"\npool = \"p\"\n"); Wire c = s.connect()) {
+                        + "[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]\ndefault = true\n[[host.route]]\n"
+                        + "path = \"/\"\npool = \"p\"\n");
+                Wire c = s.connect()) {
             c.write(POST);
             String answer = c.read();
             assertEquals("503", status(answer));
@@ -181,7 +200,8 @@
 
     @Test
     void aClientThatLeavesTakesItsAttemptAlong() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("", a)) {
+        try (Peer a = new Peer();
+                Served s = Served.by("", a)) {
             Wire c = s.connect();
             c.write(GET);
             Wire w = a.accept();
@@ -201,7 +221,9 @@
 
     @Test
     void oneThatDoesNotReadHoldsUpItsServerAndNothingElse() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("", a); Wire slow = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = Served.by("", a);
+                Wire slow = s.connect()) {
             slow.write(GET);
             Wire w = a.accept();
             w.read();
@@ -237,9 +259,11 @@
 
     @Test
     void noMoreConnectionsThanAServerMayHave() throws Exception {
-        try (Peer a = new Peer(); Served s = new Served(Served.LISTENER + Served.one("",
-                a).replace("[[host]]",
-                "max_connections = 2\n[[host]]")); Wire c1 = s.connect(); Wire c2 = s.connect();
+        try (Peer a = new Peer();
+                Served s = new Served(
+                        Served.LISTENER + Served.one("", a).replace("[[host]]", "max_connections = 2\n[[host]]"));
+                Wire c1 = s.connect();
+                Wire c2 = s.connect();
                 Wire c3 = s.connect()) {
             c1.write(GET);
             Wire w1 = a.accept();
@@ -264,9 +288,12 @@
         Peer dead = new Peer();
         String gone = dead.hostPort();
         dead.close();
-        try (Peer a = new Peer(); Served s = new Served(Served.LISTENER + Served.one("",
-                a).replace("[[host]]",
-                "backup = true\n[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]"));
+        try (Peer a = new Peer();
+                Served s = new Served(Served.LISTENER
+                        + Served.one("", a)
+                                .replace(
+                                        "[[host]]",
+                                        "backup = true\n[[pool.server]]\naddress = \"" + gone + "\"\n[[host]]"));
                 Wire c = s.connect()) {
             c.write(GET);
             Wire w = a.accept();
@@ -278,9 +305,11 @@
 
     @Test
     void sharesFollowTheWeights() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer();
-                Served s = new Served(Served.LISTENER + Served.one("", a, b).replace(
-                        "\"" + b.hostPort() + "\"", "\"" + b.hostPort() + "\"\nweight = 3"));
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = new Served(Served.LISTENER
+                        + Served.one("", a, b)
+                                .replace("\"" + b.hostPort() + "\"", "\"" + b.hostPort() + "\"\nweight = 3"));
                 Wire c = s.connect()) {
             AtomicIntegerArray got = new AtomicIntegerArray(2);
             answering(a, 0, got);
--- a/src/test/java/gullspar/site/OddServersTest.java
+++ b/src/test/java/gullspar/site/OddServersTest.java
@@ -21,15 +21,25 @@
     private static final String POST = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
 
     @ParameterizedTest
-    @ValueSource(strings = {"garbage\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
-            "HTTP/2.0 200 OK\r\n\r\n",
-        "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n", "HTTP/1.1 abc OK\r\n\r\n", "\u0000\u0001\u0002", "",
-        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
-        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
-            + "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
-            + "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "garbage\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+                "HTTP/2.0 200 OK\r\n\r\n",
+                "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n",
+                "HTTP/1.1 abc OK\r\n\r\n",
+                "\u0000\u0001\u0002",
+                "",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+                        + "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+                        + "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+            })
     void whatIsNoAnswerIsAFailureAndAnUnsafeRequestGoesNowhereElse(String text) throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a, b); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = Served.by("", a, b);
+                Wire c = s.connect()) {
             c.write(POST);
             while (a.quiet() && b.quiet()) {
                 Thread.onSpinWait();
@@ -45,7 +55,9 @@
 
     @Test
     void headsWithoutEndAreCutOff() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("", a); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = Served.by("", a);
+                Wire c = s.connect()) {
             c.write(POST);
             Wire w = a.accept();
             w.read();
@@ -63,7 +75,9 @@
 
     @Test
     void whatComesBehindAnAnswerIsNobodysAnswer() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("", a); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = Served.by("", a);
+                Wire c = s.connect()) {
             c.write(GET);
             Wire w = a.accept();
             w.read();
@@ -80,7 +94,9 @@
 
     @Test
     void noiseOnAnIdleConnectionEndsIt() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("", a); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = Served.by("", a);
+                Wire c = s.connect()) {
             c.write(GET);
             Wire w = a.accept();
             w.read();
@@ -98,7 +114,9 @@
 
     @Test
     void anAnswerAheadOfTheWholeRequestIsPassedOnAndTheConnectionIsNotUsedAgain() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("body_kb = 8192", a); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = Served.by("body_kb = 8192", a);
+                Wire c = s.connect()) {
             int size = 6 << 20;
             c.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size));
             Wire w = a.accept();
@@ -115,11 +133,12 @@
 
     @Test
     void valuesCannotEndALineOfAHead() throws Exception {
-        String route =
-                "[[host.route]]\npath = \"/to\"\nanswer = { status = 302, location = \"/x${arg.a}\" }\n"
+        String route = "[[host.route]]\npath = \"/to\"\nanswer = { status = 302, location = \"/x${arg.a}\" }\n"
                 + "[[host.route]]\nmatch = \"regex\"\npath = \"^/r/(.*)$\"\npool = \"p\"\n"
                 + "request_headers = { set = { X-Path = \"${1}\" } }\n";
-        try (Peer a = new Peer(); Served s = Served.by(route, a); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = Served.by(route, a);
+                Wire c = s.connect()) {
             c.write("GET /to?a=%0d%0aSet-Cookie:x HTTP/1.1\r\nHost: a\r\n\r\n");
             assertFalse(c.read().contains("\nSet-Cookie"));
             c.write("GET /r/a%0d%0aX-Evil:%201 HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -132,15 +151,14 @@
     @Test
     void oddBytesEndTheirConnectionAndNothingElse() throws Exception {
         Random random = new Random(23);
-        try (Peer a = new Peer(); Served s = new Served("[limits]\nrequest_s = 0.2\n" + Served.LISTENER
-                + Served.one("", a))) {
+        try (Peer a = new Peer();
+                Served s = new Served("[limits]\nrequest_s = 0.2\n" + Served.LISTENER + Served.one("", a))) {
             for (int i = 0; i < 150; i++) {
                 byte[] bytes = new byte[random.nextInt(400)];
                 random.nextBytes(bytes);
                 String text = new String(bytes, StandardCharsets.ISO_8859_1);
                 try (Wire c = s.connect()) {
-                    c.write(i % 2 == 0 ? text : "GET / HTTP/1.1\r\nHost: " + text.replace("\n", "") +
-                            "\n\r\n");
+                    c.write(i % 2 == 0 ? text : "GET / HTTP/1.1\r\nHost: " + text.replace("\n", "") + "\n\r\n");
                     c.until("\u0000no such end");
                 } catch (IOException e) {
                     // reset while it was written: ended as well
@@ -159,8 +177,11 @@
 
     @Test
     void clientsThatStopInTheMidstOfARequestAreEnded() throws Exception {
-        try (Peer a = new Peer(); Served s = new Served("[limits]\nrequest_s = 0.2\nidle_s = 0.2\n"
-                + Served.LISTENER + Served.one("", a)); Wire half = s.connect(); Wire silent = s.connect();
+        try (Peer a = new Peer();
+                Served s =
+                        new Served("[limits]\nrequest_s = 0.2\nidle_s = 0.2\n" + Served.LISTENER + Served.one("", a));
+                Wire half = s.connect();
+                Wire silent = s.connect();
                 Wire body = s.connect()) {
             half.write("GET / HTTP/1.1\r\nHo");
             body.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab");
@@ -173,25 +194,32 @@
 
     @Test
     void aPoolCanWatchDiscovery() throws Exception {
-        try (Peer discovery = new Peer(); Peer a = new Peer(); Served s = new Served(Served.LISTENER
-                + "[[pool]]\nname = \"p\"\ndiscovery = \"" + discovery.hostPort() + "\"\n[[host]]\n"
-                + "default = true\n[[host.route]]\npath = \"/\"\npool = \"p\"\n"); Wire c = s.connect()) {
+        try (Peer discovery = new Peer();
+                Peer a = new Peer();
+                Served s = new Served(Served.LISTENER
+                        + "[[pool]]\nname = \"p\"\ndiscovery = \"" + discovery.hostPort() + "\"\n[[host]]\n"
+                        + "default = true\n[[host.route]]\npath = \"/\"\npool = \"p\"\n");
+                Wire c = s.connect()) {
             c.write(GET);
             Wire watch = discovery.accept();
             watch.read();
-            line(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            line(
+                    watch,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
                     "{\"generation\":1,\"reset\":true,"
-                    + "\"instances\":[{\"instanceId\":\"i\",\"hostPort\":\"" + a.hostPort() +
-                            "\",\"zone\":\"z\","
-                    + "\"machineType\":\"m\",\"cell\":0,\"lifecycle\":\"in_service\",\"weight\":1,"
-                    + "\"startedAtMs\":0}]}\n");
+                            + "\"instances\":[{\"instanceId\":\"i\",\"hostPort\":\"" + a.hostPort()
+                            + "\",\"zone\":\"z\","
+                            + "\"machineType\":\"m\",\"cell\":0,\"lifecycle\":\"in_service\",\"weight\":1,"
+                            + "\"startedAtMs\":0}]}\n");
             Wire w = a.accept();
             w.read();
             w.write(OK);
             assertEquals("200", status(c.read()));
-            line(watch, "", "{\"generation\":2,\"instances\":[{\"instanceId\":\"i\",\"hostPort\":\"" +
-                    a.hostPort()
-                    + "\",\"lifecycle\":\"terminating\"}]}\n");
+            line(
+                    watch,
+                    "",
+                    "{\"generation\":2,\"instances\":[{\"instanceId\":\"i\",\"hostPort\":\"" + a.hostPort()
+                            + "\",\"lifecycle\":\"terminating\"}]}\n");
             assertTrue(w.ended(), "nothing new goes to one that drains");
         }
     }
@@ -202,10 +230,13 @@
 
     @Test
     void noMoreIdleConnectionsAreKeptThanThePoolMayHave() throws Exception {
-        try (Peer a = new Peer(); Served s = new Served(Served.LISTENER + Served.one("",
-                a).replace("[[host]]",
-                "").replace("name = \"p\"", "name = \"p\"\nkeep_alive = 0").replace("default = true",
-                        "[[host]]\ndefault = true")); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = new Served(Served.LISTENER
+                        + Served.one("", a)
+                                .replace("[[host]]", "")
+                                .replace("name = \"p\"", "name = \"p\"\nkeep_alive = 0")
+                                .replace("default = true", "[[host]]\ndefault = true"));
+                Wire c = s.connect()) {
             c.write(GET);
             Wire w = a.accept();
             w.read();
--- a/src/test/java/gullspar/site/PlainHttpTest.java
+++ b/src/test/java/gullspar/site/PlainHttpTest.java
@@ -17,13 +17,18 @@
 class PlainHttpTest {
     /** A value of a header in a head; null if it is not there. */
     private static String header(String head, String name) {
-        return head.lines().filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
-                .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
+        return head.lines()
+                .filter(l -> l.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                .map(l -> l.substring(name.length() + 1).trim())
+                .findFirst()
+                .orElse(null);
     }
 
     @Test
     void aBareRequestGoesOnAndItsAnswerComesBack() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("GET /a%20b?x=1 HTTP/1.1\r\nHost: shop\r\n\r\n");
             Wire w = server.accept();
             String got = w.read();
@@ -49,7 +54,9 @@
 
     @Test
     void whatIsMeantForTheNextHopStaysHere() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: X-Mine, Cookie\r\nX-Mine: 1\r\nCookie: k=v\r\n"
                     + "TE: trailers\r\nUpgrade: h2c\r\nKeep-Alive: 5\r\nX-Stays: 1\r\n"
                     + "X-Forwarded-For: 6.6.6.6\r\nForwarded: for=6.6.6.6\r\nX-Real-IP: 6.6.6.6\r\n\r\n");
@@ -79,7 +86,9 @@
 
     @Test
     void chunksBecomeALengthAndTrailersStay() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("PUT /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n"
                     + "0\r\n\r\n");
             Wire w = server.accept();
@@ -96,7 +105,9 @@
 
     @Test
     void whoAsksBeforeSendingABodyIsToldToGoOn() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
             assertEquals("100", status(c.read()));
             c.write("abc");
@@ -110,7 +121,9 @@
 
     @Test
     void headHasALengthAndNoBody() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("HEAD / HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n");
             Wire w = server.accept();
             assertTrue(w.read().startsWith("HEAD / "));
@@ -127,10 +140,14 @@
 
     @Test
     void pipelinedRequestsAreAnsweredInTheirOrder() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             StringBuilder all = new StringBuilder();
             for (int i = 0; i < 100; i++) {
-                all.append("POST /").append(i).append(" HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n ")
+                all.append("POST /")
+                        .append(i)
+                        .append(" HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n ")
                         .append(i % 10);
             }
             c.write(all.toString());
@@ -147,7 +164,9 @@
 
     @Test
     void clientsOfHttp10GetNoChunks() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("GET / HTTP/1.0\r\n\r\n");
             Wire w = server.accept();
             w.read();
@@ -162,7 +181,9 @@
 
     @Test
     void anAnswerThatEndsWithItsConnectionIsPassedOnInChunks() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
             Wire w = server.accept();
             w.read();
@@ -175,7 +196,9 @@
 
     @Test
     void trailersOfAnAnswerComeAlong() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
             Wire w = server.accept();
             w.read();
@@ -187,15 +210,16 @@
 
     @Test
     void bodiesBeyondTheRoutesLimitAreTurnedDown() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("body_kb = 1", server)) {
+        try (Peer server = new Peer();
+                Served s = Served.by("body_kb = 1", server)) {
             try (Wire c = s.connect()) {
                 c.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1025\r\n\r\n");
                 assertEquals("413", status(c.read()));
                 assertTrue(c.ended());
             }
             try (Wire c = s.connect()) {
-                c.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n"
-                        + "a".repeat(1024) + "\r\n1\r\na\r\n0\r\n\r\n");
+                c.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n" + "a".repeat(1024)
+                        + "\r\n1\r\na\r\n0\r\n\r\n");
                 assertEquals("413", status(c.read()));
                 assertTrue(c.ended());
             }
@@ -206,9 +230,10 @@
     @Test
     void bodiesShareOneBudget() throws Exception {
         try (Peer server = new Peer();
-                Served s = new Served(Served.LISTENER + "[limits]\nbodies_mb = 0.0625\n"
-                        + Served.one("", server));
-                Wire first = s.connect(); Wire second = s.connect(); Wire third = s.connect()) {
+                Served s = new Served(Served.LISTENER + "[limits]\nbodies_mb = 0.0625\n" + Served.one("", server));
+                Wire first = s.connect();
+                Wire second = s.connect();
+                Wire third = s.connect()) {
             first.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40000\r\n\r\n" + "a".repeat(40_000));
             Wire w = server.accept();
             w.read();
@@ -228,30 +253,43 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\nabc",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + "0\r\n\r\n",
-        "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\nabc",
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc",
-        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n\r\nabc",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcdef\r\n0\r\n\r\n",
-        "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n 2\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n\t2\r\n\r\n",
-        "GET / HTTP/1.1\nHost: a\n\n", "GET / HTTP/1.1\r\nHost: a\rb\r\n\r\n", "GET / HTTP/1.1\r\n\r\n",
-        "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "GET / HTTP/1.1\r\nHost: a b\r\n\r\n",
-        "GET / HTTP/1.1\r\nHost: a\r\nnocolon\r\n\r\n", "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n",
-        "GET /%00 HTTP/1.1\r\nHost: a\r\n\r\n", "GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n",
-        "GET /../a HTTP/1.1\r\nHost: a\r\n\r\n", "GET a HTTP/1.1\r\nHost: a\r\n\r\n",
-        "GET ftp://a/ HTTP/1.1\r\nHost: a\r\n\r\n", "GET /#a HTTP/1.1\r\nHost: a\r\n\r\n",
-        "CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.2\r\nHost: a\r\n\r\n",
-        "GET / HTTP/1.1\r\nHost: a\r\nExpect: magic\r\n\r\n"})
+    @ValueSource(
+            strings = {
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "0\r\n\r\n",
+                "POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n\r\nabc",
+                "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n0\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
+                "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcdef\r\n0\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n 2\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\n\t2\r\n\r\n",
+                "GET / HTTP/1.1\nHost: a\n\n",
+                "GET / HTTP/1.1\r\nHost: a\rb\r\n\r\n",
+                "GET / HTTP/1.1\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: a b\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: a\r\nnocolon\r\n\r\n",
+                "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET /%00 HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET /../a HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET a HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET ftp://a/ HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET /#a HTTP/1.1\r\nHost: a\r\n\r\n",
+                "CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n",
+                "GET / HTTP/1.2\r\nHost: a\r\n\r\n",
+                "GET / HTTP/1.1\r\nHost: a\r\nExpect: magic\r\n\r\n"
+            })
     void whatServersMayReadOtherwiseIsTurnedDownAndEndsTheConnection(String text) throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write(text);
             assertTrue(List.of("400", "501", "505", "417").contains(status(c.read())));
             assertTrue(c.ended());
@@ -261,7 +299,9 @@
 
     @Test
     void theTargetMayNameTheHost() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             c.write("GET http://other:81/x?y HTTP/1.1\r\nHost: a\r\n\r\n");
             String got = server.accept().read();
             assertTrue(got.startsWith("GET /x?y HTTP/1.1"), got);
@@ -271,7 +311,9 @@
 
     @Test
     void aHeadThatComesByteByByteIsWholeInTheEnd() throws Exception {
-        try (Peer server = new Peer(); Served s = Served.by("", server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by("", server);
+                Wire c = s.connect()) {
             String text = "\r\nPOST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n\r\n odd\r\n\r\n";
             for (int i = 0; i < text.length(); i++) {
                 c.write(text.substring(i, i + 1));
@@ -290,7 +332,9 @@
                 + "answer = { status = 410, body = \"no ${arg.x}\", headers = { set = { X-A = \"1\" } } }\n"
                 + "[[host.route]]\nmatch = \"exact\"\npath = \"/post\"\nmethods = [\"POST\", \"PUT\"]\n"
                 + "pool = \"p\"\n";
-        try (Peer server = new Peer(); Served s = Served.by(answers, server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by(answers, server);
+                Wire c = s.connect()) {
             c.write("GET /old/a?b HTTP/1.1\r\nHost: Shop:80\r\n\r\n");
             assertEquals("https://shop/old/a?b", header(c.read(), "Location"));
             c.write("GET /gone?x=7 HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -309,11 +353,12 @@
 
     @Test
     void headersAndPathsChangeAsTheRouteSays() throws Exception {
-        String route =
-                "rewrite = { to = \"/v1 \u00e9/\" }\nrequest_headers = { set = { X-Client = \"${client}\", "
+        String route = "rewrite = { to = \"/v1 \u00e9/\" }\nrequest_headers = { set = { X-Client = \"${client}\", "
                 + "X-Empty = \"${arg.none}\", Host = \"inside\" }, remove = [\"X-Out\"] }\n"
                 + "answer_headers = { set = { X-Route = \"${route}\" }, remove = [\"X-Powered-By\"] }\n";
-        try (Peer server = new Peer(); Served s = Served.by(route, server); Wire c = s.connect()) {
+        try (Peer server = new Peer();
+                Served s = Served.by(route, server);
+                Wire c = s.connect()) {
             c.write("GET /a%2Fb?q HTTP/1.1\r\nHost: a\r\nX-Out: 1\r\nX-Empty: 1\r\n\r\n");
             Wire w = server.accept();
             String got = w.read();
--- a/src/test/java/gullspar/site/ReloadTest.java
+++ b/src/test/java/gullspar/site/ReloadTest.java
@@ -24,7 +24,10 @@
 class ReloadTest {
     @Test
     void aRequestInHandEndsUnderWhatItBeganWith() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer(); Served s = Served.by("", a); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Served s = Served.by("", a);
+                Wire c = s.connect()) {
             c.write(GET);
             Wire w = a.accept();
             w.read();
@@ -43,8 +46,11 @@
 
     @Test
     void aListenerThatCannotBeHadChangesNothing() throws Exception {
-        try (Peer a = new Peer(); Peer b = new Peer(); ServerSocket taken = new ServerSocket(0);
-                Served s = Served.by("", a); Wire c = s.connect()) {
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                ServerSocket taken = new ServerSocket(0);
+                Served s = Served.by("", a);
+                Wire c = s.connect()) {
             s.reload(Served.LISTENER + "[[listener]]\naddress = \"0.0.0.0:" + taken.getLocalPort() + "\"\n"
                     + Served.one("", b));
             s.said("cannot listen on");
@@ -58,7 +64,9 @@
 
     @Test
     void listenersComeAndGo() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("", a); Wire idle = s.connect();
+        try (Peer a = new Peer();
+                Served s = Served.by("", a);
+                Wire idle = s.connect();
                 Wire half = s.connect()) {
             half.write(GET);
             Wire w = a.accept();
@@ -89,9 +97,12 @@
         String gone = dead.hostPort();
         dead.close();
         try (Peer a = new Peer()) {
-            String toml = Served.LISTENER + Served.one("", a).replace("[[host]]",
-                    "[[pool.server]]\naddress = \"" + gone + "\"\nfail_s = 3600\n[[host]]");
-            try (Served s = new Served(toml); Wire c = s.connect()) {
+            String toml = Served.LISTENER
+                    + Served.one("", a)
+                            .replace(
+                                    "[[host]]", "[[pool.server]]\naddress = \"" + gone + "\"\nfail_s = 3600\n[[host]]");
+            try (Served s = new Served(toml);
+                    Wire c = s.connect()) {
                 c.write(GET);
                 Wire w = a.accept();
                 for (int i = 0; i < 10; i++) {
@@ -115,7 +126,10 @@
         AtomicBoolean stop = new AtomicBoolean();
         AtomicInteger served = new AtomicInteger();
         List<String> wrong = Collections.synchronizedList(new ArrayList<>());
-        try (Peer a = new Peer(); Peer b = new Peer(); Peer d = new Peer(); Served s = Served.by("", a, b)) {
+        try (Peer a = new Peer();
+                Peer b = new Peer();
+                Peer d = new Peer();
+                Served s = Served.by("", a, b)) {
             for (Peer p : List.of(a, b, d)) {
                 answer(p, ran);
             }
@@ -126,9 +140,12 @@
                 t.start();
                 clients.add(t);
             }
-            String[] sites = {Served.one("", a, b), Served.one("deadline_ms = 5000", b, d),
-                    Served.one("", a, d).replace("\"p\"", "\"q\""),
-                    Served.one("", a, b, d).replace("name = \"p\"", "name = \"p\"\nbalance = \"learnt\"")};
+            String[] sites = {
+                Served.one("", a, b),
+                Served.one("deadline_ms = 5000", b, d),
+                Served.one("", a, d).replace("\"p\"", "\"q\""),
+                Served.one("", a, b, d).replace("name = \"p\"", "name = \"p\"\nbalance = \"learnt\"")
+            };
             for (int i = 0; i < 200; i++) {
                 int before = served.get();
                 s.reload(Served.LISTENER + sites[i % sites.length]);
@@ -151,8 +168,7 @@
     private static void ask(Served s, int me, AtomicBoolean stop, AtomicInteger served, List<String> wrong) {
         try (Wire c = s.connect()) {
             for (int i = 0; !stop.get(); i++) {
-                c.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nRequest-Id: " + me + "-" + i
-                        + "\r\n\r\nx");
+                c.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nRequest-Id: " + me + "-" + i + "\r\n\r\nx");
                 String answer = c.read();
                 if (!status(answer).equals("200")) {
                     wrong.add(me + "-" + i + ": " + answer);
@@ -172,8 +188,13 @@
                 Wire w = p.accept();
                 start(() -> {
                     for (String got = w.read(); !got.isEmpty(); got = w.read()) {
-                        ran.merge(got.lines().filter(l -> l.startsWith("Request-Id")).findFirst()
-                                .orElse(""), 1, Integer::sum);
+                        ran.merge(
+                                got.lines()
+                                        .filter(l -> l.startsWith("Request-Id"))
+                                        .findFirst()
+                                        .orElse(""),
+                                1,
+                                Integer::sum);
                         w.write(OK);
                     }
                 });
@@ -199,7 +220,9 @@
 
     @Test
     void atTheEndWhatIsInHandIsAnsweredAndIdleConnectionsClose() throws Exception {
-        try (Peer a = new Peer(); Served s = Served.by("", a); Wire idle = s.connect();
+        try (Peer a = new Peer();
+                Served s = Served.by("", a);
+                Wire idle = s.connect();
                 Wire busy = s.connect()) {
             busy.write(GET);
             Wire w = a.accept();
@@ -216,8 +239,9 @@
 
     @Test
     void theEndComesEvenIfAServerNeverAnswers() throws Exception {
-        try (Peer a = new Peer(); Served s = new Served("[limits]\ndrain_s = 0.1\n" + Served.LISTENER
-                + Served.one("", a)); Wire busy = s.connect()) {
+        try (Peer a = new Peer();
+                Served s = new Served("[limits]\ndrain_s = 0.1\n" + Served.LISTENER + Served.one("", a));
+                Wire busy = s.connect()) {
             busy.write(GET);
             a.accept().read();
             s.proxy.drain().get(20, TimeUnit.SECONDS);
--- a/src/test/java/gullspar/site/SiteServeTest.java
+++ b/src/test/java/gullspar/site/SiteServeTest.java
@@ -28,18 +28,27 @@
 
     private void write(String text) throws Exception {
         file = folder.resolve("site.toml");
-        Files.move(Files.writeString(folder.resolve("next.toml"), text), file,
-                StandardCopyOption.ATOMIC_MOVE);
+        Files.move(Files.writeString(folder.resolve("next.toml"), text), file, StandardCopyOption.ATOMIC_MOVE);
     }
 
     private Process serve() throws Exception {
-        return new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
-                System.getProperty("java.class.path"), "gullspar.Main", "serve", "--config", file.toString())
+        return new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "gullspar.Main",
+                        "serve",
+                        "--config",
+                        file.toString())
                 .start();
     }
 
     private static void signal(Process p, String name) throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-" + name, String.valueOf(p.pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-" + name, String.valueOf(p.pid()))
+                        .start()
+                        .waitFor());
     }
 
     private static String said(BufferedReader log, String text) throws Exception {
@@ -67,7 +76,8 @@
             port = free.getLocalPort();
         }
         String listener = "[[listener]]\naddress = \"127.0.0.1:" + port + "\"\n";
-        try (Peer a = new Peer(); Peer b = new Peer()) {
+        try (Peer a = new Peer();
+                Peer b = new Peer()) {
             write(listener + Served.one("", a));
             Process p = serve();
             try (BufferedReader log = p.errorReader()) {
