--- a/src/test/java/gullspar/site/SlowReaders.java
+++ b/src/test/java/gullspar/site/SlowReaders.java
@@ -20,7 +20,7 @@
     private static final long SIZE = 1L << 30;
     private static final int SLOW = 100;
 
-    private SlowReaders() { }
+    private SlowReaders() {}
 
     public static void main(String[] args) throws Exception {
         Peer server = new Peer();
@@ -35,14 +35,25 @@
             port = free.getLocalPort();
         }
         Path file = Files.createTempFile("slow", ".toml");
-        Files.writeString(file, "[[listener]]\naddress = \"127.0.0.1:" + port + "\"\n" + Served.one("",
-                server));
-        List<String> command = new ArrayList<>(List.of("java", "-XX:+UseSerialGC", "-Xmx64m", "-Xss512k",
-                "-XX:MaxDirectMemorySize=16m", "-XX:MaxMetaspaceSize=40m", "-XX:ReservedCodeCacheSize=20m",
-                "-XX:TieredStopAtLevel=1", "-jar", "target/gullspar.jar", "serve", "--config",
-                        file.toString()));
-        Process daemon = new ProcessBuilder(command).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.DISCARD).start();
+        Files.writeString(file, "[[listener]]\naddress = \"127.0.0.1:" + port + "\"\n" + Served.one("", server));
+        List<String> command = new ArrayList<>(List.of(
+                "java",
+                "-XX:+UseSerialGC",
+                "-Xmx64m",
+                "-Xss512k",
+                "-XX:MaxDirectMemorySize=16m",
+                "-XX:MaxMetaspaceSize=40m",
+                "-XX:ReservedCodeCacheSize=20m",
+                "-XX:TieredStopAtLevel=1",
+                "-jar",
+                "target/gullspar.jar",
+                "serve",
+                "--config",
+                file.toString()));
+        Process daemon = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
         try {
             InetSocketAddress at = new InetSocketAddress("127.0.0.1", port);
             while (!listens(at)) {
@@ -72,8 +83,7 @@
                     most = Math.max(most, got % (32 << 20) == 0 ? resident(daemon) : 0);
                 }
             }
-            System.out.printf("1 GB beside them: %.1f s, at most %d kB%n", (System.nanoTime() - from) / 1e9,
-                    most);
+            System.out.printf("1 GB beside them: %.1f s, at most %d kB%n", (System.nanoTime() - from) / 1e9, most);
             stop.set(true);
         } finally {
             daemon.destroyForcibly();
@@ -108,8 +118,10 @@
 
     private static long resident(Process p) throws IOException {
         return Files.readAllLines(Path.of("/proc/" + p.pid() + "/status")).stream()
-                .filter(l -> l.startsWith("VmRSS")).mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
-                .findFirst().orElse(0);
+                .filter(l -> l.startsWith("VmRSS"))
+                .mapToLong(l -> Long.parseLong(l.replaceAll("\\D", "")))
+                .findFirst()
+                .orElse(0);
     }
 
     private interface Work {
--- a/src/test/java/gullspar/site/client/OddBytesTest.java
+++ b/src/test/java/gullspar/site/client/OddBytesTest.java
@@ -16,11 +16,30 @@
 class OddBytesTest {
     @Provide
     Arbitrary<String> odd() {
-        Arbitrary<String> known = Arbitraries.of("GET ", "POST ", "/ ", "HTTP/1.1", "\r\n", "\r\n\r\n",
-                "\n", "\r",
-                "Host: a", "Content-Length: 3", "Transfer-Encoding: chunked", "3\r\nabc", "0", " ", ":",
-                        "\t", "abc",
-                "\u0000", "ffffffffffffffff", "Content-Length: -1", "HTTP/9.9", "\u00ff", "x".repeat(3000));
+        Arbitrary<String> known = Arbitraries.of(
+                "GET ",
+                "POST ",
+                "/ ",
+                "HTTP/1.1",
+                "\r\n",
+                "\r\n\r\n",
+                "\n",
+                "\r",
+                "Host: a",
+                "Content-Length: 3",
+                "Transfer-Encoding: chunked",
+                "3\r\nabc",
+                "0",
+                " ",
+                ":",
+                "\t",
+                "abc",
+                "\u0000",
+                "ffffffffffffffff",
+                "Content-Length: -1",
+                "HTTP/9.9",
+                "\u00ff",
+                "x".repeat(3000));
         return known.list().ofMaxSize(40).map(l -> String.join("", l));
     }
 
--- a/src/test/java/gullspar/versions/Chain.java
+++ b/src/test/java/gullspar/versions/Chain.java
@@ -8,7 +8,7 @@
     /** Lines that do not shrink to nothing. */
     private static final long MIXED = 0x9E3779B97F4A7C15L;
 
-    private Chain() { }
+    private Chain() {}
 
     /** The first version of a text. */
     public static Document first(String text) {
@@ -22,8 +22,13 @@
 
     /** The version after another, in that epoch. */
     public static Document after(Document d, long epoch, String text) {
-        return new Document(new Version(epoch, d.version().number() + 1, Checksum.of(text),
-                d.version().id()), text);
+        return new Document(
+                new Version(
+                        epoch,
+                        d.version().number() + 1,
+                        Checksum.of(text),
+                        d.version().id()),
+                text);
     }
 
     /** What leads from one to the next. */
@@ -35,8 +40,12 @@
     public static String text(int lines, int number) {
         StringBuilder s = new StringBuilder();
         for (int i = 0; i < lines; i++) {
-            s.append("line ").append(i).append(' ').append(Long.toHexString(i * MIXED))
-                    .append(i == number % lines ? " changed by " + number : "").append('\n');
+            s.append("line ")
+                    .append(i)
+                    .append(' ')
+                    .append(Long.toHexString(i * MIXED))
+                    .append(i == number % lines ? " changed by " + number : "")
+                    .append('\n');
         }
         return s.toString();
     }
--- a/src/test/java/gullspar/versions/DeltaTest.java
+++ b/src/test/java/gullspar/versions/DeltaTest.java
@@ -14,7 +14,8 @@
         StringBuilder s = new StringBuilder();
         int lines = r.nextInt(30);
         for (int i = 0; i < lines; i++) {
-            s.append((char) ('a' + r.nextInt(4))).append(r.nextInt(5) == 0 ? "\r" : "")
+            s.append((char) ('a' + r.nextInt(4)))
+                    .append(r.nextInt(5) == 0 ? "\r" : "")
                     .append(i == lines - 1 && r.nextBoolean() ? "" : "\n");
         }
         return s.toString();
@@ -35,8 +36,8 @@
     @Test
     void twoPlacesFarApartAreTwoHunks() {
         Document a = Chain.first(Chain.text(50_000, 1));
-        Document b = Chain.after(a, a.text().replaceFirst("line 5 .*\n", "line five\n")
-                .replaceFirst("line 1900 .*\n", ""));
+        Document b = Chain.after(
+                a, a.text().replaceFirst("line 5 .*\n", "line five\n").replaceFirst("line 1900 .*\n", ""));
         assertEquals(2, Chain.delta(a, b).hunks().size());
     }
 
@@ -57,9 +58,11 @@
         assertThrows(MismatchException.class, () -> Delta.apply(other, List.of(Chain.delta(a, b))));
         Delta beyond = new Delta(b.version(), List.of(new Delta.Hunk(3, 5, List.of())));
         assertTrue(assertThrows(MismatchException.class, () -> Delta.apply(a, List.of(beyond)))
-                .getMessage().contains("not there"));
+                .getMessage()
+                .contains("not there"));
         Delta wrong = new Delta(b.version(), List.of(new Delta.Hunk(0, 1, List.of("z"))));
         assertTrue(assertThrows(MismatchException.class, () -> Delta.apply(a, List.of(wrong)))
-                .getMessage().contains("checksum"));
+                .getMessage()
+                .contains("checksum"));
     }
 }
--- a/src/test/java/gullspar/versions/FollowerTest.java
+++ b/src/test/java/gullspar/versions/FollowerTest.java
@@ -52,8 +52,8 @@
 
     private final Host host = new Host();
     private final List<Document> all = Chain.of(12, 100);
-    private final Follower follower = new Follower("p", Message.Role.PROXY, Follower.Settings.USUAL, 3,
-            new SplittableRandom(1), host);
+    private final Follower follower =
+            new Follower("p", Message.Role.PROXY, Follower.Settings.USUAL, 3, new SplittableRandom(1), host);
 
     private static Message.Head head(Document d, boolean inStep) {
         return new Message.Head("c1", d == null ? null : d.version(), inStep);
@@ -68,8 +68,7 @@
     }
 
     private static Message.Update whole(Document d, Document ancestor) {
-        return new Message.Update(d.version(), ancestor == null ? null : ancestor.version(), List.of(),
-                d.text());
+        return new Message.Update(d.version(), ancestor == null ? null : ancestor.version(), List.of(), d.text());
     }
 
     /** It runs that one, by its disk and a control process that has the same. */
@@ -129,8 +128,7 @@
         running(5);
         Document fork = Chain.after(all.get(4), "fork");
         Document child = Chain.after(fork, "child of the fork");
-        follower.received(10 * MS, new Message.Update(child.version(), null,
-                List.of(Chain.delta(fork, child)), ""));
+        follower.received(10 * MS, new Message.Update(child.version(), null, List.of(Chain.delta(fork, child)), ""));
         assertTrue(host.sent.get(host.sent.size() - 1) instanceof Message.Want);
         follower.received(20 * MS, whole(child, fork));
         assertEquals(1, host.taken.size());
@@ -240,8 +238,8 @@
         follower.closed(MS, "refused");
         follower.tick(3000 * MS);
         assertEquals(List.of(all.get(3)), host.taken);
-        assertTrue(host.said.stream().anyMatch(s -> s.contains("may be older than what ran here")),
-                host.said.toString());
+        assertTrue(
+                host.said.stream().anyMatch(s -> s.contains("may be older than what ran here")), host.said.toString());
     }
 
     @Test
@@ -278,7 +276,11 @@
             }
         }
         assertTrue(pauses.stream().allMatch(p -> p <= 8020), pauses.toString());
-        assertTrue(pauses.subList(6, pauses.size()).stream().mapToLong(p -> p).average().orElse(0) > 2500);
+        assertTrue(pauses.subList(6, pauses.size()).stream()
+                        .mapToLong(p -> p)
+                        .average()
+                        .orElse(0)
+                > 2500);
         assertTrue(host.connects.containsAll(List.of(0, 1, 2)));
         assertEquals(all.get(3).version(), follower.inForce(), "it goes on without control");
     }
--- a/src/test/java/gullspar/versions/HistoryTest.java
+++ b/src/test/java/gullspar/versions/HistoryTest.java
@@ -32,7 +32,8 @@
     @Test
     void changesThatAreMoreThanTheWholeGoAsTheWhole() {
         History h = Chain.history(Chain.of(200, 3), 1000);
-        assertEquals(History.Kind.SNAPSHOT, h.answer(Chain.of(1, 3).get(0).version()).kind());
+        assertEquals(
+                History.Kind.SNAPSHOT, h.answer(Chain.of(1, 3).get(0).version()).kind());
     }
 
     @Test
@@ -41,8 +42,11 @@
         assertEquals(History.Kind.AHEAD, h.answer(all.get(100).version()).kind());
         Document fork = Chain.after(all.get(48), "other");
         assertEquals(History.Kind.FORKED, h.answer(fork.version()).kind());
-        assertEquals(History.Kind.FORKED, h.answer(Chain.after(all.get(98), "other").version()).kind());
-        assertEquals(History.Kind.AHEAD, new History(5, 5).answer(fork.version()).kind());
+        assertEquals(
+                History.Kind.FORKED,
+                h.answer(Chain.after(all.get(98), "other").version()).kind());
+        assertEquals(
+                History.Kind.AHEAD, new History(5, 5).answer(fork.version()).kind());
     }
 
     @Test
@@ -64,6 +68,7 @@
         assertEquals(h.answer(all.get(160).version()), again.answer(all.get(160).version()));
         History broken = new History(50, 1 << 20);
         broken.restore(h.head(), all.get(3).version(), h.deltas());
-        assertEquals(History.Kind.SNAPSHOT, broken.answer(all.get(160).version()).kind());
+        assertEquals(
+                History.Kind.SNAPSHOT, broken.answer(all.get(160).version()).kind());
     }
 }
--- a/src/test/java/gullspar/versions/PublisherTest.java
+++ b/src/test/java/gullspar/versions/PublisherTest.java
@@ -23,7 +23,9 @@
         history.append(a.document(), List.of());
         Publisher.Decision b = p.begin(10, "b", "b\n", history);
         assertEquals(Publisher.Outcome.OLDER, b.outcome());
-        assertTrue(b.lines().get(0).contains("written against version 10, but 1.11"), b.lines().get(0));
+        assertTrue(
+                b.lines().get(0).contains("written against version 10, but 1.11"),
+                b.lines().get(0));
         assertEquals(Publisher.Outcome.SAME, p.begin(11, "a", "a\n", history).outcome());
     }
 
@@ -32,7 +34,8 @@
         Publisher p = new Publisher(1, Set.of("c2", "c3"));
         assertTrue(p.begin(10, "a", "a\n", history).lines().get(0).contains("c2, c3"));
         p.heard("c2", null);
-        assertEquals(Publisher.Outcome.NOT_READY, p.begin(10, "a", "a\n", history).outcome());
+        assertEquals(
+                Publisher.Outcome.NOT_READY, p.begin(10, "a", "a\n", history).outcome());
         Document next = Chain.after(history.head(), "from before the disk was put back");
         p.heard("c3", next.version());
         assertTrue(p.begin(10, "a", "a\n", history).lines().get(0).contains("c3 has version 1.11"));
--- a/src/test/java/gullspar/versions/file/StoreTest.java
+++ b/src/test/java/gullspar/versions/file/StoreTest.java
@@ -105,10 +105,11 @@
                 f.diesAt = -1;
                 for (int again = 0; again < 3; again++) {
                     Store.Found found = new Store(f).read();
-                    int has = found.kept() == null ? -1
+                    int has = found.kept() == null
+                            ? -1
                             : (int) found.kept().document().version().number() - 1;
-                    assertTrue(has == done || has == done + 1, "dies at " + dies + ": has " + has
-                            + ", had kept " + done);
+                    assertTrue(
+                            has == done || has == done + 1, "dies at " + dies + ": has " + has + ", had kept " + done);
                     assertFalse(found.mayBeOlder(), "dies at " + dies);
                     assertEquals(List.of(), found.damage());
                     Store next = new Store(f);
@@ -132,7 +133,8 @@
                 for (int life = 0; life < 3; life++) {
                     Store s = new Store(f);
                     Store.Found found = s.read();
-                    int has = found.kept() == null ? -1
+                    int has = found.kept() == null
+                            ? -1
                             : (int) found.kept().document().version().number() - 1;
                     assertTrue(has >= done, "has " + has + ", had " + done);
                     done = has;
@@ -165,7 +167,8 @@
                     done = i;
                 } catch (IOException e) {
                     Store.Found found = new Store(f).read();
-                    int has = found.kept() == null ? -1
+                    int has = found.kept() == null
+                            ? -1
                             : (int) found.kept().document().version().number() - 1;
                     assertTrue(has == done || has == i);
                 }
--- a/src/test/java/gullspar/versions/net/Processes.java
+++ b/src/test/java/gullspar/versions/net/Processes.java
@@ -38,8 +38,12 @@
         public One start() throws IOException {
             List<String> line = new ArrayList<>(List.of(
                     Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-cp",
-                    System.getProperty("java.class.path"), "gullspar.Main"));
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Xmx64m",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "gullspar.Main"));
             line.addAll(arguments);
             process = new ProcessBuilder(line).start();
             BlockingQueue<String> lines = new LinkedBlockingQueue<>();
@@ -145,19 +149,25 @@
 
     /** Writes a control process's file. */
     public One control(String name, String primary, String more) throws IOException {
-        StringBuilder s = new StringBuilder("name = \"" + name + "\"\nprimary = \"" + primary
-                + "\"\nfolder = \"" + folder.resolve(name) + "\"\n" + more);
-        ports.forEach((n, p) -> s.append("[[control]]\nname = \"").append(n).append("\"\naddress = \"")
-                .append(hostPort(n)).append("\"\n"));
+        StringBuilder s = new StringBuilder("name = \"" + name + "\"\nprimary = \"" + primary + "\"\nfolder = \""
+                + folder.resolve(name) + "\"\n" + more);
+        ports.forEach((n, p) -> s.append("[[control]]\nname = \"")
+                .append(n)
+                .append("\"\naddress = \"")
+                .append(hostPort(n))
+                .append("\"\n"));
         Path file = Files.writeString(folder.resolve(name + ".toml"), s);
         return add(new One(name, List.of("control", "--config", file.toString())));
     }
 
     /** Writes a proxy's file. */
     public One proxy(String name) throws IOException {
-        List<String> addresses = ports.keySet().stream().map(n -> "\"" + hostPort(n) + "\"").toList();
-        Path file = Files.writeString(folder.resolve(name + ".toml"), "[control]\nname = \"" + name
-                + "\"\nfolder = \"" + folder.resolve(name) + "\"\naddresses = " + addresses + "\n");
+        List<String> addresses =
+                ports.keySet().stream().map(n -> "\"" + hostPort(n) + "\"").toList();
+        Path file = Files.writeString(
+                folder.resolve(name + ".toml"),
+                "[control]\nname = \"" + name + "\"\nfolder = \"" + folder.resolve(name) + "\"\naddresses = "
+                        + addresses + "\n");
         return add(new One(name, List.of("serve", "--follow", file.toString())));
     }
 
@@ -169,10 +179,12 @@
     /** Waits until a control process knows that all of that many followers run that number or a later one. */
     public void inForce(String control, long number, int followers) throws Exception {
         Message.Looked last = null;
-        for (long end = System.nanoTime() + PATIENCE_S * 1_000_000_000L; System.nanoTime() < end;) {
+        for (long end = System.nanoTime() + PATIENCE_S * 1_000_000_000L; System.nanoTime() < end; ) {
             try (ControlClient c = new ControlClient(at(control), 5000)) {
                 last = c.ask(new Message.Look(true), Message.Looked.class);
-                if (last.all().stream().filter(r -> r.number() >= number && r.awayMs() == 0).count()
+                if (last.all().stream()
+                                .filter(r -> r.number() >= number && r.awayMs() == 0)
+                                .count()
                         >= followers) {
                     return;
                 }
--- a/src/test/java/gullspar/versions/net/Town.java
+++ b/src/test/java/gullspar/versions/net/Town.java
@@ -64,7 +64,7 @@
         }
 
         @Override
-        public void sync() { }
+        public void sync() {}
     }
 
     /** One after the other, on the process's loop, some ms later; nothing after its end. */
@@ -81,7 +81,7 @@
         }
 
         @Override
-        public void shutdown() { }
+        public void shutdown() {}
 
         @Override
         public List<Runnable> shutdownNow() {
@@ -124,8 +124,11 @@
         public void start() throws IOException {
             loop = new VirtualLoop(agenda, slips::add);
             host.runs(loop);
-            begin(new Platform(loop, agenda::now, network.transport(host), line -> log.add(
-                    agenda.now() / MS + " " + name + ": " + line)));
+            begin(new Platform(
+                    loop,
+                    agenda::now,
+                    network.transport(host),
+                    line -> log.add(agenda.now() / MS + " " + name + ": " + line)));
         }
 
         abstract void begin(Platform p) throws IOException;
@@ -158,8 +161,13 @@
             controls.forEach(c -> all.put(c.name, c.address));
             all.put(name, address); // one that the others do not know any more knows itself
             Store store = new Store(disk);
-            node = new ControlNode(new ControlFile(name, primary, epoch, all, Path.of("."), bytesPerSecond,
-                    200_000, 8, 3600 * S), p, store, new Worker(loop), random.split(), check);
+            node = new ControlNode(
+                    new ControlFile(name, primary, epoch, all, Path.of("."), bytesPerSecond, 200_000, 8, 3600 * S),
+                    p,
+                    store,
+                    new Worker(loop),
+                    random.split(),
+                    check);
             Store.Found found = store.read();
             loop.execute(() -> node.start(found, why -> {
                 if (why != null) {
@@ -174,13 +182,15 @@
         public FollowerNode node;
         /** What it has put in force, life by life. */
         public Version inForce;
+
         public Version everRan;
         public long since;
         private final List<InetSocketAddress> addresses;
 
         Proxy(String name) {
             super(name);
-            addresses = Following.inOrder(name, controls.stream().map(c -> c.address).toList());
+            addresses = Following.inOrder(
+                    name, controls.stream().map(c -> c.address).toList());
         }
 
         @Override
@@ -190,11 +200,18 @@
             Worker worker = new Worker(loop);
             inForce = null;
             since = agenda.now();
-            node = new FollowerNode(name, Message.Role.PROXY, Follower.Settings.USUAL, addresses, p,
-                    random.split(), (d, led, kept, done) -> worker.execute(() ->
-                            take(store, d, led, kept, done)), m -> { }, "");
-            loop.execute(() -> node.start(found.kept() == null ? null : found.kept().document(),
-                    found.mayBeOlder()));
+            node = new FollowerNode(
+                    name,
+                    Message.Role.PROXY,
+                    Follower.Settings.USUAL,
+                    addresses,
+                    p,
+                    random.split(),
+                    (d, led, kept, done) -> worker.execute(() -> take(store, d, led, kept, done)),
+                    m -> {},
+                    "");
+            loop.execute(
+                    () -> node.start(found.kept() == null ? null : found.kept().document(), found.mayBeOlder()));
         }
 
         private void take(Store store, Document d, List<Delta> led, boolean kept, Consumer<String> done) {
@@ -231,7 +248,7 @@
         }
 
         @Override
-        public void part(Link l) { }
+        public void part(Link l) {}
 
         @Override
         public void received(Link l, Message m) {
@@ -240,7 +257,7 @@
         }
 
         @Override
-        public void closed(Link l, String why) { }
+        public void closed(Link l, String why) {}
     }
 
     public final Agenda agenda;
@@ -249,7 +266,7 @@
     public final List<Proxy> proxies = new ArrayList<>();
     public final List<String> log = new ArrayList<>();
     public final List<Throwable> slips = new ArrayList<>();
-    public BiConsumer<Proxy, Version> ran = (p, before) -> { };
+    public BiConsumer<Proxy, Version> ran = (p, before) -> {};
     public Publisher.Check check = (file, text) -> List.of();
     private final SplittableRandom random;
     private final Host operators;
@@ -288,14 +305,18 @@
                 network.link(c.name, p.name).lossy(part);
                 network.link(p.name, c.name).lossy(part);
             }
-            names.stream().filter(n -> !n.equals(c.name)).forEach(n -> network.link(c.name, n).lossy(part));
+            names.stream().filter(n -> !n.equals(c.name)).forEach(n -> network.link(c.name, n)
+                    .lossy(part));
         }
     }
 
     /** A change is on its way to the primary. */
     public Operator publish(String text, long after) {
         Operator o = new Operator(new Message.Publish(after, "f", text));
-        network.transport(operators).to(controls.get(0).address).handler(new Link(o, 1 << 25)).connect();
+        network.transport(operators)
+                .to(controls.get(0).address)
+                .handler(new Link(o, 1 << 25))
+                .connect();
         return o;
     }
 
@@ -320,8 +341,7 @@
         long end = agenda.now() + withinNs;
         while (agenda.now() < end) {
             go(10 * MS);
-            if (proxies.stream().allMatch(p -> !p.up() || p.inForce != null
-                    && p.inForce.number() >= number)) {
+            if (proxies.stream().allMatch(p -> !p.up() || p.inForce != null && p.inForce.number() >= number)) {
                 return true;
             }
         }
--- a/src/test/java/gullspar/versions/net/TownTest.java
+++ b/src/test/java/gullspar/versions/net/TownTest.java
@@ -53,7 +53,9 @@
         long snapshots = t.controls.stream().mapToLong(c -> c.node.figures()[1]).sum();
         away.start();
         assertTrue(t.until(159, 10 * S));
-        assertEquals(snapshots, t.controls.stream().mapToLong(c -> c.node.figures()[1]).sum());
+        assertEquals(
+                snapshots,
+                t.controls.stream().mapToLong(c -> c.node.figures()[1]).sum());
         assertTrue(away.node.received() < 20_000, away.node.received() + " bytes");
         assertEquals(away.everRan, away.inForce);
     }
@@ -71,7 +73,8 @@
         t.go(S);
         Message.Published p = changed(t, "slip", 0);
         assertEquals(Publisher.Outcome.WRONG, p.outcome());
-        assertTrue(p.lines().get(0).startsWith("f:1:1: ") && p.lines().get(0).contains("a slip"),
+        assertTrue(
+                p.lines().get(0).startsWith("f:1:1: ") && p.lines().get(0).contains("a slip"),
                 p.lines().toString());
         accepted(t, Chain.text(10, 0), 0);
         assertTrue(t.until(1, 3 * S));
@@ -94,12 +97,15 @@
             c.start();
         }
         long before = t.agenda.now();
-        long[] had = t.proxies.stream().mapToLong(p -> p.node.received() + p.node.sent()).toArray();
+        long[] had = t.proxies.stream()
+                .mapToLong(p -> p.node.received() + p.node.sent())
+                .toArray();
         int most = 0;
         int last = 0;
         for (int s = 0; s < 30; s++) {
             t.go(S);
-            int all = t.controls.stream().mapToInt(c -> (int) c.node.figures()[0]).sum();
+            int all =
+                    t.controls.stream().mapToInt(c -> (int) c.node.figures()[0]).sum();
             most = Math.max(most, all - last);
             last = all;
         }
@@ -142,7 +148,7 @@
         long worst = 0;
         long all = 0;
         Town.Operator o = t.publish(large(1), 1);
-        for (int n = 1; n < 100;) {
+        for (int n = 1; n < 100; ) {
             for (long second = t.agenda.now() + S; t.agenda.now() < second; t.go(10 * MS)) {
                 if (o.answer != null && n < 100) {
                     assertEquals(Publisher.Outcome.ACCEPTED, o.answer.outcome());
@@ -264,14 +270,14 @@
     private static final class Watch {
         private final Map<Long, Version> places = new HashMap<>();
         private final List<String> wrong = new ArrayList<>();
+
         void ran(Town t, Town.Proxy p, Version before) {
             Version v = p.inForce;
             Version there = places.putIfAbsent(v.number(), v);
             if (there != null && !there.equals(v)) {
                 wrong.add("two texts at one place: " + there + " and " + v);
             }
-            boolean older = before != null && v.order(before) < 0
-                    || p.everRan != null && v.order(p.everRan) < 0;
+            boolean older = before != null && v.order(before) < 0 || p.everRan != null && v.order(p.everRan) < 0;
             if (older) {
                 wrong.add(t.agenda.now() / MS + " " + p.name + " ran " + p.everRan + ", now " + v);
             }
@@ -290,11 +296,9 @@
         String[] cut = {null, null};
         for (int i = 0; i < 150; i++) {
             t.go((long) (r.nextDouble() * (r.nextInt(4) == 0 ? 6 * S : S)));
-            Town.Place one = r.nextInt(3) == 0 ? t.controls.get(r.nextInt(3))
-                    : t.proxies.get(r.nextInt(8));
+            Town.Place one = r.nextInt(3) == 0 ? t.controls.get(r.nextInt(3)) : t.proxies.get(r.nextInt(8));
             switch (r.nextInt(9)) {
-                case 0, 1, 2 -> changes.add(t.publish("text " + seed + " " + i + "\nof the same\n",
-                        head(t)));
+                case 0, 1, 2 -> changes.add(t.publish("text " + seed + " " + i + "\nof the same\n", head(t)));
                 case 3 -> {
                     if (one.up()) {
                         one.kill();
@@ -335,15 +339,18 @@
         boolean together = t.until(last.head().number(), 20 * S);
         assertEquals(List.of(), w.wrong, "seed " + seed + "\n" + String.join("\n", tail(t.log)));
         assertTrue(together, "seed " + seed + "\n" + String.join("\n", tail(t.log)));
-        long accepted = changes.stream().filter(o -> o.answer != null
-                && o.answer.outcome() == Publisher.Outcome.ACCEPTED).mapToLong(o ->
-                        o.answer.head().number()).max().orElse(0);
+        long accepted = changes.stream()
+                .filter(o -> o.answer != null && o.answer.outcome() == Publisher.Outcome.ACCEPTED)
+                .mapToLong(o -> o.answer.head().number())
+                .max()
+                .orElse(0);
         assertTrue(last.head().number() > accepted, "seed " + seed);
         for (Town.Operator o : changes) {
             if (o.answer != null && o.answer.outcome() == Publisher.Outcome.ACCEPTED) {
                 Version v = w.places.get(o.answer.head().number());
-                assertTrue(v == null || v.equals(o.answer.head()), "seed " + seed + ": accepted "
-                        + o.answer.head() + ", ran " + v);
+                assertTrue(
+                        v == null || v.equals(o.answer.head()),
+                        "seed " + seed + ": accepted " + o.answer.head() + ", ran " + v);
             }
         }
     }
@@ -372,8 +379,7 @@
      * Puts an older disk back. What cannot be known is left out: of the control processes one at a time,
      * whose versions all others have. That a proxy asks control first is looked at apart from this.
      */
-    private static void putBack(Town t, Town.Place one, Map<String, Map<String, byte[]>> backups)
-            throws IOException {
+    private static void putBack(Town t, Town.Place one, Map<String, Map<String, byte[]>> backups) throws IOException {
         Map<String, byte[]> old = backups.remove(one.name);
         if (old == null) {
             return;
@@ -382,8 +388,11 @@
         if (control) {
             Version mine = t.controls.get(t.controls.indexOf(one)).node.version();
             for (Town.Control c : t.controls) {
-                if (c != one && (!c.up() || mine != null && (c.node.version() == null
-                        || c.node.version().order(mine) < 0))) {
+                if (c != one
+                        && (!c.up()
+                                || mine != null
+                                        && (c.node.version() == null
+                                                || c.node.version().order(mine) < 0))) {
                     return;
                 }
             }
--- a/src/test/java/gullspar/versions/net/VersionsCommandsTest.java
+++ b/src/test/java/gullspar/versions/net/VersionsCommandsTest.java
@@ -37,7 +37,7 @@
 @Isolated("what others print would come in between")
 @Timeout(60)
 class VersionsCommandsTest {
-    private record Ran(int code, String out, String err) { }
+    private record Ran(int code, String out, String err) {}
 
     @TempDir
     private Path folder;
@@ -72,13 +72,20 @@
     @BeforeEach
     void start() throws Exception {
         at = "127.0.0.1:" + free();
-        ControlFile file = ControlFile.parse("name = \"c1\"\nprimary = \"c1\"\nfolder = \"" + folder
-                + "\"\n[[control]]\nname = \"c1\"\naddress = \"" + at + "\"\n", "control.toml");
+        ControlFile file = ControlFile.parse(
+                "name = \"c1\"\nprimary = \"c1\"\nfolder = \"" + folder + "\"\n[[control]]\nname = \"c1\"\naddress = \""
+                        + at + "\"\n",
+                "control.toml");
         Store store = new Store(DiskFolder.hold(folder.resolve("c1")));
         Store.Found found = store.read();
         Platform quiet = Platform.of(loop);
-        primary = new ControlNode(file, new Platform(loop, quiet.clock(), quiet.transport(), line -> { }),
-                store, worker, new SplittableRandom(1), new SharedDocument()::problems);
+        primary = new ControlNode(
+                file,
+                new Platform(loop, quiet.clock(), quiet.transport(), line -> {}),
+                store,
+                worker,
+                new SplittableRandom(1),
+                new SharedDocument()::problems);
         CompletableFuture<String> bound = new CompletableFuture<>();
         loop.execute(() -> primary.start(found, bound::complete));
         assertEquals(null, bound.get(10, TimeUnit.SECONDS));
@@ -99,9 +106,16 @@
         Platform quiet = Platform.of(loop);
         InetSocketAddress there = new InetSocketAddress("127.0.0.1", Integer.parseInt(at.substring(10)));
         FollowerNode.Taker taker = (d, led, kept, done) -> done.accept(trouble);
-        FollowerNode n = new FollowerNode(name, Message.Role.PROXY, Follower.Settings.USUAL, List.of(there),
-                new Platform(loop, quiet.clock(), quiet.transport(), line -> { }), new SplittableRandom(2),
-                taker, m -> { }, "");
+        FollowerNode n = new FollowerNode(
+                name,
+                Message.Role.PROXY,
+                Follower.Settings.USUAL,
+                List.of(there),
+                new Platform(loop, quiet.clock(), quiet.transport(), line -> {}),
+                new SplittableRandom(2),
+                taker,
+                m -> {},
+                "");
         loop.submit(() -> n.start(null, false)).get();
         while (!run("versions", "--at", at).out().contains(name)) {
             Thread.sleep(10);
@@ -119,8 +133,11 @@
         Ran wrong = run("publish", file(Processes.document("two") + "odd = 1\n"), "--to", at);
         assertEquals(2, wrong.code());
         assertTrue(wrong.err().contains("site.toml:8:1: "), wrong.err());
-        Ran own = run("publish", file(Processes.document("two") + "[operator]\naddress = "
-                + "\"127.0.0.1:9901\"\n"), "--to", at);
+        Ran own = run(
+                "publish",
+                file(Processes.document("two") + "[operator]\naddress = " + "\"127.0.0.1:9901\"\n"),
+                "--to",
+                at);
         assertEquals(2, own.code());
         assertTrue(own.err().contains("site.toml:8:1: [operator] belongs to one process"), own.err());
         Ran late = run("publish", file(Processes.document("two")), "--to", at, "--after", "0");
@@ -129,10 +146,16 @@
         Ran same = run("publish", file(Processes.document("one")), "--to", at);
         assertEquals(0, same.code());
         assertTrue(same.err().contains("already"), same.err());
-        assertEquals(1, run("publish", file(Processes.document("two")), "--to", "127.0.0.1:" + free())
-                .code());
-        assertEquals(2, run("publish", folder.resolve("none").toString(), "--to", at).code());
-        assertEquals(2, run("publish", folder.resolve("none").toString(), "--to", "nowhere").code());
+        assertEquals(
+                1,
+                run("publish", file(Processes.document("two")), "--to", "127.0.0.1:" + free())
+                        .code());
+        assertEquals(
+                2, run("publish", folder.resolve("none").toString(), "--to", at).code());
+        assertEquals(
+                2,
+                run("publish", folder.resolve("none").toString(), "--to", "nowhere")
+                        .code());
     }
 
     @Test
@@ -142,8 +165,7 @@
         Ran ill = run("publish", file(Processes.document("one")), "--to", at, "--wait", "0.5");
         assertEquals(4, ill.code());
         assertTrue(ill.out().contains("is not in force at 1 of 3"), ill.out());
-        assertTrue(ill.out().matches("(?s).*p-ill +nothing +by c1; it cannot be kept: No space left.*"),
-                ill.out());
+        assertTrue(ill.out().matches("(?s).*p-ill +nothing +by c1; it cannot be kept: No space left.*"), ill.out());
         loop.submit(well::end).get();
         while (!run("versions", "--at", at).out().contains("p-well")) {
             Thread.sleep(10);
@@ -159,16 +181,20 @@
 
     @Test
     void filesWithErrorsAreSaidWithTheirPlace() throws Exception {
-        Ran control = run("control", "--config", file("name = \"c9\"\nprimary = \"c1\"\n"
-                + "bytes_per_second = 5\nodd = 1\n[[control]]\nname = \"c1\"\naddress = \"x\"\n"));
+        Ran control = run(
+                "control",
+                "--config",
+                file("name = \"c9\"\nprimary = \"c1\"\n"
+                        + "bytes_per_second = 5\nodd = 1\n[[control]]\nname = \"c1\"\naddress = \"x\"\n"));
         assertEquals(2, control.code());
-        assertTrue(control.err().contains("site.toml:3:1: bytes_per_second is 5, not 2000 to"),
-                control.err());
+        assertTrue(control.err().contains("site.toml:3:1: bytes_per_second is 5, not 2000 to"), control.err());
         assertTrue(control.err().contains("site.toml:4:1: unknown key 'odd'"), control.err());
         assertTrue(control.err().contains("site.toml:7:1: address is 'x', not an IP address"), control.err());
         assertTrue(control.err().contains("folder is missing"), control.err());
-        Ran follow = run("serve", "--follow", file("[control]\nname = \"a b\"\nfolder = \"x\"\n"
-                + "addresses = [\"127.0.0.1\"]\n"));
+        Ran follow = run(
+                "serve",
+                "--follow",
+                file("[control]\nname = \"a b\"\nfolder = \"x\"\n" + "addresses = [\"127.0.0.1\"]\n"));
         assertEquals(2, follow.code());
         assertTrue(follow.err().contains("site.toml:2:1: name must be"), follow.err());
         assertTrue(follow.err().contains("site.toml:4:1: addresses holds '127.0.0.1'"), follow.err());
--- a/src/test/java/gullspar/versions/net/VersionsServeTest.java
+++ b/src/test/java/gullspar/versions/net/VersionsServeTest.java
@@ -38,8 +38,7 @@
 
     private Message.Published told(String word, long after) throws Exception {
         try (ControlClient c = new ControlClient(town.at("c1"), 10_000)) {
-            return c.ask(new Message.Publish(after, "site.toml", Processes.document(word)),
-                    Message.Published.class);
+            return c.ask(new Message.Publish(after, "site.toml", Processes.document(word)), Message.Published.class);
         }
     }
 
@@ -118,8 +117,9 @@
 
     private void wrongChange(int at) throws Exception {
         try (ControlClient c = new ControlClient(town.at("c1"), 10_000)) {
-            Message.Published p = c.ask(new Message.Publish(1, "site.toml", Processes.document("wrong")
-                    + "odd = 1\n"), Message.Published.class);
+            Message.Published p = c.ask(
+                    new Message.Publish(1, "site.toml", Processes.document("wrong") + "odd = 1\n"),
+                    Message.Published.class);
             assertEquals(Publisher.Outcome.WRONG, p.outcome());
             assertTrue(p.lines().get(0).startsWith("site.toml:8:1: "), p.lines().toString());
         }
--- a/src/test/java/gullspar/versions/scale/Hollow.java
+++ b/src/test/java/gullspar/versions/scale/Hollow.java
@@ -46,8 +46,15 @@
     void start() {
         loop.execute(() -> {
             Platform p = Platform.of(loop);
-            node = new FollowerNode(name, Message.Role.PROXY, Follower.Settings.USUAL, order,
-                    new Platform(loop, p.clock(), p.transport(), line -> { }), random, this::take, m -> { },
+            node = new FollowerNode(
+                    name,
+                    Message.Role.PROXY,
+                    Follower.Settings.USUAL,
+                    order,
+                    new Platform(loop, p.clock(), p.transport(), line -> {}),
+                    random,
+                    this::take,
+                    m -> {},
                     "");
             node.start(kept, false);
         });
@@ -63,15 +70,17 @@
     /** Goes away. */
     void end() throws InterruptedException, ExecutionException {
         loop.submit(() -> {
-            before += node.sent() + node.received();
-            node.end();
-            node = null;
-        }).get();
+                    before += node.sent() + node.received();
+                    node.end();
+                    node = null;
+                })
+                .get();
     }
 
     /** Bytes either way so far. */
     long bytes() throws InterruptedException, ExecutionException {
-        return loop.submit(() -> before + (node == null ? 0 : node.sent() + node.received())).get();
+        return loop.submit(() -> before + (node == null ? 0 : node.sent() + node.received()))
+                .get();
     }
 
     boolean connected() throws InterruptedException, ExecutionException {
--- a/src/test/java/gullspar/versions/scale/Relay.java
+++ b/src/test/java/gullspar/versions/scale/Relay.java
@@ -36,11 +36,11 @@
     private final InetSocketAddress to;
     /** Connections that came, and bytes either way, since the start. */
     public final AtomicLong connections = new AtomicLong();
+
     public final AtomicLong bytes = new AtomicLong();
     private Channel listener;
 
-    public Relay(InetSocketAddress to, double delayMs, double loss, long seed,
-            MultiThreadIoEventLoopGroup loops) {
+    public Relay(InetSocketAddress to, double delayMs, double loss, long seed, MultiThreadIoEventLoopGroup loops) {
         this.to = to;
         this.delayNs = (long) (delayMs * 1e6);
         this.loss = loss;
@@ -55,15 +55,22 @@
 
     /** Listens on a port of its own. */
     public InetSocketAddress listen() {
-        listener = new ServerBootstrap().group(loops).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.AUTO_READ, false).childHandler(new ChannelInitializer<Channel>() {
+        listener = new ServerBootstrap()
+                .group(loops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
                         connections.incrementAndGet();
                         join(c);
                     }
-                }).bind(new InetSocketAddress("127.0.0.1", 0)).syncUninterruptibly().channel();
+                })
+                .bind(new InetSocketAddress("127.0.0.1", 0))
+                .syncUninterruptibly()
+                .channel();
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -72,9 +79,13 @@
     }
 
     private void join(Channel near) {
-        ChannelFuture f = new Bootstrap().group(near.eventLoop()).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.AUTO_READ, false)
-                .handler(new ChannelInboundHandlerAdapter()).connect(to);
+        ChannelFuture f = new Bootstrap()
+                .group(near.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(to);
         f.addListener(done -> {
             if (!done.isSuccess()) {
                 near.close();
--- a/src/test/java/gullspar/versions/scale/Routes.java
+++ b/src/test/java/gullspar/versions/scale/Routes.java
@@ -4,7 +4,7 @@
 public final class Routes {
     private static final int ROUTES_A_POOL = 8;
 
-    private Routes() { }
+    private Routes() {}
 
     /** So many routes, eight to a pool and a host; a change gives one of them another deadline. */
     public static String text(int routes, int change) {
@@ -13,17 +13,28 @@
         for (int p = 0; p < pools; p++) {
             s.append("[[pool]]\nname = \"service-").append(p).append("\"\n");
             for (int i = 0; i < 2; i++) {
-                s.append("[[pool.server]]\naddress = \"10.").append(p / 250).append('.').append(p % 250)
-                        .append('.').append(10 + i).append(":8080\"\n");
+                s.append("[[pool.server]]\naddress = \"10.")
+                        .append(p / 250)
+                        .append('.')
+                        .append(p % 250)
+                        .append('.')
+                        .append(10 + i)
+                        .append(":8080\"\n");
             }
         }
         for (int p = 0; p < pools; p++) {
             s.append("\n[[host]]\nnames = [\"service-").append(p).append(".example.org\"]\n");
             for (int r = 0; r < ROUTES_A_POOL && p * ROUTES_A_POOL + r < routes; r++) {
                 int n = p * ROUTES_A_POOL + r;
-                s.append("[[host.route]]\nname = \"s").append(p).append("-r").append(r)
-                        .append("\"\npath = \"/api/v").append(r).append("/items/\"\npool = \"service-")
-                        .append(p).append("\"\nclass = \"keyed\"\ndeadline_ms = ")
+                s.append("[[host.route]]\nname = \"s")
+                        .append(p)
+                        .append("-r")
+                        .append(r)
+                        .append("\"\npath = \"/api/v")
+                        .append(r)
+                        .append("/items/\"\npool = \"service-")
+                        .append(p)
+                        .append("\"\nclass = \"keyed\"\ndeadline_ms = ")
                         .append(change > 0 && n == change * 7 % routes ? 1000 + change : 800)
                         .append("\nrequest_headers = { set = { \"X-Client\" = \"${client}\" } }\n");
             }
--- a/src/test/java/gullspar/versions/scale/VersionsRun.java
+++ b/src/test/java/gullspar/versions/scale/VersionsRun.java
@@ -46,6 +46,7 @@
     private static final int PATIENCE_S = 120;
     /** A row of changes ends then, however many there were. */
     private static final int ROW_S = 240;
+
     private static final int TICKS_A_SECOND = 100;
 
     private final int followers;
@@ -56,8 +57,8 @@
     private final Path folder;
     private final List<Process> processes = new ArrayList<>();
     private final MultiThreadIoEventLoopGroup relayThreads = Relay.threads(2);
-    private final MultiThreadIoEventLoopGroup hollowThreads = new MultiThreadIoEventLoopGroup(2,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup hollowThreads =
+            new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     private final List<Relay> relays = new ArrayList<>();
     private final List<InetSocketAddress> controls = new ArrayList<>();
     private final List<Process> controlProcesses = new ArrayList<>();
@@ -81,12 +82,18 @@
 
     private Process start(String name, int heapMb, String... arguments) throws IOException {
         List<String> line = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx" + heapMb + "m", "-cp",
-                System.getProperty("java.class.path"), "gullspar.Main"));
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx" + heapMb + "m",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "gullspar.Main"));
         line.addAll(List.of(arguments));
-        Process p = new ProcessBuilder(line).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()))
+        Process p = new ProcessBuilder(line)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                        folder.resolve(name + ".log").toFile()))
                 .start();
         processes.add(p);
         return p;
@@ -111,19 +118,24 @@
             far.add(relays.get(i).listen());
         }
         for (int i = 0; i < 3; i++) {
-            StringBuilder s = new StringBuilder("name = \"c" + i + "\"\nprimary = \"c0\"\nfolder = \""
-                    + folder.resolve("c" + i) + "\"\n");
+            StringBuilder s = new StringBuilder(
+                    "name = \"c" + i + "\"\nprimary = \"c0\"\nfolder = \"" + folder.resolve("c" + i) + "\"\n");
             for (int k = 0; k < 3; k++) {
-                s.append("[[control]]\nname = \"c").append(k).append("\"\naddress = \"")
-                        .append(text(k == i ? controls.get(k) : far.get(k))).append("\"\n");
+                s.append("[[control]]\nname = \"c")
+                        .append(k)
+                        .append("\"\naddress = \"")
+                        .append(text(k == i ? controls.get(k) : far.get(k)))
+                        .append("\"\n");
             }
             Files.writeString(folder.resolve("c" + i + ".toml"), s);
         }
         startControl();
         for (int i = 0; i < real; i++) {
-            Path file = Files.writeString(folder.resolve("real-" + i + ".toml"), "[control]\nname = \"a-real-"
-                    + i + "\"\nfolder = \"" + folder.resolve("real-" + i) + "\"\naddresses = "
-                    + far.stream().map(a -> "\"" + text(a) + "\"").toList() + "\n");
+            Path file = Files.writeString(
+                    folder.resolve("real-" + i + ".toml"),
+                    "[control]\nname = \"a-real-"
+                            + i + "\"\nfolder = \"" + folder.resolve("real-" + i) + "\"\naddresses = "
+                            + far.stream().map(a -> "\"" + text(a) + "\"").toList() + "\n");
             start("real-" + i, 192, "serve", "--follow", file.toString());
         }
         for (int i = 0; i < followers; i++) {
@@ -136,7 +148,11 @@
     private void startControl() throws IOException {
         controlProcesses.clear();
         for (int i = 0; i < 3; i++) {
-            controlProcesses.add(start("c" + i, 256, "control", "--config",
+            controlProcesses.add(start(
+                    "c" + i,
+                    256,
+                    "control",
+                    "--config",
                     folder.resolve("c" + i + ".toml").toString()));
         }
     }
@@ -162,8 +178,8 @@
     private void publish(ControlClient c) throws IOException {
         version++;
         published.put((long) version, System.nanoTime());
-        Message.Published p = c.ask(new Message.Publish(version - 1, "routes.toml",
-                Routes.text(routes, version)), Message.Published.class);
+        Message.Published p = c.ask(
+                new Message.Publish(version - 1, "routes.toml", Routes.text(routes, version)), Message.Published.class);
         if (p.outcome() != Publisher.Outcome.ACCEPTED) {
             throw new IOException("a change was refused: " + p);
         }
@@ -193,8 +209,7 @@
             }
             Thread.sleep(left > 0 ? 25 : 5);
         }
-        throw new IOException("version " + version + " is not everywhere after " + PATIENCE_S + " s: "
-                + look(false));
+        throw new IOException("version " + version + " is not everywhere after " + PATIENCE_S + " s: " + look(false));
     }
 
     // ---- what is measured ----
@@ -204,6 +219,7 @@
         private final List<long[]> seconds = new ArrayList<>();
         /** When each was read: on a busy machine a second may be longer. */
         private final List<Long> times = new ArrayList<>();
+
         private final List<Long> connections = new ArrayList<>();
         private final Thread thread = new Thread(this::run, "meter");
         private volatile boolean over;
@@ -226,7 +242,8 @@
                 while (!over) {
                     seconds.add(all());
                     times.add(System.nanoTime());
-                    connections.add(relays.stream().mapToLong(r -> r.connections.get()).sum());
+                    connections.add(
+                            relays.stream().mapToLong(r -> r.connections.get()).sum());
                     next += TimeUnit.SECONDS.toNanos(1);
                     long rest = next - System.nanoTime();
                     if (rest > 0) {
@@ -246,7 +263,9 @@
         double mean() {
             long[] a = seconds.get(0);
             long[] b = seconds.get(seconds.size() - 1);
-            return (Arrays.stream(b).sum() - Arrays.stream(a).sum()) * 1e9 / a.length
+            return (Arrays.stream(b).sum() - Arrays.stream(a).sum())
+                    * 1e9
+                    / a.length
                     / (times.get(times.size() - 1) - times.get(0));
         }
 
@@ -271,15 +290,18 @@
     }
 
     private static double cpuS(Process p) throws IOException {
-        String[] stat = Files.readString(Path.of("/proc/" + p.pid() + "/stat")).replaceFirst(".*\\) ", "")
+        String[] stat = Files.readString(Path.of("/proc/" + p.pid() + "/stat"))
+                .replaceFirst(".*\\) ", "")
                 .split(" ");
         return (Double.parseDouble(stat[11]) + Double.parseDouble(stat[12])) / TICKS_A_SECOND;
     }
 
     private static double rssMb(Process p) throws IOException {
         return Files.readAllLines(Path.of("/proc/" + p.pid() + "/status")).stream()
-                .filter(l -> l.startsWith("VmRSS")).mapToDouble(l -> Double.parseDouble(
-                        l.replaceAll("[^0-9]", "")) / 1024).findFirst().orElse(Double.NaN);
+                .filter(l -> l.startsWith("VmRSS"))
+                .mapToDouble(l -> Double.parseDouble(l.replaceAll("[^0-9]", "")) / 1024)
+                .findFirst()
+                .orElse(Double.NaN);
     }
 
     private double[] cpu(List<Process> all) throws IOException {
@@ -337,13 +359,18 @@
         for (String k : List.of("c0", "c1")) {
             results.put("rss." + k, rssMb(controlProcesses.get(k.charAt(1) - '0')));
         }
-        results.put("proxy.rss", processes.subList(3, 3 + real).stream().mapToDouble(p -> {
-            try {
-                return rssMb(p);
-            } catch (IOException e) {
-                return Double.NaN;
-            }
-        }).average().orElse(Double.NaN));
+        results.put(
+                "proxy.rss",
+                processes.subList(3, 3 + real).stream()
+                        .mapToDouble(p -> {
+                            try {
+                                return rssMb(p);
+                            } catch (IOException e) {
+                                return Double.NaN;
+                            }
+                        })
+                        .average()
+                        .orElse(Double.NaN));
     }
 
     private void row(ControlClient c, List<Process> proxies) throws Exception {
@@ -362,8 +389,7 @@
         results.put("row.bytes.worst", m.worst());
         double[] after = cpu(controlProcesses);
         results.put("row.primary.cpu_ms", 1000 * (after[0] - control[0]) / made);
-        results.put("row.control.cpu_ms", 1000 * (after[1] + after[2] - control[1] - control[2]) / 2
-                / made);
+        results.put("row.control.cpu_ms", 1000 * (after[1] + after[2] - control[1] - control[2]) / 2 / made);
         results.put("row.proxy.cpu_ms", 1000 * mean(proxy, cpu(proxies)) / made);
         put("in_force", inForce);
         put("real.in_force", realInForce);
@@ -411,19 +437,24 @@
 
     /** What the program makes of the document and of an hour's changes to it; nothing is sent. */
     private void sizes() throws Exception {
-        Document d = new Document(new Version(1, 1, Checksum.of(Routes.text(routes, 0)), Checksum.NONE),
-                Routes.text(routes, 0));
+        Document d = new Document(
+                new Version(1, 1, Checksum.of(Routes.text(routes, 0)), Checksum.NONE), Routes.text(routes, 0));
         List<Delta> hour = new ArrayList<>();
         for (int i = 1; i <= HOUR; i++) {
             String text = Routes.text(routes, i);
-            Document next = new Document(new Version(1, i + 1, Checksum.of(text), d.version().id()), text);
+            Document next = new Document(
+                    new Version(1, i + 1, Checksum.of(text), d.version().id()), text);
             hour.add(Delta.between(d.text(), next));
             d = next;
         }
         results.put("hour.bytes", (double) Frames.of(new Message.Update(d.version(), null, hour, "")).stream()
-                .mapToInt(f -> f.length).sum());
-        results.put("snapshot.bytes", (double) Frames.of(new Message.Update(look(false).head(), null,
-                List.of(), Routes.text(routes, version))).stream().mapToInt(f -> f.length).sum());
+                .mapToInt(f -> f.length)
+                .sum());
+        results.put("snapshot.bytes", (double)
+                Frames.of(new Message.Update(look(false).head(), null, List.of(), Routes.text(routes, version)))
+                        .stream()
+                        .mapToInt(f -> f.length)
+                        .sum());
         results.put("document.bytes", (double) Routes.text(routes, version).length());
     }
 
@@ -507,10 +538,15 @@
         {"outage.next_in_force", "s", "until the next change was in force everywhere"},
         {"rss.c0", "MB", "the primary's resident memory"},
         {"rss.c1", "MB", "another control process's"},
-        {"proxy.rss", "MB", "a real proxy's"}};
+        {"proxy.rss", "MB", "a real proxy's"}
+    };
 
     /** What was measured along one axis. */
-    private record Sweep(String axis, String prefix, Map<String, Object> fixed, List<Integer> sizes,
+    private record Sweep(
+            String axis,
+            String prefix,
+            Map<String, Object> fixed,
+            List<Integer> sizes,
             Map<String, List<Map<String, Object>>> points) {
         List<Map<String, Object>> series() {
             List<Map<String, Object>> series = new ArrayList<>();
@@ -542,14 +578,14 @@
         } finally {
             run.end();
             Runtime.getRuntime().removeShutdownHook(end);
-            run.results.forEach((k, v) -> into.points.computeIfAbsent(k, x -> new ArrayList<>()).add(
-                    new LinkedHashMap<>(Map.of("size", size, "value", Math.round(v * 1000) / 1000.0))));
+            run.results.forEach((k, v) -> into.points
+                    .computeIfAbsent(k, x -> new ArrayList<>())
+                    .add(new LinkedHashMap<>(Map.of("size", size, "value", Math.round(v * 1000) / 1000.0))));
         }
         return true;
     }
 
-    private static void write(Sweep proxies, Sweep large, long seed, String commit, Path file)
-            throws IOException {
+    private static void write(Sweep proxies, Sweep large, long seed, String commit, Path file) throws IOException {
         List<Map<String, Object>> series = new ArrayList<>(proxies.series());
         series.addAll(large.series());
         Map<String, Object> all = new LinkedHashMap<>();
@@ -558,19 +594,23 @@
         all.put("commit", commit);
         Map<String, Object> machine = new LinkedHashMap<>();
         machine.put("cores", Runtime.getRuntime().availableProcessors());
-        machine.put("memory_gib", Math.round(Double.parseDouble(Files.readAllLines(Path.of("/proc/meminfo"))
-                .get(0).replaceAll("[^0-9]", "")) / (1 << 20)));
+        machine.put(
+                "memory_gib",
+                Math.round(Double.parseDouble(Files.readAllLines(Path.of("/proc/meminfo"))
+                                .get(0)
+                                .replaceAll("[^0-9]", ""))
+                        / (1 << 20)));
         machine.put("java", System.getProperty("java.version"));
         machine.put("kernel", System.getProperty("os.version"));
         all.put("machine", machine);
         all.put("seeds", List.of(seed));
         all.put("series", series);
-        new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValue(file.toFile(),
-                all);
+        new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT).writeValue(file.toFile(), all);
     }
 
     private static List<Integer> numbers(String text) {
-        return text.isEmpty() ? List.of()
+        return text.isEmpty()
+                ? List.of()
                 : Arrays.stream(text.split(",")).map(Integer::parseInt).toList();
     }
 
@@ -584,24 +624,37 @@
         int routes = Integer.parseInt(args[3]);
         long seed = Long.parseLong(args[7]);
         Path folder = Path.of(args[8]);
-        Map<String, Object> fixed = new LinkedHashMap<>(Map.of("control", 3, "delay_ms", DELAY_MS,
-                "loss", LOSS, "outage_s", OUTAGE_S, "real_proxies", real));
-        Sweep proxies = new Sweep("proxies", "versions.", new LinkedHashMap<>(fixed), numbers(args[0]),
-                new LinkedHashMap<>());
+        Map<String, Object> fixed = new LinkedHashMap<>(
+                Map.of("control", 3, "delay_ms", DELAY_MS, "loss", LOSS, "outage_s", OUTAGE_S, "real_proxies", real));
+        Sweep proxies =
+                new Sweep("proxies", "versions.", new LinkedHashMap<>(fixed), numbers(args[0]), new LinkedHashMap<>());
         proxies.fixed.putAll(Map.of("changes", changes, "routes", routes));
         int few = Integer.parseInt(args[5]);
-        Sweep large = new Sweep("routes", "versions.by_routes.", new LinkedHashMap<>(fixed), numbers(args[4]),
-                new LinkedHashMap<>());
+        Sweep large = new Sweep(
+                "routes", "versions.by_routes.", new LinkedHashMap<>(fixed), numbers(args[4]), new LinkedHashMap<>());
         large.fixed.putAll(Map.of("changes", Integer.parseInt(args[6]), "proxies", few));
         boolean well = true;
         for (int size : proxies.sizes) {
-            well &= run(new VersionsRun(size, real, changes, routes, seed, Files.createDirectories(
-                    folder.resolve("p" + size))), proxies, size, true);
+            well &= run(
+                    new VersionsRun(
+                            size, real, changes, routes, seed, Files.createDirectories(folder.resolve("p" + size))),
+                    proxies,
+                    size,
+                    true);
             write(proxies, large, seed, args[9], Path.of(args[10])); // whatever becomes of the rest
         }
         for (int size : large.sizes) {
-            well &= run(new VersionsRun(few, real, Integer.parseInt(args[6]), size, seed,
-                    Files.createDirectories(folder.resolve("r" + size))), large, size, false);
+            well &= run(
+                    new VersionsRun(
+                            few,
+                            real,
+                            Integer.parseInt(args[6]),
+                            size,
+                            seed,
+                            Files.createDirectories(folder.resolve("r" + size))),
+                    large,
+                    size,
+                    false);
         }
         write(proxies, large, seed, args[9], Path.of(args[10]));
         System.exit(well ? 0 : 1);
--- a/src/test/java/gullspar/versions/wire/CodecTest.java
+++ b/src/test/java/gullspar/versions/wire/CodecTest.java
@@ -24,12 +24,16 @@
 
     private List<Message> messages() {
         Message.Running r = new Message.Running("p", false, 1, 5, "disk", 20, "c1");
-        return List.of(new Message.Hello("p", Message.Role.CONTROL, null),
+        return List.of(
+                new Message.Hello("p", Message.Role.CONTROL, null),
                 new Message.Hello("p", Message.Role.PROXY, history.version()),
                 new Message.Head("c1", history.version(), true),
                 new Message.Update(history.version(), all.get(1).version(), history.deltas(), ""),
-                new Message.Update(history.version(), null, List.of(), history.head().text()),
-                new Message.Want(), new Message.Ack(null, "why"), new Message.Report(List.of(r, r)),
+                new Message.Update(
+                        history.version(), null, List.of(), history.head().text()),
+                new Message.Want(),
+                new Message.Ack(null, "why"),
+                new Message.Report(List.of(r, r)),
                 new Message.Publish(7, "a.toml", "text \u00e9\n"),
                 new Message.Published(Publisher.Outcome.WRONG, history.version(), List.of("a:1:1: b")),
                 new Message.Look(true),
@@ -84,8 +88,10 @@
             joined.add(part);
             joined.add(part);
         });
-        byte[] bomb = ByteBuffer.allocate(50).put((byte) 1).putInt(Packing.MOST + 1).array();
-        assertTrue(assertThrows(IOException.class, () -> Packing.unpack(bomb)).getMessage()
+        byte[] bomb =
+                ByteBuffer.allocate(50).put((byte) 1).putInt(Packing.MOST + 1).array();
+        assertTrue(assertThrows(IOException.class, () -> Packing.unpack(bomb))
+                .getMessage()
                 .contains("at the most"));
         assertThrows(IOException.class, () -> new Frames.Joined(100).add(new byte[] {7, 0}));
     }
