--- a/src/test/java/gullspar/drill/HostTest.java
+++ b/src/test/java/gullspar/drill/HostTest.java
@@ -218,14 +218,16 @@
                         "start 42",
                         "members CACHED 41 [Member[id=51530247, kind=0, state=READY, bootNs=0, cell=0, zone=0, "
                                 + "units=1.0], "
-                                + "Member[id=747639282, kind=0, state=READY, bootNs=6100000000, cell=0, zone=1, units=1.5]]",
+                                + "Member[id=747639282, kind=0, state=READY, bootNs=6100000000, cell=0, "
+                                + "zone=1, units=1.5]]",
                         "request Request[ticket=1564119492, profile=0, tenant=0, key=-7930773538597631388, "
                                 + "leftNs=240000000, "
                                 + "hintNs=12000000, repeat=false]",
                         "timer 8412250000 77",
                         "outcome Outcome[ticket=1564119492, attempt=0, server=51530247, status=OK, "
                                 + "elapsedNs=18500000, "
-                                + "over=true, report=Report[inflight=NaN, queue=3.0, util=0.6200000047683716, recentMs=NaN, "
+                                + "over=true, report=Report[inflight=NaN, queue=3.0, util=0.6200000047683716, "
+                                + "recentMs=NaN, "
                                 + "perSecond=NaN, errorsPerSecond=NaN]]",
                         "withdrawn 242166553",
                         "begun 0 51530247 9250000",
