--- a/src/main/java/gullspar/cli/Rehearse.java
+++ b/src/main/java/gullspar/cli/Rehearse.java
@@ -1,7 +1,7 @@
 package gullspar.cli;
 
 import gullspar.rehearse.judge.Broken;
-import gullspar.rehearse.judge.Story;
+import gullspar.rehearse.judge.RequestTrace;
 import gullspar.rehearse.judge.Verdict;
 import gullspar.rehearse.live.LivePlay;
 import gullspar.rehearse.play.Played;
@@ -132,7 +132,7 @@
         System.err.printf(
                 Locale.ROOT, "at %.6f s: %s%n", (first.at() - p.chronicle().start()) / 1e9, first.what());
         if (first.request() != null) {
-            Story.of(first.request(), p.chronicle()).forEach(line -> System.err.println("  " + line));
+            RequestTrace.of(first.request(), p.chronicle()).forEach(line -> System.err.println("  " + line));
         }
         System.err.println("play it again: ./gullspar rehearse " + script + " --seed "
                 + p.script().seed() + (live ? " --live" : ""));
--- a/src/main/java/gullspar/journal/Story.java
+++ b/src/main/java/gullspar/journal/RequestHistory.java
@@ -6,7 +6,7 @@
 import java.util.List;
 
 /** What the journal tells of one request: whatever may have run is uncertain until it is known. */
-public final class Story {
+public final class RequestHistory {
     /**
      * NEVER_SENT: nothing of it went out. UNCERTAIN: it may have run, and nobody was told how it ended.
      * SERVED: a node ran it. REFUSED: a repeat is harmless. FAILED: its client was told that it failed; it
@@ -36,7 +36,7 @@
     private long answeredAtMs;
     private boolean doubtful;
 
-    Story(Entry.Request request) {
+    RequestHistory(Entry.Request request) {
         this.request = request;
     }
 
--- a/src/main/java/gullspar/nginx/Directive.java
+++ b/src/main/java/gullspar/nginx/Directive.java
@@ -13,7 +13,7 @@
         block = block == null ? null : List.copyOf(block);
     }
 
-    public Place place() {
+    public SourceLocation place() {
         return name.place();
     }
 
--- a/src/main/java/gullspar/nginx/Lexer.java
+++ b/src/main/java/gullspar/nginx/Lexer.java
@@ -20,7 +20,7 @@
     }
 
     /** A token; the word is null for all others. */
-    record Token(Type type, Word word, Place place) {}
+    record Token(Type type, Word word, SourceLocation place) {}
 
     private final String text;
     private final Path file;
@@ -35,11 +35,11 @@
         this.problems = problems;
     }
 
-    private Place here() {
-        return new Place(file, line, at - lineFrom + 1);
+    private SourceLocation here() {
+        return new SourceLocation(file, line, at - lineFrom + 1);
     }
 
-    void problem(Place place, String what) {
+    void problem(SourceLocation place, String what) {
         problems.add(new Problem(place, what, lineOf(place.line())));
     }
 
@@ -83,7 +83,7 @@
 
     Token token() {
         skipSpace();
-        Place place = here();
+        SourceLocation place = here();
         if (at >= text.length()) {
             return new Token(Type.EOF, null, place);
         }
@@ -95,7 +95,7 @@
         return new Token(Type.WORD, c == '"' || c == '\'' ? quoted(place) : plain(place), place);
     }
 
-    private Word quoted(Place place) {
+    private Word quoted(SourceLocation place) {
         char quote = next();
         StringBuilder word = new StringBuilder();
         while (at < text.length()) {
@@ -117,7 +117,7 @@
         return new Word(word.toString(), true, place);
     }
 
-    private Word plain(Place place) {
+    private Word plain(SourceLocation place) {
         StringBuilder word = new StringBuilder();
         boolean dollar = false;
         while (at < text.length()) {
@@ -153,7 +153,7 @@
      * The rest of a block that is a script, up to its closing brace; braces in it are counted, but for those
      * in quotes, in long brackets and behind --, as Lua has them.
      */
-    String raw(Place opened) {
+    String raw(SourceLocation opened) {
         int from = at;
         int depth = 1;
         while (at < text.length()) {
--- a/src/main/java/gullspar/nginx/Loader.java
+++ b/src/main/java/gullspar/nginx/Loader.java
@@ -39,10 +39,10 @@
 
     /** The directives of a file and of all it includes; problems are added to the list. */
     public static List<Directive> load(Path file, List<Problem> problems) {
-        return new Loader(file, problems).read(file, new Place(file, 1, 1), "");
+        return new Loader(file, problems).read(file, new SourceLocation(file, 1, 1), "");
     }
 
-    private List<Directive> read(Path file, Place from, String line) {
+    private List<Directive> read(Path file, SourceLocation from, String line) {
         Path real = file.toAbsolutePath().normalize();
         if (open.contains(real)) {
             problems.add(new Problem(from, "a file that includes itself: " + file, line));
--- a/src/main/java/gullspar/nginx/Parser.java
+++ b/src/main/java/gullspar/nginx/Parser.java
@@ -34,7 +34,7 @@
     }
 
     /** Up to the end of a block, or of the file; says which it was. */
-    private Type block(List<Directive> into, int depth, Place opened) {
+    private Type block(List<Directive> into, int depth, SourceLocation opened) {
         while (true) {
             Token t = lexer.token();
             switch (t.type()) {
--- a/src/main/java/gullspar/nginx/Problem.java
+++ b/src/main/java/gullspar/nginx/Problem.java
@@ -1,7 +1,7 @@
 package gullspar.nginx;
 
 /** What is wrong with a file, where, and the line it stands in. */
-public record Problem(Place place, String what, String line) {
+public record Problem(SourceLocation place, String what, String line) {
     /** file:line:column: what, then the line, then a caret under the place. */
     @Override
     public String toString() {
--- a/src/main/java/gullspar/nginx/Place.java
+++ b/src/main/java/gullspar/nginx/SourceLocation.java
@@ -3,7 +3,7 @@
 import java.nio.file.Path;
 
 /** Where something stands; line and column count from 1. */
-public record Place(Path file, int line, int column) {
+public record SourceLocation(Path file, int line, int column) {
     @Override
     public String toString() {
         return file + ":" + line + ":" + column;
--- a/src/main/java/gullspar/peers/Post.java
+++ b/src/main/java/gullspar/peers/DatagramSender.java
@@ -5,7 +5,7 @@
 import java.util.function.Function;
 
 /** Sends datagrams in this process's name, and lets rumours ride along. */
-final class Post {
+final class DatagramSender {
     private static final int ROOM = Message.MOST_BYTES - Message.ENVELOPE;
 
     private final Self self;
@@ -16,7 +16,8 @@
     private final Counters counters;
     private final Allowance allowance;
 
-    Post(Self self, Roster roster, Gossip gossip, Settings settings, Outbox out, Counters counters, long now) {
+    DatagramSender(
+            Self self, Roster roster, Gossip gossip, Settings settings, Outbox out, Counters counters, long now) {
         this.self = self;
         this.roster = roster;
         this.gossip = gossip;
@@ -58,10 +59,10 @@
     }
 
     /** These rumours, in as many datagrams as it takes. */
-    void tell(long now, Peer to, List<Rumour> rumours) {
-        List<Rumour> page = new ArrayList<>();
+    void tell(long now, Peer to, List<Rumor> rumours) {
+        List<Rumor> page = new ArrayList<>();
         int left = 0;
-        for (Rumour r : rumours) {
+        for (Rumor r : rumours) {
             if (r.bytes() > left) {
                 page(now, to, page);
                 page = new ArrayList<>();
@@ -73,7 +74,7 @@
         page(now, to, page);
     }
 
-    private void page(long now, Peer to, List<Rumour> page) {
+    private void page(long now, Peer to, List<Rumor> page) {
         if (!page.isEmpty()) {
             post(now, to.address(), new Message.News(self.header(), page));
         }
@@ -90,12 +91,12 @@
     }
 
     private interface Making {
-        Message make(Message.Header header, List<Rumour> rumours);
+        Message make(Message.Header header, List<Rumor> rumours);
     }
 
     private void send(long now, String address, Identity to, boolean introduced, Making making) {
         Message.Header h = self.header();
-        List<Rumour> rumours = new ArrayList<>();
+        List<Rumor> rumours = new ArrayList<>();
         int left = ROOM - making.make(h, rumours).size();
         if (introduced) {
             left = add(rumours, self.rumour(now, true), left);
@@ -103,7 +104,7 @@
         // Whoever is accused must hear of it first of all, so that it can object.
         Peer p = to == null ? null : roster.get(to);
         if (p != null && p.heard.accuses()) {
-            left = add(rumours, new Rumour(p.id, p.heard.incarnation(), p.heard.standing(), "", 0, null, 0), left);
+            left = add(rumours, new Rumor(p.id, p.heard.incarnation(), p.heard.standing(), "", 0, null, 0), left);
         }
         if (p != null) {
             gossip.fill(rumours, left, to, settings.tellings(roster.size()), Settings.lightTellings(roster.size()));
@@ -111,7 +112,7 @@
         post(now, address, making.make(h, rumours));
     }
 
-    private static int add(List<Rumour> rumours, Rumour r, int left) {
+    private static int add(List<Rumor> rumours, Rumor r, int left) {
         if (r.bytes() <= left) {
             rumours.add(r);
             return left - r.bytes();
--- a/src/main/java/gullspar/peers/Detector.java
+++ b/src/main/java/gullspar/peers/Detector.java
@@ -62,7 +62,7 @@
     private final Roster roster;
     private final Judgement judgement;
     private final SelfHealth health;
-    private final Post post;
+    private final DatagramSender post;
     private final RandomGenerator random;
     private final Self self;
     private final Map<Long, Question> open = new HashMap<>();
@@ -75,7 +75,7 @@
             Roster roster,
             Judgement judgement,
             SelfHealth health,
-            Post post,
+            DatagramSender post,
             RandomGenerator random) {
         this.settings = settings;
         this.self = self;
@@ -255,7 +255,7 @@
         }
         q.direct = false;
         for (Peer helper : roster.draw(settings.indirect(), random, q.target, null)) {
-            if (helper.verdict == Standing.ALIVE) {
+            if (helper.verdict == MemberStatus.ALIVE) {
                 // One that is silent itself tells nothing of how well this process hears.
                 q.nacksWanted += now - helper.heardAt <= lately() ? 1 : 0;
                 post.pingReq(now, helper, nonce, q.target);
--- a/src/main/java/gullspar/peers/Gossip.java
+++ b/src/main/java/gullspar/peers/Gossip.java
@@ -14,7 +14,7 @@
 final class Gossip {
     /** Makes a rumour of a life as it is at that moment; null if it is not known any more. */
     interface Source {
-        Rumour rumour(Identity id, boolean withStatement);
+        Rumor rumour(Identity id, boolean withStatement);
     }
 
     private static final class Item {
@@ -69,7 +69,7 @@
     }
 
     /** Fills so many bytes for one receiver, who needs not be told of himself. */
-    void fill(List<Rumour> into, int room, Identity to, int tellings, int light) {
+    void fill(List<Rumor> into, int room, Identity to, int tellings, int light) {
         int left = room;
         int misses = 0;
         List<Item> told = new ArrayList<>();
@@ -77,7 +77,7 @@
             if (i.id.equals(to)) {
                 continue;
             }
-            Rumour r = source.rumour(i.id, i.withStatement);
+            Rumor r = source.rumour(i.id, i.withStatement);
             if (r == null || r.bytes() <= left) {
                 told.add(i);
                 if (r != null) {
@@ -87,7 +87,7 @@
             } else if (++misses > 3) {
                 break; // a smaller one may still fit, but not for the price of a walk through all
             }
-            if (left < Rumour.bytes(i.id, "", null)) {
+            if (left < Rumor.bytes(i.id, "", null)) {
                 break;
             }
         }
--- a/src/main/java/gullspar/peers/Judgement.java
+++ b/src/main/java/gullspar/peers/Judgement.java
@@ -6,7 +6,7 @@
 import java.util.Set;
 
 /**
- * What this process holds each member for, and when that changes. What is heard goes into {@link Heard},
+ * What this process holds each member for, and when that changes. What is heard goes into {@link MemberState},
  * which merges the same for all; the verdict follows it, at once or after the time that a suspicion takes.
  */
 final class Judgement {
@@ -82,7 +82,7 @@
     // ---- rumours ----
 
     /** Takes in what the peer says; the speaker proved that it lives. */
-    void learn(long now, Rumour r, Peer from) {
+    void learn(long now, Rumor r, Peer from) {
         if (r.id().equals(self.id)) {
             aboutMe(now, r);
             return;
@@ -140,7 +140,7 @@
         }
     }
 
-    private void aboutMe(long now, Rumour r) {
+    private void aboutMe(long now, Rumor r) {
         boolean accused = r.heard().accuses() && r.incarnation() >= self.incarnation();
         // A higher incarnation than this process ever had: it was another's mistake, and is overridden as
         // well.
@@ -153,7 +153,7 @@
         }
     }
 
-    private void hearsay(long now, Rumour r, Peer from) {
+    private void hearsay(long now, Rumor r, Peer from) {
         if (r.statement() == null || tooOld(now, r)) {
             return; // without an address nobody can look; who is long gone is as good as forgotten
         }
@@ -173,23 +173,23 @@
         }
     }
 
-    private static Rumour newer(Rumour a, Rumour b) {
+    private static Rumor newer(Rumor a, Rumor b) {
         return a.statement().revision() > b.statement().revision() ? a : b;
     }
 
-    private boolean tooOld(long now, Rumour r) {
-        return (r.standing() == Standing.GONE || r.standing() == Standing.LEFT)
+    private boolean tooOld(long now, Rumor r) {
+        return (r.standing() == MemberStatus.GONE || r.standing() == MemberStatus.LEFT)
                 && r.sinceMs() * MS >= settings.forgetNs();
     }
 
     /** Takes in somebody who was not known. */
-    Peer admit(long now, Identity id, Statement s, long statedAt, Heard heard, long since, String why) {
-        Peer p = new Peer(id, s, Math.min(now, statedAt), heard, heard.standing() == Standing.ALIVE ? now : since);
+    Peer admit(long now, Identity id, Statement s, long statedAt, MemberState heard, long since, String why) {
+        Peer p = new Peer(id, s, Math.min(now, statedAt), heard, heard.standing() == MemberStatus.ALIVE ? now : since);
         if (heard.accuses()) {
             p.why = why;
         }
-        boolean suspect = heard.standing() == Standing.SUSPECTED;
-        p.verdict = suspect ? Standing.ALIVE : heard.standing();
+        boolean suspect = heard.standing() == MemberStatus.SUSPECTED;
+        p.verdict = suspect ? MemberStatus.ALIVE : heard.standing();
         p.presentAt = p.present() ? now : Long.MIN_VALUE;
         p.heardAt = now;
         p.knockGap = 2 * settings.intervalNs();
@@ -237,17 +237,17 @@
 
     /** It lives in that incarnation. */
     void alive(long now, Peer p, int incarnation) {
-        Heard said = new Heard(incarnation, Standing.ALIVE);
+        MemberState said = new MemberState(incarnation, MemberStatus.ALIVE);
         if (said.compareTo(p.heard) <= 0) {
             return;
         }
         p.heard = said;
-        gossip.tell(p.id, p.verdict == Standing.GONE);
-        if (p.verdict == Standing.ALIVE) {
+        gossip.tell(p.id, p.verdict == MemberStatus.GONE);
+        if (p.verdict == MemberStatus.ALIVE) {
             return;
         }
-        boolean back = p.verdict == Standing.GONE;
-        verdict(now, p, Standing.ALIVE, "");
+        boolean back = p.verdict == MemberStatus.GONE;
+        verdict(now, p, MemberStatus.ALIVE, "");
         changed(now, back ? Change.Kind.BACK : Change.Kind.CLEARED, p.id, "");
         if (back) {
             cameBack.add(p);
@@ -256,8 +256,8 @@
 
     /** Somebody, or this process itself, gets no answer from it. */
     void suspect(long now, Peer p, int incarnation, String by) {
-        Heard said = new Heard(incarnation, Standing.SUSPECTED);
-        if (said.compareTo(p.heard) < 0 || p.verdict == Standing.GONE || p.verdict == Standing.LEFT) {
+        MemberState said = new MemberState(incarnation, MemberStatus.SUSPECTED);
+        if (said.compareTo(p.heard) < 0 || p.verdict == MemberStatus.GONE || p.verdict == MemberStatus.LEFT) {
             return;
         }
         if (p.suspicion != null && p.suspicion.incarnation() == incarnation) {
@@ -268,9 +268,9 @@
         }
         p.heard = p.heard.merge(said);
         long least = settings.suspicionNs(roster.size());
-        boolean fresh = p.verdict == Standing.ALIVE;
+        boolean fresh = p.verdict == MemberStatus.ALIVE;
         if (fresh) {
-            verdict(now, p, Standing.SUSPECTED, by);
+            verdict(now, p, MemberStatus.SUSPECTED, by);
         }
         suspicion(
                 p,
@@ -297,17 +297,17 @@
     }
 
     private void saidGone(long now, Peer p, int incarnation, String by) {
-        Heard said = new Heard(incarnation, Standing.GONE);
+        MemberState said = new MemberState(incarnation, MemberStatus.GONE);
         if (said.compareTo(p.heard) <= 0) {
             return;
         }
         p.heard = said;
-        if (p.verdict == Standing.SUSPECTED && p.suspicion.incarnation() <= incarnation) {
+        if (p.verdict == MemberStatus.SUSPECTED && p.suspicion.incarnation() <= incarnation) {
             gone(now, p, by);
-        } else if (p.verdict == Standing.ALIVE) {
+        } else if (p.verdict == MemberStatus.ALIVE) {
             // Two halves that find each other again say this of one another: whoever lives objects in a
             // moment.
-            verdict(now, p, Standing.SUSPECTED, by);
+            verdict(now, p, MemberStatus.SUSPECTED, by);
             suspicion(p, new Suspicion(incarnation, by, 0, health.stretched(GRACE * settings.timeoutNs()), 0, now));
             changed(now, Change.Kind.SUSPECTED, p.id, "said to be gone" + (by.isEmpty() ? "" : ", by " + by));
             toSee.add(p);
@@ -319,8 +319,8 @@
         if (!p.present()) {
             return;
         }
-        p.heard = p.heard.merge(new Heard(p.heard.incarnation(), Standing.GONE));
-        verdict(now, p, Standing.GONE, why);
+        p.heard = p.heard.merge(new MemberState(p.heard.incarnation(), MemberStatus.GONE));
+        verdict(now, p, MemberStatus.GONE, why);
         p.knockGap = 2 * settings.intervalNs();
         p.knockAt = now + p.knockGap;
         gossip.tell(p.id, false);
@@ -328,24 +328,24 @@
     }
 
     private void left(long now, Peer p, int incarnation) {
-        Heard said = new Heard(incarnation, Standing.LEFT);
+        MemberState said = new MemberState(incarnation, MemberStatus.LEFT);
         if (said.compareTo(p.heard) <= 0) {
             return;
         }
         p.heard = said;
         gossip.tell(p.id, false);
-        if (p.verdict != Standing.LEFT) {
-            verdict(now, p, Standing.LEFT, "");
+        if (p.verdict != MemberStatus.LEFT) {
+            verdict(now, p, MemberStatus.LEFT, "");
             changed(now, Change.Kind.LEFT, p.id, "");
         }
     }
 
-    private void verdict(long now, Peer p, Standing v, String why) {
+    private void verdict(long now, Peer p, MemberStatus v, String why) {
         p.presentAt = p.present() ? now : p.presentAt;
         p.verdict = v;
         p.since = now;
         p.why = why;
-        if (v != Standing.SUSPECTED) {
+        if (v != MemberStatus.SUSPECTED) {
             suspicion(p, null);
         }
         roster.placed(p);
--- a/src/main/java/gullspar/peers/Heard.java
+++ b/src/main/java/gullspar/peers/MemberState.java
@@ -6,11 +6,11 @@
  * larger incarnation, then the graver standing. Only the process itself raises its incarnation; so whoever
  * is accused in error overrides the accusation by the next one.
  */
-public record Heard(int incarnation, Standing standing) implements Comparable<Heard> {
+public record MemberState(int incarnation, MemberStatus standing) implements Comparable<MemberState> {
     @Override
-    public int compareTo(Heard o) {
-        boolean left = standing == Standing.LEFT;
-        if (left != (o.standing == Standing.LEFT)) {
+    public int compareTo(MemberState o) {
+        boolean left = standing == MemberStatus.LEFT;
+        if (left != (o.standing == MemberStatus.LEFT)) {
             return left ? 1 : -1;
         }
         return incarnation != o.incarnation
@@ -27,12 +27,12 @@
     }
 
     /** The larger of the two. */
-    public Heard merge(Heard o) {
+    public MemberState merge(MemberState o) {
         return compareTo(o) >= 0 ? this : o;
     }
 
     /** Does it say that the life is, or may be, over, though it did not say goodbye? */
     boolean accuses() {
-        return standing == Standing.SUSPECTED || standing == Standing.GONE;
+        return standing == MemberStatus.SUSPECTED || standing == MemberStatus.GONE;
     }
 }
--- a/src/main/java/gullspar/peers/Standing.java
+++ b/src/main/java/gullspar/peers/MemberStatus.java
@@ -1,7 +1,7 @@
 package gullspar.peers;
 
 /** What is said of a life, in the order in which one overrides another within an incarnation. */
-public enum Standing {
+public enum MemberStatus {
     ALIVE,
     /** Somebody got no answer from it, by any way. */
     SUSPECTED,
--- a/src/main/java/gullspar/peers/Message.java
+++ b/src/main/java/gullspar/peers/Message.java
@@ -23,7 +23,7 @@
         private static final int REST = 40;
 
         public Header {
-            if (!Heard.incarnation(incarnation)
+            if (!MemberState.incarnation(incarnation)
                     || number < 1
                     || address.isEmpty()
                     || address.length() > Statement.LONGEST_ADDRESS) {
@@ -43,7 +43,7 @@
     Header header();
 
     /** What else is told along the way. */
-    List<Rumour> rumours();
+    List<Rumor> rumours();
 
     /** Its own fields, on the wire, at most: neither header nor rumours. */
     int body();
@@ -51,7 +51,7 @@
     /** On the wire, at most, without the envelope. */
     default int size() {
         int size = FRONT + header().bytes() + body();
-        for (Rumour r : rumours()) {
+        for (Rumor r : rumours()) {
             size += r.bytes();
         }
         return size;
@@ -63,7 +63,7 @@
      * @param target the life that is meant, 0 if the asker does not know who is at that address
      * @param hello the asker has not heard the asked one's statement, and asks for it
      */
-    record Ping(Header header, long nonce, long target, boolean hello, List<Rumour> rumours) implements Message {
+    record Ping(Header header, long nonce, long target, boolean hello, List<Rumor> rumours) implements Message {
         @Override
         public int body() {
             return 9 + 9 + 1;
@@ -75,7 +75,7 @@
      *
      * @param of who is alive, of that incarnation: the speaker, but where another was asked for
      */
-    record Ack(Header header, long nonce, Identity of, int incarnation, List<Rumour> rumours) implements Message {
+    record Ack(Header header, long nonce, Identity of, int incarnation, List<Rumor> rumours) implements Message {
         @Override
         public int body() {
             return 9 + 11 + of.name().length() + 5;
@@ -83,8 +83,7 @@
     }
 
     /** I get no answer from that one: do you? */
-    record PingReq(Header header, long nonce, Identity target, String address, List<Rumour> rumours)
-            implements Message {
+    record PingReq(Header header, long nonce, Identity target, String address, List<Rumor> rumours) implements Message {
         @Override
         public int body() {
             return 9 + 11 + target.name().length() + 2 + address.length();
@@ -92,7 +91,7 @@
     }
 
     /** I hear you, and have no answer from the one whom you asked me to look for either. */
-    record Nack(Header header, long nonce, List<Rumour> rumours) implements Message {
+    record Nack(Header header, long nonce, List<Rumor> rumours) implements Message {
         @Override
         public int body() {
             return 9;
@@ -100,7 +99,7 @@
     }
 
     /** Nothing but rumours. */
-    record News(Header header, List<Rumour> rumours) implements Message {
+    record News(Header header, List<Rumor> rumours) implements Message {
         @Override
         public int body() {
             return 0;
@@ -115,7 +114,7 @@
         }
 
         @Override
-        public List<Rumour> rumours() {
+        public List<Rumor> rumours() {
             return List.of();
         }
     }
@@ -128,18 +127,18 @@
         }
 
         @Override
-        public List<Rumour> rumours() {
+        public List<Rumor> rumours() {
             return List.of();
         }
     }
 
     /** What is known of a life: enough to tell who knows more. */
-    record Known(long life, int incarnation, Standing standing, int revision) {
+    record Known(long life, int incarnation, MemberStatus standing, int revision) {
         /** On the wire, at most. */
         static final int BYTES = 22;
 
         public Known {
-            if (!Heard.incarnation(incarnation)) {
+            if (!MemberState.incarnation(incarnation)) {
                 throw new IllegalArgumentException("not known of a life");
             }
         }
@@ -156,7 +155,7 @@
         }
 
         @Override
-        public List<Rumour> rumours() {
+        public List<Rumor> rumours() {
             return List.of();
         }
     }
--- a/src/main/java/gullspar/peers/Peer.java
+++ b/src/main/java/gullspar/peers/Peer.java
@@ -9,12 +9,12 @@
 
     long statedAt;
     /** The most that was heard of it. */
-    Heard heard;
+    MemberState heard;
     /**
      * What this process holds it for. It may lag behind what was heard: that somebody is gone who was alive
      * here a moment ago is believed a little later, so that it can object.
      */
-    Standing verdict;
+    MemberStatus verdict;
 
     long since;
     /** Who accused it, or why it went; empty if nobody did. */
@@ -35,7 +35,7 @@
     /** Its place among those that are present, -1 if it is not. */
     int place = -1;
 
-    Peer(Identity id, Statement statement, long statedAt, Heard heard, long since) {
+    Peer(Identity id, Statement statement, long statedAt, MemberState heard, long since) {
         this.id = id;
         this.statement = statement;
         this.statedAt = statedAt;
@@ -46,7 +46,7 @@
 
     /** Alive, or not yet given up. */
     boolean present() {
-        return verdict == Standing.ALIVE || verdict == Standing.SUSPECTED;
+        return verdict == MemberStatus.ALIVE || verdict == MemberStatus.SUSPECTED;
     }
 
     String address() {
@@ -59,15 +59,15 @@
     }
 
     /** What this process tells of it. */
-    Rumour rumour(long now, boolean withStatement) {
-        Standing told = verdict == Standing.SUSPECTED && heard.standing() == Standing.GONE
-                ? Standing.SUSPECTED
+    Rumor rumour(long now, boolean withStatement) {
+        MemberStatus told = verdict == MemberStatus.SUSPECTED && heard.standing() == MemberStatus.GONE
+                ? MemberStatus.SUSPECTED
                 : heard.standing();
-        return new Rumour(
+        return new Rumor(
                 id,
                 heard.incarnation(),
                 told,
-                told == Standing.ALIVE || !Identity.worded(why) ? "" : why,
+                told == MemberStatus.ALIVE || !Identity.worded(why) ? "" : why,
                 Math.max(0, now - since) / 1_000_000,
                 withStatement ? statement : null,
                 withStatement ? Math.max(0, now - statedAt) / 1_000_000 : 0);
--- a/src/main/java/gullspar/peers/Peers.java
+++ b/src/main/java/gullspar/peers/Peers.java
@@ -39,10 +39,10 @@
     private final SelfHealth health;
     private final Gossip gossip;
     private final Judgement judgement;
-    private final Post post;
+    private final DatagramSender post;
     private final Detector detector;
     private final Reconciler reconciler;
-    private final Knocks knocks;
+    private final ReconnectBackoff knocks;
     private final Counters counters = new Counters();
     private final Allowance strangers;
     private long nextProbe;
@@ -78,10 +78,10 @@
         this.health = new SelfHealth(settings.healthMost());
         this.gossip = new Gossip(this::rumour);
         this.judgement = new Judgement(self, settings, roster, gossip, health, out, counters);
-        this.post = new Post(self, roster, gossip, settings, out, counters, now);
+        this.post = new DatagramSender(self, roster, gossip, settings, out, counters, now);
         this.detector = new Detector(settings, self, roster, judgement, health, post, random);
         this.reconciler = new Reconciler(self, roster, judgement, post, random);
-        this.knocks = new Knocks(settings, self, roster, detector, random, seeds);
+        this.knocks = new ReconnectBackoff(settings, self, roster, detector, random, seeds);
         this.strangers = new Allowance(STRANGERS, now);
         // Processes that start together must not ask together.
         this.nextProbe = now + random.nextLong(settings.intervalNs());
@@ -93,7 +93,7 @@
         this.heardAt = now;
     }
 
-    private Rumour rumour(Identity id, boolean withStatement) {
+    private Rumor rumour(Identity id, boolean withStatement) {
         if (id.equals(self.id)) {
             return self.rumour(clock, withStatement);
         }
@@ -116,7 +116,7 @@
             stranger(now, m);
         } else if (!p.guard.fresh(h.number())) {
             counters.repeated++;
-        } else if (p.verdict != Standing.LEFT) {
+        } else if (p.verdict != MemberStatus.LEFT) {
             from(now, p, m);
         }
         followUp(now);
@@ -143,7 +143,7 @@
         } else if (m instanceof Message.Want w) {
             reconciler.want(now, p, w);
         }
-        if (p.verdict == Standing.GONE && p.knockAt > now + settings.intervalNs()) {
+        if (p.verdict == MemberStatus.GONE && p.knockAt > now + settings.intervalNs()) {
             p.knockAt = now + settings.intervalNs(); // it speaks: it is to hear soon that it is held for gone
         }
     }
@@ -157,7 +157,7 @@
         Message.Header h = m.header();
         if (m instanceof Message.Ack a && detector.proves(a)) {
             detector.answered(now, a);
-            Rumour said = a.rumours().stream()
+            Rumor said = a.rumours().stream()
                     .filter(r -> r.id().equals(h.from()) && r.statement() != null)
                     .findFirst()
                     .orElse(null);
@@ -172,7 +172,7 @@
                     h.from(),
                     said.statement(),
                     now - said.statedMs() * MS,
-                    new Heard(h.incarnation(), Standing.ALIVE),
+                    new MemberState(h.incarnation(), MemberStatus.ALIVE),
                     now,
                     "");
             if (p != null) {
@@ -341,11 +341,11 @@
             if (p.present()) {
                 p.presentAt = now;
             }
-            if (p.verdict != Standing.LEFT
+            if (p.verdict != MemberStatus.LEFT
                     && p.presentAt != Long.MIN_VALUE
                     && now - p.presentAt <= settings.windowNs()) {
                 lately++;
-                now1 += p.verdict == Standing.ALIVE ? 1 : 0;
+                now1 += p.verdict == MemberStatus.ALIVE ? 1 : 0;
             }
         }
         known = lately;
@@ -365,7 +365,7 @@
     private void hearsay(long now) {
         int asked = 0;
         for (Roster.Hearsay h : List.copyOf(roster.hearsay())) {
-            if (h.rumour.heard().accuses() || h.rumour.standing() == Standing.LEFT) {
+            if (h.rumour.heard().accuses() || h.rumour.standing() == MemberStatus.LEFT) {
                 if (now - h.at > settings.syncNs() * 3) {
                     roster.forget(h); // nobody else knows of it
                 }
@@ -389,7 +389,7 @@
                 own = true;
                 add(sum, self.id.life());
             }
-            if (p.verdict == Standing.ALIVE) {
+            if (p.verdict == MemberStatus.ALIVE) {
                 add(sum, p.id.life());
             }
         }
@@ -416,7 +416,7 @@
     public int alive() {
         int alive = 1;
         for (Peer p : roster.present()) {
-            alive += p.verdict == Standing.ALIVE ? 1 : 0;
+            alive += p.verdict == MemberStatus.ALIVE ? 1 : 0;
         }
         return alive;
     }
--- a/src/main/java/gullspar/peers/Reconciler.java
+++ b/src/main/java/gullspar/peers/Reconciler.java
@@ -25,10 +25,10 @@
     private final Self self;
     private final Roster roster;
     private final Judgement judgement;
-    private final Post post;
+    private final DatagramSender post;
     private final RandomGenerator random;
 
-    Reconciler(Self self, Roster roster, Judgement judgement, Post post, RandomGenerator random) {
+    Reconciler(Self self, Roster roster, Judgement judgement, DatagramSender post, RandomGenerator random) {
         this.self = self;
         this.roster = roster;
         this.judgement = judgement;
@@ -140,7 +140,7 @@
         NavigableMap<Long, Message.Known> mine = known();
         Map<Long, Identity> names = names();
         List<Long> want = new ArrayList<>();
-        List<Rumour> tell = new ArrayList<>();
+        List<Rumor> tell = new ArrayList<>();
         NavigableMap<Long, Message.Known> missing = Long.compareUnsigned(l.from(), l.to()) > 0
                 ? new TreeMap<>()
                 : new TreeMap<>(mine.subMap(l.from(), true, l.to(), true));
@@ -151,12 +151,12 @@
                 want.add(k.life());
                 continue;
             }
-            Heard theirs = new Heard(k.incarnation(), k.standing());
-            Heard ours = new Heard(m.incarnation(), m.standing());
+            MemberState theirs = new MemberState(k.incarnation(), k.standing());
+            MemberState ours = new MemberState(m.incarnation(), m.standing());
             if (k.revision() > m.revision() || theirs.compareTo(ours) > 0 && k.life() != self.id.life()) {
                 want.add(k.life());
             } else if (theirs.compareTo(ours) > 0) {
-                judgement.learn(now, new Rumour(self.id, k.incarnation(), k.standing(), "", 0, null, 0), from);
+                judgement.learn(now, new Rumor(self.id, k.incarnation(), k.standing(), "", 0, null, 0), from);
             }
             if (m.revision() > k.revision() || ours.compareTo(theirs) > 0) {
                 tell.add(rumour(now, names.get(k.life()), m.revision() > k.revision()));
@@ -184,7 +184,7 @@
                         .toList());
     }
 
-    private void tell(long now, Peer to, List<Rumour> rumours) {
+    private void tell(long now, Peer to, List<Rumor> rumours) {
         int most = PAGES * 3;
         pages(rumours, most, page -> {
             if (post.affords(PAGES, now)) {
@@ -206,7 +206,7 @@
         return names;
     }
 
-    private Rumour rumour(long now, Identity id, boolean withStatement) {
+    private Rumor rumour(long now, Identity id, boolean withStatement) {
         return id.equals(self.id)
                 ? self.rumour(now, withStatement)
                 : roster.get(id).rumour(now, withStatement);
--- a/src/main/java/gullspar/peers/Knocks.java
+++ b/src/main/java/gullspar/peers/ReconnectBackoff.java
@@ -7,7 +7,7 @@
  * Members that are gone are knocked at, ever more seldom, and so are the seeds where nobody known lives:
  * two parts of a fleet that were cut off from each other find each other again with no operator.
  */
-final class Knocks {
+final class ReconnectBackoff {
     /** How often a seed is knocked at while others are there, in intervals. */
     private static final int SEED_EVERY = 30;
     /** Knocks in an interval, while this process is alone or cut off. */
@@ -22,7 +22,13 @@
     private int seed;
     private long seedAt;
 
-    Knocks(Settings settings, Self self, Roster roster, Detector detector, RandomGenerator random, List<String> seeds) {
+    ReconnectBackoff(
+            Settings settings,
+            Self self,
+            Roster roster,
+            Detector detector,
+            RandomGenerator random,
+            List<String> seeds) {
         this.settings = settings;
         this.self = self;
         this.roster = roster;
@@ -53,7 +59,7 @@
     private void gone(long now) {
         Peer due = null;
         for (Peer p : roster.all()) {
-            if (p.verdict == Standing.GONE && now >= p.knockAt && (due == null || p.knockAt < due.knockAt)) {
+            if (p.verdict == MemberStatus.GONE && now >= p.knockAt && (due == null || p.knockAt < due.knockAt)) {
                 due = p;
             }
         }
--- a/src/main/java/gullspar/peers/Roster.java
+++ b/src/main/java/gullspar/peers/Roster.java
@@ -19,13 +19,13 @@
 
     /** Somebody who was spoken of, and by whom. */
     static final class Hearsay {
-        final Rumour rumour;
+        final Rumor rumour;
         final long at;
         final long by;
         int asked;
         long askAt;
 
-        Hearsay(Rumour rumour, long by, long at) {
+        Hearsay(Rumor rumour, long by, long at) {
             this.rumour = rumour;
             this.by = by;
             this.at = at;
@@ -99,7 +99,7 @@
     void remove(Peer p) {
         peers.remove(p.id);
         if (p.place >= 0) {
-            p.verdict = Standing.GONE;
+            p.verdict = MemberStatus.GONE;
             placed(p);
         }
     }
--- a/src/main/java/gullspar/peers/Rumour.java
+++ b/src/main/java/gullspar/peers/Rumor.java
@@ -8,13 +8,19 @@
  * @param statement what it said of itself, or null where only the standing is told
  * @param statedMs how long ago it said that, in ms
  */
-public record Rumour(
-        Identity id, int incarnation, Standing standing, String by, long sinceMs, Statement statement, long statedMs) {
+public record Rumor(
+        Identity id,
+        int incarnation,
+        MemberStatus standing,
+        String by,
+        long sinceMs,
+        Statement statement,
+        long statedMs) {
     /** Numbers, lengths and types, at most. */
     private static final int REST = 48;
 
-    public Rumour {
-        if (!Heard.incarnation(incarnation)
+    public Rumor {
+        if (!MemberState.incarnation(incarnation)
                 || !Identity.worded(by)
                 || sinceMs < 0
                 || statedMs < 0
@@ -23,8 +29,8 @@
         }
     }
 
-    Heard heard() {
-        return new Heard(incarnation, standing);
+    MemberState heard() {
+        return new MemberState(incarnation, standing);
     }
 
     /** At most this many on the wire. */
--- a/src/main/java/gullspar/peers/Self.java
+++ b/src/main/java/gullspar/peers/Self.java
@@ -33,13 +33,13 @@
         return left;
     }
 
-    Heard heard() {
-        return new Heard(incarnation, left ? Standing.LEFT : Standing.ALIVE);
+    MemberState heard() {
+        return new MemberState(incarnation, left ? MemberStatus.LEFT : MemberStatus.ALIVE);
     }
 
     /** Overrides an accusation of that incarnation. */
     void objectTo(int accused) {
-        incarnation = Math.min(Heard.MOST_INCARNATION, Math.max(incarnation, accused) + 1);
+        incarnation = Math.min(MemberState.MOST_INCARNATION, Math.max(incarnation, accused) + 1);
     }
 
     void leave(long now) {
@@ -89,11 +89,11 @@
         return startedAt;
     }
 
-    Rumour rumour(long now, boolean withStatement) {
-        return new Rumour(
+    Rumor rumour(long now, boolean withStatement) {
+        return new Rumor(
                 id,
                 incarnation,
-                left ? Standing.LEFT : Standing.ALIVE,
+                left ? MemberStatus.LEFT : MemberStatus.ALIVE,
                 "",
                 0,
                 withStatement ? statement : null,
--- a/src/main/java/gullspar/peers/wire/Codec.java
+++ b/src/main/java/gullspar/peers/wire/Codec.java
@@ -7,10 +7,10 @@
 import gullspar.peers.Facts;
 import gullspar.peers.Figures;
 import gullspar.peers.Identity;
+import gullspar.peers.MemberStatus;
 import gullspar.peers.Message;
 import gullspar.peers.Phase;
-import gullspar.peers.Rumour;
-import gullspar.peers.Standing;
+import gullspar.peers.Rumor;
 import gullspar.peers.Statement;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -120,9 +120,9 @@
         g.writeEndArray();
     }
 
-    private static void rumours(JsonGenerator g, List<Rumour> rumours) throws IOException {
+    private static void rumours(JsonGenerator g, List<Rumor> rumours) throws IOException {
         g.writeStartArray(null, rumours.size());
-        for (Rumour r : rumours) {
+        for (Rumor r : rumours) {
             g.writeStartArray(null, 8);
             identity(g, r.id());
             g.writeNumber(r.incarnation());
@@ -304,22 +304,22 @@
         return all;
     }
 
-    private static Standing standing(JsonParser p) throws IOException {
-        return Standing.values()[number(p, 0, Standing.values().length - 1)];
+    private static MemberStatus standing(JsonParser p) throws IOException {
+        return MemberStatus.values()[number(p, 0, MemberStatus.values().length - 1)];
     }
 
-    private static List<Rumour> rumours(JsonParser p) throws IOException {
-        List<Rumour> all = new ArrayList<>();
+    private static List<Rumor> rumours(JsonParser p) throws IOException {
+        List<Rumor> all = new ArrayList<>();
         array(p.nextToken());
         for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
             array(t);
             Identity id = identity(p);
             int incarnation = number(p, 0, Integer.MAX_VALUE);
-            Standing standing = standing(p);
+            MemberStatus standing = standing(p);
             String by = text(p);
             long since = age(p);
             Statement s = p.nextToken() == JsonToken.VALUE_NULL ? null : statement(p, id);
-            all.add(new Rumour(id, incarnation, standing, by, since, s, age(p)));
+            all.add(new Rumor(id, incarnation, standing, by, since, s, age(p)));
             end(p);
         }
         return all;
--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -7,8 +7,8 @@
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.backend.Answer;
 import gullspar.proxy.backend.Attempt;
-import gullspar.proxy.client.Asked;
 import gullspar.proxy.client.Client;
+import gullspar.proxy.client.RequestParameters;
 import gullspar.proxy.config.Classes.Known;
 import gullspar.proxy.events.Events;
 import gullspar.proxy.http.Message;
@@ -48,7 +48,7 @@
     private int out;
     private boolean over;
 
-    Exchange(Exchanges owner, int ticket, Client client, Message message, Asked asked, long at) {
+    Exchange(Exchanges owner, int ticket, Client client, Message message, RequestParameters asked, long at) {
         this.owner = owner;
         this.ticket = ticket;
         this.client = client;
@@ -57,7 +57,7 @@
         this.timeoutNs = asked.timeoutNs();
         this.margin = Math.min(MARGIN_NS, timeoutNs / 4);
         if (message.rest() == null || !message.rest().coming()) {
-            came(at);
+            requestComplete(at);
         }
         boolean whole = deadline != Long.MAX_VALUE;
         tell((now, module) -> module.onRequest(
@@ -74,7 +74,7 @@
     }
 
     /** Its last byte has come. */
-    void came(long at) {
+    void requestComplete(long at) {
         if (over || backstop != null) {
             return;
         }
--- a/src/main/java/gullspar/proxy/Exchanges.java
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -3,9 +3,9 @@
 import gullspar.decide.Balancer.Outcome;
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.backend.Backends;
-import gullspar.proxy.client.Asked;
 import gullspar.proxy.client.Client;
 import gullspar.proxy.client.Frontend;
+import gullspar.proxy.client.RequestParameters;
 import gullspar.proxy.events.Events;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Platform;
@@ -37,7 +37,7 @@
     }
 
     @Override
-    public void taken(Client client, Message message, Asked asked, long at) {
+    public void onRequest(Client client, Message message, RequestParameters asked, long at) {
         do {
             tickets++;
         } while (tickets == 0 || byTicket.containsKey(tickets));
@@ -47,15 +47,15 @@
     }
 
     @Override
-    public void came(Client client, long at) {
+    public void onRequestComplete(Client client, long at) {
         Exchange x = byClient.get(client);
         if (x != null) {
-            x.came(at);
+            x.requestComplete(at);
         }
     }
 
     @Override
-    public void gone(Client client) {
+    public void onClientLeft(Client client) {
         Exchange x = byClient.get(client);
         if (x != null) {
             x.abandoned();
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -8,8 +8,8 @@
 import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.discovery.Discovery;
-import gullspar.proxy.discovery.Listed;
-import gullspar.proxy.discovery.News;
+import gullspar.proxy.discovery.ListUpdate;
+import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.events.Events;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
@@ -65,9 +65,9 @@
     private final Figures figures = new Figures();
     private boolean listed;
     /** The list that it was started with, null if there is none; does the module know of it? */
-    private News known;
+    private ListUpdate known;
 
-    private boolean knownHeard;
+    private boolean knownApplied;
     /** It may take clients; until then it only learns what backends there are. */
     private boolean open;
 
@@ -171,28 +171,28 @@
             discovery.startFrom(known.version());
         }
         if (config.settings().askForList()) {
-            hearKnown();
+            applyKnown();
         } else {
             // What the agent has counts as told from the first moment: until it has spoken the known list may
             // name backends that have left, and nobody is sent to by it.
             discovery.watch(true);
         }
-        platform.loop().schedule(this::unheard, LIST_WAIT_MS, TimeUnit.MILLISECONDS);
+        platform.loop().schedule(this::useKnownList, LIST_WAIT_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Discovery says nothing: the known list has to do, if there is one. */
-    void unheard() {
+    void useKnownList() {
         if (!listed && known != null && !known.list().isEmpty()) {
             platform.log().say("discovery says nothing: the list of the start has to do");
-            hearKnown();
+            applyKnown();
             listed();
         }
     }
 
-    private void hearKnown() {
-        if (known != null && !knownHeard) {
-            knownHeard = true;
-            hear(known);
+    private void applyKnown() {
+        if (known != null && !knownApplied) {
+            knownApplied = true;
+            apply(known);
         }
     }
 
@@ -333,9 +333,9 @@
     // ---- what discovery says ----
 
     @Override
-    public void news(News news) {
-        hearKnown(); // changes count from there
-        hear(news);
+    public void news(ListUpdate news) {
+        applyKnown(); // changes count from there
+        apply(news);
         listed();
     }
 
@@ -361,13 +361,13 @@
     }
 
     /** Takes in what is known of the backends. */
-    void hear(News news) {
+    void apply(ListUpdate news) {
         backends.learn(news);
         events.news((now, module) -> module.onMembers(
                 now,
                 news.kind(),
                 news.version(),
-                news.list().stream().map(Listed::member).toList()));
+                news.list().stream().map(ListedBackend::member).toList()));
     }
 
     @Override
--- a/src/main/java/gullspar/proxy/Warmup.java
+++ b/src/main/java/gullspar/proxy/Warmup.java
@@ -7,8 +7,8 @@
 import gullspar.decide.Balancer.Profile;
 import gullspar.decide.Balancer.State;
 import gullspar.proxy.config.Config;
-import gullspar.proxy.discovery.Listed;
-import gullspar.proxy.discovery.News;
+import gullspar.proxy.discovery.ListUpdate;
+import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
@@ -194,12 +194,12 @@
 
     private void begin(long mostMs) {
         loop.schedule(() -> done.complete(served), mostMs, TimeUnit.MILLISECONDS);
-        List<Listed> list = new ArrayList<>();
+        List<ListedBackend> list = new ArrayList<>();
         for (int i = 0; i < BACKENDS; i++) {
-            list.add(new Listed(
+            list.add(new ListedBackend(
                     new Member(i + 1, 0, State.READY, 0, 0, config.settings().zone(), 1), config.listen()));
         }
-        proxy.hear(new News(ListKind.FULL, 1, list));
+        proxy.apply(new ListUpdate(ListKind.FULL, 1, list));
         open(
                 means.behind,
                 c -> c.pipeline().addLast(new Backend()),
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -4,8 +4,8 @@
 import gullspar.decide.Balancer.State;
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.config.Config;
-import gullspar.proxy.discovery.Listed;
-import gullspar.proxy.discovery.News;
+import gullspar.proxy.discovery.ListUpdate;
+import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Platform;
@@ -63,7 +63,7 @@
 
     // ---- the list ----
 
-    public void learn(News news) {
+    public void learn(ListUpdate news) {
         long now = clock.now();
         if (news.kind() != ListKind.DELTA) {
             Map<Integer, Backend> missing = new HashMap<>(backends);
@@ -71,7 +71,7 @@
             missing.values().forEach(b -> b.leave(now));
             backends.keySet().removeAll(missing.keySet());
         }
-        for (Listed l : news.list()) {
+        for (ListedBackend l : news.list()) {
             Backend b = backends.computeIfAbsent(l.member().id(), id -> new Backend());
             boolean moved = l.address() != null && !l.address().equals(b.address);
             if (moved || l.member().bootNs() > b.bootNs) {
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -41,13 +41,13 @@
 public final class Client extends SimpleChannelInboundHandler<HttpObject> {
     /** Who takes whole requests, and hears when a connection changes its place among the others. */
     interface Owner {
-        void whole(Client client, Message message, long at);
+        void onRequest(Client client, Message message, long at);
 
         /** All of a request has come that was handed over while it came. */
-        void came(Client client, long at);
+        void onRequestComplete(Client client, long at);
 
         /** The rest of such a request will not come, and the client is to be told so: it is no request. */
-        void cut(Client client);
+        void onRequestAborted(Client client);
 
         /** What the bodies that are held may take together. */
         BodyBudget budget();
@@ -56,7 +56,7 @@
         long unreadNs();
 
         /** When what is read now may have come, at the earliest. */
-        long cameAt();
+        long receivedAt();
 
         /** An answer is about to be written; true if the connection should end with it. */
         boolean answered(Client client, int status);
@@ -267,7 +267,7 @@
                         Message.whole(head.method(), head.uri(), head.headers(), body),
                         0,
                         null,
-                        owner.cameAt(),
+                        owner.receivedAt(),
                         HttpUtil.isKeepAlive(head),
                         head.protocolVersion()));
             } else {
@@ -275,7 +275,7 @@
                 upload = null;
                 all.whole();
                 if (taken != null && taken.rest() == all) {
-                    owner.came(this, owner.cameAt());
+                    owner.onRequestComplete(this, owner.receivedAt());
                 }
             }
             head = null;
@@ -305,7 +305,7 @@
                             HttpUtil.getContentLength(head, -1L)),
                     0,
                     null,
-                    owner.cameAt(),
+                    owner.receivedAt(),
                     HttpUtil.isKeepAlive(head),
                     head.protocolVersion()));
             if (ending) {
@@ -416,7 +416,7 @@
             upload = null;
             cutShort = true;
             if (taken != null && taken.rest() == cut) {
-                owner.cut(this);
+                owner.onRequestAborted(this);
                 taken = null;
                 busy = false;
             } else {
@@ -460,7 +460,7 @@
             keepAlive = w.keepAlive();
             version = w.version();
             if (w.error() == null) {
-                owner.whole(this, w.message(), w.at());
+                owner.onRequest(this, w.message(), w.at());
             } else {
                 answer(w.status(), null, w.error());
             }
--- a/src/main/java/gullspar/proxy/client/Crowding.java
+++ b/src/main/java/gullspar/proxy/client/ConnectionPressure.java
@@ -7,7 +7,7 @@
  * Counts what becomes of clients' connections where there are more than places for them: without it, clients
  * that are turned away before their first byte is read leave no trace.
  */
-final class Crowding {
+final class ConnectionPressure {
     int accepted;
     /** Closed as they came: all places were busy. */
     int refused;
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -35,13 +35,13 @@
 public final class Frontend implements Client.Owner {
     /** Who takes the requests. */
     public interface Taker {
-        void taken(Client client, Message message, Asked asked, long at);
+        void onRequest(Client client, Message message, RequestParameters asked, long at);
 
         /** All of a request has come that was taken while it came. */
-        void came(Client client, long at);
+        void onRequestComplete(Client client, long at);
 
         /** The client has gone away before its answer. */
-        void gone(Client client);
+        void onClientLeft(Client client);
     }
 
     /**
@@ -86,7 +86,7 @@
     /** Answers to what made no sense, by status: a line of the log for each would be one for the asking. */
     private final Map<Integer, Integer> rejected = new TreeMap<>();
 
-    private final Crowding crowding = new Crowding();
+    private final ConnectionPressure crowding = new ConnectionPressure();
     private final BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE);
     private Channel listener;
     private long accepted;
@@ -252,12 +252,12 @@
     }
 
     @Override
-    public long cameAt() {
+    public long receivedAt() {
         return clock.now() - platform.unread().ns();
     }
 
     @Override
-    public void whole(Client client, Message m, long at) {
+    public void onRequest(Client client, Message m, long at) {
         String path = new QueryStringDecoder(m.uri()).rawPath();
         Known of = named(path);
         // A class may be called like this path; its requests have an id.
@@ -276,7 +276,7 @@
         }
         Profile p = of.profile();
         HttpMethod method = p.effect() == Effect.IDEMPOTENT ? HttpMethod.GET : HttpMethod.POST;
-        String wrong = Asked.wrong(m, p);
+        String wrong = RequestParameters.wrong(m, p);
         if (!m.method().equals(method)) {
             client.answer(405, null, "this class takes " + method);
         } else if (wrong != null) {
@@ -286,7 +286,7 @@
         } else {
             client.take(m);
             crowding.requests++;
-            taker.taken(client, m, Asked.of(m, of, config), at);
+            taker.onRequest(client, m, RequestParameters.of(m, of, config), at);
             return;
         }
         m.release();
@@ -321,14 +321,14 @@
     }
 
     @Override
-    public void came(Client client, long at) {
-        taker.came(client, at);
+    public void onRequestComplete(Client client, long at) {
+        taker.onRequestComplete(client, at);
     }
 
     @Override
-    public void cut(Client client) {
+    public void onRequestAborted(Client client) {
         ids.close(client.taken().id());
-        taker.gone(client);
+        taker.onClientLeft(client);
     }
 
     @Override
@@ -350,7 +350,7 @@
         used.remove(client);
         if (client.taken() != null) {
             ids.close(client.taken().id());
-            taker.gone(client);
+            taker.onClientLeft(client);
         }
     }
 }
--- a/src/main/java/gullspar/proxy/client/Asked.java
+++ b/src/main/java/gullspar/proxy/client/RequestParameters.java
@@ -13,7 +13,7 @@
 import java.util.regex.Pattern;
 
 /** What a request asks of the module: its class, the tenant by place, the rest as the client said it. */
-public record Asked(Known of, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
+public record RequestParameters(Known of, int tenant, long key, long timeoutNs, long hintNs, boolean repeat) {
     /** No client waits longer; more is a slip of the pen. */
     private static final double LONGEST_TIMEOUT_S = 3600;
     /** Ids and keys: what any backend can read, and no longer than makes sense. */
@@ -57,8 +57,8 @@
         return s > 0 && s <= LONGEST_TIMEOUT_S ? (long) (s * 1e9) : 0;
     }
 
-    static Asked of(Message m, Known of, Config config) {
-        return new Asked(
+    static RequestParameters of(Message m, Known of, Config config) {
+        return new RequestParameters(
                 of,
                 Math.max(0, config.tenants().indexOf(m.headers().get("Tenant", ""))),
                 key(m.headers().get(HttpHeaderNames.COOKIE)),
--- a/src/main/java/gullspar/proxy/discovery/Catalog.java
+++ b/src/main/java/gullspar/proxy/discovery/Catalog.java
@@ -34,7 +34,7 @@
     }
 
     /** Reads one list; throws IllegalArgumentException if it is not one, and then nothing has changed. */
-    News read(JsonNode root) {
+    ListUpdate read(JsonNode root) {
         long generation = generation(root);
         JsonNode instances = root.path("instances");
         if (!instances.isArray()) {
@@ -52,7 +52,7 @@
             entries.add(e);
             addresses.add(address);
         }
-        List<Listed> list = new ArrayList<>();
+        List<ListedBackend> list = new ArrayList<>();
         if (whole) {
             Set<String> ids = new HashSet<>(); // in a list each number kept would be looked for among all
             entries.forEach(e -> ids.add(e.path("instanceId").asText()));
@@ -61,7 +61,7 @@
         }
         for (int i = 0; i < entries.size(); i++) {
             JsonNode e = entries.get(i);
-            list.add(new Listed(
+            list.add(new ListedBackend(
                     new Member(
                             number(e.path("instanceId").asText()),
                             place(kinds, e.path("machineType")),
@@ -74,12 +74,12 @@
                     addresses.get(i)));
         }
         // Whoever is gone needs no number: where ids are ever new, those kept would grow without end.
-        for (Listed l : list) {
+        for (ListedBackend l : list) {
             if (l.member().state() == State.GONE) {
                 numbers.remove(owners.remove(l.member().id()));
             }
         }
-        return new News(whole ? ListKind.FULL : ListKind.DELTA, generation, list);
+        return new ListUpdate(whole ? ListKind.FULL : ListKind.DELTA, generation, list);
     }
 
     /** The version of a list; throws IllegalArgumentException if it has none. */
--- a/src/main/java/gullspar/proxy/discovery/Discovery.java
+++ b/src/main/java/gullspar/proxy/discovery/Discovery.java
@@ -42,7 +42,7 @@
 public final class Discovery {
     /** Who hears of it: news, or that the watch failed. */
     public interface Listener {
-        void news(News news);
+        void news(ListUpdate news);
 
         void failed();
     }
@@ -141,13 +141,13 @@
     }
 
     /** The list that the proxy was started with; null if there is none that can be read. */
-    public News known() {
+    public ListUpdate known() {
         if (!known.isObject()) {
             return null;
         }
         try {
-            News news = catalog.read(known);
-            return new News(ListKind.CACHED, news.version(), news.list());
+            ListUpdate news = catalog.read(known);
+            return new ListUpdate(ListKind.CACHED, news.version(), news.list());
         } catch (IllegalArgumentException e) {
             platform.log().say("the known list is not used: " + e.getMessage());
             return null;
@@ -393,7 +393,7 @@
                 }
                 platform.log().say("discovery counts anew: " + generation + " after " + version);
             }
-            News news = catalog.read(list);
+            ListUpdate news = catalog.read(list);
             complaint = null;
             version = news.version();
             if (at.equals(address)) {
--- a/src/main/java/gullspar/proxy/discovery/News.java
+++ b/src/main/java/gullspar/proxy/discovery/ListUpdate.java
@@ -4,4 +4,4 @@
 import java.util.List;
 
 /** One piece of news of the list, in order. */
-public record News(ListKind kind, long version, List<Listed> list) {}
+public record ListUpdate(ListKind kind, long version, List<ListedBackend> list) {}
--- a/src/main/java/gullspar/proxy/discovery/Listed.java
+++ b/src/main/java/gullspar/proxy/discovery/ListedBackend.java
@@ -4,4 +4,4 @@
 import java.net.InetSocketAddress;
 
 /** A backend as listed, and where this proxy reaches it. */
-public record Listed(Member member, InetSocketAddress address) {}
+public record ListedBackend(Member member, InetSocketAddress address) {}
--- a/src/main/java/gullspar/rehearse/judge/FleetJudge.java
+++ b/src/main/java/gullspar/rehearse/judge/FleetJudge.java
@@ -1,7 +1,7 @@
 package gullspar.rehearse.judge;
 
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Look;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,25 +19,25 @@
     private static final double LEAST_UP_S = 20;
 
     private final Script.Peers asked;
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final long slackNs;
     private final List<Broken> broken = new ArrayList<>();
     /** Whose a life was, and when it lived: learnt from what the processes said of themselves. */
-    private final Map<String, Chronicle.Life> lives = new HashMap<>();
+    private final Map<String, EventLog.Life> lives = new HashMap<>();
     /** When a process answered first: only from then on does it take part. */
-    private final Map<Chronicle.Life, Long> heard = new HashMap<>();
+    private final Map<EventLog.Life, Long> heard = new HashMap<>();
     /** The last that an observer said of a life. */
     private final Map<String, Look.Seen> last = new HashMap<>();
 
     private final Set<String> told = new TreeSet<>();
 
-    private FleetJudge(Script script, Chronicle chronicle, long slackNs) {
+    private FleetJudge(Script script, EventLog chronicle, long slackNs) {
         this.asked = script.peers();
         this.chronicle = chronicle;
         this.slackNs = slackNs;
     }
 
-    static List<Broken> judge(Script script, Chronicle chronicle, long slackNs) {
+    static List<Broken> judge(Script script, EventLog chronicle, long slackNs) {
         FleetJudge j = new FleetJudge(script, chronicle, slackNs);
         for (Look l : chronicle.looks()) {
             chronicle.lives().stream()
@@ -63,14 +63,14 @@
         }
     }
 
-    private boolean livesAt(Chronicle.Life l, long at) {
+    private boolean livesAt(EventLog.Life l, long at) {
         return l.from() <= at && at + slackNs < l.until();
     }
 
     /** How long ago both of them were last struck, or began; negative while one is. */
     private long calmFor(String a, String b, long at) {
         long since = Math.max(chronicle.settledSince(a, at), chronicle.settledSince(b, at));
-        for (Chronicle.Life l : chronicle.lives()) {
+        for (EventLog.Life l : chronicle.lives()) {
             if (l.from() <= at && (l.proxy().equals(a) || l.proxy().equals(b))) {
                 since = Math.max(since, heard.getOrDefault(l, Math.min(l.until(), at)));
             }
@@ -79,12 +79,12 @@
     }
 
     private void look(Look l) {
-        Chronicle.Life me = lives.get(l.life());
+        EventLog.Life me = lives.get(l.life());
         if (me == null) {
             return; // asked while it ended
         }
         for (Look.Seen s : l.seen()) {
-            Chronicle.Life other = lives.get(s.life());
+            EventLog.Life other = lives.get(s.life());
             String who = l.proxy() + " of " + s.name() + '/' + s.life();
             if (other == null
                     && s.present()
@@ -164,7 +164,7 @@
         }
     }
 
-    private void accused(Look l, Chronicle.Life me) {
+    private void accused(Look l, EventLog.Life me) {
         double minutes = Math.max(1, l.upS() / 60);
         boolean struck = chronicle.settledSince(l.proxy(), l.at()) != Long.MIN_VALUE
                 || chronicle.partings().stream().anyMatch(p -> p.from() <= l.at());
@@ -184,7 +184,7 @@
     private void agreed(Look l) {
         long calm = Long.MAX_VALUE;
         Set<String> living = new TreeSet<>();
-        for (Chronicle.Life x : chronicle.lives()) {
+        for (EventLog.Life x : chronicle.lives()) {
             if (x.from() <= l.at()) {
                 calm = Math.min(calm, calmFor(x.proxy(), x.proxy(), l.at()));
                 calm = Math.min(calm, x.until() <= l.at() ? l.at() - x.until() : Long.MAX_VALUE);
@@ -197,7 +197,7 @@
             return;
         }
         Set<String> sees = new TreeSet<>();
-        sees.add(Chronicle.named(l.proxy()));
+        sees.add(EventLog.named(l.proxy()));
         l.seen().stream().filter(s -> s.status().equals("alive")).forEach(s -> sees.add(s.name()));
         if (!sees.equals(living)) {
             wrong(
@@ -210,13 +210,13 @@
     }
 
     /** Two processes that live under one name are both seen, and named as that by all: neither wins. */
-    private void twins(Look l, Chronicle.Life me) {
-        for (Chronicle.Life x : chronicle.lives()) {
+    private void twins(Look l, EventLog.Life me) {
+        for (EventLog.Life x : chronicle.lives()) {
             String name = x.name();
             if (x.proxy().equals(name) || !livesAt(x, l.at())) {
                 continue;
             }
-            Chronicle.Life first = chronicle.lives().stream()
+            EventLog.Life first = chronicle.lives().stream()
                     .filter(y -> y.proxy().equals(name) && livesAt(y, l.at()))
                     .findFirst()
                     .orElse(null);
@@ -245,13 +245,13 @@
      * not.
      */
     private void honest(Look l) {
-        List<Chronicle.Parted> now = chronicle.partings().stream()
+        List<EventLog.Parted> now = chronicle.partings().stream()
                 .filter(p -> p.from() <= l.at() && l.at() < p.until())
                 .toList();
         if (now.size() != 1) {
             return; // several at once: who hears whom is another question
         }
-        Chronicle.Parted p = now.get(0);
+        EventLog.Parted p = now.get(0);
         if (chronicle.lives().stream().anyMatch(x -> !x.proxy().equals(x.name()) && livesAt(x, l.at()))) {
             return; // a twin is on neither side
         }
--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -3,7 +3,7 @@
 import gullspar.decide.Balancer.Effect;
 import gullspar.decide.Balancer.Scope;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Order;
 import gullspar.rehearse.stage.Try;
 import gullspar.rehearse.stage.Try.Attempt;
@@ -27,7 +27,7 @@
     private static final long STEP_NS = 1_000_000_000L;
 
     private final Script script;
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final long slackNs;
     private final List<Broken> broken = new ArrayList<>();
     /** Service of the ten seconds from each second on. */
@@ -35,14 +35,14 @@
 
     private int twice;
 
-    private Judge(Script script, Chronicle chronicle, long slackNs) {
+    private Judge(Script script, EventLog chronicle, long slackNs) {
         this.script = script;
         this.chronicle = chronicle;
         this.slackNs = slackNs;
     }
 
     /** slackNs: how far a time that was seen may lie from the true one. */
-    public static Verdict judge(Script script, Chronicle chronicle, long slackNs) {
+    public static Verdict judge(Script script, EventLog chronicle, long slackNs) {
         return new Judge(script, chronicle, slackNs).verdict();
     }
 
--- a/src/main/java/gullspar/rehearse/judge/Story.java
+++ b/src/main/java/gullspar/rehearse/judge/RequestTrace.java
@@ -1,6 +1,6 @@
 package gullspar.rehearse.judge;
 
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Try;
 import gullspar.rehearse.stage.Try.Attempt;
 import java.util.ArrayList;
@@ -9,13 +9,13 @@
 import java.util.Locale;
 
 /** All that is known of one order, in the order in which it happened, for people to read. */
-public final class Story {
+public final class RequestTrace {
     private record Line(long at, String what) {}
 
-    private Story() {}
+    private RequestTrace() {}
 
     /** The story of the order of a request, a line each, with seconds from the start of the day. */
-    public static List<String> of(Try of, Chronicle chronicle) {
+    public static List<String> of(Try of, EventLog chronicle) {
         List<Line> lines = new ArrayList<>();
         lines.add(new Line(
                 of.order.at,
--- a/src/main/java/gullspar/rehearse/live/LiveFleet.java
+++ b/src/main/java/gullspar/rehearse/live/LiveFleet.java
@@ -7,7 +7,7 @@
 import gullspar.rehearse.script.Fault;
 import gullspar.rehearse.script.FaultKind;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Look;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -71,7 +71,7 @@
         this.relay = new Relay(loop, script.seed() * 31 + 11);
         List<String> all = new ArrayList<>(proxies);
         if (script.faults().stream().anyMatch(f -> f.kind() == FaultKind.TWIN)) {
-            proxies.forEach(p -> all.add(p + Chronicle.TWIN));
+            proxies.forEach(p -> all.add(p + EventLog.TWIN));
         }
         int moves = script.faults().stream()
                 .filter(f -> f.kind() == FaultKind.MOVE)
@@ -113,7 +113,7 @@
                             .collect(Collectors.joining()));
             Files.writeString(
                     file,
-                    "[fleet]\nname = \"" + Chronicle.named(process) + "\"\nbind = \""
+                    "[fleet]\nname = \"" + EventLog.named(process) + "\"\nbind = \""
                             + at(place.home) + "\"\nadvertise = \"" + at(place.address()) + "\"\nseeds = [" + seeds()
                             + "]\nkey_file = \"" + keyFile + "\"\ninterval_ms = "
                             + script.peers().intervalMs()
@@ -141,7 +141,7 @@
         keys.put(process, numbers);
     }
 
-    /** As {@link gullspar.rehearse.play.Strikes#move} says; true if a seed is found elsewhere now. */
+    /** As {@link gullspar.rehearse.play.FaultInjector#move} says; true if a seed is found elsewhere now. */
     boolean move(List<String> ring) {
         String before = seeds();
         List<Relay.Place> places = ring.size() == 1
@@ -153,7 +153,7 @@
         return !seeds().equals(before);
     }
 
-    /** As {@link gullspar.rehearse.play.Strikes#mad} says. */
+    /** As {@link gullspar.rehearse.play.FaultInjector#mad} says. */
     void mad(String process, int forEach) {
         liars.computeIfAbsent(process, p -> {
                     Liar liar = new Liar(
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -6,16 +6,16 @@
 import gullspar.rehearse.judge.Judge;
 import gullspar.rehearse.judge.Verdict;
 import gullspar.rehearse.net.Datagrams;
-import gullspar.rehearse.play.Cast;
+import gullspar.rehearse.play.FaultInjector;
 import gullspar.rehearse.play.Played;
 import gullspar.rehearse.play.Progress;
 import gullspar.rehearse.play.ProxySettings;
-import gullspar.rehearse.play.Strikes;
+import gullspar.rehearse.play.StandIns;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
+import gullspar.rehearse.stage.ManualRequests;
 import gullspar.rehearse.stage.Order;
-import gullspar.rehearse.stage.Stage;
-import gullspar.rehearse.stage.Strangers;
+import gullspar.rehearse.stage.RunEnvironment;
 import gullspar.rehearse.time.Agenda;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -47,7 +47,7 @@
  * Plays a day live: the same script and the same stand-ins, in this process and in real time, with real
  * daemon processes on loopback sockets. All but the start and the end happens on one event loop.
  */
-public final class LivePlay implements Stage, Strikes, AutoCloseable {
+public final class LivePlay implements RunEnvironment, FaultInjector, AutoCloseable {
     /** How far a time that is seen here may lie from the true one. */
     private static final long SLACK_NS = 50_000_000L;
     /** What is under way when a process is killed or stopped is seen up to so much later. */
@@ -79,7 +79,7 @@
     private final List<String> log = new ArrayList<>();
     private final CompletableFuture<Void> begun = new CompletableFuture<>();
     private final Thread atExit = new Thread(this::killAll, "end of the daemons");
-    private final Cast cast;
+    private final StandIns cast;
     private final LiveFleet fleet;
     private boolean over;
 
@@ -88,7 +88,7 @@
         this.folder = Files.createTempDirectory("gullspar-live");
         this.ways = new LiveWays(script.seed());
         Runtime.getRuntime().addShutdownHook(atExit);
-        this.cast = new Cast(this, script, this);
+        this.cast = new StandIns(this, script, this);
         this.fleet = script.peers() == null
                 ? null
                 : new LiveFleet(script, folder, loop, clock::now, cast.proxies(), cast.chronicle()::looked);
@@ -179,7 +179,7 @@
     }
 
     private void playOn(Consumer<Now> now, CountDownLatch end) throws IOException {
-        Strangers strangers = new Strangers(script, this);
+        ManualRequests strangers = new ManualRequests(script, this);
         begin(() -> cast.chronicle().serveStrangers(strangers));
         try {
             do {
@@ -192,7 +192,7 @@
         }
     }
 
-    private Now look(Strangers strangers) {
+    private Now look(ManualRequests strangers) {
         cast.chronicle().forget(now() - LOOK_BACK_NS);
         // The last of them are still under way.
         long before = now() - LOOK_BACK_NS / 5;
@@ -297,10 +297,10 @@
     // ---- the proxies ----
 
     private JsonNode settings(String name) {
-        long seed = Agenda.mix(script.seed() * 31 + 9 + Cast.index(name) * 1000L + lives.getOrDefault(name, 1));
+        long seed = Agenda.mix(script.seed() * 31 + 9 + StandIns.index(name) * 1000L + lives.getOrDefault(name, 1));
         JsonNode settings = ProxySettings.of(
                 script,
-                Cast.index(name),
+                StandIns.index(name),
                 name,
                 address(name),
                 cast.fleet().discovery(name),
@@ -415,7 +415,7 @@
 
     @Override
     public void twin(String proxy, boolean on) {
-        String twin = proxy + Chronicle.TWIN;
+        String twin = proxy + EventLog.TWIN;
         if (on) {
             start(twin);
         } else {
--- a/src/main/java/gullspar/rehearse/net/Way.java
+++ b/src/main/java/gullspar/rehearse/net/HalfConnection.java
@@ -5,7 +5,7 @@
 import java.util.Queue;
 
 /** One way of a connection: what is on it, in order. */
-final class Way {
+final class HalfConnection {
     private enum Kind {
         BYTES,
         FIN,
@@ -25,7 +25,7 @@
     private int bytes;
     private boolean held;
 
-    Way(Network network, MemoryChannel sender, Host from, Host to) {
+    HalfConnection(Network network, MemoryChannel sender, Host from, Host to) {
         this.network = network;
         this.sender = sender;
         this.from = from;
--- a/src/main/java/gullspar/rehearse/net/Liar.java
+++ b/src/main/java/gullspar/rehearse/net/Liar.java
@@ -3,10 +3,10 @@
 import gullspar.peers.Facts;
 import gullspar.peers.Figures;
 import gullspar.peers.Identity;
+import gullspar.peers.MemberStatus;
 import gullspar.peers.Message;
 import gullspar.peers.Phase;
-import gullspar.peers.Rumour;
-import gullspar.peers.Standing;
+import gullspar.peers.Rumor;
 import gullspar.peers.Statement;
 import gullspar.peers.wire.Codec;
 import gullspar.peers.wire.Envelope;
@@ -68,13 +68,13 @@
         }
         long number = m.header().number() * ROOM;
         List<byte[]> out = new ArrayList<>();
-        out.add(sealed(Retold.numbered(m, number)));
+        out.add(sealed(TamperedMessages.numbered(m, number)));
         for (int left = forEach; left > 0 && out.size() < ROOM; left -= IN_ONE) {
-            List<Rumour> rumours = new ArrayList<>();
+            List<Rumor> rumours = new ArrayList<>();
             for (int i = 0; i < Math.min(left, IN_ONE); i++) {
                 rumours.add(invented());
             }
-            out.add(sealed(Retold.numbered(new Message.News(m.header(), rumours), number + out.size())));
+            out.add(sealed(TamperedMessages.numbered(new Message.News(m.header(), rumours), number + out.size())));
         }
         return out;
     }
@@ -83,7 +83,7 @@
         return keys.get().seal(Codec.encode(m));
     }
 
-    private Rumour invented() {
+    private Rumor invented() {
         Identity id = new Identity("ghost" + ++invented, random.nextLong());
         // Nobody is there, but on a live day it must be an address of this machine.
         Statement s = new Statement(
@@ -99,6 +99,6 @@
                 0,
                 Figures.NONE,
                 Facts.NONE);
-        return new Rumour(id, 0, Standing.ALIVE, "", 0, s, 0);
+        return new Rumor(id, 0, MemberStatus.ALIVE, "", 0, s, 0);
     }
 }
--- a/src/main/java/gullspar/rehearse/net/MemoryChannel.java
+++ b/src/main/java/gullspar/rehearse/net/MemoryChannel.java
@@ -31,7 +31,7 @@
     private InetSocketAddress remote;
     private Host peerHost;
     private MemoryChannel peer;
-    private Way out;
+    private HalfConnection out;
     private boolean open = true;
     private boolean active;
     private boolean wanted;
@@ -54,7 +54,7 @@
         this.peerHost = client.host;
         this.peer = client;
         this.active = true;
-        this.out = new Way(network, this, host, peerHost);
+        this.out = new HalfConnection(network, this, host, peerHost);
         this.out.leadsTo(client);
     }
 
@@ -123,7 +123,7 @@
     }
 
     private void connected(ChannelPromise promise) {
-        out = new Way(network, this, host, peerHost);
+        out = new HalfConnection(network, this, host, peerHost);
         out.leadsTo(peer);
         if (!open) {
             out.rst(); // given up meanwhile
--- a/src/main/java/gullspar/rehearse/net/Retold.java
+++ b/src/main/java/gullspar/rehearse/net/TamperedMessages.java
@@ -1,15 +1,15 @@
 package gullspar.rehearse.net;
 
 import gullspar.peers.Message;
-import gullspar.peers.Rumour;
+import gullspar.peers.Rumor;
 import java.util.List;
 
 /** Messages as they were, but for one thing: what whoever holds the key can make of them. */
-public final class Retold {
-    private Retold() {}
+public final class TamperedMessages {
+    private TamperedMessages() {}
 
     /** With other rumours, where its kind carries any; a listing is empty then. */
-    public static Message with(Message m, List<Rumour> rumours) {
+    public static Message with(Message m, List<Rumor> rumours) {
         if (m instanceof Message.Ping p) {
             return new Message.Ping(p.header(), p.nonce(), p.target(), p.hello(), rumours);
         } else if (m instanceof Message.Ack a) {
--- a/src/main/java/gullspar/rehearse/play/Strikes.java
+++ b/src/main/java/gullspar/rehearse/play/FaultInjector.java
@@ -7,7 +7,7 @@
  * What the timeline can do to the proxies and to the ways between machines: this differs by how a day is
  * played.
  */
-public interface Strikes {
+public interface FaultInjector {
     /** Ends a proxy at once, and starts it again after so long. */
     void kill(String proxy, double downS);
 
--- a/src/main/java/gullspar/rehearse/play/Played.java
+++ b/src/main/java/gullspar/rehearse/play/Played.java
@@ -2,7 +2,7 @@
 
 import gullspar.rehearse.judge.Verdict;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import java.util.List;
 
 /**
@@ -11,7 +11,7 @@
  */
 public record Played(
         Script script,
-        Chronicle chronicle,
+        EventLog chronicle,
         Verdict verdict,
         String hash,
         long decisions,
--- a/src/main/java/gullspar/rehearse/play/Cast.java
+++ b/src/main/java/gullspar/rehearse/play/StandIns.java
@@ -2,27 +2,27 @@
 
 import gullspar.rehearse.script.FaultKind;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
-import gullspar.rehearse.stage.Crowd;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Fleet;
 import gullspar.rehearse.stage.Front;
+import gullspar.rehearse.stage.LoadGenerator;
 import gullspar.rehearse.stage.RudeClients;
-import gullspar.rehearse.stage.Stage;
+import gullspar.rehearse.stage.RunEnvironment;
 import java.util.ArrayList;
 import java.util.List;
 
 /** Everybody on a day but the proxies, and the faults; the same live and in virtual time. */
-public final class Cast {
-    private final Stage stage;
+public final class StandIns {
+    private final RunEnvironment stage;
     private final Script script;
-    private final Chronicle chronicle = new Chronicle();
+    private final EventLog chronicle = new EventLog();
     private final List<String> proxies;
     private final Fleet fleet;
     private final Front front;
-    private final Crowd crowd;
+    private final LoadGenerator crowd;
     private final Timeline timeline;
 
-    public Cast(Stage stage, Script script, Strikes strikes) {
+    public StandIns(RunEnvironment stage, Script script, FaultInjector strikes) {
         this.stage = stage;
         this.script = script;
         List<String> names = new ArrayList<>();
@@ -32,7 +32,7 @@
         this.proxies = List.copyOf(names);
         this.fleet = new Fleet(stage, script, chronicle);
         this.front = new Front(stage, script, proxies);
-        this.crowd = new Crowd(stage, script, chronicle, front);
+        this.crowd = new LoadGenerator(stage, script, chronicle, front);
         RudeClients rude =
                 new RudeClients(stage, chronicle, script.classes().get(0).name(), script.seed());
         this.timeline = new Timeline(stage, script, chronicle, fleet, front, crowd, rude, strikes, proxies);
@@ -42,7 +42,7 @@
     public void open() {
         List<String> all = new ArrayList<>(proxies);
         if (script.faults().stream().anyMatch(f -> f.kind() == FaultKind.TWIN)) {
-            proxies.forEach(p -> all.add(p + Chronicle.TWIN));
+            proxies.forEach(p -> all.add(p + EventLog.TWIN));
         }
         fleet.start(all);
     }
@@ -68,10 +68,10 @@
 
     /** The place of a proxy, or of its twin, among all, from 0. */
     public static int index(String proxy) {
-        return Integer.parseInt(Chronicle.named(proxy).substring(1)) - 1;
+        return Integer.parseInt(EventLog.named(proxy).substring(1)) - 1;
     }
 
-    public Chronicle chronicle() {
+    public EventLog chronicle() {
         return chronicle;
     }
 
--- a/src/main/java/gullspar/rehearse/play/Timeline.java
+++ b/src/main/java/gullspar/rehearse/play/Timeline.java
@@ -5,12 +5,12 @@
 import gullspar.rehearse.script.Fault;
 import gullspar.rehearse.script.FaultKind;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
-import gullspar.rehearse.stage.Crowd;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Fleet;
 import gullspar.rehearse.stage.Front;
+import gullspar.rehearse.stage.LoadGenerator;
 import gullspar.rehearse.stage.RudeClients;
-import gullspar.rehearse.stage.Stage;
+import gullspar.rehearse.stage.RunEnvironment;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashSet;
@@ -29,14 +29,14 @@
     private static final Set<FaultKind> HARMLESS =
             EnumSet.of(FaultKind.TWIN, FaultKind.FORGED_DATAGRAMS, FaultKind.MAD_MEMBER);
 
-    private final Stage stage;
+    private final RunEnvironment stage;
     private final Script script;
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final Fleet fleet;
     private final Front front;
-    private final Crowd crowd;
+    private final LoadGenerator crowd;
     private final RudeClients rude;
-    private final Strikes strikes;
+    private final FaultInjector strikes;
     private final List<String> proxies;
     private final Platform platform;
     private final Set<String> twins = new HashSet<>();
@@ -46,14 +46,14 @@
     private long keyUntil;
 
     Timeline(
-            Stage stage,
+            RunEnvironment stage,
             Script script,
-            Chronicle chronicle,
+            EventLog chronicle,
             Fleet fleet,
             Front front,
-            Crowd crowd,
+            LoadGenerator crowd,
             RudeClients rude,
-            Strikes strikes,
+            FaultInjector strikes,
             List<String> proxies) {
         this.stage = stage;
         this.script = script;
@@ -219,7 +219,7 @@
         after(f.lasts(), () -> twins.remove(p));
         during(f, on -> {
             chronicle.unsettled(p, stage.now(), stage.now());
-            chronicle.unsettled(p + Chronicle.TWIN, stage.now(), stage.now());
+            chronicle.unsettled(p + EventLog.TWIN, stage.now(), stage.now());
             strikes.twin(p, on);
         });
     }
--- a/src/main/java/gullspar/rehearse/play/VirtualFleet.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualFleet.java
@@ -9,7 +9,7 @@
 import gullspar.rehearse.net.Liar;
 import gullspar.rehearse.net.Network;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.time.Agenda;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -29,7 +29,7 @@
     private static final int PORT = 9900;
 
     private final Script script;
-    private final Cast cast;
+    private final StandIns cast;
     private final Network network;
     private final Function<String, InetSocketAddress> machines;
     private final VirtualPlay.Peering peering;
@@ -42,7 +42,7 @@
     /** machines: their addresses; each proxy is found at a port of its own machine at first. */
     VirtualFleet(
             Script script,
-            Cast cast,
+            StandIns cast,
             Network network,
             Function<String, InetSocketAddress> machines,
             VirtualPlay.Peering peering) {
@@ -69,7 +69,7 @@
 
     private Fleet fleet(String process) {
         Script.Peers p = script.peers();
-        String name = Chronicle.named(process);
+        String name = EventLog.named(process);
         return new Fleet(
                 name,
                 home(process),
@@ -95,7 +95,7 @@
         return homes.computeIfAbsent(process, this::firstHome);
     }
 
-    /** As {@link Strikes#move} says. */
+    /** As {@link FaultInjector#move} says. */
     void move(List<String> ring) {
         if (ring.size() == 1) {
             homes.put(
@@ -131,10 +131,10 @@
                 .toList());
     }
 
-    /** As {@link Strikes#mad} says. */
+    /** As {@link FaultInjector#mad} says. */
     void mad(String process, int forEach) {
         liars.computeIfAbsent(process, p -> {
-                    Liar liar = new Liar(() -> keysOf(p), script.seed() * 31 + 14 + Cast.index(p));
+                    Liar liar = new Liar(() -> keysOf(p), script.seed() * 31 + 14 + StandIns.index(p));
                     cast.proxies().stream().filter(o -> !o.equals(p)).forEach(o -> network.datagrams(p, o)
                             .liar(liar));
                     return liar;
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -18,9 +18,9 @@
 import gullspar.rehearse.net.Network;
 import gullspar.rehearse.record.DecisionLog;
 import gullspar.rehearse.script.Script;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Look;
-import gullspar.rehearse.stage.Stage;
+import gullspar.rehearse.stage.RunEnvironment;
 import gullspar.rehearse.time.Agenda;
 import gullspar.rehearse.time.VirtualLoop;
 import io.netty.channel.Channel;
@@ -43,7 +43,7 @@
  * Plays a day in virtual time: the daemon's own code on a virtual clock and a network in memory, all in the
  * calling thread. The same script gives the same decisions, whatever machine it is played on.
  */
-public final class VirtualPlay implements Stage, Strikes {
+public final class VirtualPlay implements RunEnvironment, FaultInjector {
     /** When every day begins, Unix time in ns: 2027-01-15T08:00:00Z. */
     private static final long EPOCH_NS = 1_800_000_000L * 1_000_000_000L;
     /** Proxies that are not ready by then never will be. */
@@ -98,8 +98,8 @@
     private final Map<Integer, String> nodeNames = new HashMap<>();
     private final List<String> log = new ArrayList<>();
     private final DecisionLog decisions;
-    private final Cast cast;
-    private final Chronicle chronicle;
+    private final StandIns cast;
+    private final EventLog chronicle;
     private final VirtualFleet fleet;
     private Throwable slip;
 
@@ -110,7 +110,7 @@
         this.network = new Network(agenda, script.seed() * 31 + 8, this::distance);
         this.loop = new VirtualLoop(agenda, e -> slip = slip == null ? e : slip);
         this.decisions = new DecisionLog(() -> agenda.now() - EPOCH_NS, this::nodeName, options.decisions());
-        this.cast = new Cast(this, script, this);
+        this.cast = new StandIns(this, script, this);
         this.chronicle = cast.chronicle();
         this.fleet = script.peers() == null
                 ? null
@@ -174,7 +174,7 @@
         if (machine.startsWith("n")) {
             return cast.fleet().site(machine);
         }
-        return machine.startsWith("p") ? cast.front().site(Chronicle.named(machine)) : null;
+        return machine.startsWith("p") ? cast.front().site(EventLog.named(machine)) : null;
     }
 
     private long distance(String from, String to) {
@@ -255,12 +255,12 @@
     }
 
     private Config config(String name, int life) {
-        long seed = Agenda.mix(script.seed() * 31 + 9 + Cast.index(name) * 1000L + life);
+        long seed = Agenda.mix(script.seed() * 31 + 9 + StandIns.index(name) * 1000L + life);
         try {
             return Config.parse(
                     ProxySettings.of(
                             script,
-                            Cast.index(name),
+                            StandIns.index(name),
                             name,
                             address(name),
                             cast.fleet().discovery(name),
@@ -409,7 +409,7 @@
 
     @Override
     public void twin(String proxy, boolean on) {
-        String twin = proxy + Chronicle.TWIN;
+        String twin = proxy + EventLog.TWIN;
         if (on) {
             start(twin);
         } else {
--- a/src/main/java/gullspar/rehearse/report/FleetChart.java
+++ b/src/main/java/gullspar/rehearse/report/FleetChart.java
@@ -1,6 +1,6 @@
 package gullspar.rehearse.report;
 
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Look;
 import java.util.ArrayList;
 import java.util.List;
@@ -29,11 +29,11 @@
     /** One second of one process; bytes that it sent in it. */
     record Cell(Sight sight, int present, int living, long bytes) {}
 
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final Map<String, TreeMap<Integer, Cell>> cells =
             new TreeMap<>((a, b) -> a.length() != b.length() ? a.length() - b.length() : a.compareTo(b));
 
-    FleetChart(Chronicle chronicle, double seconds) {
+    FleetChart(EventLog chronicle, double seconds) {
         this.chronicle = chronicle;
         Map<String, Look> last = new TreeMap<>();
         for (Look l : chronicle.looks()) {
@@ -53,12 +53,12 @@
 
     private Cell cell(Look l, long sent) {
         Set<String> living = new TreeSet<>();
-        for (Chronicle.Life x : chronicle.lives()) {
+        for (EventLog.Life x : chronicle.lives()) {
             if (x.from() <= l.at() && l.at() < x.until()) {
                 living.add(x.name());
             }
         }
-        Set<String> present = new TreeSet<>(List.of(Chronicle.named(l.proxy())));
+        Set<String> present = new TreeSet<>(List.of(EventLog.named(l.proxy())));
         boolean suspects = false;
         for (Look.Seen s : l.seen()) {
             if (s.present()) {
--- a/src/main/java/gullspar/rehearse/report/HtmlReport.java
+++ b/src/main/java/gullspar/rehearse/report/HtmlReport.java
@@ -2,11 +2,11 @@
 
 import gullspar.rehearse.judge.Broken;
 import gullspar.rehearse.judge.Judge;
-import gullspar.rehearse.judge.Story;
+import gullspar.rehearse.judge.RequestTrace;
 import gullspar.rehearse.judge.Verdict;
 import gullspar.rehearse.play.Played;
 import gullspar.rehearse.script.Fault;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import gullspar.rehearse.stage.Order;
 import gullspar.rehearse.stage.Try;
 import java.io.IOException;
@@ -27,7 +27,7 @@
     private static final long WORST_NS = 10_000_000_000L;
 
     private final Played day;
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final Seconds seconds;
     private final StringBuilder html = new StringBuilder(1 << 16);
 
@@ -186,7 +186,7 @@
                 + "<li><i style=\"background:var(--high)\"></i>70 to 95 %%</li>"
                 + "<li><i style=\"background:var(--full)\"></i>over 95 %%</li>"
                 + "<li><i style=\"background:var(--down)\"></i>down</li></ul>");
-        Map<String, List<Chronicle.Sample>> byNode = new LinkedHashMap<>();
+        Map<String, List<EventLog.Sample>> byNode = new LinkedHashMap<>();
         chronicle.samples().stream().filter(s -> s.at() >= chronicle.start()).forEach(s -> byNode.computeIfAbsent(
                         s.node(), n -> new ArrayList<>())
                 .add(s));
@@ -199,21 +199,21 @@
         add("</div>");
     }
 
-    private void node(String name, List<Chronicle.Sample> samples) {
+    private void node(String name, List<EventLog.Sample> samples) {
         add("<span>%s</span>", escaped(name));
         add(
                 "<svg viewBox=\"0 0 %.2f 1\" preserveAspectRatio=\"none\" role=\"img\" aria-label=\"%s\">",
                 day.script().seconds(), escaped(name));
         double share = 0;
         for (int i = 0; i < samples.size(); i += 4) {
-            List<Chronicle.Sample> four = samples.subList(i, Math.min(samples.size(), i + 4));
+            List<EventLog.Sample> four = samples.subList(i, Math.min(samples.size(), i + 4));
             double at = (four.get(0).at() - chronicle.start()) / 1e9;
             double util =
-                    four.stream().mapToDouble(Chronicle.Sample::util).average().orElse(Double.NaN);
+                    four.stream().mapToDouble(EventLog.Sample::util).average().orElse(Double.NaN);
             double held =
-                    four.stream().mapToInt(Chronicle.Sample::held).average().orElse(0);
-            share += four.stream().mapToDouble(Chronicle.Sample::share).sum();
-            boolean listed = four.stream().allMatch(Chronicle.Sample::listed);
+                    four.stream().mapToInt(EventLog.Sample::held).average().orElse(0);
+            share += four.stream().mapToDouble(EventLog.Sample::share).sum();
+            boolean listed = four.stream().allMatch(EventLog.Sample::listed);
             if (at < day.script().seconds() && !Double.isNaN(util)) {
                 add(
                         "<rect x=\"%.2f\" y=\"0\" width=\"1.02\" height=\"1\" fill=\"var(--%s)\"><title>%s at "
@@ -300,7 +300,7 @@
         add("</pre></details>");
         add("<details><summary>The first order that was not served in time</summary><pre>");
         Order first = lost.get(0);
-        Story.of(first.tries.get(first.tries.size() - 1), chronicle).forEach(l -> add("%s", escaped(l)));
+        RequestTrace.of(first.tries.get(first.tries.size() - 1), chronicle).forEach(l -> add("%s", escaped(l)));
         add("</pre></details>");
     }
 
@@ -319,7 +319,7 @@
                     escaped(b.rule().words()), (b.at() - chronicle.start()) / 1e9, escaped(b.what()));
             Try t = b.request();
             if (t != null) {
-                add("<pre>%s</pre>", escaped(String.join("\n", Story.of(t, chronicle))));
+                add("<pre>%s</pre>", escaped(String.join("\n", RequestTrace.of(t, chronicle))));
             }
         }
     }
--- a/src/main/java/gullspar/rehearse/report/JsonReport.java
+++ b/src/main/java/gullspar/rehearse/report/JsonReport.java
@@ -5,7 +5,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import gullspar.rehearse.judge.Broken;
-import gullspar.rehearse.judge.Story;
+import gullspar.rehearse.judge.RequestTrace;
 import gullspar.rehearse.judge.Verdict;
 import gullspar.rehearse.play.Played;
 import java.util.List;
@@ -46,7 +46,7 @@
                     .put("rule", b.rule().name().toLowerCase(Locale.ROOT))
                     .put("at", (b.at() - p.chronicle().start()) / 1e9)
                     .put("what", b.what());
-            List<String> story = b.request() == null ? List.of() : Story.of(b.request(), p.chronicle());
+            List<String> story = b.request() == null ? List.of() : RequestTrace.of(b.request(), p.chronicle());
             ArrayNode lines = o.putArray("story");
             story.forEach(lines::add);
         }
--- a/src/main/java/gullspar/rehearse/stage/Agent.java
+++ b/src/main/java/gullspar/rehearse/stage/Agent.java
@@ -62,11 +62,11 @@
     private record Versioned(Entry entry, long version) {}
 
     private final String proxy;
-    private final Stage stage;
+    private final RunEnvironment stage;
     private final Platform platform;
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final String machine;
-    private final Turns turns;
+    private final ServiceQueue turns;
     /** By instance; those that are gone stay, so that an old watch can be told. */
     private Map<String, Versioned> entries = new LinkedHashMap<>();
 
@@ -83,7 +83,7 @@
     /** How often it began or ceased to be reachable, with what it has. */
     private int turned;
 
-    Agent(String proxy, Stage stage, Chronicle chronicle, Turns turns) {
+    Agent(String proxy, RunEnvironment stage, EventLog chronicle, ServiceQueue turns) {
         this.turns = turns;
         this.proxy = proxy;
         this.stage = stage;
--- a/src/main/java/gullspar/rehearse/stage/Chronicle.java
+++ b/src/main/java/gullspar/rehearse/stage/EventLog.java
@@ -8,7 +8,7 @@
 import java.util.function.BiFunction;
 
 /** All that happened on a day, as seen from outside the proxies: what the judge and the report go by. */
-public final class Chronicle {
+public final class EventLog {
     /** A proxy was told by then that a node is in service, drains or is gone. */
     public record Told(long at, boolean leaving) {}
 
--- a/src/main/java/gullspar/rehearse/stage/Fleet.java
+++ b/src/main/java/gullspar/rehearse/stage/Fleet.java
@@ -18,9 +18,9 @@
 public final class Fleet implements Node.Fleet {
     private static final long SAMPLE_NS = 250_000_000L;
 
-    private final Stage stage;
+    private final RunEnvironment stage;
     private final Script script;
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final Platform platform;
     private final SplittableRandom random;
     /** The machines with the process that runs on each, by the machine's name; null where none runs. */
@@ -38,7 +38,7 @@
     private final Map<String, Integer> servedBefore = new HashMap<>();
     private final Map<String, Integer> instances = new HashMap<>();
 
-    public Fleet(Stage stage, Script script, Chronicle chronicle) {
+    public Fleet(RunEnvironment stage, Script script, EventLog chronicle) {
         this.stage = stage;
         this.script = script;
         this.chronicle = chronicle;
@@ -83,7 +83,7 @@
             Node node = run(machine, machine, 0);
             listed.put(node.id, entry(node, "in_service"));
         }
-        Turns turns = new Turns(script.discovery().answerMs());
+        ServiceQueue turns = new ServiceQueue(script.discovery().answerMs());
         for (String proxy : proxies) {
             Agent a = new Agent(proxy, stage, chronicle, turns);
             a.knows(List.copyOf(listed.values()));
@@ -320,7 +320,7 @@
                     util = (busy - busyBefore.getOrDefault(n.id + n.bootNs, 0.0)) / SAMPLE_NS / n.cores();
                     busyBefore.put(n.id + n.bootNs, busy);
                 }
-                chronicle.sample(new Chronicle.Sample(
+                chronicle.sample(new EventLog.Sample(
                         stage.now(),
                         e.getKey(),
                         n == null ? 0 : n.held(),
@@ -335,12 +335,12 @@
     }
 
     @Override
-    public Stage stage() {
+    public RunEnvironment stage() {
         return stage;
     }
 
     @Override
-    public Chronicle chronicle() {
+    public EventLog chronicle() {
         return chronicle;
     }
 
--- a/src/main/java/gullspar/rehearse/stage/Front.java
+++ b/src/main/java/gullspar/rehearse/stage/Front.java
@@ -26,7 +26,7 @@
 public final class Front {
     private static final long CHECK_MS = 100;
 
-    private final Stage stage;
+    private final RunEnvironment stage;
     private final Platform platform;
     private final Script script;
     private final SplittableRandom random;
@@ -39,7 +39,7 @@
     private double rush;
     private Runnable whenAllIn = () -> {};
 
-    public Front(Stage stage, Script script, List<String> proxies) {
+    public Front(RunEnvironment stage, Script script, List<String> proxies) {
         this.stage = stage;
         this.platform = stage.at("clients");
         this.script = script;
--- a/src/main/java/gullspar/rehearse/stage/Crowd.java
+++ b/src/main/java/gullspar/rehearse/stage/LoadGenerator.java
@@ -32,16 +32,16 @@
  * work, site, patience) comes from the seed and its number alone, so that it is the same whatever became of
  * those before it, live and in virtual time.
  */
-public final class Crowd {
+public final class LoadGenerator {
     private static final int CONNECT_MS = 1000;
     /** A connection refused is dealt to another proxy, so often at the most. */
     private static final int DEALS = 3;
     /** With less patience left than that no request is sent, in ns: no answer could come in time. */
     private static final long LEAST_NS = 20_000_000L;
 
-    private final Stage stage;
+    private final RunEnvironment stage;
     private final Script script;
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final Front front;
     private final Platform platform;
     private final SplittableRandom arrivals;
@@ -55,7 +55,7 @@
     private int requests;
     private int open;
 
-    public Crowd(Stage stage, Script script, Chronicle chronicle, Front front) {
+    public LoadGenerator(RunEnvironment stage, Script script, EventLog chronicle, Front front) {
         this.stage = stage;
         this.script = script;
         this.chronicle = chronicle;
--- a/src/main/java/gullspar/rehearse/stage/Strangers.java
+++ b/src/main/java/gullspar/rehearse/stage/ManualRequests.java
@@ -4,12 +4,12 @@
 import java.util.function.BiFunction;
 
 /** Requests that somebody sends by hand, with curl: nodes serve them as an order of their class. */
-public final class Strangers implements BiFunction<String, String, Try> {
+public final class ManualRequests implements BiFunction<String, String, Try> {
     private final Script script;
-    private final Stage stage;
+    private final RunEnvironment stage;
     private int served;
 
-    public Strangers(Script script, Stage stage) {
+    public ManualRequests(Script script, RunEnvironment stage) {
         this.script = script;
         this.stage = stage;
     }
--- a/src/main/java/gullspar/rehearse/stage/Node.java
+++ b/src/main/java/gullspar/rehearse/stage/Node.java
@@ -26,9 +26,9 @@
 
     /** What a node shares with the others. */
     interface Fleet {
-        Stage stage();
+        RunEnvironment stage();
 
-        Chronicle chronicle();
+        EventLog chronicle();
 
         Script script();
 
@@ -374,11 +374,11 @@
         return report;
     }
 
-    Stage stage() {
+    RunEnvironment stage() {
         return fleet.stage();
     }
 
-    Chronicle chronicle() {
+    EventLog chronicle() {
         return fleet.chronicle();
     }
 
--- a/src/main/java/gullspar/rehearse/stage/RudeClients.java
+++ b/src/main/java/gullspar/rehearse/stage/RudeClients.java
@@ -34,16 +34,16 @@
         "GET /%s/1",
     };
 
-    private final Stage stage;
+    private final RunEnvironment stage;
     private final Platform platform;
-    private final Chronicle chronicle;
+    private final EventLog chronicle;
     private final String someClass;
     private final SplittableRandom random;
     private final Set<String> rude = new HashSet<>();
     private final Set<String> silent = new HashSet<>();
     private int sent;
 
-    public RudeClients(Stage stage, Chronicle chronicle, String someClass, long seed) {
+    public RudeClients(RunEnvironment stage, EventLog chronicle, String someClass, long seed) {
         this.stage = stage;
         this.platform = stage.at("rude");
         this.chronicle = chronicle;
--- a/src/main/java/gullspar/rehearse/stage/Stage.java
+++ b/src/main/java/gullspar/rehearse/stage/RunEnvironment.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 
 /** Where a rehearsal plays: in virtual time and memory, or live on loopback sockets. */
-public interface Stage {
+public interface RunEnvironment {
     /** What the process of a stand-in's machine stands on; all stand-ins share one event loop. */
     Platform at(String machine);
 
--- a/src/main/java/gullspar/rehearse/stage/Turns.java
+++ b/src/main/java/gullspar/rehearse/stage/ServiceQueue.java
@@ -1,12 +1,12 @@
 package gullspar.rehearse.stage;
 
 /** One service for all callers: it works through their calls in turn. */
-final class Turns {
+final class ServiceQueue {
     private final long eachNs;
     private long freeAt;
 
     /** Each call takes so long; 0 for one that answers at once. */
-    Turns(double eachMs) {
+    ServiceQueue(double eachMs) {
         eachNs = (long) (eachMs * 1e6);
     }
 
--- a/src/main/java/gullspar/site/Pool.java
+++ b/src/main/java/gullspar/site/Pool.java
@@ -9,8 +9,8 @@
 import gullspar.decide.Balancer.State;
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.discovery.Discovery;
-import gullspar.proxy.discovery.Listed;
-import gullspar.proxy.discovery.News;
+import gullspar.proxy.discovery.ListUpdate;
+import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.events.Events;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
@@ -225,13 +225,13 @@
     }
 
     @Override
-    public void news(News news) {
+    public void news(ListUpdate news) {
         if (news.kind() != ListKind.DELTA) {
             List<Integer> listed =
                     news.list().stream().map(l -> l.member().id()).toList();
             names.keySet().stream().filter(id -> !listed.contains(id)).toList().forEach(this::forget);
         }
-        for (Listed l : news.list()) {
+        for (ListedBackend l : news.list()) {
             if (l.member().state() == State.READY) {
                 names.put(l.member().id(), l.address().toString());
                 backends.ready(l.member().id(), l.address(), 0);
@@ -243,7 +243,7 @@
                 now,
                 news.kind(),
                 news.version(),
-                news.list().stream().map(Listed::member).toList()));
+                news.list().stream().map(ListedBackend::member).toList()));
     }
 
     @Override
--- a/src/main/java/gullspar/versions/Feed.java
+++ b/src/main/java/gullspar/versions/FollowerUpdates.java
@@ -3,14 +3,14 @@
 import java.util.List;
 
 /** What one follower that is connected is to get, one update at a time: the next one tells all since. */
-public final class Feed {
-    private final Turns turns;
+public final class FollowerUpdates {
+    private final SnapshotSlots turns;
     private Version has;
     private boolean greeted;
     private boolean wants;
 
     /** turns: those of the control process, for snapshots. */
-    public Feed(Turns turns) {
+    public FollowerUpdates(SnapshotSlots turns) {
         this.turns = turns;
     }
 
@@ -72,7 +72,7 @@
     }
 
     /** Its snapshot has gone, or the follower has: the next one that may have its turn, null for none. */
-    public Feed over() {
-        return (Feed) turns.over(this);
+    public FollowerUpdates over() {
+        return (FollowerUpdates) turns.over(this);
     }
 }
--- a/src/main/java/gullspar/versions/Pace.java
+++ b/src/main/java/gullspar/versions/RateLimiter.java
@@ -4,7 +4,7 @@
  * A token bucket: in any second no more goes out than the allowance, but for one frame. Seven tenths of it
  * come back in a second, three tenths may be spent at once.
  */
-public final class Pace {
+public final class RateLimiter {
     private static final double SECOND = 1e9;
 
     private final double perNs;
@@ -13,7 +13,7 @@
     private long at;
 
     /** bytesPerSecond: 1 or more. */
-    public Pace(long bytesPerSecond, long now) {
+    public RateLimiter(long bytesPerSecond, long now) {
         perNs = bytesPerSecond * 0.7 / SECOND;
         burst = bytesPerSecond * 0.3;
         tokens = burst;
--- a/src/main/java/gullspar/versions/Turns.java
+++ b/src/main/java/gullspar/versions/SnapshotSlots.java
@@ -4,13 +4,13 @@
 import java.util.Set;
 
 /** How many followers get a snapshot at the same time; the others wait in the order in which they came. */
-public final class Turns {
+public final class SnapshotSlots {
     private final int most;
     private final Set<Object> have = new LinkedHashSet<>();
     private final Set<Object> wait = new LinkedHashSet<>();
     private int highest;
 
-    public Turns(int most) {
+    public SnapshotSlots(int most) {
         this.most = most;
     }
 
--- a/src/main/java/gullspar/versions/net/Audience.java
+++ b/src/main/java/gullspar/versions/net/Audience.java
@@ -1,10 +1,10 @@
 package gullspar.versions.net;
 
-import gullspar.versions.Feed;
+import gullspar.versions.FollowerUpdates;
 import gullspar.versions.History;
 import gullspar.versions.Message;
-import gullspar.versions.Pace;
-import gullspar.versions.Turns;
+import gullspar.versions.RateLimiter;
+import gullspar.versions.SnapshotSlots;
 import gullspar.versions.Version;
 import gullspar.versions.wire.Frames;
 import io.netty.channel.EventLoop;
@@ -26,9 +26,9 @@
     private final class Seat {
         private final Link link;
         private final Message.Hello hello;
-        private final Feed feed = new Feed(turns);
+        private final FollowerUpdates feed = new FollowerUpdates(turns);
         private final Deque<byte[]> frames = new ArrayDeque<>();
-        private Pace pace;
+        private RateLimiter pace;
         private boolean snapshot;
         private boolean scheduled;
         private long heardAt = clock.getAsLong();
@@ -39,16 +39,16 @@
             int bytes = hello.role() != Message.Role.PROXY
                     ? paces.control
                     : hello.has() == null ? paces.first : paces.proxy;
-            this.pace = new Pace(bytes, clock.getAsLong());
+            this.pace = new RateLimiter(bytes, clock.getAsLong());
         }
     }
 
     private final EventLoop loop;
     private final LongSupplier clock;
     private final Paces paces;
-    private final Turns turns;
+    private final SnapshotSlots turns;
     private final Map<Link, Seat> seats = new LinkedHashMap<>();
-    private final Map<Feed, Seat> byFeed = new LinkedHashMap<>();
+    private final Map<FollowerUpdates, Seat> byFeed = new LinkedHashMap<>();
     private History history;
     private Version packedTo;
     private Version packedAncestor;
@@ -60,7 +60,7 @@
         this.loop = loop;
         this.clock = clock;
         this.paces = paces;
-        this.turns = new Turns(turns);
+        this.turns = new SnapshotSlots(turns);
         this.history = history;
     }
 
@@ -143,7 +143,7 @@
         }
     }
 
-    private void turn(Feed next) {
+    private void turn(FollowerUpdates next) {
         if (next != null) {
             pump(byFeed.get(next));
         }
@@ -177,7 +177,7 @@
             if (s.frames.isEmpty() && s.snapshot) {
                 s.snapshot = false;
                 if (s.hello.role() == Message.Role.PROXY) { // it serves from now on
-                    s.pace = new Pace(paces.proxy, now);
+                    s.pace = new RateLimiter(paces.proxy, now);
                 }
                 turn(s.feed.over());
             }
--- a/src/test/java/gullspar/capacity/ControlCost.java
+++ b/src/test/java/gullspar/capacity/ControlCost.java
@@ -11,8 +11,8 @@
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.Json;
 import gullspar.proxy.discovery.Discovery;
-import gullspar.proxy.discovery.Listed;
-import gullspar.proxy.discovery.News;
+import gullspar.proxy.discovery.ListUpdate;
+import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
@@ -80,11 +80,12 @@
         }
 
         /** As a list that comes: to the module and to the connections' side. */
-        Known take(News news, ListKind kind) {
+        Known take(ListUpdate news, ListKind kind) {
             now += 1_000_000;
-            List<Member> members = news.list().stream().map(Listed::member).toList();
+            List<Member> members =
+                    news.list().stream().map(ListedBackend::member).toList();
             module.onMembers(now, kind, 1, members);
-            backends.learn(new News(kind, 1, news.list()));
+            backends.learn(new ListUpdate(kind, 1, news.list()));
             return this;
         }
     }
@@ -120,7 +121,7 @@
         byte[] change = Inputs.list(1, false, 42, 2);
         point("list.whole.bytes", "bytes of a whole list", "B", "backends", n, whole.length);
         Known known = new Known(whole);
-        News all = known.discovery.known();
+        ListUpdate all = known.discovery.known();
         known.take(all, ListKind.FULL);
         cpu("list.whole.read.cpu", "processor time to read a whole list", n, () -> read(known, whole));
         cpu(
@@ -130,7 +131,7 @@
                 () -> known.take(all, ListKind.FULL));
         Json json = new Json();
         cpu("list.change.read.cpu", "processor time to read one change", n, () -> parse(json, change));
-        News one = new News(ListKind.DELTA, 42, all.list().subList(0, 1));
+        ListUpdate one = new ListUpdate(ListKind.DELTA, 42, all.list().subList(0, 1));
         cpu(
                 "list.change.apply.cpu",
                 "processor time of the module and the connections' side for one change",
@@ -143,14 +144,14 @@
                 "backends",
                 n,
                 Cost.step(() -> {
-                            News news = read(known, whole);
+                            ListUpdate news = read(known, whole);
                             return known.take(news, ListKind.FULL);
                         })
                         .allocated());
         long kept = Cost.kept(() -> {
                     Known k = new Known(Inputs.list(0, true, 1, 1));
                     k.discovery = discovery(k.config, parse(new Json(), whole));
-                    News news = k.discovery.known();
+                    ListUpdate news = k.discovery.known();
                     return k.take(news, ListKind.FULL);
                 })
                 - Cost.kept(() -> new Known(Inputs.list(0, true, 1, 1)));
@@ -164,7 +165,7 @@
                 kept);
     }
 
-    private News read(Known known, byte[] whole) {
+    private ListUpdate read(Known known, byte[] whole) {
         return discovery(known.config, parse(new Json(), whole)).known();
     }
 
--- a/src/test/java/gullspar/journal/StoryTest.java
+++ b/src/test/java/gullspar/journal/RequestHistoryTest.java
@@ -8,13 +8,13 @@
 import gullspar.journal.Entry.Kind;
 import gullspar.journal.Entry.Outcome;
 import gullspar.journal.Entry.Request;
-import gullspar.journal.Story.State;
+import gullspar.journal.RequestHistory.State;
 import org.junit.jupiter.api.Test;
 
 /** What is said of a request by what is known of it, wherever its proxy was killed. */
-class StoryTest {
+class RequestHistoryTest {
     private static final Request ONE = new Request(1, 1);
-    private final Stories stories = new Stories();
+    private final RequestHistories stories = new RequestHistories();
 
     private State after(Entry e) {
         stories.add(e);
@@ -68,7 +68,7 @@
     void aClientThatLeavesChangesNothingOfWhatMayHaveRun() {
         after(taken());
         assertEquals(State.NEVER_SENT, after(answered(Answer.ABANDONED)));
-        Stories other = new Stories();
+        RequestHistories other = new RequestHistories();
         other.add(taken());
         other.add(intent(0));
         other.add(answered(Answer.ABANDONED));
--- a/src/test/java/gullspar/journal/ScanTest.java
+++ b/src/test/java/gullspar/journal/ScanTest.java
@@ -10,7 +10,7 @@
 import gullspar.journal.Entry.Kind;
 import gullspar.journal.Entry.Outcome;
 import gullspar.journal.Entry.Request;
-import gullspar.journal.Story.State;
+import gullspar.journal.RequestHistory.State;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -28,7 +28,7 @@
     private static final class Read implements Scan.Visitor {
         final List<Entry> entries = new ArrayList<>();
         final List<long[]> lost = new ArrayList<>();
-        final Stories stories = new Stories();
+        final RequestHistories stories = new RequestHistories();
         Scan.End end;
 
         @Override
@@ -121,8 +121,8 @@
 
     /** No request that may have run is called never sent or refused because of what is lost. */
     private static void sayNotTooLittle(Read whole, Read damaged) {
-        for (Story truth : whole.stories.all()) {
-            Story s = damaged.stories.of(truth.request());
+        for (RequestHistory truth : whole.stories.all()) {
+            RequestHistory s = damaged.stories.of(truth.request());
             if (truth.mayHaveRun() && s != null) {
                 assertNotEquals(State.NEVER_SENT, s.state(), truth.request().toString());
                 assertNotEquals(State.REFUSED, s.state(), truth.request().toString());
--- a/src/test/java/gullspar/journal/file/AppenderTest.java
+++ b/src/test/java/gullspar/journal/file/AppenderTest.java
@@ -9,9 +9,9 @@
 import gullspar.journal.Entry.Kind;
 import gullspar.journal.Entry.Outcome;
 import gullspar.journal.Entry.Request;
+import gullspar.journal.RequestHistories;
+import gullspar.journal.RequestHistory;
 import gullspar.journal.Scan;
-import gullspar.journal.Stories;
-import gullspar.journal.Story;
 import gullspar.journal.file.Appender.Durability;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -52,8 +52,8 @@
         a.close();
     }
 
-    static Stories read(Disk disk) {
-        Stories stories = new Stories();
+    static RequestHistories read(Disk disk) {
+        RequestHistories stories = new RequestHistories();
         Scan.Visitor visitor = new Scan.Visitor() {
             @Override
             public void entry(long at, Entry e) {
@@ -74,9 +74,9 @@
     }
 
     private void everythingSentIsThere(FaultyDisk disk, String when) {
-        Stories stories = read(disk);
+        RequestHistories stories = read(disk);
         for (Request r : sent) {
-            Story s = stories.of(r);
+            RequestHistory s = stories.of(r);
             assertTrue(s != null && s.mayHaveRun(), when + ": " + r + " is missing or said not to have run");
         }
     }
--- a/src/test/java/gullspar/peers/FleetFigures.java
+++ b/src/test/java/gullspar/peers/FleetFigures.java
@@ -1,6 +1,6 @@
 package gullspar.peers;
 
-import gullspar.peers.Town.Life;
+import gullspar.peers.SimulatedFleet.Life;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -38,14 +38,14 @@
         System.out.printf(Locale.ROOT, format + "%n", values);
     }
 
-    private static Town settled(long seed, int size, Settings s) {
-        Town t = new Town(seed, s).start(size);
+    private static SimulatedFleet settled(long seed, int size, Settings s) {
+        SimulatedFleet t = new SimulatedFleet(seed, s).start(size);
         // A large fleet's first statements go round for some minutes.
         t.run(size >= 1000 ? 600 : 40);
         return t;
     }
 
-    private static boolean agreed(Town t) {
+    private static boolean agreed(SimulatedFleet t) {
         int living = t.living().size();
         return t.living().stream().allMatch(l -> l.peers.size() == living && l.peers.alive() == living);
     }
@@ -72,7 +72,7 @@
             double bytes = 0;
             int towns = size >= 1000 ? 1 : size >= 100 ? 3 : 20;
             for (int seed = 1; seed <= towns; seed++) {
-                Town t = settled(seed, size, Settings.every(Town.S));
+                SimulatedFleet t = settled(seed, size, Settings.every(SimulatedFleet.S));
                 if (!agreed(t)) {
                     say("size %d, seed %d: did not agree at the start", size, seed);
                 }
@@ -96,12 +96,12 @@
                         }
                     };
                     victim.kill();
-                    while (gone.size() < t.living().size() && t.now - began < 300 * Town.S) {
+                    while (gone.size() < t.living().size() && t.now - began < 300 * SimulatedFleet.S) {
                         t.run(0.5);
                     }
-                    noticed.recordValue((first[0] - began) / Town.MS);
+                    noticed.recordValue((first[0] - began) / SimulatedFleet.MS);
                     known.recordValue(
-                            (gone.values().stream().mapToLong(x -> x).max().orElse(0) - began) / Town.MS);
+                            (gone.values().stream().mapToLong(x -> x).max().orElse(0) - began) / SimulatedFleet.MS);
                     t.heard = (l, c) -> {};
                     t.run(5);
                 }
@@ -110,7 +110,7 @@
         }
     }
 
-    private static long[] cost(Town t) {
+    private static long[] cost(SimulatedFleet t) {
         long[] c = new long[2];
         t.living().forEach(l -> {
             c[0] += l.peers.counters().sent();
@@ -128,17 +128,17 @@
                 Histogram settled = new Histogram(3);
                 int towns = size >= 1000 ? 1 : size >= 100 ? 5 : 20;
                 for (int seed = 1; seed <= towns; seed++) {
-                    Town t = settled(seed + 100L, size, Settings.every(Town.S));
+                    SimulatedFleet t = settled(seed + 100L, size, Settings.every(SimulatedFleet.S));
                     List<Life> one = new ArrayList<>(t.living().subList(0, size / 2));
                     List<Life> other = new ArrayList<>(t.living().subList(size / 2, size));
                     t.partition(one, other, true);
                     t.run(cut);
                     t.partition(one, other, false);
                     long began = t.now;
-                    while (!agreed(t) && t.now - began < 600 * Town.S) {
+                    while (!agreed(t) && t.now - began < 600 * SimulatedFleet.S) {
                         t.run(0.1);
                     }
-                    settled.recordValue((t.now - began) / Town.MS);
+                    settled.recordValue((t.now - began) / SimulatedFleet.MS);
                 }
                 say("| %d | %d | %s | %d |", size, cut, spread(settled), towns);
             }
@@ -152,7 +152,7 @@
         for (int size : new int[] {10, 100}) {
             for (double loss : LOSSES) {
                 for (boolean lifeguard : new boolean[] {true, false}) {
-                    Settings s = Settings.every(Town.S);
+                    Settings s = Settings.every(SimulatedFleet.S);
                     if (!lifeguard) {
                         s = new Settings(
                                 s.intervalNs(),
@@ -172,19 +172,19 @@
                                 s.members(),
                                 s.bytesPerSecond());
                     }
-                    Town t = settled(7, size, s);
+                    SimulatedFleet t = settled(7, size, s);
                     double hours = size == 10 ? 2 : 0.25;
                     long[] counts = new long[2];
                     Set<String> told = new HashSet<>();
                     t.heard = (l, c) -> {
                         if (c.kind() == Change.Kind.SUSPECTED
-                                && told.add(c.about().toString() + t.now / Town.S)) {
+                                && told.add(c.about().toString() + t.now / SimulatedFleet.S)) {
                             counts[0]++;
                         }
                         counts[1] += c.kind() == Change.Kind.GONE ? 1 : 0;
                     };
                     t.loss = loss;
-                    t.jitterNs = 100 * Town.MS;
+                    t.jitterNs = 100 * SimulatedFleet.MS;
                     t.run(hours * 3600);
                     say(
                             "| %d | %.0f %% | %s | %.2f | %.2f |",
--- a/src/test/java/gullspar/peers/PeersPropertiesTest.java
+++ b/src/test/java/gullspar/peers/PeersPropertiesTest.java
@@ -18,27 +18,27 @@
 /** Merging, and a machine that is told anything at all. */
 class PeersPropertiesTest {
     @Provide
-    Arbitrary<Heard> heard() {
-        return Combinators.combine(Arbitraries.integers().between(0, 4), Arbitraries.of(Standing.class))
-                .as(Heard::new);
+    Arbitrary<MemberState> heard() {
+        return Combinators.combine(Arbitraries.integers().between(0, 4), Arbitraries.of(MemberStatus.class))
+                .as(MemberState::new);
     }
 
     @Provide
-    Arbitrary<Map<Long, Heard>> views() {
+    Arbitrary<Map<Long, MemberState>> views() {
         return Arbitraries.maps(Arbitraries.longs().between(1, 6), heard()).ofMaxSize(6);
     }
 
-    private static Map<Long, Heard> merge(Map<Long, Heard> a, Map<Long, Heard> b) {
-        Map<Long, Heard> m = new HashMap<>(a);
-        b.forEach((life, h) -> m.merge(life, h, Heard::merge));
+    private static Map<Long, MemberState> merge(Map<Long, MemberState> a, Map<Long, MemberState> b) {
+        Map<Long, MemberState> m = new HashMap<>(a);
+        b.forEach((life, h) -> m.merge(life, h, MemberState::merge));
         return m;
     }
 
     @Property(tries = 2000, seed = "111")
     void mergingViewsIsCommutativeAssociativeAndIdempotent(
-            @ForAll("views") Map<Long, Heard> a,
-            @ForAll("views") Map<Long, Heard> b,
-            @ForAll("views") Map<Long, Heard> c) {
+            @ForAll("views") Map<Long, MemberState> a,
+            @ForAll("views") Map<Long, MemberState> b,
+            @ForAll("views") Map<Long, MemberState> c) {
         assertEquals(merge(a, b), merge(b, a));
         assertEquals(merge(merge(a, b), c), merge(a, merge(b, c)));
         assertEquals(a, merge(a, a));
@@ -47,11 +47,11 @@
 
     /** Whoever left stays so, and only a higher incarnation clears an accusation. */
     @Property(tries = 2000, seed = "112")
-    void noStateGoesBack(@ForAll("heard") Heard a, @ForAll("heard") Heard b) {
-        Heard m = a.merge(b);
-        assertTrue(a.standing() != Standing.LEFT || m.standing() == Standing.LEFT);
-        assertTrue(m.standing() == Standing.LEFT || m.incarnation() >= a.incarnation());
-        assertTrue(!a.accuses() || m.standing() != Standing.ALIVE || m.incarnation() > a.incarnation());
+    void noStateGoesBack(@ForAll("heard") MemberState a, @ForAll("heard") MemberState b) {
+        MemberState m = a.merge(b);
+        assertTrue(a.standing() != MemberStatus.LEFT || m.standing() == MemberStatus.LEFT);
+        assertTrue(m.standing() == MemberStatus.LEFT || m.incarnation() >= a.incarnation());
+        assertTrue(!a.accuses() || m.standing() != MemberStatus.ALIVE || m.incarnation() > a.incarnation());
     }
 
     private static final String[] NAMES = {"p1", "p2", "p3", "other", "me"};
@@ -61,10 +61,10 @@
     }
 
     private static int small(SplittableRandom r) {
-        return r.nextInt(8) == 0 ? Heard.MOST_INCARNATION - r.nextInt(2) : r.nextInt(5);
+        return r.nextInt(8) == 0 ? MemberState.MOST_INCARNATION - r.nextInt(2) : r.nextInt(5);
     }
 
-    private static Rumour rumour(SplittableRandom r) {
+    private static Rumor rumour(SplittableRandom r) {
         Identity id = id(r);
         Statement s = r.nextBoolean()
                 ? null
@@ -81,18 +81,18 @@
                         0,
                         Figures.NONE,
                         Facts.NONE);
-        return new Rumour(
+        return new Rumor(
                 id,
                 small(r),
-                Standing.values()[r.nextInt(4)],
+                MemberStatus.values()[r.nextInt(4)],
                 r.nextBoolean() ? "" : "p1",
                 r.nextLong(1L << 32),
                 s,
                 r.nextLong(1L << 32));
     }
 
-    private static List<Rumour> rumours(SplittableRandom r) {
-        List<Rumour> all = new ArrayList<>();
+    private static List<Rumor> rumours(SplittableRandom r) {
+        List<Rumor> all = new ArrayList<>();
         for (int i = r.nextInt(5); i > 0; i--) {
             all.add(rumour(r));
         }
@@ -115,7 +115,7 @@
                     h,
                     r.nextLong(),
                     r.nextLong(),
-                    List.of(new Message.Known(r.nextInt(6), small(r), Standing.values()[r.nextInt(4)], small(r))));
+                    List.of(new Message.Known(r.nextInt(6), small(r), MemberStatus.values()[r.nextInt(4)], small(r))));
             default -> new Message.Want(h, List.of((long) r.nextInt(6), r.nextLong()));
         };
     }
@@ -127,7 +127,7 @@
     @Property(tries = 60, seed = "113")
     void whateverAKeyHolderSaysNothingIsThrownAndNothingGrows(@ForAll long seed) {
         SplittableRandom r = new SplittableRandom(seed);
-        Town t = new Town(seed);
+        SimulatedFleet t = new SimulatedFleet(seed);
         t.start("p1", "a1:1", 1, "a2:1");
         t.start("p2", "a2:1", 2, "a1:1");
         t.start("p3", "a3:1", 3, "a1:1");
--- a/src/test/java/gullspar/peers/PeersTest.java
+++ b/src/test/java/gullspar/peers/PeersTest.java
@@ -5,7 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gullspar.peers.Town.Life;
+import gullspar.peers.SimulatedFleet.Life;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -13,8 +13,8 @@
 
 /** A fleet through joins, deaths, cuts and worse, in virtual time. */
 class PeersTest {
-    private static Town settled(long seed, int count) {
-        Town t = new Town(seed).start(count);
+    private static SimulatedFleet settled(long seed, int count) {
+        SimulatedFleet t = new SimulatedFleet(seed).start(count);
         assertTrue(t.until(30, t::agreed) >= 0, "did not agree");
         return t.run(15);
     }
@@ -22,7 +22,7 @@
     @Test
     void allFindEachOtherThroughSeeds() {
         for (int n : new int[] {2, 3, 10, 40}) {
-            Town t = new Town(n).start(n);
+            SimulatedFleet t = new SimulatedFleet(n).start(n);
             double took = t.until(30, t::agreed);
             assertTrue(took >= 0 && took < 15, n + " took " + took);
             t.run(30);
@@ -34,7 +34,7 @@
 
     @Test
     void aDeathIsNoticedByAllAndNobodyElseIsBlamed() {
-        Town t = settled(1, 10);
+        SimulatedFleet t = settled(1, 10);
         t.get(4).kill();
         double noticed = t.until(30, () -> t.living().stream().anyMatch(l -> l.of(t.get(4)) == View.Status.SUSPECTED));
         assertTrue(noticed >= 0 && noticed < 5, "noticed after " + noticed);
@@ -45,7 +45,7 @@
 
     @Test
     void goodbyeIsHeardAtOnceAndIsFinal() {
-        Town t = settled(2, 10);
+        SimulatedFleet t = settled(2, 10);
         Life l = t.get(7);
         l.input(() -> l.peers.leave(t.now));
         assertTrue(t.until(5, () -> t.living().stream().filter(o -> o != l).allMatch(o -> o.of(l) == View.Status.LEFT))
@@ -60,7 +60,7 @@
     /** Its state is lost: life and revision begin anew, and no rumour of the former life holds it down. */
     @Test
     void aProcessThatComesBackSupersedesItsFormerSelf() {
-        Town t = settled(3, 10);
+        SimulatedFleet t = settled(3, 10);
         Life old = t.get(5);
         old.kill();
         t.run(0.3);
@@ -76,7 +76,7 @@
 
     @Test
     void aProcessThatComesBackElsewhereDoesSoToo() {
-        Town t = settled(4, 10);
+        SimulatedFleet t = settled(4, 10);
         Life old = t.get(5);
         old.kill();
         Life back = t.start("p5", "elsewhere:1", "a1:1", "a2:1", "a3:1");
@@ -100,7 +100,7 @@
 
     @Test
     void twoThatLiveUnderOneNameAreNamedOnBothSidesAndNeitherGivesWay() {
-        Town t = settled(5, 10);
+        SimulatedFleet t = settled(5, 10);
         Life one = t.get(5);
         Life other = t.start("p5", "elsewhere:1", "a1:1", "a2:1", "a3:1");
         t.run(30);
@@ -119,7 +119,7 @@
 
     @Test
     void twoHalvesFindEachOtherAgainWithNoOperator() {
-        Town t = settled(6, 20);
+        SimulatedFleet t = settled(6, 20);
         List<Life> a = new ArrayList<>(t.living().subList(0, 10));
         List<Life> b = new ArrayList<>(t.living().subList(10, 20));
         t.partition(a, b, true);
@@ -135,7 +135,7 @@
 
     @Test
     void aMinoritySaysThatItIsOneAndGuessesNothing() {
-        Town t = settled(7, 10);
+        SimulatedFleet t = settled(7, 10);
         List<Life> few = new ArrayList<>(t.living().subList(0, 3));
         List<Life> many = new ArrayList<>(t.living().subList(3, 10));
         t.partition(few, many, true);
@@ -152,7 +152,7 @@
 
     @Test
     void whoStoodStillBlamesNobodyAndObjects() {
-        Town t = settled(8, 10);
+        SimulatedFleet t = settled(8, 10);
         Life l = t.get(2);
         l.pause(true);
         t.run(30);
@@ -171,7 +171,7 @@
     /** A hears B, B does not hear A, round a ring: everybody is reached by others. */
     @Test
     void oneWayLinksInARingBlameNobodyForGood() {
-        Town t = settled(9, 10);
+        SimulatedFleet t = settled(9, 10);
         for (int i = 1; i <= 10; i++) {
             t.cut.add("p" + i + ">p" + (i % 10 + 1));
         }
@@ -183,7 +183,7 @@
     /** It is heard by all and hears nobody: to be heard is no proof of health. */
     @Test
     void whoHearsNobodyIsGoneThoughItSpeaks() {
-        Town t = settled(10, 10);
+        SimulatedFleet t = settled(10, 10);
         Life deaf = t.get(3);
         t.living().forEach(l -> t.cut.add(l.name + ">p3"));
         assertTrue(t.until(
@@ -197,9 +197,9 @@
 
     @Test
     void lossAndJitterAccuseButDoNotConvict() {
-        Town t = settled(11, 20);
+        SimulatedFleet t = settled(11, 20);
         t.loss = 0.3;
-        t.jitterNs = 200 * Town.MS;
+        t.jitterNs = 200 * SimulatedFleet.MS;
         t.twice = 0.1;
         t.run(300);
         assertEquals(0, t.wrong(Change.Kind.GONE));
@@ -209,7 +209,7 @@
 
     @Test
     void sevenInTenDieAndAreBackTwoSecondsLaterSomeElsewhere() {
-        Town t = settled(12, 20);
+        SimulatedFleet t = settled(12, 20);
         for (int i = 1; i <= 14; i++) {
             t.get(i).kill();
         }
@@ -224,7 +224,7 @@
 
     @Test
     void withAllSeedsDeadThoseThatAreThereGoOn() {
-        Town t = settled(13, 10);
+        SimulatedFleet t = settled(13, 10);
         for (int i = 1; i <= 3; i++) {
             t.get(i).kill();
         }
@@ -236,7 +236,7 @@
     /** Half of whom it asks say nothing, nor do helpers that are dead as well: its own hearing is good. */
     @Test
     void aSurvivorThatStoodStillIsRidOfTheDeadSoon() {
-        Town t = settled(19, 10);
+        SimulatedFleet t = settled(19, 10);
         Life survivor = t.get(10);
         survivor.pause(true);
         t.run(10);
@@ -252,7 +252,7 @@
 
     @Test
     void seedsThatAreNamedLaterAreLookedForAtOnce() {
-        Town t = settled(18, 4);
+        SimulatedFleet t = settled(18, 4);
         Life far = t.start("p5", "b5:1"); // neither knows of the other
         assertTrue(t.until(40, t::agreed) < 0);
         t.get(2).input(() -> t.get(2).peers.seeds(t.now, List.of("b5:1")));
@@ -262,7 +262,7 @@
 
     @Test
     void theAddressOfADeadOneIsTakenOverByAnother() {
-        Town t = settled(14, 10);
+        SimulatedFleet t = settled(14, 10);
         Life dead = t.get(6);
         dead.kill();
         Life heir = t.start("p11", dead.address, "a1:1");
@@ -272,7 +272,7 @@
 
     @Test
     void oneThatFlapsEverySecondHarmsNobodyElse() {
-        Town t = settled(15, 10);
+        SimulatedFleet t = settled(15, 10);
         for (int i = 0; i < 40; i++) {
             t.get(9).kill();
             t.run(0.5);
@@ -291,18 +291,18 @@
     /** A member that has gone mad speaks of ten thousand that do not exist. */
     @Test
     void thoseWhomOnlyOneSpeaksOfAreNotBelieved() {
-        Town t = settled(16, 5);
+        SimulatedFleet t = settled(16, 5);
         Life l = t.get(1);
         Life mad = t.get(2);
         Message.Header h = new Message.Header(new Identity("p2", mad.life), 0, mad.address, 1);
         for (int i = 0; i < 2_000; i++) {
-            List<Rumour> ghosts = new ArrayList<>();
+            List<Rumor> ghosts = new ArrayList<>();
             for (int g = 0; g < 5; g++) {
                 Identity id = new Identity("ghost" + (i * 5 + g), i * 5 + g + 1);
-                ghosts.add(new Rumour(
+                ghosts.add(new Rumor(
                         id,
                         0,
-                        Standing.ALIVE,
+                        MemberStatus.ALIVE,
                         "",
                         0,
                         new Statement(
@@ -321,7 +321,7 @@
     /** What a life said counts once; what a dead one said is no sign of life. */
     @Test
     void repeatedDatagramsAndThoseOfTheDeadCountForNothing() {
-        Town t = settled(17, 5);
+        SimulatedFleet t = settled(17, 5);
         Life l = t.get(1);
         Life dead = t.get(4);
         Message.Header old = l.last.get(dead.life).header();
@@ -341,7 +341,7 @@
 
     @Test
     void factsOfOneReachAllUnread() {
-        Town t = settled(18, 10);
+        SimulatedFleet t = settled(18, 10);
         Life l = t.get(3);
         Facts f = Facts.NONE.with("share", 1, 77L).with("later", 9, new byte[] {1, 2, 3});
         l.input(() -> l.peers.say(t.now, Phase.DRAINING, "c2", new Figures(5, 1, 2), f));
@@ -365,7 +365,7 @@
     }
 
     private static List<String> day(long seed) {
-        Town t = new Town(seed).start(8);
+        SimulatedFleet t = new SimulatedFleet(seed).start(8);
         t.loss = 0.1;
         t.run(20);
         t.get(2).kill();
--- a/src/test/java/gullspar/peers/Town.java
+++ b/src/test/java/gullspar/peers/SimulatedFleet.java
@@ -16,7 +16,7 @@
  * Many processes' parts in one fleet, in one thread and in a time of their own, over a network that may
  * fail.
  */
-final class Town {
+final class SimulatedFleet {
     static final long MS = 1_000_000L, S = 1_000_000_000L;
 
     private record Event(long at, long number, Runnable what) {}
@@ -163,12 +163,12 @@
     /** Is what came last kept, and what changed? Large towns that are only counted forget it. */
     boolean remembers = true;
 
-    Town(long seed, Settings settings) {
+    SimulatedFleet(long seed, Settings settings) {
         this.random = new SplittableRandom(seed);
         this.settings = settings;
     }
 
-    Town(long seed) {
+    SimulatedFleet(long seed) {
         this(seed, Settings.every(S));
     }
 
@@ -177,7 +177,7 @@
     }
 
     /** Lets so much time pass. */
-    Town run(double seconds) {
+    SimulatedFleet run(double seconds) {
         long end = now + (long) (seconds * S);
         while (!events.isEmpty() && events.peek().at() <= end) {
             Event e = events.remove();
@@ -237,7 +237,7 @@
     }
 
     /** Starts p1 to pN, the first three being everybody's seeds. */
-    Town start(int count) {
+    SimulatedFleet start(int count) {
         for (int i = 1; i <= count; i++) {
             start("p" + i, "a" + i + ":1", "a1:1", "a2:1", "a3:1");
         }
--- a/src/test/java/gullspar/peers/ViewCost.java
+++ b/src/test/java/gullspar/peers/ViewCost.java
@@ -1,7 +1,7 @@
 package gullspar.peers;
 
 import gullspar.capacity.ResultsWriter;
-import gullspar.peers.Town.Life;
+import gullspar.peers.SimulatedFleet.Life;
 import gullspar.peers.wire.Codec;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
@@ -41,7 +41,7 @@
     private final ResultsWriter results;
     private final int heldOut;
     private final int size;
-    private final Town town;
+    private final SimulatedFleet town;
     private final Map<Message, Integer> encoded = new IdentityHashMap<>();
     private final Map<Life, Long> sentBy = new HashMap<>();
     private Count count = new Count();
@@ -50,7 +50,7 @@
         this.heldOut = heldOut;
         this.results = results;
         this.size = size;
-        this.town = new Town(seed, Settings.every(Town.S));
+        this.town = new SimulatedFleet(seed, Settings.every(SimulatedFleet.S));
         town.remembers = false;
         town.posted = (l, m) -> {
             int bytes = Codec.encode(m).length + ENVELOPE;
@@ -181,7 +181,7 @@
         long full = used();
         int tables = town.living().size();
         int entries = town.living().stream().mapToInt(l -> l.peers.size()).sum();
-        Town empty = new Town(1, Settings.every(Town.S));
+        SimulatedFleet empty = new SimulatedFleet(1, Settings.every(SimulatedFleet.S));
         long before = used();
         for (int i = 0; i < tables; i++) {
             empty.start("proxy-" + i, address(i), address(1), address(2), address(3));
--- a/src/test/java/gullspar/peers/wire/WireTest.java
+++ b/src/test/java/gullspar/peers/wire/WireTest.java
@@ -10,12 +10,12 @@
 import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
 import gullspar.peers.Facts;
 import gullspar.peers.Figures;
-import gullspar.peers.Heard;
 import gullspar.peers.Identity;
+import gullspar.peers.MemberState;
+import gullspar.peers.MemberStatus;
 import gullspar.peers.Message;
 import gullspar.peers.Phase;
-import gullspar.peers.Rumour;
-import gullspar.peers.Standing;
+import gullspar.peers.Rumor;
 import gullspar.peers.Statement;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -72,25 +72,25 @@
                 .as((r, a, z, p, up, twin, f, x) -> new Statement(id, r, a, z, z, a, p, up, twin, r, f, x));
     }
 
-    private static Arbitrary<Rumour> rumours() {
+    private static Arbitrary<Rumor> rumours() {
         return identities().flatMap(id -> Combinators.combine(
-                        Arbitraries.integers().between(0, Heard.MOST_INCARNATION),
-                        Arbitraries.of(Standing.class),
+                        Arbitraries.integers().between(0, MemberState.MOST_INCARNATION),
+                        Arbitraries.of(MemberStatus.class),
                         names(),
                         Arbitraries.longs().between(0, 1L << 40),
                         statements(id).injectNull(0.5))
-                .as((i, s, by, ms, st) -> new Rumour(id, i, s, by, ms, st, ms / 2)));
+                .as((i, s, by, ms, st) -> new Rumor(id, i, s, by, ms, st, ms / 2)));
     }
 
     @Provide
     Arbitrary<Message> messages() {
         Arbitrary<Message.Header> headers = Combinators.combine(
                         identities(),
-                        Arbitraries.integers().between(0, Heard.MOST_INCARNATION),
+                        Arbitraries.integers().between(0, MemberState.MOST_INCARNATION),
                         names(),
                         Arbitraries.longs().greaterOrEqual(1))
                 .as(Message.Header::new);
-        Arbitrary<List<Rumour>> some = rumours().list().ofMaxSize(3);
+        Arbitrary<List<Rumor>> some = rumours().list().ofMaxSize(3);
         return Combinators.combine(
                         headers,
                         Arbitraries.longs(),
@@ -105,7 +105,8 @@
                     case 3 -> new Message.Nack(h, n, r);
                     case 4 -> new Message.News(h, r);
                     case 5 -> new Message.Digest(h, List.of(n, id.life(), 0L));
-                    case 6 -> new Message.Listing(h, n, id.life(), List.of(new Message.Known(n, 4, Standing.GONE, 9)));
+                    case 6 -> new Message.Listing(
+                            h, n, id.life(), List.of(new Message.Known(n, 4, MemberStatus.GONE, 9)));
                     default -> new Message.Want(h, List.of(n, -n));
                 });
     }
--- a/src/test/java/gullspar/proxy/CrowdingTest.java
+++ b/src/test/java/gullspar/proxy/ConnectionPressureTest.java
@@ -20,7 +20,7 @@
 /** Clients that are turned away before they have said anything must leave a trace. */
 @Timeout(60)
 @Isolated("what others print would come in between")
-class CrowdingTest {
+class ConnectionPressureTest {
     @Test
     void connectionsClosedToMakeRoomAreCountedInTheLog() throws Exception {
         PrintStream before = System.err;
--- a/src/test/java/gullspar/proxy/DiscoveryTest.java
+++ b/src/test/java/gullspar/proxy/DiscoveryTest.java
@@ -18,8 +18,8 @@
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
 import gullspar.proxy.discovery.Discovery;
-import gullspar.proxy.discovery.Listed;
-import gullspar.proxy.discovery.News;
+import gullspar.proxy.discovery.ListUpdate;
+import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
@@ -691,7 +691,8 @@
             Request r = setup.request();
             setup.act(() -> {
                 setup.actions.send(r.ticket(), drains.id(), 0);
-                setup.proxy.news(new News(ListKind.DELTA, 42, List.of(new Listed(drains, backend.address()))));
+                setup.proxy.news(
+                        new ListUpdate(ListKind.DELTA, 42, List.of(new ListedBackend(drains, backend.address()))));
             });
             assertEquals(Status.MOOT, setup.outcome().status());
             assertEquals("", backend.accept().read());
--- a/src/test/java/gullspar/proxy/FrontendTest.java
+++ b/src/test/java/gullspar/proxy/FrontendTest.java
@@ -10,8 +10,8 @@
 import gullspar.decide.Balancer.Outcome;
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer.Status;
-import gullspar.proxy.client.Asked;
 import gullspar.proxy.client.Client;
+import gullspar.proxy.client.RequestParameters;
 import gullspar.proxy.config.Config;
 import java.util.ArrayList;
 import java.util.List;
@@ -172,7 +172,7 @@
                     + "Content-Length: 3\r\n\r\nabc");
             Request r = setup.request();
             assertEquals(1, r.profile());
-            assertEquals(Asked.key("sid=7f3a9c21e0b4d655"), r.key());
+            assertEquals(RequestParameters.key("sid=7f3a9c21e0b4d655"), r.key());
             assertNotEquals(0, r.key());
             assertEquals(300_000, r.hintNs());
             assertTrue(r.repeat());
--- a/src/test/java/gullspar/proxy/HandOverTest.java
+++ b/src/test/java/gullspar/proxy/HandOverTest.java
@@ -9,7 +9,7 @@
 import gullspar.decide.Balancer.Request;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.ConfigException;
-import gullspar.proxy.discovery.News;
+import gullspar.proxy.discovery.ListUpdate;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -44,7 +44,7 @@
     }
 
     private void list() throws Exception {
-        setup.act(() -> setup.proxy.news(new News(ListKind.DELTA, 42, List.of())));
+        setup.act(() -> setup.proxy.news(new ListUpdate(ListKind.DELTA, 42, List.of())));
         setup.proxy.bound();
     }
 
--- /dev/null
+++ b/src/test/java/gullspar/proxy/LongListTest.java
@@ -0,0 +1,92 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A list of more servers than 1,024, in the heap that deploy/serve.sh gives the smallest proxy. */
+@Timeout(120)
+@SuppressWarnings("try")
+class LongListTest {
+    private static final int SERVERS = 1100;
+    /** As long as an id may be told from a line of discovery that is cut off: nobody names a limit. */
+    private static final String LONG = "i".repeat(1500);
+
+    private static final List<String> SMALLEST = List.of(
+            "-Xms16m", "-Xmx16m", "-Xmn6m", "-Xss512k", "-XX:MaxMetaspaceSize=40m", "-XX:MaxDirectMemorySize=16m");
+
+    @TempDir
+    Path folder;
+
+    private static void answer(Peer backend) {
+        Thread thread = new Thread(() -> {
+            try {
+                while (true) {
+                    Peer.Wire wire = backend.accept();
+                    wire.read();
+                    wire.write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+                    wire.close();
+                }
+            } catch (IOException | InterruptedException | AssertionError e) {
+                // the test is over
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static JsonNode figures(ProxyProcess process) throws IOException {
+        try (Peer.Wire operator = Peer.Wire.to(process.operators)) {
+            String answer =
+                    operator.write("GET /_vars HTTP/1.1\r\nHost: o\r\n\r\n").read();
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            return new ObjectMapper().readTree(answer.substring(answer.indexOf("\r\n\r\n")));
+        }
+    }
+
+    private static void awaitMembers(ProxyProcess process, int count) throws Exception {
+        while (figures(process).path("members").asInt() != count) {
+            Thread.sleep(10); // asked again until the list is taken in; the test's time-out ends it
+        }
+    }
+
+    private static void served(ProxyProcess process) throws IOException {
+        try (Peer.Wire client = Peer.Wire.to(process.door)) {
+            assertTrue(client.write(Setup.get()).read().startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    private static List<String> servers(int count, String idEnd, String address) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> ProxyProcess.instance("s-" + i + idEnd, address))
+                .toList();
+    }
+
+    @Test
+    void allServersOfALongListAreKnownAndTheProxyServes() throws Exception {
+        try (Peer backend = new Peer();
+                ProxyProcess process = new ProxyProcess(folder, backend.hostPort(), SMALLEST)) {
+            answer(backend);
+            process.list(42, servers(SERVERS, "", backend.hostPort()));
+            process.awaitReady();
+            awaitMembers(process, SERVERS);
+            served(process);
+            process.list(43, servers(SERVERS - 1, "", backend.hostPort()));
+            awaitMembers(process, SERVERS - 1);
+            process.list(44, servers(SERVERS + 1, LONG, backend.hostPort()));
+            awaitMembers(process, SERVERS + 1);
+            served(process);
+            assertEquals(0, figures(process).path("failed").path("look").asInt());
+            assertTrue(process.alive());
+        }
+    }
+}
--- a/src/test/java/gullspar/proxy/OperatorTest.java
+++ b/src/test/java/gullspar/proxy/OperatorTest.java
@@ -46,8 +46,8 @@
         backend = new Peer();
         setup = new Setup().start(Setup.config(discovery, backend));
         setup.loop
-                .submit(() -> setup.proxy.news(
-                        new gullspar.proxy.discovery.News(gullspar.decide.Balancer.ListKind.DELTA, 42, List.of())))
+                .submit(() -> setup.proxy.news(new gullspar.proxy.discovery.ListUpdate(
+                        gullspar.decide.Balancer.ListKind.DELTA, 42, List.of())))
                 .get(20, TimeUnit.SECONDS);
         port = new OperatorPort(Platform.of(setup.loop));
         address = (InetSocketAddress) port.listen(new InetSocketAddress("127.0.0.1", 0))
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -97,7 +97,7 @@
     Setup start(Config config) throws IOException {
         unheard(config, PATIENCE);
         if (!config.inherited()) {
-            loop.submit(proxy::unheard).syncUninterruptibly();
+            loop.submit(proxy::useKnownList).syncUninterruptibly();
         }
         return this;
     }
--- a/src/test/java/gullspar/proxy/StandstillTest.java
+++ b/src/test/java/gullspar/proxy/StandstillTest.java
@@ -1,14 +1,10 @@
 package gullspar.proxy;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -53,9 +49,7 @@
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
     private Backend backend;
-    private Peer discovery;
-    private Process process;
-    private InetSocketAddress door;
+    private ProxyProcess process;
     /** Requests ask for what the backend never answers. */
     private volatile boolean hanging;
 
@@ -131,69 +125,20 @@
     @BeforeEach
     void start() throws Exception {
         backend = new Backend();
-        discovery = new Peer();
-        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            door = (InetSocketAddress) s.getLocalSocketAddress();
-        }
         String address = "127.0.0.1:" + backend.server.getLocalPort();
-        String config = Setup.json(discovery.hostPort(), address, 1024, 5000)
-                .toString()
-                .replace("\"127.0.0.1:0\"", "\"127.0.0.1:" + door.getPort() + "\"");
-        Path file = Files.writeString(folder.resolve("config.json"), config);
-        ProcessBuilder java = new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xlog:disable",
-                "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1",
-                "-cp",
-                System.getProperty("java.class.path"),
-                "gullspar.Main",
-                "serve");
-        java.environment().putAll(Map.of("NODE_CONFIG", file.toString(), "NODE_DISCOVERY", discovery.hostPort()));
-        process = java.redirectErrorStream(true).start();
-        Peer.Wire watch = discovery.accept();
-        watch.read();
-        String list = "{\"generation\":42,\"reset\":true,\"instances\":[{\"instanceId\":\"s-1\","
-                + "\"hostPort\":\"" + address + "\",\"zone\":\"a\",\"machineType\":\"m1\",\"cell\":3,"
-                + "\"lifecycle\":\"in_service\",\"weight\":1.0,\"startedAtMs\":0}]}\n";
-        watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(list.length())
-                + "\r\n" + list + "\r\n");
-        BufferedReader log = process.inputReader();
-        String line = log.readLine();
-        while (line != null && !line.endsWith("ready")) {
-            line = log.readLine();
-        }
-        assertTrue(line != null, "the process ended before it was ready");
-        threads.execute(() -> log.lines().forEach(l -> {}));
-        clock.scheduleAtFixedRate(() -> watch(watch), 500, 500, TimeUnit.MILLISECONDS);
-    }
-
-    /** A beat, so that the watch is not taken for silent. */
-    private static void watch(Peer.Wire watch) {
-        try {
-            watch.write("1\r\n\n\r\n");
-        } catch (IOException e) {
-            // the process has ended
-        }
+        process = new ProxyProcess(folder, address, List.of());
+        process.list(42, List.of(ProxyProcess.instance("s-1", address)));
+        process.awaitReady();
     }
 
     @AfterEach
     void end() throws Exception {
         clock.shutdownNow();
-        process.destroyForcibly().waitFor();
+        process.close();
         backend.close();
-        discovery.close();
         threads.shutdownNow();
     }
 
-    private void signal(String name) throws Exception {
-        assertEquals(
-                0,
-                new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid()))
-                        .start()
-                        .waitFor());
-    }
-
     /** Sends a request now, on a connection of its own; safe ones and, each third, one that is not. */
     private void send() {
         String id = "r" + ids.incrementAndGet();
@@ -203,7 +148,7 @@
         String line = (unsafe ? "POST /pay" : "GET /look") + (request.hangs ? "/hang" : "/1");
         String length = unsafe ? "Content-Length: 0\r\n" : "";
         threads.execute(() -> {
-            try (Peer.Wire wire = Peer.Wire.to(door)) {
+            try (Peer.Wire wire = Peer.Wire.to(process.door)) {
                 wire.write(line + " HTTP/1.1\r\nHost: a\r\nRequest-Id: " + id + "\r\nRequest-Timeout: 0.9\r\n" + length
                         + "\r\n");
                 String answer = wire.read();
@@ -268,10 +213,10 @@
     }
 
     private long standStill(long ms) throws Exception {
-        signal("STOP");
+        process.signal("STOP");
         load(ms);
         long resumed = System.nanoTime();
-        signal("CONT");
+        process.signal("CONT");
         return resumed;
     }
 
--- a/src/test/java/gullspar/proxy/client/BodiesGivenBackTest.java
+++ b/src/test/java/gullspar/proxy/client/BodiesGivenBackTest.java
@@ -33,15 +33,15 @@
                 new ObjectMapper().readTree(Path.of("deploy/warm.json").toFile()), Map.of());
         Frontend.Taker taker = new Frontend.Taker() {
             @Override
-            public void taken(Client client, Message message, Asked asked, long at) {
+            public void onRequest(Client client, Message message, RequestParameters asked, long at) {
                 taken.add(message);
             }
 
             @Override
-            public void came(Client client, long at) {}
+            public void onRequestComplete(Client client, long at) {}
 
             @Override
-            public void gone(Client client) {
+            public void onClientLeft(Client client) {
                 gone.add(client);
                 client.taken().release(); // as an exchange does when it ends
             }
--- a/src/test/java/gullspar/proxy/client/CrossingTest.java
+++ b/src/test/java/gullspar/proxy/client/CrossingTest.java
@@ -39,16 +39,16 @@
         Config config = Config.parse(root, Map.of());
         Frontend.Taker taker = new Frontend.Taker() {
             @Override
-            public void taken(Client client, Message message, Asked asked, long at) {
+            public void onRequest(Client client, Message message, RequestParameters asked, long at) {
                 message.release();
                 client.answer(503, null, "try again");
             }
 
             @Override
-            public void came(Client client, long at) {}
+            public void onRequestComplete(Client client, long at) {}
 
             @Override
-            public void gone(Client client) {}
+            public void onClientLeft(Client client) {}
         };
         Frontend frontend = loop.submit(() -> new Frontend(
                         Platform.of(loop), config, new Classes(config), new Sockets(100).clients, taker, () -> true))
--- a/src/test/java/gullspar/proxy/client/PassingOnTest.java
+++ b/src/test/java/gullspar/proxy/client/PassingOnTest.java
@@ -28,18 +28,18 @@
 class PassingOnTest {
     private static final class Owner implements Client.Owner {
         @Override
-        public void whole(Client client, Message message, long at) {}
+        public void onRequest(Client client, Message message, long at) {}
 
         @Override
-        public long cameAt() {
+        public long receivedAt() {
             return now();
         }
 
         @Override
-        public void came(Client client, long at) {}
+        public void onRequestComplete(Client client, long at) {}
 
         @Override
-        public void cut(Client client) {}
+        public void onRequestAborted(Client client) {}
 
         @Override
         public long unreadNs() {
--- a/src/test/java/gullspar/proxy/client/TenantLookup.java
+++ b/src/test/java/gullspar/proxy/client/TenantLookup.java
@@ -22,7 +22,7 @@
         HttpHeaders h = new DefaultHttpHeaders();
         h.add("Tenant", tenant);
         h.add("Request-Timeout", "0.480");
-        return Asked.of(new Message(HttpMethod.GET, "/look/1", h, null, null, 0), of, config)
+        return RequestParameters.of(new Message(HttpMethod.GET, "/look/1", h, null, null, 0), of, config)
                 .tenant();
     }
 }
--- a/src/test/java/gullspar/rehearse/live/LivePlayTest.java
+++ b/src/test/java/gullspar/rehearse/live/LivePlayTest.java
@@ -8,7 +8,7 @@
 import gullspar.rehearse.judge.Broken;
 import gullspar.rehearse.judge.Rule;
 import gullspar.rehearse.play.Played;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
@@ -55,7 +55,7 @@
         assertTrue(p.log().stream().anyMatch(l -> l.startsWith("p2 ") && l.endsWith(" drained")), "p2 drained");
         assertTrue(p.log().stream().anyMatch(l -> l.contains("a new configuration")), "p1 reloaded");
         assertTrue(p.chronicle().happenings().stream()
-                .map(Chronicle.Happening::what)
+                .map(EventLog.Happening::what)
                 .anyMatch(w -> w.equals("n2 starts, cold")));
         assertFalse(heard.isEmpty());
         // Rules that no slow machine excuses.
--- a/src/test/java/gullspar/rehearse/play/FleetDayTest.java
+++ b/src/test/java/gullspar/rehearse/play/FleetDayTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gullspar.peers.MemberStatus;
 import gullspar.peers.Message;
-import gullspar.peers.Rumour;
+import gullspar.peers.Rumor;
 import gullspar.peers.Settings;
-import gullspar.peers.Standing;
 import gullspar.peers.Statement;
 import gullspar.peers.wire.Codec;
 import gullspar.peers.wire.Envelope;
@@ -15,7 +15,7 @@
 import gullspar.rehearse.Days;
 import gullspar.rehearse.judge.Broken;
 import gullspar.rehearse.judge.Rule;
-import gullspar.rehearse.net.Retold;
+import gullspar.rehearse.net.TamperedMessages;
 import gullspar.rehearse.script.Script;
 import gullspar.rehearse.script.ScriptReader;
 import gullspar.rehearse.script.ScriptWriter;
@@ -187,7 +187,7 @@
 
             @Override
             Message in(Message m) {
-                return Retold.with(
+                return TamperedMessages.with(
                         m,
                         m.rumours().stream()
                                 .filter(r -> !r.id().name().equals(self))
@@ -225,7 +225,8 @@
                 boolean knock = m instanceof Message.Ping p
                         && (p.target() == 0
                                 || m.rumours().stream()
-                                        .anyMatch(r -> r.id().life() == p.target() && r.standing() == Standing.GONE));
+                                        .anyMatch(
+                                                r -> r.id().life() == p.target() && r.standing() == MemberStatus.GONE));
                 return knock ? null : m;
             }
         }));
@@ -274,7 +275,7 @@
 
             @Override
             Message out(Message m) {
-                return Retold.numbered(m, ROOM * m.header().number());
+                return TamperedMessages.numbered(m, ROOM * m.header().number());
             }
 
             @Override
@@ -296,12 +297,12 @@
         caught(Rule.FLEET_TWINS, TWINS, datagrams(() -> new Filter() {
             @Override
             Message out(Message m) {
-                return Retold.with(
+                return TamperedMessages.with(
                         m,
                         m.rumours().stream()
                                 .map(r -> r.statement() == null
                                         ? r
-                                        : new Rumour(
+                                        : new Rumor(
                                                 r.id(),
                                                 r.incarnation(),
                                                 r.standing(),
@@ -334,7 +335,7 @@
     @Test
     void membersThatNeverWereAreNamed() {
         caught(Rule.FLEET_TRUE, MAD, datagrams(() -> new Filter() {
-            private final Map<Long, Rumour> spokenOf = new HashMap<>();
+            private final Map<Long, Rumor> spokenOf = new HashMap<>();
             private long made;
 
             @Override
@@ -347,7 +348,7 @@
 
             @Override
             Message answerTo(Message m) {
-                Rumour r = m instanceof Message.Ping p ? spokenOf.get(p.target()) : null;
+                Rumor r = m instanceof Message.Ping p ? spokenOf.get(p.target()) : null;
                 return r == null
                         ? null
                         : new Message.Ack(
--- a/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
+++ b/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
@@ -10,7 +10,7 @@
 import gullspar.rehearse.record.LogDiff;
 import gullspar.rehearse.script.Script;
 import gullspar.rehearse.script.ScriptReader;
-import gullspar.rehearse.stage.Chronicle;
+import gullspar.rehearse.stage.EventLog;
 import java.io.File;
 import java.io.StringWriter;
 import java.io.Writer;
@@ -86,7 +86,7 @@
     /** A search plays thousands: none may stay in memory, held by what outlives it in this process. */
     @Test
     void aDayThatIsOverIsLetGo() {
-        WeakReference<Chronicle> day =
+        WeakReference<EventLog> day =
                 new WeakReference<>(VirtualPlay.play(Days.small(1, "[peers]\n"), VirtualPlay.Options.plain())
                         .chronicle());
         for (int i = 0; i < 100 && day.get() != null; i++) {
--- a/src/test/java/gullspar/versions/PaceTest.java
+++ b/src/test/java/gullspar/versions/RateLimiterTest.java
@@ -9,12 +9,12 @@
 import org.junit.jupiter.api.Test;
 
 /** How much goes out, and to how many at once. */
-class PaceTest {
+class RateLimiterTest {
     private static final long SECOND = 1_000_000_000L;
 
     @Test
     void inNoSecondMoreGoesThanAllowedButForOneFrame() {
-        Pace p = new Pace(10_000, 0);
+        RateLimiter p = new RateLimiter(10_000, 0);
         Deque<long[]> last = new ArrayDeque<>();
         long now = 5 * SECOND;
         int within = 0;
@@ -39,7 +39,7 @@
 
     @Test
     void soManyHaveATurnAndTheOthersComeInTheirOrder() {
-        Turns t = new Turns(2);
+        SnapshotSlots t = new SnapshotSlots(2);
         assertTrue(t.has("a"));
         assertTrue(t.has("b"));
         assertFalse(t.has("c"));
--- a/src/test/java/gullspar/versions/net/Town.java
+++ b/src/test/java/gullspar/versions/net/SimulatedCluster.java
@@ -30,7 +30,7 @@
 import java.util.function.Consumer;
 
 /** Control processes and followers, by the program's own code, in memory and in virtual time. */
-public final class Town {
+public final class SimulatedCluster {
     public static final long MS = 1_000_000L;
     public static final long S = 1_000_000_000L;
     private static final int PORT = 7400;
@@ -272,7 +272,7 @@
     private final Host operators;
 
     /** So many control processes, the first of which is the primary, and proxies; none is started. */
-    public Town(long seed, int controls, int proxies, long wayNs) {
+    public SimulatedCluster(long seed, int controls, int proxies, long wayNs) {
         agenda = new Agenda(seed, 0);
         network = new Network(agenda, seed, (a, b) -> wayNs);
         random = new SplittableRandom(seed);
--- a/src/test/java/gullspar/versions/net/TownTest.java
+++ b/src/test/java/gullspar/versions/net/SimulatedClusterTest.java
@@ -20,12 +20,12 @@
 
 /** The program's own processes in virtual time: what is too slow, too rare or too many for real ones. */
 @Execution(ExecutionMode.CONCURRENT)
-class TownTest {
-    private static final long MS = Town.MS;
-    private static final long S = Town.S;
+class SimulatedClusterTest {
+    private static final long MS = SimulatedCluster.MS;
+    private static final long S = SimulatedCluster.S;
 
-    private static Message.Published changed(Town t, String text, long after) {
-        Town.Operator o = t.publish(text, after);
+    private static Message.Published changed(SimulatedCluster t, String text, long after) {
+        SimulatedCluster.Operator o = t.publish(text, after);
         for (int i = 0; i < 300 && o.answer == null; i++) {
             t.go(10 * MS);
         }
@@ -33,19 +33,19 @@
         return o.answer;
     }
 
-    private static void accepted(Town t, String text, long after) {
+    private static void accepted(SimulatedCluster t, String text, long after) {
         Message.Published p = changed(t, text, after);
         assertEquals(Publisher.Outcome.ACCEPTED, p.outcome(), p.lines().toString());
     }
 
     @Test
     void oneThatWasAwayForAnHourGetsTheChangesAndNotTheWhole() throws IOException {
-        Town t = new Town(1, 2, 3, 20 * MS);
+        SimulatedCluster t = new SimulatedCluster(1, 2, 3, 20 * MS);
         t.start();
         t.go(S);
         accepted(t, Chain.text(1500, 0), 0);
         assertTrue(t.until(1, 30 * S));
-        Town.Proxy away = t.proxies.get(0);
+        SimulatedCluster.Proxy away = t.proxies.get(0);
         away.kill();
         for (int i = 1; i <= 158; i++) {
             accepted(t, Chain.text(1500, i), i);
@@ -62,7 +62,7 @@
 
     @Test
     void aSlipOfTheReaderCostsOneChangeAndNotThoseAfterIt() throws IOException {
-        Town t = new Town(4, 1, 1, 20 * MS);
+        SimulatedCluster t = new SimulatedCluster(4, 1, 1, 20 * MS);
         t.check = (file, text) -> {
             if (text.equals("slip")) {
                 throw new IllegalStateException("a slip");
@@ -83,17 +83,17 @@
     @Test
     void controlGoneForTenMinutesAndBackBringsNoStampede() throws IOException {
         int n = Integer.getInteger("versions.followers", 60);
-        Town t = new Town(2, 3, n, 40 * MS);
+        SimulatedCluster t = new SimulatedCluster(2, 3, n, 40 * MS);
         t.loss(0.02);
         t.start();
         t.go(S);
         accepted(t, Chain.text(4000, 0), 0);
         assertTrue(t.until(1, 60 * S));
         t.go(5 * S);
-        t.controls.forEach(Town.Place::kill);
+        t.controls.forEach(SimulatedCluster.Place::kill);
         t.go(600 * S);
         assertTrue(t.proxies.stream().allMatch(p -> p.inForce.number() == 1), "it went on");
-        for (Town.Control c : t.controls) {
+        for (SimulatedCluster.Control c : t.controls) {
             c.start();
         }
         long before = t.agenda.now();
@@ -113,7 +113,7 @@
         assertTrue(most < n * 6 / 10, most + " came in one second");
         assertEquals(0, t.controls.stream().mapToLong(c -> c.node.figures()[1]).sum(), "snapshots");
         for (int i = 0; i < had.length; i++) {
-            Town.Proxy p = t.proxies.get(i);
+            SimulatedCluster.Proxy p = t.proxies.get(i);
             assertTrue(p.node.received() + p.node.sent() - had[i] < 30 * 500, "bytes of " + p.name);
         }
         accepted(t, Chain.text(4000, 1), 1);
@@ -122,23 +122,23 @@
 
     @Test
     void allBeginAnewWithNothingAndGetTheWholeAFewAtATime() throws IOException {
-        Town t = new Town(3, 2, 24, 20 * MS);
+        SimulatedCluster t = new SimulatedCluster(3, 2, 24, 20 * MS);
         t.start();
         t.go(S);
-        t.proxies.forEach(Town.Place::kill);
+        t.proxies.forEach(SimulatedCluster.Place::kill);
         accepted(t, Chain.text(8000, 0), 0);
-        for (Town.Proxy p : t.proxies) {
+        for (SimulatedCluster.Proxy p : t.proxies) {
             p.start();
         }
         assertTrue(t.until(1, 120 * S));
-        for (Town.Control c : t.controls) {
+        for (SimulatedCluster.Control c : t.controls) {
             assertTrue(c.node.figures()[2] <= 8, c.node.figures()[2] + " at once");
         }
     }
 
     @Test
     void inNoSecondDoesAProxyGetMoreThanItsAllowance() throws IOException {
-        Town t = new Town(4, 2, 3, 20 * MS);
+        SimulatedCluster t = new SimulatedCluster(4, 2, 3, 20 * MS);
         t.start();
         t.go(S);
         accepted(t, Chain.text(1000, 0), 0);
@@ -147,7 +147,7 @@
         long[] had = t.proxies.stream().mapToLong(p -> p.node.received()).toArray();
         long worst = 0;
         long all = 0;
-        Town.Operator o = t.publish(large(1), 1);
+        SimulatedCluster.Operator o = t.publish(large(1), 1);
         for (int n = 1; n < 100; ) {
             for (long second = t.agenda.now() + S; t.agenda.now() < second; t.go(10 * MS)) {
                 if (o.answer != null && n < 100) {
@@ -180,12 +180,12 @@
 
     @Test
     void aDiskThatIsFullIsSaidAndHealsByItself() throws IOException {
-        Town t = new Town(5, 2, 3, 10 * MS);
+        SimulatedCluster t = new SimulatedCluster(5, 2, 3, 10 * MS);
         t.start();
         t.go(S);
         accepted(t, "one\n", 0);
         assertTrue(t.until(1, 30 * S));
-        Town.Proxy p = t.proxies.get(1);
+        SimulatedCluster.Proxy p = t.proxies.get(1);
         p.disk.full = true;
         accepted(t, "two\n", 1);
         t.go(3 * S);
@@ -206,7 +206,7 @@
 
     @Test
     void aProxyWhoseDiskWasPutBackNeverRunsWhatIsOnIt() throws IOException {
-        Town t = new Town(7, 3, 4, 40 * MS);
+        SimulatedCluster t = new SimulatedCluster(7, 3, 4, 40 * MS);
         t.loss(0.02);
         t.start();
         t.go(S);
@@ -217,11 +217,11 @@
         assertTrue(t.until(2, 3 * S));
         List<Long> ran = new ArrayList<>();
         t.ran = (p, before) -> ran.add(p.inForce.number());
-        Town.Proxy p = t.proxies.get(2);
+        SimulatedCluster.Proxy p = t.proxies.get(2);
         for (int i = 0; i < 20; i++) { // also where what it meets first was put back itself
             p.kill();
             p.disk.files = new HashMap<>(old);
-            Town.Control c = t.controls.get(i % 3);
+            SimulatedCluster.Control c = t.controls.get(i % 3);
             c.kill();
             c.disk.files = new HashMap<>(Map.of("current", old.get("current")));
             c.start();
@@ -234,15 +234,15 @@
 
     @Test
     void anotherPrimaryOfAHigherEpochTakesOverAndTheFormerOneIsNotHeard() throws IOException {
-        Town t = new Town(6, 3, 6, 10 * MS);
+        SimulatedCluster t = new SimulatedCluster(6, 3, 6, 10 * MS);
         t.start();
         t.go(S);
         accepted(t, "one\n", 0);
         assertTrue(t.until(1, 30 * S));
-        Town.Control former = t.controls.get(0);
+        SimulatedCluster.Control former = t.controls.get(0);
         former.kill();
         t.controls.remove(former);
-        for (Town.Control c : t.controls) {
+        for (SimulatedCluster.Control c : t.controls) {
             c.primary = "c2";
             c.epoch = 2;
             c.kill();
@@ -271,7 +271,7 @@
         private final Map<Long, Version> places = new HashMap<>();
         private final List<String> wrong = new ArrayList<>();
 
-        void ran(Town t, Town.Proxy p, Version before) {
+        void ran(SimulatedCluster t, SimulatedCluster.Proxy p, Version before) {
             Version v = p.inForce;
             Version there = places.putIfAbsent(v.number(), v);
             if (there != null && !there.equals(v)) {
@@ -286,17 +286,17 @@
 
     private static void play(long seed) throws IOException {
         SplittableRandom r = new SplittableRandom(seed);
-        Town t = new Town(seed, 3, 8, 5 * MS);
+        SimulatedCluster t = new SimulatedCluster(seed, 3, 8, 5 * MS);
         t.loss(0.02);
         Watch w = new Watch();
         t.ran = (p, before) -> w.ran(t, p, before);
         t.start();
-        List<Town.Operator> changes = new ArrayList<>();
+        List<SimulatedCluster.Operator> changes = new ArrayList<>();
         Map<String, Map<String, byte[]>> backups = new HashMap<>();
         String[] cut = {null, null};
         for (int i = 0; i < 150; i++) {
             t.go((long) (r.nextDouble() * (r.nextInt(4) == 0 ? 6 * S : S)));
-            Town.Place one = r.nextInt(3) == 0 ? t.controls.get(r.nextInt(3)) : t.proxies.get(r.nextInt(8));
+            SimulatedCluster.Place one = r.nextInt(3) == 0 ? t.controls.get(r.nextInt(3)) : t.proxies.get(r.nextInt(8));
             switch (r.nextInt(9)) {
                 case 0, 1, 2 -> changes.add(t.publish("text " + seed + " " + i + "\nof the same\n", head(t)));
                 case 3 -> {
@@ -316,7 +316,7 @@
                     cut(t, cut, true);
                 }
                 default -> {
-                    for (Town.Place p : places(t)) {
+                    for (SimulatedCluster.Place p : places(t)) {
                         if (!p.up()) {
                             p.start();
                         }
@@ -327,7 +327,7 @@
         if (cut[0] != null) {
             cut(t, cut, false);
         }
-        for (Town.Place p : places(t)) {
+        for (SimulatedCluster.Place p : places(t)) {
             p.disk.full = false;
             if (!p.up()) {
                 p.start();
@@ -345,7 +345,7 @@
                 .max()
                 .orElse(0);
         assertTrue(last.head().number() > accepted, "seed " + seed);
-        for (Town.Operator o : changes) {
+        for (SimulatedCluster.Operator o : changes) {
             if (o.answer != null && o.answer.outcome() == Publisher.Outcome.ACCEPTED) {
                 Version v = w.places.get(o.answer.head().number());
                 assertTrue(
@@ -359,18 +359,18 @@
         return log.subList(Math.max(0, log.size() - 60), log.size());
     }
 
-    private static List<Town.Place> places(Town t) {
-        List<Town.Place> all = new ArrayList<>(t.controls);
+    private static List<SimulatedCluster.Place> places(SimulatedCluster t) {
+        List<SimulatedCluster.Place> all = new ArrayList<>(t.controls);
         all.addAll(t.proxies);
         return all;
     }
 
-    private static long head(Town t) {
+    private static long head(SimulatedCluster t) {
         Version v = t.controls.get(0).node.version();
         return v == null ? 0 : v.number();
     }
 
-    private static void cut(Town t, String[] ways, boolean on) {
+    private static void cut(SimulatedCluster t, String[] ways, boolean on) {
         t.network.cut(ways[0], ways[1], on);
         t.network.cut(ways[1], ways[0], on);
     }
@@ -379,7 +379,9 @@
      * Puts an older disk back. What cannot be known is left out: of the control processes one at a time,
      * whose versions all others have. That a proxy asks control first is looked at apart from this.
      */
-    private static void putBack(Town t, Town.Place one, Map<String, Map<String, byte[]>> backups) throws IOException {
+    private static void putBack(
+            SimulatedCluster t, SimulatedCluster.Place one, Map<String, Map<String, byte[]>> backups)
+            throws IOException {
         Map<String, byte[]> old = backups.remove(one.name);
         if (old == null) {
             return;
@@ -387,7 +389,7 @@
         boolean control = t.controls.contains(one);
         if (control) {
             Version mine = t.controls.get(t.controls.indexOf(one)).node.version();
-            for (Town.Control c : t.controls) {
+            for (SimulatedCluster.Control c : t.controls) {
                 if (c != one
                         && (!c.up()
                                 || mine != null
@@ -402,7 +404,7 @@
         }
         one.disk.files = new HashMap<>(old);
         if (!control) {
-            ((Town.Proxy) one).everRan = null;
+            ((SimulatedCluster.Proxy) one).everRan = null;
         }
         one.start();
     }
