Kit: a rule that no attempt is given more time than its client has, and what a pause leaves unread

Need: a proxy that does not know how long a request lay unread gives its backend time that nobody has.

--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -24,6 +24,9 @@
     /** A client that leaves is to be heard of within so long (the operators' page). */
     private static final long LEFT_NS = 100_000_000L;
 
+    /** An attempt may be given so much more than its client has left (the operators' page). */
+    private static final long TOLD_NS = 150_000_000L;
+
     private static final long STEP_NS = 1_000_000_000L;
 
     private final Script script;
@@ -50,6 +53,7 @@
         chronicle.orders().forEach(o -> {
             o.tries.forEach(this::oneAnswer);
             o.tries.forEach(this::leftAlone);
+            o.tries.forEach(this::timeTold);
             o.tries.forEach(this::nothingTwice);
             o.tries.forEach(this::drainsKept);
             effects(o);
@@ -234,6 +238,25 @@
         }
     }
 
+    /** A proxy that does not know how long a request has waited gives its backend time that nobody has. */
+    private void timeTold(Try t) {
+        for (Attempt a : t.attempts) {
+            long left = t.deadline - a.sentAt;
+            if (a.toldNs != Long.MAX_VALUE && a.toldNs > left + TOLD_NS + slackNs) {
+                broken(
+                        Rule.TIME_TOLD,
+                        a.sentAt,
+                        t,
+                        String.format(
+                                Locale.ROOT,
+                                "the attempt at %s was given %.3f s when its client had %.3f s left",
+                                a.node,
+                                a.toldNs / 1e9,
+                                left / 1e9));
+            }
+        }
+    }
+
     private void nothingTwice(Try t) {
         Effect effect = t.order.kind.effect();
         if (effect == Effect.IDEMPOTENT) {
--- a/src/main/java/gullspar/rehearse/judge/Rule.java
+++ b/src/main/java/gullspar/rehearse/judge/Rule.java
@@ -10,6 +10,7 @@
     LISTS_HEARD("nothing new goes to a node later than the grace after discovery has had it for 6 s, and "
             + "could be reached, that it drains or is gone, whatever became of the proxy's calls"),
     COLD_SPARED("no cold node is pushed over by all proxies together"),
+    TIME_TOLD("no attempt is given over 0.15 s more than its client has left to wait"),
     LEFT_ALONE("no attempt, first or further, begins for a request whose client left 0.1 s ago"),
     FLEET_TRUE(
             "no proxy that lives and can be reached is called gone for long, and each dead one leaves " + "every view"),
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -280,7 +280,13 @@
         Host host = network.host(name);
         host.runs(life.loop);
         Platform platform = options.platform()
-                .apply(new Platform(life.loop, agenda::now, network.transport(host), line -> say(who, line)));
+                .apply(new Platform(
+                        life.loop,
+                        agenda::now,
+                        network.transport(host),
+                        line -> say(who, line),
+                        life.loop::unreadNs,
+                        null));
         long warm = (long) (script.proxies().startS() * 1e9);
         if (fleet != null) {
             chronicle.began(name, agenda.now());
--- a/src/main/java/gullspar/rehearse/stage/NodeConnection.java
+++ b/src/main/java/gullspar/rehearse/stage/NodeConnection.java
@@ -58,6 +58,7 @@
             attempt = null;
             if (asked != null) {
                 attempt = new Attempt(node.id, node.site, node.stage().sentAt(c.channel()));
+                attempt.toldNs = head.headers().contains("Request-Timeout") ? timeoutNs() : Long.MAX_VALUE;
                 asked.attempts.add(attempt);
                 node.stage().peer(c.channel(), asked.proxy);
             }
--- a/src/main/java/gullspar/rehearse/stage/Try.java
+++ b/src/main/java/gullspar/rehearse/stage/Try.java
@@ -63,6 +63,9 @@
         public long wholeAt;
         public long startedAt;
         public long endedAt;
+        /** The time that the proxy gave it, in ns; MAX_VALUE where it said none. */
+        public long toldNs = Long.MAX_VALUE;
+
         public State state = State.PART;
 
         Attempt(String node, String site, long sentAt) {
--- a/src/main/java/gullspar/rehearse/time/VirtualLoop.java
+++ b/src/main/java/gullspar/rehearse/time/VirtualLoop.java
@@ -46,6 +46,8 @@
     };
     private final Promise<Void> termination = new DefaultPromise<>(this);
     private boolean paused;
+    private long pausedAt;
+    private long resumedAt = Long.MIN_VALUE;
     private boolean ended;
     private boolean running;
     /** The earliest wake-up that is entered for timers; MAX_VALUE if none is. */
@@ -69,11 +71,19 @@
     /** Stops the process as SIGSTOP does, or lets it go on. */
     public void pause(boolean on) {
         paused = on;
-        if (!on) {
+        if (on) {
+            pausedAt = agenda.now();
+        } else {
+            resumedAt = agenda.now();
             agenda.at(agenda.now(), source, this::wake);
         }
     }
 
+    /** How long what is read now may have waited, in ns: since the beginning of a pause that has just ended. */
+    public long unreadNs() {
+        return agenda.now() == resumedAt ? resumedAt - pausedAt : 0;
+    }
+
     /** Ends the process as SIGKILL does: nothing that it meant to do happens any more. */
     public void end() {
         ended = true;
--- a/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
+++ b/src/test/java/gullspar/rehearse/play/JudgeSaysNoTest.java
@@ -13,6 +13,7 @@
 import gullspar.decide.Balancer.Settings;
 import gullspar.decide.Balancer.State;
 import gullspar.decide.Balancer.Status;
+import gullspar.proxy.io.Platform;
 import gullspar.rehearse.Days;
 import gullspar.rehearse.judge.Broken;
 import gullspar.rehearse.judge.Rule;
@@ -36,6 +37,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -70,11 +72,29 @@
 
     @Test
     void unplantedTheSameDaysKeepAllRules() {
-        for (Script s : List.of(QUIET, HARMED, LEAVING, UNHEARD, COLD, IMPATIENT)) {
+        for (Script s : List.of(QUIET, HARMED, LEAVING, UNHEARD, COLD, IMPATIENT, PAUSED)) {
             assertEquals(List.of(), play(s, VirtualPlay.Options.plain()).broken());
         }
     }
 
+    // ---- a proxy that stands still ----
+
+    private static final Script PAUSED = Days.small(6, Days.fault("pause", 2, "for = 0.5\nproxies = 1"));
+
+    /** The proxy does not know for how long what it reads has waited. */
+    @Test
+    void anAttemptIsGivenTimeThatItsClientDoesNotHave() {
+        caught(
+                Rule.TIME_TOLD,
+                "when its client had",
+                PAUSED,
+                new VirtualPlay.Options(
+                        null,
+                        UnaryOperator.identity(),
+                        p -> new Platform(p.loop(), p.clock(), p.transport(), p.log()),
+                        Progress.NONE));
+    }
+
     // ---- clients that leave ----
 
     private static final Script IMPATIENT =
--- a/src/test/java/gullspar/rehearse/play/Planted.java
+++ b/src/test/java/gullspar/rehearse/play/Planted.java
@@ -35,7 +35,13 @@
         return new VirtualPlay.Options(
                 null,
                 UnaryOperator.identity(),
-                p -> new Platform(p.loop(), p.clock(), new Sockets(p.transport(), accepted, connected), p.log()),
+                p -> new Platform(
+                        p.loop(),
+                        p.clock(),
+                        new Sockets(p.transport(), accepted, connected),
+                        p.log(),
+                        p.unread(),
+                        p.figures()),
                 Progress.NONE);
     }
 
