Connects that fail share the budget of broken connections; clients that leave early are no loss

Change: a connect that failed is tried again out of the budget of broken connections (0.3): it is no load. An attempt that is called off because its client left before the answer would have been late tells nothing of the load.

--- a/src/main/java/gullspar/decide/Outcomes.java
+++ b/src/main/java/gullspar/decide/Outcomes.java
@@ -52,13 +52,23 @@
     void learn(Ticket t, Attempt a, Outcome o, long now) {
         switch (o.status()) {
             case OK -> served(t, a, o, now);
-            case FULL, TIMEOUT, CANCELLED -> rates.lost++;
-            default -> rates.sent = Math.max(0, rates.sent - 1); // says nothing of the load
+            case FULL, TIMEOUT -> rates.lost++;
+            case CANCELLED -> cancelled(t);
+            default -> rates.forgetSend(); // says nothing of the load
         }
         jammed(a, o, now);
         failed(a.to, o.status(), now);
     }
 
+    /** A client that leaves before its answer would be late does so for reasons of its own, not of the load. */
+    private void cancelled(Ticket t) {
+        if (t.leftEarly) {
+            rates.forgetSend();
+        } else {
+            rates.lost++;
+        }
+    }
+
     private void served(Ticket t, Attempt a, Outcome o, long now) {
         Server s = a.to;
         double unit = Math.max(1000, o.elapsedNs()) / (a.ahead + 1) * weights.warmth(s, now);
--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -246,7 +246,7 @@
      */
     private void again(Ticket t, long now) {
         Status last = t.attempts.get(t.attempts.size() - 1).ended;
-        boolean broke = last == Status.RESET;
+        boolean broke = last == Status.RESET || last == Status.CONNECT_FAILED;
         boolean free = settings.listWeights() && last == Status.CONNECT_FAILED;
         if ((free || retries.has(broke)) && repeats.mayAttempt(t, now)) {
             Server s = pick(t, now);
@@ -346,6 +346,7 @@
     public void onWithdrawn(long now, int ticket) {
         Ticket t = tickets.get(ticket);
         if (t != null && !t.over) {
+            t.leftEarly = now < t.aim;
             close(t);
         }
     }
--- a/src/main/java/gullspar/decide/RetryBudget.java
+++ b/src/main/java/gullspar/decide/RetryBudget.java
@@ -6,7 +6,10 @@
     private static final double RATE = 0.02;
 
     private static final double BURST = 5;
-    /** The same after a broken connection or a spoilt answer: that tells of no load, and comes in rows. */
+    /**
+     * The same after a connection that broke or did not come up, or a spoilt answer: that tells of no load, and
+     * comes in rows.
+     */
     private static final double RESEND_RATE = 0.3;
 
     private static final double RESEND_BURST = 10;
@@ -20,7 +23,7 @@
         resends = Math.min(RESEND_BURST, resends + RESEND_RATE);
     }
 
-    /** Is there one for a further attempt? broke: the last one ended as a reset. */
+    /** Is there one for a further attempt? broke: the last one broke or did not come up. */
     boolean has(boolean broke) {
         return (broke ? resends : retries) >= 1;
     }
--- a/src/main/java/gullspar/decide/Ticket.java
+++ b/src/main/java/gullspar/decide/Ticket.java
@@ -17,6 +17,9 @@
     int out;
     boolean over;
     boolean begun;
+    /** Its client left while an answer would still have been in time. */
+    boolean leftEarly;
+
     /** The queue of its key; null where the order of requests is free. */
     Turn turn;
 
--- a/src/main/java/gullspar/decide/TrafficRates.java
+++ b/src/main/java/gullspar/decide/TrafficRates.java
@@ -25,6 +25,11 @@
         arrivals++;
     }
 
+    /** An attempt has ended that tells nothing of the load. */
+    void forgetSend() {
+        sent = Math.max(0, sent - 1);
+    }
+
     void age(double keep) {
         arrivals *= keep;
         unsent *= keep;
