--- a/src/main/java/gullspar/cli/Rehearse.java
+++ b/src/main/java/gullspar/cli/Rehearse.java
@@ -130,9 +130,9 @@
                         ? " (and " + (p.verdict().broken().size() - 1) + " more)"
                         : ""));
         System.err.printf(
-                Locale.ROOT, "at %.6f s: %s%n", (first.at() - p.chronicle().start()) / 1e9, first.what());
+                Locale.ROOT, "at %.6f s: %s%n", (first.at() - p.eventLog().start()) / 1e9, first.what());
         if (first.request() != null) {
-            RequestTrace.of(first.request(), p.chronicle()).forEach(line -> System.err.println("  " + line));
+            RequestTrace.of(first.request(), p.eventLog()).forEach(line -> System.err.println("  " + line));
         }
         System.err.println("play it again: ./gullspar rehearse " + script + " --seed "
                 + p.script().seed() + (live ? " --live" : ""));
@@ -207,7 +207,7 @@
         @Override
         public Integer call() {
             for (FaultKind k : FaultKind.values()) {
-                System.out.println(k.named() + "  (" + k.strikes().name().toLowerCase(Locale.ROOT)
+                System.out.println(k.named() + "  (" + k.target().name().toLowerCase(Locale.ROOT)
                         + (k.momentary() ? "" : ", for") + ")"
                         + k.figures().stream()
                                 .map(f -> String.format(
--- a/src/main/java/gullspar/cli/TryOut.java
+++ b/src/main/java/gullspar/cli/TryOut.java
@@ -99,6 +99,6 @@
                 now.nodes(),
                 now.rate(),
                 100 * now.inTime(),
-                now.strangers()));
+                now.manualRequests()));
     }
 }
--- a/src/main/java/gullspar/peers/Counters.java
+++ b/src/main/java/gullspar/peers/Counters.java
@@ -6,7 +6,7 @@
     long sentBytes;
     long received;
     long repeated;
-    long strangers;
+    long unknownSenders;
     long withheld;
     long refusedMembers;
     long objections;
@@ -33,8 +33,8 @@
     }
 
     /** Datagrams from lives that had not proved that they live. */
-    public long strangers() {
-        return strangers;
+    public long unknownSenders() {
+        return unknownSenders;
     }
 
     /** Datagrams that were not sent, so as not to send too much. */
--- a/src/main/java/gullspar/peers/DatagramSender.java
+++ b/src/main/java/gullspar/peers/DatagramSender.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.function.Function;
 
-/** Sends datagrams in this process's name, and lets rumours ride along. */
+/** Sends datagrams for this process and piggybacks rumors on them, within a budget of bytes. */
 final class DatagramSender {
     private static final int ROOM = Message.MOST_BYTES - Message.ENVELOPE;
 
@@ -27,7 +27,7 @@
         this.allowance = new Allowance(settings.bytesPerSecond(), now);
     }
 
-    /** May this process send that much more than what it must, without leaving none for answers? */
+    /** Does the budget hold so many optional datagrams, and a reserve for answers? */
     boolean affords(int datagrams, long now) {
         return allowance.has((datagrams + 2.0) * Message.MOST_BYTES, now);
     }
@@ -53,16 +53,16 @@
         send(now, address, to, false, (h, r) -> new Message.Nack(h, nonce, r));
     }
 
-    /** What there is to tell, to one member. */
+    /** Sends pending rumors to one member. */
     void news(long now, Peer to) {
         send(now, to.address(), to.id, false, Message.News::new);
     }
 
-    /** These rumours, in as many datagrams as it takes. */
-    void tell(long now, Peer to, List<Rumor> rumours) {
+    /** Sends these rumors, in as many datagrams as needed. */
+    void tell(long now, Peer to, List<Rumor> rumors) {
         List<Rumor> page = new ArrayList<>();
         int left = 0;
-        for (Rumor r : rumours) {
+        for (Rumor r : rumors) {
             if (r.bytes() > left) {
                 page(now, to, page);
                 page = new ArrayList<>();
@@ -76,51 +76,51 @@
 
     private void page(long now, Peer to, List<Rumor> page) {
         if (!page.isEmpty()) {
-            post(now, to.address(), new Message.News(self.header(), page));
+            transmit(now, to.address(), new Message.News(self.header(), page));
         }
     }
 
-    /** A message that carries no rumours. */
+    /** Sends a message without rumors. */
     void plain(long now, Peer to, Function<Message.Header, Message> make) {
-        post(now, to.address(), make.apply(self.header()));
+        transmit(now, to.address(), make.apply(self.header()));
     }
 
-    /** So much fits into one message besides its header. */
+    /** Bytes that fit into one message besides its header. */
     int room() {
         return ROOM - Message.FRONT - self.headerBytes();
     }
 
     private interface Making {
-        Message make(Message.Header header, List<Rumor> rumours);
+        Message make(Message.Header header, List<Rumor> rumors);
     }
 
     private void send(long now, String address, Identity to, boolean introduced, Making making) {
         Message.Header h = self.header();
-        List<Rumor> rumours = new ArrayList<>();
-        int left = ROOM - making.make(h, rumours).size();
+        List<Rumor> rumors = new ArrayList<>();
+        int left = ROOM - making.make(h, rumors).size();
         if (introduced) {
-            left = add(rumours, self.rumour(now, true), left);
+            left = add(rumors, self.rumor(now, true), left);
         }
-        // Whoever is accused must hear of it first of all, so that it can object.
+        // A suspected member has to be told first, so that it can refute the suspicion.
         Peer p = to == null ? null : roster.get(to);
-        if (p != null && p.heard.accuses()) {
-            left = add(rumours, new Rumor(p.id, p.heard.incarnation(), p.heard.standing(), "", 0, null, 0), left);
+        if (p != null && p.state.accuses()) {
+            left = add(rumors, new Rumor(p.id, p.state.incarnation(), p.state.status(), "", 0, null, 0), left);
         }
         if (p != null) {
-            gossip.fill(rumours, left, to, settings.tellings(roster.size()), Settings.lightTellings(roster.size()));
+            gossip.fill(rumors, left, to, settings.tellings(roster.size()), Settings.lightTellings(roster.size()));
         }
-        post(now, address, making.make(h, rumours));
+        transmit(now, address, making.make(h, rumors));
     }
 
-    private static int add(List<Rumor> rumours, Rumor r, int left) {
+    private static int add(List<Rumor> rumors, Rumor r, int left) {
         if (r.bytes() <= left) {
-            rumours.add(r);
+            rumors.add(r);
             return left - r.bytes();
         }
         return left;
     }
 
-    private void post(long now, String address, Message m) {
+    private void transmit(long now, String address, Message m) {
         int bytes = m.size() + Message.ENVELOPE;
         if (!allowance.take(bytes, now)) {
             counters.withheld++;
--- a/src/main/java/gullspar/peers/Detector.java
+++ b/src/main/java/gullspar/peers/Detector.java
@@ -60,9 +60,9 @@
 
     private final Settings settings;
     private final Roster roster;
-    private final Judgement judgement;
+    private final MemberStates members;
     private final SelfHealth health;
-    private final DatagramSender post;
+    private final DatagramSender sender;
     private final RandomGenerator random;
     private final Self self;
     private final Map<Long, Question> open = new HashMap<>();
@@ -73,16 +73,16 @@
             Settings settings,
             Self self,
             Roster roster,
-            Judgement judgement,
+            MemberStates members,
             SelfHealth health,
-            DatagramSender post,
+            DatagramSender sender,
             RandomGenerator random) {
         this.settings = settings;
         this.self = self;
         this.roster = roster;
-        this.judgement = judgement;
+        this.members = members;
         this.health = health;
-        this.post = post;
+        this.sender = sender;
         this.random = random;
     }
 
@@ -123,7 +123,7 @@
                 now + health.stretched(settings.intervalNs()));
         long nonce = open(q);
         if (nonce != 0) {
-            post.ping(now, p.address(), p.id, nonce, false);
+            sender.ping(now, p.address(), p.id, nonce, false);
         }
     }
 
@@ -144,7 +144,7 @@
             open.get(nonce).askedAt = now;
         }
         if (nonce != 0) {
-            post.ping(now, address, target, nonce, true);
+            sender.ping(now, address, target, nonce, true);
         }
     }
 
@@ -172,7 +172,7 @@
         q.askersNonce = r.nonce();
         long nonce = open(q);
         if (nonce != 0) {
-            post.ping(now, r.address(), r.target(), nonce, false);
+            sender.ping(now, r.address(), r.target(), nonce, false);
         }
     }
 
@@ -196,7 +196,7 @@
             case FOR_ANOTHER -> {
                 open.remove(a.nonce());
                 if (himself) {
-                    post.ack(now, q.asker.address(), q.asker.id, q.askersNonce, a.of(), a.incarnation(), false);
+                    sender.ack(now, q.asker.address(), q.asker.id, q.askersNonce, a.of(), a.incarnation(), false);
                 }
             }
             default -> open.remove(a.nonce());
@@ -207,18 +207,18 @@
         Peer p = q.target;
         if (a.of().equals(p.id)) {
             open.remove(a.nonce());
-            judgement.alive(now, p, a.incarnation());
+            members.alive(now, p, a.incarnation());
             p.onlyByOthers = !himself;
             if (himself) {
                 p.answeredAt = now;
                 health.count(q.direct ? -1 : 0);
                 if (p.id.name().equals(self.id.name())) {
-                    judgement.twin(now, p);
+                    members.twin(now, p);
                 }
             }
         } else if (himself && q.address.equals(p.address())) {
             open.remove(a.nonce());
-            judgement.gone(now, p, "at " + q.address + " answers " + a.of());
+            members.gone(now, p, "at " + q.address + " answers " + a.of());
         }
     }
 
@@ -250,7 +250,7 @@
 
     private void others(long now, long nonce, Question q) {
         if (q.kind == Kind.FOR_ANOTHER) {
-            post.nack(now, q.asker.address(), q.asker.id, q.askersNonce);
+            sender.nack(now, q.asker.address(), q.asker.id, q.askersNonce);
             return;
         }
         q.direct = false;
@@ -258,7 +258,7 @@
             if (helper.verdict == MemberStatus.ALIVE) {
                 // One that is silent itself tells nothing of how well this process hears.
                 q.nacksWanted += now - helper.heardAt <= lately() ? 1 : 0;
-                post.pingReq(now, helper, nonce, q.target);
+                sender.pingReq(now, helper, nonce, q.target);
             }
         }
     }
@@ -272,7 +272,7 @@
         health.count(q.nacksWanted > 0 ? Math.max(0, q.nacksWanted - q.nacks) : 1);
         Peer p = q.target;
         if (p.present() && roster.get(p.id) == p) {
-            judgement.suspect(now, p, p.heard.incarnation(), self.id.name());
+            members.suspect(now, p, p.state.incarnation(), self.id.name());
         }
     }
 
--- a/src/main/java/gullspar/peers/Gossip.java
+++ b/src/main/java/gullspar/peers/Gossip.java
@@ -12,9 +12,9 @@
  * newest, and nothing more often than a fleet of that size needs for all to hear it (SWIM, section 4.1).
  */
 final class Gossip {
-    /** Makes a rumour of a life as it is at that moment; null if it is not known any more. */
+    /** Makes a rumor of a life as it is at that moment; null if it is not known any more. */
     interface Source {
-        Rumor rumour(Identity id, boolean withStatement);
+        Rumor rumor(Identity id, boolean withStatement);
     }
 
     private static final class Item {
@@ -77,7 +77,7 @@
             if (i.id.equals(to)) {
                 continue;
             }
-            Rumor r = source.rumour(i.id, i.withStatement);
+            Rumor r = source.rumor(i.id, i.withStatement);
             if (r == null || r.bytes() <= left) {
                 told.add(i);
                 if (r != null) {
--- a/src/main/java/gullspar/peers/Identity.java
+++ b/src/main/java/gullspar/peers/Identity.java
@@ -3,7 +3,7 @@
 /**
  * One process of a member: the name stays over restarts, the life is drawn anew at each start (64 random
  * bits). So a process that comes back is another one, whatever became of its disk and its clock, and no
- * rumour of its former life can be taken for one of this.
+ * rumor of its former life can be taken for one of this.
  */
 public record Identity(String name, long life) implements Comparable<Identity> {
     /** Names, zones and versions: this much at the most, of letters, digits and a few signs. */
--- a/src/main/java/gullspar/peers/MemberState.java
+++ b/src/main/java/gullspar/peers/MemberState.java
@@ -1,27 +1,24 @@
 package gullspar.peers;
 
 /**
- * The most that was heard of a life. Values are in one total order and merging takes the larger, so that
- * views merge the same in whatever order and however often rumours come: goodbye overrides all, then the
- * larger incarnation, then the graver standing. Only the process itself raises its incarnation; so whoever
- * is accused in error overrides the accusation by the next one.
+ * Status of a member at an incarnation. States are totally ordered and merging takes the larger one, so that views
+ * converge in whatever order and however often rumors arrive: LEFT overrides all, then the larger incarnation, then
+ * the later status. Only the process itself raises its incarnation; it refutes a wrong suspicion by the next one.
  */
-public record MemberState(int incarnation, MemberStatus standing) implements Comparable<MemberState> {
+public record MemberState(int incarnation, MemberStatus status) implements Comparable<MemberState> {
     @Override
     public int compareTo(MemberState o) {
-        boolean left = standing == MemberStatus.LEFT;
-        if (left != (o.standing == MemberStatus.LEFT)) {
+        boolean left = status == MemberStatus.LEFT;
+        if (left != (o.status == MemberStatus.LEFT)) {
             return left ? 1 : -1;
         }
-        return incarnation != o.incarnation
-                ? Integer.compare(incarnation, o.incarnation)
-                : standing.compareTo(o.standing);
+        return incarnation != o.incarnation ? Integer.compare(incarnation, o.incarnation) : status.compareTo(o.status);
     }
 
-    /** No process objects that often: a higher one is no incarnation, and there is always a next. */
+    /** The largest valid incarnation: more than a process refutes in its life, and the next one still fits an int. */
     public static final int MOST_INCARNATION = 1_000_000_000;
 
-    /** May that be one? */
+    /** Is it a valid incarnation? */
     static boolean incarnation(int i) {
         return i >= 0 && i <= MOST_INCARNATION;
     }
@@ -31,8 +28,8 @@
         return compareTo(o) >= 0 ? this : o;
     }
 
-    /** Does it say that the life is, or may be, over, though it did not say goodbye? */
+    /** Does it say that the process has, or may have, failed without leaving? */
     boolean accuses() {
-        return standing == MemberStatus.SUSPECTED || standing == MemberStatus.GONE;
+        return status == MemberStatus.SUSPECTED || status == MemberStatus.GONE;
     }
 }
--- a/src/main/java/gullspar/peers/Judgement.java
+++ b/src/main/java/gullspar/peers/MemberStates.java
@@ -6,11 +6,11 @@
 import java.util.Set;
 
 /**
- * What this process holds each member for, and when that changes. What is heard goes into {@link MemberState},
- * which merges the same for all; the verdict follows it, at once or after the time that a suspicion takes.
+ * The state machine of each member. Rumors are merged into {@link MemberState}, the same at all members; the verdict of
+ * this process follows, at once or when a suspicion times out.
  */
-final class Judgement {
-    /** Who is said to be gone while he was alive here is given so many time-outs to object. */
+final class MemberStates {
+    /** A member that is alive here and reported as gone has so many probe timeouts to refute that. */
     private static final int GRACE = 3;
 
     private static final long MS = 1_000_000L;
@@ -23,14 +23,14 @@
     private final Outbox out;
     private final Counters counters;
     private final Set<Peer> suspected = new LinkedHashSet<>();
-    /** Members that came, came back, or are to be looked at out of turn. */
-    private final List<Peer> toSee = new ArrayList<>();
+    /** Members to be probed out of turn. */
+    private final List<Peer> toProbe = new ArrayList<>();
 
-    private final List<Peer> cameBack = new ArrayList<>();
+    private final List<Peer> returned = new ArrayList<>();
     private long changedAt;
     private boolean settled = true;
 
-    Judgement(
+    MemberStates(
             Self self,
             Settings settings,
             Roster roster,
@@ -65,40 +65,40 @@
         return settled;
     }
 
-    /** Those to be asked out of turn, once. */
-    List<Peer> takeToSee() {
-        List<Peer> taken = List.copyOf(toSee);
-        toSee.clear();
+    /** Returns and clears the members to be probed out of turn. */
+    List<Peer> takeToProbe() {
+        List<Peer> taken = List.copyOf(toProbe);
+        toProbe.clear();
         return taken;
     }
 
-    /** Those that came or came back since the last call: their views may differ much from this one. */
-    List<Peer> takeCameBack() {
-        List<Peer> taken = List.copyOf(cameBack);
-        cameBack.clear();
+    /** Returns and clears the members that joined or returned: their views may differ much from this one. */
+    List<Peer> takeReturned() {
+        List<Peer> taken = List.copyOf(returned);
+        returned.clear();
         return taken;
     }
 
-    // ---- rumours ----
+    // ---- rumors ----
 
-    /** Takes in what the peer says; the speaker proved that it lives. */
+    /** Applies a rumor from a member that is known to be alive. */
     void learn(long now, Rumor r, Peer from) {
         if (r.id().equals(self.id)) {
-            aboutMe(now, r);
+            onRumorOfSelf(now, r);
             return;
         }
         Peer p = roster.get(r.id());
         if (p == null) {
-            hearsay(now, r, from);
+            unconfirmed(now, r, from);
             return;
         }
         if (r.statement() != null && r.statement().revision() > p.statement.revision()) {
             stated(now, p, r.statement(), now - r.statedMs() * MS);
         }
-        switch (r.standing()) {
+        switch (r.status()) {
             case ALIVE -> alive(now, p, r.incarnation());
             case SUSPECTED -> suspect(now, p, r.incarnation(), r.by().isEmpty() ? from.id.name() : r.by());
-            case GONE -> saidGone(now, p, r.incarnation(), r.by());
+            case GONE -> onReportedGone(now, p, r.incarnation(), r.by());
             default -> left(now, p, r.incarnation());
         }
     }
@@ -140,8 +140,8 @@
         }
     }
 
-    private void aboutMe(long now, Rumor r) {
-        boolean accused = r.heard().accuses() && r.incarnation() >= self.incarnation();
+    private void onRumorOfSelf(long now, Rumor r) {
+        boolean accused = r.state().accuses() && r.incarnation() >= self.incarnation();
         // A higher incarnation than this process ever had: it was another's mistake, and is overridden as
         // well.
         if (!self.left() && (accused || r.incarnation() > self.incarnation())) {
@@ -153,21 +153,21 @@
         }
     }
 
-    private void hearsay(long now, Rumor r, Peer from) {
+    private void unconfirmed(long now, Rumor r, Peer from) {
         if (r.statement() == null || tooOld(now, r)) {
             return; // without an address nobody can look; who is long gone is as good as forgotten
         }
-        Roster.Hearsay known = roster.hearsay(r.id());
+        Roster.Unconfirmed known = roster.unconfirmed(r.id());
         if (known == null) {
-            roster.spokenOf(new Roster.Hearsay(r, from.id.life(), now));
+            roster.addUnconfirmed(new Roster.Unconfirmed(r, from.id.life(), now));
         } else if (known.by != from.id.life()) {
             roster.forget(known);
             admit(
                     now,
                     r.id(),
-                    newer(known.rumour, r).statement(),
+                    newer(known.rumor, r).statement(),
                     now - r.statedMs() * MS,
-                    r.heard().merge(known.rumour.heard()),
+                    r.state().merge(known.rumor.state()),
                     now - r.sinceMs() * MS,
                     r.by());
         }
@@ -178,22 +178,22 @@
     }
 
     private boolean tooOld(long now, Rumor r) {
-        return (r.standing() == MemberStatus.GONE || r.standing() == MemberStatus.LEFT)
+        return (r.status() == MemberStatus.GONE || r.status() == MemberStatus.LEFT)
                 && r.sinceMs() * MS >= settings.forgetNs();
     }
 
-    /** Takes in somebody who was not known. */
-    Peer admit(long now, Identity id, Statement s, long statedAt, MemberState heard, long since, String why) {
-        Peer p = new Peer(id, s, Math.min(now, statedAt), heard, heard.standing() == MemberStatus.ALIVE ? now : since);
-        if (heard.accuses()) {
+    /** Adds a new member; null if the roster is full. */
+    Peer admit(long now, Identity id, Statement s, long statedAt, MemberState state, long since, String why) {
+        Peer p = new Peer(id, s, Math.min(now, statedAt), state, state.status() == MemberStatus.ALIVE ? now : since);
+        if (state.accuses()) {
             p.why = why;
         }
-        boolean suspect = heard.standing() == MemberStatus.SUSPECTED;
-        p.verdict = suspect ? MemberStatus.ALIVE : heard.standing();
+        boolean suspect = state.status() == MemberStatus.SUSPECTED;
+        p.verdict = suspect ? MemberStatus.ALIVE : state.status();
         p.presentAt = p.present() ? now : Long.MIN_VALUE;
         p.heardAt = now;
-        p.knockGap = 2 * settings.intervalNs();
-        p.knockAt = now + p.knockGap;
+        p.reconnectPauseNs = 2 * settings.intervalNs();
+        p.reconnectAt = now + p.reconnectPauseNs;
         if (!roster.add(p)) {
             counters.refusedMembers++;
             return null;
@@ -203,18 +203,18 @@
             return p;
         }
         changed(now, Change.Kind.JOINED, id, "at " + s.address());
-        cameBack.add(p);
+        returned.add(p);
         for (Peer other : roster.sameName(id)) {
             formerLife(now, p, other);
         }
         if (id.name().equals(self.id.name())) {
-            toSee.add(p);
+            toProbe.add(p);
         }
         if (s.twin() == self.id.life() && id.name().equals(self.id.name())) {
             twin(now, p);
         }
         if (suspect) {
-            suspect(now, p, heard.incarnation(), why);
+            suspect(now, p, state.incarnation(), why);
         }
         return p;
     }
@@ -229,19 +229,19 @@
         if (older.address().equals(newer.address())) {
             gone(now, older, "it came back as " + newer.id);
         } else {
-            toSee.add(older);
+            toProbe.add(older);
         }
     }
 
     // ---- verdicts ----
 
-    /** It lives in that incarnation. */
+    /** The member is alive at that incarnation. */
     void alive(long now, Peer p, int incarnation) {
         MemberState said = new MemberState(incarnation, MemberStatus.ALIVE);
-        if (said.compareTo(p.heard) <= 0) {
+        if (said.compareTo(p.state) <= 0) {
             return;
         }
-        p.heard = said;
+        p.state = said;
         gossip.tell(p.id, p.verdict == MemberStatus.GONE);
         if (p.verdict == MemberStatus.ALIVE) {
             return;
@@ -250,14 +250,14 @@
         verdict(now, p, MemberStatus.ALIVE, "");
         changed(now, back ? Change.Kind.BACK : Change.Kind.CLEARED, p.id, "");
         if (back) {
-            cameBack.add(p);
+            returned.add(p);
         }
     }
 
-    /** Somebody, or this process itself, gets no answer from it. */
+    /** A member, or this process itself, gets no answer from it. */
     void suspect(long now, Peer p, int incarnation, String by) {
         MemberState said = new MemberState(incarnation, MemberStatus.SUSPECTED);
-        if (said.compareTo(p.heard) < 0 || p.verdict == MemberStatus.GONE || p.verdict == MemberStatus.LEFT) {
+        if (said.compareTo(p.state) < 0 || p.verdict == MemberStatus.GONE || p.verdict == MemberStatus.LEFT) {
             return;
         }
         if (p.suspicion != null && p.suspicion.incarnation() == incarnation) {
@@ -266,7 +266,7 @@
             }
             return;
         }
-        p.heard = p.heard.merge(said);
+        p.state = p.state.merge(said);
         long least = settings.suspicionNs(roster.size());
         boolean fresh = p.verdict == MemberStatus.ALIVE;
         if (fresh) {
@@ -296,12 +296,12 @@
         }
     }
 
-    private void saidGone(long now, Peer p, int incarnation, String by) {
+    private void onReportedGone(long now, Peer p, int incarnation, String by) {
         MemberState said = new MemberState(incarnation, MemberStatus.GONE);
-        if (said.compareTo(p.heard) <= 0) {
+        if (said.compareTo(p.state) <= 0) {
             return;
         }
-        p.heard = said;
+        p.state = said;
         if (p.verdict == MemberStatus.SUSPECTED && p.suspicion.incarnation() <= incarnation) {
             gone(now, p, by);
         } else if (p.verdict == MemberStatus.ALIVE) {
@@ -310,29 +310,29 @@
             verdict(now, p, MemberStatus.SUSPECTED, by);
             suspicion(p, new Suspicion(incarnation, by, 0, health.stretched(GRACE * settings.timeoutNs()), 0, now));
             changed(now, Change.Kind.SUSPECTED, p.id, "said to be gone" + (by.isEmpty() ? "" : ", by " + by));
-            toSee.add(p);
+            toProbe.add(p);
         }
     }
 
-    /** It is gone, and others are told so. */
+    /** The member is gone; gossips that. */
     void gone(long now, Peer p, String why) {
         if (!p.present()) {
             return;
         }
-        p.heard = p.heard.merge(new MemberState(p.heard.incarnation(), MemberStatus.GONE));
+        p.state = p.state.merge(new MemberState(p.state.incarnation(), MemberStatus.GONE));
         verdict(now, p, MemberStatus.GONE, why);
-        p.knockGap = 2 * settings.intervalNs();
-        p.knockAt = now + p.knockGap;
+        p.reconnectPauseNs = 2 * settings.intervalNs();
+        p.reconnectAt = now + p.reconnectPauseNs;
         gossip.tell(p.id, false);
         changed(now, Change.Kind.GONE, p.id, why);
     }
 
     private void left(long now, Peer p, int incarnation) {
         MemberState said = new MemberState(incarnation, MemberStatus.LEFT);
-        if (said.compareTo(p.heard) <= 0) {
+        if (said.compareTo(p.state) <= 0) {
             return;
         }
-        p.heard = said;
+        p.state = said;
         gossip.tell(p.id, false);
         if (p.verdict != MemberStatus.LEFT) {
             verdict(now, p, MemberStatus.LEFT, "");
@@ -351,8 +351,8 @@
         roster.placed(p);
     }
 
-    /** Believes the suspicions whose time is over. */
-    void believe(long now) {
+    /** Declares members gone whose suspicion has timed out. */
+    void expireSuspicions(long now) {
         for (Peer p : List.copyOf(suspected)) {
             if (now >= p.suspicion.endsAt()) {
                 gone(now, p, p.why);
@@ -360,8 +360,8 @@
         }
     }
 
-    /** When the next suspicion is over; MAX_VALUE if there is none. */
-    long believesAt() {
+    /** When the next suspicion times out, in ns; MAX_VALUE if there is none. */
+    long nextSuspicionEnd() {
         long next = Long.MAX_VALUE;
         for (Peer p : suspected) {
             next = Math.min(next, p.suspicion.endsAt());
@@ -369,12 +369,12 @@
         return next;
     }
 
-    /** This process stood still: nobody is blamed for that time. */
+    /** This process was paused for so long: suspicions are extended by it. */
     void pausedFor(long ns) {
         suspected.forEach(p -> p.suspicion.pausedFor(ns));
     }
 
-    /** Drops those that are gone for long. */
+    /** Removes members that have been gone for long. */
     void forget(long now) {
         List<Peer> old = new ArrayList<>();
         for (Peer p : roster.all()) {
--- a/src/main/java/gullspar/peers/MemberStatus.java
+++ b/src/main/java/gullspar/peers/MemberStatus.java
@@ -1,12 +1,12 @@
 package gullspar.peers;
 
-/** What is said of a life, in the order in which one overrides another within an incarnation. */
+/** Status of a member, in the order in which one overrides another within an incarnation. */
 public enum MemberStatus {
     ALIVE,
-    /** Somebody got no answer from it, by any way. */
+    /** A member got no answer from it, directly or through helpers. */
     SUSPECTED,
     /** It did not refute a suspicion in time, or another process answers at its address. */
     GONE,
-    /** It said goodbye: final for this life. */
+    /** It announced that it leaves: final for this process. */
     LEFT
 }
--- a/src/main/java/gullspar/peers/Message.java
+++ b/src/main/java/gullspar/peers/Message.java
@@ -43,15 +43,15 @@
     Header header();
 
     /** What else is told along the way. */
-    List<Rumor> rumours();
+    List<Rumor> rumors();
 
-    /** Its own fields, on the wire, at most: neither header nor rumours. */
+    /** Its own fields, on the wire, at most: neither header nor rumors. */
     int body();
 
     /** On the wire, at most, without the envelope. */
     default int size() {
         int size = FRONT + header().bytes() + body();
-        for (Rumor r : rumours()) {
+        for (Rumor r : rumors()) {
             size += r.bytes();
         }
         return size;
@@ -63,7 +63,7 @@
      * @param target the life that is meant, 0 if the asker does not know who is at that address
      * @param hello the asker has not heard the asked one's statement, and asks for it
      */
-    record Ping(Header header, long nonce, long target, boolean hello, List<Rumor> rumours) implements Message {
+    record Ping(Header header, long nonce, long target, boolean hello, List<Rumor> rumors) implements Message {
         @Override
         public int body() {
             return 9 + 9 + 1;
@@ -75,7 +75,7 @@
      *
      * @param of who is alive, of that incarnation: the speaker, but where another was asked for
      */
-    record Ack(Header header, long nonce, Identity of, int incarnation, List<Rumor> rumours) implements Message {
+    record Ack(Header header, long nonce, Identity of, int incarnation, List<Rumor> rumors) implements Message {
         @Override
         public int body() {
             return 9 + 11 + of.name().length() + 5;
@@ -83,7 +83,7 @@
     }
 
     /** I get no answer from that one: do you? */
-    record PingReq(Header header, long nonce, Identity target, String address, List<Rumor> rumours) implements Message {
+    record PingReq(Header header, long nonce, Identity target, String address, List<Rumor> rumors) implements Message {
         @Override
         public int body() {
             return 9 + 11 + target.name().length() + 2 + address.length();
@@ -91,15 +91,15 @@
     }
 
     /** I hear you, and have no answer from the one whom you asked me to look for either. */
-    record Nack(Header header, long nonce, List<Rumor> rumours) implements Message {
+    record Nack(Header header, long nonce, List<Rumor> rumors) implements Message {
         @Override
         public int body() {
             return 9;
         }
     }
 
-    /** Nothing but rumours. */
-    record News(Header header, List<Rumor> rumours) implements Message {
+    /** Nothing but rumors. */
+    record News(Header header, List<Rumor> rumors) implements Message {
         @Override
         public int body() {
             return 0;
@@ -114,7 +114,7 @@
         }
 
         @Override
-        public List<Rumor> rumours() {
+        public List<Rumor> rumors() {
             return List.of();
         }
     }
@@ -127,13 +127,13 @@
         }
 
         @Override
-        public List<Rumor> rumours() {
+        public List<Rumor> rumors() {
             return List.of();
         }
     }
 
     /** What is known of a life: enough to tell who knows more. */
-    record Known(long life, int incarnation, MemberStatus standing, int revision) {
+    record Known(long life, int incarnation, MemberStatus status, int revision) {
         /** On the wire, at most. */
         static final int BYTES = 22;
 
@@ -155,7 +155,7 @@
         }
 
         @Override
-        public List<Rumor> rumours() {
+        public List<Rumor> rumors() {
             return List.of();
         }
     }
--- a/src/main/java/gullspar/peers/Peer.java
+++ b/src/main/java/gullspar/peers/Peer.java
@@ -9,7 +9,7 @@
 
     long statedAt;
     /** The most that was heard of it. */
-    MemberState heard;
+    MemberState state;
     /**
      * What this process holds it for. It may lag behind what was heard: that somebody is gone who was alive
      * here a moment ago is believed a little later, so that it can object.
@@ -30,17 +30,17 @@
     /** The last time at which it was held for alive or suspected. */
     long presentAt;
 
-    long knockAt;
-    long knockGap;
+    long reconnectAt;
+    long reconnectPauseNs;
     /** Its place among those that are present, -1 if it is not. */
     int place = -1;
 
-    Peer(Identity id, Statement statement, long statedAt, MemberState heard, long since) {
+    Peer(Identity id, Statement statement, long statedAt, MemberState state, long since) {
         this.id = id;
         this.statement = statement;
         this.statedAt = statedAt;
-        this.heard = heard;
-        this.verdict = heard.standing();
+        this.state = state;
+        this.verdict = state.status();
         this.since = since;
     }
 
@@ -59,13 +59,13 @@
     }
 
     /** What this process tells of it. */
-    Rumor rumour(long now, boolean withStatement) {
-        MemberStatus told = verdict == MemberStatus.SUSPECTED && heard.standing() == MemberStatus.GONE
+    Rumor rumor(long now, boolean withStatement) {
+        MemberStatus told = verdict == MemberStatus.SUSPECTED && state.status() == MemberStatus.GONE
                 ? MemberStatus.SUSPECTED
-                : heard.standing();
+                : state.status();
         return new Rumor(
                 id,
-                heard.incarnation(),
+                state.incarnation(),
                 told,
                 told == MemberStatus.ALIVE || !Identity.worded(why) ? "" : why,
                 Math.max(0, now - since) / 1_000_000,
--- a/src/main/java/gullspar/peers/Peers.java
+++ b/src/main/java/gullspar/peers/Peers.java
@@ -7,26 +7,20 @@
 import java.util.zip.CRC32;
 
 /**
- * One process's part in the fleet. Feed it what comes ({@link #receive}) and the time ({@link #tick}, at
- * the latest at {@link #wakeAt}); what it wants sent and what changes goes to its {@link Outbox}. The same
- * inputs bring the same outputs. Not for several threads at once.
+ * Membership and failure detection of one process (SWIM with suspicion, anti-entropy and reconnects). Driven from
+ * outside: messages by {@link #receive}, time by {@link #tick}, at the latest at {@link #wakeAt}; outgoing messages and
+ * changes go to its {@link Outbox}. Deterministic: the same inputs bring the same outputs. Not thread-safe.
  */
 public final class Peers {
-    /** Strangers are answered so often a second. */
+    /** Datagrams of unknown senders that are answered, a second. */
     private static final double STRANGERS = 32;
-    /**
-     * Of those that were only spoken of, so many are asked to prove themselves in an interval, so often
-     * each.
-     */
+    /** Unconfirmed processes that are probed in an interval, and how often each. */
     private static final int PROOFS = 4, TRIES = 3;
-    /** News go out so often in an interval, where there are any. */
+    /** Gossip rounds in an interval, while there are rumors to spread. */
     private static final int NEWS = 5;
-    /** The view is settled if nothing changes for so many intervals. */
+    /** The view is stable if nothing changes for so many intervals. */
     private static final int QUIET = 5;
-    /**
-     * Each of several members is asked, or answered, once an interval on average; silence for so many is
-     * none.
-     */
+    /** After so many intervals without any datagram this process takes itself for isolated. */
     private static final int SILENCE = 6;
 
     private static final long MS = 1_000_000L;
@@ -38,13 +32,13 @@
     private final Roster roster;
     private final SelfHealth health;
     private final Gossip gossip;
-    private final Judgement judgement;
-    private final DatagramSender post;
+    private final MemberStates members;
+    private final DatagramSender sender;
     private final Detector detector;
     private final Reconciler reconciler;
-    private final ReconnectBackoff knocks;
+    private final ReconnectBackoff reconnects;
     private final Counters counters = new Counters();
-    private final Allowance strangers;
+    private final Allowance unknownSenders;
     private long nextProbe;
     private long nextNews;
     private long nextSync;
@@ -52,13 +46,13 @@
     private long nextKeeping;
     private long nextFigures;
     private Peer syncWith;
-    /** When this process should be awake at the latest. */
+    /** When the next tick is due, in ns. */
     private long due;
-    /** The time of the input that is being taken in. */
+    /** The time of the current input, in ns. */
     private long clock;
 
     private Figures latest = Figures.NONE;
-    /** When a member's datagram came last. */
+    /** When the last datagram of a member arrived, in ns. */
     private long heardAt;
 
     private boolean cutOff;
@@ -76,13 +70,13 @@
         this.self = new Self(first, now);
         this.roster = new Roster(settings.members());
         this.health = new SelfHealth(settings.healthMost());
-        this.gossip = new Gossip(this::rumour);
-        this.judgement = new Judgement(self, settings, roster, gossip, health, out, counters);
-        this.post = new DatagramSender(self, roster, gossip, settings, out, counters, now);
-        this.detector = new Detector(settings, self, roster, judgement, health, post, random);
-        this.reconciler = new Reconciler(self, roster, judgement, post, random);
-        this.knocks = new ReconnectBackoff(settings, self, roster, detector, random, seeds);
-        this.strangers = new Allowance(STRANGERS, now);
+        this.gossip = new Gossip(this::rumor);
+        this.members = new MemberStates(self, settings, roster, gossip, health, out, counters);
+        this.sender = new DatagramSender(self, roster, gossip, settings, out, counters, now);
+        this.detector = new Detector(settings, self, roster, members, health, sender, random);
+        this.reconciler = new Reconciler(self, roster, members, sender, random);
+        this.reconnects = new ReconnectBackoff(settings, self, roster, detector, random, seeds);
+        this.unknownSenders = new Allowance(STRANGERS, now);
         // Processes that start together must not ask together.
         this.nextProbe = now + random.nextLong(settings.intervalNs());
         this.nextNews = now;
@@ -93,17 +87,17 @@
         this.heardAt = now;
     }
 
-    private Rumor rumour(Identity id, boolean withStatement) {
+    private Rumor rumor(Identity id, boolean withStatement) {
         if (id.equals(self.id)) {
-            return self.rumour(clock, withStatement);
+            return self.rumor(clock, withStatement);
         }
         Peer p = roster.get(id);
-        return p == null ? null : p.rumour(clock, withStatement);
+        return p == null ? null : p.rumor(clock, withStatement);
     }
 
     // ---- inputs ----
 
-    /** A datagram came whose sender holds the fleet's key. */
+    /** An authenticated datagram arrived. */
     public void receive(long now, Message m) {
         wake(now);
         counters.received++;
@@ -113,7 +107,7 @@
         }
         Peer p = roster.get(h.from());
         if (p == null) {
-            stranger(now, m);
+            fromUnknown(now, m);
         } else if (!p.guard.fresh(h.number())) {
             counters.repeated++;
         } else if (p.verdict != MemberStatus.LEFT) {
@@ -126,10 +120,10 @@
         Message.Header h = m.header();
         heardAt = now;
         p.heardAt = now;
-        judgement.alive(now, p, h.incarnation());
-        m.rumours().forEach(r -> judgement.learn(now, r, p));
+        members.alive(now, p, h.incarnation());
+        m.rumors().forEach(r -> members.learn(now, r, p));
         if (m instanceof Message.Ping q) {
-            post.ack(now, h.address(), h.from(), q.nonce(), self.id, self.incarnation(), q.hello());
+            sender.ack(now, h.address(), h.from(), q.nonce(), self.id, self.incarnation(), q.hello());
         } else if (m instanceof Message.Ack a) {
             detector.answered(now, a);
         } else if (m instanceof Message.PingReq r) {
@@ -143,31 +137,31 @@
         } else if (m instanceof Message.Want w) {
             reconciler.want(now, p, w);
         }
-        if (p.verdict == MemberStatus.GONE && p.knockAt > now + settings.intervalNs()) {
-            p.knockAt = now + settings.intervalNs(); // it speaks: it is to hear soon that it is held for gone
+        if (p.verdict == MemberStatus.GONE && p.reconnectAt > now + settings.intervalNs()) {
+            p.reconnectAt = now + settings.intervalNs(); // it speaks: it is to hear soon that it is held for gone
         }
     }
 
     /**
-     * From a life that has not proved that it lives: what it says of others does not count, since the
-     * datagram may be an old one that somebody sent again. It is asked to answer.
+     * A datagram of a process that is not a member. Its rumors are ignored, since it may be a replay; the sender is
+     * probed.
      */
-    private void stranger(long now, Message m) {
-        counters.strangers++;
+    private void fromUnknown(long now, Message m) {
+        counters.unknownSenders++;
         Message.Header h = m.header();
         if (m instanceof Message.Ack a && detector.proves(a)) {
             detector.answered(now, a);
-            Rumor said = a.rumours().stream()
+            Rumor said = a.rumors().stream()
                     .filter(r -> r.id().equals(h.from()) && r.statement() != null)
                     .findFirst()
                     .orElse(null);
             if (said == null) {
-                if (strangers.take(1, now)) {
+                if (unknownSenders.take(1, now)) {
                     detector.prove(now, h.address(), h.from());
                 }
                 return;
             }
-            Peer p = judgement.admit(
+            Peer p = members.admit(
                     now,
                     h.from(),
                     said.statement(),
@@ -178,23 +172,23 @@
             if (p != null) {
                 p.guard.fresh(h.number());
                 p.answeredAt = now;
-                a.rumours().forEach(r -> judgement.learn(now, r, p));
+                a.rumors().forEach(r -> members.learn(now, r, p));
                 if (p.id.name().equals(self.id.name())) {
-                    judgement.twin(now, p);
+                    members.twin(now, p);
                 }
             }
             return;
         }
-        if (!strangers.take(1, now)) {
+        if (!unknownSenders.take(1, now)) {
             return;
         }
         if (m instanceof Message.Ping q) {
-            post.ack(now, h.address(), h.from(), q.nonce(), self.id, self.incarnation(), q.hello());
+            sender.ack(now, h.address(), h.from(), q.nonce(), self.id, self.incarnation(), q.hello());
         }
         detector.prove(now, h.address(), h.from());
     }
 
-    /** The time has come, or may have. */
+    /** Advances the time; does what is due. */
     public void tick(long now) {
         wake(now);
         if (self.left()) {
@@ -202,7 +196,7 @@
             return;
         }
         detector.expire(now);
-        judgement.believe(now);
+        members.expireSuspicions(now);
         if (now >= nextProbe) {
             detector.next(now);
             nextProbe = now + health.stretched(settings.intervalNs());
@@ -222,16 +216,16 @@
         due = wakeAt();
     }
 
-    /** When the time is to be told next. */
+    /** When {@link #tick} is due next, in ns; MAX_VALUE after {@link #leave}. */
     public long wakeAt() {
         if (self.left()) {
             return Long.MAX_VALUE;
         }
         long next = Math.min(Math.min(nextProbe, nextKeeping), Math.min(nextSync, nextNews));
-        return Math.min(next, Math.min(detector.expiresAt(), judgement.believesAt()));
+        return Math.min(next, Math.min(detector.expiresAt(), members.nextSuspicionEnd()));
     }
 
-    /** This process's own state has changed, or its figures are to be told. */
+    /** Sets this process's own state and figures; gossips the state if it changed. */
     public void say(long now, Phase phase, String config, Figures figures, Facts facts) {
         wake(now);
         Statement s = self.statement();
@@ -244,13 +238,13 @@
         }
     }
 
-    /** Others may be found at these addresses from now on, and no more at those named before. */
+    /** Replaces the seeds, the addresses where other members may be found. */
     public void seeds(long now, List<String> addresses) {
         wake(now);
-        knocks.seeds(addresses);
+        reconnects.seeds(addresses);
     }
 
-    /** Says goodbye to as many as it can; nothing is sent after that. */
+    /** Announces that this process leaves; nothing is sent after that. */
     public void leave(long now) {
         wake(now);
         self.leave(now);
@@ -261,14 +255,14 @@
 
     // ---- what it does of itself ----
 
-    /** Whoever stood still for longer than it waits for an answer cannot tell who answered. */
+    /** After a pause longer than the probe timeout open probes tell nothing: they are abandoned. */
     private void wake(long now) {
         clock = now;
         long late = now - due;
         if (settings.healthMost() > 0 && late > settings.timeoutNs()) {
             counters.stalls++;
             detector.abandon();
-            judgement.pausedFor(late);
+            members.pausedFor(late);
             heardAt += late;
             roster.present().forEach(p -> p.heardAt += late);
             health.count((int) Math.min(settings.healthMost(), 1 + late / settings.intervalNs()));
@@ -279,12 +273,12 @@
     }
 
     private void followUp(long now) {
-        for (Peer p : judgement.takeToSee()) {
+        for (Peer p : members.takeToProbe()) {
             if (roster.get(p.id) == p && p.present()) {
                 detector.ask(now, p);
             }
         }
-        for (Peer p : judgement.takeCameBack()) {
+        for (Peer p : members.takeReturned()) {
             detector.joins(p);
             syncWith = p;
             nextSync = Math.min(nextSync, Math.max(now, lastSync + settings.intervalNs() / 2));
@@ -296,8 +290,8 @@
             return;
         }
         for (Peer p : roster.draw(fanout, random, null, self.id)) {
-            if (!gossip.isEmpty() && post.affords(1, now)) {
-                post.news(now, p);
+            if (!gossip.isEmpty() && sender.affords(1, now)) {
+                sender.news(now, p);
             }
         }
     }
@@ -314,13 +308,13 @@
         nextSync = now + health.stretched((long) (settings.syncNs() * (0.75 + random.nextDouble() / 2)));
     }
 
-    /** Once an interval. */
+    /** Housekeeping, once an interval. */
     private void keep(long now) {
         lookAround(now);
-        knocks.knock(now, cutOff);
-        hearsay(now);
-        judgement.forget(now);
-        judgement.settle(now, QUIET * settings.intervalNs());
+        reconnects.reconnect(now, cutOff);
+        unconfirmed(now);
+        members.forget(now);
+        members.settle(now, QUIET * settings.intervalNs());
         Statement s = self.statement();
         if (now >= nextFigures) {
             self.say(now, s.config(), s.phase(), twin(s.twin()), digest(), latest, s.facts());
@@ -329,7 +323,7 @@
         }
     }
 
-    /** A twin that is gone is none. */
+    /** The life of the twin if that is still present, else 0. */
     private long twin(long life) {
         return life != 0 && roster.present().stream().anyMatch(p -> p.id.life() == life) ? life : 0;
     }
@@ -349,7 +343,7 @@
             }
         }
         known = lately;
-        // Who hears nothing at all sees nobody, however long it takes to suspect all one by one.
+        // Isolated: no member counts as seen, though each suspicion still takes its time.
         seen = now - heardAt > SILENCE * settings.intervalNs() ? 1 : now1;
         boolean off = 2 * seen < known;
         if (off != cutOff) {
@@ -362,10 +356,10 @@
         }
     }
 
-    private void hearsay(long now) {
+    private void unconfirmed(long now) {
         int asked = 0;
-        for (Roster.Hearsay h : List.copyOf(roster.hearsay())) {
-            if (h.rumour.heard().accuses() || h.rumour.standing() == MemberStatus.LEFT) {
+        for (Roster.Unconfirmed h : List.copyOf(roster.unconfirmed())) {
+            if (h.rumor.state().accuses() || h.rumor.status() == MemberStatus.LEFT) {
                 if (now - h.at > settings.syncNs() * 3) {
                     roster.forget(h); // nobody else knows of it
                 }
@@ -375,12 +369,12 @@
                 asked++;
                 h.asked++;
                 h.askAt = now + 2 * settings.intervalNs();
-                detector.prove(now, h.rumour.statement().address(), h.rumour.id());
+                detector.prove(now, h.rumor.statement().address(), h.rumor.id());
             }
         }
     }
 
-    /** Of all that are alive here, itself included. */
+    /** Checksum of the lives that are alive in this view, itself included. */
     private int digest() {
         CRC32 sum = new CRC32();
         boolean own = false;
@@ -450,7 +444,7 @@
                     p.why,
                     ms(now - p.statedAt),
                     ms(now - p.startedAt()),
-                    p.heard.incarnation(),
+                    p.state.incarnation(),
                     p.statement.twin() != 0,
                     p.onlyByOthers,
                     p.answeredAt == Long.MIN_VALUE ? -1 : ms(now - p.answeredAt),
@@ -471,7 +465,7 @@
                 false,
                 0,
                 true);
-        return new View(me, cutOff, known, seen, judgement.settled(), health.score(), List.copyOf(members));
+        return new View(me, cutOff, known, seen, this.members.settled(), health.score(), List.copyOf(members));
     }
 
     private static long ms(long ns) {
--- a/src/main/java/gullspar/peers/Reconciler.java
+++ b/src/main/java/gullspar/peers/Reconciler.java
@@ -12,7 +12,7 @@
 import java.util.zip.CRC32C;
 
 /**
- * Compares views with one member at a time, so that what rumours missed comes right all the same: a digest
+ * Compares views with one member at a time, so that what rumors missed comes right all the same: a digest
  * for each of 32 ranges of lives, and where one differs, what is known of each life in it, in pages; then
  * both sides tell what the other lacks.
  */
@@ -24,23 +24,23 @@
 
     private final Self self;
     private final Roster roster;
-    private final Judgement judgement;
-    private final DatagramSender post;
+    private final MemberStates members;
+    private final DatagramSender sender;
     private final RandomGenerator random;
 
-    Reconciler(Self self, Roster roster, Judgement judgement, DatagramSender post, RandomGenerator random) {
+    Reconciler(Self self, Roster roster, MemberStates members, DatagramSender sender, RandomGenerator random) {
         this.self = self;
         this.roster = roster;
-        this.judgement = judgement;
-        this.post = post;
+        this.members = members;
+        this.sender = sender;
         this.random = random;
     }
 
     /** Begins a comparison. */
     void compare(long now, Peer with) {
-        if (post.affords(1, now)) {
+        if (sender.affords(1, now)) {
             List<Long> ranges = digests();
-            post.plain(now, with, h -> new Message.Digest(h, ranges));
+            sender.plain(now, with, h -> new Message.Digest(h, ranges));
         }
     }
 
@@ -49,14 +49,14 @@
         for (Peer p : roster.all()) {
             known.put(
                     p.id.life(),
-                    new Message.Known(p.id.life(), p.heard.incarnation(), p.heard.standing(), p.statement.revision()));
+                    new Message.Known(p.id.life(), p.state.incarnation(), p.state.status(), p.statement.revision()));
         }
         known.put(
                 self.id.life(),
                 new Message.Known(
                         self.id.life(),
                         self.incarnation(),
-                        self.heard().standing(),
+                        self.state().status(),
                         self.statement().revision()));
         return known;
     }
@@ -73,7 +73,7 @@
                 bytes.clear()
                         .putLong(k.life())
                         .putInt(k.incarnation())
-                        .put((byte) k.standing().ordinal())
+                        .put((byte) k.status().ordinal())
                         .putInt(k.revision());
                 a.update(bytes.array());
                 b.update(bytes.array());
@@ -94,7 +94,7 @@
     /** The other's digests: what is known here of the ranges that differ goes back. */
     void digest(long now, Peer from, Message.Digest d) {
         if (d.ranges().size() != RANGES) {
-            return; // another version's; rumours go on
+            return; // another version's; rumors go on
         }
         List<Long> mine = digests();
         NavigableMap<Long, Message.Known> known = known();
@@ -109,7 +109,7 @@
     }
 
     private int list(long now, Peer to, NavigableMap<Long, Message.Known> known, long first, long last, int pages) {
-        int most = (post.room() - 22) / Message.Known.BYTES;
+        int most = (sender.room() - 22) / Message.Known.BYTES;
         long from = first;
         int left = pages;
         List<Message.Known> page = new ArrayList<>();
@@ -128,10 +128,10 @@
     }
 
     private int listing(long now, Peer to, long from, long last, List<Message.Known> page, int left) {
-        if (left == 0 || !post.affords(1, now)) {
+        if (left == 0 || !sender.affords(1, now)) {
             return 0;
         }
-        post.plain(now, to, h -> new Message.Listing(h, from, last, page));
+        sender.plain(now, to, h -> new Message.Listing(h, from, last, page));
         return left - 1;
     }
 
@@ -151,22 +151,22 @@
                 want.add(k.life());
                 continue;
             }
-            MemberState theirs = new MemberState(k.incarnation(), k.standing());
-            MemberState ours = new MemberState(m.incarnation(), m.standing());
+            MemberState theirs = new MemberState(k.incarnation(), k.status());
+            MemberState ours = new MemberState(m.incarnation(), m.status());
             if (k.revision() > m.revision() || theirs.compareTo(ours) > 0 && k.life() != self.id.life()) {
                 want.add(k.life());
             } else if (theirs.compareTo(ours) > 0) {
-                judgement.learn(now, new Rumor(self.id, k.incarnation(), k.standing(), "", 0, null, 0), from);
+                members.learn(now, new Rumor(self.id, k.incarnation(), k.status(), "", 0, null, 0), from);
             }
             if (m.revision() > k.revision() || ours.compareTo(theirs) > 0) {
-                tell.add(rumour(now, names.get(k.life()), m.revision() > k.revision()));
+                tell.add(rumor(now, names.get(k.life()), m.revision() > k.revision()));
             }
         }
-        missing.keySet().forEach(life -> tell.add(rumour(now, names.get(life), true)));
+        missing.keySet().forEach(life -> tell.add(rumor(now, names.get(life), true)));
         tell(now, from, tell);
-        pages(want, post.room() / Message.Want.BYTES, w -> {
-            if (post.affords(1, now)) {
-                post.plain(now, from, h -> new Message.Want(h, w));
+        pages(want, sender.room() / Message.Want.BYTES, w -> {
+            if (sender.affords(1, now)) {
+                sender.plain(now, from, h -> new Message.Want(h, w));
             }
         });
     }
@@ -180,15 +180,15 @@
                 w.lives().stream()
                         .filter(names::containsKey)
                         .distinct()
-                        .map(life -> rumour(now, names.get(life), true))
+                        .map(life -> rumor(now, names.get(life), true))
                         .toList());
     }
 
-    private void tell(long now, Peer to, List<Rumor> rumours) {
+    private void tell(long now, Peer to, List<Rumor> rumors) {
         int most = PAGES * 3;
-        pages(rumours, most, page -> {
-            if (post.affords(PAGES, now)) {
-                post.tell(now, to, page);
+        pages(rumors, most, page -> {
+            if (sender.affords(PAGES, now)) {
+                sender.tell(now, to, page);
             }
         });
     }
@@ -206,9 +206,9 @@
         return names;
     }
 
-    private Rumor rumour(long now, Identity id, boolean withStatement) {
+    private Rumor rumor(long now, Identity id, boolean withStatement) {
         return id.equals(self.id)
-                ? self.rumour(now, withStatement)
-                : roster.get(id).rumour(now, withStatement);
+                ? self.rumor(now, withStatement)
+                : roster.get(id).rumor(now, withStatement);
     }
 }
--- a/src/main/java/gullspar/peers/ReconnectBackoff.java
+++ b/src/main/java/gullspar/peers/ReconnectBackoff.java
@@ -4,13 +4,13 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Members that are gone are knocked at, ever more seldom, and so are the seeds where nobody known lives:
- * two parts of a fleet that were cut off from each other find each other again with no operator.
+ * Probes members that are gone, with a pause that doubles, and seeds where no known member lives. Two parts of a
+ * fleet that were partitioned find each other again without an operator.
  */
 final class ReconnectBackoff {
-    /** How often a seed is knocked at while others are there, in intervals. */
+    /** A seed is probed once in so many protocol intervals while other members are present. */
     private static final int SEED_EVERY = 30;
-    /** Knocks in an interval, while this process is alone or cut off. */
+    /** Probes in a protocol interval while this process is alone or partitioned. */
     private static final int MANY = 3;
 
     private final Settings settings;
@@ -37,14 +37,14 @@
         this.seeds = List.copyOf(seeds);
     }
 
-    /** Others may be found there from now on, and it is looked soon. */
+    /** Replaces the seeds; the next one is probed in the next interval. */
     void seeds(List<String> others) {
         seeds = List.copyOf(others);
         seedAt = Long.MIN_VALUE;
     }
 
-    /** To be called once an interval. */
-    void knock(long now, boolean cutOff) {
+    /** To be called once a protocol interval; cutOff: this process sees fewer than half of the members. */
+    void reconnect(long now, boolean cutOff) {
         boolean alone = roster.present().isEmpty();
         for (int i = 0; i < (alone || cutOff ? MANY : 1); i++) {
             gone(now);
@@ -59,14 +59,16 @@
     private void gone(long now) {
         Peer due = null;
         for (Peer p : roster.all()) {
-            if (p.verdict == MemberStatus.GONE && now >= p.knockAt && (due == null || p.knockAt < due.knockAt)) {
+            if (p.verdict == MemberStatus.GONE
+                    && now >= p.reconnectAt
+                    && (due == null || p.reconnectAt < due.reconnectAt)) {
                 due = p;
             }
         }
         if (due != null) {
             detector.ask(now, due);
-            due.knockGap = Math.min(settings.knockMost() * settings.intervalNs(), due.knockGap * 2);
-            due.knockAt = now + (long) (due.knockGap * (0.75 + random.nextDouble() / 2));
+            due.reconnectPauseNs = Math.min(settings.reconnectMost() * settings.intervalNs(), due.reconnectPauseNs * 2);
+            due.reconnectAt = now + (long) (due.reconnectPauseNs * (0.75 + random.nextDouble() / 2));
         }
     }
 
--- a/src/main/java/gullspar/peers/ReplayGuard.java
+++ b/src/main/java/gullspar/peers/ReplayGuard.java
@@ -9,22 +9,22 @@
 
     private long newest;
     /** Bit i: newest - i was heard. */
-    private long heard;
+    private long state;
 
     /** True for a number that was not heard yet and is not too old. */
     boolean fresh(long number) {
         if (number > newest) {
             long ahead = number - newest;
-            heard = ahead >= WINDOW ? 0 : heard << ahead;
-            heard |= 1;
+            state = ahead >= WINDOW ? 0 : state << ahead;
+            state |= 1;
             newest = number;
             return true;
         }
         long behind = newest - number;
-        if (behind >= WINDOW || (heard >>> behind & 1) != 0) {
+        if (behind >= WINDOW || (state >>> behind & 1) != 0) {
             return false;
         }
-        heard |= 1L << behind;
+        state |= 1L << behind;
         return true;
     }
 }
--- a/src/main/java/gullspar/peers/Roster.java
+++ b/src/main/java/gullspar/peers/Roster.java
@@ -10,23 +10,23 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Everybody who is known: those that proved that they live, or lived, by an answer or by the word of two
- * others, and apart from them a bounded crowd of those that only one has spoken of.
+ * All known processes: members, confirmed by an answer or by the rumors of two others, and apart from them a bounded
+ * number of processes that only one member has told of.
  */
 final class Roster {
-    /** Only spoken of: so many at the most, the oldest goes first. */
-    private static final int MOST_HEARSAY = 2048;
+    /** Bound on the processes that only one member has told of; the oldest is dropped first. */
+    private static final int MOST_UNCONFIRMED = 2048;
 
-    /** Somebody who was spoken of, and by whom. */
-    static final class Hearsay {
-        final Rumor rumour;
+    /** A process that one member has told of. */
+    static final class Unconfirmed {
+        final Rumor rumor;
         final long at;
         final long by;
         int asked;
         long askAt;
 
-        Hearsay(Rumor rumour, long by, long at) {
-            this.rumour = rumour;
+        Unconfirmed(Rumor rumor, long by, long at) {
+            this.rumor = rumor;
             this.by = by;
             this.at = at;
             this.askAt = at;
@@ -35,10 +35,10 @@
 
     private final int most;
     private final TreeMap<Identity, Peer> peers = new TreeMap<>();
-    /** In no order: for drawing one in one step. */
+    /** Unordered, so that a random one is drawn in constant time. */
     private final List<Peer> present = new ArrayList<>();
 
-    private final Map<Identity, Hearsay> hearsay = new LinkedHashMap<>();
+    private final Map<Identity, Unconfirmed> unconfirmed = new LinkedHashMap<>();
 
     Roster(int most) {
         this.most = most;
@@ -75,7 +75,7 @@
             }
             peers.remove(oldest.id);
         }
-        hearsay.remove(p.id);
+        unconfirmed.remove(p.id);
         peers.put(p.id, p);
         placed(p);
         return true;
@@ -130,22 +130,22 @@
 
     // ---- who is only spoken of ----
 
-    Hearsay hearsay(Identity id) {
-        return hearsay.get(id);
+    Unconfirmed unconfirmed(Identity id) {
+        return unconfirmed.get(id);
     }
 
-    Collection<Hearsay> hearsay() {
-        return hearsay.values();
+    Collection<Unconfirmed> unconfirmed() {
+        return unconfirmed.values();
     }
 
-    void spokenOf(Hearsay h) {
-        if (hearsay.size() >= MOST_HEARSAY) {
-            hearsay.remove(hearsay.keySet().iterator().next());
+    void addUnconfirmed(Unconfirmed h) {
+        if (unconfirmed.size() >= MOST_UNCONFIRMED) {
+            unconfirmed.remove(unconfirmed.keySet().iterator().next());
         }
-        hearsay.put(h.rumour.id(), h);
+        unconfirmed.put(h.rumor.id(), h);
     }
 
-    void forget(Hearsay h) {
-        hearsay.remove(h.rumour.id());
+    void forget(Unconfirmed h) {
+        unconfirmed.remove(h.rumor.id());
     }
 }
--- a/src/main/java/gullspar/peers/Rumor.java
+++ b/src/main/java/gullspar/peers/Rumor.java
@@ -1,7 +1,7 @@
 package gullspar.peers;
 
 /**
- * What one says of a life to another.
+ * What one member tells another of a third.
  *
  * @param by who accuses it, where somebody does, else empty
  * @param sinceMs for how long its standing has been as it is, in ms
@@ -11,7 +11,7 @@
 public record Rumor(
         Identity id,
         int incarnation,
-        MemberStatus standing,
+        MemberStatus status,
         String by,
         long sinceMs,
         Statement statement,
@@ -25,12 +25,12 @@
                 || sinceMs < 0
                 || statedMs < 0
                 || statement != null && !statement.id().equals(id)) {
-            throw new IllegalArgumentException("not a rumour of " + id);
+            throw new IllegalArgumentException("not a rumor of " + id);
         }
     }
 
-    MemberState heard() {
-        return new MemberState(incarnation, standing);
+    MemberState state() {
+        return new MemberState(incarnation, status);
     }
 
     /** At most this many on the wire. */
--- a/src/main/java/gullspar/peers/Self.java
+++ b/src/main/java/gullspar/peers/Self.java
@@ -33,7 +33,7 @@
         return left;
     }
 
-    MemberState heard() {
+    MemberState state() {
         return new MemberState(incarnation, left ? MemberStatus.LEFT : MemberStatus.ALIVE);
     }
 
@@ -89,7 +89,7 @@
         return startedAt;
     }
 
-    Rumor rumour(long now, boolean withStatement) {
+    Rumor rumor(long now, boolean withStatement) {
         return new Rumor(
                 id,
                 incarnation,
--- a/src/main/java/gullspar/peers/Settings.java
+++ b/src/main/java/gullspar/peers/Settings.java
@@ -12,12 +12,12 @@
  * @param confirmations as many confirmations bring it to the least
  * @param healthMost the worst own health: intervals and time-outs grow by one more for each step down to it;
  *        0 turns that off
- * @param retell a rumour is told so many times, times the decimal logarithm of the fleet's size
+ * @param retell a rumor is told so many times, times the decimal logarithm of the fleet's size
  * @param fanout to how many news are sent at once
  * @param syncNs views are compared with one other member every so often
  * @param figuresNs figures are told anew every so often; less often in a large fleet, so that the traffic of
  *        one member stays the same
- * @param knockMost the longest pause between two knocks at a member that is gone, in intervals
+ * @param reconnectMost the longest pause between two knocks at a member that is gone, in intervals
  * @param forgetNs members that are gone or have left are forgotten so long after
  * @param windowNs whoever was alive within it counts when this process asks itself whether it is cut off
  * @param members how many are kept at the most
@@ -35,7 +35,7 @@
         int fanout,
         long syncNs,
         long figuresNs,
-        int knockMost,
+        int reconnectMost,
         long forgetNs,
         long windowNs,
         int members,
@@ -87,7 +87,7 @@
                 fanout,
                 syncNs,
                 figuresNs,
-                knockMost,
+                reconnectMost,
                 forgetNs,
                 ns,
                 members,
@@ -108,7 +108,7 @@
                 fanout,
                 syncNs,
                 figuresNs,
-                knockMost,
+                reconnectMost,
                 forgetNs,
                 windowNs,
                 members,
@@ -120,7 +120,7 @@
         return (long) (suspicion * Math.max(1, Math.log10(Math.max(1, size))) * intervalNs);
     }
 
-    /** How often a rumour is told in a fleet of that size. */
+    /** How often a rumor is told in a fleet of that size. */
     int tellings(int size) {
         return retell * (int) Math.ceil(Math.log10(size + 1.0));
     }
--- a/src/main/java/gullspar/peers/net/FleetPage.java
+++ b/src/main/java/gullspar/peers/net/FleetPage.java
@@ -44,7 +44,7 @@
             g.writeNumberField("withheld", c.withheld());
             g.writeNumberField("unsent", carrier.unsent());
             g.writeNumberField("repeated", c.repeated());
-            g.writeNumberField("strangers", c.strangers());
+            g.writeNumberField("strangers", c.unknownSenders());
             g.writeNumberField("malformed", carrier.malformed());
             for (Map.Entry<Envelope.Refusal, Long> r : carrier.refused().entrySet()) {
                 g.writeNumberField("refused_" + r.getKey().name().toLowerCase(Locale.ROOT), r.getValue());
--- a/src/main/java/gullspar/peers/wire/Codec.java
+++ b/src/main/java/gullspar/peers/wire/Codec.java
@@ -63,26 +63,26 @@
             g.writeNumber(p.nonce());
             g.writeNumber(p.target());
             g.writeBoolean(p.hello());
-            rumours(g, p.rumours());
+            rumors(g, p.rumors());
         } else if (m instanceof Message.Ack a) {
             begin(g, ACK, a.header(), 5);
             g.writeNumber(a.nonce());
             identity(g, a.of());
             g.writeNumber(a.incarnation());
-            rumours(g, a.rumours());
+            rumors(g, a.rumors());
         } else if (m instanceof Message.PingReq r) {
             begin(g, PING_REQ, r.header(), 5);
             g.writeNumber(r.nonce());
             identity(g, r.target());
             g.writeString(r.address());
-            rumours(g, r.rumours());
+            rumors(g, r.rumors());
         } else if (m instanceof Message.Nack n) {
             begin(g, NACK, n.header(), 2);
             g.writeNumber(n.nonce());
-            rumours(g, n.rumours());
+            rumors(g, n.rumors());
         } else if (m instanceof Message.News n) {
             begin(g, NEWS, n.header(), 1);
-            rumours(g, n.rumours());
+            rumors(g, n.rumors());
         } else if (m instanceof Message.Digest d) {
             begin(g, DIGEST, d.header(), 1);
             longs(g, d.ranges());
@@ -95,7 +95,7 @@
                 g.writeStartArray(null, 4);
                 g.writeNumber(k.life());
                 g.writeNumber(k.incarnation());
-                g.writeNumber(k.standing().ordinal());
+                g.writeNumber(k.status().ordinal());
                 g.writeNumber(k.revision());
                 g.writeEndArray();
             }
@@ -120,13 +120,13 @@
         g.writeEndArray();
     }
 
-    private static void rumours(JsonGenerator g, List<Rumor> rumours) throws IOException {
-        g.writeStartArray(null, rumours.size());
-        for (Rumor r : rumours) {
+    private static void rumors(JsonGenerator g, List<Rumor> rumors) throws IOException {
+        g.writeStartArray(null, rumors.size());
+        for (Rumor r : rumors) {
             g.writeStartArray(null, 8);
             identity(g, r.id());
             g.writeNumber(r.incarnation());
-            g.writeNumber(r.standing().ordinal());
+            g.writeNumber(r.status().ordinal());
             g.writeString(r.by());
             g.writeNumber(r.sinceMs());
             if (r.statement() == null) {
@@ -189,11 +189,11 @@
         }
         Message.Header h = header(p);
         return switch (kind) {
-            case PING -> new Message.Ping(h, number(p), number(p), flag(p), rumours(p));
-            case ACK -> new Message.Ack(h, number(p), identity(p), number(p, 0, Integer.MAX_VALUE), rumours(p));
-            case PING_REQ -> new Message.PingReq(h, number(p), identity(p), address(p), rumours(p));
-            case NACK -> new Message.Nack(h, number(p), rumours(p));
-            case NEWS -> new Message.News(h, rumours(p));
+            case PING -> new Message.Ping(h, number(p), number(p), flag(p), rumors(p));
+            case ACK -> new Message.Ack(h, number(p), identity(p), number(p, 0, Integer.MAX_VALUE), rumors(p));
+            case PING_REQ -> new Message.PingReq(h, number(p), identity(p), address(p), rumors(p));
+            case NACK -> new Message.Nack(h, number(p), rumors(p));
+            case NEWS -> new Message.News(h, rumors(p));
             case DIGEST -> new Message.Digest(h, longs(p));
             case LISTING -> new Message.Listing(h, number(p), number(p), known(p));
             default -> new Message.Want(h, longs(p));
@@ -298,28 +298,28 @@
         for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
             array(t);
             all.add(new Message.Known(
-                    number(p), number(p, 0, Integer.MAX_VALUE), standing(p), number(p, 0, Integer.MAX_VALUE)));
+                    number(p), number(p, 0, Integer.MAX_VALUE), status(p), number(p, 0, Integer.MAX_VALUE)));
             end(p);
         }
         return all;
     }
 
-    private static MemberStatus standing(JsonParser p) throws IOException {
+    private static MemberStatus status(JsonParser p) throws IOException {
         return MemberStatus.values()[number(p, 0, MemberStatus.values().length - 1)];
     }
 
-    private static List<Rumor> rumours(JsonParser p) throws IOException {
+    private static List<Rumor> rumors(JsonParser p) throws IOException {
         List<Rumor> all = new ArrayList<>();
         array(p.nextToken());
         for (JsonToken t = p.nextToken(); t != JsonToken.END_ARRAY; t = p.nextToken()) {
             array(t);
             Identity id = identity(p);
             int incarnation = number(p, 0, Integer.MAX_VALUE);
-            MemberStatus standing = standing(p);
+            MemberStatus status = status(p);
             String by = text(p);
             long since = age(p);
             Statement s = p.nextToken() == JsonToken.VALUE_NULL ? null : statement(p, id);
-            all.add(new Rumor(id, incarnation, standing, by, since, s, age(p)));
+            all.add(new Rumor(id, incarnation, status, by, since, s, age(p)));
             end(p);
         }
         return all;
--- a/src/main/java/gullspar/rehearse/judge/FleetJudge.java
+++ b/src/main/java/gullspar/rehearse/judge/FleetJudge.java
@@ -19,7 +19,7 @@
     private static final double LEAST_UP_S = 20;
 
     private final Script.Peers asked;
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final long slackNs;
     private final List<Broken> broken = new ArrayList<>();
     /** Whose a life was, and when it lived: learnt from what the processes said of themselves. */
@@ -31,16 +31,16 @@
 
     private final Set<String> told = new TreeSet<>();
 
-    private FleetJudge(Script script, EventLog chronicle, long slackNs) {
+    private FleetJudge(Script script, EventLog eventLog, long slackNs) {
         this.asked = script.peers();
-        this.chronicle = chronicle;
+        this.eventLog = eventLog;
         this.slackNs = slackNs;
     }
 
-    static List<Broken> judge(Script script, EventLog chronicle, long slackNs) {
-        FleetJudge j = new FleetJudge(script, chronicle, slackNs);
-        for (Look l : chronicle.looks()) {
-            chronicle.lives().stream()
+    static List<Broken> judge(Script script, EventLog eventLog, long slackNs) {
+        FleetJudge j = new FleetJudge(script, eventLog, slackNs);
+        for (Look l : eventLog.looks()) {
+            eventLog.lives().stream()
                     .filter(x -> x.proxy().equals(l.proxy()) && x.from() <= l.at() && l.at() <= x.until())
                     .findFirst()
                     .ifPresent(x -> {
@@ -48,7 +48,7 @@
                         j.heard.putIfAbsent(x, l.at());
                     });
         }
-        chronicle.looks().forEach(j::look);
+        eventLog.looks().forEach(j::look);
         return j.broken;
     }
 
@@ -69,8 +69,8 @@
 
     /** How long ago both of them were last struck, or began; negative while one is. */
     private long calmFor(String a, String b, long at) {
-        long since = Math.max(chronicle.settledSince(a, at), chronicle.settledSince(b, at));
-        for (EventLog.Life l : chronicle.lives()) {
+        long since = Math.max(eventLog.settledSince(a, at), eventLog.settledSince(b, at));
+        for (EventLog.Life l : eventLog.lives()) {
             if (l.from() <= at && (l.proxy().equals(a) || l.proxy().equals(b))) {
                 since = Math.max(since, heard.getOrDefault(l, Math.min(l.until(), at)));
             }
@@ -88,7 +88,7 @@
             String who = l.proxy() + " of " + s.name() + '/' + s.life();
             if (other == null
                     && s.present()
-                    && chronicle.lives().stream().noneMatch(x -> x.name().equals(s.name()))) {
+                    && eventLog.lives().stream().noneMatch(x -> x.name().equals(s.name()))) {
                 wrong(
                         Rule.FLEET_TRUE,
                         l.at(),
@@ -105,7 +105,7 @@
                                     + asked.quietS() + " s");
                 }
             } else if (other != null && s.present()) {
-                long dead = Math.min(l.at() - other.until(), l.at() - chronicle.settledSince(l.proxy(), l.at()));
+                long dead = Math.min(l.at() - other.until(), l.at() - eventLog.settledSince(l.proxy(), l.at()));
                 if (Math.min(dead, l.at() - me.from()) > ns(asked.goneS())) {
                     wrong(
                             Rule.FLEET_TRUE,
@@ -137,8 +137,8 @@
     private void deaf(Look l, Look.Seen s, String who) {
         long span = ns(asked.goneS());
         if (s.present()
-                && chronicle.deafThrough(s.name(), l.at() - span, l.at())
-                && chronicle.lives().stream()
+                && eventLog.deafThrough(s.name(), l.at() - span, l.at())
+                && eventLog.lives().stream()
                         .anyMatch(x -> x.proxy().equals(l.proxy()) && x.from() < l.at() - span && livesAt(x, l.at()))) {
             wrong(
                     Rule.FLEET_TRUE,
@@ -166,8 +166,8 @@
 
     private void accused(Look l, EventLog.Life me) {
         double minutes = Math.max(1, l.upS() / 60);
-        boolean struck = chronicle.settledSince(l.proxy(), l.at()) != Long.MIN_VALUE
-                || chronicle.partings().stream().anyMatch(p -> p.from() <= l.at());
+        boolean struck = eventLog.settledSince(l.proxy(), l.at()) != Long.MIN_VALUE
+                || eventLog.partings().stream().anyMatch(p -> p.from() <= l.at());
         if (!struck && l.objections() > asked.accusationsPerMin() * minutes) {
             wrong(
                     Rule.FLEET_TRUE,
@@ -184,7 +184,7 @@
     private void agreed(Look l) {
         long calm = Long.MAX_VALUE;
         Set<String> living = new TreeSet<>();
-        for (EventLog.Life x : chronicle.lives()) {
+        for (EventLog.Life x : eventLog.lives()) {
             if (x.from() <= l.at()) {
                 calm = Math.min(calm, calmFor(x.proxy(), x.proxy(), l.at()));
                 calm = Math.min(calm, x.until() <= l.at() ? l.at() - x.until() : Long.MAX_VALUE);
@@ -211,12 +211,12 @@
 
     /** Two processes that live under one name are both seen, and named as that by all: neither wins. */
     private void twins(Look l, EventLog.Life me) {
-        for (EventLog.Life x : chronicle.lives()) {
+        for (EventLog.Life x : eventLog.lives()) {
             String name = x.name();
             if (x.proxy().equals(name) || !livesAt(x, l.at())) {
                 continue;
             }
-            EventLog.Life first = chronicle.lives().stream()
+            EventLog.Life first = eventLog.lives().stream()
                     .filter(y -> y.proxy().equals(name) && livesAt(y, l.at()))
                     .findFirst()
                     .orElse(null);
@@ -245,19 +245,19 @@
      * not.
      */
     private void honest(Look l) {
-        List<EventLog.Parted> now = chronicle.partings().stream()
+        List<EventLog.Parted> now = eventLog.partings().stream()
                 .filter(p -> p.from() <= l.at() && l.at() < p.until())
                 .toList();
         if (now.size() != 1) {
             return; // several at once: who hears whom is another question
         }
         EventLog.Parted p = now.get(0);
-        if (chronicle.lives().stream().anyMatch(x -> !x.proxy().equals(x.name()) && livesAt(x, l.at()))) {
+        if (eventLog.lives().stream().anyMatch(x -> !x.proxy().equals(x.name()) && livesAt(x, l.at()))) {
             return; // a twin is on neither side
         }
         long since = l.at() - p.from();
-        long living = chronicle.lives().stream().filter(x -> livesAt(x, l.at())).count();
-        boolean allAlong = chronicle.lives().stream()
+        long living = eventLog.lives().stream().filter(x -> livesAt(x, l.at())).count();
+        boolean allAlong = eventLog.lives().stream()
                 .allMatch(x -> x.until() <= p.from() - ns(asked.windowS())
                         || x.from() < p.from() - ns(asked.agreeS()) && x.until() > l.at());
         if (!allAlong || since < ns(asked.goneS()) || since > ns(asked.windowS() * 0.9)) {
--- a/src/main/java/gullspar/rehearse/judge/Judge.java
+++ b/src/main/java/gullspar/rehearse/judge/Judge.java
@@ -30,7 +30,7 @@
     private static final long STEP_NS = 1_000_000_000L;
 
     private final Script script;
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final long slackNs;
     private final List<Broken> broken = new ArrayList<>();
     /** Service of the ten seconds from each second on. */
@@ -38,19 +38,19 @@
 
     private int twice;
 
-    private Judge(Script script, EventLog chronicle, long slackNs) {
+    private Judge(Script script, EventLog eventLog, long slackNs) {
         this.script = script;
-        this.chronicle = chronicle;
+        this.eventLog = eventLog;
         this.slackNs = slackNs;
     }
 
     /** slackNs: how far a time that was seen may lie from the true one. */
-    public static Verdict judge(Script script, EventLog chronicle, long slackNs) {
-        return new Judge(script, chronicle, slackNs).verdict();
+    public static Verdict judge(Script script, EventLog eventLog, long slackNs) {
+        return new Judge(script, eventLog, slackNs).verdict();
     }
 
     private Verdict verdict() {
-        chronicle.orders().forEach(o -> {
+        eventLog.orders().forEach(o -> {
             o.tries.forEach(this::oneAnswer);
             o.tries.forEach(this::leftAlone);
             o.tries.forEach(this::timeTold);
@@ -58,42 +58,40 @@
             o.tries.forEach(this::drainsKept);
             effects(o);
         });
-        chronicle
-                .fallen()
+        eventLog.fallen()
                 .forEach((node, at) -> broken.add(new Broken(
                         Rule.COLD_SPARED,
                         at,
                         node + " was sent more than " + script.rules().tipMultiple() + " times what it could do for "
                                 + script.rules().fallS() + " s while it was cold, and fell over",
                         null)));
-        chronicle.crashes().forEach(c -> broken.add(new Broken(Rule.ONE_ANSWER, c.at(), c.what(), null)));
-        chronicle
-                .rudeServed()
+        eventLog.crashes().forEach(c -> broken.add(new Broken(Rule.ONE_ANSWER, c.at(), c.what(), null)));
+        eventLog.rudeServed()
                 .forEach(text -> broken.add(new Broken(
                         Rule.ONE_ANSWER,
                         0,
                         "a request that makes no sense was served: "
                                 + text.lines().findFirst().orElse(""),
                         null)));
-        if (chronicle.rudeIgnored() > 0) {
+        if (eventLog.rudeIgnored() > 0) {
             broken.add(new Broken(
                     Rule.ONE_ANSWER,
                     0,
-                    chronicle.rudeIgnored() + " of " + chronicle.rudeSent()
+                    eventLog.rudeIgnored() + " of " + eventLog.rudeSent()
                             + " clients that sent no sensible request got neither an error nor a close within 3 s",
                     null));
         }
         if (script.peers() != null) {
-            broken.addAll(FleetJudge.judge(script, chronicle, slackNs));
+            broken.addAll(FleetJudge.judge(script, eventLog, slackNs));
         }
-        double service = service(chronicle.orders());
+        double service = service(eventLog.orders());
         int worstFrom = worstFrom();
         double worst = worstFrom < 0 ? service : windows.get(worstFrom);
         String worstClass = "";
         double worstShare = 2;
         for (Script.RequestClass c : script.classes()) {
             double s =
-                    service(chronicle.orders().stream().filter(o -> o.kind == c).toList());
+                    service(eventLog.orders().stream().filter(o -> o.kind == c).toList());
             if (s < worstShare) {
                 worstShare = s;
                 worstClass = c.name();
@@ -111,7 +109,7 @@
                 worstShare,
                 worstClass,
                 counts(),
-                chronicle.orders().size(),
+                eventLog.orders().size(),
                 twice);
     }
 
@@ -120,8 +118,8 @@
         int seconds = (int) script.seconds();
         double[] asked = new double[seconds + 1];
         double[] served = new double[seconds + 1];
-        for (Order o : chronicle.orders()) {
-            int at = (int) Math.max(0, Math.min(seconds, (o.at - chronicle.start()) / STEP_NS));
+        for (Order o : eventLog.orders()) {
+            int at = (int) Math.max(0, Math.min(seconds, (o.at - eventLog.start()) / STEP_NS));
             asked[at] += o.kind.worth();
             served[at] += o.inTime() ? o.kind.worth() : 0;
         }
@@ -140,7 +138,7 @@
         if (least != null && share < least) {
             broken.add(new Broken(
                     Rule.EXPECTED,
-                    chronicle.start() + (long) (script.seconds() * 1e9),
+                    eventLog.start() + (long) (script.seconds() * 1e9),
                     String.format(Locale.ROOT, "%s is %.4f, the script expects %.4f", name, share, least),
                     null));
         }
@@ -161,7 +159,7 @@
         for (String name : List.of("served", "late", "refused", "failed", "given up", "left", "closed", "not taken")) {
             counts.put(name, 0);
         }
-        for (Order o : chronicle.orders()) {
+        for (Order o : eventLog.orders()) {
             for (Try t : o.tries) {
                 counts.merge(ended(t), 1, Integer::sum);
             }
@@ -200,7 +198,7 @@
         if (t.wrong != null) {
             broken(Rule.ONE_ANSWER, t.endedAt, t, t.wrong);
         }
-        if (t.sentAt != 0 && !chronicle.excused(t.proxy, t.sentAt, t.endedAt)) {
+        if (t.sentAt != 0 && !eventLog.excused(t.proxy, t.sentAt, t.endedAt)) {
             if (t.ending == Try.Ending.GIVEN_UP) {
                 broken(Rule.ONE_ANSWER, t.endedAt, t, "it had no final answer when its time was up");
             } else if (t.ending == Try.Ending.CLOSED && !t.attempts.isEmpty()) {
@@ -315,7 +313,7 @@
     private void drainsKept(Try t) {
         long grace = (long) (script.rules().drainGraceMs() * 1e6);
         for (Attempt a : t.attempts) {
-            long told = chronicle.toldLeaving(t.proxy, a.node, a.sentAt);
+            long told = eventLog.toldLeaving(t.proxy, a.node, a.sentAt);
             if (told != 0 && a.sentAt > told + grace + slackNs) {
                 broken(
                         Rule.DRAINS_KEPT,
@@ -328,7 +326,7 @@
                                 (a.sentAt - told) / 1e9,
                                 t.proxy));
             }
-            long due = chronicle.dueLeaving(t.proxy, a.node, a.sentAt);
+            long due = eventLog.dueLeaving(t.proxy, a.node, a.sentAt);
             if (due != 0 && a.sentAt > due + grace + slackNs) {
                 broken(
                         Rule.LISTS_HEARD,
--- a/src/main/java/gullspar/rehearse/judge/RequestTrace.java
+++ b/src/main/java/gullspar/rehearse/judge/RequestTrace.java
@@ -15,7 +15,7 @@
     private RequestTrace() {}
 
     /** The story of the order of a request, a line each, with seconds from the start of the day. */
-    public static List<String> of(Try of, EventLog chronicle) {
+    public static List<String> of(Try of, EventLog eventLog) {
         List<Line> lines = new ArrayList<>();
         lines.add(new Line(
                 of.order.at,
@@ -25,11 +25,11 @@
                 lines.add(new Line(
                         t.sentAt,
                         t.id + " is sent to " + t.proxy + ", its client waits until "
-                                + seconds(t.deadline - chronicle.start())));
+                                + seconds(t.deadline - eventLog.start())));
             }
             for (Attempt a : t.attempts) {
                 attempt(lines, t, a);
-                long told = chronicle.toldLeaving(t.proxy, a.node, a.sentAt);
+                long told = eventLog.toldLeaving(t.proxy, a.node, a.sentAt);
                 if (told != 0) {
                     lines.add(new Line(told, t.proxy + " is told that " + a.node + " leaves"));
                 }
@@ -41,18 +41,18 @@
                                 + (t.status == 0
                                         ? ""
                                         : " (" + t.status + ", sent "
-                                                + seconds(t.answeredAt - chronicle.start())
+                                                + seconds(t.answeredAt - eventLog.start())
                                                 + ")")));
             }
         }
         long from = of.order.at;
         long to = of.endedAt;
-        chronicle.happenings().stream()
+        eventLog.happenings().stream()
                 .filter(h -> h.at() >= from - 2_000_000_000L && h.at() <= to)
                 .forEach(h -> lines.add(new Line(h.at(), "(" + h.what() + ")")));
         return lines.stream()
                 .sorted(Comparator.comparingLong(Line::at))
-                .map(l -> String.format(Locale.ROOT, "%10.6f s  %s", (l.at - chronicle.start()) / 1e9, l.what))
+                .map(l -> String.format(Locale.ROOT, "%10.6f s  %s", (l.at - eventLog.start()) / 1e9, l.what))
                 .toList();
     }
 
--- a/src/main/java/gullspar/rehearse/live/LivePlay.java
+++ b/src/main/java/gullspar/rehearse/live/LivePlay.java
@@ -79,7 +79,7 @@
     private final List<String> log = new ArrayList<>();
     private final CompletableFuture<Void> begun = new CompletableFuture<>();
     private final Thread atExit = new Thread(this::killAll, "end of the daemons");
-    private final StandIns cast;
+    private final StandIns standIns;
     private final LiveFleet fleet;
     private boolean over;
 
@@ -88,10 +88,10 @@
         this.folder = Files.createTempDirectory("gullspar-live");
         this.ways = new LiveWays(script.seed());
         Runtime.getRuntime().addShutdownHook(atExit);
-        this.cast = new StandIns(this, script, this);
+        this.standIns = new StandIns(this, script, this);
         this.fleet = script.peers() == null
                 ? null
-                : new LiveFleet(script, folder, loop, clock::now, cast.proxies(), cast.chronicle()::looked);
+                : new LiveFleet(script, folder, loop, clock::now, standIns.proxies(), standIns.eventLog()::looked);
     }
 
     /** Plays a day to its end; an IOException if it cannot be played here. */
@@ -104,12 +104,12 @@
     /** Starts all and waits until the day has begun; then runs, on the loop, at that moment. */
     private void begin(Runnable then) throws IOException {
         onLoop(() -> {
-            cast.open();
-            cast.begin(() -> {
+            standIns.open();
+            standIns.begin(() -> {
                 then.run();
                 begun.complete(null);
             });
-            cast.proxies().forEach(this::start);
+            standIns.proxies().forEach(this::start);
             if (fleet != null) {
                 fleet.look(p -> daemons.containsKey(p) && daemons.get(p).alive());
             }
@@ -137,7 +137,9 @@
             CompletableFuture<Void> ended = new CompletableFuture<>();
             long start = now();
             loop.schedule(
-                    () -> ended.complete(null), (long) (script.seconds() * 1e9) + cast.tailNs(), TimeUnit.NANOSECONDS);
+                    () -> ended.complete(null),
+                    (long) (script.seconds() * 1e9) + standIns.tailNs(),
+                    TimeUnit.NANOSECONDS);
             while (!over(ended)) {
                 // Here and not on the loop: whoever shows it may be slow, and the stand-ins must not wait.
                 progress.at(Math.min(script.seconds(), (now() - start) / 1e9), script.seconds());
@@ -151,9 +153,9 @@
         List<Played> played = new ArrayList<>();
         onLoop(() -> {
             over = true;
-            Verdict verdict = Judge.judge(script, cast.chronicle(), SLACK_NS);
+            Verdict verdict = Judge.judge(script, standIns.eventLog(), SLACK_NS);
             played.add(new Played(
-                    script, cast.chronicle(), verdict, "", 0, log, lateness.notes(), System.nanoTime() - began));
+                    script, standIns.eventLog(), verdict, "", 0, log, lateness.notes(), System.nanoTime() - began));
         });
         return played.get(0);
     }
@@ -169,7 +171,7 @@
     }
 
     /** What one looks at while a day without end goes on. */
-    public record Now(InetSocketAddress proxy, int nodes, double rate, double inTime, int strangers) {}
+    public record Now(InetSocketAddress proxy, int nodes, double rate, double inTime, int manualRequests) {}
 
     /** Plays on until it is told to end; the consumer is told how it goes, every second. */
     public static void playOn(Script script, Consumer<Now> now, CountDownLatch end) throws IOException {
@@ -179,12 +181,12 @@
     }
 
     private void playOn(Consumer<Now> now, CountDownLatch end) throws IOException {
-        ManualRequests strangers = new ManualRequests(script, this);
-        begin(() -> cast.chronicle().serveStrangers(strangers));
+        ManualRequests manualRequests = new ManualRequests(script, this);
+        begin(() -> standIns.eventLog().serveStrangers(manualRequests));
         try {
             do {
                 List<Now> look = new ArrayList<>(1);
-                onLoop(() -> look.add(look(strangers)));
+                onLoop(() -> look.add(look(manualRequests)));
                 now.accept(look.get(0));
             } while (!end.await(1, TimeUnit.SECONDS));
         } catch (InterruptedException e) {
@@ -192,20 +194,20 @@
         }
     }
 
-    private Now look(ManualRequests strangers) {
-        cast.chronicle().forget(now() - LOOK_BACK_NS);
+    private Now look(ManualRequests manualRequests) {
+        standIns.eventLog().forget(now() - LOOK_BACK_NS);
         // The last of them are still under way.
         long before = now() - LOOK_BACK_NS / 5;
         List<Order> ended =
-                cast.chronicle().orders().stream().filter(o -> o.at < before).toList();
+                standIns.eventLog().orders().stream().filter(o -> o.at < before).toList();
         double inTime =
                 ended.isEmpty() ? 1 : ended.stream().filter(Order::inTime).count() / (double) ended.size();
         return new Now(
                 address("p1"),
-                cast.fleet().running().size(),
+                standIns.fleet().running().size(),
                 ended.size() / (LOOK_BACK_NS / 1e9 * 4 / 5),
                 inTime,
-                strangers.served());
+                manualRequests.served());
     }
 
     private void onLoop(Runnable what) throws IOException {
@@ -303,9 +305,9 @@
                 StandIns.index(name),
                 name,
                 address(name),
-                cast.fleet().discovery(name),
+                standIns.fleet().discovery(name),
                 seed,
-                cast.fleet().known(name));
+                standIns.fleet().known(name));
         return fleet == null ? settings : fleet.with(name, settings);
     }
 
@@ -317,7 +319,7 @@
         ending.remove(name);
         String who = life == 1 ? name : name + "." + life;
         try {
-            cast.fleet().startsKnowing(name);
+            standIns.fleet().startsKnowing(name);
             DaemonProcess d = DaemonProcess.start(
                     folder,
                     name,
@@ -325,10 +327,10 @@
                     script.proxies().memoryMb(),
                     line -> loop.execute(() -> say(who, line)));
             daemons.put(name, d);
-            cast.chronicle().began(name, now());
+            standIns.eventLog().began(name, now());
             d.onEnd(() -> loop.execute(() -> ended(name, d)));
-            if (cast.proxies().contains(name)) {
-                cast.front().started(name); // of a twin it does not know
+            if (standIns.proxies().contains(name)) {
+                standIns.front().started(name); // of a twin it does not know
             }
         } catch (IOException e) {
             begun.completeExceptionally(e);
@@ -337,12 +339,12 @@
 
     private void ended(String name, DaemonProcess d) {
         if (daemons.get(name) == d) {
-            cast.chronicle().ended(name, now());
+            standIns.eventLog().ended(name, now());
         }
         if (!over && !ending.contains(name) && daemons.get(name) == d) {
-            cast.chronicle().crashed(name, "exit code " + d.exitCode(), now());
-            if (cast.proxies().contains(name)) {
-                cast.front().ended(name);
+            standIns.eventLog().crashed(name, "exit code " + d.exitCode(), now());
+            if (standIns.proxies().contains(name)) {
+                standIns.front().ended(name);
             }
             begun.completeExceptionally(new IOException(name + " ended by itself, exit code " + d.exitCode()));
         }
@@ -361,8 +363,8 @@
             return;
         }
         ending.add(name);
-        cast.chronicle().excuse(name, now(), now() + SIGNAL_NS);
-        cast.front().ended(name);
+        standIns.eventLog().excuse(name, now(), now() + SIGNAL_NS);
+        standIns.front().ended(name);
         d.kill();
         d.onEnd(() -> loop.execute(() -> startLater(name, downS)));
     }
@@ -374,7 +376,7 @@
             return;
         }
         ending.add(name);
-        cast.front().ended(name);
+        standIns.front().ended(name);
         d.stop();
         d.onEnd(() -> loop.execute(() -> startLater(name, downS)));
     }
@@ -390,19 +392,19 @@
                 daemons.get(name).reload(settings(name));
             }
         } catch (IOException e) {
-            cast.chronicle().happened(now(), name + " could not be told to reload: " + e.getMessage());
+            standIns.eventLog().happened(now(), name + " could not be told to reload: " + e.getMessage());
         }
     }
 
     @Override
     public void pause(String name, boolean on) {
         try {
-            cast.chronicle().excuse(name, now(), now() + SIGNAL_NS);
+            standIns.eventLog().excuse(name, now(), now() + SIGNAL_NS);
             if (daemons.get(name).alive()) {
                 daemons.get(name).pause(on);
             }
         } catch (IOException e) {
-            cast.chronicle().happened(now(), name + " could not be paused: " + e.getMessage());
+            standIns.eventLog().happened(now(), name + " could not be paused: " + e.getMessage());
         }
     }
 
--- a/src/main/java/gullspar/rehearse/net/Liar.java
+++ b/src/main/java/gullspar/rehearse/net/Liar.java
@@ -70,11 +70,11 @@
         List<byte[]> out = new ArrayList<>();
         out.add(sealed(TamperedMessages.numbered(m, number)));
         for (int left = forEach; left > 0 && out.size() < ROOM; left -= IN_ONE) {
-            List<Rumor> rumours = new ArrayList<>();
+            List<Rumor> rumors = new ArrayList<>();
             for (int i = 0; i < Math.min(left, IN_ONE); i++) {
-                rumours.add(invented());
+                rumors.add(invented());
             }
-            out.add(sealed(TamperedMessages.numbered(new Message.News(m.header(), rumours), number + out.size())));
+            out.add(sealed(TamperedMessages.numbered(new Message.News(m.header(), rumors), number + out.size())));
         }
         return out;
     }
--- a/src/main/java/gullspar/rehearse/net/TamperedMessages.java
+++ b/src/main/java/gullspar/rehearse/net/TamperedMessages.java
@@ -8,18 +8,18 @@
 public final class TamperedMessages {
     private TamperedMessages() {}
 
-    /** With other rumours, where its kind carries any; a listing is empty then. */
-    public static Message with(Message m, List<Rumor> rumours) {
+    /** With other rumors, where its kind carries any; a listing is empty then. */
+    public static Message with(Message m, List<Rumor> rumors) {
         if (m instanceof Message.Ping p) {
-            return new Message.Ping(p.header(), p.nonce(), p.target(), p.hello(), rumours);
+            return new Message.Ping(p.header(), p.nonce(), p.target(), p.hello(), rumors);
         } else if (m instanceof Message.Ack a) {
-            return new Message.Ack(a.header(), a.nonce(), a.of(), a.incarnation(), rumours);
+            return new Message.Ack(a.header(), a.nonce(), a.of(), a.incarnation(), rumors);
         } else if (m instanceof Message.PingReq r) {
-            return new Message.PingReq(r.header(), r.nonce(), r.target(), r.address(), rumours);
+            return new Message.PingReq(r.header(), r.nonce(), r.target(), r.address(), rumors);
         } else if (m instanceof Message.Nack n) {
-            return new Message.Nack(n.header(), n.nonce(), rumours);
+            return new Message.Nack(n.header(), n.nonce(), rumors);
         } else if (m instanceof Message.News n) {
-            return new Message.News(n.header(), rumours);
+            return new Message.News(n.header(), rumors);
         } else if (m instanceof Message.Listing l) {
             return new Message.Listing(l.header(), l.from(), l.to(), List.of());
         }
@@ -31,15 +31,15 @@
         Message.Header o = m.header();
         Message.Header h = new Message.Header(o.from(), o.incarnation(), o.address(), number);
         if (m instanceof Message.Ping p) {
-            return new Message.Ping(h, p.nonce(), p.target(), p.hello(), p.rumours());
+            return new Message.Ping(h, p.nonce(), p.target(), p.hello(), p.rumors());
         } else if (m instanceof Message.Ack a) {
-            return new Message.Ack(h, a.nonce(), a.of(), a.incarnation(), a.rumours());
+            return new Message.Ack(h, a.nonce(), a.of(), a.incarnation(), a.rumors());
         } else if (m instanceof Message.PingReq r) {
-            return new Message.PingReq(h, r.nonce(), r.target(), r.address(), r.rumours());
+            return new Message.PingReq(h, r.nonce(), r.target(), r.address(), r.rumors());
         } else if (m instanceof Message.Nack n) {
-            return new Message.Nack(h, n.nonce(), n.rumours());
+            return new Message.Nack(h, n.nonce(), n.rumors());
         } else if (m instanceof Message.News n) {
-            return new Message.News(h, n.rumours());
+            return new Message.News(h, n.rumors());
         } else if (m instanceof Message.Listing l) {
             return new Message.Listing(h, l.from(), l.to(), l.known());
         } else if (m instanceof Message.Digest d) {
--- a/src/main/java/gullspar/rehearse/play/Played.java
+++ b/src/main/java/gullspar/rehearse/play/Played.java
@@ -11,7 +11,7 @@
  */
 public record Played(
         Script script,
-        EventLog chronicle,
+        EventLog eventLog,
         Verdict verdict,
         String hash,
         long decisions,
--- a/src/main/java/gullspar/rehearse/play/StandIns.java
+++ b/src/main/java/gullspar/rehearse/play/StandIns.java
@@ -15,14 +15,14 @@
 public final class StandIns {
     private final RunEnvironment stage;
     private final Script script;
-    private final EventLog chronicle = new EventLog();
+    private final EventLog eventLog = new EventLog();
     private final List<String> proxies;
     private final Fleet fleet;
     private final Front front;
-    private final LoadGenerator crowd;
+    private final LoadGenerator loadGenerator;
     private final Timeline timeline;
 
-    public StandIns(RunEnvironment stage, Script script, FaultInjector strikes) {
+    public StandIns(RunEnvironment stage, Script script, FaultInjector faultInjector) {
         this.stage = stage;
         this.script = script;
         List<String> names = new ArrayList<>();
@@ -30,12 +30,13 @@
             names.add("p" + i);
         }
         this.proxies = List.copyOf(names);
-        this.fleet = new Fleet(stage, script, chronicle);
+        this.fleet = new Fleet(stage, script, eventLog);
         this.front = new Front(stage, script, proxies);
-        this.crowd = new LoadGenerator(stage, script, chronicle, front);
+        this.loadGenerator = new LoadGenerator(stage, script, eventLog, front);
         RudeClients rude =
-                new RudeClients(stage, chronicle, script.classes().get(0).name(), script.seed());
-        this.timeline = new Timeline(stage, script, chronicle, fleet, front, crowd, rude, strikes, proxies);
+                new RudeClients(stage, eventLog, script.classes().get(0).name(), script.seed());
+        this.timeline =
+                new Timeline(stage, script, eventLog, fleet, front, loadGenerator, rude, faultInjector, proxies);
     }
 
     /** Starts the nodes and discovery; the proxies may be started then. */
@@ -50,8 +51,8 @@
     /** Begins the day once all proxies are ready, and calls that then. */
     public void begin(Runnable then) {
         front.whenAllIn(() -> {
-            chronicle.begins(stage.now());
-            crowd.start(script.seconds());
+            eventLog.begins(stage.now());
+            loadGenerator.start(script.seconds());
             timeline.start();
             then.run();
         });
@@ -71,8 +72,8 @@
         return Integer.parseInt(EventLog.named(proxy).substring(1)) - 1;
     }
 
-    public EventLog chronicle() {
-        return chronicle;
+    public EventLog eventLog() {
+        return eventLog;
     }
 
     public List<String> proxies() {
--- a/src/main/java/gullspar/rehearse/play/Timeline.java
+++ b/src/main/java/gullspar/rehearse/play/Timeline.java
@@ -31,12 +31,12 @@
 
     private final RunEnvironment stage;
     private final Script script;
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final Fleet fleet;
     private final Front front;
-    private final LoadGenerator crowd;
+    private final LoadGenerator loadGenerator;
     private final RudeClients rude;
-    private final FaultInjector strikes;
+    private final FaultInjector faultInjector;
     private final List<String> proxies;
     private final Platform platform;
     private final Set<String> twins = new HashSet<>();
@@ -48,21 +48,21 @@
     Timeline(
             RunEnvironment stage,
             Script script,
-            EventLog chronicle,
+            EventLog eventLog,
             Fleet fleet,
             Front front,
-            LoadGenerator crowd,
+            LoadGenerator loadGenerator,
             RudeClients rude,
-            FaultInjector strikes,
+            FaultInjector faultInjector,
             List<String> proxies) {
         this.stage = stage;
         this.script = script;
-        this.chronicle = chronicle;
+        this.eventLog = eventLog;
         this.fleet = fleet;
         this.front = front;
-        this.crowd = crowd;
+        this.loadGenerator = loadGenerator;
         this.rude = rude;
-        this.strikes = strikes;
+        this.faultInjector = faultInjector;
         this.proxies = proxies;
         this.platform = stage.at("fleet");
     }
@@ -85,8 +85,8 @@
     }
 
     private void strike(Fault f, SplittableRandom random) {
-        chronicle.happened(stage.now(), f.toString());
-        switch (f.kind().strikes()) {
+        eventLog.happened(stage.now(), f.toString());
+        switch (f.kind().target()) {
             case NODES -> struck(f, fleet.running(), random).forEach(n -> node(f, n));
             case PROXIES -> {
                 List<String> struck = struck(f, proxies, random);
@@ -99,19 +99,19 @@
             }
             case CLASS -> {
                 if (f.kind() == FaultKind.LEAVING) {
-                    crowd.leaving(f.names().get(0), f.figure("share"), f.figure("within_ms"));
-                    after(f.lasts(), () -> crowd.leaving(f.names().get(0), 0, 0));
+                    loadGenerator.leaving(f.names().get(0), f.figure("share"), f.figure("within_ms"));
+                    after(f.lasts(), () -> loadGenerator.leaving(f.names().get(0), 0, 0));
                     break;
                 }
-                crowd.heavy(f.names().get(0), f.figure("share"), f.figure("times"));
-                after(f.lasts(), () -> crowd.heavy(f.names().get(0), 0, 1));
+                loadGenerator.heavy(f.names().get(0), f.figure("share"), f.figure("times"));
+                after(f.lasts(), () -> loadGenerator.heavy(f.names().get(0), 0, 1));
             }
             case LINK -> ways(f);
             case DATAGRAMS -> datagrams(f);
             default -> fleet(f);
         }
         if (f.lasts() > 0) {
-            after(f.lasts(), () -> chronicle.happened(stage.now(), f.kind().named() + " ends"));
+            after(f.lasts(), () -> eventLog.happened(stage.now(), f.kind().named() + " ends"));
         }
     }
 
@@ -138,7 +138,7 @@
             case HANG -> during(f, on -> fleet.hang(n, on));
             case SPOIL -> during(f, on -> fleet.spoil(n, on ? f.figure("share") : 0));
             case SLOW_ANSWERS -> during(f, on -> fleet.trickle(n, on ? f.figure("bytes_per_s") : 0));
-            case VANISH -> during(f, on -> strikes.vanish(n, on));
+            case VANISH -> during(f, on -> faultInjector.vanish(n, on));
             default -> throw new IllegalStateException(f.kind().named());
         }
     }
@@ -164,28 +164,28 @@
     private void partition(Fault f, List<String> one) {
         List<String> other = new ArrayList<>(proxies);
         other.removeAll(one);
-        chronicle.parted(stage.now(), stage.now() + (long) (f.lasts() * 1e9), one);
+        eventLog.parted(stage.now(), stage.now() + (long) (f.lasts() * 1e9), one);
         unsettled(f, proxies);
         during(
                 f,
                 on -> one.forEach(a -> other.forEach(b -> {
-                    strikes.cut(a, b, on);
-                    strikes.cut(b, a, on);
+                    faultInjector.cut(a, b, on);
+                    faultInjector.cut(b, a, on);
                 })));
     }
 
     /** What these see of others, and others of them, may be wrong until it is over, and a while longer. */
     private void unsettled(Fault f, List<String> who) {
         long now = stage.now();
-        who.forEach(p -> chronicle.unsettled(p, now, now + (long) (f.lasts() * 1e9)));
+        who.forEach(p -> eventLog.unsettled(p, now, now + (long) (f.lasts() * 1e9)));
     }
 
     /** What strikes several as one. */
     private void together(Fault f, List<String> struck) {
         if (f.kind() == FaultKind.MOVE) {
-            struck.forEach(p -> strikes.move(List.of(p)));
+            struck.forEach(p -> faultInjector.move(List.of(p)));
         } else if (f.kind() == FaultKind.TAKE_OVER) {
-            strikes.move(struck);
+            faultInjector.move(struck);
         }
     }
 
@@ -196,9 +196,9 @@
         }
         double period = f.figure("period_ms") / 1e3;
         double stands = Math.min(period * (1 - f.figure("share")), (until - stage.now()) / 1e9);
-        strikes.pause(p, true);
+        faultInjector.pause(p, true);
         after(stands, () -> {
-            strikes.pause(p, false);
+            faultInjector.pause(p, false);
             after(period - stands, () -> starved(f, p, until));
         });
     }
@@ -206,7 +206,7 @@
     /** Evenly spread, so many a second, until the end. */
     private void forged(Fault f, String p, long until) {
         if (stage.now() < until) {
-            strikes.forge(p);
+            faultInjector.forge(p);
             after(1 / f.figure("per_s"), () -> forged(f, p, until));
         }
     }
@@ -218,9 +218,9 @@
         }
         after(f.lasts(), () -> twins.remove(p));
         during(f, on -> {
-            chronicle.unsettled(p, stage.now(), stage.now());
-            chronicle.unsettled(p + EventLog.TWIN, stage.now(), stage.now());
-            strikes.twin(p, on);
+            eventLog.unsettled(p, stage.now(), stage.now());
+            eventLog.unsettled(p + EventLog.TWIN, stage.now(), stage.now());
+            faultInjector.twin(p, on);
         });
     }
 
@@ -235,7 +235,7 @@
         for (int i = 0; i < steps.size() * proxies.size(); i++) {
             List<Integer> keys = steps.get(i / proxies.size());
             String p = proxies.get(i % proxies.size());
-            after(f.lasts() * i / (steps.size() * proxies.size()), () -> strikes.keys(p, keys));
+            after(f.lasts() * i / (steps.size() * proxies.size()), () -> faultInjector.keys(p, keys));
         }
     }
 
@@ -255,25 +255,25 @@
             case RUDE_CLIENTS -> during(f, on -> rude.rude(p, on ? f.figure("per_s") : 0));
             case SILENT_CLIENTS -> during(f, on -> rude.silent(p, on ? f.figure("per_s") : 0));
             case KILL, MOVE, TAKE_OVER -> {
-                chronicle.excuse(p, now, now);
-                strikes.kill(p, f.figure("down_s"));
+                eventLog.excuse(p, now, now);
+                faultInjector.kill(p, f.figure("down_s"));
             }
-            case STOP -> strikes.stop(p, f.figure("down_s"));
+            case STOP -> faultInjector.stop(p, f.figure("down_s"));
             case RELOAD -> {
                 fleet.move(p);
-                strikes.reload(p);
+                faultInjector.reload(p);
             }
             case PAUSE -> {
-                chronicle.excuse(p, now, until);
-                during(f, on -> strikes.pause(p, on));
+                eventLog.excuse(p, now, until);
+                during(f, on -> faultInjector.pause(p, on));
             }
             case STARVED -> {
-                chronicle.excuse(p, now, until);
+                eventLog.excuse(p, now, until);
                 starved(f, p, until);
             }
             case TWIN -> twin(f, p);
             case FORGED_DATAGRAMS -> forged(f, p, until);
-            case MAD_MEMBER -> during(f, on -> strikes.mad(p, on ? (int) f.figure("for_each") : 0));
+            case MAD_MEMBER -> during(f, on -> faultInjector.mad(p, on ? (int) f.figure("for_each") : 0));
             default -> throw new IllegalStateException(f.kind().named());
         }
     }
@@ -296,7 +296,7 @@
             unsettled(f, machines(from));
             unsettled(f, machines(to));
             if (f.kind() == FaultKind.CUT_LINK && from.equals("proxies")) {
-                machines(to).forEach(p -> chronicle.deaf(p, now, now + (long) (f.lasts() * 1e9)));
+                machines(to).forEach(p -> eventLog.deaf(p, now, now + (long) (f.lasts() * 1e9)));
             }
         }
         excuse(from, to, now, now + (long) (f.lasts() * 1e9) + AFTER_NS);
@@ -304,11 +304,14 @@
         switch (f.kind()) {
             case SLOW_LINK -> during(
                     f,
-                    on -> each(from, to, (a, b) -> strikes.slower(a, b, on ? (long) (f.figure("adds_ms") * 1e6) : 0)));
+                    on -> each(
+                            from,
+                            to,
+                            (a, b) -> faultInjector.slower(a, b, on ? (long) (f.figure("adds_ms") * 1e6) : 0)));
             case LOSSY_LINK -> during(
-                    f, on -> each(from, to, (a, b) -> strikes.lossy(a, b, on ? f.figure("share") : 0)));
-            case CUT_LINK -> during(f, on -> each(from, to, (a, b) -> strikes.cut(a, b, on)));
-            case RESET_LINK -> each(from, to, strikes::reset);
+                    f, on -> each(from, to, (a, b) -> faultInjector.lossy(a, b, on ? f.figure("share") : 0)));
+            case CUT_LINK -> during(f, on -> each(from, to, (a, b) -> faultInjector.cut(a, b, on)));
+            case RESET_LINK -> each(from, to, faultInjector::reset);
             default -> throw new IllegalStateException(f.kind().named());
         }
     }
@@ -333,7 +336,7 @@
                 f,
                 on -> each(from, to, (a, b) -> {
                     if (!a.equals(b)) {
-                        strikes.trouble(a, b, t, on ? figure : 0);
+                        faultInjector.trouble(a, b, t, on ? figure : 0);
                     }
                 }));
     }
@@ -341,7 +344,7 @@
     /** What a client does not get over a way that is not sound is not the proxy's fault. */
     private void excuse(String from, String to, long since, long until) {
         if (from.equals("clients")) {
-            machines(to).forEach(p -> chronicle.excuse(p, since, until));
+            machines(to).forEach(p -> eventLog.excuse(p, since, until));
         }
     }
 
@@ -372,7 +375,7 @@
                 int steps = 10;
                 for (int i = 1; i <= steps; i++) {
                     double factor = 1 + (f.figure("traffic") - 1) * i / steps;
-                    after(f.lasts() * i / steps, () -> crowd.traffic(factor));
+                    after(f.lasts() * i / steps, () -> loadGenerator.traffic(factor));
                 }
             }
             default -> throw new IllegalStateException(f.kind().named());
--- a/src/main/java/gullspar/rehearse/play/VirtualFleet.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualFleet.java
@@ -29,7 +29,7 @@
     private static final int PORT = 9900;
 
     private final Script script;
-    private final StandIns cast;
+    private final StandIns standIns;
     private final Network network;
     private final Function<String, InetSocketAddress> machines;
     private final VirtualPlay.Peering peering;
@@ -42,12 +42,12 @@
     /** machines: their addresses; each proxy is found at a port of its own machine at first. */
     VirtualFleet(
             Script script,
-            StandIns cast,
+            StandIns standIns,
             Network network,
             Function<String, InetSocketAddress> machines,
             VirtualPlay.Peering peering) {
         this.script = script;
-        this.cast = cast;
+        this.standIns = standIns;
         this.network = network;
         this.machines = machines;
         this.peering = peering;
@@ -76,7 +76,7 @@
                 null,
                 seeds(),
                 null,
-                cast.front().site(name),
+                standIns.front().site(name),
                 (long) (p.intervalMs() * 1e6),
                 (long) (p.windowS() * 1e9),
                 0);
@@ -84,7 +84,7 @@
 
     /** Where the first three proxies are found. */
     List<InetSocketAddress> seeds() {
-        return cast.proxies().stream().limit(SEEDS).map(this::home).toList();
+        return standIns.proxies().stream().limit(SEEDS).map(this::home).toList();
     }
 
     private InetSocketAddress firstHome(String process) {
@@ -135,7 +135,7 @@
     void mad(String process, int forEach) {
         liars.computeIfAbsent(process, p -> {
                     Liar liar = new Liar(() -> keysOf(p), script.seed() * 31 + 14 + StandIns.index(p));
-                    cast.proxies().stream().filter(o -> !o.equals(p)).forEach(o -> network.datagrams(p, o)
+                    standIns.proxies().stream().filter(o -> !o.equals(p)).forEach(o -> network.datagrams(p, o)
                             .liar(liar));
                     return liar;
                 })
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -98,8 +98,8 @@
     private final Map<Integer, String> nodeNames = new HashMap<>();
     private final List<String> log = new ArrayList<>();
     private final DecisionLog decisions;
-    private final StandIns cast;
-    private final EventLog chronicle;
+    private final StandIns standIns;
+    private final EventLog eventLog;
     private final VirtualFleet fleet;
     private Throwable slip;
 
@@ -110,11 +110,11 @@
         this.network = new Network(agenda, script.seed() * 31 + 8, this::distance);
         this.loop = new VirtualLoop(agenda, e -> slip = slip == null ? e : slip);
         this.decisions = new DecisionLog(() -> agenda.now() - EPOCH_NS, this::nodeName, options.decisions());
-        this.cast = new StandIns(this, script, this);
-        this.chronicle = cast.chronicle();
+        this.standIns = new StandIns(this, script, this);
+        this.eventLog = standIns.eventLog();
         this.fleet = script.peers() == null
                 ? null
-                : new VirtualFleet(script, cast, network, this::address, options.peering());
+                : new VirtualFleet(script, standIns, network, this::address, options.peering());
     }
 
     /** Plays a day to its end. */
@@ -124,25 +124,25 @@
 
     private Played play() {
         long began = System.nanoTime(); // only to say how long it took
-        cast.open();
-        cast.proxies().forEach(this::start);
+        standIns.open();
+        standIns.proxies().forEach(this::start);
         if (fleet != null) {
             look();
         }
         long[] end = {EPOCH_NS + READY_NS};
-        cast.begin(() -> end[0] = agenda.now() + (long) (script.seconds() * 1e9));
+        standIns.begin(() -> end[0] = agenda.now() + (long) (script.seconds() * 1e9));
         run(end);
-        if (chronicle.start() == 0) {
+        if (eventLog.start() == 0) {
             throw new IllegalStateException(
                     "the proxies were not ready within " + READY_NS / 1_000_000_000L + " s: " + log);
         }
-        end[0] = agenda.now() + cast.tailNs();
+        end[0] = agenda.now() + standIns.tailNs();
         run(end);
         options.progress().at(script.seconds(), script.seconds());
         return new Played(
                 script,
-                chronicle,
-                Judge.judge(script, chronicle, 0),
+                eventLog,
+                Judge.judge(script, eventLog, 0),
                 decisions.hash(),
                 decisions.lines(),
                 log,
@@ -157,11 +157,11 @@
             agenda.step();
             if (slip != null) {
                 throw new IllegalStateException(
-                        "the rehearsal itself failed at " + (agenda.now() - chronicle.start()) / 1e9 + " s", slip);
+                        "the rehearsal itself failed at " + (agenda.now() - eventLog.start()) / 1e9 + " s", slip);
             }
-            if (agenda.now() >= next && chronicle.start() != 0) {
+            if (agenda.now() >= next && eventLog.start() != 0) {
                 options.progress()
-                        .at(Math.min(script.seconds(), (agenda.now() - chronicle.start()) / 1e9), script.seconds());
+                        .at(Math.min(script.seconds(), (agenda.now() - eventLog.start()) / 1e9), script.seconds());
                 next = agenda.now() + 1_000_000_000L;
             }
         }
@@ -172,9 +172,9 @@
 
     private String siteOf(String machine) {
         if (machine.startsWith("n")) {
-            return cast.fleet().site(machine);
+            return standIns.fleet().site(machine);
         }
-        return machine.startsWith("p") ? cast.front().site(EventLog.named(machine)) : null;
+        return machine.startsWith("p") ? standIns.front().site(EventLog.named(machine)) : null;
     }
 
     private long distance(String from, String to) {
@@ -226,8 +226,8 @@
     /** The name of a node by the number under which the module knows it. */
     private String nodeName(int number) {
         return nodeNames.computeIfAbsent(number, n -> {
-            for (String machine : cast.fleet().machines()) {
-                for (int life = 1; life <= cast.fleet().lives(machine); life++) {
+            for (String machine : standIns.fleet().machines()) {
+                for (int life = 1; life <= standIns.fleet().lives(machine); life++) {
                     String id = life == 1 ? machine : machine + "-" + life;
                     if ((int) (Fnv.hash(id) >>> 32) == n) {
                         return id;
@@ -263,9 +263,9 @@
                             StandIns.index(name),
                             name,
                             address(name),
-                            cast.fleet().discovery(name),
+                            standIns.fleet().discovery(name),
                             seed,
-                            cast.fleet().known(name)),
+                            standIns.fleet().known(name)),
                     Map.of());
         } catch (ConfigException e) {
             throw new IllegalStateException(e);
@@ -289,13 +289,13 @@
                         null));
         long warm = (long) (script.proxies().startS() * 1e9);
         if (fleet != null) {
-            chronicle.began(name, agenda.now());
+            eventLog.began(name, agenda.now());
             life.loop.execute(() -> life.member = fleet.join(
                     name, who, platform, () -> life.proxy == null ? Companion.Load.NONE : life.proxy.load()));
         }
         life.loop.schedule(
                 () -> {
-                    cast.fleet().startsKnowing(name);
+                    standIns.fleet().startsKnowing(name);
                     Proxy asking = Proxy.asking(
                             config(name, number),
                             platform,
@@ -307,9 +307,9 @@
                                 if (life.member != null) {
                                     life.member.at(Companion.Stage.SERVING);
                                 }
-                                if (cast.proxies().contains(name)) {
+                                if (standIns.proxies().contains(name)) {
                                     // The front looks at it from now on; at a twin nobody does.
-                                    loop.execute(() -> cast.front().started(name));
+                                    loop.execute(() -> standIns.front().started(name));
                                 }
                             },
                             warm - (long) (warm * ASKS_AFTER),
@@ -326,13 +326,13 @@
                     life.member == null || life.loop.ended() || life.paused ? null : life.member.answer("/_fleet");
             if (answer != null) {
                 try {
-                    chronicle.looked(Look.of(agenda.now(), name, answer));
+                    eventLog.looked(Look.of(agenda.now(), name, answer));
                 } catch (IOException e) {
                     throw new UncheckedIOException("a proxy answered what is no view", e);
                 }
             }
         });
-        loop.schedule(this::look, Look.everyMs(cast.proxies().size()), TimeUnit.MILLISECONDS);
+        loop.schedule(this::look, Look.everyMs(standIns.proxies().size()), TimeUnit.MILLISECONDS);
     }
 
     private void say(String who, String line) {
@@ -344,7 +344,7 @@
     private void endNow(String name, Life life) {
         life.loop.end();
         if (fleet != null) {
-            chronicle.ended(name, agenda.now());
+            eventLog.ended(name, agenda.now());
         }
         network.ended(network.host(name));
     }
@@ -360,7 +360,7 @@
             return;
         }
         endNow(name, life);
-        cast.front().ended(name);
+        standIns.front().ended(name);
         startLater(name, downS);
     }
 
@@ -370,7 +370,7 @@
         if (life.loop.ended() || life.proxy == null) {
             return;
         }
-        cast.front().ended(name);
+        standIns.front().ended(name);
         if (life.member != null) {
             life.loop.execute(() -> life.member.at(Companion.Stage.DRAINING));
         }
--- a/src/main/java/gullspar/rehearse/report/FleetChart.java
+++ b/src/main/java/gullspar/rehearse/report/FleetChart.java
@@ -29,17 +29,17 @@
     /** One second of one process; bytes that it sent in it. */
     record Cell(Sight sight, int present, int living, long bytes) {}
 
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final Map<String, TreeMap<Integer, Cell>> cells =
             new TreeMap<>((a, b) -> a.length() != b.length() ? a.length() - b.length() : a.compareTo(b));
 
-    FleetChart(EventLog chronicle, double seconds) {
-        this.chronicle = chronicle;
+    FleetChart(EventLog eventLog, double seconds) {
+        this.eventLog = eventLog;
         Map<String, Look> last = new TreeMap<>();
-        for (Look l : chronicle.looks()) {
+        for (Look l : eventLog.looks()) {
             Look before = last.put(l.life(), l);
             long sent = before == null ? 0 : l.sentBytes() - before.sentBytes();
-            int second = (int) Math.floorDiv(l.at() - chronicle.start(), 1_000_000_000L);
+            int second = (int) Math.floorDiv(l.at() - eventLog.start(), 1_000_000_000L);
             if (second >= 0 && second < seconds) {
                 cells.computeIfAbsent(l.proxy(), p -> new TreeMap<>()).merge(second, cell(l, sent), FleetChart::worse);
             }
@@ -53,7 +53,7 @@
 
     private Cell cell(Look l, long sent) {
         Set<String> living = new TreeSet<>();
-        for (EventLog.Life x : chronicle.lives()) {
+        for (EventLog.Life x : eventLog.lives()) {
             if (x.from() <= l.at() && l.at() < x.until()) {
                 living.add(x.name());
             }
--- a/src/main/java/gullspar/rehearse/report/HtmlReport.java
+++ b/src/main/java/gullspar/rehearse/report/HtmlReport.java
@@ -27,13 +27,13 @@
     private static final long WORST_NS = 10_000_000_000L;
 
     private final Played day;
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final Seconds seconds;
     private final StringBuilder html = new StringBuilder(1 << 16);
 
     private HtmlReport(Played day) {
         this.day = day;
-        this.chronicle = day.chronicle();
+        this.eventLog = day.eventLog();
         this.seconds = new Seconds(day);
     }
 
@@ -50,7 +50,7 @@
         head(title);
         timeline();
         nodes();
-        if (!chronicle.looks().isEmpty()) {
+        if (!eventLog.looks().isEmpty()) {
             fleet();
         }
         worst();
@@ -187,7 +187,7 @@
                 + "<li><i style=\"background:var(--full)\"></i>over 95 %%</li>"
                 + "<li><i style=\"background:var(--down)\"></i>down</li></ul>");
         Map<String, List<EventLog.Sample>> byNode = new LinkedHashMap<>();
-        chronicle.samples().stream().filter(s -> s.at() >= chronicle.start()).forEach(s -> byNode.computeIfAbsent(
+        eventLog.samples().stream().filter(s -> s.at() >= eventLog.start()).forEach(s -> byNode.computeIfAbsent(
                         s.node(), n -> new ArrayList<>())
                 .add(s));
         add("<svg width=\"0\" height=\"0\" style=\"position:absolute\"><defs><pattern id=\"hatch\" "
@@ -207,7 +207,7 @@
         double share = 0;
         for (int i = 0; i < samples.size(); i += 4) {
             List<EventLog.Sample> four = samples.subList(i, Math.min(samples.size(), i + 4));
-            double at = (four.get(0).at() - chronicle.start()) / 1e9;
+            double at = (four.get(0).at() - eventLog.start()) / 1e9;
             double util =
                     four.stream().mapToDouble(EventLog.Sample::util).average().orElse(Double.NaN);
             double held =
@@ -234,7 +234,7 @@
 
     /** A strip for each process of a proxy: how it saw the others; grey where it did not answer. */
     private void fleet() {
-        FleetChart chart = new FleetChart(chronicle, day.script().seconds());
+        FleetChart chart = new FleetChart(eventLog, day.script().seconds());
         add("<h2>The view of the fleet</h2>");
         add("<p class=\"soft\">How each proxy saw the others, the worst answer of each second, and at the "
                 + "end of its line the bytes a second that it sent.</p>");
@@ -270,8 +270,8 @@
 
     private void worst() {
         Verdict v = day.verdict();
-        long from = chronicle.start() + v.worstFromNs();
-        List<Order> lost = chronicle.orders().stream()
+        long from = eventLog.start() + v.worstFromNs();
+        List<Order> lost = eventLog.orders().stream()
                 .filter(o -> o.at >= from && o.at < from + WORST_NS && !o.inTime())
                 .toList();
         add("<h2>The worst ten seconds, from %.0f s</h2>", v.worstFromNs() / 1e9);
@@ -294,13 +294,13 @@
                 .forEach(e -> add("<tr><td>%s</td><td>%d</td></tr>", escaped(e.getKey()), e.getValue()));
         add("</table></div>");
         add("<details><summary>What happened around then</summary><pre>");
-        chronicle.happenings().stream()
+        eventLog.happenings().stream()
                 .filter(h -> h.at() >= from - WORST_NS / 5 && h.at() < from + WORST_NS)
-                .forEach(h -> add("%8.3f s  %s", (h.at() - chronicle.start()) / 1e9, escaped(h.what())));
+                .forEach(h -> add("%8.3f s  %s", (h.at() - eventLog.start()) / 1e9, escaped(h.what())));
         add("</pre></details>");
         add("<details><summary>The first order that was not served in time</summary><pre>");
         Order first = lost.get(0);
-        RequestTrace.of(first.tries.get(first.tries.size() - 1), chronicle).forEach(l -> add("%s", escaped(l)));
+        RequestTrace.of(first.tries.get(first.tries.size() - 1), eventLog).forEach(l -> add("%s", escaped(l)));
         add("</pre></details>");
     }
 
@@ -316,10 +316,10 @@
         for (Broken b : all.subList(0, Math.min(MOST_STORIES, all.size()))) {
             add(
                     "<p><strong>%s.</strong> At %.6f s: %s</p>",
-                    escaped(b.rule().words()), (b.at() - chronicle.start()) / 1e9, escaped(b.what()));
+                    escaped(b.rule().words()), (b.at() - eventLog.start()) / 1e9, escaped(b.what()));
             Try t = b.request();
             if (t != null) {
-                add("<pre>%s</pre>", escaped(String.join("\n", RequestTrace.of(t, chronicle))));
+                add("<pre>%s</pre>", escaped(String.join("\n", RequestTrace.of(t, eventLog))));
             }
         }
     }
--- a/src/main/java/gullspar/rehearse/report/JsonReport.java
+++ b/src/main/java/gullspar/rehearse/report/JsonReport.java
@@ -44,9 +44,9 @@
         for (Broken b : v.broken().subList(0, Math.min(MOST_STORIES, v.broken().size()))) {
             ObjectNode o = broken.addObject()
                     .put("rule", b.rule().name().toLowerCase(Locale.ROOT))
-                    .put("at", (b.at() - p.chronicle().start()) / 1e9)
+                    .put("at", (b.at() - p.eventLog().start()) / 1e9)
                     .put("what", b.what());
-            List<String> story = b.request() == null ? List.of() : RequestTrace.of(b.request(), p.chronicle());
+            List<String> story = b.request() == null ? List.of() : RequestTrace.of(b.request(), p.eventLog());
             ArrayNode lines = o.putArray("story");
             story.forEach(lines::add);
         }
--- a/src/main/java/gullspar/rehearse/report/Seconds.java
+++ b/src/main/java/gullspar/rehearse/report/Seconds.java
@@ -19,8 +19,8 @@
 
     Seconds(Played p) {
         counts = new int[Math.max(1, (int) Math.ceil(p.script().seconds()))][Kind.values().length];
-        for (Order o : p.chronicle().orders()) {
-            int second = (int) ((o.at - p.chronicle().start()) / 1_000_000_000L);
+        for (Order o : p.eventLog().orders()) {
+            int second = (int) ((o.at - p.eventLog().start()) / 1_000_000_000L);
             counts[Math.max(0, Math.min(counts.length - 1, second))][kind(o).ordinal()]++;
         }
     }
--- a/src/main/java/gullspar/rehearse/script/Fault.java
+++ b/src/main/java/gullspar/rehearse/script/Fault.java
@@ -18,12 +18,12 @@
     @Override
     public String toString() {
         StringBuilder s = new StringBuilder(kind.named());
-        String some = count + (kind.strikes() == FaultKind.Strikes.NODES ? " node" : " proxy");
-        boolean way = kind.strikes() == FaultKind.Strikes.LINK || kind.strikes() == FaultKind.Strikes.DATAGRAMS;
+        String some = count + (kind.target() == FaultKind.Target.NODES ? " node" : " proxy");
+        boolean way = kind.target() == FaultKind.Target.LINK || kind.target() == FaultKind.Target.DATAGRAMS;
         String what = names.isEmpty()
                 ? count == 1 ? some : some.replace("proxy", "proxie") + "s"
                 : String.join(way ? " to " : ", ", names);
-        s.append(kind.strikes() == FaultKind.Strikes.FLEET ? "" : " " + what);
+        s.append(kind.target() == FaultKind.Target.FLEET ? "" : " " + what);
         figures.forEach((k, v) -> s.append(' ').append(k).append('=').append(Fields.plain(v)));
         return s.toString();
     }
--- a/src/main/java/gullspar/rehearse/script/FaultKind.java
+++ b/src/main/java/gullspar/rehearse/script/FaultKind.java
@@ -6,91 +6,91 @@
 /** What can go wrong in a rehearsal, what it strikes and the figures that it takes. */
 public enum FaultKind {
     /** Another program takes a share of a node's machine, on and off. */
-    NEIGHBOUR(Strikes.NODES, figure("takes", 0.5, 0.05, 0.95), figure("on_s", 3, 0.1, 600), figure("off_s", 1, 0, 600)),
+    NEIGHBOUR(Target.NODES, figure("takes", 0.5, 0.05, 0.95), figure("on_s", 3, 0.1, 600), figure("off_s", 1, 0, 600)),
     /** A proxy suddenly draws a share of all traffic on top of its own. */
-    RUSH(Strikes.PROXIES, figure("share", 0.15, 0.01, 0.9)),
+    RUSH(Target.PROXIES, figure("share", 0.15, 0.01, 0.9)),
     /** A share of a class's requests costs many times the usual work. */
-    HEAVY(Strikes.CLASS, figure("share", 0.02, 0.001, 1), figure("times", 10, 1.1, 100)),
+    HEAVY(Target.CLASS, figure("share", 0.02, 0.001, 1), figure("times", 10, 1.1, 100)),
     /** A share of a class's clients leave before their answer, at any moment within so long. */
-    LEAVING(Strikes.CLASS, figure("share", 0.2, 0.001, 1), figure("within_ms", 300, 1, 60_000)),
+    LEAVING(Target.CLASS, figure("share", 0.2, 0.001, 1), figure("within_ms", 300, 1, 60_000)),
     /** Traffic falls and the fleet shrinks to a share of its size, evenly over the time. */
-    SHRINK(Strikes.FLEET, figure("to", 0.5, 0.05, 0.95), figure("traffic", 0.5, 0.05, 1)),
+    SHRINK(Target.FLEET, figure("to", 0.5, 0.05, 0.95), figure("traffic", 0.5, 0.05, 1)),
     /** A node's process ends; after a while it starts again, cold. 0: it stays away. */
-    CRASH(Strikes.NODES, figure("down_s", 2, 0, 600)),
+    CRASH(Target.NODES, figure("down_s", 2, 0, 600)),
     /** A node takes what comes, works on nothing and says nothing. */
-    HANG(Strikes.NODES),
+    HANG(Target.NODES),
     /** A node drains, ends, and is back cold under its old id. */
-    RESTART(Strikes.NODES, figure("grace_s", 2, 0, 60), figure("down_s", 1, 0.1, 60)),
+    RESTART(Target.NODES, figure("grace_s", 2, 0, 60), figure("down_s", 1, 0.1, 60)),
     /** A node drains, ends, and another with a new id starts cold at its address. */
-    REPLACE(Strikes.NODES, figure("grace_s", 2, 0, 60), figure("down_s", 1, 0.1, 60)),
+    REPLACE(Target.NODES, figure("grace_s", 2, 0, 60), figure("down_s", 1, 0.1, 60)),
     /** A node drains and is gone. */
-    DRAIN(Strikes.NODES, figure("grace_s", 3, 0, 60)),
+    DRAIN(Target.NODES, figure("grace_s", 3, 0, 60)),
     /** The list comes later than usual. */
-    LATE_LIST(Strikes.PROXIES, figure("by_s", 3, 0.1, 60)),
+    LATE_LIST(Target.PROXIES, figure("by_s", 3, 0.1, 60)),
     /** Watches that are opened meanwhile get the list as it was when this began. */
-    OLD_LIST(Strikes.FLEET),
+    OLD_LIST(Target.FLEET),
     /** Watches stay open and bring nothing. */
-    SILENT_LIST(Strikes.PROXIES),
+    SILENT_LIST(Target.PROXIES),
     /** Discovery is down: watches end, new ones are refused. */
-    DISCOVERY_DOWN(Strikes.FLEET),
+    DISCOVERY_DOWN(Target.FLEET),
     /** A way takes longer. */
-    SLOW_LINK(Strikes.LINK, figure("adds_ms", 50, 0.1, 10_000)),
+    SLOW_LINK(Target.LINK, figure("adds_ms", 50, 0.1, 10_000)),
     /** A way loses segments. */
-    LOSSY_LINK(Strikes.LINK, figure("share", 0.02, 0.0001, 0.9)),
+    LOSSY_LINK(Target.LINK, figure("share", 0.02, 0.0001, 0.9)),
     /** A way carries nothing, in this direction only; nobody is told. */
-    CUT_LINK(Strikes.LINK),
+    CUT_LINK(Target.LINK),
     /** Datagrams of a way take longer by up to so much each, so they overtake one another. */
-    JITTERY_LINK(Strikes.DATAGRAMS, figure("adds_ms", 200, 0.1, 10_000)),
+    JITTERY_LINK(Target.DATAGRAMS, figure("adds_ms", 200, 0.1, 10_000)),
     /** A share of a way's datagrams comes twice. */
-    DOUBLED_LINK(Strikes.DATAGRAMS, figure("share", 0.2, 0.001, 1)),
+    DOUBLED_LINK(Target.DATAGRAMS, figure("share", 0.2, 0.001, 1)),
     /** A share of a way's datagrams comes cut short. */
-    TORN_LINK(Strikes.DATAGRAMS, figure("share", 0.1, 0.001, 1)),
+    TORN_LINK(Target.DATAGRAMS, figure("share", 0.1, 0.001, 1)),
     /** A share of a way's datagrams comes with a bit turned round. */
-    FLIPPED_LINK(Strikes.DATAGRAMS, figure("share", 0.1, 0.001, 1)),
+    FLIPPED_LINK(Target.DATAGRAMS, figure("share", 0.1, 0.001, 1)),
     /** A way holds its datagrams, and then delivers all at once. */
-    STALLED_LINK(Strikes.DATAGRAMS),
+    STALLED_LINK(Target.DATAGRAMS),
     /** Those struck and the other proxies hear nothing of each other. */
-    PARTITION(Strikes.PROXIES),
+    PARTITION(Target.PROXIES),
     /** The connections of a way are reset, once. */
-    RESET_LINK(Strikes.LINK),
+    RESET_LINK(Target.LINK),
     /** A node's machine vanishes; when it is back it resets the connections that it had. */
-    VANISH(Strikes.NODES),
+    VANISH(Target.NODES),
     /** A share of a node's answers comes spoilt. */
-    SPOIL(Strikes.NODES, figure("share", 0.1, 0.001, 1)),
+    SPOIL(Target.NODES, figure("share", 0.1, 0.001, 1)),
     /** A node's answers trickle. */
-    SLOW_ANSWERS(Strikes.NODES, figure("bytes_per_s", 2000, 1, 1e6)),
+    SLOW_ANSWERS(Target.NODES, figure("bytes_per_s", 2000, 1, 1e6)),
     /** Clients that send what makes no sense, so many a second. */
-    RUDE_CLIENTS(Strikes.PROXIES, figure("per_s", 20, 0.1, 1000)),
+    RUDE_CLIENTS(Target.PROXIES, figure("per_s", 20, 0.1, 1000)),
     /** Clients that connect and say nothing, so many each second. */
-    SILENT_CLIENTS(Strikes.PROXIES, figure("per_s", 20, 0.1, 1000)),
+    SILENT_CLIENTS(Target.PROXIES, figure("per_s", 20, 0.1, 1000)),
     /** A proxy is killed and started again. */
-    KILL(Strikes.PROXIES, figure("down_s", 1, 0.1, 60)),
+    KILL(Target.PROXIES, figure("down_s", 1, 0.1, 60)),
     /** A proxy is told to end (SIGTERM) and started again. */
-    STOP(Strikes.PROXIES, figure("down_s", 2, 0.1, 60)),
+    STOP(Target.PROXIES, figure("down_s", 2, 0.1, 60)),
     /** Discovery moves, and a proxy is told to read its configuration anew (SIGHUP). */
-    RELOAD(Strikes.PROXIES),
+    RELOAD(Target.PROXIES),
     /** A proxy stands still (SIGSTOP), and goes on. */
-    PAUSE(Strikes.PROXIES),
+    PAUSE(Target.PROXIES),
     /** A proxy gets only a share of its processor: it runs so long in each period, and stands still. */
-    STARVED(Strikes.PROXIES, figure("share", 0.1, 0.01, 0.95), figure("period_ms", 500, 20, 60_000)),
+    STARVED(Target.PROXIES, figure("share", 0.1, 0.01, 0.95), figure("period_ms", 500, 20, 60_000)),
     /** A proxy is killed, and comes back where the others do not look for it. */
-    MOVE(Strikes.PROXIES, figure("down_s", 1, 0.1, 60)),
+    MOVE(Target.PROXIES, figure("down_s", 1, 0.1, 60)),
     /** Proxies are killed, and each comes back at the address that the one before it had. */
-    TAKE_OVER(Strikes.PROXIES, figure("down_s", 1, 0.1, 60)),
+    TAKE_OVER(Target.PROXIES, figure("down_s", 1, 0.1, 60)),
     /** A second process lives under a proxy's name, at an address of its own. */
-    TWIN(Strikes.PROXIES),
+    TWIN(Target.PROXIES),
     /** Operators replace the fleet's key, proxy by proxy: both known, the new one used, the old one gone. */
-    NEW_KEY(Strikes.FLEET),
+    NEW_KEY(Target.FLEET),
     /** Datagrams made without the key, changed ones, and old ones once more, so many a second. */
-    FORGED_DATAGRAMS(Strikes.PROXIES, figure("per_s", 200, 1, 5000)),
+    FORGED_DATAGRAMS(Target.PROXIES, figure("per_s", 200, 1, 5000)),
     /** A proxy tells the others of some that do not exist: so many for each of its datagrams. */
-    MAD_MEMBER(Strikes.PROXIES, figure("for_each", 100, 1, 500));
+    MAD_MEMBER(Target.PROXIES, figure("for_each", 100, 1, 500));
 
     /**
      * What a fault strikes: nodes or proxies by number or name, a way from one machine to another, the
      * datagrams on a way between proxies...
      */
-    public enum Strikes {
+    public enum Target {
         NODES,
         PROXIES,
         CLASS,
@@ -102,11 +102,11 @@
     /** A figure of a fault: its name, the value where none is given, and its bounds. */
     public record Figure(String name, double usual, double least, double most) {}
 
-    private final Strikes strikes;
+    private final Target target;
     private final List<Figure> figures;
 
-    FaultKind(Strikes strikes, Figure... figures) {
-        this.strikes = strikes;
+    FaultKind(Target target, Figure... figures) {
+        this.target = target;
         this.figures = List.of(figures);
     }
 
@@ -114,8 +114,8 @@
         return new Figure(name, usual, least, most);
     }
 
-    public Strikes strikes() {
-        return strikes;
+    public Target target() {
+        return target;
     }
 
     public List<Figure> figures() {
@@ -137,7 +137,7 @@
 
     /** Is it one of those that only proxies with a view of the fleet feel? */
     public boolean betweenProxies() {
-        return strikes == Strikes.DATAGRAMS
+        return target == Target.DATAGRAMS
                 || switch (this) {
                     case PARTITION, MOVE, TAKE_OVER, TWIN, NEW_KEY, FORGED_DATAGRAMS, MAD_MEMBER -> true;
                     default -> false;
--- a/src/main/java/gullspar/rehearse/script/ScriptReader.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptReader.java
@@ -323,7 +323,7 @@
             figures.put(g.name(), f.number(g.name(), g.usual(), g.least(), g.most()));
         }
         Fault fault =
-                switch (kind.strikes()) {
+                switch (kind.target()) {
                     case NODES -> struck(f, "nodes", names.nodes(), kind, at, lasts, figures);
                     case PROXIES -> struck(f, "proxies", names.proxies(), kind, at, lasts, figures);
                     case CLASS -> new Fault(
--- a/src/main/java/gullspar/rehearse/script/ScriptWriter.java
+++ b/src/main/java/gullspar/rehearse/script/ScriptWriter.java
@@ -1,6 +1,6 @@
 package gullspar.rehearse.script;
 
-import gullspar.rehearse.script.FaultKind.Strikes;
+import gullspar.rehearse.script.FaultKind.Target;
 import gullspar.toml.Fields;
 import gullspar.toml.Range;
 import java.util.List;
@@ -154,12 +154,12 @@
         if (!f.kind().momentary()) {
             line("for", plain(f.lasts()));
         }
-        Strikes strikes = f.kind().strikes();
-        if (strikes == Strikes.NODES || strikes == Strikes.PROXIES) {
-            line(strikes == Strikes.NODES ? "nodes" : "proxies", f.names().isEmpty() ? f.count() : texts(f.names()));
-        } else if (strikes == Strikes.CLASS) {
+        Target target = f.kind().target();
+        if (target == Target.NODES || target == Target.PROXIES) {
+            line(target == Target.NODES ? "nodes" : "proxies", f.names().isEmpty() ? f.count() : texts(f.names()));
+        } else if (target == Target.CLASS) {
             line("class", text(f.names().get(0)));
-        } else if (strikes == Strikes.LINK || strikes == Strikes.DATAGRAMS) {
+        } else if (target == Target.LINK || target == Target.DATAGRAMS) {
             line("from", text(f.names().get(0))).line("to", text(f.names().get(1)));
         }
         f.figures().forEach((k, v) -> line(k, plain(v)));
--- a/src/main/java/gullspar/rehearse/search/Draw.java
+++ b/src/main/java/gullspar/rehearse/search/Draw.java
@@ -51,7 +51,7 @@
             double value = Math.max(f.least(), Math.min(f.most(), f.usual() * spread));
             figures.put(f.name(), Math.max(f.least(), Math.min(f.most(), Math.rint(value * 1000) / 1000)));
         }
-        return switch (kind.strikes()) {
+        return switch (kind.target()) {
             case NODES -> new Fault(kind, at, lasts, 1 + r.nextInt(Math.max(1, s.fleet() / 2)), List.of(), figures);
             case PROXIES -> new Fault(
                     kind,
--- a/src/main/java/gullspar/rehearse/stage/Agent.java
+++ b/src/main/java/gullspar/rehearse/stage/Agent.java
@@ -64,7 +64,7 @@
     private final String proxy;
     private final RunEnvironment stage;
     private final Platform platform;
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final String machine;
     private final ServiceQueue turns;
     /** By instance; those that are gone stay, so that an old watch can be told. */
@@ -83,11 +83,11 @@
     /** How often it began or ceased to be reachable, with what it has. */
     private int turned;
 
-    Agent(String proxy, RunEnvironment stage, EventLog chronicle, ServiceQueue turns) {
+    Agent(String proxy, RunEnvironment stage, EventLog eventLog, ServiceQueue turns) {
         this.turns = turns;
         this.proxy = proxy;
         this.stage = stage;
-        this.chronicle = chronicle;
+        this.eventLog = eventLog;
         this.machine = "discovery";
         this.platform = stage.at(machine);
     }
@@ -151,14 +151,14 @@
 
     private void dueInTime(List<Entry> list) {
         int since = turned;
-        list.stream().filter(e -> !e.leaving()).forEach(e -> chronicle.due(proxy, e.id(), false, stage.now()));
+        list.stream().filter(e -> !e.leaving()).forEach(e -> eventLog.due(proxy, e.id(), false, stage.now()));
         platform.loop()
                 .schedule(
                         () -> {
                             if (since == turned && !silent && !down && old == null) {
                                 list.stream()
                                         .filter(e -> e.leaving() && entries.get(e.id()).entry == e)
-                                        .forEach(e -> chronicle.due(proxy, e.id(), true, stage.now()));
+                                        .forEach(e -> eventLog.due(proxy, e.id(), true, stage.now()));
                             }
                         },
                         DUE_MS,
@@ -212,7 +212,7 @@
 
     /** A proxy starts with what is known here. */
     void toldAll() {
-        entries.values().forEach(v -> chronicle.told(proxy, v.entry.id(), v.entry.leaving(), stage.now()));
+        entries.values().forEach(v -> eventLog.told(proxy, v.entry.id(), v.entry.leaving(), stage.now()));
     }
 
     private static ObjectNode line(long version, boolean whole, List<Entry> list) {
@@ -278,7 +278,7 @@
 
         void say(String line, List<Entry> told) {
             write(chunk(line + "\n"));
-            told.forEach(e -> chronicle.told(proxy, e.id(), e.leaving(), stage.now()));
+            told.forEach(e -> eventLog.told(proxy, e.id(), e.leaving(), stage.now()));
         }
 
         private void beat() {
--- a/src/main/java/gullspar/rehearse/stage/EventLog.java
+++ b/src/main/java/gullspar/rehearse/stage/EventLog.java
@@ -26,7 +26,7 @@
     public record Sample(long at, String node, int held, double util, double share, boolean listed) {}
 
     private long start;
-    private BiFunction<String, String, Try> strangers;
+    private BiFunction<String, String, Try> manualRequests;
     private final List<Order> orders = new ArrayList<>();
     private final Map<String, Try> tries = new HashMap<>();
     private final Map<String, List<Told>> told = new HashMap<>();
@@ -87,7 +87,7 @@
     /** The request of that id; null if no client sent one and strangers are not served. */
     public Try request(String id, String path) {
         Try t = tries.get(id);
-        return t == null && strangers != null && !id.isEmpty() ? strangers.apply(id, path) : t;
+        return t == null && manualRequests != null && !id.isEmpty() ? manualRequests.apply(id, path) : t;
     }
 
     /**
@@ -95,7 +95,7 @@
      * a request's id and path, or null.
      */
     public void serveStrangers(BiFunction<String, String, Try> maker) {
-        strangers = maker;
+        manualRequests = maker;
     }
 
     /** Forgets the orders before a time: a day without end must not grow. */
--- a/src/main/java/gullspar/rehearse/stage/Fleet.java
+++ b/src/main/java/gullspar/rehearse/stage/Fleet.java
@@ -20,7 +20,7 @@
 
     private final RunEnvironment stage;
     private final Script script;
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final Platform platform;
     private final SplittableRandom random;
     /** The machines with the process that runs on each, by the machine's name; null where none runs. */
@@ -38,10 +38,10 @@
     private final Map<String, Integer> servedBefore = new HashMap<>();
     private final Map<String, Integer> instances = new HashMap<>();
 
-    public Fleet(RunEnvironment stage, Script script, EventLog chronicle) {
+    public Fleet(RunEnvironment stage, Script script, EventLog eventLog) {
         this.stage = stage;
         this.script = script;
-        this.chronicle = chronicle;
+        this.eventLog = eventLog;
         this.platform = stage.at("fleet");
         this.random = new SplittableRandom(script.seed() * 31 + 1);
         int n = 0;
@@ -85,7 +85,7 @@
         }
         ServiceQueue turns = new ServiceQueue(script.discovery().answerMs());
         for (String proxy : proxies) {
-            Agent a = new Agent(proxy, stage, chronicle, turns);
+            Agent a = new Agent(proxy, stage, eventLog, turns);
             a.knows(List.copyOf(listed.values()));
             a.open();
             agents.put(proxy, a);
@@ -137,7 +137,7 @@
         if (node == null) {
             return;
         }
-        chronicle.happened(stage.now(), node.id + " crashes");
+        eventLog.happened(stage.now(), node.id + " crashes");
         node.end();
         gone(node, script.discovery().noticeS().draw(random));
         if (downS > 0) {
@@ -168,7 +168,7 @@
             return;
         }
         Node node = run(machine, id, stage.now());
-        chronicle.happened(stage.now(), id + " starts, cold");
+        eventLog.happened(stage.now(), id + " starts, cold");
         list(entry(node, "in_service"));
     }
 
@@ -178,14 +178,14 @@
         if (node == null) {
             return;
         }
-        chronicle.happened(stage.now(), node.id + " drains");
+        eventLog.happened(stage.now(), node.id + " drains");
         list(entry(node, "terminating"));
         after(graceS, () -> {
             if (byMachine.get(machine) != node) {
                 return;
             }
             node.end();
-            chronicle.happened(stage.now(), node.id + " ends");
+            eventLog.happened(stage.now(), node.id + " ends");
             gone(node, 0);
             if (nextId != null) {
                 after(downS, () -> startAgain(machine, nextId));
@@ -320,7 +320,7 @@
                     util = (busy - busyBefore.getOrDefault(n.id + n.bootNs, 0.0)) / SAMPLE_NS / n.cores();
                     busyBefore.put(n.id + n.bootNs, busy);
                 }
-                chronicle.sample(new EventLog.Sample(
+                eventLog.sample(new EventLog.Sample(
                         stage.now(),
                         e.getKey(),
                         n == null ? 0 : n.held(),
@@ -340,8 +340,8 @@
     }
 
     @Override
-    public EventLog chronicle() {
-        return chronicle;
+    public EventLog eventLog() {
+        return eventLog;
     }
 
     @Override
--- a/src/main/java/gullspar/rehearse/stage/LoadGenerator.java
+++ b/src/main/java/gullspar/rehearse/stage/LoadGenerator.java
@@ -41,7 +41,7 @@
 
     private final RunEnvironment stage;
     private final Script script;
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final Front front;
     private final Platform platform;
     private final SplittableRandom arrivals;
@@ -55,10 +55,10 @@
     private int requests;
     private int open;
 
-    public LoadGenerator(RunEnvironment stage, Script script, EventLog chronicle, Front front) {
+    public LoadGenerator(RunEnvironment stage, Script script, EventLog eventLog, Front front) {
         this.stage = stage;
         this.script = script;
-        this.chronicle = chronicle;
+        this.eventLog = eventLog;
         this.front = front;
         this.platform = stage.at("clients");
         this.arrivals = new SplittableRandom(script.seed() * 31 + 3);
@@ -134,7 +134,7 @@
         work *= draw.nextDouble() < h[0] ? h[1] : 1;
         String from = script.sites().get((int) (site * script.sites().size()));
         Order o = new Order(number, c, key(key), work, from, stage.now());
-        chronicle.order(o);
+        eventLog.order(o);
         attempt(o, draw);
     }
 
@@ -165,7 +165,7 @@
         Try t = new Try(o, "r" + ++requests + "-" + o.number, now + (long) (o.kind.giveUpMs() * 1e6 * patience));
         o.tries.add(t);
         open++;
-        chronicle.request(t);
+        eventLog.request(t);
         deal(t, draw, "", 0);
     }
 
--- a/src/main/java/gullspar/rehearse/stage/Node.java
+++ b/src/main/java/gullspar/rehearse/stage/Node.java
@@ -28,7 +28,7 @@
     interface Fleet {
         RunEnvironment stage();
 
-        EventLog chronicle();
+        EventLog eventLog();
 
         Script script();
 
@@ -247,7 +247,7 @@
         }
         fitness.changed(now, couldDo());
         if (sentNs > fleet.script().rules().tipMultiple() * fitness.over(window, now)) {
-            fleet.chronicle().fell(id, now);
+            fleet.eventLog().fell(id, now);
             end();
             fleet.fell(this);
         }
@@ -378,8 +378,8 @@
         return fleet.stage();
     }
 
-    EventLog chronicle() {
-        return fleet.chronicle();
+    EventLog eventLog() {
+        return fleet.eventLog();
     }
 
     Platform platform() {
--- a/src/main/java/gullspar/rehearse/stage/NodeConnection.java
+++ b/src/main/java/gullspar/rehearse/stage/NodeConnection.java
@@ -54,7 +54,7 @@
         }
         if (message instanceof HttpRequest r) {
             head = r;
-            asked = node.chronicle().request(r.headers().get("Request-Id", ""), r.uri());
+            asked = node.eventLog().request(r.headers().get("Request-Id", ""), r.uri());
             attempt = null;
             if (asked != null) {
                 attempt = new Attempt(node.id, node.site, node.stage().sentAt(c.channel()));
--- a/src/main/java/gullspar/rehearse/stage/RudeClients.java
+++ b/src/main/java/gullspar/rehearse/stage/RudeClients.java
@@ -36,17 +36,17 @@
 
     private final RunEnvironment stage;
     private final Platform platform;
-    private final EventLog chronicle;
+    private final EventLog eventLog;
     private final String someClass;
     private final SplittableRandom random;
     private final Set<String> rude = new HashSet<>();
     private final Set<String> silent = new HashSet<>();
     private int sent;
 
-    public RudeClients(RunEnvironment stage, EventLog chronicle, String someClass, long seed) {
+    public RudeClients(RunEnvironment stage, EventLog eventLog, String someClass, long seed) {
         this.stage = stage;
         this.platform = stage.at("rude");
-        this.chronicle = chronicle;
+        this.eventLog = eventLog;
         this.someClass = someClass;
         this.random = new SplittableRandom(seed * 31 + 5);
     }
@@ -111,8 +111,8 @@
                             () -> {
                                 boolean owed = !answered
                                         && ctx.channel().isActive()
-                                        && !chronicle.excused(proxy, since, stage.now());
-                                chronicle.rude(owed, served);
+                                        && !eventLog.excused(proxy, since, stage.now());
+                                eventLog.rude(owed, served);
                                 ctx.close();
                             },
                             OWED_MS,
--- a/src/test/java/gullspar/peers/FleetFigures.java
+++ b/src/test/java/gullspar/peers/FleetFigures.java
@@ -166,7 +166,7 @@
                                 s.fanout(),
                                 s.syncNs(),
                                 s.figuresNs(),
-                                s.knockMost(),
+                                s.reconnectMost(),
                                 s.forgetNs(),
                                 s.windowNs(),
                                 s.members(),
--- a/src/test/java/gullspar/peers/PeersPropertiesTest.java
+++ b/src/test/java/gullspar/peers/PeersPropertiesTest.java
@@ -49,9 +49,9 @@
     @Property(tries = 2000, seed = "112")
     void noStateGoesBack(@ForAll("heard") MemberState a, @ForAll("heard") MemberState b) {
         MemberState m = a.merge(b);
-        assertTrue(a.standing() != MemberStatus.LEFT || m.standing() == MemberStatus.LEFT);
-        assertTrue(m.standing() == MemberStatus.LEFT || m.incarnation() >= a.incarnation());
-        assertTrue(!a.accuses() || m.standing() != MemberStatus.ALIVE || m.incarnation() > a.incarnation());
+        assertTrue(a.status() != MemberStatus.LEFT || m.status() == MemberStatus.LEFT);
+        assertTrue(m.status() == MemberStatus.LEFT || m.incarnation() >= a.incarnation());
+        assertTrue(!a.accuses() || m.status() != MemberStatus.ALIVE || m.incarnation() > a.incarnation());
     }
 
     private static final String[] NAMES = {"p1", "p2", "p3", "other", "me"};
@@ -64,7 +64,7 @@
         return r.nextInt(8) == 0 ? MemberState.MOST_INCARNATION - r.nextInt(2) : r.nextInt(5);
     }
 
-    private static Rumor rumour(SplittableRandom r) {
+    private static Rumor rumor(SplittableRandom r) {
         Identity id = id(r);
         Statement s = r.nextBoolean()
                 ? null
@@ -91,10 +91,10 @@
                 r.nextLong(1L << 32));
     }
 
-    private static List<Rumor> rumours(SplittableRandom r) {
+    private static List<Rumor> rumors(SplittableRandom r) {
         List<Rumor> all = new ArrayList<>();
         for (int i = r.nextInt(5); i > 0; i--) {
-            all.add(rumour(r));
+            all.add(rumor(r));
         }
         return all;
     }
@@ -102,11 +102,11 @@
     private static Message message(SplittableRandom r, long number) {
         Message.Header h = new Message.Header(id(r), small(r), "a" + r.nextInt(9) + ":1", number);
         return switch (r.nextInt(8)) {
-            case 0 -> new Message.Ping(h, r.nextLong(), r.nextInt(4), r.nextBoolean(), rumours(r));
-            case 1 -> new Message.Ack(h, r.nextLong(), id(r), small(r), rumours(r));
-            case 2 -> new Message.PingReq(h, r.nextLong(), id(r), "a" + r.nextInt(9) + ":1", rumours(r));
-            case 3 -> new Message.Nack(h, r.nextLong(), rumours(r));
-            case 4 -> new Message.News(h, rumours(r));
+            case 0 -> new Message.Ping(h, r.nextLong(), r.nextInt(4), r.nextBoolean(), rumors(r));
+            case 1 -> new Message.Ack(h, r.nextLong(), id(r), small(r), rumors(r));
+            case 2 -> new Message.PingReq(h, r.nextLong(), id(r), "a" + r.nextInt(9) + ":1", rumors(r));
+            case 3 -> new Message.Nack(h, r.nextLong(), rumors(r));
+            case 4 -> new Message.News(h, rumors(r));
             case 5 -> new Message.Digest(
                     h,
                     new ArrayList<>(
--- a/src/test/java/gullspar/peers/PeersTest.java
+++ b/src/test/java/gullspar/peers/PeersTest.java
@@ -57,7 +57,7 @@
                 t.living().stream().flatMap(o -> o.changes.stream()).noneMatch(c -> c.kind() == Change.Kind.SUSPECTED));
     }
 
-    /** Its state is lost: life and revision begin anew, and no rumour of the former life holds it down. */
+    /** Its state is lost: life and revision begin anew, and no rumor of the former life holds it down. */
     @Test
     void aProcessThatComesBackSupersedesItsFormerSelf() {
         SimulatedFleet t = settled(3, 10);
--- a/src/test/java/gullspar/peers/ViewCost.java
+++ b/src/test/java/gullspar/peers/ViewCost.java
@@ -60,7 +60,7 @@
             sentBy.merge(l, (long) bytes, Long::sum);
             count.bytes.merge(kind(m), (long) bytes, Long::sum);
             long statements =
-                    m.rumours().stream().filter(r -> r.statement() != null).count();
+                    m.rumors().stream().filter(r -> r.statement() != null).count();
             count.bytes.merge("statements told", statements, Long::sum);
         };
         town.taken = (l, m) -> count.received += encoded.getOrDefault(m, m.size());
--- a/src/test/java/gullspar/peers/wire/WireTest.java
+++ b/src/test/java/gullspar/peers/wire/WireTest.java
@@ -72,7 +72,7 @@
                 .as((r, a, z, p, up, twin, f, x) -> new Statement(id, r, a, z, z, a, p, up, twin, r, f, x));
     }
 
-    private static Arbitrary<Rumor> rumours() {
+    private static Arbitrary<Rumor> rumors() {
         return identities().flatMap(id -> Combinators.combine(
                         Arbitraries.integers().between(0, MemberState.MOST_INCARNATION),
                         Arbitraries.of(MemberStatus.class),
@@ -90,7 +90,7 @@
                         names(),
                         Arbitraries.longs().greaterOrEqual(1))
                 .as(Message.Header::new);
-        Arbitrary<List<Rumor>> some = rumours().list().ofMaxSize(3);
+        Arbitrary<List<Rumor>> some = rumors().list().ofMaxSize(3);
         return Combinators.combine(
                         headers,
                         Arbitraries.longs(),
--- a/src/test/java/gullspar/proxy/OperatorTest.java
+++ b/src/test/java/gullspar/proxy/OperatorTest.java
@@ -205,6 +205,19 @@
         assertEquals(1, figures().path("config_reload_errors").asInt());
     }
 
+    @Test
+    void theFiguresTellOfTheEventLoopAndTheClassArchive() throws Exception {
+        about();
+        JsonNode f = figures();
+        assertEquals("none", f.path("class_archive").asText(), "this test's own process was started with none");
+        assertTrue(f.path("loop").path("turns").asLong() > 0, f.toString());
+        assertTrue(
+                f.path("loop").path("turns").asLong()
+                        >= f.path("loop").path("empty_turns").asLong(),
+                f.toString());
+        assertTrue(f.path("loop").has("standstills"), f.toString());
+    }
+
     @Test
     void ofABrokenFileNothingIsTaken() throws Exception {
         Path file = folder.resolve("config.json");
--- a/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
+++ b/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
@@ -72,7 +72,7 @@
                         .toList(),
                 () -> String.join("\n", p.log()));
         // All of it was there to be seen.
-        Map<String, Set<String>> lives = p.chronicle().looks().stream()
+        Map<String, Set<String>> lives = p.eventLog().looks().stream()
                 .collect(Collectors.groupingBy(
                         Look::proxy, Collectors.mapping(Look::life, Collectors.toCollection(TreeSet::new))));
         assertEquals(7, lives.size());
@@ -83,8 +83,8 @@
                         .map(e -> e.getValue().size())
                         .toList(),
                 "lives of each");
-        assertTrue(p.chronicle().looks().stream().anyMatch(Look::cutOff), "a minority said that it is one");
-        Look last = p.chronicle().looks().stream()
+        assertTrue(p.eventLog().looks().stream().anyMatch(Look::cutOff), "a minority said that it is one");
+        Look last = p.eventLog().looks().stream()
                 .max(Comparator.comparingLong(Look::at))
                 .orElseThrow();
         assertEquals(
--- a/src/test/java/gullspar/rehearse/live/LivePlayTest.java
+++ b/src/test/java/gullspar/rehearse/live/LivePlayTest.java
@@ -50,11 +50,11 @@
                                 + Days.fault("crash", 3, "nodes = [\"n2\"]\ndown_s = 0.5")),
                 (second, of) -> heard.add(second));
         assertTrue(p.verdict().counts().get("served") > 100, p.verdict().counts() + " " + p.log());
-        assertEquals(List.of(), p.chronicle().crashes());
+        assertEquals(List.of(), p.eventLog().crashes());
         assertTrue(p.log().stream().anyMatch(l -> l.startsWith("p1.2 ") && l.endsWith(" ready")), "p1 is back");
         assertTrue(p.log().stream().anyMatch(l -> l.startsWith("p2 ") && l.endsWith(" drained")), "p2 drained");
         assertTrue(p.log().stream().anyMatch(l -> l.contains("a new configuration")), "p1 reloaded");
-        assertTrue(p.chronicle().happenings().stream()
+        assertTrue(p.eventLog().happenings().stream()
                 .map(EventLog.Happening::what)
                 .anyMatch(w -> w.equals("n2 starts, cold")));
         assertFalse(heard.isEmpty());
--- a/src/test/java/gullspar/rehearse/play/FleetDayTest.java
+++ b/src/test/java/gullspar/rehearse/play/FleetDayTest.java
@@ -138,8 +138,8 @@
         Played p = VirtualPlay.play(s, VirtualPlay.Options.plain());
         assertEquals(List.of(), p.verdict().broken());
         assertTrue(
-                p.chronicle().looks().size() > 500,
-                "looked " + p.chronicle().looks().size());
+                p.eventLog().looks().size() > 500,
+                "looked " + p.eventLog().looks().size());
         assertTrue(p.log().stream().anyMatch(l -> l.contains("fleet: cut off: sees ")), "who is cut off says so");
         assertEquals(s, ScriptReader.parse(ScriptWriter.write(s), "again"));
         assertEquals(p.hash(), VirtualPlay.play(s, VirtualPlay.Options.plain()).hash());
@@ -189,7 +189,7 @@
             Message in(Message m) {
                 return TamperedMessages.with(
                         m,
-                        m.rumours().stream()
+                        m.rumors().stream()
                                 .filter(r -> !r.id().name().equals(self))
                                 .toList());
             }
@@ -224,9 +224,8 @@
             Message out(Message m) {
                 boolean knock = m instanceof Message.Ping p
                         && (p.target() == 0
-                                || m.rumours().stream()
-                                        .anyMatch(
-                                                r -> r.id().life() == p.target() && r.standing() == MemberStatus.GONE));
+                                || m.rumors().stream()
+                                        .anyMatch(r -> r.id().life() == p.target() && r.status() == MemberStatus.GONE));
                 return knock ? null : m;
             }
         }));
@@ -253,7 +252,7 @@
                         s.fanout(),
                         s.syncNs(),
                         s.figuresNs(),
-                        s.knockMost(),
+                        s.reconnectMost(),
                         s.forgetNs(),
                         s.windowNs(),
                         s.members(),
@@ -299,13 +298,13 @@
             Message out(Message m) {
                 return TamperedMessages.with(
                         m,
-                        m.rumours().stream()
+                        m.rumors().stream()
                                 .map(r -> r.statement() == null
                                         ? r
                                         : new Rumor(
                                                 r.id(),
                                                 r.incarnation(),
-                                                r.standing(),
+                                                r.status(),
                                                 r.by(),
                                                 r.sinceMs(),
                                                 unnamed(r.statement()),
@@ -335,20 +334,20 @@
     @Test
     void membersThatNeverWereAreNamed() {
         caught(Rule.FLEET_TRUE, MAD, datagrams(() -> new Filter() {
-            private final Map<Long, Rumor> spokenOf = new HashMap<>();
+            private final Map<Long, Rumor> addUnconfirmed = new HashMap<>();
             private long made;
 
             @Override
             Message in(Message m) {
-                m.rumours().stream()
+                m.rumors().stream()
                         .filter(r -> r.id().name().startsWith("ghost"))
-                        .forEach(r -> spokenOf.put(r.id().life(), r));
+                        .forEach(r -> addUnconfirmed.put(r.id().life(), r));
                 return m;
             }
 
             @Override
             Message answerTo(Message m) {
-                Rumor r = m instanceof Message.Ping p ? spokenOf.get(p.target()) : null;
+                Rumor r = m instanceof Message.Ping p ? addUnconfirmed.get(p.target()) : null;
                 return r == null
                         ? null
                         : new Message.Ack(
--- a/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
+++ b/src/test/java/gullspar/rehearse/play/SameEveryTimeTest.java
@@ -88,7 +88,7 @@
     void aDayThatIsOverIsLetGo() {
         WeakReference<EventLog> day =
                 new WeakReference<>(VirtualPlay.play(Days.small(1, "[peers]\n"), VirtualPlay.Options.plain())
-                        .chronicle());
+                        .eventLog());
         for (int i = 0; i < 100 && day.get() != null; i++) {
             System.gc();
         }
--- a/src/test/java/gullspar/rehearse/report/ReportTest.java
+++ b/src/test/java/gullspar/rehearse/report/ReportTest.java
@@ -61,7 +61,7 @@
                                         + Days.fault("partition", 18, "for = 5\nproxies = [\"p3\"]"))
                         .replace("count = 2\nstart_s", "count = 3\nstart_s")),
                 VirtualPlay.Options.plain());
-        FleetChart chart = new FleetChart(p.chronicle(), 30);
+        FleetChart chart = new FleetChart(p.eventLog(), 30);
         assertEquals(List.of("p1", "p2", "p3"), chart.processes());
         assertEquals(FleetChart.Sight.RIGHT, chart.of("p1").get(0).sight());
         assertEquals(FleetChart.Sight.BEHIND, chart.of("p1").get(2).sight(), "it is dead and still there");
--- a/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
+++ b/src/test/java/gullspar/rehearse/script/ScriptReaderTest.java
@@ -40,7 +40,7 @@
     @EnumSource(FaultKind.class)
     void everyFaultIsReadWithItsUsualFigures(FaultKind kind) {
         String struck =
-                switch (kind.strikes()) {
+                switch (kind.target()) {
                     case CLASS -> "class = \"look\"\n";
                     case LINK -> "from = \"p1\"\nto = \"nodes\"\n";
                     case DATAGRAMS -> "from = \"p1\"\nto = \"proxies\"\n";
