--- a/src/test/java/gullspar/proxy/ProxyProcess.java
+++ b/src/test/java/gullspar/proxy/ProxyProcess.java
@@ -89,7 +89,6 @@
             line = log.readLine();
         }
         assertTrue(line != null, "the process ended before it was ready");
-        beats.execute(() -> {});
         Thread drain = new Thread(() -> {
             try {
                 log.lines().forEach(l -> {});
