--- a/benchmarks/src/main/java/gullspar/benchmarks/FleetBenchmark.java
+++ b/benchmarks/src/main/java/gullspar/benchmarks/FleetBenchmark.java
@@ -8,9 +8,9 @@
 import gullspar.peers.Outbox;
 import gullspar.peers.Peers;
 import gullspar.peers.Phase;
-import gullspar.peers.Rumour;
+import gullspar.peers.Rumor;
 import gullspar.peers.Settings;
-import gullspar.peers.Standing;
+import gullspar.peers.MemberStatus;
 import gullspar.peers.Statement;
 import gullspar.peers.wire.Codec;
 import gullspar.peers.wire.Envelope;
@@ -101,13 +101,13 @@
         return new Message.Header(s.id(), 0, s.address(), ++numbers[i]);
     }
 
-    private static Rumour rumour(Statement s) {
-        return new Rumour(s.id(), 0, Standing.ALIVE, "", 0, s, 100);
+    private static Rumor rumour(Statement s) {
+        return new Rumor(s.id(), 0, MemberStatus.ALIVE, "", 0, s, 100);
     }
 
     private byte[] question() {
         int i = turn = (turn + 1) % others.size();
-        List<Rumour> rumours = new ArrayList<>();
+        List<Rumor> rumours = new ArrayList<>();
         for (int k = 1; k <= RUMOURS; k++) {
             rumours.add(rumour(others.get((i + k) % others.size())));
         }
--- a/src/test/java/gullspar/drill/HostTest.java
+++ b/src/test/java/gullspar/drill/HostTest.java
@@ -222,7 +222,7 @@
                                 + "zone=1, units=1.5]]",
                         "request Request[ticket=1564119492, profile=0, tenant=0, key=-7930773538597631388, "
                                 + "leftNs=240000000, "
-                                + "hintNs=12000000, repeat=false]",
+                                + "hintNs=12000000, repeat=false, ageNs=0]",
                         "timer 8412250000 77",
                         "outcome Outcome[ticket=1564119492, attempt=0, server=51530247, status=OK, "
                                 + "elapsedNs=18500000, "
