A start logs its process, user, listener, discovery and descriptors

Need: the log of the incident of 2026-12-04 did not tell as whom the process ran, nor that it was taking over a listener; both were concluded from one path in an error. Change: 'starting' tells pid and user, and a line 'configured' comes before the first step that can fail. Measured: ServeTest passes.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -74,13 +74,15 @@
             throws ConfigException, IOException {
         EventLoop loop = serving.loop();
         LibraryLog.install();
-        LOG.say("starting");
+        LOG.say("starting, pid " + ProcessHandle.current().pid() + ", user " + System.getProperty("user.name"));
         ClassArchive archive = ClassArchive.ofThisProcess();
         if (archive == ClassArchive.UNUSED) {
             LOG.say("the class archive is not used, it was made for another build or runtime: build again; "
                     + "until then starts take longer");
         }
         Config config = reloads.first();
+        LOG.say("configured: listens on " + (config.inherited() ? "descriptor 0" : config.listen()) + ", discovery "
+                + config.discovery() + ", descriptors " + config.sockets());
         Platform platform =
                 config.inherited() ? Platform.of(serving, Inherited.transport(loop), LOG) : Platform.of(serving);
         OperatorPort port = operatorPort(config, platform);
