--- /dev/null
+++ b/src/test/java/gullspar/proxy/InheritedListenerTest.java
@@ -0,0 +1,104 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.Writer;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
+
+/** A process of an ordinary user that takes over a listener, with descriptors that somebody else opened. */
+@Timeout(120)
+@ResourceLock("much of the machine")
+class InheritedListenerTest {
+    @TempDir
+    Path folder;
+
+    private Path log;
+    private AnsweringServer backend;
+    private AnsweringServer discovery;
+
+    @BeforeEach
+    void open() throws IOException {
+        OrdinaryUser.opened(folder);
+        log = Files.createFile(folder.resolve("log"));
+        backend = new AnsweringServer(AnsweringServer.OK);
+        discovery = AnsweringServer.discovery();
+        ObjectNode config = (ObjectNode) Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
+        Files.writeString(folder.resolve("config.json"), config.toString());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        backend.close();
+        discovery.close();
+    }
+
+    private Process holder() throws IOException {
+        List<String> command = new ArrayList<>(List.of("/usr/bin/perl", "src/test/resources/hold-listener.pl"));
+        command.addAll(OrdinaryUser.serve(List.of()));
+        return new ProcessBuilder(command)
+                .redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                .start();
+    }
+
+    private static String read(Peer.Wire client) {
+        try {
+            return client.read();
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    private String said() {
+        try {
+            Files.setPosixFilePermissions(log, PosixFilePermissions.fromString("rw-r--r--"));
+            return Files.readString(log);
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    /** Nobody may open the log again by its path, its opener and the proxy's user included. */
+    @Test
+    void startsWhereTheLogOfAnotherUserCannotBeOpenedAgain() throws Exception {
+        Process holder = holder();
+        Files.setPosixFilePermissions(log, PosixFilePermissions.fromString("---------"));
+        try (BufferedReader said = holder.inputReader();
+                Writer to = holder.outputWriter()) {
+            int port = Integer.parseInt(said.readLine().substring("port ".length()));
+            to.write("NODE_SOCKET_FD=0 NODE_CONFIG=" + folder.resolve("config.json") + "\n");
+            to.flush();
+            long pid = Long.parseLong(said.readLine().substring("started ".length()));
+            ProcessHandle proxy = ProcessHandle.of(pid).orElseThrow();
+            try (Peer.Wire client = Peer.Wire.to(new InetSocketAddress("127.0.0.1", port))) {
+                client.write(Setup.get());
+                CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> read(client));
+                CompletableFuture.anyOf(answer, proxy.onExit()).get(20, TimeUnit.SECONDS);
+                assertTrue(proxy.isAlive(), () -> "it ended: " + said());
+                assertTrue(answer.get().startsWith("HTTP/1.1 200"), answer.get());
+                proxy.destroy();
+                proxy.onExit().get(20, TimeUnit.SECONDS);
+                assertTrue(said().contains("drained"), "the log goes on to the end: " + said());
+            } finally {
+                proxy.destroyForcibly();
+            }
+        } finally {
+            holder.destroy();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/proxy/OrdinaryUser.java
@@ -0,0 +1,75 @@
+package gullspar.proxy;
+
+import java.io.File;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Starts the program as a platform does: as a user without special rights, also where the tests run as root. */
+final class OrdinaryUser {
+    private static final String NOBODY = "65534";
+    /** What a user without rights cannot read of this process's class path is copied, once a run. */
+    private static final String CLASS_PATH = readableClassPath();
+
+    private OrdinaryUser() {}
+
+    /** The command that starts the program, with options of the runtime ahead of its own. */
+    static List<String> serve(List<String> options) throws IOException {
+        List<String> command = new ArrayList<>();
+        if (isRoot()) {
+            command.addAll(List.of("setpriv", "--reuid=" + NOBODY, "--regid=" + NOBODY, "--clear-groups", "--"));
+        }
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-Xlog:disable", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m"));
+        command.addAll(options);
+        command.addAll(List.of("-cp", CLASS_PATH, "gullspar.Main", "serve"));
+        return command;
+    }
+
+    private static boolean isRoot() throws IOException {
+        return Files.getAttribute(Path.of("/proc/self"), "unix:uid").equals(0);
+    }
+
+    /** A folder that such a user may read; what is in it need not be its own. */
+    static void opened(Path folder) throws IOException {
+        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwxr-xr-x"));
+    }
+
+    private static String readableClassPath() {
+        try {
+            Path copy = Files.createTempDirectory("gullspar-class-path");
+            opened(copy);
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> delete(copy)));
+            List<String> entries = new ArrayList<>();
+            for (String entry : System.getProperty("java.class.path").split(File.pathSeparator)) {
+                Path to = copy.resolve(entries.size() + "-" + Path.of(entry).getFileName());
+                copy(Path.of(entry), to);
+                entries.add(to.toString());
+            }
+            return String.join(File.pathSeparator, entries);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void copy(Path from, Path to) throws IOException {
+        try (Stream<Path> all = Files.walk(from)) {
+            for (Path one : all.toList()) {
+                Files.copy(one, to.resolve(from.relativize(one).toString()));
+            }
+        }
+    }
+
+    private static void delete(Path folder) {
+        try (Stream<Path> all = Files.walk(folder)) {
+            all.sorted((a, b) -> b.compareTo(a)).forEach(p -> p.toFile().delete());
+        } catch (IOException e) {
+            // it is in the system's folder for what may go at any time
+        }
+    }
+}
