The last line of the log is written before the process may end

Cause: Proxy.drained() completed the future that the shutdown hook waits for, and wrote its line behind it; the hook halts the process. Change: the line first. HandOverTest's new test holds the order: it failed before, each time.

--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -282,8 +282,9 @@
     }
 
     private void drained() {
-        if (ended.complete(null)) {
-            platform.log().say("drained");
+        if (!ended.isDone()) {
+            platform.log().say("drained"); // the process may end the moment that the future is done
+            ended.complete(null);
         }
     }
 
--- a/src/test/java/gullspar/proxy/HandOverTest.java
+++ b/src/test/java/gullspar/proxy/HandOverTest.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -117,6 +118,21 @@
         }
     }
 
+    @Test
+    void theLastLineIsWrittenBeforeTheProcessMayEnd() throws Exception {
+        list();
+        CompletableFuture<Boolean> endedBeforeLine = new CompletableFuture<>();
+        AtomicReference<CompletableFuture<Void>> ended = new AtomicReference<>();
+        setup.onLog = line -> {
+            if (line.equals("drained")) {
+                endedBeforeLine.complete(ended.get().isDone());
+            }
+        };
+        setup.act(() -> ended.set(setup.proxy.drain()));
+        assertFalse(endedBeforeLine.get(20, TimeUnit.SECONDS), "the line may be lost with the process");
+        ended.get().get(20, TimeUnit.SECONDS);
+    }
+
     @Test
     void twoProcessesShareTheLimitOnDescriptors() throws Exception {
         var root = Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -71,6 +71,8 @@
     volatile Consumer<Request> onRequest = r -> {};
     /** What happens in the moment in which a connection has come up, ahead of all that follows from it. */
     volatile Runnable onConnected = () -> {};
+    /** Hears each line of the proxy's log, in the moment in which it is written. */
+    volatile Consumer<String> onLog = line -> {};
     /** Bodies are left unread for as long as a test may take, unless it is about that. */
     long unreadNs = TimeUnit.SECONDS.toNanos(60);
 
@@ -109,7 +111,10 @@
                 loop,
                 () -> system.now() + ahead.get(),
                 new Observed(),
-                Log.standardError(),
+                line -> {
+                    onLog.accept(line);
+                    Log.standardError().say(line);
+                },
                 serving.unread(),
                 serving.figures());
         proxy = Proxy.on(
