The inherited listener is taken over without opening the log by its path

Callers saw: no proxy that was started with NODE_SOCKET_FD=0 as an ordinary user ever served; each start ended with exit status 1 where standard error was a file of another user. Cause: Inherited opened /proc/self/fd/2 anew, to keep a log over the close of the listener. Opening by path asks for the rights of the file behind the descriptor, which root has and the platform's user has not. The runtime turns standard error into /dev/null only when an inherited channel is closed, not, as the code held, when it is handed over (a small program that prints /proc/self/fd shows it). Change: the listener's key is cancelled and its descriptor left open to the end of the process, which follows within 4 s; descriptor 0 held the same socket open before. Standard error stays as it was handed over.

--- a/src/main/java/gullspar/proxy/io/Inherited.java
+++ b/src/main/java/gullspar/proxy/io/Inherited.java
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import java.io.FileOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
@@ -31,9 +29,6 @@
 
     /** The sockets of this machine, with that listener; an IOException if descriptor 0 is none. */
     public static Transport transport(EventLoop loop) throws IOException {
-        // The runtime gives its three standard descriptors away when it hands over the inherited one.
-        // The log goes on over a descriptor of its own.
-        System.setErr(new PrintStream(new FileOutputStream("/proc/self/fd/2", true), true));
         Channel inherited = System.inheritedChannel();
         if (!(inherited instanceof ServerSocketChannel s)) {
             throw new IOException("descriptor 0 is no listening socket");
@@ -56,9 +51,22 @@
     public ChannelFuture listen(InetSocketAddress address, ChannelHandler children) {
         return new ServerBootstrap()
                 .group(loop)
-                .channelFactory(() -> new NioServerSocketChannel(listener))
+                .channelFactory(() -> new SharedListener(listener))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(children)
                 .register();
     }
+
+    /** Stops accepting when it is closed, and leaves the descriptor open until the process ends. */
+    private static final class SharedListener extends NioServerSocketChannel {
+        SharedListener(ServerSocketChannel listener) {
+            super(listener);
+        }
+
+        /** Cancels the key alone: at the close of an inherited channel the runtime gives standard error away. */
+        @Override
+        protected void doClose() throws Exception {
+            doDeregister();
+        }
+    }
 }
