DeployedRunTest starts the deploy file's run as an ordinary user

Need: tests that run as root do not see what only root may do; the incident of 2026-12-04 passed them. Change: where the tests are root the start drops to uid 65534, as the platform's user; its class path, the folder and TMPDIR are laid so that this user may read, and write, just them.

--- a/src/test/java/gullspar/proxy/DeployedRunTest.java
+++ b/src/test/java/gullspar/proxy/DeployedRunTest.java
@@ -38,7 +38,7 @@
 @Timeout(120)
 @ResourceLock("much of the machine")
 class DeployedRunTest {
-    private static final Path REFUSE = Path.of("src/test/resources/refuse.pl").toAbsolutePath();
+    private static final Path REFUSE_SOURCE = Path.of("src/test/resources/refuse.pl");
 
     @TempDir
     Path folder;
@@ -46,6 +46,7 @@
     private Path root;
 
     private Path tmp;
+    private Path refuse;
 
     @BeforeEach
     void build() throws IOException {
@@ -56,10 +57,13 @@
                 "the restriction is for x86-64 Linux, by perl");
         root = Files.createDirectories(folder.resolve("root"));
         tmp = Files.createDirectories(folder.resolve("tmp"));
+        OrdinaryUser.opened(folder);
+        OrdinaryUser.writable(tmp);
         for (String name : List.of("balancer.toml", "serve.sh")) {
             Files.createDirectories(root.resolve("deploy"));
             Files.copy(Path.of("deploy", name), root.resolve("deploy").resolve(name));
         }
+        refuse = Files.copy(REFUSE_SOURCE, folder.resolve("refuse.pl"));
         Manifest m = new Manifest();
         m.getMainAttributes().put(Attributes.Name.MANIFEST_VERSION, "1.0");
         m.getMainAttributes().put(Attributes.Name.MAIN_CLASS, "gullspar.Main");
@@ -68,8 +72,7 @@
                         Attributes.Name.CLASS_PATH,
                         String.join(
                                 " ",
-                                Arrays.stream(System.getProperty("java.class.path")
-                                                .split(File.pathSeparator))
+                                Arrays.stream(OrdinaryUser.classPath().split(File.pathSeparator))
                                         .map(p -> Path.of(p).toUri().toString())
                                         .toList()));
         Files.createDirectories(root.resolve("target"));
@@ -94,7 +97,8 @@
         ObjectNode config = (ObjectNode) Setup.json(discovery.hostPort(), backend.hostPort(), 1024, 5000);
         config.put("listen", "127.0.0.1:" + at.getPort());
         Path file = Files.writeString(folder.resolve("config.json"), config.toString());
-        List<String> all = new ArrayList<>(List.of("/usr/bin/perl", REFUSE.toString()));
+        List<String> all = new ArrayList<>(OrdinaryUser.asOrdinaryUser());
+        all.addAll(List.of("/usr/bin/perl", refuse.toString()));
         if (writes) {
             all.addAll(List.of("--tmp", tmp.toString()));
         }
--- a/src/test/java/gullspar/proxy/OrdinaryUser.java
+++ b/src/test/java/gullspar/proxy/OrdinaryUser.java
@@ -18,12 +18,21 @@
 
     private OrdinaryUser() {}
 
+    /** Goes ahead of a command that such a user is to run; nothing where this process is one's. */
+    static List<String> asOrdinaryUser() throws IOException {
+        return isRoot()
+                ? List.of("setpriv", "--reuid=" + NOBODY, "--regid=" + NOBODY, "--clear-groups", "--")
+                : List.of();
+    }
+
+    /** This process's class path, where such a user may read it. */
+    static String classPath() {
+        return CLASS_PATH;
+    }
+
     /** The command that starts the program, with options of the runtime ahead of its own. */
     static List<String> serve(List<String> options) throws IOException {
-        List<String> command = new ArrayList<>();
-        if (isRoot()) {
-            command.addAll(List.of("setpriv", "--reuid=" + NOBODY, "--regid=" + NOBODY, "--clear-groups", "--"));
-        }
+        List<String> command = new ArrayList<>(asOrdinaryUser());
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-Xlog:disable", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m"));
         command.addAll(options);
@@ -40,6 +49,11 @@
         Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwxr-xr-x"));
     }
 
+    /** A folder that such a user may write to, as it may to $TMPDIR. */
+    static void writable(Path folder) throws IOException {
+        Files.setPosixFilePermissions(folder, PosixFilePermissions.fromString("rwxrwxrwx"));
+    }
+
     private static String readableClassPath() {
         try {
             Path copy = Files.createTempDirectory("gullspar-class-path");
