What was taken before SIGTERM is answered before SIGKILL, whatever its deadline

Cause: SIGKILL may follow SIGTERM after 3.7 s at the most, so a proxy ends 3.62 s after it. Requests that came behind SIGTERM were given no longer than that, those taken before kept their own deadline, 4 s: their backstop lay behind the end. Evidence: each lost request's id, followed through a trial's log of every step of its connection: all of them were open at SIGTERM, with a backend that hung, and nothing more happened to them until the process ended. Excluded by the same log: the close of the listener, bytes between the last look and the close, connections taken for idle; none of the lost ones was in such a state, and none of the connections that were closed brought a request. Change: at SIGTERM the backstop of each open request moves to that end (Exchange.endBy). Its answer is 504, since an attempt may have run. DrainTest failed before, each time: no answer in 20 s.

--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -79,17 +79,23 @@
             return;
         }
         deadline = owner.byThen(at + timeoutNs) - margin;
-        backstop = owner.platform
-                .loop()
-                .schedule(
-                        this::overdue,
-                        Math.max(
-                                0,
-                                deadline
-                                        + margin
-                                        - Math.min(BACKSTOP_NS, margin / 2)
-                                        - owner.platform.clock().now()),
-                        TimeUnit.NANOSECONDS);
+        startBackstop();
+    }
+
+    private void startBackstop() {
+        long latest = deadline + margin - Math.min(BACKSTOP_NS, margin / 2);
+        long delayNs = Math.max(0, latest - owner.platform.clock().now());
+        backstop = owner.platform.loop().schedule(this::overdue, delayNs, TimeUnit.NANOSECONDS);
+    }
+
+    /** It is answered by that time, though its client would wait for longer. */
+    void endBy(long time) {
+        if (over || backstop == null || deadline + margin <= time) {
+            return;
+        }
+        deadline = time - margin;
+        backstop.cancel(false);
+        startBackstop();
     }
 
     /** How long an attempt may take, from now or, while the request is still coming, from its last byte. */
--- a/src/main/java/gullspar/proxy/Exchanges.java
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -62,9 +62,10 @@
         }
     }
 
-    /** All that is taken from now on is answered by then; what was taken before has its own time. */
+    /** All requests are answered by then, those taken before and those that still come. */
     void endBy(long time) {
         lastAnswer = time;
+        byTicket.values().forEach(x -> x.endBy(time));
     }
 
     /** When a request that would be answered by that time must be. */
