A connection for which the system gives no socket ends its attempt and frees its place

Callers saw: while socket() failed (ENOBUFS, EMFILE and the like) requests waited out their time, and behind some seconds of it the proxy never served again: 503 for everybody, for good. Cause: where no socket is to be had the library's future holds a stand-in for a channel. Closing that throws, so the listener ended before it told the attempt, and its close future never completes, so the descriptor stayed counted in Sockets until the backends' share was used up. The listener ran on a thread of the library's besides, not on the loop. Change: gullspar.proxy.io.Dial opens all connections (proxy.backend, proxy.discovery, site, versions.net): connected or failed, and released, each told once, on the loop. What this machine lacks is told apart; such an attempt ends as one that never went out (MOOT), so no backend is ejected for it. /_vars tells the descriptors that are counted as held. Not done: attempts are not spaced while the machine lacks sockets but by the retry budget; peers' datagram socket is as it was.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -188,7 +188,8 @@
 
                 @Override
                 public String figures() {
-                    return new Report(config.classes(), new Figures(), 0, 0, 0, 0, null).json();
+                    return new Report(config.classes(), new Figures(), 0, 0, 0, 0, null, new Report.Descriptors(0, 0))
+                            .json();
                 }
             });
         }
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -54,6 +54,7 @@
 
     private final Platform platform;
     private final Config config;
+    private final Sockets sockets;
     private final Events events;
     private final Frontend frontend;
     private final Backends backends;
@@ -88,7 +89,7 @@
     Proxy(Config config, Platform platform, Balancer.Factory factory, Discovery.Patience patience, long unreadNs) {
         this.config = config;
         this.platform = platform;
-        Sockets sockets = new Sockets(config.sockets());
+        this.sockets = new Sockets(config.sockets());
         this.events = new Events(platform);
         this.backends = new Backends(platform, sockets.backends, config);
         this.classes = new Classes(config);
@@ -246,7 +247,8 @@
                         exchanges.open(),
                         backends.listed(),
                         module.avoided(),
-                        platform.figures())
+                        platform.figures(),
+                        new Report.Descriptors(sockets.clients.open(), sockets.backends.open()))
                 .json();
     }
 
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -8,11 +8,12 @@
 import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.Dial;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
 import gullspar.proxy.io.Transport;
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -193,7 +194,7 @@
 
     private void connect(Attempt a) {
         Connection c = new Connection(a.backend(), loop, clock, drainGraceNs);
-        ChannelFuture connect = transport
+        Bootstrap bootstrap = transport
                 .to(a.backend().address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNs / 1_000_000))
                 .handler(new ChannelInitializer<Channel>() {
@@ -201,23 +202,27 @@
                     protected void initChannel(Channel channel) {
                         c.openOn(channel);
                     }
-                })
-                .connect();
-        c.opening(connect.channel());
-        a.over(c);
-        connect.channel().closeFuture().addListener(f -> sockets.release());
-        connect.addListener(f -> {
-            if (f.isSuccess()) {
-                // Not within this turn's reading: what else it brings, the end of the client or the news of a
-                // drain, counts first.
-                loop.execute(() -> {
-                    a.wanted();
-                    c.begin(a);
                 });
-            } else {
-                c.close();
-                loop.execute(() -> a.end(Status.CONNECT_FAILED, null, null));
+        Dial dial = Dial.start(bootstrap, loop, new Dial.Listener() {
+            /** Not within the turn's reading: the end of the client or the news of a drain counts first. */
+            @Override
+            public void connected() {
+                a.wanted();
+                c.begin(a);
+            }
+
+            @Override
+            public void failed(Dial.Failure failure) {
+                // What this machine lacks is no fault of the backend's.
+                a.end(failure.local() ? Status.MOOT : Status.CONNECT_FAILED, null, null);
+            }
+
+            @Override
+            public void released() {
+                sockets.release();
             }
         });
+        c.opening(dial.channel());
+        a.over(c);
     }
 }
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -70,7 +70,7 @@
         this.drainGraceNs = drainGraceNs;
     }
 
-    /** The channel that it will be, before that is open. */
+    /** The channel that it will be, before that is open; null where there is none. */
     void opening(Channel c) {
         channel = c;
     }
@@ -80,7 +80,9 @@
     }
 
     void close() {
-        channel.close();
+        if (channel != null) {
+            channel.close();
+        }
     }
 
     boolean active() {
--- a/src/main/java/gullspar/proxy/discovery/Discovery.java
+++ b/src/main/java/gullspar/proxy/discovery/Discovery.java
@@ -5,10 +5,11 @@
 import gullspar.decide.Balancer.ListKind;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.config.Json;
+import gullspar.proxy.io.Dial;
 import gullspar.proxy.io.Platform;
+import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -252,7 +253,7 @@
     private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
         private final Json values = new Json();
         private final InetSocketAddress at = address;
-        private Channel channel;
+        private Dial dial;
         /** It has told a list: from then on blank lines are words too. */
         private boolean told;
 
@@ -260,7 +261,7 @@
 
         void open() {
             watches.add(this);
-            ChannelFuture connect = platform.transport()
+            Bootstrap bootstrap = platform.transport()
                     .to(at)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) patience.connectMs())
                     .handler(new ChannelInitializer<Channel>() {
@@ -268,23 +269,23 @@
                         protected void initChannel(Channel c) {
                             c.pipeline().addLast(new HttpClientCodec(), Watch.this);
                         }
-                    })
-                    .connect();
-            channel = connect.channel();
+                    });
             deadline(askForList ? patience.listMs() : patience.silenceMs());
-            // Where there is no descriptor for it there is no channel either that could close.
-            connect.addListener(f -> {
-                if (!f.isSuccess()) {
-                    loop.execute(() -> ended(this));
+            dial = Dial.start(bootstrap, loop, new Dial.Listener() {
+                @Override
+                public void failed(Dial.Failure failure) {
+                    ended(Watch.this);
+                }
+
+                @Override
+                public void released() {
+                    ended(Watch.this);
                 }
             });
-            channel.closeFuture().addListener(f -> ended(this));
         }
 
         void close() {
-            if (channel.isOpen()) { // where there was no descriptor for it, it never was
-                channel.close();
-            }
+            dial.close();
         }
 
         /** Within so long it has to say something, or is given up: cut off, it would stay open and silent. */
--- a/src/main/java/gullspar/proxy/io/Sockets.java
+++ b/src/main/java/gullspar/proxy/io/Sockets.java
@@ -42,6 +42,11 @@
             open--;
         }
 
+        /** Descriptors that are held. */
+        public int open() {
+            return open;
+        }
+
         public int most() {
             return most;
         }
--- a/src/main/java/gullspar/proxy/operator/Report.java
+++ b/src/main/java/gullspar/proxy/operator/Report.java
@@ -14,7 +14,7 @@
 /**
  * The figures at one moment. written: attempts whose last byte went to a backend; pending: requests taken and
  * not yet ended; members and unavailable: backends in the list, and those of them that get nothing new; loop:
- * what the event loop has done, null where nobody counts.
+ * what the event loop has done, null where nobody counts; descriptors: of connections.
  */
 public record Report(
         List<String> classes,
@@ -23,7 +23,11 @@
         int pending,
         int members,
         int unavailable,
-        LoopFigures loop) {
+        LoopFigures loop,
+        Descriptors descriptors) {
+    /** Descriptors that are counted as held, by side. */
+    public record Descriptors(int clients, int backends) {}
+
     private static final JsonFactory JSON = new JsonFactory();
 
     /** As JSON, one object. Written field by field: a mapper costs a small proxy half a second to load. */
@@ -38,6 +42,8 @@
             to.writeNumberField("pending", pending);
             to.writeNumberField("members", members);
             to.writeNumberField("members_unavailable", unavailable);
+            to.writeNumberField("descriptors_clients", descriptors.clients());
+            to.writeNumberField("descriptors_backends", descriptors.backends());
             to.writeNumberField("config_reloads", figures.reloads());
             to.writeNumberField("config_reload_errors", figures.reloadErrors());
             to.writeStringField(
--- a/src/main/java/gullspar/site/backend/PlainBackends.java
+++ b/src/main/java/gullspar/site/backend/PlainBackends.java
@@ -2,11 +2,12 @@
 
 import gullspar.config.Site;
 import gullspar.decide.Balancer.Status;
+import gullspar.proxy.io.Dial;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
@@ -151,7 +152,7 @@
 
     private void connect(PlainAttempt a, long deadline) {
         PlainConnection c = new PlainConnection(a.backend, platform.clock(), this);
-        ChannelFuture connect = platform.transport()
+        Bootstrap bootstrap = platform.transport()
                 .to(a.backend.address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connections.connectNs() / 1_000_000))
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(512, 4096, MOST_READ))
@@ -160,23 +161,37 @@
                     protected void initChannel(Channel channel) {
                         c.openOn(channel);
                     }
-                })
-                .connect();
-        c.opening(connect.channel());
-        a.over(c);
-        connect.channel().closeFuture().addListener(f -> sockets.release());
-        connect.addListener(f -> {
-            if (f.isSuccess() && !a.ended()) {
-                c.begin(a, deadline);
-            } else {
-                c.close();
-                a.sending.body().release();
-                platform.loop().execute(() -> {
-                    done(a);
-                    a.lost(Status.CONNECT_FAILED);
                 });
+        Dial dial = Dial.start(bootstrap, platform.loop(), new Dial.Listener() {
+            @Override
+            public void connected() {
+                if (a.ended()) {
+                    c.close();
+                    notConnected(a, Status.CONNECT_FAILED);
+                } else {
+                    c.begin(a, deadline);
+                }
+            }
+
+            @Override
+            public void failed(Dial.Failure failure) {
+                // What this machine lacks is no fault of the server's.
+                notConnected(a, failure.local() ? Status.MOOT : Status.CONNECT_FAILED);
+            }
+
+            @Override
+            public void released() {
+                sockets.release();
             }
         });
+        c.opening(dial.channel());
+        a.over(c);
+    }
+
+    private void notConnected(PlainAttempt a, Status status) {
+        a.sending.body().release();
+        done(a);
+        a.lost(status);
     }
 
     @Override
--- a/src/main/java/gullspar/site/backend/PlainConnection.java
+++ b/src/main/java/gullspar/site/backend/PlainConnection.java
@@ -73,7 +73,9 @@
     }
 
     void close() {
-        channel.close();
+        if (channel != null) { // there is none where the system gave no socket
+            channel.close();
+        }
     }
 
     boolean active() {
--- a/src/main/java/gullspar/versions/net/FollowerNode.java
+++ b/src/main/java/gullspar/versions/net/FollowerNode.java
@@ -1,11 +1,12 @@
 package gullspar.versions.net;
 
+import gullspar.proxy.io.Dial;
 import gullspar.proxy.io.Platform;
 import gullspar.versions.Delta;
 import gullspar.versions.Document;
 import gullspar.versions.Follower;
 import gullspar.versions.Message;
-import io.netty.channel.ChannelFuture;
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -116,17 +117,25 @@
         }
         Link mine = new Link(this, MOST);
         link = mine;
-        ChannelFuture f = platform.transport()
+        Bootstrap bootstrap = platform.transport()
                 .to(addresses.get(which))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(mine)
-                .connect();
-        f.addListener(done -> {
-            if (!done.isSuccess() && link == mine) {
-                link = null;
-                follower.closed(now(), String.valueOf(done.cause().getMessage()));
-            } else if (done.isSuccess() && link != mine) {
-                f.channel().close();
+                .handler(mine);
+        Dial[] dial = new Dial[1];
+        dial[0] = Dial.start(bootstrap, platform.loop(), new Dial.Listener() {
+            @Override
+            public void connected() {
+                if (link != mine) {
+                    dial[0].close();
+                }
+            }
+
+            @Override
+            public void failed(Dial.Failure failure) {
+                if (link == mine) {
+                    link = null;
+                    follower.closed(now(), String.valueOf(failure.cause().getMessage()));
+                }
             }
         });
     }
--- /dev/null
+++ b/src/test/java/gullspar/proxy/FaultyProxy.java
@@ -0,0 +1,151 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import gullspar.rehearse.faults.SystemCallFaults;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The program as a process of an ordinary user whose system calls can be made to fail; one backend answers all. */
+@SuppressWarnings("try")
+final class FaultyProxy implements AutoCloseable {
+    /** Its limit: few, so that those which are lost are soon missed. */
+    private static final int DESCRIPTORS = 128;
+
+    private static final long LOOK_MS = 10;
+
+    final SystemCallFaults faults;
+    final InetSocketAddress address;
+    final InetSocketAddress operators = free();
+    final Path log;
+    private final AnsweringServer backend = new AnsweringServer(AnsweringServer.OK);
+    private final AnsweringServer discovery = AnsweringServer.discovery();
+    private final Path folder;
+    private Process process;
+
+    FaultyProxy(Path folder) throws Exception {
+        this.folder = folder;
+        OrdinaryUser.opened(folder);
+        faults = SystemCallFaults.buildIn(folder);
+        Files.setPosixFilePermissions(folder.resolve("faults"), PosixFilePermissions.fromString("rw-r--r--"));
+        log = Files.createFile(folder.resolve("log"));
+        address = free();
+        ObjectNode config = (ObjectNode) Setup.json(discovery.hostPort(), backend.hostPort(), DESCRIPTORS, 5000);
+        config.put("listen", "127.0.0.1:" + address.getPort());
+        config.put("operator", "127.0.0.1:" + operators.getPort());
+        Files.writeString(folder.resolve("config.json"), config.toString());
+    }
+
+    private static InetSocketAddress free() throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) s.getLocalSocketAddress();
+        }
+    }
+
+    /** Starts it, with standard error as a file. */
+    FaultyProxy start() throws IOException {
+        return start(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    }
+
+    /** Starts it, with that as standard error. */
+    FaultyProxy start(ProcessBuilder.Redirect standardError) throws IOException {
+        List<String> command = new ArrayList<>(List.of("env"));
+        Map<String, String> variables = faults.environment();
+        variables.forEach((name, value) -> command.add(name + "=" + value));
+        command.add("NODE_CONFIG=" + folder.resolve("config.json"));
+        command.addAll(OrdinaryUser.serve(List.of()));
+        process = new ProcessBuilder(command).redirectError(standardError).start();
+        return this;
+    }
+
+    Process process() {
+        return process;
+    }
+
+    String said() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    FaultyProxy awaitLine(String text) throws InterruptedException {
+        while (!said().contains(text)) {
+            assertTrue(process.isAlive(), () -> "it ended: " + said());
+            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+        }
+        return this;
+    }
+
+    FaultyProxy awaitReady() throws InterruptedException {
+        return awaitLine(" ready");
+    }
+
+    /** One request on a connection of its own; the status of its answer, 0 where none came. */
+    int ask() {
+        try (Peer.Wire client = Peer.Wire.to(address)) {
+            String answer = client.write(Setup.get("Request-Timeout: 0.2\r\n")).read();
+            return answer.length() < 12 ? 0 : Integer.parseInt(answer.substring(9, 12));
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** Asks until so many answers in a row were 200. */
+    void awaitServing(int inRow) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        for (int served = 0; served < inRow; ) {
+            served = ask() == 200 ? served + 1 : 0;
+            assertTrue(System.nanoTime() < end, () -> "it does not serve again: " + said());
+        }
+    }
+
+    /** A figure that operators are told, by its name. */
+    long figure(String name) throws IOException {
+        try (Peer.Wire operator = Peer.Wire.to(operators)) {
+            String vars =
+                    operator.write("GET /_vars HTTP/1.1\r\nHost: o\r\n\r\n").read();
+            Matcher found = Pattern.compile("\"" + name + "\":(\\d+)").matcher(vars);
+            assertTrue(found.find(), () -> name + " is missing: " + vars);
+            return Long.parseLong(found.group(1));
+        }
+    }
+
+    /** Waits until a figure is at that value. */
+    void awaitFigure(String name, long value) throws IOException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (figure(name) != value) {
+            assertTrue(System.nanoTime() < end, () -> name + " stays off " + value + ": " + said());
+        }
+    }
+
+    /** Told to end, it ends well. */
+    void endsWell() throws InterruptedException {
+        process.destroy();
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS), "it hangs");
+        assertEquals(0, process.exitValue());
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+        backend.close();
+        discovery.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
@@ -0,0 +1,62 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.rehearse.faults.ErrorNumber;
+import gullspar.rehearse.faults.SystemCall;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.ResourceLock;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** A real process while calls of the system fail, and behind that. */
+@Timeout(120)
+@ResourceLock("much of the machine")
+class SystemCallFaultsTest {
+    private static final int REQUESTS = 40;
+
+    @TempDir
+    Path folder;
+
+    private FaultyProxy proxy;
+
+    @BeforeEach
+    void prepare() throws Exception {
+        proxy = new FaultyProxy(folder);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        proxy.close();
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"ENOBUFS", "EMFILE"})
+    void servesAgainOnceSocketsCanBeMade(ErrorNumber error) throws Exception {
+        proxy.start().awaitReady();
+        proxy.faults.fail(SystemCall.SOCKET, error);
+        for (int i = 0; i < REQUESTS; i++) {
+            assertTrue(proxy.ask() != 200, "a backend was reached with no socket");
+        }
+        proxy.awaitFigure("descriptors_backends", 0);
+        proxy.faults.heal(SystemCall.SOCKET);
+        proxy.awaitServing(20);
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"ENOBUFS", "EACCES"})
+    void servesAgainOnceConnectsWork(ErrorNumber error) throws Exception {
+        proxy.start().awaitReady();
+        proxy.faults.fail(SystemCall.CONNECT, error);
+        for (int i = 0; i < REQUESTS; i++) {
+            proxy.ask();
+        }
+        proxy.awaitFigure("descriptors_backends", 0);
+        proxy.faults.heal(SystemCall.CONNECT);
+        proxy.awaitServing(20);
+    }
+}
