Accepting goes on milliseconds after the system refused a connection

Cause: the library's acceptor turns reading off for a second after any failure of accept; at the end the listener closed meanwhile over what waited. Change: AcceptFailures stands ahead of it on each listener (clients, operators, sites, control): 5 ms, doubling to 80, anew behind each connection; a clients' listener first closes an idle connection. At the end an accept that failed counts as somebody who still comes. A real process answers each of 40 clients while one accept in three fails with ENOBUFS or EMFILE, and ends well.

--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -296,7 +296,8 @@
      */
     private void shut(long accepted, long waitedMs) {
         long now = frontend.accepted();
-        if (now != accepted && waitedMs < STILL_COMES_MS) {
+        boolean stillComes = now != accepted || frontend.acceptsAgainSoon();
+        if (stillComes && waitedMs < STILL_COMES_MS) {
             after(LOOK_MS, () -> shut(now, waitedMs + LOOK_MS));
         } else {
             frontend.refuseNew();
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -7,6 +7,7 @@
 import gullspar.proxy.config.Config;
 import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.http.Message;
+import gullspar.proxy.io.AcceptFailures;
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
@@ -88,6 +89,7 @@
 
     private final ConnectionPressure crowding = new ConnectionPressure();
     private final BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE);
+    private final AcceptFailures acceptFailures = new AcceptFailures(this::closeOneIdle);
     private Channel listener;
     private long accepted;
     private boolean draining;
@@ -131,6 +133,7 @@
             }
         });
         listener = bound.channel();
+        listener.pipeline().addFirst(acceptFailures);
         EventLoop loop = platform.loop();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(ids::age, AGE_MS, AGE_MS, TimeUnit.MILLISECONDS);
@@ -182,6 +185,16 @@
         listener = null;
     }
 
+    /** May connections wait in the system's queue because accepting one has just failed? */
+    public boolean acceptsAgainSoon() {
+        return acceptFailures.pausing();
+    }
+
+    /** Accepts that the system refused so far. */
+    public long acceptFailures() {
+        return acceptFailures.failures();
+    }
+
     /** Connections that have been accepted so far. */
     public long accepted() {
         return accepted;
--- a/src/main/java/gullspar/proxy/operator/OperatorPort.java
+++ b/src/main/java/gullspar/proxy/operator/OperatorPort.java
@@ -1,5 +1,6 @@
 package gullspar.proxy.operator;
 
+import gullspar.proxy.io.AcceptFailures;
 import gullspar.proxy.io.Platform;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -82,7 +83,7 @@
 
     /** Listens there. */
     public ChannelFuture listen(InetSocketAddress address) {
-        return platform.transport()
+        return AcceptFailures.on(platform.transport()
                 .at(address)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -90,7 +91,7 @@
                         came(c);
                     }
                 })
-                .bind();
+                .bind());
     }
 
     private void came(Channel c) {
--- a/src/main/java/gullspar/site/SiteProxy.java
+++ b/src/main/java/gullspar/site/SiteProxy.java
@@ -3,6 +3,7 @@
 import gullspar.config.Site;
 import gullspar.decide.Balancer;
 import gullspar.proxy.http.BodyBudget;
+import gullspar.proxy.io.AcceptFailures;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
 import gullspar.proxy.operator.Companion;
@@ -147,7 +148,7 @@
     }
 
     private ChannelFuture bind(InetSocketAddress address) {
-        return platform.transport()
+        return AcceptFailures.on(platform.transport()
                 .at(address)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -155,7 +156,7 @@
                         clients.accept(c, address);
                     }
                 })
-                .bind();
+                .bind());
     }
 
     /** Where the listener that was declared with that address listens; null if there is none. */
--- a/src/main/java/gullspar/versions/net/ControlNode.java
+++ b/src/main/java/gullspar/versions/net/ControlNode.java
@@ -1,6 +1,7 @@
 package gullspar.versions.net;
 
 import gullspar.config.ControlFile;
+import gullspar.proxy.io.AcceptFailures;
 import gullspar.proxy.io.Platform;
 import gullspar.versions.Delta;
 import gullspar.versions.Document;
@@ -139,7 +140,7 @@
                 bound.accept(done.cause().getMessage());
                 return;
             }
-            listener = f.channel();
+            listener = AcceptFailures.on(f).channel();
             begin(found);
             platform.loop().scheduleWithFixedDelay(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
             bound.accept(null);
--- a/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
+++ b/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
@@ -1,5 +1,6 @@
 package gullspar.proxy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import gullspar.rehearse.faults.ErrorNumber;
@@ -59,4 +60,16 @@
         proxy.faults.heal(SystemCall.CONNECT);
         proxy.awaitServing(20);
     }
+
+    @ParameterizedTest
+    @EnumSource(names = {"ENOBUFS", "EMFILE"})
+    void eachClientIsAcceptedThoughOneAcceptInThreeFails(ErrorNumber error) throws Exception {
+        proxy.start().awaitReady();
+        proxy.awaitServing(1);
+        proxy.faults.failOneIn(3, SystemCall.ACCEPT, error);
+        for (int i = 0; i < REQUESTS; i++) {
+            assertEquals(200, proxy.ask(), proxy::said);
+        }
+        proxy.endsWell();
+    }
 }
