Writing the log never keeps the process waiting

Callers saw: no answer at all, and no end at SIGTERM, once standard error was a full pipe that nobody reads: the loop hung in the next line of its log. Cause: lines were written to the descriptor where they arose, on the loop too. A logging library was not weighed; the lines are as they were.

--- a/src/main/java/gullspar/cli/Direct.java
+++ b/src/main/java/gullspar/cli/Direct.java
@@ -8,6 +8,8 @@
 import gullspar.peers.net.Membership;
 import gullspar.proxy.Daemon;
 import gullspar.proxy.config.ConfigException;
+import gullspar.proxy.io.Log;
+import gullspar.proxy.io.NonBlockingStream;
 import gullspar.site.SiteDaemon;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
@@ -20,8 +22,9 @@
 
     /** One real proxy, by the environment; returns only if it cannot go on. */
     public static int serve() {
-        return daemon(() -> Daemon.run(
+        return daemon(log -> Daemon.run(
                 System.getenv(),
+                log::drainAtEnd,
                 Policy::new,
                 (file, name, platform, load) -> Membership.start(file, OperatorsFile::read, name, platform, load)));
     }
@@ -45,7 +48,7 @@
 
     /** Goes through all that serving needs and ends: the build records the classes that it loads. */
     public static int warm() {
-        return daemon(() -> Daemon.warm(System.getenv(), Policy::new));
+        return daemon(log -> Daemon.warm(System.getenv(), Policy::new));
     }
 
     /** The module on the simulator's wire, on standard input and output. */
@@ -61,7 +64,7 @@
     }
 
     private interface Work {
-        void run() throws ConfigException, IOException;
+        void run(NonBlockingStream log) throws ConfigException, IOException;
     }
 
     static void quicker() {
@@ -72,11 +75,14 @@
 
     private static int daemon(Work work) {
         quicker();
+        NonBlockingStream log = Log.neverBlocking();
         try {
-            work.run();
+            work.run(log);
             return 0;
         } catch (ConfigException | IOException e) {
             return failed(e.getMessage());
+        } finally {
+            log.drainAtEnd();
         }
     }
 
--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -41,9 +41,10 @@
     /**
      * Serves until the process is told to end. At each SIGHUP the configuration is read anew; one that cannot
      * be read changes nothing. companions: makes what runs beside the proxy, where the configuration names an
-     * operators' file; it may make nothing, null.
+     * operators' file; it may make nothing, null. last: done before the process ends at a signal.
      */
-    public static void run(Map<String, String> environment, Balancer.Factory factory, Companion.Factory companions)
+    public static void run(
+            Map<String, String> environment, Runnable last, Balancer.Factory factory, Companion.Factory companions)
             throws ConfigException, IOException {
         // The default would end the process, so this comes first: an early signal waits for the proxy.
         CompletableFuture<Proxy> started = new CompletableFuture<>();
@@ -55,7 +56,7 @@
             LOG.say(Signals.NO_HUP);
             Config.file(environment).ifPresent(file -> FileChanges.on(file, reload));
         }
-        Ending ending = new Ending();
+        Ending ending = new Ending(last);
         try {
             serve(environment, factory, companions, serving, reloads, started, ending);
         } finally {
@@ -121,11 +122,13 @@
      * process just ends; from then on all is answered first. One that is told to end does not open any more.
      */
     private static final class Ending implements Runnable {
+        private final Runnable last;
         private Runnable first = () -> {};
         private boolean begun;
         private boolean failed;
 
-        Ending() {
+        Ending(Runnable last) {
+            this.last = last;
             Runtime.getRuntime().addShutdownHook(new Thread(this, "drain"));
         }
 
@@ -154,6 +157,7 @@
                 return;
             }
             begin().run();
+            last.run();
             // A process that a signal ends reports the signal; this one has ended well.
             Runtime.getRuntime().halt(0);
         }
--- a/src/test/java/gullspar/proxy/FaultyProxy.java
+++ b/src/test/java/gullspar/proxy/FaultyProxy.java
@@ -110,6 +110,7 @@
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
         for (int served = 0; served < inRow; ) {
             served = ask() == 200 ? served + 1 : 0;
+            assertTrue(process.isAlive(), () -> "it ended: " + said());
             assertTrue(System.nanoTime() < end, () -> "it does not serve again: " + said());
         }
     }
--- a/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
+++ b/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
@@ -5,9 +5,11 @@
 
 import gullspar.rehearse.faults.ErrorNumber;
 import gullspar.rehearse.faults.SystemCall;
+import java.io.RandomAccessFile;
 import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.api.parallel.ResourceLock;
@@ -20,6 +22,9 @@
 class SystemCallFaultsTest {
     private static final int REQUESTS = 40;
 
+    /** What a pipe holds by default. */
+    private static final int PIPE_BYTES = 64 << 10;
+
     @TempDir
     Path folder;
 
@@ -72,4 +77,25 @@
         }
         proxy.endsWell();
     }
+
+    @Test
+    void servesAndEndsThoughNobodyReadsItsLogAndItsPipeIsFull() throws Exception {
+        Path pipe = folder.resolve("pipe");
+        assertEquals(0, new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor());
+        try (RandomAccessFile bothEnds = new RandomAccessFile(pipe.toFile(), "rw")) {
+            bothEnds.write(new byte[PIPE_BYTES]);
+            proxy.start(ProcessBuilder.Redirect.appendTo(pipe.toFile()));
+            proxy.awaitServing(5);
+            proxy.endsWell();
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(names = {"EIO", "ENOSPC", "EPIPE"})
+    void servesAndEndsThoughItsLogCannotBeWritten(ErrorNumber error) throws Exception {
+        proxy.faults.fail(SystemCall.WRITE_LOG, error);
+        proxy.start();
+        proxy.awaitServing(5);
+        proxy.endsWell();
+    }
 }
