A configuration that is half written at SIGHUP is read again for 2 s

Callers saw: the new place of discovery was never asked where SIGHUP came while its file was being written (6 s watched). Cause: the file was read once for each signal. Change: one that cannot be read is read again each 0.2 s, ten times, off the loop, and then turned down, as before. Measured: SystemCallFaultsTest.aConfigurationThatIsHalfWrittenAtItsSignalIsReadAgain waited for ever before, and passes; ServeTest passes.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** The life of the process that runs one proxy: warming up, serving, signals, the end. */
 public final class Daemon {
@@ -34,6 +35,11 @@
     /** The same where classes are loaded one by one: more of it is loading, and less is left for the code. */
     private static final long WARM_UNARCHIVED_MS = 3500;
 
+    /** A new configuration counts 4 s after its signal: within half of that it is read again. */
+    private static final int REREADS = 10;
+
+    private static final long REREAD_PAUSE_MS = 200;
+
     private static final Log LOG = Log.standardError();
 
     private Daemon() {}
@@ -236,17 +242,45 @@
             return last;
         }
 
-        synchronized void read(Proxy proxy) {
+        /** A file that is being written is whole a moment later: what cannot be read is read again. */
+        void read(Proxy proxy) {
+            ConfigException problem = readOnce(proxy);
+            for (int i = 0; i < REREADS && problem != null; i++) {
+                LOG.say("the new configuration cannot be read yet: " + problem.getMessage());
+                pause(REREAD_PAUSE_MS);
+                problem = readOnce(proxy);
+            }
+            if (problem != null) {
+                String why = problem.getMessage();
+                loop.execute(() -> proxy.turnedDown(why));
+            }
+            reloadCompanion();
+        }
+
+        /** What is wrong with it, null if it is taken. */
+        private synchronized ConfigException readOnce(Proxy proxy) {
             try {
                 last = Config.reread(environment, last);
                 Config config = last;
                 loop.execute(() -> proxy.reload(config));
+                return null;
             } catch (ConfigException e) {
-                loop.execute(() -> proxy.turnedDown(e.getMessage()));
+                return e;
             }
+        }
+
+        private synchronized void reloadCompanion() {
             if (beside != null) {
                 beside.reload();
             }
         }
+
+        private static void pause(long ms) {
+            try {
+                TimeUnit.MILLISECONDS.sleep(ms);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
     }
 }
--- a/src/test/java/gullspar/proxy/FaultyProxy.java
+++ b/src/test/java/gullspar/proxy/FaultyProxy.java
@@ -134,6 +134,11 @@
         }
     }
 
+    void signal(String name) throws Exception {
+        String pid = String.valueOf(process.pid());
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, pid).start().waitFor());
+    }
+
     /** Told to end, it ends well. */
     void endsWell() throws InterruptedException {
         process.destroy();
--- a/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
+++ b/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
@@ -6,6 +6,7 @@
 import gullspar.rehearse.faults.ErrorNumber;
 import gullspar.rehearse.faults.SystemCall;
 import java.io.RandomAccessFile;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -98,4 +99,16 @@
         proxy.awaitServing(5);
         proxy.endsWell();
     }
+
+    @Test
+    void aConfigurationThatIsHalfWrittenAtItsSignalIsReadAgain() throws Exception {
+        proxy.start().awaitReady();
+        Path file = folder.resolve("config.json");
+        String whole = Files.readString(file);
+        Files.writeString(file, whole.substring(0, whole.length() / 2));
+        proxy.signal("HUP");
+        proxy.awaitLine("cannot be read yet");
+        Files.writeString(file, whole);
+        proxy.awaitLine("a new configuration: ");
+    }
 }
