A start goes on listening while the machine is short of sockets for a moment

Callers saw: exit status 1, 'cannot listen on', where socket() failed for the first 3 s of a start. Cause: listening was tried once. Change: ListenRetry, for clients and operators, each 50 ms for 5 s where the system lacks buffers, memory or descriptors (Shortage, which Dial shares); an address in use and the like end the start at once, as before. Measured: SystemCallFaultsTest.startsThoughListeningFailsAtFirst (socket, bind, listen) failed before, three of three, and passes. Not covered: the inherited listener, the configuration's first reading, TMPDIR.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -7,6 +7,7 @@
 import gullspar.proxy.io.FileChanges;
 import gullspar.proxy.io.Inherited;
 import gullspar.proxy.io.LibraryLog;
+import gullspar.proxy.io.ListenRetry;
 import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.ServingLoop;
@@ -213,7 +214,7 @@
             return null;
         }
         OperatorPort port = new OperatorPort(platform);
-        ChannelFuture bound = port.listen(config.operator()).awaitUninterruptibly();
+        ChannelFuture bound = ListenRetry.listen(() -> port.listen(config.operator()));
         if (!bound.isSuccess()) {
             throw new IOException("cannot listen for operators on " + config.operator() + ": "
                     + bound.cause().getMessage());
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -11,6 +11,7 @@
 import gullspar.proxy.discovery.ListUpdate;
 import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.events.Events;
+import gullspar.proxy.io.ListenRetry;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Sockets;
 import gullspar.proxy.operator.Companion;
@@ -26,6 +27,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * One proxy: the decision module, the requests that it has taken and the sockets round it, all on one event
@@ -157,14 +159,29 @@
         if (listening == null) {
             return this; // once there is a list: until then the process before this one serves
         }
-        listening.awaitUninterruptibly();
-        if (!listening.isSuccess()) {
-            throw new IOException("cannot listen on " + config.listen() + ": "
-                    + listening.cause().getMessage());
+        AtomicReference<ChannelFuture> next = new AtomicReference<>(listening);
+        ChannelFuture bound = ListenRetry.listen(() -> {
+            ChannelFuture first = next.getAndSet(null);
+            return first != null
+                    ? first
+                    : platform.loop()
+                            .submit(this::listenAgain)
+                            .syncUninterruptibly()
+                            .getNow();
+        });
+        if (!bound.isSuccess()) {
+            throw new IOException(
+                    "cannot listen on " + config.listen() + ": " + bound.cause().getMessage());
         }
         return this;
     }
 
+    private ChannelFuture listenAgain() {
+        listen();
+        whenReady();
+        return listening;
+    }
+
     private void ask() {
         platform.log().say("asks discovery for the backends");
         known = discovery.known();
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -89,7 +89,8 @@
 
     private final ConnectionPressure crowding = new ConnectionPressure();
     private final BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_SHARE);
-    private final AcceptFailures acceptFailures = new AcceptFailures(this::closeOneIdle);
+    private AcceptFailures acceptFailures;
+    private boolean timersStarted;
     private Channel listener;
     private long accepted;
     private boolean draining;
@@ -125,6 +126,7 @@
         sockets.whenFull(this::closeOneIdle);
     }
 
+    /** Listens; again, where that failed before. */
     public ChannelFuture listen() {
         ChannelFuture bound = platform.transport().listen(config.listen(), new ChannelInitializer<Channel>() {
             @Override
@@ -133,12 +135,21 @@
             }
         });
         listener = bound.channel();
+        acceptFailures = new AcceptFailures(this::closeOneIdle);
         listener.pipeline().addFirst(acceptFailures);
+        startTimers();
+        return bound;
+    }
+
+    private void startTimers() {
+        if (timersStarted) {
+            return;
+        }
+        timersStarted = true;
         EventLoop loop = platform.loop();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(ids::age, AGE_MS, AGE_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::sayRejected, COUNT_MS, COUNT_MS, TimeUnit.MILLISECONDS);
-        return bound;
     }
 
     /** A new connection of a client. */
@@ -187,12 +198,7 @@
 
     /** May connections wait in the system's queue because accepting one has just failed? */
     public boolean acceptsAgainSoon() {
-        return acceptFailures.pausing();
-    }
-
-    /** Accepts that the system refused so far. */
-    public long acceptFailures() {
-        return acceptFailures.failures();
+        return acceptFailures != null && acceptFailures.pausing();
     }
 
     /** Connections that have been accepted so far. */
--- a/src/main/java/gullspar/proxy/io/Dial.java
+++ b/src/main/java/gullspar/proxy/io/Dial.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.net.BindException;
-import java.util.List;
 
 /**
  * One try to open a connection. However it ends, also where the system gives no socket for it, its end is told
@@ -32,10 +31,6 @@
      */
     public record Failure(Throwable cause, boolean local) {}
 
-    /** How the C library words ENOBUFS, ENOMEM, EMFILE and ENFILE. */
-    private static final List<String> SHORTAGES =
-            List.of("No buffer space available", "Cannot allocate memory", "Too many open files");
-
     private final EventLoop loop;
     private final Listener listener;
     /** Null where none could be made. */
@@ -83,15 +78,10 @@
             listener.connected();
         } else {
             channel.close();
-            listener.failed(new Failure(cause, isLocal(cause)));
+            listener.failed(new Failure(cause, cause instanceof BindException || Shortage.of(cause)));
         }
     }
 
-    private static boolean isLocal(Throwable cause) {
-        String message = String.valueOf(cause.getMessage());
-        return cause instanceof BindException || SHORTAGES.stream().anyMatch(message::contains);
-    }
-
     /** The channel that it opens; null where the system gave no socket for one. */
     public Channel channel() {
         return channel;
--- a/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
+++ b/src/test/java/gullspar/proxy/SystemCallFaultsTest.java
@@ -8,6 +8,7 @@
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,9 @@
     /** What a pipe holds by default. */
     private static final int PIPE_BYTES = 64 << 10;
 
+    /** Long enough for a start to come to its listeners and fail there. */
+    private static final long FIRST_FAILURES_MS = 1500;
+
     @TempDir
     Path folder;
 
@@ -100,6 +104,16 @@
         proxy.endsWell();
     }
 
+    @ParameterizedTest
+    @EnumSource(names = {"SOCKET", "BIND", "LISTEN"})
+    void startsThoughListeningFailsAtFirst(SystemCall call) throws Exception {
+        proxy.faults.fail(call, ErrorNumber.ENOBUFS);
+        proxy.start().awaitLine("configured: ");
+        TimeUnit.MILLISECONDS.sleep(FIRST_FAILURES_MS);
+        proxy.faults.heal(call);
+        proxy.awaitReady().awaitServing(1);
+    }
+
     @Test
     void aConfigurationThatIsHalfWrittenAtItsSignalIsReadAgain() throws Exception {
         proxy.start().awaitReady();
