Comments of constants say what they bound, without how they came about

Need: a constant has a name, a unit and a reason where a reader would wonder; figures belong to commits and CAPACITY. Change: Daemon, Backends, Frontend, Sockets; comments alone. Measured: compiles; checkstyle and the format check pass; KnownRedTest passes.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -25,15 +25,11 @@
 
 /** The life of the process that runs one proxy: warming up, serving, signals, the end. */
 public final class Daemon {
-    /**
-     * Requests that are played before the proxy serves, and the longest that may take. While a proxy
-     * warms up the others carry its load, and if the next one is told to end meanwhile, nobody does; with
-     * fewer than some 100 requests played, up to a fifth of the first 5 s is late or refused.
-     */
+    /** Requests that are played before the proxy serves, so that its code is compiled. */
     private static final int WARM_REQUESTS = 300;
-
+    /** The longest that the warm-up may take, while other proxies carry the load. */
     private static final long WARM_MS = 2000;
-    /** The same where classes are loaded one by one: more of it is loading, and less is left for the code. */
+    /** The same where classes are loaded one by one, which takes longer. */
     private static final long WARM_UNARCHIVED_MS = 3500;
 
     /** A new configuration counts 4 s after its signal: within half of that it is read again. */
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -30,14 +30,9 @@
     private static final long KEEP_ALIVE_MARGIN_NS = 1_500_000_000L;
 
     private static final long SWEEP_MS = 500;
-    /**
-     * A second answer to a request may come some milliseconds late (the operators' page): on a connection
-     * that carries the next request by then it would be taken for that one's answer. Another is used or made
-     * meanwhile, unless so many rest already: of these the one that rested longest is used, since at such a
-     * rate a connection for each 20 ms would be more than backends hold.
-     */
+    /** A connection rests so long behind an answer: a second answer that comes late is not the next one's. */
     private static final long SETTLE_NS = 20_000_000L;
-
+    /** Where so many connections to a backend are idle, the one that rested longest is used again at once. */
     private static final int MOST_RESTING = 8;
 
     private final EventLoop loop;
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -45,14 +45,11 @@
         void onClientLeft(Client client);
     }
 
-    /**
-     * A connection has so long to bring its first whole request, and every later one from its first byte on.
-     * Guards against clients that say nothing, or half of something: each would hold a descriptor for good.
-     */
+    /** Time for a connection's first whole request, and for the rest of any other. */
     private static final long REQUEST_NS = 1_800_000_000L;
     /** A new one's first bytes come within so long, if its client means to ask. */
     private static final long FRESH_NS = 250_000_000L;
-    /** One that was used may stand idle for so long: usual clients come again sooner. */
+    /** Idle time of a connection that was used. */
     private static final long IDLE_NS = 5_000_000_000L;
 
     private static final int LONGEST_LINE = 4096, LONGEST_HEAD = 8 << 10;
--- a/src/main/java/gullspar/proxy/io/Sockets.java
+++ b/src/main/java/gullspar/proxy/io/Sockets.java
@@ -8,10 +8,7 @@
  * hundreds: they must not take the connections to the backends.
  */
 public final class Sockets {
-    /**
-     * For the runtime's files, the selector, the listener and discovery, 41 at the start; of few, a
-     * quarter.
-     */
+    /** Descriptors for the runtime's files, the selector, the listener and discovery; a quarter of a small limit. */
     private static final int RESERVE = 64;
 
     /** A side's share. */
@@ -52,12 +49,9 @@
         }
     }
 
-    /**
-     * Usual clients need a third of all at most; the rest of the larger share is for those that say
-     * nothing.
-     */
+    /** The larger share: idle and stalled clients hold descriptors too. */
     public final Share clients;
-
+    /** For connections to backends. */
     public final Share backends;
 
     public Sockets(int limit) {
