--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -31,6 +31,9 @@
     /** Whether the disruption takes place. */
     public static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+    /** A case may take 120 s. */
+    private static final long MAX_RUN_MS = 115_000;
+
     private static final long START_NS = System.nanoTime();
     private final PrintWriter record;
     private final Path folder = Files.createTempDirectory("gullspar-review");
@@ -46,6 +49,11 @@
         int code = 2;
         try (Kit kit = new Kit(recordFile)) {
             Runtime.getRuntime().addShutdownHook(new Thread(kit::endProcesses));
+            thread("time limit", () -> {
+                Thread.sleep(MAX_RUN_MS);
+                kit.log("COULD NOT RUN: not over in time");
+                System.exit(2);
+            });
             try {
                 kit.log("trouble " + (TROUBLE ? "on" : "off"));
                 code = body.run(kit) ? 0 : 1;
