--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -31,6 +31,9 @@
     /** Whether the disruption takes place. */
     public static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+    /** The exit code of a broken rule; 1 is the runtime's own. */
+    private static final int BROKEN = 3;
+
     /** A case may take 120 s. */
     private static final long MAX_RUN_MS = 115_000;
 
@@ -44,11 +47,11 @@
         record = new PrintWriter(Files.newBufferedWriter(recordFile), true);
     }
 
-    /** Runs a case and exits: 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
+    /** Runs a case and exits: 0 if the rule held, 3 if it was broken, 2 if the case could not run; see case.sh. */
     public static void main(Path recordFile, Case body) {
         int code = 2;
         try (Kit kit = new Kit(recordFile)) {
-            Runtime.getRuntime().addShutdownHook(new Thread(kit::endProcesses));
+            Runtime.getRuntime().addShutdownHook(new Thread(kit::cleanUp));
             thread("time limit", () -> {
                 Thread.sleep(MAX_RUN_MS);
                 kit.log("COULD NOT RUN: not over in time");
@@ -56,16 +59,16 @@
             });
             try {
                 kit.log("trouble " + (TROUBLE ? "on" : "off"));
-                code = body.run(kit) ? 0 : 1;
+                code = body.run(kit) ? 0 : BROKEN;
                 kit.log(code == 0 ? "RULE HELD" : "RULE BROKEN");
-            } catch (Exception e) {
+            } catch (Throwable e) {
                 kit.log("COULD NOT RUN: " + e);
                 e.printStackTrace();
             }
         } catch (Exception e) {
             e.printStackTrace();
         }
-        System.out.println(code == 0 ? "rule held" : code == 1 ? "RULE BROKEN" : "could not run");
+        System.out.println(code == 0 ? "rule held" : code == BROKEN ? "RULE BROKEN" : "could not run");
         System.exit(code);
     }
 
@@ -219,23 +222,27 @@
         }
     }
 
-    private void endProcesses() {
+    /** Ends all processes and removes the temporary folder; may be called again. */
+    private void cleanUp() {
         synchronized (processes) {
             processes.forEach(Process::destroyForcibly);
+            processes.forEach(p -> p.onExit().join());
         }
-    }
-
-    @Override
-    public void close() throws Exception {
-        endProcesses();
-        for (Process p : processes) {
-            p.waitFor();
+        if (!Files.exists(folder)) {
+            return;
         }
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path f : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(f);
             }
+        } catch (IOException e) {
+            e.printStackTrace();
         }
+    }
+
+    @Override
+    public void close() {
+        cleanUp();
         record.close();
     }
 
