Keep network buffers and bodies in transit on the heap, within one budget

Cause: a body that waits in a BodyStream was kept as slices of the direct buffers that had been read, up to 256 KiB a connection, and writes copied bodies into direct buffers; none of it was bounded for all connections. Above -XX:MaxDirectMemorySize an allocation collects garbage and sleeps 0.5 s on the event loop, then fails, and its connection closes without an answer. Beside it a body's reservation was returned with the answer while a write still held its arrays, so that the heap could fill too.

Change: connections allocate on the heap, whose size is fixed; streams copy into buffers of their own, reserved in the budget (BodyBudget, now MemoryBudget) until they have been written; a writer pauses while the budget is exhausted; a read takes 16 KiB at most. serve.sh bounds the runtime's own copies for system calls.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -26,4 +26,5 @@
     -Djava.io.tmpdir="${TMPDIR:-/tmp}" -XX:SharedArchiveFile=target/gullspar.jsa -XX:-UsePerfData -XX:+AlwaysPreTouch \
     -Xms${heap}m -Xmx${heap}m -Xmn$((heap * 2 / 5))m -Xss512k \
     -XX:MaxMetaspaceSize=40m -XX:ReservedCodeCacheSize=20m -XX:MaxDirectMemorySize=16m \
+    -Djdk.nio.maxCachedBufferSize=65536 \
     -jar target/gullspar.jar "${1:-serve}"
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -11,6 +11,7 @@
 import gullspar.proxy.discovery.ListUpdate;
 import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.events.Events;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.io.DescriptorLimits;
 import gullspar.proxy.io.ListenRetry;
 import gullspar.proxy.io.Platform;
@@ -53,6 +54,8 @@
     private static final long RESPOND_BEFORE_KILL_MS = 150;
     /** This long before SIGKILL, the process exits even if a client does not read its response. */
     private static final long EXIT_BEFORE_KILL_MS = 80;
+    /** Buffered messages may take up to 1/HEAP_DIVISOR of the heap. */
+    private static final int HEAP_DIVISOR = 4;
     /** Interval at which a drain checks whether it is complete. */
     private static final long DRAIN_POLL_MS = 10;
 
@@ -100,11 +103,12 @@
         this.platform = platform;
         this.descriptors = new DescriptorLimits(config.sockets());
         this.events = new Events(platform);
-        this.backends = new Backends(platform, descriptors.backends, config);
+        MemoryBudget budget = new MemoryBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+        this.backends = new Backends(platform, descriptors.backends, budget, config);
         this.classes = new Classes(config);
         this.exchanges = new Exchanges(platform, events, backends, counters);
         this.frontend = new Frontend(
-                platform, config, classes, descriptors.clients, exchanges, () -> listReceived, unreadTimeoutNs);
+                platform, config, classes, descriptors.clients, budget, exchanges, () -> listReceived, unreadTimeoutNs);
         this.discovery = new Discovery(platform, Discovery.source(config), this, timeouts);
         this.module = factory.create(
                 config.settings(), config.seed(), platform.clock().now(), this);
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -6,6 +6,7 @@
 import gullspar.proxy.config.Config;
 import gullspar.proxy.discovery.ListUpdate;
 import gullspar.proxy.discovery.ListedBackend;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.ConnectOperation;
@@ -39,13 +40,15 @@
     private final Transport transport;
     private final Clock clock;
     private final DescriptorLimits.Share descriptors;
+    private final MemoryBudget budget;
     private final long connectTimeoutNs;
     private final long keepAliveNs;
     private final long drainGraceNs;
     private final Map<Integer, Backend> backends = new HashMap<>();
     private long writtenCount;
 
-    public Backends(Platform platform, DescriptorLimits.Share sockets, Config config) {
+    public Backends(Platform platform, DescriptorLimits.Share sockets, MemoryBudget budget, Config config) {
+        this.budget = budget;
         this.transport = platform.transport();
         this.loop = platform.loop();
         this.clock = platform.clock();
@@ -199,7 +202,7 @@
     }
 
     private void connect(Attempt attempt) {
-        Connection connection = new Connection(attempt.backend(), loop, clock, drainGraceNs);
+        Connection connection = new Connection(attempt.backend(), loop, clock, drainGraceNs, budget);
         Bootstrap bootstrap = transport
                 .clientBootstrap(attempt.backend().address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNs / 1_000_000))
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -3,6 +3,7 @@
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.http.BodyStream;
 import gullspar.proxy.http.BodyStreamWriter;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.Clock;
 import io.netty.buffer.ByteBuf;
@@ -44,6 +45,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final long drainGraceNs;
+    private final MemoryBudget budget;
     private final BackendResponseDecoder decoder =
             new BackendResponseDecoder(this, MAX_STATUS_LINE_BYTES, MAX_HEAD_BYTES);
     private Channel channel;
@@ -65,7 +67,8 @@
     private final BodyStreamWriter uploadWriter = new BodyStreamWriter();
     private long uploadProgressNs;
 
-    Connection(Backend backend, EventLoop loop, Clock clock, long drainGraceNs) {
+    Connection(Backend backend, EventLoop loop, Clock clock, long drainGraceNs, MemoryBudget budget) {
+        this.budget = budget;
         this.backend = backend;
         this.address = backend.address;
         this.bootNs = backend.bootNs;
@@ -246,7 +249,7 @@
             return false;
         }
         attempt = null;
-        rest = new BodyStream(() -> channel.config().setAutoRead(true), this::abortStreaming);
+        rest = new BodyStream(budget, () -> channel.config().setAutoRead(true), this::abortStreaming);
         streamedBytes = body.readableBytes();
         byte[] bytes = new byte[body.readableBytes()];
         body.readBytes(bytes);
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -1,9 +1,9 @@
 package gullspar.proxy.client;
 
 import gullspar.proxy.http.Body;
-import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.http.BodyStream;
 import gullspar.proxy.http.BodyStreamWriter;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -55,7 +55,7 @@
         void onRequestAborted(Client client);
 
         /** The limit shared by all buffered bodies. */
-        BodyBudget budget();
+        MemoryBudget budget();
 
         /** How long a body may stay unread while nothing has been sent for the requests of its connection. */
         long unreadTimeoutNs();
@@ -324,7 +324,7 @@
             return false;
         }
         if (upload == null && body.add(bytes) != Body.AddResult.TAKEN) {
-            upload = new BodyStream(() -> channel.config().setAutoRead(true), () -> {});
+            upload = new BodyStream(owner.budget(), () -> channel.config().setAutoRead(true), () -> {});
             enqueue(new QueuedRequest(
                     new Message(
                             head.method(),
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -5,7 +5,7 @@
 import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Classes.RequestClass;
 import gullspar.proxy.config.Config;
-import gullspar.proxy.http.BodyBudget;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.AcceptBackoff;
 import gullspar.proxy.io.Clock;
@@ -52,8 +52,6 @@
 
     private static final int MAX_REQUEST_LINE_BYTES = 4096;
     private static final int MAX_HEAD_BYTES = 8 << 10;
-    /** Buffered bodies may take up to 1/HEAP_DIVISOR of the heap. */
-    private static final int HEAP_DIVISOR = 4;
     /**
      * How long a body may stay unread before its request is rejected. The operators require that nothing is sent for
      * a client that disconnected 0.1 s ago, and while part of what it sent is unread, the proxy cannot detect that.
@@ -61,9 +59,10 @@
     public static final long UNREAD_TIMEOUT_NS = 80_000_000L;
     /**
      * Client requests are small. The minimum keeps a read that finds nothing from shrinking the buffer until
-     * the next request is read byte by byte.
+     * the next request is read byte by byte. The maximum bounds what a connection holds beyond the budget: one
+     * read.
      */
-    private static final RecvByteBufAllocator READ_ALLOCATOR = new AdaptiveRecvByteBufAllocator(1024, 2048, 64 << 10);
+    private static final RecvByteBufAllocator READ_ALLOCATOR = new AdaptiveRecvByteBufAllocator(1024, 2048, 16 << 10);
 
     private static final long TIMEOUT_CHECK_INTERVAL_MS = 200;
     /** A request id cannot be used again for one to two of these intervals after its response. */
@@ -88,7 +87,7 @@
     private final Map<Integer, Integer> rejected = new TreeMap<>();
 
     private final ConnectionPressure pressure = new ConnectionPressure();
-    private final BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
+    private final MemoryBudget budget;
     private AcceptBackoff acceptFailures;
     private boolean timersStarted;
     private Channel listener;
@@ -101,9 +100,10 @@
             Config config,
             Classes classes,
             DescriptorLimits.Share sockets,
+            MemoryBudget budget,
             RequestHandler handler,
             BooleanSupplier ready) {
-        this(platform, config, classes, sockets, handler, ready, UNREAD_TIMEOUT_NS);
+        this(platform, config, classes, sockets, budget, handler, ready, UNREAD_TIMEOUT_NS);
     }
 
     /** unreadTimeoutNs: how long a body may stay unread before its request is rejected. */
@@ -112,6 +112,7 @@
             Config config,
             Classes classes,
             DescriptorLimits.Share sockets,
+            MemoryBudget budget,
             RequestHandler handler,
             BooleanSupplier ready,
             long unreadTimeoutNs) {
@@ -120,6 +121,7 @@
         this.classes = classes;
         this.clock = platform.clock();
         this.sockets = sockets;
+        this.budget = budget;
         this.handler = handler;
         this.ready = ready;
         this.unreadTimeoutNs = unreadTimeoutNs;
@@ -336,7 +338,7 @@
     }
 
     @Override
-    public BodyBudget budget() {
+    public MemoryBudget budget() {
         return budget;
     }
 
--- a/src/main/java/gullspar/proxy/http/Body.java
+++ b/src/main/java/gullspar/proxy/http/Body.java
@@ -16,14 +16,13 @@
     /** Size of all other chunks, and maximum size of the first. */
     private static final int CHUNK_BYTES = 16 << 10;
 
-    private final BodyBudget budget;
+    private final MemoryBudget budget;
     private final long maxBytes;
-    private final List<byte[]> chunks = new ArrayList<>();
+    private final List<ByteBuf> chunks = new ArrayList<>();
     private long reservedBytes;
     private long length;
-    private int lastChunkLength;
 
-    public Body(BodyBudget budget, long maxBytes) {
+    public Body(MemoryBudget budget, long maxBytes) {
         this.budget = budget;
         this.maxBytes = maxBytes;
     }
@@ -46,26 +45,25 @@
             if (length + bytes.readableBytes() > maxBytes) {
                 return AddResult.TOO_LONG;
             }
-            if (chunks.isEmpty() || lastChunkLength == lastChunk().length) {
+            if (chunks.isEmpty() || !lastChunk().isWritable()) {
                 int size = chunks.isEmpty()
                         ? Math.max(MIN_CHUNK_BYTES, Math.min(CHUNK_BYTES, bytes.readableBytes()))
                         : CHUNK_BYTES;
-                if (!budget.tryReserve(size)) {
+                ByteBuf chunk = ReservedBuffer.tryAllocate(budget, size);
+                if (chunk == null) {
                     return budget.canEverReserve(reservedBytes + size) ? AddResult.NO_ROOM : AddResult.TOO_LONG;
                 }
                 reservedBytes += size;
-                chunks.add(new byte[size]);
-                lastChunkLength = 0;
+                chunks.add(chunk);
             }
-            int n = Math.min(bytes.readableBytes(), lastChunk().length - lastChunkLength);
-            bytes.readBytes(lastChunk(), lastChunkLength, n);
-            lastChunkLength += n;
-            length += n;
+            int count = Math.min(bytes.readableBytes(), lastChunk().writableBytes());
+            lastChunk().writeBytes(bytes, count);
+            length += count;
         }
         return AddResult.TAKEN;
     }
 
-    private byte[] lastChunk() {
+    private ByteBuf lastChunk() {
         return chunks.get(chunks.size() - 1);
     }
 
@@ -79,17 +77,14 @@
         if (chunks.isEmpty()) {
             return Unpooled.EMPTY_BUFFER;
         }
-        ByteBuf[] all = new ByteBuf[chunks.size()];
-        for (int i = 0; i < all.length; i++) {
-            byte[] chunk = chunks.get(i);
-            all[i] = Unpooled.wrappedBuffer(chunk, 0, i == all.length - 1 ? lastChunkLength : chunk.length);
-        }
-        return Unpooled.wrappedBuffer(all.length, all);
+        return Unpooled.wrappedBuffer(
+                chunks.size(), chunks.stream().map(ByteBuf::retainedDuplicate).toArray(ByteBuf[]::new));
     }
 
-    /** Returns the reserved bytes to the budget once the request no longer needs its body. */
+    /** Releases the body once the request no longer needs it; what is still being written stays reserved until then. */
     public void release() {
-        budget.release(reservedBytes);
+        chunks.forEach(ByteBuf::release);
+        chunks.clear();
         reservedBytes = 0;
     }
 }
--- a/src/main/java/gullspar/proxy/http/BodyStream.java
+++ b/src/main/java/gullspar/proxy/http/BodyStream.java
@@ -22,6 +22,9 @@
      */
     static final int MAX_UNREAD_BYTES = 256 << 10;
 
+    /** Minimum size of a chunk, so that a body that arrives byte by byte takes little more than its length. */
+    private static final int MIN_CHUNK_BYTES = 4 << 10;
+
     private enum State {
         /** Being received. */
         COMING,
@@ -32,6 +35,7 @@
     }
 
     private final Deque<ByteBuf> chunks = new ArrayDeque<>();
+    private final MemoryBudget budget;
     private final Runnable onResume;
     private final Runnable onDropped;
     private int bufferedBytes;
@@ -41,26 +45,46 @@
     private Reader reader;
 
     /** Callbacks for the writer: onResume when it may continue, onDropped when the stream is no longer needed. */
-    public BodyStream(Runnable onResume, Runnable onDropped) {
+    public BodyStream(MemoryBudget budget, Runnable onResume, Runnable onDropped) {
+        this.budget = budget;
         this.onResume = onResume;
         this.onDropped = onDropped;
     }
 
     // ---- writer ----
 
-    /** Adds a chunk and takes ownership of it; returns false if the writer must pause. */
+    /**
+     * Adds a copy of a chunk, takes ownership of the chunk and releases it; returns false if the writer must pause. A
+     * slice of a network buffer would keep all of that buffer, which may be thousands of times larger.
+     */
     public boolean add(ByteBuf chunk) {
-        if (dropped) {
+        try {
+            return dropped || copy(chunk);
+        } finally {
             chunk.release();
-            return true;
         }
-        chunks.add(chunk);
-        bufferedBytes += chunk.readableBytes();
+    }
+
+    private boolean copy(ByteBuf bytes) {
+        bufferedBytes += bytes.readableBytes();
+        append(bytes);
         notifyReader();
-        paused = bufferedBytes >= (isUnread() ? MAX_UNREAD_BYTES : MAX_BUFFERED_BYTES);
+        int maxBytes = isUnread() ? MAX_UNREAD_BYTES : MAX_BUFFERED_BYTES;
+        paused = bufferedBytes >= maxBytes || bufferedBytes > 0 && budget.isExhausted();
         return !paused;
     }
 
+    private void append(ByteBuf bytes) {
+        ByteBuf last = chunks.peekLast();
+        if (last != null) {
+            last.writeBytes(bytes, Math.min(bytes.readableBytes(), last.writableBytes()));
+        }
+        if (bytes.isReadable()) {
+            ByteBuf chunk = ReservedBuffer.allocate(budget, Math.max(MIN_CHUNK_BYTES, bytes.readableBytes()));
+            chunks.add(chunk.writeBytes(bytes));
+        }
+    }
+
     /** Marks the stream as complete. */
     public void complete() {
         finish(State.WHOLE);
--- a/src/main/java/gullspar/proxy/io/InheritedTransport.java
+++ b/src/main/java/gullspar/proxy/io/InheritedTransport.java
@@ -53,6 +53,7 @@
                 .group(loop)
                 .channelFactory(() -> new SharedListener(listener))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
                 .childHandler(childHandler)
                 .register();
     }
--- a/src/main/java/gullspar/proxy/io/Transport.java
+++ b/src/main/java/gullspar/proxy/io/Transport.java
@@ -37,6 +37,7 @@
                 return new Bootstrap()
                         .group(loop)
                         .channel(NioSocketChannel.class)
+                        .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
                         .option(ChannelOption.TCP_NODELAY, true)
                         .remoteAddress(address);
             }
@@ -49,6 +50,7 @@
                         .option(ChannelOption.SO_BACKLOG, 1024)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
                         .localAddress(address);
             }
 
@@ -57,6 +59,7 @@
                 return new Bootstrap()
                         .group(loop)
                         .channel(NioDatagramChannel.class)
+                        .option(ChannelOption.ALLOCATOR, HeapBuffers.ALLOCATOR)
                         .localAddress(address);
             }
         };
--- a/src/main/java/gullspar/site/SiteProxy.java
+++ b/src/main/java/gullspar/site/SiteProxy.java
@@ -2,7 +2,7 @@
 
 import gullspar.config.Site;
 import gullspar.decide.Balancer;
-import gullspar.proxy.http.BodyBudget;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.io.AcceptBackoff;
 import gullspar.proxy.io.DescriptorLimits;
 import gullspar.proxy.io.Platform;
@@ -71,7 +71,7 @@
                 platform,
                 sockets.clients,
                 site.limits(),
-                new BodyBudget(site.limits().maxBodyBytes()),
+                new MemoryBudget(site.limits().maxBodyBytes()),
                 seed,
                 this);
         sockets.backends.onFull(() -> pools.values().stream().anyMatch(Pool::closeIdleConnection)
--- a/src/main/java/gullspar/site/client/Clients.java
+++ b/src/main/java/gullspar/site/client/Clients.java
@@ -1,7 +1,7 @@
 package gullspar.site.client;
 
 import gullspar.config.Site;
-import gullspar.proxy.http.BodyBudget;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.io.DescriptorLimits;
 import gullspar.proxy.io.Platform;
 import gullspar.route.Request;
@@ -53,7 +53,7 @@
     private final Platform platform;
     private final DescriptorLimits.Share sockets;
     private final RequestHandler handler;
-    private final BodyBudget budget;
+    private final MemoryBudget budget;
     /** Request ids must be unique, not unpredictable. */
     private final Random ids;
     /** Ordered by last use, the least recently used one first. */
@@ -66,7 +66,7 @@
             Platform platform,
             DescriptorLimits.Share sockets,
             Site.Limits limits,
-            BodyBudget budget,
+            MemoryBudget budget,
             long seed,
             RequestHandler handler) {
         this.platform = platform;
@@ -151,7 +151,7 @@
         return draining;
     }
 
-    BodyBudget budget() {
+    MemoryBudget budget() {
         return budget;
     }
 
--- a/src/test/java/gullspar/capacity/ControlCost.java
+++ b/src/test/java/gullspar/capacity/ControlCost.java
@@ -13,6 +13,7 @@
 import gullspar.proxy.discovery.Discovery;
 import gullspar.proxy.discovery.ListUpdate;
 import gullspar.proxy.discovery.ListedBackend;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.DescriptorLimits;
 import gullspar.proxy.io.Platform;
@@ -77,7 +78,7 @@
                     GeneratedInputs.settings(PROXIES, 0, new String(list, StandardCharsets.UTF_8)));
             discovery = new Discovery(platform, Discovery.source(config), null);
             module = new Policy(config.settings(), 7, now, new SendRecorder());
-            backends = new Backends(platform, new DescriptorLimits(1024).backends, config);
+            backends = new Backends(platform, new DescriptorLimits(1024).backends, MemoryBudget.unlimited(), config);
         }
 
         /** Passes an update to the module and to the connections, as the proxy does. */
--- a/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
+++ b/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
@@ -7,7 +7,7 @@
 import gullspar.decide.Balancer.Report;
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.http.Body;
-import gullspar.proxy.http.BodyBudget;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -25,12 +25,13 @@
 
     private final Backend backend = new Backend();
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final Connection connection = new Connection(backend, channel.eventLoop(), () -> 1, 1);
+    private final Connection connection =
+            new Connection(backend, channel.eventLoop(), () -> 1, 1, MemoryBudget.unlimited());
     private final List<BackendResponse> responses = new ArrayList<>();
 
     private void startAttempt() {
         Message m = Message.withFullBody(
-                HttpMethod.GET, "/look", new DefaultHttpHeaders(), new Body(new BodyBudget(1000), 1000));
+                HttpMethod.GET, "/look", new DefaultHttpHeaders(), new Body(new MemoryBudget(1000), 1000));
         connection.start(new Attempt(
                 backend,
                 m,
--- a/src/test/java/gullspar/proxy/client/CloseWithUnreadRequestTest.java
+++ b/src/test/java/gullspar/proxy/client/CloseWithUnreadRequestTest.java
@@ -7,6 +7,7 @@
 import gullspar.proxy.Peer;
 import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Config;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.DescriptorLimits;
 import gullspar.proxy.io.Platform;
@@ -55,6 +56,7 @@
                         config,
                         new Classes(config),
                         new DescriptorLimits(100).clients,
+                        MemoryBudget.unlimited(),
                         handler,
                         () -> true))
                 .get(20, TimeUnit.SECONDS);
--- a/src/test/java/gullspar/proxy/client/BodyBudgetReleaseTest.java
+++ b/src/test/java/gullspar/proxy/client/MemoryBudgetReleaseTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Config;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.DescriptorLimits;
 import gullspar.proxy.io.Platform;
@@ -21,7 +22,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The budget reserved for a request's body is released however the request ends. */
-class BodyBudgetReleaseTest {
+class MemoryBudgetReleaseTest {
     private final List<Message> accepted = new ArrayList<>();
     private final List<Client> disconnected = new ArrayList<>();
     private Frontend frontend;
@@ -51,6 +52,7 @@
                 config,
                 new Classes(config),
                 new DescriptorLimits(100).clients,
+                MemoryBudget.unlimited(),
                 handler,
                 () -> true);
     }
@@ -133,6 +135,18 @@
         assertEquals(0, frontend.budget().reservedBytes());
     }
 
+    /** The reservation was returned with the response, while the body was still held by a write to the backend. */
+    @Test
+    void bodyStaysReservedWhileItIsWritten() {
+        EmbeddedChannel c = client(requestHead(5000), "x".repeat(5000));
+        ByteBuf beingWritten = accepted.get(0).body().bytes();
+        accepted.get(0).release();
+        assertTrue(frontend.budget().reservedBytes() >= 5000);
+        beingWritten.release();
+        assertEquals(0, frontend.budget().reservedBytes());
+        disconnect(c);
+    }
+
     @Test
     void bodiesAreStreamedWhenBudgetIsExhausted() {
         frontend.budget().setLimit(2 << 20);
@@ -144,7 +158,7 @@
         EmbeddedChannel small = client(requestHead(1000), "x".repeat(1000));
         assertEquals(2, accepted.size());
         disconnect(small);
-        all.forEach(BodyBudgetReleaseTest::disconnect);
+        all.forEach(MemoryBudgetReleaseTest::disconnect);
         assertEquals(0, frontend.budget().reservedBytes());
     }
 }
--- a/src/test/java/gullspar/proxy/client/ResponseForwardingTest.java
+++ b/src/test/java/gullspar/proxy/client/ResponseForwardingTest.java
@@ -4,8 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gullspar.proxy.http.BodyBudget;
 import gullspar.proxy.http.BodyStream;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -47,8 +47,8 @@
         }
 
         @Override
-        public BodyBudget budget() {
-            return new BodyBudget(1 << 20);
+        public MemoryBudget budget() {
+            return new MemoryBudget(1 << 20);
         }
 
         @Override
@@ -83,7 +83,7 @@
         EmbeddedChannel c = new EmbeddedChannel(new HttpResponseEncoder());
         Client client = new Client(c, new RequestDecoder(1000, 1000), new Owner());
         c.pipeline().addLast(client);
-        BodyStream rest = new BodyStream(() -> {}, () -> {});
+        BodyStream rest = new BodyStream(MemoryBudget.unlimited(), () -> {}, () -> {});
         for (int at = 100_000; at < all.length; at += 100_000) {
             rest.add(Unpooled.copiedBuffer(all, at, 100_000));
         }
--- a/src/test/java/gullspar/proxy/client/UnreadBodyTest.java
+++ b/src/test/java/gullspar/proxy/client/UnreadBodyTest.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Config;
+import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.DescriptorLimits;
 import gullspar.proxy.io.Platform;
@@ -53,6 +54,7 @@
                         config,
                         new Classes(config),
                         new DescriptorLimits(100).clients,
+                        MemoryBudget.unlimited(),
                         handler,
                         () -> true)
                 .accept(c);
--- a/src/test/java/gullspar/proxy/http/BodyStreamTest.java
+++ b/src/test/java/gullspar/proxy/http/BodyStreamTest.java
@@ -15,7 +15,8 @@
     private final AtomicInteger resumed = new AtomicInteger();
     private final AtomicInteger dropped = new AtomicInteger();
     private final AtomicInteger notifications = new AtomicInteger();
-    private final BodyStream stream = new BodyStream(resumed::incrementAndGet, dropped::incrementAndGet);
+    private final BodyStream stream =
+            new BodyStream(MemoryBudget.unlimited(), resumed::incrementAndGet, dropped::incrementAndGet);
 
     private static ByteBuf chunk(int bytes) {
         return Unpooled.buffer(bytes).writeZero(bytes);
@@ -58,6 +59,35 @@
         }
     }
 
+    /** Slices of network buffers kept a whole buffer for each byte of a body that arrived byte by byte. */
+    @Test
+    void bodyOfSingleBytesReservesLittleMoreThanItsLength() {
+        MemoryBudget budget = MemoryBudget.unlimited();
+        BodyStream bytewise = new BodyStream(budget, () -> {}, () -> {});
+        for (int i = 0; i < 100_000; i++) {
+            bytewise.add(chunk(1));
+        }
+        assertTrue(budget.reservedBytes() < 110_000, () -> "reserved: " + budget.reservedBytes());
+        ByteBuf first = bytewise.nextChunk();
+        bytewise.drop();
+        assertEquals(first.capacity(), budget.reservedBytes(), "reserved until it has been written");
+        first.release();
+        assertEquals(0, budget.reservedBytes());
+    }
+
+    @Test
+    void writerPausesWhileTheBudgetIsExhausted() {
+        MemoryBudget budget = new MemoryBudget(10_000);
+        BodyStream bounded = new BodyStream(budget, resumed::incrementAndGet, dropped::incrementAndGet);
+        bounded.setReader(notifications::incrementAndGet);
+        assertTrue(bounded.add(chunk(5000)));
+        assertFalse(bounded.add(chunk(5000)));
+        bounded.nextChunk().release();
+        assertEquals(1, resumed.get());
+        bounded.drop();
+        assertEquals(0, budget.reservedBytes());
+    }
+
     @Test
     void readerIsNotifiedOfEachChunkAndOnceOfTheEnd() {
         assertTrue(stream.isUnread());
