serve.sh reads the memory limit in linear time, whatever the order of keys

Cause: rest=${line#*\"memory_mb\"} makes the shell try each prefix of the line and scan it from its start, so that the time grows with the square of what precedes the key, which may be half a megabyte on one line. JSON gives the order of keys no meaning.

Change: the line is split once at its quotes, in linear time. The value is that of limits.memory_mb, whatever stands before it: a key of that name in another object, or a line break between key and value, gave a wrong or no limit.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -4,17 +4,54 @@
 # starts, the others carry its load. Most of the start is spent in interpreted code, so compilation begins earlier than
 # by default.
 set -eu
-# The platform may refuse to fork or to start other programs, so the shell itself reads the limit, from the first line
-# that has it.
+# The platform may refuse to fork or to start other programs, so the shell itself reads the limit. It splits lines at
+# their quotes, which takes time in proportion to their length: the configuration may be one line of a megabyte, and the
+# keys of a JSON object may have any order.
 mb=
-if [ -r "${NODE_CONFIG:-}" ]; then
-    while [ -z "$mb" ] && { read -r line || [ -n "$line" ]; }; do
-        case $line in *'"memory_mb"'*[0-9]*) ;; *) continue ;; esac
-        rest=${line#*\"memory_mb\"}
-        rest=${rest#"${rest%%[0-9]*}"}
-        mb=${rest%%[!0-9]*}
-    done < "$NODE_CONFIG"
-fi
+first= # the first number of that name, whatever object it is in; used if "limits" has none
+is_in_limits=
+key= # the key, of those that matter, whose value is being read
+after_key=
+
+# Handles what follows a key, up to the next quote or line.
+read_value() {
+    after_key=$after_key$1
+    case $after_key in *[!:[:space:]]*) ;; *) return ;; esac
+    case ${after_key%%:*} in *[![:space:]]*) key= ;; esac # it was a value, not a key
+    case $key$after_key in
+        limits*'{'*'}'*) ;;
+        limits*'{'*) is_in_limits=1 ;;
+        memory_mb*[0-9]*)
+            value=${after_key#"${after_key%%[0-9]*}"}
+            value=${value%%[!0-9]*}
+            first=${first:-$value}
+            if [ -n "$is_in_limits" ]; then mb=$value; fi
+            ;;
+    esac
+    key=
+}
+
+read_memory_limit() {
+    set -f
+    while [ -z "$mb" ] && { IFS= read -r line || [ -n "$line" ]; }; do
+        IFS='"'
+        for word in $line; do
+            if [ -n "$key" ]; then
+                read_value "$word"
+                if [ -n "$mb" ]; then return; fi
+            fi
+            case $word in
+                limits | memory_mb) key=$word after_key= ;;
+                *'}'*) is_in_limits= ;;
+            esac
+        done
+        unset IFS
+    done
+}
+
+if [ -r "${NODE_CONFIG:-}" ]; then read_memory_limit < "$NODE_CONFIG"; fi
+unset IFS
+mb=${mb:-$first}
 # If another process may take over the socket, both processes share the limit for a while.
 if [ -n "${NODE_SOCKET_FD:-}" ]; then mb=$(( ${mb:-128} / 2 )); fi
 heap=$(( (${mb:-128} - 56) * 2 / 3 ))
