Survive an OutOfMemoryError on the event loop, and exit if its thread ends

Cause: an Error that left the serving of one channel ended the loop for all; an Error during the delivery of events to the decision module left delivery marked as under way, so that no event was delivered again; and the main thread waited for a future that is not completed where the loop's own clean-up runs out of memory.

Change: an OutOfMemoryError closes the channel that was being served; delivery goes on after an error, and the request of the failed event is ended; the main thread also ends the process when the loop's thread is no longer alive.

Evidence, with the old classes: outOfMemoryWhileServingOneChannelClosesOnlyThatOne never ended (its read now has a limit of 20 s), and EventsTest failed, the first of its tests by the error itself, which left the delivery; all pass now. The watch on the thread has no test: a thread without memory could not be had on demand.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -40,6 +40,8 @@
 
     private static final long REREAD_INTERVAL_MS = 200;
 
+    private static final long LOOP_CHECK_INTERVAL_MS = 500;
+
     private static final Log LOG = Log.standardError();
 
     private Daemon() {}
@@ -131,10 +133,18 @@
         if (operatorEndpoint != null) {
             loop.execute(() -> operatorEndpoint.setStatusSource(proxy));
         }
-        loop.terminationFuture().awaitUninterruptibly();
+        awaitEnd(servingLoop);
         throw new IOException("event loop terminated"); // exit rather than run without serving
     }
 
+    /** Waits for the end of the loop or of its thread: without memory the thread may end without completing the future. */
+    private static void awaitEnd(ServingLoop servingLoop) {
+        Thread thread = servingLoop.thread();
+        while (thread.isAlive() && !servingLoop.loop().isTerminated()) {
+            servingLoop.loop().terminationFuture().awaitUninterruptibly(LOOP_CHECK_INTERVAL_MS);
+        }
+    }
+
     /**
      * Shutdown hook for a termination signal at any time. Before the proxy opens it has no clients, and the
      * process exits at once; afterwards it drains first. After the signal the proxy no longer opens.
--- a/src/main/java/gullspar/proxy/events/Events.java
+++ b/src/main/java/gullspar/proxy/events/Events.java
@@ -54,23 +54,35 @@
         queue.add((now, balancer) -> {
             try {
                 event.apply(now, balancer);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | OutOfMemoryError e) {
                 StackTraceElement[] trace = e.getStackTrace();
                 platform.log().write("the decision module failed: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
                 onFailure.run();
             }
         });
         if (!delivering) {
-            delivering = true;
-            platform.loop().execute(this::deliver);
+            startDelivery();
         }
     }
 
     private void deliver() {
         long now = platform.clock().now();
-        while (!backendUpdates.isEmpty() || !requestEvents.isEmpty()) {
-            (backendUpdates.isEmpty() ? requestEvents : backendUpdates).remove().apply(now, module);
+        try {
+            while (!backendUpdates.isEmpty() || !requestEvents.isEmpty()) {
+                (backendUpdates.isEmpty() ? requestEvents : backendUpdates)
+                        .remove()
+                        .apply(now, module);
+            }
+        } finally {
+            delivering = false;
+            if (!backendUpdates.isEmpty() || !requestEvents.isEmpty()) {
+                startDelivery(); // an error ended the loop above; the other events are delivered all the same
+            }
         }
-        delivering = false;
+    }
+
+    private void startDelivery() {
+        delivering = true;
+        platform.loop().execute(this::deliver);
     }
 }
--- a/src/main/java/gullspar/proxy/io/OrderedNioHandler.java
+++ b/src/main/java/gullspar/proxy/io/OrderedNioHandler.java
@@ -145,6 +145,8 @@
             channel.handle.handle(channel.registration, channel.event);
         } catch (RuntimeException e) {
             LOG.warn("unexpected exception while serving a channel", e);
+        } catch (OutOfMemoryError e) {
+            closeAfter(e, channel); // only this channel: an error that leaves here ends the loop
         } finally {
             serving = null;
         }
@@ -153,6 +155,16 @@
         }
     }
 
+    @SuppressWarnings("try") // signature of IoHandle
+    private static void closeAfter(OutOfMemoryError error, ReadyChannel channel) {
+        try {
+            LOG.warn("out of memory while serving a channel, closing it", error);
+            channel.close();
+        } catch (Exception | OutOfMemoryError e) {
+            channel.registration.cancel(); // it is at least not served again
+        }
+    }
+
     @Override
     public IoRegistration register(IoHandle handle) throws Exception {
         registrationCount++;
--- a/src/main/java/gullspar/proxy/io/ServingLoop.java
+++ b/src/main/java/gullspar/proxy/io/ServingLoop.java
@@ -4,6 +4,7 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * A single-threaded event loop for a serving process.
@@ -13,6 +14,13 @@
  * @param statistics what it has done
  */
 public record ServingLoop(EventLoop loop, UnreadAge unreadAge, LoopStatistics statistics) {
+    /** The thread of the loop; waits until it has started. */
+    public Thread thread() {
+        CompletableFuture<Thread> thread = new CompletableFuture<>();
+        loop.execute(() -> thread.complete(Thread.currentThread()));
+        return thread.join();
+    }
+
     /** Creates the I/O handlers of such loops. */
     public static IoHandlerFactory handlerFactory() {
         return executor -> new OrderedNioHandler(NioIoHandler.newFactory().newHandler(executor), System::nanoTime);
--- a/src/test/java/gullspar/proxy/io/OrderedNioHandlerTest.java
+++ b/src/test/java/gullspar/proxy/io/OrderedNioHandlerTest.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetAddress;
@@ -19,6 +20,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -38,6 +40,7 @@
     /** What the loop served, in order, and how long the data may have waited. */
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
 
+    private final List<Channel> accepted = new CopyOnWriteArrayList<>();
     private final List<Socket> clients = new ArrayList<>();
     private final CountDownLatch resume = new CountDownLatch(1);
     private volatile LongConsumer onRead = age -> {};
@@ -79,6 +82,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel c) {
+                        accepted.add(c);
                         c.pipeline().addLast(new EventRecorder("client"));
                     }
                 })
@@ -111,6 +115,27 @@
         return s;
     }
 
+    /** A read that ran out of memory ended the loop: no connection was served any more. */
+    @Test
+    @SuppressWarnings("deprecation") // the type of the overridden method
+    void outOfMemoryWhileServingOneChannelClosesOnlyThatOne() throws Exception {
+        Socket failing = connectAndAccept();
+        Socket other = connectAndAccept();
+        serving.loop()
+                .submit(() -> accepted.get(0).config().setRecvByteBufAllocator(new FixedRecvByteBufAllocator(1024) {
+                    @Override
+                    public Handle newHandle() {
+                        throw new OutOfMemoryError("planted");
+                    }
+                }))
+                .get();
+        failing.setSoTimeout(20_000);
+        failing.getOutputStream().write(1);
+        assertEquals(-1, failing.getInputStream().read(), "closed");
+        other.getOutputStream().write(1);
+        assertEquals("client", nextEvent().what());
+    }
+
     /** Opens a connection from the loop; returns its remote end. */
     private Socket openOutbound() throws Exception {
         new Bootstrap()
