Send nothing to an address whose backend has gone or moved while connecting

Cause: an attempt that was waiting for its connection went out on it although the list had meanwhile said that the backend had gone (within the grace that a drain has) or had moved, however long ago. Whoever listens at that address by then got the request, in a zone that may not drop its repeats. The address was compared when a connection came to rest, not when one was used.

Change: before an attempt is written, its backend must still be listed, at the address of the connection; otherwise the attempt ends as never sent and the module chooses again. A draining backend keeps its grace.

Evidence: nothingIsSentToAnAddressThatItsBackendHasLeftWhileConnecting failed in its 3 cases on the old classes (the request arrived) and passes now. By reading: the module never tries a backend twice for a request, idle connections were closed at once already, and plain HTTP ends attempts to removed servers by itself. What remains: a process that takes an address over before the list says so can't be told from the old one.

--- a/src/main/java/gullspar/proxy/backend/Backend.java
+++ b/src/main/java/gullspar/proxy/backend/Backend.java
@@ -11,9 +11,16 @@
     long bootNs;
     /** When discovery reported that it drains or is gone; 0 while it is in service. */
     long leftAtNs;
+    /** Its process has ended or is not to be used any more, and its address may be another backend's by now. */
+    boolean isGone;
     /** Idle connections in order of their last use, the most recent last. */
     final Deque<Connection> idle = new ArrayDeque<>();
 
+    void markGone(long nowNs) {
+        isGone = true;
+        markLeft(nowNs);
+    }
+
     void markLeft(long nowNs) {
         leftAtNs = leftAtNs == 0 ? nowNs : leftAtNs;
         closeIdleConnections();
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -68,7 +68,7 @@
         if (listUpdate.kind() != ListKind.DELTA) {
             Map<Integer, Backend> missing = new HashMap<>(backends);
             listUpdate.list().forEach(listed -> missing.remove(listed.server().id()));
-            missing.values().forEach(backend -> backend.markLeft(nowNs));
+            missing.values().forEach(backend -> backend.markGone(nowNs));
             backends.keySet().removeAll(missing.keySet());
         }
         for (ListedBackend listed : listUpdate.list()) {
@@ -85,6 +85,7 @@
                 backend.markLeft(nowNs);
             }
             if (listed.server().state() == State.GONE) {
+                backend.markGone(nowNs);
                 backends.remove(listed.server().id());
             }
         }
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -105,7 +105,8 @@
         // While connecting, the backend may have been reported as draining or gone, the request may have been
         // abandoned, the window in which its repeats are dropped may have ended, and the backend may have closed
         // the connection.
-        if (backend.leftAtNs != 0 && clock.now() - backend.leftAtNs > drainGraceNs || !newAttempt.canStart()) {
+        boolean hasDrained = backend.leftAtNs != 0 && clock.now() - backend.leftAtNs > drainGraceNs;
+        if (hasDrained || leadsElsewhere() || !newAttempt.canStart()) {
             channel.close();
             loop.execute(() -> newAttempt.end(Status.MOOT, null, null));
             return;
@@ -148,6 +149,11 @@
         continueUpload();
     }
 
+    /** Whether the process at the other end may be another backend's by now: this one has gone or has moved. */
+    private boolean leadsElsewhere() {
+        return backend.isGone || !Objects.equals(backend.address, address);
+    }
+
     /** Has its listener before the write starts: on an in-process channel the response may arrive during the write. */
     private ChannelPromise writePromise(Attempt writtenAttempt) {
         return channel.newPromise().addListener(f -> onWriteComplete(writtenAttempt, f.isSuccess()));
@@ -313,7 +319,7 @@
                 && HttpUtil.isKeepAlive(head)
                 && backend.leftAtNs == 0
                 && backend.bootNs == bootNs
-                && Objects.equals(backend.address, address)) {
+                && !leadsElsewhere()) {
             idleSinceNs = clock.now();
             backend.idle.addLast(this);
         } else {
--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -5,11 +5,17 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gullspar.decide.Balancer.ListKind;
+import gullspar.decide.Balancer.ListedServer;
 import gullspar.decide.Balancer.Outcome;
 import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.State;
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.backend.LoadReport;
 import gullspar.proxy.config.Config;
+import gullspar.proxy.discovery.ListUpdate;
+import gullspar.proxy.discovery.ListedBackend;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -442,4 +448,24 @@
         assertNull(LoadReport.parse("=,="));
         assertEquals(0.5, LoadReport.parse("new=1, util=0.5").utilization());
     }
+
+    /** A new process at the address of a backend that had gone, or had moved, got the requests of the old one. */
+    @ParameterizedTest
+    @CsvSource({"GONE, DELTA, false", "READY, DELTA, true", ", FULL, false"})
+    void nothingIsSentToAnAddressThatItsBackendHasLeftWhileConnecting(State state, ListKind kind, boolean hasMoved)
+            throws Exception {
+        try (Peer.Wire client = setup.client();
+                Peer other = new Peer()) {
+            setup.onConnected = () -> {
+                setup.onConnected = () -> {};
+                ListedServer listed = new ListedServer(server, 0, state, 0, 3, 0, 1);
+                InetSocketAddress address = hasMoved ? other.address() : backend.address();
+                setup.proxy.apply(new ListUpdate(
+                        kind, 43, state == null ? List.of() : List.of(new ListedBackend(listed, address))));
+            };
+            sendRequest(client);
+            assertEquals("", backend.accept().read());
+            assertEquals(Status.MOOT, setup.nextOutcome().status());
+        }
+    }
 }
