Bound the header fields of a request, and keep heads within the memory budget

Cause: a head was bounded by its bytes alone, 8 KiB, in which 2,000 fields fit; decoded, each takes over a hundred bytes. A connection queues up to 16 requests, and no limit bounded the heads of all connections.

Change: a request has at most 100 fields, counted while it is decoded, else 431; what a request holds beside its body is reserved in the memory budget, with a limit of its own of a quarter of that of bodies, so that bodies that fill the budget do not keep out requests without one. Where there is no room it is refused with 503; nothing was sent for it.

Evidence: headWithTooManyFieldsIsRejected and queuedHeadsAreReservedAndRejectedWhenTheBudgetIsExhausted failed on the old classes and pass now. Resident memory was not measured for this one.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -392,6 +392,10 @@
             awaitsContinue = HttpUtil.is100ContinueExpected(r);
             sendContinueIfAwaited();
             body = new Body(owner.budget(), MAX_BUFFERED_BODY_BYTES);
+            if (!body.tryReserveHead(Message.headBytes(r.uri(), r.headers()))) {
+                closeWithError(503, "too many requests at once, try again");
+                return false;
+            }
             rateWindowBytes = 0;
             bodyBytes = 0;
             rateWindowStartNs = owner.now();
--- a/src/main/java/gullspar/proxy/client/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/client/RequestDecoder.java
@@ -4,7 +4,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.AsciiString;
 import java.util.List;
 
@@ -13,7 +15,11 @@
  * behind it may be a smuggled request. Netty itself rejects a request with both Content-Length and Transfer-Encoding.
  */
 public class RequestDecoder extends HttpRequestDecoder {
+    /** A field takes a hundred times its bytes once it is decoded, so the limit of the head's size is not enough. */
+    static final int MAX_FIELDS = 100;
+
     private boolean stopped;
+    private int fieldCount;
     private boolean inRequest;
 
     /** Limits of the request line and of the head, in bytes. */
@@ -49,9 +55,19 @@
         }
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        fieldCount = 0;
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         HeaderLines.checkColon(line, start + length);
+        fieldCount++;
+        if (fieldCount > MAX_FIELDS) {
+            throw new TooLongHttpHeaderException("more than " + MAX_FIELDS + " header fields");
+        }
         return super.splitHeaderName(line, start, length);
     }
 }
--- a/src/main/java/gullspar/proxy/http/Body.java
+++ b/src/main/java/gullspar/proxy/http/Body.java
@@ -20,6 +20,7 @@
     private final long maxBytes;
     private final List<ByteBuf> chunks = new ArrayList<>();
     private long reservedBytes;
+    private long reservedHeadBytes;
     private long length;
 
     public Body(MemoryBudget budget, long maxBytes) {
@@ -27,6 +28,15 @@
         this.maxBytes = maxBytes;
     }
 
+    /** Reserves room for the head of the request, which is held as long as its body; false if there is none. */
+    public boolean tryReserveHead(long headBytes) {
+        if (!budget.tryReserveHead(headBytes)) {
+            return false;
+        }
+        reservedHeadBytes += headBytes;
+        return true;
+    }
+
     /** The result of adding bytes. */
     public enum AddResult {
         TAKEN,
@@ -86,5 +96,7 @@
         chunks.forEach(ByteBuf::release);
         chunks.clear();
         reservedBytes = 0;
+        budget.releaseHead(reservedHeadBytes);
+        reservedHeadBytes = 0;
     }
 }
--- a/src/main/java/gullspar/proxy/http/MemoryBudget.java
+++ b/src/main/java/gullspar/proxy/http/MemoryBudget.java
@@ -5,8 +5,11 @@
  * that are being received, waiting to be forwarded or waiting to be written. Used on one event loop.
  */
 public final class MemoryBudget {
+    private static final int HEAD_DIVISOR = 4;
+
     private long maxBytes;
     private long reservedBytes;
+    private long reservedHeadBytes;
 
     public MemoryBudget(long maxBytes) {
         this.maxBytes = maxBytes;
@@ -22,6 +25,22 @@
         maxBytes = bytes;
     }
 
+    /**
+     * Reserves room for the head of a request. Heads have a limit of their own, a quarter of that of bodies, so that
+     * bodies that fill the budget do not keep out requests without one.
+     */
+    boolean tryReserveHead(long bytes) {
+        if (reservedHeadBytes + bytes > maxBytes / HEAD_DIVISOR) {
+            return false;
+        }
+        reservedHeadBytes += bytes;
+        return true;
+    }
+
+    void releaseHead(long bytes) {
+        reservedHeadBytes -= bytes;
+    }
+
     boolean tryReserve(long bytes) {
         if (reservedBytes + bytes > maxBytes) {
             return false;
@@ -53,6 +72,6 @@
     }
 
     public long reservedBytes() {
-        return reservedBytes;
+        return reservedBytes + reservedHeadBytes;
     }
 }
--- a/src/main/java/gullspar/proxy/http/Message.java
+++ b/src/main/java/gullspar/proxy/http/Message.java
@@ -3,7 +3,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.math.BigDecimal;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 
 /**
  * A client's request. bodyStream: the part of the body that is still being received after the buffered part;
@@ -49,11 +51,28 @@
             "Vary",
             "Retry-After");
 
+    /** Approximate heap of a request without its head's text, and of a header field without its text, in bytes. */
+    private static final int REQUEST_OVERHEAD_BYTES = 1024;
+
+    private static final int FIELD_OVERHEAD_BYTES = 128;
+
     /** A request whose body is complete. */
     public static Message withFullBody(HttpMethod method, String uri, HttpHeaders headers, Body body) {
         return new Message(method, uri, headers, body, null, body.length());
     }
 
+    /** Approximate heap that a request with this head takes beside its body, in bytes. */
+    public static long headBytes(String uri, HttpHeaders headers) {
+        long bytes = REQUEST_OVERHEAD_BYTES + uri.length();
+        for (Iterator<Map.Entry<CharSequence, CharSequence>> i = headers.iteratorCharSequence(); i.hasNext(); ) {
+            Map.Entry<CharSequence, CharSequence> field = i.next();
+            bytes += FIELD_OVERHEAD_BYTES
+                    + field.getKey().length()
+                    + field.getValue().length();
+        }
+        return bytes;
+    }
+
     /** True if the request has a body, received or not. */
     public boolean hasBody() {
         return bodyStream != null || body.length() > 0;
--- a/src/test/java/gullspar/proxy/client/MemoryBudgetReleaseTest.java
+++ b/src/test/java/gullspar/proxy/client/MemoryBudgetReleaseTest.java
@@ -147,6 +147,47 @@
         disconnect(c);
     }
 
+    /** Heads of many short fields took hundreds of times their bytes, for each of the requests queued. */
+    @Test
+    void headWithTooManyFieldsIsRejected() {
+        String head = requestHead(0).replace("\r\n\r\n", "\r\n");
+        EmbeddedChannel c = client(head + "a:\r\n".repeat(1000) + "\r\n");
+        assertTrue(responseOf(c).startsWith("HTTP/1.1 431 "));
+        assertEquals(0, accepted.size());
+        assertEquals(0, frontend.budget().reservedBytes());
+        EmbeddedChannel usual = client(requestHead(0), requestHead(0));
+        assertEquals(1, accepted.size());
+        disconnect(usual);
+    }
+
+    /** Heads were outside the budget: queued requests of many clients exhausted the heap. */
+    @Test
+    void queuedHeadsAreReservedAndRejectedWhenTheBudgetIsExhausted() {
+        frontend.budget().setLimit(100_000);
+        List<EmbeddedChannel> all = new ArrayList<>();
+        String requests = "";
+        for (int i = 0; i < Client.MAX_PIPELINED; i++) {
+            requests += requestHead(0).replace("Host: a", "Host: a\r\nCookie: " + "x".repeat(1000));
+        }
+        while (all.size() < 40
+                && (all.isEmpty() || all.get(all.size() - 1).outboundMessages().isEmpty())) {
+            all.add(client(requests.replace("Request-Id: r", "Request-Id: r" + all.size() + "-")));
+        }
+        assertTrue(all.size() < 40, "rejected at some time");
+        assertTrue(frontend.budget().reservedBytes() <= 100_000);
+        all.forEach(MemoryBudgetReleaseTest::disconnect);
+        assertEquals(0, frontend.budget().reservedBytes());
+    }
+
+    private static String responseOf(EmbeddedChannel c) {
+        ByteBuf response = c.readOutbound();
+        try {
+            return response.toString(StandardCharsets.ISO_8859_1);
+        } finally {
+            response.release();
+        }
+    }
+
     @Test
     void bodiesAreStreamedWhenBudgetIsExhausted() {
         frontend.budget().setLimit(2 << 20);
