Process a pipelined request only once the response before it is written

Cause: the next request of a connection was processed as soon as the response was handed to the channel. A client that sends and does not read made responses pile up in the write queue without a limit, outside the budget; and a connection with an unread response was neither idle nor closing, so that no time limit ended it.

Change: the next request waits for the write of the response; the queue of requests keeps its bound. Bodies of responses are reserved in the memory budget until they are written.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -253,6 +253,10 @@
             if (now - closingSinceNs > requestTimeoutNs && !busy) {
                 channel.close(); // the client does not read the error response
             }
+        } else if (pendingWrites > 0) {
+            if (now - idleSinceNs > RESPONSE_STALL_TIMEOUT_NS) {
+                channel.close(); // the client does not read its response
+            }
         } else if (isRequestTooSlow(now)) {
             closeWithError(408, "the request did not come in time");
         } else if (isIdle() && now - idleSinceNs > (used ? idleTimeoutNs : requestTimeoutNs)) {
@@ -492,7 +496,8 @@
     }
 
     private void processNext() {
-        while (!busy && !queue.isEmpty() && channel.isActive()) {
+        // The next request waits until the client has read the response: it could pipeline requests and never read.
+        while (!busy && pendingWrites == 0 && !queue.isEmpty() && channel.isActive()) {
             QueuedRequest next = queue.poll();
             busy = true;
             keepAlive = next.keepAlive();
@@ -510,7 +515,9 @@
      */
     public void respond(int status, HttpHeaders headers, byte[] bytes) {
         DefaultFullHttpResponse r = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                owner.budget().wrap(bytes));
         if (headers != null) {
             Message.copyResponseHeaders(headers, r.headers());
         }
@@ -542,16 +549,21 @@
 
     private void afterResponse(ChannelFuture written, boolean last) {
         pendingWrites++;
-        written.addListener(f -> pendingWrites--);
+        written.addListener(f -> onResponseWritten());
         if (last) {
             written.addListener(f -> closeAfterResponse());
-        } else if (!queue.isEmpty()) {
-            channel.eventLoop().execute(this::processNext);
-        } else {
+        } else if (queue.isEmpty()) {
             sendContinueIfAwaited();
         }
     }
 
+    private void onResponseWritten() {
+        pendingWrites--;
+        if (pendingWrites == 0 && !queue.isEmpty()) {
+            channel.eventLoop().execute(this::processNext);
+        }
+    }
+
     /**
      * Closes the connection after its last response. Closing while part of a request is still being received
      * would make the kernel reset the connection, and the response could be lost: incoming data is discarded
@@ -588,7 +600,7 @@
         lastProgressNs = owner.now();
         writer.writeFirst(() -> {
             channel.write(r);
-            channel.write(new DefaultHttpContent(Unpooled.wrappedBuffer(first)));
+            channel.write(new DefaultHttpContent(owner.budget().wrap(first)));
         });
         stream.setReader(this::forwardResponse);
         forwardResponse();
--- a/src/main/java/gullspar/proxy/http/MemoryBudget.java
+++ b/src/main/java/gullspar/proxy/http/MemoryBudget.java
@@ -1,5 +1,8 @@
 package gullspar.proxy.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+
 /**
  * The limit on the heap that all buffered messages may take together, in bytes of the arrays that hold them: bodies
  * that are being received, waiting to be forwarded or waiting to be written. Used on one event loop.
@@ -54,6 +57,11 @@
         reservedBytes += bytes;
     }
 
+    /** Wraps bytes that are to be written; they stay reserved until then, even if the limit is exceeded. */
+    public ByteBuf wrap(byte[] bytes) {
+        return bytes.length == 0 ? Unpooled.EMPTY_BUFFER : ReservedBuffer.wrap(this, bytes);
+    }
+
     /**
      * True if a single body could reserve this much with nothing else reserved. If not, retrying is of no
      * use.
