Look for a client's close behind all that it has sent before an attempt starts

Cause: the close comes behind the data that precedes it. Before each attempt one buffer was read, so that a close behind more than that was not seen; and while a long request behind the one in progress was paused, nothing was read for up to 80 ms.

Change: the check reads until nothing is left, at most 64 buffers; if that was not all, the attempt does not start, ends as never sent, and the module decides again. A paused upload behind the request in progress is rejected at that moment, so that reading goes on to the close.

Evidence: on the old classes requestIsNotSentIfMuchUnreadDataPrecedesTheDisconnect (3 cases) and retryIsNotSentIfAnUnreadUploadPrecedesTheDisconnect failed; they pass now, 4 of 4 runs. ClientDisconnectTest, LargeBodiesTest and FrontendTest as they were: passed.

--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -238,7 +238,7 @@
         if (!isFinished && !client.readAndCheckConnected() && !isFinished) {
             onClientDisconnected();
         }
-        return !isFinished;
+        return !isFinished && !client.hasUnreadData();
     }
 
     void refuse(long retryInNs) {
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -75,6 +75,9 @@
     /** Pipelined requests queued per connection: enough for clients that do not await responses. */
     public static final int MAX_PIPELINED = 16;
 
+    /** Bounds the reads, of 16 KiB each, by which a client's close is looked for behind unread data. */
+    private static final int MAX_READS_PER_CHECK = 64;
+
     /** Larger bodies, and those that the budget has no room for, are forwarded while they are received. */
     private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
     /** Time limit for a request head: from connecting for the first, from its first byte for later ones. */
@@ -135,6 +138,9 @@
     /** The connection closes while part of a request may still be received. */
     private boolean requestIncomplete;
 
+    /** See {@link #hasUnreadData}. */
+    private boolean hasUnreadData;
+
     private boolean used;
     /** Responses not yet written to the socket. */
     private int pendingWrites;
@@ -201,19 +207,51 @@
     /**
      * Returns whether the client is still connected. Reads pending data first instead of waiting for the
      * event loop: a loop iteration may be long, and both a request and the client's close may already be in
-     * the socket buffer.
+     * the socket buffer, the close behind all else that the client has sent.
      */
     public boolean readAndCheckConnected() {
+        rejectUploadBehindRequest();
+        hasUnreadData = false;
         if (upload != null && upload.paused()) {
             if (owner.now() - unreadSinceNs >= owner.unreadTimeoutNs()) {
                 rejectUnreadUpload();
             }
         } else if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
-            socket.read();
+            readAll(socket);
         }
         return channel.isActive();
     }
 
+    private void readAll(AbstractNioChannel.NioUnsafe socket) {
+        for (int i = 0; i < MAX_READS_PER_CHECK && channel.isActive(); i++) {
+            long before = decoder.receivedBytes();
+            socket.read();
+            if (decoder.receivedBytes() == before) {
+                return;
+            }
+            rejectUploadBehindRequest();
+            if (upload != null && upload.paused()) {
+                return;
+            }
+        }
+        hasUnreadData = channel.isActive();
+    }
+
+    /** Rejects a paused upload that follows a request in progress: its unread rest may hide the client's close. */
+    private void rejectUploadBehindRequest() {
+        if (upload != null && upload.paused() && currentRequest != null && currentRequest.bodyStream() != upload) {
+            rejectUnreadUpload();
+        }
+    }
+
+    /**
+     * True if the client had sent more than {@link #readAndCheckConnected} reads at once, so that it may have
+     * disconnected although it seems to be connected.
+     */
+    public boolean hasUnreadData() {
+        return hasUnreadData;
+    }
+
     private boolean hasPartialRequest() {
         return partialSinceNs != 0;
     }
--- a/src/main/java/gullspar/proxy/client/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/client/RequestDecoder.java
@@ -20,6 +20,7 @@
 
     private boolean stopped;
     private int fieldCount;
+    private long receivedBytes;
     private boolean inRequest;
 
     /** Limits of the request line and of the head, in bytes. */
@@ -45,6 +46,17 @@
         inRequest = false;
     }
 
+    /** Number of bytes read so far. */
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+        receivedBytes += ((ByteBuf) message).readableBytes();
+        super.channelRead(ctx, message);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         if (stopped) {
--- a/src/test/java/gullspar/proxy/ClientDisconnectTest.java
+++ b/src/test/java/gullspar/proxy/ClientDisconnectTest.java
@@ -8,6 +8,8 @@
 import gullspar.proxy.client.Frontend;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -307,6 +309,39 @@
         assertWithdrawnBeforeSending(setup.nextRequest());
     }
 
+    /** The close is behind more data than one turn of the loop reads: the request was sent for nobody. */
+    @ParameterizedTest
+    @EnumSource
+    void requestIsNotSentIfMuchUnreadDataPrecedesTheDisconnect(DisconnectMode mode) throws Exception {
+        Peer.Wire client = setup.client();
+        client.write("GET /_health HTTP/1.1\r\n\r\n");
+        client.read();
+        setup.onRequest = r -> setup.actions.send(r.ticket(), server, 0);
+        CountDownLatch disconnected = new CountDownLatch(1);
+        Future<?> blocked = setup.loop.submit(() -> disconnected.await(20, TimeUnit.SECONDS));
+        client.write(Setup.getRequest() + largeRequest(700 << 10));
+        mode.disconnect(client);
+        disconnected.countDown();
+        blocked.get(20, TimeUnit.SECONDS);
+        assertWithdrawnBeforeSending(setup.nextRequest());
+    }
+
+    /** The next request is so long that it is not read to its end while the one ahead is in progress. */
+    @Test
+    void retryIsNotSentIfAnUnreadUploadPrecedesTheDisconnect() throws Exception {
+        Peer.Wire client = setup.client();
+        client.write(Setup.getRequest());
+        Request r = setup.nextRequest();
+        client.write(largeRequest(1600 << 10));
+        client.close();
+        setup.runOnLoop(() -> {
+            for (int i = 0; i < 10; i++) {
+                setup.actions.send(r.ticket(), server, 0);
+            }
+        });
+        assertWithdrawnBeforeSending(r);
+    }
+
     /** The request ahead is answered, after which the next one would be accepted and sent at once. */
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "RESETS") // found as that response is written
