Let a response that has begun end up to 0.45 s after the client's timeout

Cause: a streamed response was aborted at the client's timeout to the millisecond, whatever its server was doing.

Change: the abort comes 0.45 s later. A response that has not ended by then is still cut off, as it can't be in time any more.

Evidence: responseThatEndsShortlyAfterTheTimeoutIsForwardedWhole failed on the old classes (100,000 of 200,000 bytes) and passes now.

--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -33,6 +33,12 @@
     /** If the module has not ended the request this long before the client's timeout, the backstop timer does. */
     private static final long BACKSTOP_MARGIN_NS = 5_000_000L;
 
+    /**
+     * How long after the client's timeout a response may end that has begun. By the protocol a response is lost only half
+     * a second after that.
+     */
+    private static final long STREAM_GRACE_NS = 450_000_000L;
+
     final int ticket;
     final Client client;
     private final Exchanges exchanges;
@@ -178,13 +184,13 @@
     private void streamResponse(BackendResponse response) {
         finish();
         exchanges.countStreaming(true);
-        // A response that has not ended by the client's timeout has failed.
+        // The client may still take the end of a response some time after its timeout.
         ScheduledFuture<?> timeout = exchanges
                 .platform
                 .loop()
                 .schedule(
                         client::abort,
-                        Math.max(0, timeLeftNs(exchanges.platform.clock().now()) + marginNs),
+                        Math.max(0, timeLeftNs(exchanges.platform.clock().now()) + marginNs) + STREAM_GRACE_NS,
                         TimeUnit.NANOSECONDS);
         client.respond(response.head(), response.body(), response.rest(), isComplete -> {
             timeout.cancel(false);
--- a/src/test/java/gullspar/proxy/LargeBodiesTest.java
+++ b/src/test/java/gullspar/proxy/LargeBodiesTest.java
@@ -323,6 +323,29 @@
         }
     }
 
+    /** A response that its backend was still writing was cut off at the client's timeout. */
+    @Test
+    void responseThatEndsShortlyAfterTheTimeoutIsForwardedWhole() throws Exception {
+        byte[] body = randomBytes(200_000);
+        setup.ignoredTimerMs = 1200;
+        try (Socket client = client()) {
+            write(client, Setup.getRequest("Request-Timeout: 1\r\n"));
+            Request r = setup.nextRequest();
+            CompletableFuture<Void> timeout = new CompletableFuture<>();
+            setup.loop.schedule(() -> timeout.complete(null), 1100, TimeUnit.MILLISECONDS);
+            setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
+            try (Socket backendSide = accept()) {
+                readHead(backendSide.getInputStream());
+                write(backendSide, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n");
+                backendSide.getOutputStream().write(body, 0, body.length / 2);
+                readHead(client.getInputStream());
+                timeout.get(20, TimeUnit.SECONDS);
+                backendSide.getOutputStream().write(body, body.length / 2, body.length - body.length / 2);
+                assertArrayEquals(body, client.getInputStream().readNBytes(body.length));
+            }
+        }
+    }
+
     @Test
     void truncatedResponseClosesTheClientConnection() throws Exception {
         try (Socket client = client()) {
