Run the client's timeout while a backend reads a large request slowly

Cause: the timeout of a request that is forwarded while it is received started when the proxy had read its last byte. While the backend reads slowly the proxy does not read, and that byte may have been waiting in the kernel for as long; nothing but a backend that read nothing for 2 s ended such an attempt.

Change: the proxy notes when it last read all that the client had sent. The timeout runs from there: an attempt whose request is not written by then is abandoned, and never ran; a request whose last byte is read later is dated by that time too.

--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -95,6 +96,17 @@
         startBackstop();
     }
 
+    /**
+     * The request is still being received, as fast as its backend reads it. Its last byte may have been waiting since
+     * receivedUntilNs, and the client's timeout runs from there: attempts that have not been sent by then are abandoned.
+     */
+    void onRequestIncomplete(long receivedUntilNs) {
+        boolean isOverdue = exchanges.platform.clock().now() - receivedUntilNs >= timeoutNs - marginNs;
+        if (isOverdue && !isFinished && backstopTimer == null) {
+            attempts.stream().filter(Objects::nonNull).forEach(Attempt::failUnread);
+        }
+    }
+
     private void startBackstop() {
         long fireAtNs = deadlineNs + marginNs - Math.min(BACKSTOP_MARGIN_NS, marginNs / 2);
         long delayNs = Math.max(0, fireAtNs - exchanges.platform.clock().now());
--- a/src/main/java/gullspar/proxy/Exchanges.java
+++ b/src/main/java/gullspar/proxy/Exchanges.java
@@ -54,6 +54,14 @@
         }
     }
 
+    @Override
+    public void onRequestIncomplete(Client client, long receivedUntilNs) {
+        Exchange exchange = byClient.get(client);
+        if (exchange != null) {
+            exchange.onRequestIncomplete(receivedUntilNs);
+        }
+    }
+
     @Override
     public void onClientDisconnected(Client client) {
         Exchange exchange = byClient.get(client);
--- a/src/main/java/gullspar/proxy/backend/Attempt.java
+++ b/src/main/java/gullspar/proxy/backend/Attempt.java
@@ -113,8 +113,8 @@
         return startedAtNs;
     }
 
-    /** Ends the attempt because the backend does not read the request. */
-    void failUnread() {
+    /** Ends the attempt because the backend does not read the request, or too slowly. */
+    public void failUnread() {
         giveUp(Status.CONNECT_FAILED);
     }
 
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -48,6 +48,12 @@
         /** The body of a request that was handed over while being received is now complete. */
         void onRequestComplete(Client client, long receivedAtNs);
 
+        /**
+         * The body of such a request is still being received. Its last byte may have been waiting in the kernel since
+         * the given time, as all that had arrived was read then.
+         */
+        void onRequestIncomplete(Client client, long receivedUntilNs);
+
         /**
          * The body of such a request will not be completed: the request is dropped and its client gets an
          * error.
@@ -113,6 +119,8 @@
 
     private long rateWindowBytes;
     private long lastReceivedNs;
+    /** When all that the client had sent of the request was last read, so that its last byte came later. */
+    private long receivedUntilNs;
     /** When reading stopped because the upload was paused. */
     private long unreadSinceNs;
     /** The response that is being forwarded; null if none. */
@@ -283,6 +291,9 @@
      * after the last response; idleTimeoutNs: between requests.
      */
     void enforceTimeouts(long now, long requestTimeoutNs, long idleTimeoutNs) {
+        if (upload != null && currentRequest != null && currentRequest.bodyStream() == upload) {
+            owner.onRequestIncomplete(this, receivedUntilNs);
+        }
         if (responseStream != null) {
             if (now - lastProgressNs > RESPONSE_STALL_TIMEOUT_NS) {
                 channel.close();
@@ -347,7 +358,8 @@
                 upload = null;
                 received.complete();
                 if (currentRequest != null && currentRequest.bodyStream() == received) {
-                    owner.onRequestComplete(this, owner.receivedAt());
+                    // While reading was paused the last byte may have waited in the kernel.
+                    owner.onRequestComplete(this, Math.min(owner.receivedAt(), receivedUntilNs));
                 }
             }
             head = null;
@@ -442,6 +454,7 @@
             bodyBytes = 0;
             rateWindowStartNs = owner.now();
             lastReceivedNs = rateWindowStartNs;
+            receivedUntilNs = rateWindowStartNs;
             return true;
         }
         return false;
@@ -524,6 +537,9 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (upload != null && hasReadAll(ctx.channel())) {
+            receivedUntilNs = owner.now();
+        }
         if (!closing && decoder.inRequest()) {
             // The time limit of a connection's first request starts at connecting, however slowly it is sent.
             partialSinceNs = hasPartialRequest() ? partialSinceNs : used || busy ? owner.now() : connectedAtNs;
@@ -533,6 +549,12 @@
         processNext();
     }
 
+    /** True if the last read left room in its buffer, so that nothing more was in the socket. */
+    private static boolean hasReadAll(Channel channel) {
+        var lastRead = channel.unsafe().recvBufAllocHandle();
+        return lastRead.lastBytesRead() < lastRead.attemptedBytesRead();
+    }
+
     private void processNext() {
         // The next request waits until the client has read the response: it could pipeline requests and never read.
         while (!busy && pendingWrites == 0 && !queue.isEmpty() && channel.isActive()) {
--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -39,6 +39,9 @@
         /** The body of a request that was handed over while being received is now complete. */
         void onRequestComplete(Client client, long receivedAtNs);
 
+        /** The body is still being received; see {@link Client.Owner#onRequestIncomplete}. */
+        default void onRequestIncomplete(Client client, long receivedUntilNs) {}
+
         /** The client has disconnected before its response. */
         void onClientDisconnected(Client client);
     }
@@ -352,6 +355,11 @@
         handler.onRequestComplete(client, receivedAtNs);
     }
 
+    @Override
+    public void onRequestIncomplete(Client client, long receivedUntilNs) {
+        handler.onRequestIncomplete(client, receivedUntilNs);
+    }
+
     @Override
     public void onRequestAborted(Client client) {
         requestIds.close(client.currentRequest().id());
--- a/src/test/java/gullspar/proxy/LargeBodiesTest.java
+++ b/src/test/java/gullspar/proxy/LargeBodiesTest.java
@@ -253,6 +253,29 @@
         }
     }
 
+    /** The client's timeout ran only from when the backend had read the request: the answer came seconds late. */
+    @Test
+    void requestThatIsReadTooSlowlyIsAbandonedByTheClientsTimeout() throws Exception {
+        try (Socket client = client()) {
+            write(client, orderRequest("Content-Length: " + LARGE_BYTES + "\r\n"));
+            CompletableFuture<Void> sent =
+                    runAsync(() -> client.getOutputStream().write(randomBytes(LARGE_BYTES)));
+            Request r = setup.nextRequest();
+            setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
+            try (Socket slow = accept()) {
+                setup.loop.scheduleAtFixedRate(
+                        () -> runAsync(() -> slow.getInputStream().readNBytes(RECEIVE_BUFFER_BYTES)),
+                        0,
+                        25,
+                        TimeUnit.MILLISECONDS);
+                assertEquals(Status.CONNECT_FAILED, setup.nextOutcome().status());
+                setup.runOnLoop(() -> setup.actions.refuse(r.ticket(), 0));
+                assertTrue(readHead(client.getInputStream()).startsWith("HTTP/1.1 503"));
+                sent.get(20, TimeUnit.SECONDS);
+            }
+        }
+    }
+
     @Test
     void stalledUploadIsWithdrawn() throws Exception {
         try (Socket client = client()) {
--- a/src/test/java/gullspar/proxy/client/ResponseForwardingTest.java
+++ b/src/test/java/gullspar/proxy/client/ResponseForwardingTest.java
@@ -41,6 +41,9 @@
         @Override
         public void onRequestAborted(Client client) {}
 
+        @Override
+        public void onRequestIncomplete(Client client, long receivedUntilNs) {}
+
         @Override
         public long unreadTimeoutNs() {
             return Long.MAX_VALUE;
