End stalled requests and responses earlier while the memory budget is exhausted

Cause: a request that had stalled kept its reservation for up to 2.2 s, and a response that its client did not read for 10 s, also where nothing was left for others.

Change: while the budget has no room for another chunk these limits are 0.5 s and 1.5 s. The client gets its 408, or its close.

Evidence: stalledRequestsAreRejectedEarlierWhileTheBudgetIsExhausted failed on the old classes and passes now.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -90,6 +90,8 @@
     static final long HEAD_TIMEOUT_NS = 2_500_000_000L;
     /** The longest pause of a body being received. */
     private static final long BODY_STALL_TIMEOUT_NS = 2_200_000_000L;
+    /** The same while the budget is exhausted, where stalled requests keep room from others. */
+    private static final long SHORT_MEMORY_STALL_TIMEOUT_NS = 500_000_000L;
     /** Minimum rate of a body, over the time since reading it started or resumed, less the grace time. */
     private static final long MIN_BODY_BYTES_PER_S = 24 << 10;
 
@@ -97,6 +99,9 @@
     /** A response on which neither side makes progress for this long is aborted. */
     private static final long RESPONSE_STALL_TIMEOUT_NS = 10_000_000_000L;
 
+    /** The same while the budget is exhausted. */
+    private static final long SHORT_MEMORY_RESPONSE_TIMEOUT_NS = 1_500_000_000L;
+
     /** A request (error is null), or the error response to a request that was rejected (message is null). */
     private record QueuedRequest(
             Message message, int status, String error, long receivedAt, boolean keepAlive, HttpVersion version) {}
@@ -295,7 +300,7 @@
             owner.onRequestIncomplete(this, receivedUntilNs);
         }
         if (responseStream != null) {
-            if (now - lastProgressNs > RESPONSE_STALL_TIMEOUT_NS) {
+            if (now - lastProgressNs > responseStallTimeoutNs()) {
                 channel.close();
             }
         } else if (closing) {
@@ -303,7 +308,7 @@
                 channel.close(); // the client does not read the error response
             }
         } else if (pendingWrites > 0) {
-            if (now - idleSinceNs > RESPONSE_STALL_TIMEOUT_NS) {
+            if (now - idleSinceNs > responseStallTimeoutNs()) {
                 channel.close(); // the client does not read its response
             }
         } else if (isRequestTooSlow(now)) {
@@ -313,6 +318,10 @@
         }
     }
 
+    private long responseStallTimeoutNs() {
+        return owner.budget().isExhausted() ? SHORT_MEMORY_RESPONSE_TIMEOUT_NS : RESPONSE_STALL_TIMEOUT_NS;
+    }
+
     /** Returns whether a partly received request has stalled or is below the minimum rate. */
     private boolean isRequestTooSlow(long now) {
         if (head == null) {
@@ -324,7 +333,8 @@
             rateWindowBytes = 0;
             return false;
         }
-        return now - lastReceivedNs > BODY_STALL_TIMEOUT_NS
+        boolean isMemoryShort = owner.budget().isExhausted();
+        return now - lastReceivedNs > (isMemoryShort ? SHORT_MEMORY_STALL_TIMEOUT_NS : BODY_STALL_TIMEOUT_NS)
                 || rateWindowBytes < (now - rateWindowStartNs - BODY_RATE_GRACE_NS) / 1e9 * MIN_BODY_BYTES_PER_S;
     }
 
--- a/src/main/java/gullspar/proxy/http/Body.java
+++ b/src/main/java/gullspar/proxy/http/Body.java
@@ -14,7 +14,7 @@
     /** Minimum size of the first chunk. */
     private static final int MIN_CHUNK_BYTES = 512;
     /** Size of all other chunks, and maximum size of the first. */
-    private static final int CHUNK_BYTES = 16 << 10;
+    static final int CHUNK_BYTES = 16 << 10;
 
     private final MemoryBudget budget;
     private final long maxBytes;
--- a/src/main/java/gullspar/proxy/http/MemoryBudget.java
+++ b/src/main/java/gullspar/proxy/http/MemoryBudget.java
@@ -70,9 +70,9 @@
         return bytes <= maxBytes;
     }
 
-    /** True if nothing more can be reserved, so that reading should pause where it can. */
+    /** True if there is no room for another chunk, so that reading should pause where it can. */
     public boolean isExhausted() {
-        return reservedBytes >= maxBytes;
+        return maxBytes - reservedBytes < Body.CHUNK_BYTES;
     }
 
     void release(long bytes) {
--- a/src/test/java/gullspar/proxy/client/MemoryBudgetReleaseTest.java
+++ b/src/test/java/gullspar/proxy/client/MemoryBudgetReleaseTest.java
@@ -27,6 +27,7 @@
     private final List<Client> disconnected = new ArrayList<>();
     private Frontend frontend;
     private int lastId;
+    private long nowNs = 1;
 
     @BeforeEach
     void start() throws Exception {
@@ -48,7 +49,7 @@
             }
         };
         frontend = new Frontend(
-                new Platform(new EmbeddedChannel().eventLoop(), () -> 1, null, line -> {}),
+                new Platform(new EmbeddedChannel().eventLoop(), () -> nowNs, null, line -> {}),
                 config,
                 new Classes(config),
                 new DescriptorLimits(100).clients,
@@ -147,6 +148,26 @@
         disconnect(c);
     }
 
+    /** Clients that stopped half way through a request kept room from usual requests for seconds. */
+    @Test
+    void stalledRequestsAreRejectedEarlierWhileTheBudgetIsExhausted() {
+        frontend.budget().setLimit(64 << 10);
+        EmbeddedChannel stalled = client(requestHead(65_000), "x".repeat(60_000));
+        nowNs += 1_000_000_000L;
+        Client client = stalled.pipeline().get(Client.class);
+        client.enforceTimeouts(nowNs, 10_000_000_000L, 10_000_000_000L);
+        stalled.runPendingTasks();
+        assertTrue(responseOf(stalled).startsWith("HTTP/1.1 408 "));
+        assertEquals(0, frontend.budget().reservedBytes());
+        EmbeddedChannel roomy = client(requestHead(65_000), "x".repeat(20_000));
+        nowNs += 1_000_000_000L;
+        roomy.pipeline().get(Client.class).enforceTimeouts(nowNs, 10_000_000_000L, 10_000_000_000L);
+        roomy.runPendingTasks();
+        assertTrue(roomy.outboundMessages().isEmpty(), "there is room");
+        disconnect(stalled);
+        disconnect(roomy);
+    }
+
     /** Heads of many short fields took hundreds of times their bytes, for each of the requests queued. */
     @Test
     void headWithTooManyFieldsIsRejected() {
--- a/src/test/java/gullspar/proxy/http/BodyStreamTest.java
+++ b/src/test/java/gullspar/proxy/http/BodyStreamTest.java
@@ -77,7 +77,7 @@
 
     @Test
     void writerPausesWhileTheBudgetIsExhausted() {
-        MemoryBudget budget = new MemoryBudget(10_000);
+        MemoryBudget budget = new MemoryBudget(Body.CHUNK_BYTES + 9_000);
         BodyStream bounded = new BodyStream(budget, resumed::incrementAndGet, dropped::incrementAndGet);
         bounded.setReader(notifications::incrementAndGet);
         assertTrue(bounded.add(chunk(5000)));
