Remember a request's id for a minute after its response or its client's leaving

Cause: a closed id was forgotten after 4 to 8 s, whatever its first attempt was doing.

Change: it is remembered for one to two minutes, within the bound on their number. At the other process of an upgrade it is still unknown.

Evidence: idIsRememberedForAMinute; with a retention of 4 s it fails (by hand, on the new class).

--- a/src/main/java/gullspar/proxy/client/Frontend.java
+++ b/src/main/java/gullspar/proxy/client/Frontend.java
@@ -68,7 +68,6 @@
     private static final RecvByteBufAllocator READ_ALLOCATOR = new AdaptiveRecvByteBufAllocator(1024, 2048, 16 << 10);
 
     private static final long TIMEOUT_CHECK_INTERVAL_MS = 200;
-    /** A request id cannot be used again for one to two of these intervals after its response. */
     private static final long ID_AGING_INTERVAL_MS = 4000;
 
     private static final long LOG_INTERVAL_MS = 10_000;
@@ -81,7 +80,7 @@
     private final RequestHandler handler;
     private final BooleanSupplier ready;
     private final long unreadTimeoutNs;
-    private final RequestIds requestIds = new RequestIds();
+    private final RequestIds requestIds;
     /** Connections without a valid request so far, the oldest first. */
     private final Set<Client> unused = new LinkedHashSet<>();
     /** The other connections, the least recently used first. */
@@ -123,6 +122,7 @@
         this.config = config;
         this.classes = classes;
         this.clock = platform.clock();
+        this.requestIds = new RequestIds(clock.now());
         this.sockets = sockets;
         this.budget = budget;
         this.handler = handler;
@@ -154,7 +154,8 @@
         EventLoop loop = platform.loop();
         loop.scheduleWithFixedDelay(
                 this::enforceTimeouts, TIMEOUT_CHECK_INTERVAL_MS, TIMEOUT_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(requestIds::age, ID_AGING_INTERVAL_MS, ID_AGING_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> requestIds.age(clock.now()), ID_AGING_INTERVAL_MS, ID_AGING_INTERVAL_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(this::logCounts, LOG_INTERVAL_MS, LOG_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/test/java/gullspar/proxy/client/RequestIdsTest.java
+++ b/src/test/java/gullspar/proxy/client/RequestIdsTest.java
@@ -7,7 +7,7 @@
 
 /** The memory of request ids. */
 class RequestIdsTest {
-    private final RequestIds ids = new RequestIds();
+    private final RequestIds ids = new RequestIds(0);
 
     private void openAndClose(String id) {
         assertTrue(ids.open(id));
@@ -20,12 +20,22 @@
         assertFalse(ids.open("a"));
         ids.close("a");
         assertFalse(ids.open("a"));
-        ids.age();
+        ids.age(RequestIds.RETENTION_NS);
         assertFalse(ids.open("a"));
-        ids.age();
+        ids.age(2 * RequestIds.RETENTION_NS);
         assertTrue(ids.open("a"));
     }
 
+    /** An id was forgotten after 4 to 8 s: it ran again when it came back after its client had left. */
+    @Test
+    void idIsRememberedForAMinute() {
+        openAndClose("a");
+        for (long nowNs = 0; nowNs < 60_000_000_000L; nowNs += 4_000_000_000L) {
+            ids.age(nowNs);
+        }
+        assertFalse(ids.open("a"));
+    }
+
     /** A client that sent requests with ever new ids at full speed made memory grow without a limit. */
     @Test
     void everNewIdsAreBoundedAndTheLatestAreRemembered() {
