Count responses that are being buffered in the memory budget

Cause: a response is buffered up to 64 KiB an attempt before it is passed on; where backends write slowly that was outside the budget.

Change: the buffer is reserved as it grows, until the response ends. Nothing pauses for it: what was asked for is read.

Evidence: bufferedPartOfAResponseIsReservedUntilItEnds failed in both cases on the old classes and passes now.

--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -53,6 +53,9 @@
     private Attempt attempt;
     private HttpResponse head;
     private ByteBuf body;
+    /** Bytes of the body's buffer that are reserved in the budget. */
+    private int reservedBytes;
+
     private int interimCount;
     /** The response has ended, but the rest of that read is not yet processed. */
     private boolean isResponseComplete;
@@ -235,6 +238,7 @@
         }
         if (rest == null) {
             body.writeBytes(bytes);
+            reserveBody(body.capacity());
             return true;
         }
         streamedBytes += bytes.readableBytes();
@@ -247,6 +251,12 @@
         return true;
     }
 
+    /** Reserves this many bytes for the buffered body instead of those reserved so far. */
+    private void reserveBody(int bytes) {
+        budget.reserve(bytes - reservedBytes);
+        reservedBytes = bytes;
+    }
+
     /** Ends the attempt with a response too large to be buffered, and streams the rest of it. */
     private boolean startStreaming() {
         Attempt endedAttempt = attempt;
@@ -259,6 +269,7 @@
         streamedBytes = body.readableBytes();
         byte[] bytes = new byte[body.readableBytes()];
         body.readBytes(bytes);
+        reserveBody(0);
         endedAttempt.end(
                 Status.OK,
                 LoadReport.lastValid(head.headers().getAll("Server-Load")),
@@ -336,6 +347,7 @@
         }
         byte[] bytes = new byte[body.readableBytes()];
         body.readBytes(bytes);
+        reserveBody(0);
         attempt = null;
         decoder.expectNothing();
         keepOrClose(endedAttempt.isWritten());
@@ -352,6 +364,7 @@
     private void fail() {
         Attempt failedAttempt = attempt;
         attempt = null;
+        reserveBody(0);
         decoder.expectNothing();
         backend.idle.remove(this);
         if (stallCheck != null) {
--- a/src/main/java/gullspar/proxy/http/MemoryBudget.java
+++ b/src/main/java/gullspar/proxy/http/MemoryBudget.java
@@ -53,7 +53,7 @@
     }
 
     /** Reserves bytes that have been read already and cannot be rejected; the limit may be exceeded. */
-    void reserve(long bytes) {
+    public void reserve(long bytes) {
         reservedBytes += bytes;
     }
 
@@ -75,7 +75,7 @@
         return maxBytes - reservedBytes < Body.CHUNK_BYTES;
     }
 
-    void release(long bytes) {
+    public void release(long bytes) {
         reservedBytes -= bytes;
     }
 
--- a/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
+++ b/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
@@ -18,15 +18,17 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Responses that are streamed to a client which has not read all of them yet. */
 class StreamedResponseTest {
     private static final int LENGTH = 300_000;
 
     private final Backend backend = new Backend();
+    private final MemoryBudget budget = MemoryBudget.unlimited();
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final Connection connection =
-            new Connection(backend, channel.eventLoop(), () -> 1, 1, MemoryBudget.unlimited());
+    private final Connection connection = new Connection(backend, channel.eventLoop(), () -> 1, 1, budget);
     private final List<BackendResponse> responses = new ArrayList<>();
 
     private void startAttempt() {
@@ -80,6 +82,27 @@
         assertEquals(10, responses.get(1).body().length);
     }
 
+    /** Responses that backends write slowly were outside the budget. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void bufferedPartOfAResponseIsReservedUntilItEnds(boolean isCompleted) {
+        connection.setChannel(channel);
+        connection.initPipeline(channel);
+        startAttempt();
+        ByteBuf bytes = Unpooled.buffer();
+        bytes.writeCharSequence("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n", StandardCharsets.US_ASCII);
+        channel.writeInbound(bytes.writeZero(30_000));
+        assertTrue(budget.reservedBytes() >= 30_000);
+        if (isCompleted) {
+            channel.writeInbound(Unpooled.buffer().writeZero(30_000));
+            assertEquals(60_000, responses.get(0).body().length);
+        } else {
+            channel.close();
+        }
+        channel.runPendingTasks();
+        assertEquals(0, budget.reservedBytes());
+    }
+
     @Test
     void droppingAnIncompleteResponseClosesItsConnection() {
         connection.setChannel(channel);
