--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -137,7 +137,7 @@
         throw new IOException("event loop terminated"); // exit rather than run without serving
     }
 
-    /** Waits for the end of the loop or of its thread: without memory the thread may end without completing the future. */
+    /** Waits for the end of the loop or of its thread, which without memory may end without completing the future. */
     private static void awaitEnd(ServingLoop servingLoop) {
         Thread thread = servingLoop.thread();
         while (thread.isAlive() && !servingLoop.loop().isTerminated()) {
--- a/src/main/java/gullspar/proxy/Exchange.java
+++ b/src/main/java/gullspar/proxy/Exchange.java
@@ -35,8 +35,8 @@
     private static final long BACKSTOP_MARGIN_NS = 5_000_000L;
 
     /**
-     * How long after the client's timeout a response may end that has begun. By the protocol a response is lost only half
-     * a second after that.
+     * How long after the client's timeout a response may end that has begun. By the protocol a response is lost only
+     * half a second after that.
      */
     private static final long STREAM_GRACE_NS = 450_000_000L;
 
@@ -98,7 +98,7 @@
 
     /**
      * The request is still being received, as fast as its backend reads it. Its last byte may have been waiting since
-     * receivedUntilNs, and the client's timeout runs from there: attempts that have not been sent by then are abandoned.
+     * receivedUntilNs, and the client's timeout runs from there: attempts that are not sent by then are abandoned.
      */
     void onRequestIncomplete(long receivedUntilNs) {
         boolean isOverdue = exchanges.platform.clock().now() - receivedUntilNs >= timeoutNs - marginNs;
