Tests with large uploads no longer depend on the size of the kernel's buffers

Cause, in the test: it writes 4 MB of a request and only then lets the attempt start, but the proxy reads no more than 1 MB + 256 KB before an attempt. The other 2.75 MB have to fit into the kernel's buffers, whose sizes depend on the machine and on its memory at that moment; where they do not, the write blocks until the time limit.

Change: it writes 1 MB + 64 KiB, more than is buffered and less than the proxy reads, of the same 8 MB. The response still comes before the end of the request, which is what the test is about, and every check is as before. The same mistake stands in MisbehavingPeersTest.responseBeforeTheRequestEndIsForwardedAndTheConnectionNotReused (6 MB): its upload is written by a thread of its own and must end within 20 s.

--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -298,9 +298,9 @@
     @Test
     void responseBeforeTheEndOfTheRequestIsNotServed() throws Exception {
         try (Peer.Wire client = setup.client()) {
-            String body = "x".repeat(8 << 20);
+            // More than is buffered, but no more than the proxy reads before the attempt: the write must not block.
             client.write("POST /pay HTTP/1.1\r\nHost: api\r\nRequest-Id: ahead\r\nRequest-Timeout: 30\r\n"
-                    + "Content-Length: " + body.length() + "\r\n\r\n" + body.substring(0, 4 << 20));
+                    + "Content-Length: " + (8 << 20) + "\r\n\r\n" + "x".repeat((1 << 20) + (64 << 10)));
             Request r = setup.nextRequest();
             setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
             Peer.Wire wire = backend.accept();
--- a/src/test/java/gullspar/site/MisbehavingPeersTest.java
+++ b/src/test/java/gullspar/site/MisbehavingPeersTest.java
@@ -12,6 +12,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -121,11 +123,15 @@
                 ProxyFixture s = ProxyFixture.withPool("body_kb = 8192", a);
                 Wire c = s.connect()) {
             int size = 6 << 20;
-            c.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size));
+            String request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + size + "\r\n\r\n" + "x".repeat(size);
+            // Asynchronously: the kernel may not accept all of it before the proxy discards the rest.
+            FutureTask<Wire> upload = new FutureTask<>(() -> c.write(request));
+            new Thread(upload).start();
             Wire w = a.accept();
             w.readUntil("\r\n\r\n");
             w.write("HTTP/1.1 413 Too much\r\nContent-Length: 0\r\n\r\n");
             assertEquals("413", status(c.read()));
+            upload.get(20, TimeUnit.SECONDS);
             c.write(GET);
             Wire next = a.accept();
             assertTrue(next.read().startsWith("GET"));
