Plain HTTP: process the next request once the client has read the response

Change: the next request waits until the last response is written; response bytes are reserved in the memory budget until then; the idle time limit also ends a connection that has pipelined a request and does not read its response (without this the first change would have let it stay for good); the limit on partly received requests rests while the proxy itself does not read on.

Evidence: UnreadResponsesTest.

--- a/src/main/java/gullspar/site/client/PlainClient.java
+++ b/src/main/java/gullspar/site/client/PlainClient.java
@@ -98,7 +98,12 @@
 
     /** Returns whether no request is open or partially received and all responses are written. */
     boolean isIdle() {
-        return hasNoRequest() && (lastWritten == null || lastWritten.isDone());
+        return hasNoRequest() && !isWritingResponse();
+    }
+
+    /** Whether the client has not read enough for its last response to be written to the socket. */
+    private boolean isWritingResponse() {
+        return lastWritten != null && !lastWritten.isDone();
     }
 
     private boolean hasNoRequest() {
@@ -123,7 +128,8 @@
             }
         } else if (partialSince != 0 && now - partialSince > requestNs) {
             rejectAndClose(408, "the request did not come in time");
-        } else if (hasNoRequest() && now - idleSince > (hasServedRequest ? idleNs : Math.min(idleNs, requestNs))) {
+        } else if ((hasNoRequest() || isWritingResponse())
+                && now - idleSince > (hasServedRequest ? idleNs : Math.min(idleNs, requestNs))) {
             channel.close();
         }
     }
@@ -162,7 +168,7 @@
 
     /** Starts or stops the time limit for a partially received request. */
     private void trackPartialRequest() {
-        boolean part = !ending && !busy && (decoder.hasPartialRequest() || head != null);
+        boolean part = !ending && !busy && !isWritingResponse() && (decoder.hasPartialRequest() || head != null);
         partialSince = !part ? 0 : partialSince == 0 ? owner.now() : partialSince;
     }
 
@@ -174,7 +180,8 @@
     }
 
     private void processPipelined() {
-        while (!busy && !ending && !pipelined.isEmpty()) {
+        // The next request waits until the client has read the response: it could pipeline requests and never read.
+        while (!busy && !ending && !isWritingResponse() && !pipelined.isEmpty()) {
             HttpObject o = pipelined.poll();
             try {
                 pipelinedBytes -= o instanceof HttpContent c ? c.content().readableBytes() : 0;
@@ -367,7 +374,9 @@
 
     private void respond(int status, HttpHeaders headers, byte[] bytes) {
         DefaultFullHttpResponse r = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                owner.budget().wrap(bytes));
         r.headers().add(headers);
         if (status != 204 && status != 304) {
             HttpUtil.setContentLength(r, bytes.length);
@@ -443,11 +452,13 @@
             last.addListener(f -> closeAfterResponse());
         }
         owner.onResponseSent(this);
-        channel.eventLoop().execute(() -> {
-            processPipelined();
-            trackPartialRequest();
-            read();
-        });
+        last.addListener(f -> channel.eventLoop().execute(this::continueAfterResponse));
+    }
+
+    private void continueAfterResponse() {
+        processPipelined();
+        trackPartialRequest();
+        read();
     }
 
     /**
