Plain HTTP: count the heads of the requests that are read ahead

Cause: the limit counted the bodies of pipelined requests only. A head of up to 64 KB counted as nothing but one of 1,024 objects, so that some 30 MB of heads fitted.

Change: a head counts with the same estimate as in proxy.http.Message.

--- a/src/main/java/gullspar/site/client/PlainClient.java
+++ b/src/main/java/gullspar/site/client/PlainClient.java
@@ -1,6 +1,7 @@
 package gullspar.site.client;
 
 import gullspar.proxy.http.Body;
+import gullspar.proxy.http.Message;
 import gullspar.route.Request;
 import gullspar.route.Route;
 import gullspar.route.Router;
@@ -45,7 +46,7 @@
  * then processes the next one. A malformed request is answered with an error, and the connection closes.
  */
 public final class PlainClient extends ChannelInboundHandlerAdapter {
-    /** Bytes of later requests that are read while one is open: enough to detect that the client disconnects. */
+    /** Memory for later requests that are read while one is open: enough to detect that the client disconnects. */
     private static final int MAX_PIPELINED_BYTES = 64 << 10;
 
     private static final int MAX_PIPELINED_OBJECTS = 1024;
@@ -57,7 +58,7 @@
     private final Clients owner;
     private final InetSocketAddress listener;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
-    private int pipelinedBytes;
+    private long pipelinedBytes;
     private HttpRequest head;
     private Target target;
     private String host;
@@ -154,8 +155,9 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        pipelined.add((HttpObject) message);
-        pipelinedBytes += message instanceof HttpContent c ? c.content().readableBytes() : 0;
+        HttpObject o = (HttpObject) message;
+        pipelined.add(o);
+        pipelinedBytes += memoryBytes(o);
         processPipelined();
     }
 
@@ -184,7 +186,7 @@
         while (!busy && !ending && !isWritingResponse() && !pipelined.isEmpty()) {
             HttpObject o = pipelined.poll();
             try {
-                pipelinedBytes -= o instanceof HttpContent c ? c.content().readableBytes() : 0;
+                pipelinedBytes -= memoryBytes(o);
                 process(o);
             } finally {
                 ReferenceCountUtil.release(o);
@@ -195,6 +197,11 @@
         }
     }
 
+    private static long memoryBytes(HttpObject o) {
+        long headBytes = o instanceof HttpRequest r ? Message.headBytes(r.uri(), r.headers()) : 0;
+        return headBytes + (o instanceof HttpContent c ? c.content().readableBytes() : 0);
+    }
+
     private void process(HttpObject o) {
         if (o.decoderResult().isFailure()) {
             Throwable cause = o.decoderResult().cause();
--- a/src/test/java/gullspar/site/client/UnreadResponsesTest.java
+++ b/src/test/java/gullspar/site/client/UnreadResponsesTest.java
@@ -45,6 +45,8 @@
             """
                     .formatted("x".repeat(BODY_CHARS));
     private static final int PIPELINED = 5;
+    private static final int LARGE_FIELD_CHARS = 32 << 10;
+    private static final int MAX_LARGE_REQUESTS = 4;
 
     /** A write that the client's receive window does not admit yet. */
     private record PendingWrite(Object message, ChannelPromise promise) {
@@ -157,4 +159,23 @@
         clients.sweep();
         assertFalse(channel.isOpen());
     }
+
+    /** Only bodies were counted: a client could have a thousand heads of 64 KB read ahead. */
+    @Test
+    void headsOfPipelinedRequestsAreReadOnlyUpToTheLimit() {
+        send(request(""));
+        String large = request("X: " + "x".repeat(LARGE_FIELD_CHARS) + "\r\n");
+        int sent = 0;
+        int readsBefore;
+        do {
+            readsBefore = reads;
+            send(large);
+            sent++;
+        } while (reads > readsBefore && sent < MAX_LARGE_REQUESTS);
+        assertTrue(sent < MAX_LARGE_REQUESTS, "stops reading");
+        for (int i = 0; i < sent; i++) {
+            completeWrites(writes.size());
+        }
+        assertTrue(reads > readsBefore, "reads on once the responses are written");
+    }
 }
