Known red: a request's id is taken again by the next process of an upgrade

Clients of the protocol send a new id with each request.

InheritedListenerTest shares the start of its processes between its tests; startsWithALogThatItCannotReopen checks what it did before.

--- a/src/test/java/gullspar/proxy/InheritedListenerTest.java
+++ b/src/test/java/gullspar/proxy/InheritedListenerTest.java
@@ -73,32 +73,79 @@
         }
     }
 
-    /** Neither the owner of the log nor the proxy's user has permission to open it by its path. */
-    @Test
-    void startsWithALogThatItCannotReopen() throws Exception {
-        Process holder = startHolder();
-        Files.setPosixFilePermissions(log, PosixFilePermissions.fromString("---------"));
-        try (BufferedReader output = holder.inputReader();
-                Writer input = holder.outputWriter()) {
-            int port = Integer.parseInt(output.readLine().substring("port ".length()));
+    /** Holds the listener and starts proxies that inherit it. */
+    private final class Holder implements AutoCloseable {
+        private final Process process = startHolder();
+        private final BufferedReader output = process.inputReader();
+        private final Writer input = process.outputWriter();
+        private final List<ProcessHandle> proxies = new ArrayList<>();
+        final InetSocketAddress address = new InetSocketAddress("127.0.0.1", Integer.parseInt(next("port ")));
+
+        Holder() throws IOException {}
+
+        private String next(String prefix) throws IOException {
+            return output.readLine().substring(prefix.length());
+        }
+
+        ProcessHandle startProxy() throws IOException {
             input.write("NODE_SOCKET_FD=0 NODE_CONFIG=" + folder.resolve("config.json") + "\n");
             input.flush();
-            long pid = Long.parseLong(output.readLine().substring("started ".length()));
-            ProcessHandle proxy = ProcessHandle.of(pid).orElseThrow();
-            try (Peer.Wire client = Peer.Wire.to(new InetSocketAddress("127.0.0.1", port))) {
-                client.write(Setup.getRequest());
+            ProcessHandle proxy =
+                    ProcessHandle.of(Long.parseLong(next("started "))).orElseThrow();
+            proxies.add(proxy);
+            return proxy;
+        }
+
+        /** Sends a request and waits for the response, which must come before the proxy ends. */
+        String call(ProcessHandle proxy, String request) throws Exception {
+            try (Peer.Wire client = Peer.Wire.to(address)) {
+                client.write(request);
                 CompletableFuture<String> answer = CompletableFuture.supplyAsync(() -> read(client));
                 CompletableFuture.anyOf(answer, proxy.onExit()).get(20, TimeUnit.SECONDS);
                 assertTrue(proxy.isAlive(), () -> "the proxy ended: " + logText());
-                assertTrue(answer.get().startsWith("HTTP/1.1 200"), answer.get());
-                proxy.destroy();
-                proxy.onExit().get(20, TimeUnit.SECONDS);
-                assertTrue(logText().contains("drained"), "the log lacks the last line: " + logText());
-            } finally {
-                proxy.destroyForcibly();
+                return answer.get();
             }
-        } finally {
-            holder.destroy();
+        }
+
+        @Override
+        public void close() throws IOException {
+            proxies.forEach(ProcessHandle::destroyForcibly);
+            process.destroy();
+            output.close();
+            input.close();
+        }
+    }
+
+    private static void end(ProcessHandle proxy) throws Exception {
+        proxy.destroy();
+        proxy.onExit().get(20, TimeUnit.SECONDS);
+    }
+
+    /** Neither the owner of the log nor the proxy's user has permission to open it by its path. */
+    @Test
+    void startsWithALogThatItCannotReopen() throws Exception {
+        try (Holder holder = new Holder()) {
+            Files.setPosixFilePermissions(log, PosixFilePermissions.fromString("---------"));
+            ProcessHandle proxy = holder.startProxy();
+            String answer = holder.call(proxy, Setup.getRequest());
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            end(proxy);
+            assertTrue(logText().contains("drained"), "the log lacks the last line: " + logText());
+        }
+    }
+
+    /** A request ran twice when its id came again at the next process of an upgrade. */
+    @Test
+    void idThatTheProcessBeforeHasSeenIsRefused() throws Exception {
+        String request = Setup.getRequest();
+        try (Holder holder = new Holder()) {
+            ProcessHandle first = holder.startProxy();
+            String answer = holder.call(first, request);
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+            ProcessHandle second = holder.startProxy();
+            end(first);
+            String repeated = holder.call(second, request);
+            assertTrue(repeated.startsWith("HTTP/1.1 409"), repeated);
         }
     }
 }
