LiveFleetTest prints the lines about p2 when p2 does not object after its pause

Need: the test failed once beside three busy loops (2026-12-05) with nothing in its message but the missing line, so that the order of events could not be told from it. From the code there is one order in which the line rightly comes before the pause: p2 refutes an accusation in the moment before it is stopped, so that its incarnation is above all accusations when it goes on. Whether that was the run is not shown.

Change: on failure the message holds what p2 logged of the fleet and what others logged of p2. The check itself is as before.

--- a/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
+++ b/src/test/java/gullspar/rehearse/live/LiveFleetTest.java
@@ -130,7 +130,12 @@
         List<String> afterPause =
                 log.stream().dropWhile(l -> !isStallOfPausedProcess(l)).toList();
         assertLogged(afterPause, List.of("p2"), "stood still for ");
-        assertLogged(afterPause, List.of("p2"), "objected to being called gone");
+        assertTrue(
+                isLogged(afterPause, List.of("p2"), "objected to being called gone"),
+                () -> "p2 objects after its pause; its lines and those about it:\n"
+                        + log.stream()
+                                .filter(l -> l.contains(" fleet: ") && l.contains("p2"))
+                                .collect(Collectors.joining("\n")));
     }
 
     /** The time of the first event of the day whose description starts with the prefix. */
@@ -149,10 +154,12 @@
     }
 
     private static void assertLogged(List<String> log, List<String> proxies, String message) {
-        assertTrue(
-                log.stream()
-                        // A line starts with the proxy's name, followed by a number if it was restarted.
-                        .anyMatch(l -> proxies.contains(l.substring(0, 2)) && l.contains("fleet: " + message)),
-                () -> message + ", logged by one of " + proxies);
+        assertTrue(isLogged(log, proxies, message), () -> message + ", logged by one of " + proxies);
+    }
+
+    private static boolean isLogged(List<String> log, List<String> proxies, String message) {
+        return log.stream()
+                // A line starts with the proxy's name, followed by a number if it was restarted.
+                .anyMatch(l -> proxies.contains(l.substring(0, 2)) && l.contains("fleet: " + message));
     }
 }
