Tests that act when a connection opens wait for discovery's connection first

BackendsTest#nothingIsSentToAnAddressThatItsBackendHasLeftWhileConnecting failed once here (moved backend, 'no connection within 20 s'). Cause, in the test: its hook runs at the next connection that the proxy opens, and where that to discovery opened late, it was that one; the backend had moved before the request was sent.

Change: the test first reads the request that the proxy sends to discovery, and so does ClientDisconnectTest#unreadDisconnectAtBackendConnectPreventsSending, which uses the same hook. The checks are as before.

--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -455,7 +455,9 @@
     void nothingIsSentToAnAddressThatItsBackendHasLeftWhileConnecting(State state, ListKind kind, boolean hasMoved)
             throws Exception {
         try (Peer.Wire client = setup.client();
-                Peer other = new Peer()) {
+                Peer other = new Peer();
+                Peer.Wire watch = discovery.accept()) {
+            watch.readUntil("\r\n\r\n"); // this connection is established, and the next one is that to the backend
             setup.onConnected = () -> {
                 setup.onConnected = () -> {};
                 ListedServer listed = new ListedServer(server, 0, state, 0, 3, 0, 1);
--- a/src/test/java/gullspar/proxy/ClientDisconnectTest.java
+++ b/src/test/java/gullspar/proxy/ClientDisconnectTest.java
@@ -282,6 +282,7 @@
         Peer.Wire client = setup.client();
         client.write(Setup.getRequest());
         Request r = setup.nextRequest();
+        discovery.accept().readUntil("\r\n\r\n"); // this connection is established, and the next is that to the backend
         setup.onConnected = () -> disconnect(mode, client);
         setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
         assertEquals("", backend.accept().read());
