A connection to a backend always rests before it is used again, and is read first

Cause: a connection rests for 20 ms so that a late second response is recognized, but where eight connections to a backend were idle the longest idle one was used at once. And the rest was counted by the clock alone: after a pause of the event loop a second response could lie unread in the socket of a connection that counted as rested.

Change: IdleConnections, one a backend. No connection is used within 20 ms of its last response; what has arrived is read before it is used again. A backend that has sent bytes which belong to no response gets one request a connection for 10 s, is logged, and counted as upstream_unexpected_bytes on the operators' page.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -227,6 +227,7 @@
                                     0,
                                     0,
                                     0,
+                                    0,
                                     null,
                                     new StatusReport.Descriptors(0, 0))
                             .json();
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -276,6 +276,7 @@
                         classes.names(),
                         counters,
                         backends.writtenCount(),
+                        backends.unexpectedBytesCount(),
                         exchanges.openRequests(),
                         backends.listedCount(),
                         module.avoidedServers(),
--- a/src/main/java/gullspar/proxy/backend/Backend.java
+++ b/src/main/java/gullspar/proxy/backend/Backend.java
@@ -1,8 +1,6 @@
 package gullspar.proxy.backend;
 
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 /** A backend as seen by the proxy: its address, whether it has left, and its idle connections. */
 final class Backend {
@@ -13,8 +11,8 @@
     long leftAtNs;
     /** Its process has ended or is not to be used any more, and its address may be another backend's by now. */
     boolean isGone;
-    /** Idle connections in order of their last use, the most recent last. */
-    final Deque<Connection> idle = new ArrayDeque<>();
+
+    final IdleConnections<Connection> idle = new IdleConnections<>();
 
     void markGone(long nowNs) {
         isGone = true;
@@ -23,12 +21,6 @@
 
     void markLeft(long nowNs) {
         leftAtNs = leftAtNs == 0 ? nowNs : leftAtNs;
-        closeIdleConnections();
-    }
-
-    void closeIdleConnections() {
-        while (!idle.isEmpty()) {
-            idle.pop().close();
-        }
+        idle.closeAll();
     }
 }
--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -11,6 +11,7 @@
 import gullspar.proxy.io.Clock;
 import gullspar.proxy.io.ConnectOperation;
 import gullspar.proxy.io.DescriptorLimits;
+import gullspar.proxy.io.Log;
 import gullspar.proxy.io.Platform;
 import gullspar.proxy.io.Transport;
 import io.netty.bootstrap.Bootstrap;
@@ -18,6 +19,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.util.NetUtil;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -31,14 +33,11 @@
     private static final long KEEP_ALIVE_MARGIN_NS = 1_500_000_000L;
     /** Interval of closing expired idle connections. */
     private static final long SWEEP_INTERVAL_MS = 500;
-    /** A connection is not reused for this long, so that a late duplicate response is not taken for the next one. */
-    private static final long REUSE_DELAY_NS = 20_000_000L;
-    /** If this many connections to a backend are idle, the longest idle is reused without that delay. */
-    private static final int MAX_SETTLING_CONNECTIONS = 8;
 
     private final EventLoop loop;
     private final Transport transport;
     private final Clock clock;
+    private final Log log;
     private final DescriptorLimits.Share descriptors;
     private final MemoryBudget budget;
     private final long connectTimeoutNs;
@@ -46,12 +45,14 @@
     private final long drainGraceNs;
     private final Map<Integer, Backend> backends = new HashMap<>();
     private long writtenCount;
+    private long unexpectedBytesCount;
 
     public Backends(Platform platform, DescriptorLimits.Share sockets, MemoryBudget budget, Config config) {
         this.budget = budget;
         this.transport = platform.transport();
         this.loop = platform.loop();
         this.clock = platform.clock();
+        this.log = platform.log();
         this.descriptors = sockets;
         sockets.onFull(this::closeOneIdle);
         this.connectTimeoutNs = config.connectTimeoutNs();
@@ -75,7 +76,7 @@
             Backend backend = backends.computeIfAbsent(listed.server().id(), id -> new Backend());
             boolean hasMoved = listed.address() != null && !listed.address().equals(backend.address);
             if (hasMoved || listed.server().startedAtNs() > backend.bootNs) {
-                backend.closeIdleConnections(); // they lead to a process that has ended
+                backend.idle.onReplaced(); // its connections lead to a process that has ended
             }
             backend.address = hasMoved ? listed.address() : backend.address;
             backend.bootNs = listed.server().startedAtNs();
@@ -101,13 +102,18 @@
         return writtenCount;
     }
 
+    /** How often backends sent bytes that belong to no response. */
+    public long unexpectedBytesCount() {
+        return unexpectedBytesCount;
+    }
+
     // ---- idle connections ----
 
     /** Closes the idle connections of a backend; id is its number in the list. */
     public void closeIdleConnections(int id) {
         Backend backend = backends.get(id);
         if (backend != null) {
-            backend.closeIdleConnections();
+            backend.idle.closeAll();
         }
     }
 
@@ -115,30 +121,22 @@
     private boolean closeOneIdle() {
         Backend oldest = null;
         for (Backend backend : backends.values()) {
-            if (!backend.idle.isEmpty()
+            if (backend.idle.size() > 0
                     && (oldest == null
-                            || backend.idle.peekFirst().idleSinceNs()
-                                    < oldest.idle.peekFirst().idleSinceNs())) {
+                            || backend.idle.oldest().idleSinceNs()
+                                    < oldest.idle.oldest().idleSinceNs())) {
                 oldest = backend;
             }
         }
         if (oldest == null) {
             return false;
         }
-        oldest.idle.pollFirst().close();
+        oldest.idle.closeOldest();
         return true;
     }
 
     private void closeExpired() {
-        for (Backend backend : backends.values()) {
-            while (!backend.idle.isEmpty() && !isFresh(backend.idle.peekFirst())) {
-                backend.idle.pollFirst().close();
-            }
-        }
-    }
-
-    private boolean isFresh(Connection c) {
-        return clock.now() - c.idleSinceNs() < keepAliveNs;
+        backends.values().forEach(backend -> backend.idle.closeExpired(clock.now(), keepAliveNs));
     }
 
     /**
@@ -148,22 +146,17 @@
      */
     private Connection takeIdle(Backend backend, boolean isRepeatable) {
         // Not left to the timer: after a standstill a connection might be used that the backend is about to close.
-        while (!backend.idle.isEmpty()
-                && !(isFresh(backend.idle.peekFirst())
-                        && backend.idle.peekFirst().isActive())) {
-            backend.idle.pollFirst().close();
-        }
-        Connection found = backend.idle.size() < MAX_SETTLING_CONNECTIONS ? null : backend.idle.peekFirst();
-        for (Connection c : backend.idle) {
-            if (clock.now() - c.idleSinceNs() < REUSE_DELAY_NS) {
-                break; // the following ones are more recent
-            }
-            if (c.isActive() && (found == null || !isRepeatable)) {
-                found = c;
-            }
+        backend.idle.closeExpired(clock.now(), keepAliveNs);
+        return backend.idle.take(clock.now(), isRepeatable);
+    }
+
+    private void onUnexpectedBytes(Backend backend) {
+        unexpectedBytesCount++;
+        if (backend.idle.onUnexpectedBytes(clock.now())) {
+            log.write("the backend at " + NetUtil.toSocketAddressString(backend.address)
+                    + " sent bytes that belong to no response: one request a connection for "
+                    + TimeUnit.NANOSECONDS.toSeconds(IdleConnections.SINGLE_USE_NS) + " s");
         }
-        backend.idle.remove(found);
-        return found;
     }
 
     // ---- attempts ----
@@ -203,7 +196,8 @@
     }
 
     private void connect(Attempt attempt) {
-        Connection connection = new Connection(attempt.backend(), loop, clock, drainGraceNs, budget);
+        Connection connection =
+                new Connection(attempt.backend(), loop, clock, drainGraceNs, budget, this::onUnexpectedBytes);
         Bootstrap bootstrap = transport
                 .clientBootstrap(attempt.backend().address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNs / 1_000_000))
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -25,9 +26,11 @@
 import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** A connection to a backend; carries one attempt at a time. */
-final class Connection extends SimpleChannelInboundHandler<HttpObject> implements BackendResponseDecoder.Listener {
+final class Connection extends SimpleChannelInboundHandler<HttpObject>
+        implements BackendResponseDecoder.Listener, IdleConnections.Reusable {
     /** Limits the interim (1xx) responses before one final response. */
     private static final int MAX_INTERIM_RESPONSES = 8;
 
@@ -46,6 +49,7 @@
     private final Clock clock;
     private final long drainGraceNs;
     private final MemoryBudget budget;
+    private final Consumer<Backend> unexpectedBytesListener;
     private final BackendResponseDecoder decoder =
             new BackendResponseDecoder(this, MAX_STATUS_LINE_BYTES, MAX_HEAD_BYTES);
     private Channel channel;
@@ -70,8 +74,15 @@
     private final BodyStreamWriter uploadWriter = new BodyStreamWriter();
     private long uploadProgressNs;
 
-    Connection(Backend backend, EventLoop loop, Clock clock, long drainGraceNs, MemoryBudget budget) {
+    Connection(
+            Backend backend,
+            EventLoop loop,
+            Clock clock,
+            long drainGraceNs,
+            MemoryBudget budget,
+            Consumer<Backend> unexpectedBytesListener) {
         this.budget = budget;
+        this.unexpectedBytesListener = unexpectedBytesListener;
         this.backend = backend;
         this.address = backend.address;
         this.bootNs = backend.bootNs;
@@ -89,17 +100,24 @@
         c.pipeline().addLast(decoder, new HttpRequestEncoder(), this);
     }
 
-    void close() {
+    @Override
+    public void close() {
         if (channel != null) {
             channel.close();
         }
     }
 
-    boolean isActive() {
+    /** Not left to the event loop, which may have stood still since the bytes arrived. */
+    @Override
+    public boolean readAndCheckUsable() {
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
         return channel.isActive();
     }
 
-    long idleSinceNs() {
+    @Override
+    public long idleSinceNs() {
         return idleSinceNs;
     }
 
@@ -289,6 +307,7 @@
 
     @Override
     public void onUnexpectedBytes() {
+        unexpectedBytesListener.accept(backend);
         fail();
     }
 
@@ -298,6 +317,7 @@
      */
     @Override
     public void onTrailingBytes(boolean startsResponse) {
+        unexpectedBytesListener.accept(backend);
         if (!hasTrailingBytes && !startsResponse) {
             fail();
         }
@@ -332,10 +352,11 @@
                 && backend.bootNs == bootNs
                 && !leadsElsewhere()) {
             idleSinceNs = clock.now();
-            backend.idle.addLast(this);
-        } else {
-            channel.close();
+            if (backend.idle.add(this, idleSinceNs)) {
+                return;
+            }
         }
+        channel.close();
     }
 
     private void finishBuffered() {
--- a/src/main/java/gullspar/proxy/operator/StatusReport.java
+++ b/src/main/java/gullspar/proxy/operator/StatusReport.java
@@ -12,15 +12,16 @@
 import java.util.function.IntToLongFunction;
 
 /**
- * The metrics at one moment. written: attempts whose last byte was sent to a backend; pending: requests
- * accepted and not yet ended; members and unavailable: backends in the list, and those of them that get no
- * new requests; loop: statistics of the event loop, null where they are not collected; descriptors: those of
- * connections.
+ * The metrics at one moment. written: attempts whose last byte was sent to a backend; unexpectedBytes: how often a
+ * backend sent bytes that belong to no response; pending: requests accepted and not yet ended; members and
+ * unavailable: backends in the list, and those of them that get no new requests; loop: statistics of the event loop,
+ * null where they are not collected; descriptors: those of connections.
  */
 public record StatusReport(
         List<String> classes,
         RequestCounters counters,
         long written,
+        long unexpectedBytes,
         int pending,
         int members,
         int unavailable,
@@ -43,6 +44,7 @@
             writeByClass(to, "rejected", counters::rejected);
             writeByClass(to, "failed", counters::failed);
             to.writeNumberField("upstream_requests", written);
+            to.writeNumberField("upstream_unexpected_bytes", unexpectedBytes);
             to.writeNumberField("pending", pending);
             to.writeNumberField("members", members);
             to.writeNumberField("members_unavailable", unavailable);
--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -15,7 +15,10 @@
 import gullspar.proxy.config.Config;
 import gullspar.proxy.discovery.ListUpdate;
 import gullspar.proxy.discovery.ListedBackend;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -23,6 +26,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Responses of backends and failures of attempts, and the outcomes reported to the decision module. */
 class BackendsTest extends LoopbackTest {
@@ -218,6 +222,98 @@
         }
     }
 
+    /** With many idle connections the longest idle one was reused at once, and a late duplicate was served on it. */
+    @Test
+    void connectionRestsHoweverManyAreIdle() throws Exception {
+        List<Peer.Wire> clients = new ArrayList<>();
+        List<Peer.Wire> wires = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            clients.add(setup.client());
+            sendRequest(clients.get(i));
+            wires.add(backend.accept());
+            wires.get(i).read();
+        }
+        setup.stopClock();
+        for (int i = 0; i < 20; i++) {
+            wires.get(i).write(OK);
+            assertTrue(clients.get(i).read().endsWith("body"));
+        }
+        sendRequest(clients.get(0));
+        Peer.Wire next = backend.accept();
+        next.read();
+        wires.get(0).write(OK);
+        next.write(OK.replace("body", "next"));
+        assertTrue(clients.get(0).read().endsWith("next"));
+    }
+
+    /** The loop may have stood still since the duplicate arrived, and not have read it yet. */
+    @Test
+    void duplicateThatWasNotReadYetIsNotServedToTheNextRequest() throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            sendRequest(client);
+            Peer.Wire first = backend.accept();
+            first.read();
+            first.write(OK);
+            assertTrue(client.read().endsWith("body"));
+            client.write(Setup.getRequest());
+            Request r = setup.nextRequest();
+            setup.runOnLoop(() -> {
+                setup.advanceClock(20);
+                writeAndAwaitArrival(first, OK);
+                setup.actions.send(r.ticket(), server, 0);
+            });
+            Peer.Wire second = backend.accept();
+            second.read();
+            second.write(OK.replace("body", "next"));
+            assertTrue(client.read().endsWith("next"));
+        }
+    }
+
+    /** On loopback the bytes are in the other side's buffer once the write returns. */
+    private static void writeAndAwaitArrival(Peer.Wire wire, String text) {
+        try {
+            wire.write(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** A backend that sends second responses may send the next one later than a connection rests. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void connectionsOfABackendThatSentUnexpectedBytesCarryOneRequest(boolean isLate) throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            sendRequest(client);
+            Peer.Wire first = backend.accept();
+            first.read();
+            first.write(isLate ? OK : OK + OK);
+            assertTrue(client.read().endsWith("body"));
+            if (isLate) {
+                first.write(OK);
+            }
+            assertTrue(first.ended());
+            setup.awaitStatus("\"upstream_unexpected_bytes\":1,");
+            for (int i = 0; i < 2; i++) {
+                setup.advanceClock(20);
+                sendRequest(client);
+                Peer.Wire next = backend.accept();
+                next.read();
+                next.write(OK);
+                assertTrue(client.read().endsWith("body"));
+                assertTrue(next.ended());
+            }
+            setup.advanceClock(10_000);
+            sendRequest(client);
+            Peer.Wire kept = backend.accept();
+            kept.read();
+            kept.write(OK);
+            assertTrue(client.read().endsWith("body"));
+            setup.advanceClock(20);
+            sendRequest(client);
+            assertTrue(kept.read().startsWith("GET "), "reused, as no more such bytes came");
+        }
+    }
+
     /** The most recently used connection is the one that the backend is least likely to be closing. */
     @Test
     void nonRepeatableRequestUsesTheMostRecentConnection() throws Exception {
--- a/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
+++ b/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
@@ -28,7 +28,7 @@
     private final Backend backend = new Backend();
     private final MemoryBudget budget = MemoryBudget.unlimited();
     private final EmbeddedChannel channel = new EmbeddedChannel();
-    private final Connection connection = new Connection(backend, channel.eventLoop(), () -> 1, 1, budget);
+    private final Connection connection = new Connection(backend, channel.eventLoop(), () -> 1, 1, budget, b -> {});
     private final List<BackendResponse> responses = new ArrayList<>();
 
     private void startAttempt() {
@@ -71,8 +71,8 @@
         assertEquals(1, responses.size());
         assertTrue(responses.get(0).rest().paused(), "the client has read nothing");
         assertTrue(channel.config().isAutoRead());
-        assertEquals(connection, backend.idle.peekFirst());
-        backend.idle.pollFirst();
+        assertEquals(connection, backend.idle.oldest());
+        backend.idle.remove(connection);
         startAttempt();
         responses.get(0).rest().drop();
         channel.runPendingTasks();
