Plain HTTP: read a connection before it is used again, distrust servers with stray bytes

Cause: the pools of plain HTTP used the most recent idle connection at once, and knew nothing of bytes that a server had sent unasked.

Change: the pools use IdleConnections too, which replaces their own list. What has arrived is read before a connection is used again; after bytes that belong to no response a server gets one request a connection for 10 s, with a line in the log; a connection that has rested for 20 ms is preferred. It is not required there: with max_connections a server may allow few, and requests in turn of one client would each open another connection.

--- a/src/main/java/gullspar/proxy/backend/Backend.java
+++ b/src/main/java/gullspar/proxy/backend/Backend.java
@@ -12,7 +12,7 @@
     /** Its process has ended or is not to be used any more, and its address may be another backend's by now. */
     boolean isGone;
 
-    final IdleConnections<Connection> idle = new IdleConnections<>();
+    final IdleConnections<Connection> idle = new IdleConnections<>(true);
 
     void markGone(long nowNs) {
         isGone = true;
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -5,6 +5,7 @@
 import gullspar.proxy.http.BodyStreamWriter;
 import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
+import gullspar.proxy.io.ChannelReads;
 import gullspar.proxy.io.Clock;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -13,7 +14,6 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -107,13 +107,9 @@
         }
     }
 
-    /** Not left to the event loop, which may have stood still since the bytes arrived. */
     @Override
     public boolean readAndCheckUsable() {
-        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
-            socket.read();
-        }
-        return channel.isActive();
+        return ChannelReads.readAndCheckActive(channel);
     }
 
     @Override
--- a/src/main/java/gullspar/proxy/backend/IdleConnections.java
+++ b/src/main/java/gullspar/proxy/backend/IdleConnections.java
@@ -32,9 +32,20 @@
     /** In order of their last use, the most recent last. */
     private final Deque<C> idle = new ArrayDeque<>();
 
+    private final boolean isRestRequired;
     private boolean hasSentUnexpectedBytes;
     private long unexpectedBytesAtNs;
 
+    /**
+     * Creates it without a connection.
+     *
+     * @param isRestRequired whether a connection must have rested before it is used again; otherwise the one that has
+     *     rested longest is used if none has rested long enough
+     */
+    public IdleConnections(boolean isRestRequired) {
+        this.isRestRequired = isRestRequired;
+    }
+
     /** Adds a connection whose response is complete; returns false if it must not be used again. */
     public boolean add(C connection, long nowNs) {
         if (isSingleUse(nowNs)) {
@@ -80,24 +91,24 @@
     }
 
     /**
-     * Removes and returns a connection that has rested; null if there is none.
+     * Removes and returns a connection that may be used again; null if there is none.
      *
      * @param prefersLongestIdle whether it is the one that has been idle longest, else the most recently used one
      */
     public C take(long nowNs, boolean prefersLongestIdle) {
-        C found = findRested(nowNs, prefersLongestIdle);
+        C found = find(nowNs, prefersLongestIdle);
         while (found != null) {
             idle.remove(found);
             if (found.readAndCheckUsable()) {
                 return found;
             }
             found.close();
-            found = findRested(nowNs, prefersLongestIdle);
+            found = find(nowNs, prefersLongestIdle);
         }
         return null;
     }
 
-    private C findRested(long nowNs, boolean prefersLongestIdle) {
+    private C find(long nowNs, boolean prefersLongestIdle) {
         C found = null;
         for (C connection : idle) {
             if (nowNs - connection.idleSinceNs() < REST_NS) {
@@ -107,7 +118,7 @@
                 found = connection;
             }
         }
-        return found;
+        return found == null && !isRestRequired ? idle.peekFirst() : found;
     }
 
     /**
--- a/src/main/java/gullspar/site/backend/PlainBackend.java
+++ b/src/main/java/gullspar/site/backend/PlainBackend.java
@@ -1,8 +1,7 @@
 package gullspar.site.backend;
 
+import gullspar.proxy.backend.IdleConnections;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 /** A server of a pool with its address, its idle connections and the number of its open attempts. */
 final class PlainBackend {
@@ -13,8 +12,8 @@
     long removedAt;
     /** Open attempts, including those whose response is being read. */
     int openAttempts;
-    /** Ordered by last use, the most recently used one last. */
-    final Deque<PlainConnection> idle = new ArrayDeque<>();
+
+    final IdleConnections<PlainConnection> idle = new IdleConnections<>(false); // a server may limit its connections
 
     PlainBackend(int id, InetSocketAddress address, int maxConnections) {
         this.id = id;
@@ -28,12 +27,6 @@
 
     void remove(long now) {
         removedAt = removedAt == 0 ? now : removedAt;
-        closeIdleConnections();
-    }
-
-    void closeIdleConnections() {
-        while (!idle.isEmpty()) {
-            idle.poll().close();
-        }
+        idle.closeAll();
     }
 }
--- a/src/main/java/gullspar/site/backend/PlainBackends.java
+++ b/src/main/java/gullspar/site/backend/PlainBackends.java
@@ -2,6 +2,7 @@
 
 import gullspar.config.Site;
 import gullspar.decide.Balancer.Status;
+import gullspar.proxy.backend.IdleConnections;
 import gullspar.proxy.io.ConnectOperation;
 import gullspar.proxy.io.DescriptorLimits;
 import gullspar.proxy.io.Platform;
@@ -10,9 +11,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 /** The servers of a pool and the connections to them. Every attempt ends exactly once, and none is retried here. */
 public final class PlainBackends implements PlainConnection.Owner {
@@ -72,7 +75,7 @@
     public void closeIdleConnections(int id) {
         PlainBackend b = backends.get(id);
         if (b != null) {
-            b.closeIdleConnections();
+            b.idle.closeAll();
         }
     }
 
@@ -80,31 +83,27 @@
     public boolean closeIdleConnection() {
         PlainBackend oldest = null;
         for (PlainBackend b : backends.values()) {
-            if (!b.idle.isEmpty()
+            if (b.idle.size() > 0
                     && (oldest == null
-                            || b.idle.peekFirst().idleSince()
-                                    < oldest.idle.peekFirst().idleSince())) {
+                            || b.idle.oldest().idleSinceNs()
+                                    < oldest.idle.oldest().idleSinceNs())) {
                 oldest = b;
             }
         }
         if (oldest == null) {
             return false;
         }
-        oldest.idle.pollFirst().close();
+        oldest.idle.closeOldest();
         return true;
     }
 
     /** Closes connections that have been idle for too long; must be called periodically. */
     public void sweep() {
-        for (PlainBackend b : backends.values()) {
-            while (!b.idle.isEmpty() && !isReusable(b.idle.peekFirst())) {
-                b.idle.pollFirst().close();
-            }
-        }
+        backends.values().forEach(this::closeExpired);
     }
 
-    private boolean isReusable(PlainConnection c) {
-        return platform.clock().now() - c.idleSince() < connections.idleTimeoutNs();
+    private void closeExpired(PlainBackend b) {
+        b.idle.closeExpired(platform.clock().now(), connections.idleTimeoutNs());
     }
 
     // ---- attempts ----
@@ -143,12 +142,8 @@
     }
 
     private PlainConnection takeIdleConnection(PlainBackend b) {
-        PlainConnection c = b.idle.pollLast();
-        while (c != null && !(isReusable(c) && c.isActive())) {
-            c.close();
-            c = b.idle.pollLast();
-        }
-        return c;
+        closeExpired(b);
+        return b.idle.take(platform.clock().now(), false);
     }
 
     private void connect(PlainAttempt a, long deadline) {
@@ -204,10 +199,20 @@
             return false;
         }
         if (b.idle.size() >= connections.maxIdle()) {
-            b.idle.pollFirst().close();
+            b.idle.closeOldest();
+        }
+        return b.idle.add(c, platform.clock().now());
+    }
+
+    @Override
+    public void onUnexpectedBytes(PlainConnection c) {
+        PlainBackend b = c.backend();
+        if (b.idle.onUnexpectedBytes(platform.clock().now())) {
+            platform.log()
+                    .write("the server at " + NetUtil.toSocketAddressString(b.address)
+                            + " sent bytes that belong to no response: one request a connection for "
+                            + TimeUnit.NANOSECONDS.toSeconds(IdleConnections.SINGLE_USE_NS) + " s");
         }
-        b.idle.addLast(c);
-        return true;
     }
 
     @Override
--- a/src/main/java/gullspar/site/backend/PlainConnection.java
+++ b/src/main/java/gullspar/site/backend/PlainConnection.java
@@ -2,6 +2,8 @@
 
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.backend.BackendResponseDecoder;
+import gullspar.proxy.backend.IdleConnections;
+import gullspar.proxy.io.ChannelReads;
 import gullspar.proxy.io.Clock;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -24,7 +26,8 @@
  * A connection to a server. It carries one attempt at a time and reads only on demand, no faster than the response
  * is consumed.
  */
-final class PlainConnection extends ChannelInboundHandlerAdapter implements BackendResponseDecoder.Listener {
+final class PlainConnection extends ChannelInboundHandlerAdapter
+        implements BackendResponseDecoder.Listener, IdleConnections.Reusable {
     private static final int MAX_LINE_BYTES = 8 << 10, MAX_HEAD_BYTES = 64 << 10, MAX_INTERIM_RESPONSES = 8;
     /** A server that drains or is removed gets no new request later than this after the notice of it. */
     private static final long DRAIN_GRACE_NS = 500_000_000L;
@@ -34,6 +37,9 @@
         /** Returns false if the connection is not kept. */
         boolean keepIdle(PlainConnection c);
 
+        /** The server has sent bytes that belong to no response. */
+        void onUnexpectedBytes(PlainConnection c);
+
         /** An attempt on a connection has ended, with any outcome. */
         void onAttemptEnded(PlainAttempt a);
     }
@@ -43,7 +49,7 @@
     private final Owner owner;
     private final BackendResponseDecoder decoder = new BackendResponseDecoder(this, MAX_LINE_BYTES, MAX_HEAD_BYTES);
     private Channel channel;
-    private long idleSince;
+    private long idleSinceNs;
     private PlainAttempt attempt;
     private HttpResponse head;
     private LastHttpContent last;
@@ -72,18 +78,21 @@
         return backend;
     }
 
-    void close() {
+    @Override
+    public void close() {
         if (channel != null) { // null if the system could not create a socket
             channel.close();
         }
     }
 
-    boolean isActive() {
-        return channel.isActive();
+    @Override
+    public boolean readAndCheckUsable() {
+        return ChannelReads.readAndCheckActive(channel);
     }
 
-    long idleSince() {
-        return idleSince;
+    @Override
+    public long idleSinceNs() {
+        return idleSinceNs;
     }
 
     void read() {
@@ -206,6 +215,7 @@
 
     @Override
     public void onUnexpectedBytes() {
+        owner.onUnexpectedBytes(this);
         fail();
     }
 
@@ -215,6 +225,7 @@
      */
     @Override
     public void onTrailingBytes(boolean startsResponse) {
+        owner.onUnexpectedBytes(this);
         if (!hasTrailingBytes && !startsResponse) {
             fail();
         }
@@ -246,7 +257,7 @@
                 && HttpUtil.isKeepAlive(head)
                 && backend.removedAt == 0
                 && channel.isActive();
-        idleSince = clock.now();
+        idleSinceNs = clock.now();
         owner.onAttemptEnded(a);
         if (reusable && owner.keepIdle(this)) {
             channel.read(); // detects the close and unexpected bytes
--- a/src/test/java/gullspar/site/MisbehavingPeersTest.java
+++ b/src/test/java/gullspar/site/MisbehavingPeersTest.java
@@ -117,6 +117,34 @@
         }
     }
 
+    /** A server that sends second responses may send the next one when another request is on its connection. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void connectionsOfAServerThatSentUnexpectedBytesCarryOneRequest(boolean isLate) throws Exception {
+        try (Peer a = new Peer();
+                ProxyFixture s = ProxyFixture.withPool("", a);
+                Wire c = s.connect()) {
+            c.write(GET);
+            Wire first = a.accept();
+            first.read();
+            first.write(isLate ? OK : OK + OK);
+            assertEquals("200", status(c.read()));
+            if (isLate) {
+                first.write(OK);
+            }
+            s.awaitLogLine("sent bytes that belong to no response");
+            assertTrue(first.ended());
+            for (int i = 0; i < 2; i++) {
+                c.write(GET);
+                Wire next = a.accept();
+                next.read();
+                next.write(OK);
+                assertEquals("200", status(c.read()));
+                assertTrue(next.ended());
+            }
+        }
+    }
+
     @Test
     void responseBeforeTheRequestEndIsForwardedAndTheConnectionNotReused() throws Exception {
         try (Peer a = new Peer();
