Refuse a keyed request only while a repeat of it is dropped

Cause: canRefuse called a repeat harmless for scope ALL whatever time had passed, while canAttempt of the same class stopped at the end of the window; Retry-After was the longest of the settings, also beyond the window.

Change: RepeatRules.harmlessUntil answers until when a repeat does no harm; the proxy's repeats, the refusal and the largest Retry-After ask it. A refusal leaves the client 200 ms to return. Beyond that the request fails, which promises nothing.

--- a/src/main/java/gullspar/decide/Policy.java
+++ b/src/main/java/gullspar/decide/Policy.java
@@ -209,7 +209,7 @@
     /** Ends a request that cannot be served in time; returns true if it is finished. */
     private boolean endIfTooLittleTime(TrackedRequest t, long now) {
         if (!t.isFinished && admission.hasTooLittleTime(t, now)) {
-            answerUnserved(t);
+            answerUnserved(t, now);
         }
         return t.isFinished;
     }
@@ -270,10 +270,10 @@
     }
 
     /** Sends the final answer if no attempt succeeded: refused if a repeat is safe, else failed. */
-    private void answerUnserved(TrackedRequest t) {
+    private void answerUnserved(TrackedRequest t, long now) {
         rates.unsent += t.attempts.isEmpty() ? 1 : 0;
-        if (repeatRules.canRefuse(t)) {
-            actions.refuse(t.request.ticket(), settings.maxRetryAfterNs());
+        if (repeatRules.canRefuse(t, now)) {
+            actions.refuse(t.request.ticket(), repeatRules.retryAfterNs(t, now));
         } else {
             actions.fail(t.request.ticket());
         }
@@ -339,7 +339,7 @@
         } else if (!t.isFinished && t.openAttempts == 0) {
             retry(t, now);
             if (t.openAttempts == 0) {
-                answerUnserved(t);
+                answerUnserved(t, now);
             }
         }
         dispatchWaiting(now);
--- a/src/main/java/gullspar/decide/RepeatRules.java
+++ b/src/main/java/gullspar/decide/RepeatRules.java
@@ -9,6 +9,12 @@
 
 /** Whether a request may be retried, and how it may be answered, given the outcomes of its attempts. */
 final class RepeatRules {
+    /** How long after the time that it was advised to wait a client's repeat may reach a server. */
+    static final long MAX_CLIENT_RETURN_NS = 200_000_000L;
+
+    /** Before all times, with room for differences. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final Settings settings;
 
     RepeatRules(Settings settings) {
@@ -27,31 +33,34 @@
         return null;
     }
 
-    /** How long repeats are certainly dropped, counted from the first attempt that may have run. */
-    long safeRepeatNs(TrackedRequest t) {
-        return t.profile.windowNs() - 2 * settings.clockStepNs();
+    /**
+     * Until when a repeat surely has no effect of its own, as servers drop it or every attempt never ran.
+     *
+     * @param binding the first attempt that may have run; null if none
+     * @param isAnywhere whether the repeat may reach any server, as a client's, or only those in the class's scope
+     */
+    private long harmlessUntil(TrackedRequest t, Attempt binding, boolean isAnywhere) {
+        if (binding == null || t.profile.effect() == Effect.IDEMPOTENT) {
+            return Long.MAX_VALUE;
+        }
+        boolean isDropped = isAnywhere ? isDroppedEverywhere(t.profile) : t.profile.effect() == Effect.DEDUPLICATED;
+        return isDropped ? binding.sentAt + t.profile.windowNs() - 2 * settings.clockStepNs() : NEVER;
     }
 
     /** Time from now within which an attempt must be sent; MAX_VALUE for no limit. */
     long startWithinNs(TrackedRequest t, Attempt binding, long now) {
-        return binding == null || t.profile.effect() != Effect.DEDUPLICATED
-                ? Long.MAX_VALUE
-                : binding.sentAt + safeRepeatNs(t) - now;
+        long until = harmlessUntil(t, binding, false);
+        return until == Long.MAX_VALUE ? until : until - now;
     }
 
     /** Whether another attempt may start now. */
     boolean canAttempt(TrackedRequest t, long now) {
-        if (t.isFinished
-                || t.isStreaming
-                || now >= t.usefulUntil
-                || t.attempts.size() >= maxAttempts(t.profile)
-                || now >= t.deadline - settings.clockStepNs()) {
-            return false;
-        }
-        Attempt binding = bindingAttempt(t);
-        return binding == null
-                || t.profile.effect() == Effect.IDEMPOTENT
-                || t.profile.effect() == Effect.DEDUPLICATED && now - binding.sentAt < safeRepeatNs(t);
+        return !t.isFinished
+                && !t.isStreaming
+                && now < t.usefulUntil
+                && t.attempts.size() < maxAttempts(t.profile)
+                && now < t.deadline - settings.clockStepNs()
+                && now < harmlessUntil(t, bindingAttempt(t), false);
     }
 
     private int maxAttempts(Profile p) {
@@ -59,8 +68,18 @@
     }
 
     /** Whether a repeat by the client is safe, so that the request may be refused. */
-    boolean canRefuse(TrackedRequest t) {
-        return bindingAttempt(t) == null || t.profile.effect() == Effect.IDEMPOTENT || isDroppedEverywhere(t.profile);
+    boolean canRefuse(TrackedRequest t, long now) {
+        return safeReturnNs(t, now) > 0;
+    }
+
+    /** How long a refused client should wait, at most; 0 for no advice. */
+    long retryAfterNs(TrackedRequest t, long now) {
+        return Math.min(settings.maxRetryAfterNs(), safeReturnNs(t, now));
+    }
+
+    /** How long a client may be advised to wait so that its repeat, sent some time later, is still harmless. */
+    private long safeReturnNs(TrackedRequest t, long now) {
+        return harmlessUntil(t, bindingAttempt(t), true) - now - MAX_CLIENT_RETURN_NS;
     }
 
     /** Whether repeats are dropped at every server. */
--- a/src/test/java/gullspar/decide/FakeHost.java
+++ b/src/test/java/gullspar/decide/FakeHost.java
@@ -34,6 +34,7 @@
     final Policy policy;
     long now = 1_000_000_000_000L;
     long lastTimeoutNs;
+    long lastRetryAfterNs;
     private int lastTicket;
 
     FakeHost(Settings settings) {
@@ -183,6 +184,7 @@
 
     @Override
     public void refuse(int ticket, long retryAfterNs) {
+        lastRetryAfterNs = retryAfterNs;
         actions.add("refuse " + ticket);
         finalAnswers.merge(ticket, "refused", (a, b) -> a + " and " + b);
     }
