Plain HTTP: Retry-After is rounded down where a longer wait is harmful

Cause: the decision module knew the configured time and not the second that was named.

Change: the module gets the configured time in whole seconds, and what it cuts off is rounded down; without a whole second left no time is named.

--- a/src/main/java/gullspar/site/Pool.java
+++ b/src/main/java/gullspar/site/Pool.java
@@ -16,6 +16,7 @@
 import gullspar.proxy.io.Platform;
 import gullspar.route.ServerRotation;
 import gullspar.site.backend.PlainBackends;
+import gullspar.site.client.Clients;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -78,7 +79,7 @@
                         false,
                         true,
                         MAX_ATTEMPTS,
-                        Math.max(1, retryAfterNs),
+                        TimeUnit.SECONDS.toNanos(Clients.ceilSeconds(retryAfterNs)),
                         START_CAPACITY,
                         COLD_START_NS,
                         OVERLOAD_MULTIPLE,
--- a/src/main/java/gullspar/site/PoolExchange.java
+++ b/src/main/java/gullspar/site/PoolExchange.java
@@ -286,8 +286,9 @@
     void refuse(long retryInNs) {
         if (!answered) {
             HttpHeaders headers = new DefaultHttpHeaders();
-            if (retryInNs > 0) {
-                headers.set(HttpHeaderNames.RETRY_AFTER, Clients.ceilSeconds(retryInNs));
+            long seconds = TimeUnit.NANOSECONDS.toSeconds(retryInNs); // a longer wait may be harmful
+            if (seconds > 0) {
+                headers.set(HttpHeaderNames.RETRY_AFTER, seconds);
             }
             respond(503, headers, "refused, try again");
             releaseIfComplete();
--- a/src/test/java/gullspar/site/FailuresTest.java
+++ b/src/test/java/gullspar/site/FailuresTest.java
@@ -12,6 +12,8 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 
 /** Failing servers and clients: how often a request is sent, and that it gets one response. */
@@ -58,6 +60,24 @@
         }
     }
 
+    /** A client that waits as long as Retry-After says must come back while servers still drop its repeat. */
+    @Test
+    void refusalOfAKeyedRequestNamesAWaitThatEndsBeforeItsKeyIsForgotten() throws Exception {
+        try (Peer a = new Peer();
+                ProxyFixture s = new ProxyFixture(ProxyFixture.LISTENER + "[limits]\nretry_after_s = 200\n"
+                        + ProxyFixture.poolConfig("class = \"keyed\"\nremembered_s = 100\nattempts = 1", a));
+                Wire c = s.connect()) {
+            c.write("POST / HTTP/1.1\r\nHost: a\r\nIdempotency-Key: 7\r\nContent-Length: 1\r\n\r\nx");
+            Wire w = a.accept();
+            w.read();
+            w.reset();
+            String refused = c.read();
+            assertEquals("503", status(refused));
+            Matcher wait = Pattern.compile("(?i)retry-after: (\\d+)").matcher(refused);
+            assertTrue(wait.find() && Integer.parseInt(wait.group(1)) < 100, refused);
+        }
+    }
+
     @Test
     void keyedRouteRetriesOnlyWithAnIdempotencyKey() throws Exception {
         try (Peer a = new Peer();
