Read a connection no further while its queue of pipelined requests is full

Cause: at the 17th waiting request all that waited were rejected, and what had been read behind them was thrown away with the close.

Change: at 16 queued requests the decoder keeps further bytes undecoded and the connection is not read; both go on when the queue has room. While it is full, up to 32 KiB are read to detect the client's disconnect; if there is more, no attempt starts. A request from behind a full queue is dated by when the queue became full.

PendingResponseTest: reading pauses.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -30,13 +30,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
- * A client's connection. It processes one request at a time and queues a few pipelined ones. After a request
- * that cannot be parsed, or when the queue is full, it responds with an error, closes, and reads no further
+ * A client's connection. It processes one request at a time and queues a few pipelined ones; while the queue is full it
+ * reads no further. After a request that cannot be parsed it responds with an error, closes, and reads no further
  * request.
  */
 public final class Client extends SimpleChannelInboundHandler<HttpObject> {
@@ -78,9 +77,12 @@
         long now();
     }
 
-    /** Pipelined requests queued per connection: enough for clients that do not await responses. */
+    /** Pipelined requests that are queued; while there are more, they stay undecoded or unread. */
     public static final int MAX_PIPELINED = 16;
 
+    /** No more than this is read, to detect the client's disconnect, while the queue is full. */
+    private static final int MAX_UNDECODED_BYTES = 32 << 10;
+
     /** Bounds the reads, of 16 KiB each, by which a client's close is looked for behind unread data. */
     private static final int MAX_READS_PER_CHECK = 64;
 
@@ -126,6 +128,12 @@
     private long lastReceivedNs;
     /** When all that the client had sent of the request was last read, so that its last byte came later. */
     private long receivedUntilNs;
+    /** Further requests may have arrived while the queue was full, at this time at the earliest. */
+    private boolean hasWaitingInput;
+
+    private long inputWaitingSinceNs;
+    /** What was left undecoded is being decoded. */
+    private boolean isResuming;
     /** When reading stopped because the upload was paused. */
     private long unreadSinceNs;
     /** The response that is being forwarded; null if none. */
@@ -246,6 +254,9 @@
             if (upload != null && upload.paused()) {
                 return;
             }
+            if (decoder.isPaused() && decoder.undecodedBytes() >= MAX_UNDECODED_BYTES) {
+                break;
+            }
         }
         hasUnreadData = channel.isActive();
     }
@@ -356,11 +367,11 @@
         }
         if (message instanceof LastHttpContent) {
             if (upload == null) {
-                enqueue(new QueuedRequest(
+                queue.add(new QueuedRequest(
                         Message.withFullBody(head.method(), head.uri(), head.headers(), body),
                         0,
                         null,
-                        owner.receivedAt(),
+                        receivedAt(),
                         HttpUtil.isKeepAlive(head),
                         head.protocolVersion()));
             } else {
@@ -375,9 +386,41 @@
             head = null;
             body = null;
             decoder.endRequest();
+            if (queue.size() >= MAX_PIPELINED) {
+                pauseReading();
+            }
         }
     }
 
+    /** The earliest time at which the request that is being decoded may have arrived. */
+    private long receivedAt() {
+        long receivedAtNs = owner.receivedAt();
+        return hasWaitingInput ? Math.min(receivedAtNs, inputWaitingSinceNs) : receivedAtNs;
+    }
+
+    private void pauseReading() {
+        inputWaitingSinceNs = receivedAt();
+        hasWaitingInput = true;
+        decoder.pause();
+        updateAutoRead();
+    }
+
+    /** Decodes what was left once the queue has room again, and reads on. */
+    private void resumeReading() {
+        if (decoder.isPaused() && queue.size() < MAX_PIPELINED) {
+            decoder.resume();
+            updateAutoRead();
+            isResuming = true;
+            channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+            channel.pipeline().fireChannelReadComplete();
+            isResuming = false;
+        }
+    }
+
+    private void updateAutoRead() {
+        channel.config().setAutoRead(!decoder.isPaused() && (upload == null || !upload.paused()));
+    }
+
     /** Handles a part of a body; returns false if the request was rejected. */
     private boolean onContent(ByteBuf bytes) {
         rateWindowBytes += bytes.readableBytes();
@@ -388,8 +431,8 @@
             return false;
         }
         if (upload == null && body.add(bytes) != Body.AddResult.TAKEN) {
-            upload = new BodyStream(owner.budget(), () -> channel.config().setAutoRead(true), () -> {});
-            enqueue(new QueuedRequest(
+            upload = new BodyStream(owner.budget(), this::updateAutoRead, () -> {});
+            queue.add(new QueuedRequest(
                     new Message(
                             head.method(),
                             head.uri(),
@@ -399,12 +442,9 @@
                             HttpUtil.getContentLength(head, -1L)),
                     0,
                     null,
-                    owner.receivedAt(),
+                    receivedAt(),
                     HttpUtil.isKeepAlive(head),
                     head.protocolVersion()));
-            if (closing) {
-                return false;
-            }
         }
         if (upload != null && bytes.isReadable() && !upload.add(bytes.retain())) {
             pauseUpload(upload);
@@ -480,22 +520,6 @@
         }
     }
 
-    private void enqueue(QueuedRequest request) {
-        if (queue.size() < MAX_PIPELINED) {
-            queue.add(request);
-        } else {
-            // Usual clients do not pipeline this many requests. No queued request has been sent on, and their
-            // deadlines would expire in the queue, so all of them are rejected.
-            String reason = "too many requests at once on a connection";
-            List<QueuedRequest> rejected = queue.stream()
-                    .map(o -> new QueuedRequest(null, 429, reason, o.receivedAt(), true, o.version()))
-                    .toList();
-            clearQueue();
-            queue.addAll(rejected);
-            closeWithError(429, reason);
-        }
-    }
-
     /** Queues an error response behind the queued requests; the connection closes after it. */
     private void closeWithError(int status, String error) {
         closing = true;
@@ -547,8 +571,9 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (upload != null && hasReadAll(ctx.channel())) {
+        if (!isResuming && (upload != null || hasWaitingInput) && hasReadAll(ctx.channel())) {
             receivedUntilNs = owner.now();
+            hasWaitingInput = decoder.isPaused();
         }
         if (!closing && decoder.inRequest()) {
             // The time limit of a connection's first request starts at connecting, however slowly it is sent.
@@ -572,6 +597,7 @@
             busy = true;
             keepAlive = next.keepAlive();
             version = next.version();
+            resumeReading();
             if (next.error() == null) {
                 owner.onRequest(this, next.message(), next.receivedAt());
             } else {
--- a/src/main/java/gullspar/proxy/client/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/client/RequestDecoder.java
@@ -19,6 +19,7 @@
     static final int MAX_FIELDS = 100;
 
     private boolean stopped;
+    private boolean paused;
     private int fieldCount;
     private long receivedBytes;
     private boolean inRequest;
@@ -36,6 +37,25 @@
         stopped = true;
     }
 
+    /** Keeps further input undecoded until {@link #resume}. */
+    void pause() {
+        paused = true;
+    }
+
+    /** Decodes again from the next read on; what was kept comes first. */
+    void resume() {
+        paused = false;
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    /** Number of bytes that were read and are not decoded. */
+    int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
     /** True while a request is partly received. */
     public boolean inRequest() {
         return inRequest;
@@ -57,11 +77,22 @@
         super.channelRead(ctx, message);
     }
 
+    /** While paused the superclass would request a read, as nothing was decoded. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        if (paused) {
+            discardSomeReadBytes();
+            ctx.fireChannelReadComplete();
+        } else {
+            super.channelReadComplete(ctx);
+        }
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
         if (stopped) {
             in.skipBytes(in.readableBytes());
-        } else {
+        } else if (!paused) {
             inRequest |= in.getByte(in.readerIndex()) > ' '; // an empty line before a request does not start one
             super.decode(ctx, in, out);
         }
--- a/src/test/java/gullspar/proxy/client/PendingResponseTest.java
+++ b/src/test/java/gullspar/proxy/client/PendingResponseTest.java
@@ -106,6 +106,24 @@
         assertTrue(channel.isOpen());
     }
 
+    /** Nothing more is read or decoded for a client while its queue is full. */
+    @Test
+    void readingPausesWhileTheQueueIsFull() {
+        int count = 3 * Client.MAX_PIPELINED;
+        send(REQUEST.repeat(count));
+        int writesPerResponse = writes.size();
+        assertFalse(channel.config().isAutoRead());
+        assertTrue(channel.pipeline().get(RequestDecoder.class).undecodedBytes()
+                >= REQUEST.length() * (Client.MAX_PIPELINED - 1));
+        for (int answered = 1; answered < count; answered++) {
+            completeWrites(writesPerResponse);
+            assertEquals(writesPerResponse, writes.size(), "the next one");
+        }
+        assertTrue(channel.config().isAutoRead());
+        completeWrites(writesPerResponse);
+        assertTrue(channel.isOpen());
+    }
+
     @Test
     void responseIsReservedUntilItIsWritten() {
         Client client = channel.pipeline().get(Client.class);
