Review: scripts exit with 2 if they are not built, and after 110 s

A script whose build was missing exited with 1, as if the rule were broken, and an error of a stand-in did so too. With nothing built, and with no jar, the script exits with 2.

--- a/review/kit-2/Stand.java
+++ b/review/kit-2/Stand.java
@@ -42,6 +42,7 @@
 
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     private static final int BACKLOG = 1024;
+    private static final long LIMIT_MS = 110_000;
 
     /** Whether the disruption takes place. */
     final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -64,12 +65,13 @@
             Stand stand = new Stand(Path.of(recordFile));
             Thread hook = new Thread(stand::end);
             Runtime.getRuntime().addShutdownHook(hook);
+            stand.daemon(stand::endAtLimit);
             try {
                 stand.log("disruption: " + (stand.trouble ? "yes" : "no (TROUBLE=0)"));
                 Result result = test.run(stand);
                 code = result == Result.BROKEN ? 1 : 0;
                 stand.log("result: " + (code == 1 ? "the rule was broken" : "the rule held"));
-            } catch (Exception e) {
+            } catch (Throwable e) {
                 stand.log("the case could not run: " + e);
                 e.printStackTrace();
             }
@@ -80,6 +82,13 @@
         Runtime.getRuntime().halt(code);
     }
 
+    private void endAtLimit() {
+        sleep(LIMIT_MS);
+        log("the case could not run: it takes too long");
+        end();
+        Runtime.getRuntime().halt(2);
+    }
+
     private synchronized void end() {
         for (Process p : processes) {
             p.descendants().forEach(ProcessHandle::destroyForcibly);
