--- a/review/kit-2/Stand.java
+++ b/review/kit-2/Stand.java
@@ -63,7 +63,11 @@
         int code = 2;
         try {
             Stand stand = new Stand(Path.of(recordFile));
-            Thread hook = new Thread(stand::end);
+            Thread hook = new Thread(() -> {
+                stand.log("the case could not run: it was ended by a signal");
+                stand.end();
+                Runtime.getRuntime().halt(2);
+            });
             Runtime.getRuntime().addShutdownHook(hook);
             stand.daemon(stand::endAtLimit);
             try {
