Bound the work of the read that looks for a client's disconnect

Cause: related to the queue of pipelined requests, work that a client decides within one turn. Before each attempt what the client has sent is read, up to 64 buffers of 16 KB, as a disconnect may lie behind it. A body in chunks of one byte behind the request makes that a million parts of 6 bytes, for each such client.

Change: that read ends after 4,096 parts. As where too many bytes are unread, the attempt is not sent.

Measured: SmallChunksTest is red without the change (the attempt is sent).

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -87,6 +87,9 @@
     /** Bounds the reads, of 16 KiB each, by which a client's close is looked for behind unread data. */
     private static final int MAX_READS_PER_CHECK = 64;
 
+    /** Bounds the work of such reads: a body of 1 MB may come in chunks of one byte. */
+    static final int MAX_PARTS_PER_CHECK = 4096;
+
     /** Larger bodies, and those that the budget has no room for, are forwarded while they are received. */
     private static final int MAX_BUFFERED_BODY_BYTES = 1 << 20;
     /** Time limit for a request head: from connecting for the first, from its first byte for later ones. */
@@ -241,7 +244,8 @@
     }
 
     private void readAll(AbstractNioChannel.NioUnsafe socket) {
-        for (int i = 0; i < MAX_READS_PER_CHECK && channel.isActive(); i++) {
+        long maxParts = decoder.decodedParts() + MAX_PARTS_PER_CHECK;
+        for (int i = 0; i < MAX_READS_PER_CHECK && decoder.decodedParts() < maxParts && channel.isActive(); i++) {
             long before = decoder.receivedBytes();
             socket.read();
             if (decoder.receivedBytes() == before) {
--- a/src/main/java/gullspar/proxy/client/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/client/RequestDecoder.java
@@ -22,6 +22,7 @@
     private boolean paused;
     private int fieldCount;
     private long receivedBytes;
+    private long decodedParts;
     private boolean inRequest;
 
     /** Limits of the request line and of the head, in bytes. */
@@ -71,6 +72,11 @@
         return receivedBytes;
     }
 
+    /** Number of heads and parts of bodies decoded so far. */
+    long decodedParts() {
+        return decodedParts;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
         receivedBytes += ((ByteBuf) message).readableBytes();
@@ -94,6 +100,7 @@
             in.skipBytes(in.readableBytes());
         } else if (!paused) {
             inRequest |= in.getByte(in.readerIndex()) > ' '; // an empty line before a request does not start one
+            decodedParts++;
             super.decode(ctx, in, out);
         }
     }
--- /dev/null
+++ b/src/test/java/gullspar/proxy/SmallChunksTest.java
@@ -0,0 +1,47 @@
+package gullspar.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import gullspar.decide.Balancer.Request;
+import gullspar.decide.Balancer.Status;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+/** How much of a body in chunks of one byte is processed before the event loop reads other connections again. */
+class SmallChunksTest extends LoopbackTest {
+    private static final String CHUNK = "1\r\nx\r\n";
+    /** Some 54 KB, which the system's buffers take at once. */
+    private static final int CHUNKS = 9000;
+
+    private static String chunkedRequest(int chunks) {
+        return "POST /pay HTTP/1.1\r\nHost: api\r\nRequest-Id: chunked\r\nRequest-Timeout: 30\r\n"
+                + "Transfer-Encoding: chunked\r\n\r\n" + CHUNK.repeat(chunks) + "0\r\n\r\n";
+    }
+
+    private static void write(Peer.Wire to, String text) {
+        try {
+            to.write(text);
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /**
+     * Before an attempt all that its client had sent was read, to find a disconnect: of a body in very small chunks
+     * that took hundreds of ms, for each such client.
+     */
+    @Test
+    void fewSmallChunksAreReadBeforeAnAttempt() throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.getRequest());
+            Request r = setup.nextRequest();
+            setup.runOnLoop(() -> {
+                write(client, chunkedRequest(CHUNKS));
+                setup.actions.send(r.ticket(), server, 0);
+            });
+            assertEquals(Status.MOOT, setup.nextOutcome().status());
+            assertTrue(backend.hasNoNewConnection());
+        }
+    }
+}
