Forward the small parts of a long body together, not each with a write of its own

Each part of a body that is forwarded while it is received was written and flushed as it was decoded: a system call for each byte of a body in chunks of one byte, 2,730 for each buffer of 16 KB.

Change: the reader of a body stream is notified once 4 KB have been added, and of the rest at the end of the read that has brought it.

--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -345,6 +345,9 @@
     /** Completes the response after the whole read, when it is known whether surplus bytes followed it. */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (rest != null) {
+            rest.endRead();
+        }
         if (isResponseComplete && attempt != null) {
             finishBuffered();
         } else if (isResponseComplete && rest != null) {
--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -576,6 +576,9 @@
      */
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (upload != null) {
+            upload.endRead();
+        }
         hasReadAll = hasReadAll(ctx.channel());
         if (!isResuming && (upload != null || hasWaitingInput) && hasReadAll) {
             receivedUntilNs = owner.now();
--- a/src/main/java/gullspar/proxy/http/BodyStream.java
+++ b/src/main/java/gullspar/proxy/http/BodyStream.java
@@ -11,7 +11,10 @@
 public final class BodyStream {
     /** Reads the stream. */
     public interface Reader {
-        /** Called when a chunk is available, and when the stream is complete or aborted. */
+        /**
+         * Called when a chunk is available, at the latest at the end of the read that has brought it, and when the
+         * stream is complete or aborted.
+         */
         void onUpdate();
     }
 
@@ -39,6 +42,9 @@
     private final Runnable onResume;
     private final Runnable onDropped;
     private int bufferedBytes;
+    /** Bytes added since the reader was last notified. */
+    private int unannouncedBytes;
+
     private boolean paused;
     private boolean dropped;
     private State state = State.COMING;
@@ -67,8 +73,11 @@
 
     private boolean copy(ByteBuf bytes) {
         bufferedBytes += bytes.readableBytes();
+        unannouncedBytes += bytes.readableBytes();
         append(bytes);
-        notifyReader();
+        if (unannouncedBytes >= MIN_CHUNK_BYTES) {
+            notifyReader();
+        }
         int maxBytes = isUnread() ? MAX_UNREAD_BYTES : MAX_BUFFERED_BYTES;
         paused = bufferedBytes >= maxBytes || bufferedBytes > 0 && budget.isExhausted();
         return !paused;
@@ -86,6 +95,16 @@
         }
     }
 
+    /**
+     * Notifies the reader of what the read that ends has added. Until then small parts are collected: the reader writes
+     * what it gets, and a body in chunks of one byte would cost a system call for each of them.
+     */
+    public void endRead() {
+        if (unannouncedBytes > 0) {
+            notifyReader();
+        }
+    }
+
     /** Marks the stream as complete. */
     public void complete() {
         finish(State.WHOLE);
@@ -104,6 +123,7 @@
     }
 
     private void notifyReader() {
+        unannouncedBytes = 0;
         if (reader != null) {
             reader.onUpdate();
         }
--- a/src/test/java/gullspar/proxy/SmallChunksTest.java
+++ b/src/test/java/gullspar/proxy/SmallChunksTest.java
@@ -5,12 +5,14 @@
 
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer.Status;
+import gullspar.proxy.http.Message;
 import java.io.IOException;
 import org.junit.jupiter.api.Test;
 
 /** How much of a body in chunks of one byte is processed before the event loop reads other connections again. */
 class SmallChunksTest extends LoopbackTest {
     private static final String CHUNK = "1\r\nx\r\n";
+    private static final String RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     /** Some 54 KB, which the system's buffers take at once. */
     private static final int CHUNKS = 9000;
 
@@ -44,4 +46,34 @@
             assertTrue(backend.hasNoNewConnection());
         }
     }
+
+    /** Each part of a long response was written on its own: a system call for each byte. */
+    @Test
+    void smallChunksOfLongResponseAreForwardedTogether() throws Exception {
+        int chunks = Message.MAX_BUFFERED_RESPONSE_BYTES + 40_000;
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.getRequest());
+            Request r = setup.nextRequest();
+            setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
+            Peer.Wire wire = backend.accept();
+            wire.read();
+            Thread writer = new Thread(() -> write(wire, RESPONSE_HEAD + CHUNK.repeat(chunks) + "0\r\n\r\n"));
+            writer.start();
+            assertTrue(client.read().startsWith("HTTP/1.1 200 "));
+            int forwarded = 0;
+            int bytes = 0;
+            for (int size = chunkSize(client); size > 0; size = chunkSize(client)) {
+                client.readBytes(size + "\r\n".length());
+                forwarded++;
+                bytes += size;
+            }
+            writer.join();
+            assertEquals(chunks, bytes);
+            assertTrue(forwarded < 4000, forwarded + " chunks were forwarded");
+        }
+    }
+
+    private static int chunkSize(Peer.Wire client) throws IOException {
+        return Integer.parseInt(client.readUntil("\r\n").trim(), 16);
+    }
 }
