Bound the parts of responses that one connection decodes in one turn

Change: reading ends for the turn after 1,024 parts (PartLimitedReads), and buffers have 16 KB as those for clients.

Measured: SmallChunksTest#responseInSmallChunksIsReadOverSeveralTurns is red without it (9,000 chunks in 1 turn).

--- a/src/main/java/gullspar/proxy/backend/BackendResponseDecoder.java
+++ b/src/main/java/gullspar/proxy/backend/BackendResponseDecoder.java
@@ -42,6 +42,7 @@
     private final Listener listener;
     private Expected expected = Expected.NOTHING;
     private boolean hasNoBody;
+    private long decodedParts;
 
     /** Creates a decoder that rejects a longer status line or head; both limits are in bytes. */
     public BackendResponseDecoder(Listener listener, int maxStatusLineBytes, int maxHeadBytes) {
@@ -83,8 +84,14 @@
         expected = Expected.NOTHING;
     }
 
+    /** Number of heads and parts of bodies decoded so far. */
+    public long decodedParts() {
+        return decodedParts;
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        decodedParts++;
         switch (expected) {
             case NOTHING -> {
                 in.skipBytes(in.readableBytes());
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -7,12 +7,15 @@
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.ChannelReads;
 import gullspar.proxy.io.Clock;
+import gullspar.proxy.io.PartLimitedReads;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -39,6 +42,10 @@
     /** The attempt fails if the backend reads nothing of the request for this long. */
     private static final long UPLOAD_STALL_TIMEOUT_NS = 2_000_000_000L;
 
+    /** Buffers of up to 16 KiB, of which up to 16 are read in a turn. */
+    private static final RecvByteBufAllocator READ_BUFFERS =
+            new AdaptiveRecvByteBufAllocator(1024, 2048, 16 << 10).maxMessagesPerRead(16);
+
     private final Backend backend;
     /** Address of the process at the other end. */
     private final InetSocketAddress address;
@@ -97,6 +104,7 @@
     }
 
     void initPipeline(Channel c) {
+        c.config().setRecvByteBufAllocator(new PartLimitedReads(READ_BUFFERS, decoder::decodedParts));
         c.pipeline().addLast(decoder, new HttpRequestEncoder(), this);
     }
 
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -70,6 +70,8 @@
     Balancer.Actions actions;
     /** The module's reaction to a request, before the event is recorded. */
     volatile Consumer<Request> onRequest = r -> {};
+    /** Runs as the module receives an outcome, before that is recorded. */
+    volatile Runnable onOutcome = () -> {};
     /** Runs as soon as an outgoing connection is established, before any other handler. */
     volatile Runnable onConnected = () -> {};
     /** Receives each line of the proxy's log just before it is written. */
@@ -312,6 +314,7 @@
 
         @Override
         public void onOutcome(long now, Outcome outcome) {
+            onOutcome.run();
             record("outcome", outcome);
         }
 
--- a/src/test/java/gullspar/proxy/SmallChunksTest.java
+++ b/src/test/java/gullspar/proxy/SmallChunksTest.java
@@ -6,13 +6,19 @@
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.http.Message;
+import gullspar.proxy.io.PartLimitedReads;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
 /** How much of a body in chunks of one byte is processed before the event loop reads other connections again. */
 class SmallChunksTest extends LoopbackTest {
     private static final String CHUNK = "1\r\nx\r\n";
     private static final String RESPONSE_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    /** The largest buffer of a read holds this many chunks. */
+    private static final int CHUNKS_PER_BUFFER = (16 << 10) / CHUNK.length() + 1;
     /** Some 54 KB, which the system's buffers take at once. */
     private static final int CHUNKS = 9000;
 
@@ -47,6 +53,29 @@
         }
     }
 
+    /** Of a backend's response in very small chunks up to 1 MB was decoded in one turn, and others waited for it. */
+    @Test
+    void responseInSmallChunksIsReadOverSeveralTurns() throws Exception {
+        CompletableFuture<Long> endTurn = new CompletableFuture<>();
+        AtomicLong startTurn = new AtomicLong();
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.getRequest());
+            Request r = setup.nextRequest();
+            setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
+            Peer.Wire wire = backend.accept();
+            wire.read();
+            setup.onOutcome = () -> endTurn.complete(turn());
+            setup.runOnLoop(() -> {
+                startTurn.set(turn());
+                write(wire, RESPONSE_HEAD + CHUNK.repeat(CHUNKS) + "0\r\n\r\n");
+            });
+            long turns = endTurn.get(20, TimeUnit.SECONDS) - startTurn.get();
+            int maxChunksPerTurn = PartLimitedReads.MAX_PARTS + CHUNKS_PER_BUFFER;
+            assertTrue(turns > CHUNKS / maxChunksPerTurn, CHUNKS + " chunks in " + turns + " turns");
+            assertTrue(client.read().startsWith("HTTP/1.1 200 "));
+        }
+    }
+
     /** Each part of a long response was written on its own: a system call for each byte. */
     @Test
     void smallChunksOfLongResponseAreForwardedTogether() throws Exception {
@@ -76,4 +105,8 @@
     private static int chunkSize(Peer.Wire client) throws IOException {
         return Integer.parseInt(client.readUntil("\r\n").trim(), 16);
     }
+
+    private long turn() {
+        return setup.serving.statistics().turns();
+    }
 }
