Wait for a silent agent until 9 s after the start before the known list is used

Cause: a new process served with the list of its configuration once its agent had been silent for 3 s. That list is the one that the proxy last had; what the agent has beyond it counts as told from the first moment of the new process.

Change: where lists are pushed the process waits until 9 s after its start. It is still ready within the 10 s that a restart has, and an outage that is longer gets served by the known list. The start of the process counts in, so that a slow machine waits less, but for 3 s from the first watch. The process that takes over in an upgrade waits as long while the one before serves, and a SIGHUP that moves discovery gives the new address 3 s. Where discovery is asked the wait stays at 3 s: what it has not told does not count as told there.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -20,6 +20,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -107,7 +108,8 @@
                 ? Platform.of(servingLoop, InheritedTransport.create(loop), LOG)
                 : Platform.of(servingLoop);
         OperatorEndpoint operatorEndpoint = listenForOperators(config, platform);
-        Proxy proxy = Proxy.callOnLoop(platform, () -> Proxy.startUnopened(config, platform, factory));
+        long processAgeMs = ManagementFactory.getRuntimeMXBean().getUptime();
+        Proxy proxy = Proxy.callOnLoop(platform, () -> Proxy.startUnopened(config, platform, factory, processAgeMs));
         started.complete(proxy); // configuration reloads apply during the warm-up too
         AuxiliaryService auxiliary = config.operatorsFile() == null
                 ? null
--- a/src/main/java/gullspar/proxy/Proxy.java
+++ b/src/main/java/gullspar/proxy/Proxy.java
@@ -8,6 +8,7 @@
 import gullspar.proxy.config.Classes;
 import gullspar.proxy.config.Config;
 import gullspar.proxy.discovery.Discovery;
+import gullspar.proxy.discovery.KnownListWait;
 import gullspar.proxy.discovery.ListUpdate;
 import gullspar.proxy.discovery.ListedBackend;
 import gullspar.proxy.events.Events;
@@ -28,6 +29,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -36,8 +38,6 @@
  * of the module, and its actions become I/O; the module decides where, whether and when requests are sent.
  */
 public final class Proxy implements Balancer.Actions, Discovery.Listener, OperatorEndpoint.StatusSource {
-    /** Time without a list from discovery after which the proxy serves with the known list. */
-    private static final long DISCOVERY_WAIT_MS = 3000;
     /** The listener stays open this long after SIGTERM; by the protocol clients connect for at most 0.4 s more. */
     private static final long DRAIN_ACCEPT_MS = 550;
     /** Connections that are still being accepted at that time delay closing the listener by at most this. */
@@ -75,6 +75,10 @@
     private final CompletableFuture<Void> drainCompleted = new CompletableFuture<>();
     private final Classes classes;
     private final RequestCounters counters = new RequestCounters();
+    /** Time without a list from discovery after which the proxy serves with the known list. */
+    private final long knownListWaitMs;
+
+    private ScheduledFuture<?> knownListTimer;
     private boolean listReceived;
     /** The list from the configuration; null if it has none. */
     private ListUpdate knownList;
@@ -88,12 +92,17 @@
 
     /** Call on the event loop. */
     Proxy(Config config, Platform platform, Balancer.Factory factory) {
+        this(config, platform, factory, 0);
+    }
+
+    private Proxy(Config config, Platform platform, Balancer.Factory factory, long processAgeMs) {
         this(
                 config,
                 platform,
                 factory,
                 config.settings().listOnRequest() ? Discovery.Timeouts.SERVICE : Discovery.Timeouts.AGENT,
-                Frontend.UNREAD_TIMEOUT_NS);
+                Frontend.UNREAD_TIMEOUT_NS,
+                processAgeMs);
     }
 
     /** Creates a proxy with these discovery timeouts and this limit on how long bodies stay unread. */
@@ -102,7 +111,8 @@
             Platform platform,
             Balancer.Factory factory,
             Discovery.Timeouts timeouts,
-            long unreadTimeoutNs) {
+            long unreadTimeoutNs,
+            long processAgeMs) {
         this.config = config;
         this.platform = platform;
         this.descriptors = new DescriptorLimits(config.sockets());
@@ -117,6 +127,7 @@
         this.module = factory.create(
                 config.settings(), config.seed(), platform.clock().now(), this);
         events.setModule(module);
+        this.knownListWaitMs = KnownListWait.ms(config.settings().listOnRequest(), processAgeMs);
     }
 
     /** Logs now and at intervals what holds the memory of this process. Call on the event loop. */
@@ -149,9 +160,11 @@
      * Starts a proxy that requests the backend list and accepts no clients until {@link #open}. Where many
      * proxies start together, discovery answers them one after the other; the caller's work before opening
      * overlaps with that wait. Call on the event loop.
+     *
+     * @param processAgeMs time since the start of the process, in ms
      */
-    public static Proxy startUnopened(Config config, Platform platform, Balancer.Factory factory) {
-        Proxy proxy = new Proxy(config, platform, factory);
+    public static Proxy startUnopened(Config config, Platform platform, Balancer.Factory factory, long processAgeMs) {
+        Proxy proxy = new Proxy(config, platform, factory, processAgeMs);
         proxy.startDiscovery();
         return proxy;
     }
@@ -221,14 +234,26 @@
             // must be followed from the start: no request is sent by the known list before the agent has answered.
             discovery.watch(true);
         }
-        platform.loop().schedule(this::useKnownList, DISCOVERY_WAIT_MS, TimeUnit.MILLISECONDS);
+        scheduleKnownList(knownListWaitMs);
+    }
+
+    private void scheduleKnownList(long delayMs) {
+        knownListTimer = platform.loop().schedule(this::useKnownList, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Gives a discovery at another address its time to answer before the known list is used. */
+    private void waitForNewDiscovery() {
+        if (!listReceived && knownListTimer.getDelay(TimeUnit.MILLISECONDS) < KnownListWait.MIN_MS) {
+            knownListTimer.cancel(false);
+            scheduleKnownList(KnownListWait.MIN_MS);
+        }
     }
 
     /** Falls back to the known list, if there is one, when discovery has sent none. */
     void useKnownList() {
         if (!listReceived && knownList != null && !knownList.list().isEmpty()) {
             platform.log()
-                    .write("no list from discovery within " + DISCOVERY_WAIT_MS
+                    .write("no list from discovery within " + knownListWaitMs
                             + " ms: serving with the known list of the configuration");
             applyKnownList();
             onListReceived();
@@ -266,7 +291,9 @@
                         + ", attempts " + config.settings().maxAttempts());
         List<Profile> profiles = classes.update(config);
         events.enqueueBackendUpdate((now, m) -> m.onProfiles(profiles));
-        discovery.changeAddress(config.discovery());
+        if (discovery.changeAddress(config.discovery())) {
+            waitForNewDiscovery();
+        }
         counters.countReload(true);
     }
 
--- a/src/main/java/gullspar/proxy/discovery/Discovery.java
+++ b/src/main/java/gullspar/proxy/discovery/Discovery.java
@@ -183,11 +183,12 @@
 
     /**
      * Moves the watch to a new address at once, from the last version received. Lists from the former address
-     * are accepted until the new one, which may still be starting up, has sent a list.
+     * are accepted until the new one, which may still be starting up, has sent a list. Returns whether the address is
+     * another one.
      */
-    public void changeAddress(InetSocketAddress newAddress) {
+    public boolean changeAddress(InetSocketAddress newAddress) {
         if (newAddress.equals(address)) {
-            return;
+            return false;
         }
         address = newAddress;
         backoffMs = INITIAL_BACKOFF_MS;
@@ -196,6 +197,7 @@
         if (isWatching) {
             open();
         }
+        return true;
     }
 
     private void close(Predicate<Watch> which) {
--- a/src/main/java/gullspar/rehearse/play/VirtualPlay.java
+++ b/src/main/java/gullspar/rehearse/play/VirtualPlay.java
@@ -314,7 +314,8 @@
                             config(name, number),
                             platform,
                             decisionLog.wrap(
-                                    processName, options.moduleWrapper().apply(Policy::new)));
+                                    processName, options.moduleWrapper().apply(Policy::new)),
+                            0);
                     process.loop.schedule(
                             () -> {
                                 process.proxy = proxy;
--- a/src/test/java/gullspar/proxy/Setup.java
+++ b/src/test/java/gullspar/proxy/Setup.java
@@ -30,6 +30,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -85,6 +87,14 @@
      */
     volatile long ignoredTimerMs = Long.MAX_VALUE;
 
+    /** The timers that had no effect so far. */
+    final List<IgnoredTimer> ignoredTimers = new CopyOnWriteArrayList<>();
+    /** Time since the start of the process when the proxy is created, in ms. */
+    long processAgeMs;
+
+    /** A timer of the proxy that has no effect. */
+    record IgnoredTimer(long delayMs, Runnable task, Future<?> future) {}
+
     private final Clock system = Clock.system();
     /** The system's time at which the clock was stopped; null while it runs. */
     private volatile Long stoppedAtNs;
@@ -139,7 +149,8 @@
                                     return new RecordingModule();
                                 },
                                 timeouts,
-                                unreadTimeoutNs)))
+                                unreadTimeoutNs,
+                                processAgeMs)))
                 .awaitListening();
         return this;
     }
@@ -152,19 +163,30 @@
     private EventLoop loopIgnoringLongTimers() {
         return (EventLoop) java.lang.reflect.Proxy.newProxyInstance(
                 Setup.class.getClassLoader(), new Class<?>[] {EventLoop.class}, (wrapper, method, arguments) -> {
-                    if (method.getName().equals("schedule")
+                    boolean isIgnored = method.getName().equals("schedule")
                             && arguments[0] instanceof Runnable
-                            && ((TimeUnit) arguments[2]).toMillis((long) arguments[1]) >= ignoredTimerMs) {
+                            && delayMs(arguments) >= ignoredTimerMs;
+                    Object task = arguments == null ? null : arguments[0];
+                    if (isIgnored) {
                         arguments[0] = (Runnable) () -> {};
                     }
                     try {
-                        return method.invoke(loop, arguments);
+                        Object result = method.invoke(loop, arguments);
+                        if (isIgnored) {
+                            ignoredTimers.add(
+                                    new IgnoredTimer(delayMs(arguments), (Runnable) task, (Future<?>) result));
+                        }
+                        return result;
                     } catch (InvocationTargetException e) {
                         throw e.getCause();
                     }
                 });
     }
 
+    private static long delayMs(Object[] scheduleArguments) {
+        return ((TimeUnit) scheduleArguments[2]).toMillis((long) scheduleArguments[1]);
+    }
+
     /** Stops the clock: from now on only advanceClock changes it. Timers are not affected. */
     void stopClock() throws Exception {
         runOnLoop(() -> stoppedAtNs = system.now());
@@ -179,6 +201,17 @@
         return Peer.Wire.to(proxy.address());
     }
 
+    /** Runs the ignored timers with delays from one time to less than another, in their order. */
+    void runIgnoredTimers(long fromMs, long untilMs) throws Exception {
+        for (IgnoredTimer timer : ignoredTimers) {
+            if (timer.delayMs() >= fromMs
+                    && timer.delayMs() < untilMs
+                    && !timer.future().isCancelled()) {
+                runOnLoop(timer.task());
+            }
+        }
+    }
+
     /** Runs an action of the module on the event loop and waits for it. */
     void runOnLoop(Runnable action) throws Exception {
         loop.submit(action).get(20, TimeUnit.SECONDS);
