--- a/src/main/java/gullspar/config/FollowFile.java
+++ b/src/main/java/gullspar/config/FollowFile.java
@@ -25,6 +25,9 @@
  */
 public record FollowFile(
         String name, List<InetSocketAddress> addresses, Path directory, long startupWaitNs, OperatorsFile operators) {
+    /** As long as a process that starts can wait and still be ready within 10 s. */
+    private static final double DEFAULT_STARTUP_WAIT_S = 8.5;
+
     /** Throws IOException if the file cannot be read. */
     public static FollowFile read(Path file) throws IOException, ProblemsException {
         return parse(Files.readString(file), file.toString());
@@ -69,7 +72,7 @@
                 ControlFile.name(c, "name"),
                 List.copyOf(addresses),
                 Path.of(c.string("folder")),
-                FieldParsers.secondsAsNs(c, "wait_s", 3, 0),
+                FieldParsers.secondsAsNs(c, "wait_s", DEFAULT_STARTUP_WAIT_S, 0),
                 OperatorsFile.read(f));
         c.rejectUnknownKeys();
         f.rejectUnknownKeys();
--- a/src/main/java/gullspar/versions/Follower.java
+++ b/src/main/java/gullspar/versions/Follower.java
@@ -36,16 +36,27 @@
      * Time limits in ns.
      *
      * @param startupWaitNs how long a start waits for control before the version on disk is put in force
+     * @param outdatedTimeoutNs a control process that is out of step for this long is left for another one
      * @param silenceTimeoutNs a connection with nothing received for this long is abandoned
      * @param initialBackoffNs the first reconnect delay is drawn from 0 to this; the bound doubles with each failure
      * @param maxBackoffNs upper limit of that bound
      * @param applyRetryNs delay before a document that could not be persisted or put in force is tried again
      */
     public record Settings(
-            long startupWaitNs, long silenceTimeoutNs, long initialBackoffNs, long maxBackoffNs, long applyRetryNs) {
+            long startupWaitNs,
+            long outdatedTimeoutNs,
+            long silenceTimeoutNs,
+            long initialBackoffNs,
+            long maxBackoffNs,
+            long applyRetryNs) {
         private static final long NS_PER_MS = 1_000_000L;
-        public static final Settings DEFAULTS =
-                new Settings(3000 * NS_PER_MS, 3500 * NS_PER_MS, 500 * NS_PER_MS, 8000 * NS_PER_MS, 10_000 * NS_PER_MS);
+        public static final Settings DEFAULTS = new Settings(
+                3000 * NS_PER_MS,
+                3000 * NS_PER_MS,
+                3500 * NS_PER_MS,
+                500 * NS_PER_MS,
+                8000 * NS_PER_MS,
+                10_000 * NS_PER_MS);
     }
 
     private enum Connection {
@@ -59,6 +70,9 @@
     /** An abandoned control process does not count as an alternative for this long. */
     private static final long ABANDONED_PERIOD_NS = 300_000_000_000L;
 
+    /** Upper limit of the reconnect bound while a start waits: control may be back at any time of the wait. */
+    private static final long STARTUP_MAX_BACKOFF_NS = 1_000_000_000L;
+
     /** Limits the exponent of the reconnect backoff, so that it does not overflow. */
     private static final int MAX_DOUBLINGS = 10;
 
@@ -162,12 +176,17 @@
     private void scheduleReconnect(long now) {
         connection = Connection.NONE;
         controlIndex = (controlIndex + 1) % addressCount;
-        long maxDelayNs =
-                Math.min(settings.maxBackoffNs, settings.initialBackoffNs << Math.min(failures, MAX_DOUBLINGS));
+        long longestNs = isWaitingToStart(now) ? STARTUP_MAX_BACKOFF_NS : settings.maxBackoffNs;
+        long maxDelayNs = Math.min(longestNs, settings.initialBackoffNs << Math.min(failures, MAX_DOUBLINGS));
         failures++;
         reconnectAtNs = now + (long) (random.nextDouble() * maxDelayNs);
     }
 
+    /** Whether the stored document waits for the word of a control process. */
+    private boolean isWaitingToStart(long now) {
+        return !mayApply && held != null && now - startedAtNs < settings.startupWaitNs;
+    }
+
     private void abandon(long now, String reason) {
         host.log("disconnecting from control " + controlIndex + ", trying the next one: " + reason);
         abandonedAtNs[controlIndex] = now;
@@ -352,7 +371,7 @@
             abandon(now, "nothing received for " + (now - lastReceivedNs) / 1_000_000 + " ms");
         } else if (connection == Connection.OPEN
                 && outdatedSinceNs != NEVER
-                && now - outdatedSinceNs > settings.startupWaitNs
+                && now - outdatedSinceNs > settings.outdatedTimeoutNs
                 && hasAlternative(now)) {
             abandon(now, "it has been outdated for too long");
         } else if (connection == Connection.OPEN && now - lastAckNs >= ACK_INTERVAL_NS) {
--- a/src/main/java/gullspar/versions/net/ControlNode.java
+++ b/src/main/java/gullspar/versions/net/ControlNode.java
@@ -57,13 +57,14 @@
 
     private static final Follower.Settings UPSTREAM_SETTINGS = new Follower.Settings(
             Follower.Settings.DEFAULTS.startupWaitNs(),
+            Follower.Settings.DEFAULTS.outdatedTimeoutNs(),
             Follower.Settings.DEFAULTS.silenceTimeoutNs(),
             200_000_000L,
             2_000_000_000L,
             2_000_000_000L);
     /** No startup wait: the primary only queries what one other process has. */
     private static final Follower.Settings CATCH_UP_SETTINGS = new Follower.Settings(
-            0, Follower.Settings.DEFAULTS.silenceTimeoutNs(), 200_000_000L, 1_000_000_000L, 1_000_000_000L);
+            0, 0, Follower.Settings.DEFAULTS.silenceTimeoutNs(), 200_000_000L, 1_000_000_000L, 1_000_000_000L);
 
     private record Change(Link from, Message.Publish publish) {}
 
--- a/src/main/java/gullspar/versions/net/VersionedSource.java
+++ b/src/main/java/gullspar/versions/net/VersionedSource.java
@@ -68,6 +68,7 @@
                 Message.Role.PROXY,
                 new Follower.Settings(
                         file.startupWaitNs(),
+                        defaults.outdatedTimeoutNs(),
                         defaults.silenceTimeoutNs(),
                         defaults.initialBackoffNs(),
                         defaults.maxBackoffNs(),
--- a/src/test/java/gullspar/versions/FollowerTest.java
+++ b/src/test/java/gullspar/versions/FollowerTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import gullspar.config.FollowFile;
+import gullspar.toml.ProblemsException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -13,6 +15,10 @@
 /** Which versions a follower accepts and refuses, and what it acknowledges. */
 class FollowerTest {
     private static final long MS = 1_000_000L;
+    /** A start has to wait for an outage of this length. */
+    private static final long OUTAGE_MS = 8000;
+    /** A process has to be ready within this time of its start. */
+    private static final long READY_LIMIT_MS = 10_000;
 
     /** Records the operations of the follower in order. */
     private static final class Host implements Follower.Host {
@@ -187,6 +193,45 @@
         assertEquals(List.of(documents.get(3)), host.appliedDocuments);
     }
 
+    /** The settings of a proxy whose file leaves the wait out. */
+    private static Follower.Settings proxySettings() throws ProblemsException {
+        FollowFile file = FollowFile.parse(
+                "[control]\nname = \"p\"\nfolder = \"x\"\naddresses = [\"127.0.0.1:1\"]\n", "follow.toml");
+        Follower.Settings defaults = Follower.Settings.DEFAULTS;
+        return new Follower.Settings(
+                file.startupWaitNs(),
+                defaults.outdatedTimeoutNs(),
+                defaults.silenceTimeoutNs(),
+                defaults.initialBackoffNs(),
+                defaults.maxBackoffNs(),
+                defaults.applyRetryNs());
+    }
+
+    /**
+     * A proxy that started in an outage of control served by its disk after 3 s, which may name servers that have left
+     * since, and by then tried to connect seldom.
+     */
+    @Test
+    void startWaitsForAnOutageOfControlThatEndsInTime() throws Exception {
+        Follower starting = new Follower("p", Message.Role.PROXY, proxySettings(), 3, new SplittableRandom(1), host);
+        starting.start(0, documents.get(3), false);
+        long lastConnectMs = 0;
+        int connects = 1;
+        starting.closed(0, "refused");
+        for (long t = 0; t <= OUTAGE_MS; t += 100) {
+            starting.tick(t * MS);
+            if (host.connects.size() > connects) {
+                connects = host.connects.size();
+                lastConnectMs = t;
+                starting.closed(t * MS, "refused");
+            }
+            assertTrue(t - lastConnectMs <= 1100, "no attempt to connect from " + lastConnectMs + " to " + t + " ms");
+        }
+        assertEquals(List.of(), host.appliedDocuments);
+        starting.tick(READY_LIMIT_MS * MS);
+        assertEquals(List.of(documents.get(3)), host.appliedDocuments, "a longer outage is not waited for");
+    }
+
     @Test
     void outOfStepControlProcessIsNotTrustedAtStartup() {
         follower.start(0, documents.get(3), false);
