Bound the time for tasks and for the delivery of events in one turn of the loop

Cause: related to the queue of pipelined requests. With hundreds of connections, each with one request in a turn, the tasks of that turn had no bound but the library's second, and all events of a turn went to the module in one go.

Updates of backends are still delivered before requests.

--- a/src/main/java/gullspar/proxy/events/Events.java
+++ b/src/main/java/gullspar/proxy/events/Events.java
@@ -2,6 +2,7 @@
 
 import gullspar.decide.Balancer;
 import gullspar.proxy.io.Errors;
+import gullspar.proxy.io.NextTurn;
 import gullspar.proxy.io.Platform;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -18,6 +19,9 @@
         void apply(long now, Balancer module);
     }
 
+    /** Delivery is continued in the next turn of the loop after this time, so that sockets are read in between. */
+    static final long MAX_DELIVERY_NS = 20_000_000L;
+
     private final Platform platform;
     private final Queue<Event> backendUpdates = new ArrayDeque<>();
     private final Queue<Event> requestEvents = new ArrayDeque<>();
@@ -62,28 +66,29 @@
             }
         });
         if (!delivering) {
-            startDelivery();
+            delivering = true;
+            platform.loop().execute(this::deliver);
         }
     }
 
     private void deliver() {
         long now = platform.clock().now();
+        long endNs = now + MAX_DELIVERY_NS;
         try {
-            while (!backendUpdates.isEmpty() || !requestEvents.isEmpty()) {
+            do {
                 (backendUpdates.isEmpty() ? requestEvents : backendUpdates)
                         .remove()
                         .apply(now, module);
-            }
+            } while (hasEvents() && platform.clock().now() < endNs);
         } finally {
-            delivering = false;
-            if (!backendUpdates.isEmpty() || !requestEvents.isEmpty()) {
-                startDelivery(); // an error ended the loop above; the other events are delivered all the same
+            delivering = hasEvents(); // the time is over, or an error ended the loop above
+            if (delivering) {
+                NextTurn.run(platform.loop(), this::deliver);
             }
         }
     }
 
-    private void startDelivery() {
-        delivering = true;
-        platform.loop().execute(this::deliver);
+    private boolean hasEvents() {
+        return !backendUpdates.isEmpty() || !requestEvents.isEmpty();
     }
 }
--- a/src/test/java/gullspar/proxy/events/EventsTest.java
+++ b/src/test/java/gullspar/proxy/events/EventsTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -45,4 +46,26 @@
         channel.runPendingTasks();
         assertEquals(List.of("next", "later"), delivered);
     }
+
+    /** All events of a turn were delivered in one go, however long that took: sockets were not read meanwhile. */
+    @Test
+    void longDeliveryIsInterrupted() {
+        long halfLimitNs = Events.MAX_DELIVERY_NS / 2;
+        AtomicLong clock = new AtomicLong();
+        Events slow = new Events(new Platform(channel.eventLoop(), clock::get, null, line -> {}));
+        for (int i = 0; i < 4; i++) {
+            slow.enqueue((now, module) -> {
+                clock.addAndGet(halfLimitNs);
+                delivered.add("request at " + now / halfLimitNs);
+            });
+        }
+        slow.enqueueBackendUpdate((now, module) -> delivered.add("list at " + now / halfLimitNs));
+        channel.eventLoop().execute(() -> delivered.add("other task"));
+        while (delivered.size() < 6) {
+            channel.runPendingTasks();
+        }
+        assertEquals(
+                List.of("list at 0", "request at 0", "request at 0", "other task", "request at 2", "request at 2"),
+                delivered);
+    }
 }
--- a/src/test/java/gullspar/proxy/io/OrderedNioHandlerTest.java
+++ b/src/test/java/gullspar/proxy/io/OrderedNioHandlerTest.java
@@ -18,8 +18,11 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
@@ -38,6 +41,9 @@
 @Timeout(60)
 class OrderedNioHandlerTest {
     private static final int TIMERS = 200;
+    /** The library looks at the time after so many tasks. */
+    private static final int TASKS_PER_TIME_CHECK = 64;
+
     private final ServingLoop serving = ServingLoop.start();
     /** What the loop served, in order, and how long the data may have waited. */
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
@@ -296,6 +302,27 @@
         assertTrue(serving.loop().submit(() -> serving.statistics().postponed()).get() > 0);
     }
 
+    /** Tasks that queue further tasks kept the loop from its sockets for a second. */
+    @Test
+    void fewLongTasksAreRunInOneTurn() throws Exception {
+        int tasks = 200;
+        Map<Long, Integer> tasksByTurn = new ConcurrentHashMap<>();
+        CountDownLatch left = new CountDownLatch(tasks);
+        serving.loop().execute(() -> runTask(left, tasksByTurn));
+        assertTrue(left.await(50, TimeUnit.SECONDS));
+        int most = Collections.max(tasksByTurn.values());
+        assertTrue(most <= TASKS_PER_TIME_CHECK, most + " tasks in one turn");
+    }
+
+    private void runTask(CountDownLatch left, Map<Long, Integer> tasksByTurn) {
+        tasksByTurn.merge(serving.statistics().turns(), 1, Integer::sum);
+        spin(TimeUnit.MILLISECONDS.toNanos(1));
+        left.countDown();
+        if (left.getCount() > 0) {
+            serving.loop().execute(() -> runTask(left, tasksByTurn));
+        }
+    }
+
     private static void write(Socket to) {
         try {
             to.getOutputStream().write(1);
