Control processes: handle at most 64 messages of a peer in one turn

Cause: related to the queue of pipelined requests, work that a peer decides within one turn, on the loop of a control process: all messages of a read were handled at once, some thousands of few bytes, each of which may ask for the states of all followers.

Change: after 64 messages the connection is neither decoded nor read until the next turn. What a peer has sent before it closes is still handled.

--- a/src/main/java/gullspar/versions/net/Link.java
+++ b/src/main/java/gullspar/versions/net/Link.java
@@ -1,5 +1,6 @@
 package gullspar.versions.net;
 
+import gullspar.proxy.io.NextTurn;
 import gullspar.versions.Message;
 import gullspar.versions.wire.Frames;
 import io.netty.buffer.ByteBuf;
@@ -28,6 +29,9 @@
         default void writable(Link link) {}
     }
 
+    /** Further messages wait for the next turn of the loop, so that a peer that sends many does not hold up the others. */
+    static final int MAX_MESSAGES_PER_TURN = 64;
+
     /** The reason given to the listener when the peer has closed the connection in any way. */
     static final String CLOSED_BY_PEER = "the peer closed the connection";
 
@@ -36,6 +40,10 @@
     private Channel channel;
     private String closeReason = CLOSED_BY_PEER;
     private boolean failed;
+    private int messagesInTurn;
+    /** What has been read is decoded in the next turn. */
+    private boolean paused;
+
     private long sentBytes;
     private long receivedBytes;
 
@@ -53,6 +61,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) throws Exception {
+        paused = false; // what has been read is decoded now
         super.channelInactive(context);
         listener.closed(this, closeReason);
     }
@@ -70,7 +79,7 @@
             in.skipBytes(in.readableBytes());
             return;
         }
-        if (in.readableBytes() < Integer.BYTES) {
+        if (paused || in.readableBytes() < Integer.BYTES) {
             return;
         }
         int length = in.getInt(in.readerIndex());
@@ -89,6 +98,34 @@
             listener.partReceived(this);
         } else {
             listener.received(this, m);
+            messagesInTurn++;
+        }
+        if (messagesInTurn >= MAX_MESSAGES_PER_TURN && context.channel().isActive()) {
+            pauseUntilNextTurn(context);
+        }
+    }
+
+    private void pauseUntilNextTurn(ChannelHandlerContext context) {
+        paused = true;
+        context.channel().config().setAutoRead(false);
+        NextTurn.run(context.channel().eventLoop(), () -> {
+            paused = false;
+            messagesInTurn = 0;
+            context.channel().config().setAutoRead(true);
+            context.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+            context.pipeline().fireChannelReadComplete();
+        });
+    }
+
+    /** While paused the superclass would request a read, as nothing was decoded. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        if (paused) {
+            discardSomeReadBytes();
+            context.fireChannelReadComplete();
+        } else {
+            messagesInTurn = 0;
+            super.channelReadComplete(context);
         }
     }
 
