--- a/src/test/java/gullspar/proxy/SmallChunksTest.java
+++ b/src/test/java/gullspar/proxy/SmallChunksTest.java
@@ -59,11 +59,7 @@
         CompletableFuture<Long> endTurn = new CompletableFuture<>();
         AtomicLong startTurn = new AtomicLong();
         try (Peer.Wire client = setup.client()) {
-            client.write(Setup.getRequest());
-            Request r = setup.nextRequest();
-            setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
-            Peer.Wire wire = backend.accept();
-            wire.read();
+            Peer.Wire wire = sendToBackend(client);
             setup.onOutcome = () -> endTurn.complete(turn());
             setup.runOnLoop(() -> {
                 startTurn.set(turn());
@@ -81,11 +77,7 @@
     void smallChunksOfLongResponseAreForwardedTogether() throws Exception {
         int chunks = Message.MAX_BUFFERED_RESPONSE_BYTES + 40_000;
         try (Peer.Wire client = setup.client()) {
-            client.write(Setup.getRequest());
-            Request r = setup.nextRequest();
-            setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
-            Peer.Wire wire = backend.accept();
-            wire.read();
+            Peer.Wire wire = sendToBackend(client);
             Thread writer = new Thread(() -> write(wire, RESPONSE_HEAD + CHUNK.repeat(chunks) + "0\r\n\r\n"));
             writer.start();
             assertTrue(client.read().startsWith("HTTP/1.1 200 "));
@@ -102,6 +94,16 @@
         }
     }
 
+    /** Sends a request of a client on and returns the connection on which the backend has read it. */
+    private Peer.Wire sendToBackend(Peer.Wire client) throws Exception {
+        client.write(Setup.getRequest());
+        Request r = setup.nextRequest();
+        setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
+        Peer.Wire wire = backend.accept();
+        wire.read();
+        return wire;
+    }
+
     private static int chunkSize(Peer.Wire client) throws IOException {
         return Integer.parseInt(client.readUntil("\r\n").trim(), 16);
     }
