Accept on SIGHUP what a start accepts: a setting that may be absent may go

Cause: Config.reload took each key that the previous configuration had and the new one has not for a sign of a file that is still being written.

Change: one function decides for a start and for SIGHUP. A file that is still being written ends before its document does, which the parser reports; it is read again as before.

--- a/src/main/java/gullspar/proxy/Daemon.java
+++ b/src/main/java/gullspar/proxy/Daemon.java
@@ -101,7 +101,7 @@
             LOG.write("class archive not used, it was made for another build or runtime: rebuild it; "
                     + "startup takes longer until then");
         }
-        Config config = reloader.readInitial();
+        Config config = Config.read(environment);
         LOG.write("configured: listens on " + (config.inherited() ? "descriptor 0" : config.listen()) + ", discovery "
                 + config.discovery() + ", descriptors " + config.sockets());
         Platform platform = config.inherited()
@@ -257,11 +257,10 @@
         return operatorEndpoint;
     }
 
-    /** Reads the configuration at startup and again on each SIGHUP, off the event loop. */
+    /** Reads the configuration again on each SIGHUP, off the event loop. */
     private static final class ConfigReloader {
         private final Map<String, String> environment;
         private final EventLoop loop;
-        private Config current;
         private AuxiliaryService auxiliary;
 
         ConfigReloader(Map<String, String> environment, EventLoop loop) {
@@ -273,11 +272,6 @@
             auxiliary = service;
         }
 
-        synchronized Config readInitial() throws ConfigException {
-            current = Config.read(environment);
-            return current;
-        }
-
         /** Retries a configuration that cannot be read, since the file may still be being written. */
         void reload(Proxy proxy) {
             ConfigException problem = tryReload(proxy);
@@ -297,8 +291,7 @@
         /** Returns why the configuration was rejected, or null if it was applied. */
         private synchronized ConfigException tryReload(Proxy proxy) {
             try {
-                current = Config.reload(environment, current);
-                Config config = current;
+                Config config = Config.reload(environment);
                 loop.execute(() -> proxy.reload(config));
                 return null;
             } catch (ConfigException e) {
--- a/src/main/java/gullspar/proxy/config/Config.java
+++ b/src/main/java/gullspar/proxy/config/Config.java
@@ -17,7 +17,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 
 /**
  * The configuration of a proxy: the file at NODE_CONFIG; at startup NODE_LISTEN, NODE_DISCOVERY and NODE_OPERATOR
@@ -25,7 +24,7 @@
  * descriptors for connections; known: the known list of backends, used until discovery answers; operator: the address
  * of the operator endpoint, null for none; inherited: the platform holds the client listener (descriptor 0), and a
  * second process may take over; operatorsFile: the operators' settings for this process, null for none; name: the
- * platform's name for this process, null for none; keys: the paths of all keys, except those inside lists.
+ * platform's name for this process, null for none.
  */
 public record Config(
         InetSocketAddress listen,
@@ -44,8 +43,7 @@
         InetSocketAddress operator,
         boolean inherited,
         Path operatorsFile,
-        String name,
-        Set<String> keys) {
+        String name) {
 
     /** Reads the file that the environment names. */
     public static Config read(Map<String, String> environment) throws ConfigException {
@@ -70,19 +68,13 @@
 
     /**
      * Reads the configuration again. The discovery address may change after startup, so the file's takes precedence
-     * over that of the environment, which is still that of startup. If a key is missing that the previous configuration
-     * had, the file is rejected as incompletely written.
+     * over that of the environment, which is still that of startup. What a start accepts is accepted here: a file that
+     * is still being written ends before its document does.
      */
-    public static Config reload(Map<String, String> environment, Config previous) throws ConfigException {
+    public static Config reload(Map<String, String> environment) throws ConfigException {
         Map<String, String> effective = new HashMap<>(environment);
         effective.remove("NODE_DISCOVERY");
-        Config c = read(effective);
-        for (String key : previous.keys) {
-            if (!c.keys.contains(key)) {
-                throw new ConfigException(key + " is missing; it was set in the previous configuration");
-            }
-        }
-        return c;
+        return read(effective);
     }
 
     /** The longest deadline of any class. */
@@ -111,8 +103,6 @@
         if (!descriptor.isEmpty() && !descriptor.equals("0")) {
             throw new ConfigException("NODE_SOCKET_FD is '" + descriptor + "': only descriptor 0 can be taken over");
         }
-        Set<String> keys = new TreeSet<>();
-        collectKeys("", root, keys);
         try {
             return new Config(
                     parseAddress("NODE_LISTEN", environment, root.path("listen")),
@@ -134,8 +124,7 @@
                     root.hasNonNull("operators_file")
                             ? Path.of(root.path("operators_file").asText())
                             : null,
-                    environment.getOrDefault("NODE_NAME", root.path("name").asText(null)),
-                    keys);
+                    environment.getOrDefault("NODE_NAME", root.path("name").asText(null)));
         } catch (NumberFormatException e) {
             throw new ConfigException(
                     "seed is not a hexadecimal number: " + root.path("seed").asText());
@@ -161,17 +150,6 @@
         }
     }
 
-    /** Collects key paths. `known`, data about backends, is optional and so left out. */
-    private static void collectKeys(String path, JsonNode node, Set<String> keys) {
-        node.properties().forEach(e -> {
-            String key = path.isEmpty() ? e.getKey() : path + "." + e.getKey();
-            if (!key.equals("known")) {
-                keys.add(key);
-                collectKeys(key, e.getValue(), keys);
-            }
-        });
-    }
-
     private static InetSocketAddress parseOperatorAddress(Map<String, String> environment, JsonNode root)
             throws ConfigException {
         boolean isSet = root.has("operator") || environment.containsKey("NODE_OPERATOR");
