Plain HTTP: decode requests read ahead only up to the limit of what they hold

Cause: the limit of 64 KB on what is held of pipelined requests was checked before a read only, and all of a read was decoded: 32 KB of small requests become a thousand heads, for each connection. It held for requests behind one that waits for its pool or its client, and, since they are spread over turns, for those with fixed responses.

Change: the decoder pauses at the limit and goes on behind the next response; the rest of the read stays as bytes.

Measured: UnreadResponsesTest#smallRequestsAreDecodedOnlyUpToTheLimit is red without the pause; it also wants each of the 1,000 requests answered.

--- a/src/main/java/gullspar/proxy/client/RequestDecoder.java
+++ b/src/main/java/gullspar/proxy/client/RequestDecoder.java
@@ -39,16 +39,17 @@
     }
 
     /** Keeps further input undecoded until {@link #resume}. */
-    void pause() {
+    public void pause() {
         paused = true;
     }
 
     /** Decodes again from the next read on; what was kept comes first. */
-    void resume() {
+    public void resume() {
         paused = false;
     }
 
-    boolean isPaused() {
+    /** True while further input is kept undecoded. */
+    public boolean isPaused() {
         return paused;
     }
 
@@ -73,7 +74,7 @@
     }
 
     /** Number of heads and parts of bodies decoded so far. */
-    long decodedParts() {
+    public long decodedParts() {
         return decodedParts;
     }
 
--- a/src/main/java/gullspar/site/client/PlainClient.java
+++ b/src/main/java/gullspar/site/client/PlainClient.java
@@ -163,6 +163,22 @@
         pipelined.add(o);
         pipelinedBytes += memoryBytes(o);
         processPipelined();
+        if (!hasRoomForPipelined()) {
+            decoder.pause(); // one read may hold a thousand small requests, whose heads take many times its bytes
+        }
+    }
+
+    private boolean hasRoomForPipelined() {
+        return pipelinedBytes < MAX_PIPELINED_BYTES && pipelined.size() < MAX_PIPELINED_OBJECTS;
+    }
+
+    /** Decodes what was left of the last read, once there is room. */
+    private void resumeDecoding() {
+        if (decoder.isPaused() && hasRoomForPipelined()) {
+            decoder.resume();
+            channel.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER);
+            channel.pipeline().fireChannelReadComplete();
+        }
     }
 
     @Override
@@ -179,7 +195,7 @@
     }
 
     void read() {
-        if (!reading && pipelinedBytes < MAX_PIPELINED_BYTES && pipelined.size() < MAX_PIPELINED_OBJECTS) {
+        if (!reading && !decoder.isPaused() && hasRoomForPipelined()) {
             reading = true;
             channel.read();
         }
@@ -479,6 +495,7 @@
     private void continueAfterResponse() {
         awaitsContinuation = false;
         processPipelined();
+        resumeDecoding();
         trackPartialRequest();
         read();
     }
--- a/src/main/java/gullspar/site/client/PlainDecoder.java
+++ b/src/main/java/gullspar/site/client/PlainDecoder.java
@@ -32,7 +32,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
-        if (inHead && hasFoldedLine(in)) {
+        if (!isPaused() && inHead && hasFoldedLine(in)) {
             in.skipBytes(in.readableBytes());
             DefaultFullHttpRequest malformed = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
             malformed.setDecoderResult(DecoderResult.failure(
--- a/src/test/java/gullspar/site/client/UnreadResponsesTest.java
+++ b/src/test/java/gullspar/site/client/UnreadResponsesTest.java
@@ -45,6 +45,9 @@
             """
                     .formatted("x".repeat(BODY_CHARS));
     private static final int PIPELINED = 5;
+    /** So many fit into one read of 32 KB. */
+    private static final int SMALL_REQUESTS = 1000;
+
     private static final int LARGE_FIELD_CHARS = 32 << 10;
     private static final int MAX_LARGE_REQUESTS = 4;
 
@@ -160,6 +163,23 @@
         assertFalse(channel.isOpen());
     }
 
+    /** All small requests of a read were decoded, whatever their heads took. */
+    @Test
+    void smallRequestsAreDecodedOnlyUpToTheLimit() {
+        send(request(""));
+        int writesPerResponse = writes.size();
+        PlainDecoder decoder = channel.pipeline().get(PlainDecoder.class);
+        long decodedBefore = decoder.decodedParts();
+        send(request("").repeat(SMALL_REQUESTS));
+        long decoded = decoder.decodedParts() - decodedBefore;
+        assertTrue(decoded < SMALL_REQUESTS / 2, decoded + " decoded");
+        for (int answered = 0; answered <= SMALL_REQUESTS; answered++) {
+            assertEquals(writesPerResponse, writes.size(), "response " + answered);
+            completeWrites(writesPerResponse);
+        }
+        assertTrue(writes.isEmpty());
+    }
+
     /** Only bodies were counted: a client could have a thousand heads of 64 KB read ahead. */
     @Test
     void headsOfPipelinedRequestsAreReadOnlyUpToTheLimit() {
