--- a/src/main/java/gullspar/versions/net/Link.java
+++ b/src/main/java/gullspar/versions/net/Link.java
@@ -29,7 +29,7 @@
         default void writable(Link link) {}
     }
 
-    /** Further messages wait for the next turn of the loop, so that a peer that sends many does not hold up the others. */
+    /** Further messages wait for the next turn of the loop: a peer that sends many must not hold up the others. */
     static final int MAX_MESSAGES_PER_TURN = 64;
 
     /** The reason given to the listener when the peer has closed the connection in any way. */
