Log why attempts ended without a whole response, by reason, every 10 s

Change: each way in which Connection ends a response has a reason (ResponseFailure); one line per 10 s counts them, with the first request and backend of each. ChannelReads.hasReadEndOfStream tells an end by the backend (FIN) from a reset and from a close by this side; the in-memory transport of rehearsals reports it too. Nothing is decided otherwise than before.

Result: StreamedResponseTest#reasonOfAFailedResponseIsLogged (nine ways to fail), BackendsTest, BegunResponseTest and ErrorPathClassesTest pass.

--- a/src/main/java/gullspar/proxy/backend/Backends.java
+++ b/src/main/java/gullspar/proxy/backend/Backends.java
@@ -34,6 +34,8 @@
     private static final long KEEP_ALIVE_MARGIN_NS = 1_500_000_000L;
     /** Interval of closing expired idle connections. */
     private static final long SWEEP_INTERVAL_MS = 500;
+    /** Interval of the log line on attempts without a whole response. */
+    private static final long LOG_INTERVAL_MS = 10_000;
 
     private final EventLoop loop;
     private final Transport transport;
@@ -45,6 +47,7 @@
     private final long keepAliveNs;
     private final long drainGraceNs;
     private final Map<Integer, Backend> backends = new HashMap<>();
+    private final ResponseFailureLog failures = new ResponseFailureLog();
     private long writtenCount;
     private long unexpectedBytesCount;
 
@@ -61,6 +64,8 @@
         this.drainGraceNs = config.drainGraceNs();
         Runnable closeExpired = Errors.guarded(log, "closing expired connections failed", this::closeExpired);
         loop.scheduleAtFixedRate(closeExpired, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        Runnable logFailures = Errors.guarded(log, "the log of attempts failed", () -> failures.writeAndReset(log));
+        loop.scheduleWithFixedDelay(logFailures, LOG_INTERVAL_MS, LOG_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
 
     // ---- the list of backends ----
@@ -199,7 +204,7 @@
 
     private void connect(Attempt attempt) {
         Connection connection =
-                new Connection(attempt.backend(), loop, clock, drainGraceNs, budget, this::onUnexpectedBytes);
+                new Connection(attempt.backend(), loop, clock, drainGraceNs, budget, this::onUnexpectedBytes, failures);
         Bootstrap bootstrap = transport
                 .clientBootstrap(attempt.backend().address)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, connectTimeoutNs / 1_000_000))
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -57,12 +57,17 @@
     private final long drainGraceNs;
     private final MemoryBudget budget;
     private final Consumer<Backend> unexpectedBytesListener;
+    private final ResponseFailureLog failures;
     private final BackendResponseDecoder decoder =
             new BackendResponseDecoder(this, MAX_STATUS_LINE_BYTES, MAX_HEAD_BYTES);
     private Channel channel;
     private long idleSinceNs;
     private Attempt attempt;
+    /** The id of the last request, for the log. */
+    private String requestId;
+    /** The last head that was received, of an interim or a final response; null if none was. */
     private HttpResponse head;
+
     private ByteBuf body;
     /** Bytes of the body's buffer that are reserved in the budget. */
     private int reservedBytes;
@@ -87,9 +92,11 @@
             Clock clock,
             long drainGraceNs,
             MemoryBudget budget,
-            Consumer<Backend> unexpectedBytesListener) {
+            Consumer<Backend> unexpectedBytesListener,
+            ResponseFailureLog failures) {
         this.budget = budget;
         this.unexpectedBytesListener = unexpectedBytesListener;
+        this.failures = failures;
         this.backend = backend;
         this.address = backend.address;
         this.bootNs = backend.bootNs;
@@ -141,6 +148,7 @@
             return;
         }
         attempt = newAttempt;
+        requestId = newAttempt.request().id();
         head = null;
         interimCount = 0;
         isResponseComplete = false;
@@ -191,7 +199,8 @@
         if (success) {
             writtenAttempt.markWritten();
         } else if (attempt == writtenAttempt) {
-            fail(); // the last byte was not written, so the backend has not started the request
+            // The backend has not started the request.
+            fail(ResponseFailure.REQUEST_NOT_WRITTEN);
         } else {
             channel.close();
         }
@@ -221,33 +230,18 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (attempt == null && rest == null || message.decoderResult().isFailure()) {
-            fail();
+            fail(ResponseFailure.MALFORMED);
             return;
         }
-        if (message instanceof HttpResponse r) {
-            head = r;
-            boolean isInterim = r.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-            if (isInterim
-                    ? ++interimCount > MAX_INTERIM_RESPONSES || r.status().code() == 101
-                    : !ResponseHeads.hasKnownLength(r)) {
-                fail();
-                return;
-            }
-            if (!isInterim && attempt != null) {
-                attempt.markBegun();
-            }
-            if (!isInterim
-                    && HttpUtil.getContentLength(r, 0L) > Message.MAX_BUFFERED_RESPONSE_BYTES
-                    && !startStreaming()) {
-                return;
-            }
+        if (message instanceof HttpResponse r && !acceptHead(r)) {
+            return;
         }
         if (message instanceof HttpContent content && !acceptContent(content.content())) {
-            fail();
+            fail(ResponseFailure.TOO_LONG);
             return;
         }
         if (message instanceof LastHttpContent) {
-            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            if (hasInterimHead()) {
                 decoder.expectResponse();
             } else {
                 isResponseComplete = true;
@@ -256,6 +250,31 @@
         }
     }
 
+    private boolean hasInterimHead() {
+        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
+    /** Handles a head; returns false if the response was failed. */
+    private boolean acceptHead(HttpResponse r) {
+        head = r;
+        if (hasInterimHead()) {
+            if (++interimCount > MAX_INTERIM_RESPONSES || r.status().code() == 101) {
+                fail(ResponseFailure.UNEXPECTED_INTERIM);
+                return false;
+            }
+            return true;
+        }
+        ResponseFailure refusal = ResponseHeads.refusalOf(r);
+        if (refusal != null) {
+            fail(refusal);
+            return false;
+        }
+        if (attempt != null) {
+            attempt.markBegun();
+        }
+        return HttpUtil.getContentLength(r, 0L) <= Message.MAX_BUFFERED_RESPONSE_BYTES || startStreaming();
+    }
+
     /** Buffers or streams a part of the body; returns false if the body exceeds its limit. */
     private boolean acceptContent(ByteBuf bytes) {
         if (rest == null && bytes.readableBytes() > body.maxWritableBytes() && !startStreaming()) {
@@ -287,8 +306,7 @@
      * is streamed from here on; the status of another one is known without its body.
      */
     void endWithBegunResponse(Attempt timedOut) {
-        boolean hasBegun =
-                attempt == timedOut && head != null && head.status().codeClass() != HttpStatusClass.INFORMATIONAL;
+        boolean hasBegun = attempt == timedOut && head != null && !hasInterimHead();
         if (!hasBegun || !timedOut.isWritten()) {
             return;
         }
@@ -304,8 +322,12 @@
     /** Ends the attempt with a response too large to be buffered, and streams the rest of it. */
     private boolean startStreaming() {
         Attempt endedAttempt = attempt;
-        if (ResponseHeads.statusOf(head) != Status.OK || !endedAttempt.isWritten()) {
-            fail(); // neither failures nor responses before the end of the request are streamed
+        if (ResponseHeads.statusOf(head) != Status.OK) {
+            fail(ResponseFailure.TOO_LONG);
+            return false;
+        }
+        if (!endedAttempt.isWritten()) {
+            fail(ResponseFailure.RESPONSE_BEFORE_REQUEST_END);
             return false;
         }
         attempt = null;
@@ -327,14 +349,14 @@
      */
     private void abortStreaming() {
         if (rest != null) {
-            channel.close();
+            fail(ResponseFailure.CLIENT_LEFT);
         }
     }
 
     @Override
     public void onUnexpectedBytes() {
         unexpectedBytesListener.accept(backend);
-        fail();
+        fail(ResponseFailure.UNEXPECTED_BYTES);
     }
 
     /**
@@ -345,7 +367,7 @@
     public void onTrailingBytes(boolean startsResponse) {
         unexpectedBytesListener.accept(backend);
         if (!hasTrailingBytes && !startsResponse) {
-            fail();
+            fail(ResponseFailure.TRAILING_BYTES);
         }
         hasTrailingBytes = true;
     }
@@ -391,7 +413,7 @@
     private void finishBuffered() {
         Attempt endedAttempt = attempt;
         if (ResponseHeads.statusOf(head) == Status.OK && !endedAttempt.isWritten()) {
-            fail(); // a response before the end of the request cannot belong to it
+            fail(ResponseFailure.RESPONSE_BEFORE_REQUEST_END); // it cannot belong to the request
             return;
         }
         attempt = null;
@@ -416,9 +438,14 @@
      * Ends the attempt before closing the connection: on close the decoder emits what it holds, which must not
      * complete a response that was found invalid.
      */
-    private void fail() {
+    private void fail(ResponseFailure reason) {
         Attempt failedAttempt = attempt;
         attempt = null;
+        if (rest != null || failedAttempt != null && !failedAttempt.hasEnded()) {
+            boolean hasFinalHead = head != null && !hasInterimHead();
+            failures.count(
+                    reason, requestId, address, hasFinalHead ? head.status().code() : 0);
+        }
         reserveBody(0);
         decoder.abandon();
         backend.idle.remove(this);
@@ -443,7 +470,10 @@
         } else if (isResponseComplete && rest != null) {
             finishStreaming();
         }
-        fail();
+        fail(
+                ChannelReads.hasReadEndOfStream(ctx.channel())
+                        ? ResponseFailure.ENDED_EARLY
+                        : ResponseFailure.CONNECTION_BROKEN);
     }
 
     @Override
--- a/src/main/java/gullspar/proxy/backend/ResponseHeads.java
+++ b/src/main/java/gullspar/proxy/backend/ResponseHeads.java
@@ -10,19 +10,21 @@
 final class ResponseHeads {
     private ResponseHeads() {}
 
-    /**
-     * Whether the head determines the end of the response, within the maximum length. A response that only the end
-     * of the connection delimits cannot be distinguished from a truncated one.
-     */
-    static boolean hasKnownLength(HttpResponse r) {
+    /** Returns why a final response is refused by its head; null if it is accepted. */
+    static ResponseFailure refusalOf(HttpResponse r) {
         if (!r.protocolVersion().equals(HttpVersion.HTTP_1_1)
                 && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
-            return false;
+            return ResponseFailure.MALFORMED;
         }
-        return HttpUtil.isTransferEncodingChunked(r)
+        if (HttpUtil.isTransferEncodingChunked(r)
                 || r.status().code() == 204
-                || r.status().code() == 304
-                || HttpUtil.isContentLengthSet(r) && HttpUtil.getContentLength(r, -1L) <= Message.MAX_BODY_BYTES;
+                || r.status().code() == 304) {
+            return null;
+        }
+        if (!HttpUtil.isContentLengthSet(r)) {
+            return ResponseFailure.UNKNOWN_LENGTH;
+        }
+        return HttpUtil.getContentLength(r, -1L) <= Message.MAX_BODY_BYTES ? null : ResponseFailure.TOO_LONG;
     }
 
     static Status statusOf(HttpResponse r) {
--- a/src/main/java/gullspar/proxy/io/ChannelReads.java
+++ b/src/main/java/gullspar/proxy/io/ChannelReads.java
@@ -17,4 +17,12 @@
         }
         return channel.isActive();
     }
+
+    /**
+     * Whether the remote end has ended its sending and all that it sent has been read. False after a reset, after
+     * another failure, and after a close by this side: after these bytes may be missing. On its event loop.
+     */
+    public static boolean hasReadEndOfStream(Channel channel) {
+        return channel.unsafe().recvBufAllocHandle().lastBytesRead() < 0;
+    }
 }
--- a/src/main/java/gullspar/rehearse/net/MemoryChannel.java
+++ b/src/main/java/gullspar/rehearse/net/MemoryChannel.java
@@ -181,6 +181,8 @@
         inputClosed = true;
         if (reset) {
             pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
+        } else {
+            unsafe().recvBufAllocHandle().lastBytesRead(-1); // the end of the stream, as on a socket
         }
         unsafe().close(unsafe().voidPromise());
     }
--- a/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
+++ b/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
@@ -14,11 +14,13 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Responses that are streamed to a client which has not read all of them yet. */
@@ -28,14 +30,22 @@
     private final Backend backend = new Backend();
     private final MemoryBudget budget = MemoryBudget.unlimited();
     private final EmbeddedChannel channel = new EmbeddedChannel();
+    private final ResponseFailureLog failures = new ResponseFailureLog();
     private int accusations;
-    private final Connection connection =
-            new Connection(backend, channel.eventLoop(), () -> 1, 1, budget, b -> accusations++);
+    private final Connection connection = newConnection();
     private final List<BackendResponse> responses = new ArrayList<>();
 
+    private Connection newConnection() {
+        backend.address = new InetSocketAddress("127.0.0.1", 9000);
+        return new Connection(backend, channel.eventLoop(), () -> 1, 1, budget, b -> accusations++, failures);
+    }
+
     private void startAttempt() {
         Message m = Message.withFullBody(
-                HttpMethod.GET, "/look", new DefaultHttpHeaders(), new Body(new MemoryBudget(1000), 1000));
+                HttpMethod.GET,
+                "/look",
+                new DefaultHttpHeaders().set("Request-Id", "r1"),
+                new Body(new MemoryBudget(1000), 1000));
         connection.start(new Attempt(
                 backend,
                 m,
@@ -129,6 +139,38 @@
         assertEquals(0, accusations);
     }
 
+    /** The log of a report did not say why responses had been given up. */
+    @ParameterizedTest
+    @CsvSource({
+        "'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf', true, 'ended before the end of the response', 200",
+        "'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf', false, 'connection broken', 200",
+        "'', true, 'ended before the end of the response', 0",
+        "'HTTP/1.1 100 Continue\r\n\r\n', false, 'connection broken', 0",
+        "'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwhole of it', false, 'bytes behind the declared end', 200",
+        "'HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n', false, 'too long', 200",
+        "'HTTP/1.1 200 OK\r\nno colon\r\n\r\n', false, 'malformed', 0",
+        "'HTTP/1.1 101 Switching Protocols\r\n\r\n', false, 'unexpected interim response', 0",
+        "noise, false, 'bytes that start no response', 0"
+    })
+    void reasonOfAFailedResponseIsLogged(String text, boolean isEndOfStream, String reason, int status) {
+        connection.setChannel(channel);
+        connection.initPipeline(channel);
+        startAttempt();
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+        if (isEndOfStream) {
+            channel.unsafe().recvBufAllocHandle().lastBytesRead(-1);
+        }
+        channel.close();
+        channel.runPendingTasks();
+        List<String> lines = new ArrayList<>();
+        failures.writeAndReset(lines::add);
+        failures.writeAndReset(lines::add);
+        assertEquals(
+                List.of("attempts without a whole response: 1 " + reason + " (first: request r1 at 127.0.0.1:9000, "
+                        + (status == 0 ? "no head)" : "status " + status + ")")),
+                lines);
+    }
+
     @Test
     void droppingAnIncompleteResponseClosesItsConnection() {
         connection.setChannel(channel);
