Forward responses without a length; only a FIN ends them, a reset does not

Cause: Connection failed each such response at its head, as one that cannot be told from a truncated one. It can: a FIN and a reset differ.

Change: such a response is buffered or streamed as a chunked one is. Its connection is never used again.

--- a/src/main/java/gullspar/proxy/backend/ResponseFailure.java
+++ b/src/main/java/gullspar/proxy/backend/ResponseFailure.java
@@ -12,8 +12,6 @@
     RESPONSE_BEFORE_REQUEST_END("response before the end of the request"),
     /** The status line, a header field or a chunk is invalid. */
     MALFORMED("malformed"),
-    /** Neither the length of the body nor chunks are declared. */
-    UNKNOWN_LENGTH("no length"),
     /** The body, or the head, exceeds its limit. */
     TOO_LONG("too long"),
     /** Too many interim responses, or a change of protocol. */
--- a/src/main/java/gullspar/proxy/backend/ResponseHeads.java
+++ b/src/main/java/gullspar/proxy/backend/ResponseHeads.java
@@ -16,15 +16,16 @@
                 && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             return ResponseFailure.MALFORMED;
         }
-        if (HttpUtil.isTransferEncodingChunked(r)
-                || r.status().code() == 204
-                || r.status().code() == 304) {
-            return null;
-        }
-        if (!HttpUtil.isContentLengthSet(r)) {
-            return ResponseFailure.UNKNOWN_LENGTH;
-        }
-        return HttpUtil.getContentLength(r, -1L) <= Message.MAX_BODY_BYTES ? null : ResponseFailure.TOO_LONG;
+        boolean isTooLong = HttpUtil.getContentLength(r, 0L) > Message.MAX_BODY_BYTES;
+        return isTooLong && !HttpUtil.isTransferEncodingChunked(r) ? ResponseFailure.TOO_LONG : null;
+    }
+
+    /** Whether the body of a final response lasts until the backend ends the connection (RFC 9112, section 6.3). */
+    static boolean endsWithConnection(HttpResponse r) {
+        return !HttpUtil.isTransferEncodingChunked(r)
+                && !HttpUtil.isContentLengthSet(r)
+                && r.status().code() != 204
+                && r.status().code() != 304;
     }
 
     static Status statusOf(HttpResponse r) {
--- a/src/test/java/gullspar/proxy/Peer.java
+++ b/src/test/java/gullspar/proxy/Peer.java
@@ -1,6 +1,7 @@
 package gullspar.proxy;
 
 import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -131,6 +132,26 @@
             return s.toString();
         }
 
+        /** Reads a chunked body up to its last chunk; throws an IOException if the connection ends before. */
+        public String readChunkedBody() throws IOException {
+            StringBuilder body = new StringBuilder();
+            while (true) {
+                String sizeLine = readUntil("\r\n");
+                if (!sizeLine.endsWith("\r\n")) {
+                    throw new EOFException("the connection ended after " + body.length() + " bytes of the body");
+                }
+                int size = Integer.parseInt(sizeLine.trim(), 16);
+                String chunk = readBytes(size + 2);
+                if (chunk.length() < size + 2) {
+                    throw new EOFException("the connection ended within a chunk");
+                }
+                if (size == 0) {
+                    return body.toString();
+                }
+                body.append(chunk, 0, size);
+            }
+        }
+
         /** Waits for a byte or the end; true if the other side has closed or reset the connection. */
         public boolean ended() {
             try {
