Keep the status of an error response that is longer than what is buffered

Callers could see 502 for an unsafe request that a backend had refused without starting it (503 with Not-Started: 1), and a backend's 4xx became a retry: an error longer than 64 KB counted as a reset, whatever its framing, one that declared more than 32 MiB too.

Cause: Connection.startStreaming failed every response above 64 KB whose status is not 200, as its body is not streamed. Its body is not needed: the status is known from the head.

Change: such a response ends its attempt with its status, as one that is cut off by a limit of time did already, and its connection is closed.

--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -329,16 +329,25 @@
             startStreaming();
             return;
         }
+        endWithStatus(timedOut);
+    }
+
+    /** Ends the attempt with the status of a response whose body is not needed, and closes the connection. */
+    private void endWithStatus(Attempt endedAttempt) {
         attempt = null;
-        endBuffered(timedOut);
+        decoder.abandon();
+        endBuffered(endedAttempt);
         channel.close();
     }
 
-    /** Ends the attempt with a response too large to be buffered, and streams the rest of it. */
+    /**
+     * Ends the attempt with a response too large to be buffered, and streams the rest of it. Only the status of an
+     * error is needed. Returns false if nothing is streamed.
+     */
     private boolean startStreaming() {
         Attempt endedAttempt = attempt;
         if (ResponseHeads.statusOf(head) != Status.OK) {
-            fail(ResponseFailure.TOO_LONG);
+            endWithStatus(endedAttempt);
             return false;
         }
         if (!endedAttempt.isWritten()) {
--- a/src/main/java/gullspar/proxy/backend/ResponseHeads.java
+++ b/src/main/java/gullspar/proxy/backend/ResponseHeads.java
@@ -16,7 +16,7 @@
                 && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             return ResponseFailure.MALFORMED;
         }
-        boolean isTooLong = HttpUtil.getContentLength(r, 0L) > Message.MAX_BODY_BYTES;
+        boolean isTooLong = HttpUtil.getContentLength(r, 0L) > Message.MAX_BODY_BYTES && statusOf(r) == Status.OK;
         return isTooLong && !HttpUtil.isTransferEncodingChunked(r) ? ResponseFailure.TOO_LONG : null;
     }
 
--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -89,6 +89,28 @@
         }
     }
 
+    /** An error longer than what is buffered counted as a reset: the request may have run, whatever its head said. */
+    @ParameterizedTest
+    @CsvSource({
+        "500 Oops, Content-Length: 70000, ERROR",
+        "503 Busy, Not-Started: 1|Content-Length: 70000, FULL",
+        "503 Busy, Not-Started: 1|Content-Length: 33554433, FULL",
+        "503 Busy, Not-Started: 1|Transfer-Encoding: chunked||11170|, FULL",
+        "503 Busy, Not-Started: 1|Connection: close, FULL",
+        "404 Not Found, Content-Length: 70000, MOOT"
+    })
+    void statusOfALongErrorIsKept(String line, String fields, Status status) throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            sendRequest(client);
+            Peer.Wire wire = backend.accept();
+            wire.read();
+            String separator = fields.contains("||") ? "" : "\r\n\r\n";
+            wire.write("HTTP/1.1 " + line + "\r\n" + fields.replace("|", "\r\n") + separator + "x".repeat(70_000));
+            assertEquals(status, setup.nextOutcome().status());
+            assertTrue(wire.ended(), "the connection is not used again");
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "HTTP/1.1 200 OK|Content-Length: 9||half",
