Do not cut a response when the client of an earlier one on its connection leaves

Callers could see a sound response cut off in the middle: a client that had not yet read all of an earlier, completely received response left, and the response that was streamed on the same backend connection to another client was closed with it.

Cause: the callbacks of a BodyStream were bound to the connection and not to the response. BodyStream.drop calls them also once the stream is complete; Connection.abortStreaming then found the stream of the next response. Found while looking for each place where the proxy itself ends a begun response.

Change: the callbacks do nothing once their stream is no longer the one that is being received.

Result: StreamedResponseTest#droppingACompleteResponseDoesNotCutTheNextOneOfItsConnection failed before (channel closed), passes; no real run has shown this order.

--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -355,7 +355,7 @@
             return false;
         }
         attempt = null;
-        rest = new BodyStream(budget, () -> channel.config().setAutoRead(true), this::abortStreaming);
+        rest = new StreamedBody().stream;
         streamedBytes = body.readableBytes();
         byte[] bytes = new byte[body.readableBytes()];
         body.readBytes(bytes);
@@ -368,12 +368,22 @@
     }
 
     /**
-     * Closes the connection because the rest of the response is not needed. Once the response is complete the
-     * connection may carry another attempt and stays open.
+     * A streamed body. Its reader may use it after it is complete, when the connection may carry another response: then
+     * it no longer affects the connection.
      */
-    private void abortStreaming() {
-        if (rest != null) {
-            fail(ResponseFailure.CLIENT_LEFT);
+    private final class StreamedBody {
+        private final BodyStream stream = new BodyStream(budget, this::resumeReading, this::abortStreaming);
+
+        private void resumeReading() {
+            if (rest == stream) {
+                channel.config().setAutoRead(true);
+            }
+        }
+
+        private void abortStreaming() {
+            if (rest == stream) {
+                fail(ResponseFailure.CLIENT_LEFT);
+            }
         }
     }
 
--- a/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
+++ b/src/test/java/gullspar/proxy/backend/StreamedResponseTest.java
@@ -94,6 +94,25 @@
         assertEquals(10, responses.get(1).body().length);
     }
 
+    /** The client of the first response leaves while the second one is being streamed. */
+    @Test
+    void droppingACompleteResponseDoesNotCutTheNextOneOfItsConnection() {
+        connection.setChannel(channel);
+        connection.initPipeline(channel);
+        startAttempt();
+        writeResponse(LENGTH);
+        backend.idle.remove(connection);
+        startAttempt();
+        ByteBuf begun = Unpooled.buffer();
+        begun.writeCharSequence("HTTP/1.1 200 OK\r\nContent-Length: " + LENGTH + "\r\n\r\n", StandardCharsets.US_ASCII);
+        channel.writeInbound(begun.writeZero(LENGTH / 2));
+        assertEquals(2, responses.size());
+        responses.get(0).rest().drop();
+        channel.runPendingTasks();
+        assertTrue(channel.isOpen());
+        assertTrue(responses.get(1).rest().isReceiving());
+    }
+
     /** Responses that backends write slowly were outside the budget. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
