Reset the connection of an HTTP/1.0 client whose response is cut off

Callers with HTTP/1.0 took a cut off response for a whole one: to them a response of unknown length ends with the connection, and the proxy ended it in order whether the backend had finished, had been reset, had stalled or had sent too much.

Cause: Client closes the connection of an unfinished response. With chunks the missing last chunk tells; without chunks only the kind of the close can.

Change: while such a response is being forwarded any close of the connection is a reset (SO_LINGER 0, also for a process that ends); once its last byte is written the close is orderly again.

Result: ResponseWithoutLengthTest#clientWithoutChunksSeesTheKindOfTheEnd: with a reset at the backend it failed before (orderly end), passes; with a FIN all bytes arrive, before and after.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -6,6 +6,7 @@
 import gullspar.proxy.http.MemoryBudget;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.NextTurn;
+import gullspar.proxy.io.ResetOnClose;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -152,6 +153,8 @@
     private HttpVersion version = HttpVersion.HTTP_1_1;
     /** The connection closes after the response that is being forwarded. */
     private boolean lastResponse;
+    /** The response that is being forwarded has neither a length nor chunks: the close is its end. */
+    private boolean isDelimitedByClose;
     /** The client sends its body only after 100 Continue, which has not been sent. */
     private boolean awaitsContinue;
     /** The connection closes while part of a request may still be received. */
@@ -689,6 +692,9 @@
      * for a while instead.
      */
     private void closeAfterResponse() {
+        if (isDelimitedByClose) {
+            ResetOnClose.disable(channel);
+        }
         if (requestIncomplete && channel instanceof DuplexChannel duplex && channel.isActive()) {
             channel.config().setAutoRead(true);
             duplex.shutdownOutput();
@@ -711,7 +717,9 @@
         } else if (chunked) {
             HttpUtil.setTransferEncodingChunked(r, true);
         } else {
-            keepAlive = false; // the end of the body is marked by closing the connection
+            keepAlive = false;
+            isDelimitedByClose = true;
+            ResetOnClose.enable(channel);
         }
         responseStream = stream;
         onResponseSent = onSent;
--- a/src/test/java/gullspar/proxy/ResponseWithoutLengthTest.java
+++ b/src/test/java/gullspar/proxy/ResponseWithoutLengthTest.java
@@ -251,6 +251,30 @@
         }
     }
 
+    /** To such a client the end of the connection is the end of the response, so an aborted one looked whole. */
+    @ParameterizedTest
+    @EnumSource(
+            value = End.class,
+            names = {"FIN", "RESET"})
+    void clientWithoutChunksSeesTheKindOfTheEnd(End end) throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            client.write(Setup.getRequest().replace("HTTP/1.1", "HTTP/1.0"));
+            Request r = setup.nextRequest();
+            setup.runOnLoop(() -> setup.actions.send(r.ticket(), server, 0));
+            Peer.Wire wire = acceptRequest();
+            wire.write(HEAD + "x".repeat(LARGE_BYTES));
+            assertEquals(Status.OK, setup.nextOutcome().status());
+            String head = client.readUntil("\r\n\r\n");
+            assertFalse(head.toLowerCase().contains("transfer-encoding"), head);
+            end.apply(wire);
+            if (end == End.FIN) {
+                assertEquals(LARGE_BYTES, client.readBytes(2 * LARGE_BYTES).length());
+            } else {
+                assertThrows(IOException.class, () -> client.readBytes(2 * LARGE_BYTES));
+            }
+        }
+    }
+
     @Test
     void openResponseIsServedWholeDuringAPlannedEnd() throws Exception {
         try (Peer.Wire client = setup.client()) {
