Plain HTTP: do not end a response as whole when its connection breaks

Callers of plain HTTP could get a truncated 200 with a last chunk, as if it were whole: a server began a response without a length before it had read all of the request, and reset the connection.

Cause: Netty's decoder ends such a response on any close. A reset that a read finds is reported first (exceptionCaught) and fails the attempt; one that the write of the request finds closes the channel with no exception. PlainConnection took the end that the decoder then made for the server's.

Change: BackendResponseDecoder passes such an end on only if the read of the connection found the end of the stream, for both proxies; the check in Connection goes, and a connection that is no longer active is not kept.

--- a/src/main/java/gullspar/proxy/backend/BackendResponseDecoder.java
+++ b/src/main/java/gullspar/proxy/backend/BackendResponseDecoder.java
@@ -1,11 +1,13 @@
 package gullspar.proxy.backend;
 
 import gullspar.proxy.http.HeaderLines;
+import gullspar.proxy.io.ChannelReads;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -116,6 +118,19 @@
         }
     }
 
+    /**
+     * A response with neither a length nor chunks ends with its connection. The library ends it on any close, but only
+     * the end of the backend's sending makes it whole: after a reset, or a close by this side, the rest is missing.
+     */
+    @Override
+    protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        super.decodeLast(ctx, in, out);
+        int last = out.size() - 1;
+        if (last >= 0 && out.get(last) instanceof LastHttpContent && !ChannelReads.hasReadEndOfStream(ctx.channel())) {
+            out.remove(last);
+        }
+    }
+
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         HeaderLines.checkColon(line, start + length);
--- a/src/main/java/gullspar/proxy/backend/Connection.java
+++ b/src/main/java/gullspar/proxy/backend/Connection.java
@@ -72,9 +72,6 @@
     /** Bytes of the body's buffer that are reserved in the budget. */
     private int reservedBytes;
 
-    /** The body of the response lasts until the backend ends the connection. */
-    private boolean endsWithConnection;
-
     private int interimCount;
     /** The response has ended, but the rest of that read is not yet processed. */
     private boolean isResponseComplete;
@@ -153,7 +150,6 @@
         attempt = newAttempt;
         requestId = newAttempt.request().id();
         head = null;
-        endsWithConnection = false;
         interimCount = 0;
         isResponseComplete = false;
         hasTrailingBytes = false;
@@ -245,22 +241,12 @@
             return;
         }
         if (message instanceof LastHttpContent) {
-            acceptEnd();
-        }
-    }
-
-    /**
-     * Handles the end of a message. The decoder ends a response without a length whenever the connection closes, but
-     * only the end of the backend's sending makes it whole: after a reset the rest is missing.
-     */
-    private void acceptEnd() {
-        if (hasInterimHead()) {
-            decoder.expectResponse();
-        } else if (endsWithConnection && !ChannelReads.hasReadEndOfStream(channel)) {
-            fail(ResponseFailure.CONNECTION_BROKEN);
-        } else {
-            isResponseComplete = true;
-            decoder.responseComplete();
+            if (hasInterimHead()) {
+                decoder.expectResponse();
+            } else {
+                isResponseComplete = true;
+                decoder.responseComplete();
+            }
         }
     }
 
@@ -283,7 +269,6 @@
             fail(refusal);
             return false;
         }
-        endsWithConnection = ResponseHeads.endsWithConnection(r);
         if (attempt != null) {
             attempt.markBegun();
         }
@@ -432,7 +417,7 @@
     private void keepOrClose(boolean isRequestWritten) {
         if (isRequestWritten
                 && !hasTrailingBytes
-                && !endsWithConnection
+                && channel.isActive()
                 && HttpUtil.isKeepAlive(head)
                 && backend.leftAtNs == 0
                 && backend.bootNs == bootNs
--- a/src/main/java/gullspar/proxy/backend/ResponseHeads.java
+++ b/src/main/java/gullspar/proxy/backend/ResponseHeads.java
@@ -20,14 +20,6 @@
         return isTooLong && !HttpUtil.isTransferEncodingChunked(r) ? ResponseFailure.TOO_LONG : null;
     }
 
-    /** Whether the body of a final response lasts until the backend ends the connection (RFC 9112, section 6.3). */
-    static boolean endsWithConnection(HttpResponse r) {
-        return !HttpUtil.isTransferEncodingChunked(r)
-                && !HttpUtil.isContentLengthSet(r)
-                && r.status().code() != 204
-                && r.status().code() != 304;
-    }
-
     static Status statusOf(HttpResponse r) {
         int code = r.status().code();
         if (code == 200) {
