Plain HTTP: reset the connection of an HTTP/1.0 client whose response is cut off

Callers of plain HTTP with HTTP/1.0 took a cut off response for a whole one: to them a response of unknown length ends with the connection, and PlainClient.abort closes it in order.

Result: site.ResponseEndTest#clientWithoutChunksSeesTheKindOfTheEnd failed before with a reset at the server (orderly end), passes; with a FIN all bytes arrive, before and after.

--- a/src/main/java/gullspar/site/client/PlainClient.java
+++ b/src/main/java/gullspar/site/client/PlainClient.java
@@ -3,6 +3,7 @@
 import gullspar.proxy.http.Body;
 import gullspar.proxy.http.Message;
 import gullspar.proxy.io.NextTurn;
+import gullspar.proxy.io.ResetOnClose;
 import gullspar.route.Request;
 import gullspar.route.Route;
 import gullspar.route.Router;
@@ -78,6 +79,9 @@
 
     private boolean ending;
     private boolean responding;
+    /** The response has neither a length nor chunks: the close is its end. */
+    private boolean isDelimitedByClose;
+
     /** What is read behind the last request waits for {@link #continueAfterResponse}. */
     private boolean awaitsContinuation;
 
@@ -421,6 +425,10 @@
                 || r.status().code() == 204
                 || r.status().code() == 304;
         keepAlive &= framed;
+        isDelimitedByClose = !framed;
+        if (isDelimitedByClose) {
+            ResetOnClose.enable(channel);
+        }
         setConnectionHeader(r);
         channel.write(r);
     }
@@ -506,6 +514,9 @@
      * LINGER_NS first.
      */
     private void closeAfterResponse() {
+        if (isDelimitedByClose) {
+            ResetOnClose.disable(channel);
+        }
         if (inputIncomplete && channel instanceof DuplexChannel duplex && channel.isActive()) {
             lingerUntil = owner.now() + LINGER_NS;
             duplex.shutdownOutput();
--- a/src/test/java/gullspar/site/ResponseEndTest.java
+++ b/src/test/java/gullspar/site/ResponseEndTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Responses that only the end of the server's connection delimits, in plain HTTP. */
@@ -96,4 +97,28 @@
             writing.get();
         }
     }
+
+    /** To a client of HTTP/1.0 the end of the connection is the end of the response. */
+    @ParameterizedTest
+    @CsvSource({"false, true", "true, false"})
+    void clientWithoutChunksSeesTheKindOfTheEnd(boolean isReset, boolean isWhole) throws Exception {
+        try (Peer server = new Peer();
+                ProxyFixture s = ProxyFixture.withPool("", server);
+                Wire client = s.connect()) {
+            client.write("GET / HTTP/1.0\r\nHost: a\r\n\r\n");
+            Wire wire = acceptRequest(server);
+            wire.write(HEAD + "x".repeat(LARGE_BYTES));
+            client.readUntil("\r\n\r\n");
+            if (isReset) {
+                wire.reset();
+            } else {
+                wire.close();
+            }
+            if (isWhole) {
+                assertEquals(LARGE_BYTES, client.readBytes(2 * LARGE_BYTES).length());
+            } else {
+                assertThrows(IOException.class, () -> client.readBytes(2 * LARGE_BYTES));
+            }
+        }
+    }
 }
