Refuse responses in a transfer coding other than chunked

Callers could get a 200 whose body is not the backend's: a response with 'Transfer-Encoding: gzip, chunked' was taken for a chunked one and its coded bytes were passed on without the field that names the coding, in both proxies. Since responses without a length are forwarded, 'gzip' alone would be too.

Cause: the framing was chosen by HttpUtil.isTransferEncodingChunked, which finds 'chunked' anywhere in the list (RFC 9112, 6.3: it frames the body only as the last coding).

Change: TransferCodings accepts no coding, 'identity' and 'chunked' alone; anything else fails the attempt at its head, as a coding that the proxy has not asked for and cannot decode.

'identity' is forwarded.

--- a/src/main/java/gullspar/proxy/backend/ResponseFailure.java
+++ b/src/main/java/gullspar/proxy/backend/ResponseFailure.java
@@ -12,6 +12,8 @@
     RESPONSE_BEFORE_REQUEST_END("response before the end of the request"),
     /** The status line, a header field or a chunk is invalid. */
     MALFORMED("malformed"),
+    /** A transfer coding other than chunked. */
+    UNSUPPORTED_CODING("unsupported transfer coding"),
     /** The body, or the head, exceeds its limit. */
     TOO_LONG("too long"),
     /** Too many interim responses, or a change of protocol. */
--- a/src/main/java/gullspar/proxy/backend/ResponseHeads.java
+++ b/src/main/java/gullspar/proxy/backend/ResponseHeads.java
@@ -2,6 +2,7 @@
 
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.http.Message;
+import gullspar.proxy.http.TransferCodings;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -16,6 +17,9 @@
                 && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
             return ResponseFailure.MALFORMED;
         }
+        if (!TransferCodings.areSupported(r)) {
+            return ResponseFailure.UNSUPPORTED_CODING;
+        }
         boolean isTooLong = HttpUtil.getContentLength(r, 0L) > Message.MAX_BODY_BYTES && statusOf(r) == Status.OK;
         return isTooLong && !HttpUtil.isTransferEncodingChunked(r) ? ResponseFailure.TOO_LONG : null;
     }
--- a/src/main/java/gullspar/site/backend/PlainConnection.java
+++ b/src/main/java/gullspar/site/backend/PlainConnection.java
@@ -3,6 +3,7 @@
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.backend.BackendResponseDecoder;
 import gullspar.proxy.backend.IdleConnections;
+import gullspar.proxy.http.TransferCodings;
 import gullspar.proxy.io.ChannelReads;
 import gullspar.proxy.io.Clock;
 import io.netty.buffer.ByteBuf;
@@ -175,7 +176,8 @@
     private boolean startResponse(HttpResponse r) {
         if (!r.protocolVersion().equals(HttpVersion.HTTP_1_1)
                         && !r.protocolVersion().equals(HttpVersion.HTTP_1_0)
-                || r.status().code() == 101) {
+                || r.status().code() == 101
+                || !TransferCodings.areSupported(r)) {
             fail();
             return false;
         }
--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -148,6 +148,11 @@
         "HTTP/1.1 200 OK|Content-Length: 33554433||body",
         "HTTP/1.1 200 OK|Transfer-Encoding: chunked||5|abcde|zz|abcde|0||",
         "HTTP/1.1 200 OK|Content-Length: 4||body and the rest of it",
+        "HTTP/1.1 200 OK|Transfer-Encoding: gzip||body",
+        "'HTTP/1.1 200 OK|Transfer-Encoding: gzip, chunked||4|body|0||'",
+        "'HTTP/1.1 200 OK|Transfer-Encoding: chunked, gzip||4|body|0||'",
+        "HTTP/1.1 200 OK|Transfer-Encoding: gzip|Transfer-Encoding: chunked||4|body|0||",
+        "'HTTP/1.1 200 OK|Transfer-Encoding: chunked, chunked||4|body|0||'",
         "HTTP/1.1 101 Switching Protocols||",
         "noise"
     })
--- a/src/test/java/gullspar/proxy/ResponseWithoutLengthTest.java
+++ b/src/test/java/gullspar/proxy/ResponseWithoutLengthTest.java
@@ -91,6 +91,7 @@
         "'HTTP/1.0 200 OK\r\n\r\n', 4",
         "'HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\n', 70000",
         "'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n', 4",
+        "'HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n', 4",
         "'HTTP/1.1 200 \r\n\r\n', 4"
     })
     void wholeResponseWithoutLengthIsForwarded(String head, int bytes) throws Exception {
--- a/src/test/java/gullspar/site/MisbehavingPeersTest.java
+++ b/src/test/java/gullspar/site/MisbehavingPeersTest.java
@@ -36,6 +36,8 @@
                 "\u0000\u0001\u0002",
                 "",
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
                 "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
                         + "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
                         + "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
