Accept a response whose Content-Length stands twice with the same value

Callers saw 502 or 503 for a sound response with two equal Content-Length fields, or with the length twice in one field: it counted as malformed, and safe requests were repeated at every backend.

Cause: Netty's decoder rejects any repetition by default. RFC 9110, section 8.6, lets a recipient take equal values as one; a response is not ambiguous by them. Different values are still refused.

Requests are not affected.

--- a/src/main/java/gullspar/proxy/backend/BackendResponseDecoder.java
+++ b/src/main/java/gullspar/proxy/backend/BackendResponseDecoder.java
@@ -51,7 +51,8 @@
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(maxStatusLineBytes)
                 .setMaxHeaderSize(maxHeadBytes)
-                .setMaxChunkSize(64 << 10));
+                .setMaxChunkSize(64 << 10)
+                .setAllowDuplicateContentLengths(true)); // of equal ones the message is sound (RFC 9110, section 8.6)
         this.listener = listener;
     }
 
--- a/src/test/java/gullspar/proxy/BackendsTest.java
+++ b/src/test/java/gullspar/proxy/BackendsTest.java
@@ -89,6 +89,20 @@
         }
     }
 
+    /** Each request was repeated at every backend and refused. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 4|Content-Length: 4", "Content-Length: 4, 4"})
+    void equalContentLengthsAreOne(String fields) throws Exception {
+        try (Peer.Wire client = setup.client()) {
+            sendRequest(client);
+            Peer.Wire wire = backend.accept();
+            wire.read();
+            wire.write("HTTP/1.1 200 OK\r\n" + fields.replace("|", "\r\n") + "\r\n\r\nbody");
+            assertEquals(Status.OK, setup.nextOutcome().status());
+            assertTrue(client.read().endsWith("\r\n\r\nbody"));
+        }
+    }
+
     /** An error longer than what is buffered counted as a reset: the request may have run, whatever its head said. */
     @ParameterizedTest
     @CsvSource({
