Soak: responses without a length, whole and reset, and a judgement after SIGTERM

New ends: RESET_BY_BACKEND (allowed), RESET_SERVED (a reset one served as whole, a violation); CUT also after SIGTERM where the backend had completed the response half a second before. A request that must not run twice and does is a violation.

--- a/src/test/java/gullspar/proxy/soak/SoakReport.java
+++ b/src/test/java/gullspar/proxy/soak/SoakReport.java
@@ -21,8 +21,12 @@
         CROSSED(false),
         /** The connection ended without a response; no backend got the request and connections were short. */
         EVICTED(false),
-        /** As {@link #CUT} or {@link #NO_RESPONSE}, after SIGTERM at the end of the process. */
+        /** After SIGTERM no response, or one cut off that its backend had not completed half a second before. */
         ENDED_WITH_PROCESS(false),
+        /** The response had begun and was cut off as its backend reset the connection. */
+        RESET_BY_BACKEND(false),
+        /** A response was served as whole although its backend reset the connection. */
+        RESET_SERVED(true),
         /** The response had begun and was cut off although its backend went on. */
         CUT(true),
         /** Another status than the one that the backend had sent. */
--- a/src/test/java/gullspar/proxy/soak/SoakRun.java
+++ b/src/test/java/gullspar/proxy/soak/SoakRun.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
@@ -30,7 +29,7 @@
     private final Random random;
     private final SoakReport report = new SoakReport();
     private final Map<String, Begun> begun = new ConcurrentHashMap<>();
-    private final Set<String> received = ConcurrentHashMap.newKeySet();
+    private final Requests requests = new Requests(report::fail);
     private final List<Thread> threads = new ArrayList<>();
     private InetSocketAddress address;
     private volatile boolean isEnding;
@@ -46,7 +45,7 @@
         List<LongResponseBackend> backends = new ArrayList<>();
         List<String> addresses = new ArrayList<>();
         for (int i = 0; i < plan.backends(); i++) {
-            backends.add(new LongResponseBackend(plan.seed() + i, plan.longShare(), received, begun));
+            backends.add(new LongResponseBackend(plan.seed() + i, plan.longShare(), requests, begun));
             addresses.add(backends.get(i).hostPort());
         }
         try (DiscoveryStream discovery =
@@ -157,7 +156,7 @@
 
     @Override
     public boolean isReceived(String id) {
-        return received.contains(id);
+        return requests.isReceived(id);
     }
 
     @Override
--- a/src/test/java/gullspar/proxy/soak/UsualClient.java
+++ b/src/test/java/gullspar/proxy/soak/UsualClient.java
@@ -45,6 +45,11 @@
     /** A request sent so shortly before the close may have crossed it. */
     private static final long CROSSING_NS = 100_000_000L;
 
+    /** A begun response that its backend has completed so long before must have come whole. */
+    private static final long TRANSFER_NS = 500_000_000L;
+    /** The start of requests that must not run twice. */
+    static final String UNSAFE_START = "POST /pay";
+
     private static final int READ_TIMEOUT_MS = 8000;
     private static final int MAX_PAUSE_MS = 60;
     private static final int RECONNECT_MS = 30;
@@ -104,7 +109,7 @@
             int kind = random.nextInt(4);
             timeoutS = kind < 2 ? 0.6 : 1.2;
             body = new byte[kind < 2 ? 0 : random.nextInt(20) == 0 ? 1_500_000 : 1000];
-            head = (kind < 2 ? "GET /look" : kind == 2 ? "POST /order" : "POST /pay")
+            head = (kind < 2 ? "GET /look" : kind == 2 ? "POST /order" : UNSAFE_START)
                     + "/1 HTTP/1.1\r\nHost: api\r\nRequest-Id: " + id
                     + String.format(Locale.ROOT, "\r\nRequest-Timeout: %.3f", timeoutS)
                     + (kind == 2 ? "\r\nIdempotency-Key: " + id : "")
@@ -145,23 +150,30 @@
             long now = System.nanoTime();
             Begun begun = context.begun().get(id);
             if (response.status() == 200) {
-                if (begun != null && !begun.isLong()) {
+                if (begun != null && !begun.isLong) {
                     context.report().recordShort(now - sentNs);
                 }
-                return isForeign || begun == null ? End.FOREIGN : End.SERVED;
+                if (isForeign || begun == null) {
+                    return End.FOREIGN;
+                }
+                return begun.isReset ? End.RESET_SERVED : End.SERVED;
             }
             if (context.lastOwnStandstillNs() > sentNs) {
                 return End.REFUSED_OR_FAILED; // when it came is not known
             }
-            if (begun != null && now - begun.atNs() > IN_FLIGHT_NS) {
+            if (begun != null && !begun.isReset && now - begun.atNs > IN_FLIGHT_NS) {
                 return End.FAILED_AFTER_HEAD;
             }
             return now - sentNs > timeoutS * 1e9 + GRACE_NS ? End.LATE : End.REFUSED_OR_FAILED;
         }
 
         private End brokenEnd(Http.Head response) {
+            Begun begun = context.begun().get(id);
+            if (response != null && begun != null && begun.isReset) {
+                return End.RESET_BY_BACKEND;
+            }
             if (context.isEnding()) {
-                return End.ENDED_WITH_PROCESS;
+                return response != null && isLongComplete(begun) ? End.CUT : End.ENDED_WITH_PROCESS;
             }
             if (response != null) {
                 return End.CUT;
@@ -172,6 +184,10 @@
             return sentNs == 0 || System.nanoTime() - sentNs < CROSSING_NS ? End.CROSSED : End.NO_RESPONSE;
         }
 
+        private static boolean isLongComplete(Begun begun) {
+            return begun != null && begun.completedAtNs != 0 && System.nanoTime() - begun.completedAtNs > TRANSFER_NS;
+        }
+
         private void end(End end, Http.Head response, String note) {
             Begun begun = context.begun().remove(id);
             double elapsedS = sentNs == 0 ? 0 : (System.nanoTime() - sentNs) / 1e9;
@@ -184,8 +200,8 @@
                                     head.substring(0, head.indexOf("/1")),
                                     timeoutS,
                                     elapsedS,
-                                    begun == null ? "-" : String.format("%.3f", (begun.atNs() - sentNs) / 1e9),
-                                    begun == null ? "-" : begun.description(),
+                                    begun == null ? "-" : String.format("%.3f", (begun.atNs - sentNs) / 1e9),
+                                    begun == null ? "-" : begun.description,
                                     receivedBytes,
                                     response == null ? "no head" : response.startLine(),
                                     note));
