Soak: count the ends of requests by the form of their responses

Need: whether a form of response is lost more often than another could only be read from the notes, of which 20 a run are kept.

Change: the report counts each end by framing and length of the last response that a backend began for the request.

--- a/src/test/java/gullspar/proxy/soak/LongResponseBackend.java
+++ b/src/test/java/gullspar/proxy/soak/LongResponseBackend.java
@@ -72,15 +72,18 @@
         final boolean isLong;
         /** Whether its connection is reset before its end. */
         final boolean isReset;
+        /** Its framing, and whether it is long. */
+        final String form;
 
         final String description;
         /** When all of it was written; 0 before. */
         volatile long completedAtNs;
 
-        Begun(boolean isLong, boolean isReset, String description) {
+        private Begun(boolean isLong, Framing framing, String description) {
             this.isLong = isLong;
-            this.isReset = isReset;
-            this.description = description;
+            this.isReset = framing == Framing.RESET;
+            this.form = (isLong ? "long " : "short ") + framing;
+            this.description = form + description;
         }
     }
 
@@ -172,7 +175,7 @@
     }
 
     private void respondShort(String id, Socket socket, Framing framing) throws IOException {
-        Begun response = new Begun(false, framing == Framing.RESET, "short " + framing);
+        Begun response = new Begun(false, framing, "");
         begun.put(id, response);
         byte[] body = id.getBytes(StandardCharsets.US_ASCII);
         OutputStream out = socket.getOutputStream();
@@ -192,10 +195,7 @@
         int repeats = (MIN_LONG_BYTES + nextInt(nextInt(2) == 0 ? 60 << 10 : MAX_LONG_BYTES)) / id.length() + 1;
         byte[] body = id.repeat(repeats).getBytes(StandardCharsets.US_ASCII);
         int totalMs = MIN_LONG_MS + nextInt(MAX_LONG_MS - MIN_LONG_MS);
-        Begun response = new Begun(
-                true,
-                framing == Framing.RESET,
-                pace + " " + framing + " " + body.length + " bytes in " + totalMs + " ms");
+        Begun response = new Begun(true, framing, " " + pace + " " + body.length + " bytes in " + totalMs + " ms");
         begun.put(id, response);
         OutputStream out = socket.getOutputStream();
         write(out, "HTTP/1.1 200 OK\r\n" + framing.field(body.length) + "\r\n\r\n");
--- a/src/test/java/gullspar/proxy/soak/SoakReport.java
+++ b/src/test/java/gullspar/proxy/soak/SoakReport.java
@@ -48,11 +48,14 @@
     private static final int MAX_NOTES = 20;
 
     private final Map<End, LongAdder> ends = new ConcurrentHashMap<>();
+    private final Map<String, LongAdder> endsByForm = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<Long> shortNs = new ConcurrentLinkedQueue<>();
     private final List<String> notes = new java.util.concurrent.CopyOnWriteArrayList<>();
 
-    void count(End end, String note) {
+    /** Counts the end of a request; form: of the last response that a backend has begun for it. */
+    void count(End end, String form, String note) {
         ends.computeIfAbsent(end, e -> new LongAdder()).increment();
+        endsByForm.computeIfAbsent(form + " " + end, e -> new LongAdder()).increment();
         if (end.isViolation && notes.size() < MAX_NOTES) {
             notes.add(end + " " + note);
         }
@@ -88,6 +91,7 @@
         Map<String, Long> counts = new TreeMap<>();
         Arrays.stream(End.values()).filter(end -> count(end) > 0).forEach(end -> counts.put(end.name(), count(end)));
         return counts
+                + " by form " + new TreeMap<>(endsByForm)
                 + String.format(Locale.ROOT, " short p50 %.0f p99 %.0f ms", percentileMs(0.5), percentileMs(0.99));
     }
 }
--- a/src/test/java/gullspar/proxy/soak/UsualClient.java
+++ b/src/test/java/gullspar/proxy/soak/UsualClient.java
@@ -194,6 +194,7 @@
             context.report()
                     .count(
                             end,
+                            begun == null ? "none" : begun.form,
                             String.format(
                                     Locale.ROOT,
                                     "%s wait %.1f ended after %.3f s, backend began %s, %s, %d bytes %s %s",
