Rehearsals: deliver what arrived before a FIN or reset while reading is paused

Users of the rehearsal kit saw responses lose their last bytes, or come without any, when the peer closed while the proxy had paused reading: on a socket those bytes are read first, and the kind of the end behind them.

Cause: MemoryChannel.handlePeerEnd closed the channel at once and discarded what was unread.

Change: the end waits behind unread bytes; the first end that arrives decides its kind.

--- a/src/main/java/gullspar/rehearse/net/MemoryChannel.java
+++ b/src/main/java/gullspar/rehearse/net/MemoryChannel.java
@@ -23,6 +23,11 @@
 
     private record ReceivedBytes(ByteBuf bytes, long sentAtNs) {}
 
+    private enum PeerEnd {
+        FIN,
+        RST
+    }
+
     private final Network network;
     private final Host host;
     private final ChannelConfig config = new DefaultChannelConfig(this);
@@ -36,6 +41,9 @@
     private boolean active;
     private boolean readRequested;
     private boolean inputClosed;
+    /** How the peer has ended the connection, behind bytes that are unread; null if it has not. */
+    private PeerEnd unreadEnd;
+
     private boolean writePending;
     private long sentAtNs;
 
@@ -173,13 +181,22 @@
         }
     }
 
-    /** Closes this end because the peer has closed or reset the connection. */
+    /** The peer has closed or reset the connection: closes this end once all bytes before that are read. */
     void handlePeerEnd(boolean reset) {
-        if (!open || inputClosed) {
+        if (!open || inputClosed || unreadEnd != null) {
             return;
         }
+        PeerEnd end = reset ? PeerEnd.RST : PeerEnd.FIN;
+        if (unread.isEmpty()) {
+            closeAfter(end);
+        } else {
+            unreadEnd = end;
+        }
+    }
+
+    private void closeAfter(PeerEnd end) {
         inputClosed = true;
-        if (reset) {
+        if (end == PeerEnd.RST) {
             pipeline().fireExceptionCaught(new IOException("Connection reset by peer"));
         } else {
             unsafe().recvBufAllocHandle().lastBytesRead(-1); // the end of the stream, as on a socket
@@ -327,6 +344,9 @@
                 if (delivered) {
                     readComplete();
                 }
+                if (unreadEnd != null && open && !inputClosed && unread.isEmpty()) {
+                    closeAfter(unreadEnd);
+                }
             });
         }
     }
--- a/src/test/java/gullspar/rehearse/net/NetworkTest.java
+++ b/src/test/java/gullspar/rehearse/net/NetworkTest.java
@@ -23,6 +23,8 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The in-memory network behaves like TCP as a proxy observes it. The one-way delay is 1 ms. */
 class NetworkTest {
@@ -138,6 +140,30 @@
         return accepted.get(accepted.size() - 1);
     }
 
+    /** A response whose client read slowly lost its last bytes in rehearsals. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void bytesBeforeTheEndAreReadThoughReadingWasPaused(boolean isReset) {
+        Endpoint e = connected();
+        e.channel.config().setAutoRead(false);
+        run(3);
+        peer().write("one");
+        peer().write("two");
+        run(10);
+        if (isReset) {
+            ((MemoryChannel) peer().channel).reset();
+        } else {
+            peer().channel.close();
+        }
+        run(20);
+        assertTrue(e.channel.isOpen(), "the end lies behind unread bytes");
+        e.channel.config().setAutoRead(true);
+        run(30);
+        assertTrue(e.read.toString().endsWith("two"), e.read.toString());
+        assertFalse(e.channel.isOpen());
+        assertEquals(isReset, e.failure != null);
+    }
+
     @Test
     void bytesArriveInOrderAfterTheDelayAndAreReadInOneBatch() {
         Endpoint e = connected();
