DiscoveryTest: lists without a length, ended by FIN and by reset

By reading there is nothing to fix: each list ends by itself, and one that is cut off is not applied.

Change: a test that shows it, with HTTP/1.1, HTTP/1.0, FIN and reset.

--- a/src/test/java/gullspar/proxy/DiscoveryTest.java
+++ b/src/test/java/gullspar/proxy/DiscoveryTest.java
@@ -42,6 +42,8 @@
 import java.util.function.Function;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** The discovery client: lists, watches, their timeouts and restarts. */
 class DiscoveryTest extends LoopbackTest {
@@ -91,6 +93,30 @@
         assertEquals(ListKind.FULL, setup.nextEvent("kind", ListKind.class));
     }
 
+    /** A list ends by itself: what the head says, and how the connection ends, do not matter. */
+    @ParameterizedTest
+    @CsvSource({
+        "'HTTP/1.1 200 OK\r\n\r\n', false",
+        "'HTTP/1.0 200 OK\r\n\r\n', false",
+        "'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n', true",
+    })
+    void listWithoutLengthAppliesOnceComplete(String head, boolean isReset) throws Exception {
+        Peer.Wire watch = discovery.accept();
+        watch.read();
+        String cut = list(43, false, "s-1", "in_service").trim();
+        watch.write(head + list(42, false, "s-1", "terminating"));
+        assertEquals(State.DRAINING, nextMember().state());
+        watch.write(cut.substring(0, cut.length() - 1));
+        if (isReset) {
+            watch.reset();
+        } else {
+            watch.close();
+        }
+        Peer.Wire second = discovery.accept();
+        assertTrue(second.read().contains("index=42 "));
+        assertTrue(setup.moduleEvents.stream().noneMatch(event -> event.type().equals("members")));
+    }
+
     @Test
     void invalidListChangesNothingAndWatchIsReopened() throws Exception {
         for (String bad : List.of(
