Count a request's time from its arrival also while it is read over many turns

The time ran from the turn that read the last byte, and a request not yet handed over had no limit of its own. 'Nothing is left unread' was also taken from any read that does not fill its buffer; behind reads that do, only the receive buffer is empty, and the rest waits at the client until it has room.

Change: a read that does not fill its buffer shows that all was read only if the one before it did not either. While the loop has not found the socket empty since, a request is dated by the last time that nothing was unread, also one that is buffered. A request that no backend has begun to receive is refused (503) once its time has passed unread. Before either judgement the socket is read once: a client that has paused is not late.

Result: LargeBodiesTest#timeOfARequestThatIsReadOverManyTurnsRunsFromItsArrival (age 20 ms before, over 200 ms now) and #requestThatCannotBeReadInItsTimeIsRefused (not refused before) failed before, pass; #requestThatIsSentSlowlyIsDatedByItsLastByte guards the other side.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -120,6 +120,9 @@
     private BodyStream upload;
 
     private long bodyBytes;
+    /** How long the client waits for the response to the request being received, in ns; 0 if it does not say. */
+    private long timeoutNs;
+
     /** Start of the time over which the minimum rate is checked, and the body bytes received since. */
     private long rateWindowStartNs;
 
@@ -127,8 +130,17 @@
     private long lastReceivedNs;
     /** When all that the client had sent of the request was last read, so that its last byte came later. */
     private long receivedUntilNs;
-    /** The last read has left nothing unread. */
+    /**
+     * The last reads have left nothing unread. One read that does not fill its buffer shows only that the receive
+     * buffer is empty: behind reads that did, the rest may wait at the client until that has room again.
+     */
     private boolean hasReadAll;
+    /** The last read did not fill its buffer. */
+    private boolean wasShortRead = true;
+    /** When the last read ended. */
+    private long lastReadNs;
+    /** Since the last read the loop has not looked for data of this client, or it is being read out of turn. */
+    private boolean isUnwatched;
     /** Further requests may have arrived while the queue was full, at this time at the earliest. */
     private boolean hasWaitingInput;
 
@@ -250,6 +262,7 @@
         long maxParts = decoder.decodedParts() + MAX_PARTS_PER_CHECK;
         for (int i = 0; i < MAX_READS_PER_CHECK && decoder.decodedParts() < maxParts && channel.isActive(); i++) {
             long before = decoder.receivedBytes();
+            isUnwatched = true;
             socket.read();
             if (decoder.receivedBytes() == before) {
                 return;
@@ -307,6 +320,7 @@
      * after the last response; idleTimeoutNs: between requests.
      */
     void enforceTimeouts(long now, long requestTimeoutNs, long idleTimeoutNs) {
+        checkNothingUnread(now);
         if (isForwardingUpload() && (upload.paused() || !hasReadAll)) { // otherwise it is the client that is slow
             owner.onRequestIncomplete(this, receivedUntilNs);
         }
@@ -319,6 +333,8 @@
             }
         } else if (pendingWrites > 0) {
             closeIfResponseStalled(now);
+        } else if (isReadTooLate(now)) {
+            closeWithError(503, "the request could not be read in its time, try again");
         } else if (isRequestTooSlow(now)) {
             closeWithError(408, "the request did not come in time");
         } else if (isIdle() && now - idleSinceNs > (used ? idleTimeoutNs : requestTimeoutNs)) {
@@ -326,6 +342,25 @@
         }
     }
 
+    /**
+     * Reads on if the time of a request may pass while a part of it is unread. If there is none, the client has paused,
+     * and its time has not begun.
+     */
+    private void checkNothingUnread(long now) {
+        boolean mayBeUnread = head != null && !hasReadAll && now - receivedUntilNs >= timeoutNs / 2;
+        if (mayBeUnread
+                && channel.config().isAutoRead()
+                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            long before = decoder.receivedBytes();
+            isUnwatched = true;
+            socket.read();
+            if (decoder.receivedBytes() == before) {
+                hasReadAll = true;
+                receivedUntilNs = now;
+            }
+        }
+    }
+
     private void closeIfResponseStalled(long now) {
         // While nothing waits to be read only the backend can be slow.
         boolean isClientSlow = pendingWrites > 0
@@ -341,6 +376,18 @@
         return upload != null && currentRequest != null && currentRequest.bodyStream() == upload;
     }
 
+    /**
+     * Whether the time of a request that no backend has begun to receive has passed before all of it was read: its last
+     * byte may have been waiting since the last time that nothing was unread.
+     */
+    private boolean isReadTooLate(long now) {
+        return head != null
+                && !hasReadAll
+                && timeoutNs > 0
+                && now - receivedUntilNs >= timeoutNs
+                && (upload == null || upload.isUnread());
+    }
+
     /** Returns whether a partly received request has stalled or is below the minimum rate. */
     private boolean isRequestTooSlow(long now) {
         if (head == null) {
@@ -400,10 +447,23 @@
         }
     }
 
-    /** The earliest time at which the request that is being decoded may have arrived. */
+    /** The earliest time at which the bytes that are being decoded may have arrived. */
     private long receivedAt() {
         long receivedAtNs = owner.receivedAt();
-        return hasWaitingInput ? Math.min(receivedAtNs, inputWaitingSinceNs) : receivedAtNs;
+        if (hasWaitingInput) {
+            return Math.min(receivedAtNs, inputWaitingSinceNs);
+        }
+        return hasUnreadRest(receivedAtNs) ? Math.min(receivedAtNs, receivedUntilNs) : receivedAtNs;
+    }
+
+    /**
+     * Whether the last read has left a part of what is being read now: it took all that its buffer holds, and the loop
+     * has not found the socket empty since.
+     *
+     * @param receivedAtNs the last time at which the loop found nothing to read
+     */
+    private boolean hasUnreadRest(long receivedAtNs) {
+        return !hasReadAll && (isUnwatched || receivedAtNs <= lastReadNs);
     }
 
     private void pauseReading() {
@@ -431,6 +491,9 @@
 
     /** Handles a part of a body; returns false if the request was rejected. */
     private boolean onContent(ByteBuf bytes) {
+        if (!hasReadAll) {
+            receivedUntilNs = receivedAt();
+        }
         rateWindowBytes += bytes.readableBytes();
         bodyBytes += bytes.readableBytes();
         lastReceivedNs = owner.now();
@@ -512,7 +575,8 @@
             bodyBytes = 0;
             rateWindowStartNs = owner.now();
             lastReceivedNs = rateWindowStartNs;
-            receivedUntilNs = rateWindowStartNs;
+            timeoutNs = RequestParameters.timeoutNs(r.headers());
+            receivedUntilNs = receivedAt();
             return true;
         }
         return false;
@@ -582,10 +646,14 @@
         if (upload != null) {
             upload.endRead();
         }
-        hasReadAll = hasReadAll(ctx.channel());
-        if (!isResuming && (upload != null || hasWaitingInput) && hasReadAll) {
-            receivedUntilNs = owner.now();
-            hasWaitingInput = decoder.isPaused();
+        boolean isShortRead = isShortRead(ctx.channel());
+        hasReadAll = isShortRead && wasShortRead;
+        wasShortRead = isShortRead;
+        lastReadNs = owner.now();
+        isUnwatched = !ctx.channel().config().isAutoRead();
+        if (!isResuming && hasReadAll) {
+            receivedUntilNs = lastReadNs;
+            hasWaitingInput &= decoder.isPaused();
         }
         if (!closing && decoder.inRequest()) {
             // The time limit of a connection's first request starts at connecting, however slowly it is sent.
@@ -597,7 +665,7 @@
     }
 
     /** True if the last read left room in its buffer, so that nothing more was in the socket. */
-    private static boolean hasReadAll(Channel channel) {
+    private static boolean isShortRead(Channel channel) {
         var lastRead = channel.unsafe().recvBufAllocHandle();
         return lastRead.lastBytesRead() < lastRead.attemptedBytesRead();
     }
--- a/src/main/java/gullspar/proxy/client/RequestParameters.java
+++ b/src/main/java/gullspar/proxy/client/RequestParameters.java
@@ -7,6 +7,7 @@
 import gullspar.proxy.config.Fnv;
 import gullspar.proxy.http.Message;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import java.util.List;
@@ -34,7 +35,7 @@
         if (!hasSingleValue(message, "Request-Id", NAME)) {
             return "no Request-Id, or an odd one, or several";
         }
-        if (parseTimeoutNs(message) <= 0) {
+        if (timeoutNs(message.headers()) <= 0) {
             return "no sensible Request-Timeout";
         }
         boolean keyed = message.headers().contains("Idempotency-Key");
@@ -48,16 +49,20 @@
     }
 
     private static boolean hasSingleValue(Message message, String name, Pattern form) {
-        List<String> values = message.headers().getAll(name);
+        return hasSingleValue(message.headers(), name, form);
+    }
+
+    private static boolean hasSingleValue(HttpHeaders headers, String name, Pattern form) {
+        List<String> values = headers.getAll(name);
         return values.size() == 1 && form.matcher(values.get(0)).matches();
     }
 
-    /** Returns 0 if the timeout is missing or invalid. */
-    private static long parseTimeoutNs(Message message) {
-        if (!hasSingleValue(message, "Request-Timeout", SECONDS)) {
+    /** How long the client waits, in ns; 0 if the timeout is missing or invalid. */
+    static long timeoutNs(HttpHeaders headers) {
+        if (!hasSingleValue(headers, "Request-Timeout", SECONDS)) {
             return 0;
         }
-        double seconds = Double.parseDouble(message.headers().get("Request-Timeout"));
+        double seconds = Double.parseDouble(headers.get("Request-Timeout"));
         return seconds > 0 && seconds <= MAX_TIMEOUT_S ? (long) (seconds * 1e9) : 0;
     }
 
@@ -66,7 +71,7 @@
                 requestClass,
                 Math.max(0, config.tenants().indexOf(message.headers().get("Tenant", ""))),
                 key(message.headers().get(HttpHeaderNames.COOKIE)),
-                parseTimeoutNs(message),
+                timeoutNs(message.headers()),
                 parseHintNs(message),
                 "1".equals(message.headers().get("Client-Retry")));
     }
--- a/src/test/java/gullspar/proxy/LargeBodiesTest.java
+++ b/src/test/java/gullspar/proxy/LargeBodiesTest.java
@@ -8,6 +8,7 @@
 import gullspar.decide.Balancer.Request;
 import gullspar.decide.Balancer.Status;
 import gullspar.proxy.config.Config;
+import gullspar.proxy.io.NextTurn;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -33,6 +34,13 @@
     /** Small, so that the sender is often ahead of the receiver and has to wait. */
     private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
 
+    /** The most that is read of a client in one turn. */
+    private static final int READ_BYTES = 16 << 10;
+
+    private static final long SLOW_TURN_NS = 20_000_000L;
+    private static final int PIECES = 10;
+    private static final long PAUSE_MS = 100;
+
     private Peer discovery;
     private ServerSocket backend;
     private Setup setup;
@@ -284,6 +292,73 @@
         }
     }
 
+    /** Sends a request while the loop stands, so that all of it has arrived; from then on each turn takes a while. */
+    private void sendBeforeSlowTurns(Socket client, String timeoutS, int bodyBytes) throws Exception {
+        CompletableFuture<Void> sent = new CompletableFuture<>();
+        setup.loop.execute(sent::join);
+        try {
+            write(
+                    client,
+                    Setup.getRequest("Request-Timeout: " + timeoutS + "\r\nIdempotency-Key: k\r\nContent-Length: "
+                                    + bodyBytes + "\r\n")
+                            .replace("GET /look", "POST /order"));
+            client.getOutputStream().write(randomBytes(bodyBytes));
+            setup.loop.execute(this::makeTurnsSlow);
+        } finally {
+            sent.complete(null);
+        }
+    }
+
+    private void makeTurnsSlow() {
+        long endNs = System.nanoTime() + SLOW_TURN_NS;
+        while (System.nanoTime() < endNs) {
+            Thread.onSpinWait();
+        }
+        NextTurn.run(setup.loop, this::makeTurnsSlow);
+    }
+
+    /** The time of a request ran from the turn that read its last byte, which had waited through all turns before. */
+    @Test
+    void timeOfARequestThatIsReadOverManyTurnsRunsFromItsArrival() throws Exception {
+        try (Socket client = client()) {
+            sendBeforeSlowTurns(client, "30", 20 * READ_BYTES);
+            long ageNs = setup.nextRequest().ageNs();
+            assertTrue(ageNs > 10 * SLOW_TURN_NS, "age " + ageNs);
+        }
+    }
+
+    /** A crowd made each turn slow, and clients of large requests got their final response seconds after their time. */
+    @Test
+    void requestThatCannotBeReadInItsTimeIsRefused() throws Exception {
+        try (Socket client = client()) {
+            sendBeforeSlowTurns(client, "0.2", 60 * READ_BYTES);
+            assertTrue(readHead(client.getInputStream()).startsWith("HTTP/1.1 503"));
+            assertTrue(
+                    setup.moduleEvents.stream().noneMatch(event -> event.type().equals("request")));
+        }
+    }
+
+    /** Its pieces fill the buffers of reads, as a request does that has been waiting. */
+    @ParameterizedTest
+    @ValueSource(ints = {READ_BYTES, 70_000})
+    void requestThatIsSentSlowlyIsDatedByItsLastByte(int pieceBytes) throws Exception {
+        try (Socket client = client()) {
+            client.setTcpNoDelay(true);
+            write(
+                    client,
+                    orderRequest("Content-Length: " + PIECES * pieceBytes + "\r\n")
+                            .replace("Request-Timeout: 1.2", "Request-Timeout: 0.3"));
+            for (int i = 0; i < PIECES; i++) {
+                CompletableFuture<Void> pause = new CompletableFuture<>();
+                setup.loop.schedule(() -> pause.complete(null), PAUSE_MS, TimeUnit.MILLISECONDS);
+                pause.get(20, TimeUnit.SECONDS);
+                client.getOutputStream().write(randomBytes(pieceBytes));
+            }
+            long ageNs = setup.nextRequest().ageNs();
+            assertTrue(ageNs < TimeUnit.MILLISECONDS.toNanos(PIECES * PAUSE_MS / 2), "age " + ageNs);
+        }
+    }
+
     /** The backend of a client that stopped in the middle of its request was avoided, and other clients refused. */
     @Test
     void clientThatStopsInTheMiddleOfItsRequestIsNotHeldAgainstTheBackend() throws Exception {
