Client: take the arrival times of what is read into a class of their own

Change: ArrivalTimes holds them, with one method for each thing that happens. A read that is only simulated to go on with decoding no longer counts as one. Nothing else changes.

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -128,23 +128,7 @@
 
     private long rateWindowBytes;
     private long lastReceivedNs;
-    /** When all that the client had sent of the request was last read, so that its last byte came later. */
-    private long receivedUntilNs;
-    /**
-     * The last reads have left nothing unread. One read that does not fill its buffer shows only that the receive
-     * buffer is empty: behind reads that did, the rest may wait at the client until that has room again.
-     */
-    private boolean hasReadAll;
-    /** The last read did not fill its buffer. */
-    private boolean wasShortRead = true;
-    /** When the last read ended. */
-    private long lastReadNs;
-    /** Since the last read the loop has not looked for data of this client, or it is being read out of turn. */
-    private boolean isUnwatched;
-    /** Further requests may have arrived while the queue was full, at this time at the earliest. */
-    private boolean hasWaitingInput;
-
-    private long inputWaitingSinceNs;
+    private final ArrivalTimes arrivals = new ArrivalTimes();
     /** What was left undecoded is being decoded. */
     private boolean isResuming;
     /** When reading stopped because the upload was paused. */
@@ -262,7 +246,7 @@
         long maxParts = decoder.decodedParts() + MAX_PARTS_PER_CHECK;
         for (int i = 0; i < MAX_READS_PER_CHECK && decoder.decodedParts() < maxParts && channel.isActive(); i++) {
             long before = decoder.receivedBytes();
-            isUnwatched = true;
+            arrivals.onReadOutOfTurn();
             socket.read();
             if (decoder.receivedBytes() == before) {
                 return;
@@ -321,8 +305,9 @@
      */
     void enforceTimeouts(long now, long requestTimeoutNs, long idleTimeoutNs) {
         checkNothingUnread(now);
-        if (isForwardingUpload() && (upload.paused() || !hasReadAll)) { // otherwise it is the client that is slow
-            owner.onRequestIncomplete(this, receivedUntilNs);
+        if (isForwardingUpload()
+                && (upload.paused() || !arrivals.hasReadAll())) { // otherwise it is the client that is slow
+            owner.onRequestIncomplete(this, arrivals.receivedUntilNs());
         }
         responseProgress.update(channel, now);
         if (responseStream != null) {
@@ -347,16 +332,16 @@
      * and its time has not begun.
      */
     private void checkNothingUnread(long now) {
-        boolean mayBeUnread = head != null && !hasReadAll && now - receivedUntilNs >= timeoutNs / 2;
+        boolean mayBeUnread =
+                head != null && !arrivals.hasReadAll() && now - arrivals.receivedUntilNs() >= timeoutNs / 2;
         if (mayBeUnread
                 && channel.config().isAutoRead()
                 && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
             long before = decoder.receivedBytes();
-            isUnwatched = true;
+            arrivals.onReadOutOfTurn();
             socket.read();
             if (decoder.receivedBytes() == before) {
-                hasReadAll = true;
-                receivedUntilNs = now;
+                arrivals.onNothingFound(now);
             }
         }
     }
@@ -382,9 +367,9 @@
      */
     private boolean isReadTooLate(long now) {
         return head != null
-                && !hasReadAll
+                && !arrivals.hasReadAll()
                 && timeoutNs > 0
-                && now - receivedUntilNs >= timeoutNs
+                && now - arrivals.receivedUntilNs() >= timeoutNs
                 && (upload == null || upload.isUnread());
     }
 
@@ -426,7 +411,7 @@
                         Message.withFullBody(head.method(), head.uri(), head.headers(), body),
                         0,
                         null,
-                        receivedAt(),
+                        arrivals.receivedAt(owner.receivedAt()),
                         HttpUtil.isKeepAlive(head),
                         head.protocolVersion()));
             } else {
@@ -435,7 +420,7 @@
                 received.complete();
                 if (currentRequest != null && currentRequest.bodyStream() == received) {
                     // While reading was paused the last byte may have waited in the kernel.
-                    owner.onRequestComplete(this, Math.min(owner.receivedAt(), receivedUntilNs));
+                    owner.onRequestComplete(this, Math.min(owner.receivedAt(), arrivals.receivedUntilNs()));
                 }
             }
             head = null;
@@ -447,28 +432,8 @@
         }
     }
 
-    /** The earliest time at which the bytes that are being decoded may have arrived. */
-    private long receivedAt() {
-        long receivedAtNs = owner.receivedAt();
-        if (hasWaitingInput) {
-            return Math.min(receivedAtNs, inputWaitingSinceNs);
-        }
-        return hasUnreadRest(receivedAtNs) ? Math.min(receivedAtNs, receivedUntilNs) : receivedAtNs;
-    }
-
-    /**
-     * Whether the last read has left a part of what is being read now: it took all that its buffer holds, and the loop
-     * has not found the socket empty since.
-     *
-     * @param receivedAtNs the last time at which the loop found nothing to read
-     */
-    private boolean hasUnreadRest(long receivedAtNs) {
-        return !hasReadAll && (isUnwatched || receivedAtNs <= lastReadNs);
-    }
-
     private void pauseReading() {
-        inputWaitingSinceNs = receivedAt();
-        hasWaitingInput = true;
+        arrivals.onDecodingPaused(owner.receivedAt());
         decoder.pause();
         updateAutoRead();
     }
@@ -491,9 +456,7 @@
 
     /** Handles a part of a body; returns false if the request was rejected. */
     private boolean onContent(ByteBuf bytes) {
-        if (!hasReadAll) {
-            receivedUntilNs = receivedAt();
-        }
+        arrivals.onBody(owner.receivedAt());
         rateWindowBytes += bytes.readableBytes();
         bodyBytes += bytes.readableBytes();
         lastReceivedNs = owner.now();
@@ -513,7 +476,7 @@
                             HttpUtil.getContentLength(head, -1L)),
                     0,
                     null,
-                    receivedAt(),
+                    arrivals.receivedAt(owner.receivedAt()),
                     HttpUtil.isKeepAlive(head),
                     head.protocolVersion()));
         }
@@ -576,7 +539,7 @@
             rateWindowStartNs = owner.now();
             lastReceivedNs = rateWindowStartNs;
             timeoutNs = RequestParameters.timeoutNs(r.headers());
-            receivedUntilNs = receivedAt();
+            arrivals.onRequestBegin(owner.receivedAt());
             return true;
         }
         return false;
@@ -646,14 +609,9 @@
         if (upload != null) {
             upload.endRead();
         }
-        boolean isShortRead = isShortRead(ctx.channel());
-        hasReadAll = isShortRead && wasShortRead;
-        wasShortRead = isShortRead;
-        lastReadNs = owner.now();
-        isUnwatched = !ctx.channel().config().isAutoRead();
-        if (!isResuming && hasReadAll) {
-            receivedUntilNs = lastReadNs;
-            hasWaitingInput &= decoder.isPaused();
+        if (!isResuming) {
+            arrivals.onReadComplete(
+                    isShortRead(ctx.channel()), ctx.channel().config().isAutoRead(), decoder.isPaused(), owner.now());
         }
         if (!closing && decoder.inRequest()) {
             // The time limit of a connection's first request starts at connecting, however slowly it is sent.
@@ -664,7 +622,7 @@
         processNext();
     }
 
-    /** True if the last read left room in its buffer, so that nothing more was in the socket. */
+    /** True if the last read left room in its buffer, so that the receive buffer is empty. */
     private static boolean isShortRead(Channel channel) {
         var lastRead = channel.unsafe().recvBufAllocHandle();
         return lastRead.lastBytesRead() < lastRead.attemptedBytesRead();
