Client: a channel without a socket leaves nothing unread

Cause: whether a read has left something unread was told by the sizes of its buffer, which a channel without a socket (rehearsals, tests) does not have, so that it always seemed to have.

Change: only a socket can hold unread bytes.

Result: MemoryBudgetReleaseTest 10 of 10; the tests of client, http and backend and LargeBodiesTest pass (67).

--- a/src/main/java/gullspar/proxy/client/Client.java
+++ b/src/main/java/gullspar/proxy/client/Client.java
@@ -622,10 +622,11 @@
         processNext();
     }
 
-    /** True if the last read left room in its buffer, so that the receive buffer is empty. */
+    /** True if the last read left room in its buffer, so that the receive buffer is empty, or if there is no socket. */
     private static boolean isShortRead(Channel channel) {
         var lastRead = channel.unsafe().recvBufAllocHandle();
-        return lastRead.lastBytesRead() < lastRead.attemptedBytesRead();
+        return !(channel.unsafe() instanceof AbstractNioChannel.NioUnsafe)
+                || lastRead.lastBytesRead() < lastRead.attemptedBytesRead();
     }
 
     /** Processes the next queued request, if there is one and nothing before it is outstanding. */
